--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# The commands of the project. Everything that they need comes from go.mod files.
+SHELL := /usr/bin/env bash -euo pipefail
+BIN := .bin
+MODULES := $(shell sed -n 's|^\t\./||p' go.work)
+PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
+PROGRAMS := quartzshelfd quartzshelf quartzshelf-standin
+
+.PHONY: build test lint quickstart fleet faults soak measure bench generate tools clean
+
+build:
+	go build -o $(BIN)/ $(addprefix ./cmd/,$(PROGRAMS))
+
+test:
+	go test $(PACKAGES)
+
+lint: tools
+	@unformatted=$$(gofmt -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	go vet $(PACKAGES)
+	$(BIN)/staticcheck $(PACKAGES)
+	$(BIN)/revive -config revive.toml -set_exit_status -exclude ./rpc/... $(PACKAGES)
+
+tools:
+	GOWORK=off go -C tools build -o ../$(BIN)/ tool
+
+quickstart: build
+	exec $(BIN)/quartzshelfd --settings examples/quickstart.yaml
+
+generate: tools
+	cd rpc && PATH="$$PWD/../$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+		--twirp_out=. --twirp_opt=paths=source_relative peer.proto
+
+clean:
+	rm -rf $(BIN) .run
--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,390 @@
+// Package catalog holds what the owners of fabric domains last reported, and
+// answers which replicas may serve now. A report carries how much longer its
+// replicas may serve; the catalog turns that into a deadline of this process,
+// so that a daemon that hears nothing more stops by itself.
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"quartzshelf.dev/common/token"
+	"quartzshelf.dev/rpc"
+)
+
+// forgetAfter is how long a report outlives its deadline: it then still tells
+// operators what was last known.
+const forgetAfter = time.Hour
+
+// held is a report with the deadline of its replicas.
+type held struct {
+	report   *rpc.DomainReport
+	token    token.Token
+	deadline time.Time
+	forgetAt time.Time
+}
+
+// Catalog is safe for concurrent use.
+type Catalog struct {
+	mu      sync.RWMutex
+	domains map[string]*held
+	// replicas is derived from domains, by deployment.
+	replicas map[string][]Replica
+	changed  chan struct{}
+}
+
+// New returns an empty catalog.
+func New() *Catalog {
+	return &Catalog{
+		domains:  make(map[string]*held),
+		replicas: make(map[string][]Replica),
+		changed:  make(chan struct{}),
+	}
+}
+
+// Replica is one replica as its owner reported it.
+type Replica struct {
+	domain   string
+	deadline time.Time
+	report   *rpc.ReplicaReport
+	load     Load
+}
+
+// Load is the load that a replica reported. It lags.
+type Load struct {
+	queue, active, slots int
+}
+
+// Queue returns how many requests waited.
+func (l Load) Queue() int { return l.queue }
+
+// Active returns how many requests the replica worked on.
+func (l Load) Active() int { return l.active }
+
+// Slots returns how many requests the replica works on at once.
+func (l Load) Slots() int { return l.slots }
+
+// ID returns the replica's name.
+func (r Replica) ID() string { return r.report.Id }
+
+// AssignedName returns the name by which the nodes know the replica: scripts
+// name theirs by themselves.
+func (r Replica) AssignedName() string {
+	if r.report.AssignedName != "" {
+		return r.report.AssignedName
+	}
+	return r.report.Id
+}
+
+// Domain returns the fabric domain of the replica.
+func (r Replica) Domain() string { return r.domain }
+
+// Deployment returns the deployment of the replica.
+func (r Replica) Deployment() string { return r.report.Deployment }
+
+// Generation returns the replica's generation.
+func (r Replica) Generation() uint64 { return r.report.Generation }
+
+// Address returns the IP:port that answers requests.
+func (r Replica) Address() string { return r.report.LeaderAddress }
+
+// Nodes returns the ids of the replica's nodes.
+func (r Replica) Nodes() []string { return r.report.Nodes }
+
+// Deadline returns until when the replica may serve.
+func (r Replica) Deadline() time.Time { return r.deadline }
+
+// Draining reports whether the replica takes no new work.
+func (r Replica) Draining() bool { return r.report.Draining }
+
+// Scripted reports whether scripts run the replica.
+func (r Replica) Scripted() bool { return r.report.Scripted }
+
+// Reason returns why the replica does not serve.
+func (r Replica) Reason() string { return r.report.Reason }
+
+// ModelVersion returns the version of the model that the replica runs.
+func (r Replica) ModelVersion() string { return r.report.ModelVersion }
+
+// Load returns the replica's load.
+func (r Replica) Load() Load { return r.load }
+
+// Listed reports whether the owner lists the replica as serving.
+func (r Replica) Listed() bool { return r.report.Serving }
+
+// MayServe reports whether the replica may be given new work at now. Callers
+// check right before they send; a pause after the check is bounded by the
+// engine, which refuses work meant for another generation, and otherwise by
+// nothing but the window.
+func (r Replica) MayServe(now time.Time) bool {
+	return r.report.Serving && !r.report.Draining && now.Before(r.deadline)
+}
+
+// Serving returns the deployment's replicas that may serve at now.
+func (c *Catalog) Serving(deployment string, now time.Time) []Replica {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	all := c.replicas[deployment]
+	serving := make([]Replica, 0, len(all))
+	for _, r := range all {
+		if r.MayServe(now) {
+			serving = append(serving, r)
+		}
+	}
+	return serving
+}
+
+// Replicas returns every replica of every deployment, sorted by name.
+func (c *Catalog) Replicas() []Replica {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var all []Replica
+	for _, replicas := range c.replicas {
+		all = append(all, replicas...)
+	}
+	slices.SortFunc(all, func(a, b Replica) int { return strings.Compare(a.ID(), b.ID()) })
+	return all
+}
+
+// Endpoint is a node that runs a plain service.
+type Endpoint struct {
+	id       string
+	address  string
+	domain   string
+	dataHall string
+	deadline time.Time
+}
+
+// ID returns the node's name.
+func (e Endpoint) ID() string { return e.id }
+
+// Address returns the node's IP:port.
+func (e Endpoint) Address() string { return e.address }
+
+// Domain returns the node's fabric domain.
+func (e Endpoint) Domain() string { return e.domain }
+
+// DataHall returns the node's data hall.
+func (e Endpoint) DataHall() string { return e.dataHall }
+
+// MayServe reports whether the endpoint may be given new work at now.
+func (e Endpoint) MayServe(now time.Time) bool { return now.Before(e.deadline) }
+
+// Endpoints returns the service nodes that their owners found answering and
+// staying, sorted by name.
+func (c *Catalog) Endpoints() []Endpoint {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var all []Endpoint
+	for domain, h := range c.domains {
+		for _, n := range h.report.Nodes {
+			if n.State == rpc.NodeState_SERVICE {
+				all = append(all, Endpoint{
+					id: n.Id, address: n.Address, domain: domain,
+					dataHall: h.report.DataHall, deadline: h.deadline,
+				})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b Endpoint) int { return strings.Compare(a.id, b.id) })
+	return all
+}
+
+// Replica returns the replica with the given name.
+func (c *Catalog) Replica(id string) (Replica, bool) {
+	for _, r := range c.Replicas() {
+		if r.ID() == id {
+			return r, true
+		}
+	}
+	return Replica{}, false
+}
+
+// Reports returns the newest report of each domain, sorted by domain. They
+// must not be changed.
+func (c *Catalog) Reports() []*rpc.DomainReport {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	all := make([]*rpc.DomainReport, 0, len(c.domains))
+	for _, h := range c.domains {
+		all = append(all, h.report)
+	}
+	slices.SortFunc(all, func(a, b *rpc.DomainReport) int { return strings.Compare(a.Domain, b.Domain) })
+	return all
+}
+
+// Current returns the token and the deadline of a domain's newest report.
+func (c *Catalog) Current(domain string) (token.Token, time.Time, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	h, ok := c.domains[domain]
+	if !ok {
+		return token.Token{}, time.Time{}, false
+	}
+	return h.token, h.deadline, true
+}
+
+// Publish takes a report of this daemon's own, whose replicas may serve until
+// deadline.
+func (c *Catalog) Publish(report *rpc.DomainReport, deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.put(report, deadline)
+}
+
+// Digest implements membership.Reports.
+func (c *Catalog) Digest() []*rpc.ReportDigest {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	digest := make([]*rpc.ReportDigest, 0, len(c.domains))
+	for _, h := range c.domains {
+		digest = append(digest, &rpc.ReportDigest{
+			Domain: h.report.Domain, Token: h.report.Token, Version: h.report.Version, Beat: h.report.Beat,
+		})
+	}
+	return digest
+}
+
+// Since implements membership.Reports. A report of which the peer has the
+// content is sent without it.
+func (c *Catalog) Since(digest []*rpc.ReportDigest) []*rpc.DomainReport {
+	known := make(map[string]*rpc.ReportDigest, len(digest))
+	for _, d := range digest {
+		known[d.Domain] = d
+	}
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	now := time.Now()
+	var news []*rpc.DomainReport
+	for domain, h := range c.domains {
+		if r := h.newsFor(known[domain], now); r != nil {
+			news = append(news, r)
+		}
+	}
+	return news
+}
+
+// newsFor returns what a peer with the given digest lacks, or nil.
+func (h *held) newsFor(d *rpc.ReportDigest, now time.Time) *rpc.DomainReport {
+	remaining := uint64(max(h.deadline.Sub(now), 0).Microseconds())
+	if d != nil && compare(h.report, d) <= 0 {
+		return nil
+	}
+	sameContent := d != nil && FromMessage(d.Token).Compare(h.token) == 0 && d.Version == h.report.Version
+	if sameContent {
+		return &rpc.DomainReport{
+			Domain: h.report.Domain, Token: h.report.Token, Version: h.report.Version,
+			Beat: h.report.Beat, RemainingMicros: remaining, Unchanged: true, Loads: h.report.Loads,
+		}
+	}
+	r := proto.CloneOf(h.report)
+	r.RemainingMicros = remaining
+	return r
+}
+
+// Merge implements membership.Reports. Remaining times count from base, which
+// lies before the sender worked them out, so deadlines err on the early side.
+func (c *Catalog) Merge(reports []*rpc.DomainReport, base time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range reports {
+		if r.Domain == "" || r.Token == nil {
+			continue
+		}
+		c.put(r, base.Add(time.Duration(r.RemainingMicros)*time.Microsecond))
+	}
+}
+
+// put takes a report if it is newer than the one held.
+func (c *Catalog) put(r *rpc.DomainReport, deadline time.Time) {
+	h, ok := c.domains[r.Domain]
+	if ok && compareReports(r, h.report) <= 0 {
+		return
+	}
+	if r.Unchanged {
+		if !ok || compareContent(r, h.report) != 0 {
+			return
+		}
+		content := proto.CloneOf(h.report)
+		content.Beat, content.Loads = r.Beat, r.Loads
+		r = content
+	}
+	c.domains[r.Domain] = &held{
+		report: r, token: FromMessage(r.Token), deadline: deadline, forgetAt: deadline.Add(forgetAfter),
+	}
+	c.rebuild()
+}
+
+// rebuild derives the replicas by deployment and drops what is long out of date.
+func (c *Catalog) rebuild() {
+	now := time.Now()
+	c.replicas = make(map[string][]Replica)
+	for domain, h := range c.domains {
+		if now.After(h.forgetAt) {
+			delete(c.domains, domain)
+			continue
+		}
+		for i, r := range h.report.Replicas {
+			c.replicas[r.Deployment] = append(c.replicas[r.Deployment],
+				Replica{domain: domain, deadline: h.deadline, report: r, load: loadOf(h.report, i)})
+		}
+	}
+	for _, replicas := range c.replicas {
+		slices.SortFunc(replicas, func(a, b Replica) int { return strings.Compare(a.ID(), b.ID()) })
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// loadFields is how many numbers a report has for the load of one replica.
+const loadFields = 3
+
+// loadOf returns the load of the report's replica with the given index.
+func loadOf(r *rpc.DomainReport, index int) Load {
+	first := index * loadFields
+	if first+loadFields > len(r.Loads) {
+		return Load{}
+	}
+	return Load{queue: int(r.Loads[first]), active: int(r.Loads[first+1]), slots: int(r.Loads[first+2])}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *Catalog) Changed() <-chan struct{} {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.changed
+}
+
+// FromMessage returns the token of a message; nil stands for the lowest.
+func FromMessage(m *rpc.Token) token.Token {
+	return token.Token{Epoch: m.GetEpoch(), Rank: m.GetRank(), Sequence: m.GetSequence()}
+}
+
+// ToMessage returns a token as a message.
+func ToMessage(t token.Token) *rpc.Token {
+	return &rpc.Token{Epoch: t.Epoch, Rank: t.Rank, Sequence: t.Sequence}
+}
+
+func compare(r *rpc.DomainReport, d *rpc.ReportDigest) int {
+	return cmp.Or(
+		FromMessage(r.Token).Compare(FromMessage(d.Token)),
+		cmp.Compare(r.Version, d.Version),
+		cmp.Compare(r.Beat, d.Beat),
+	)
+}
+
+func compareReports(a, b *rpc.DomainReport) int {
+	return cmp.Or(compareContent(a, b), cmp.Compare(a.Beat, b.Beat))
+}
+
+func compareContent(a, b *rpc.DomainReport) int {
+	return cmp.Or(
+		FromMessage(a.Token).Compare(FromMessage(b.Token)),
+		cmp.Compare(a.Version, b.Version),
+	)
+}
--- /dev/null
+++ b/cmd/daemoncmd/run.go
@@ -0,0 +1,116 @@
+// Package daemoncmd is the command line of the quartzshelf daemon.
+package daemoncmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/hashicorp/go-hclog"
+
+	"quartzshelf.dev/daemon"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// applyTimeout bounds the publication of the first configuration.
+const applyTimeout = 20 * time.Second
+
+type commandLine struct {
+	Settings      string `help:"YAML file of settings." required:"" type:"existingfile" short:"s"`
+	CheckSettings bool   `help:"Check the settings and exit."`
+}
+
+// Run runs the daemon until it is told to stop, and returns its exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var line commandLine
+	parser, err := kong.New(&line, kong.Name("quartzshelfd"),
+		kong.Description("Serves models whose replicas span several nodes."),
+		kong.Writers(stdout, stderr), kong.UsageOnError())
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	if _, err := parser.Parse(args); err != nil {
+		fmt.Fprintln(stderr, "quartzshelfd:", err)
+		return exitSettings
+	}
+	settings, err := daemon.ReadSettings(line.Settings)
+	if err != nil {
+		fmt.Fprintln(stderr, "quartzshelfd:", err)
+		return exitSettings
+	}
+	if line.CheckSettings {
+		fmt.Fprintln(stdout, "settings are valid")
+		return exitOK
+	}
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name: "quartzshelfd", Level: hclog.LevelFromString(settings.Log.Level),
+		JSONFormat: settings.Log.Format == "json", Output: stderr,
+	})
+	return serve(settings, logger, stdout)
+}
+
+// serve runs a daemon until SIGINT or SIGTERM; a second signal ends it at once.
+func serve(settings *daemon.Settings, logger hclog.Logger, stdout io.Writer) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	d, err := daemon.New(settings, logger)
+	if err != nil {
+		logger.Error("cannot start", "error", err)
+		return exitFailed
+	}
+	d.Start()
+	callers, operators := d.Addresses()
+	logger.Info("started", "callers", callers, "operators", operators)
+	if file := settings.ConfigurationFile(); file != "" {
+		if err := applyFirst(d, file); err != nil {
+			logger.Error("cannot apply the first configuration", "error", err)
+			d.Kill()
+			return exitFailed
+		}
+		greet(stdout, callers, operators)
+	}
+	<-signals
+	go d.Stop()
+	select {
+	case <-d.Done():
+		return exitOK
+	case <-signals:
+		logger.Warn("stopped at once by a second signal")
+		return exitFailed
+	}
+}
+
+func applyFirst(d *daemon.Daemon, file string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), applyTimeout)
+	defer cancel()
+	err := d.ApplyConfigurationFile(ctx, file)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("the embedded log did not answer within %v: %w", applyTimeout, err)
+	}
+	return err
+}
+
+func greet(w io.Writer, callers, operators string) {
+	fmt.Fprintf(w, `Serving callers on %[1]s and operators on %[2]s. Try:
+
+  curl -N http://%[1]s/v1/chat/completions -H 'Authorization: Bearer demo-key' \
+    -H 'Content-Type: application/json' \
+    -d '{"model":"demo","stream":true,"messages":[{"role":"user","content":"Explain my bill"}]}'
+
+The dashboard is at http://%[2]s/. Stop with Ctrl-C.
+`, callers, operators)
+}
--- /dev/null
+++ b/cmd/operatorcmd/client.go
@@ -0,0 +1,146 @@
+package operatorcmd
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"quartzshelf.dev/config"
+	"quartzshelf.dev/daemon"
+)
+
+const (
+	callTimeout = 12 * time.Second
+	// settleFor is how long the tool looks for the verdict on a change set
+	// whose answer was lost.
+	settleFor  = 20 * time.Second
+	settlePoll = 500 * time.Millisecond
+)
+
+// client speaks to the operators' addresses of daemons: to the first one that
+// answers.
+type client struct {
+	addresses []string
+	http      *fasthttp.Client
+}
+
+func newClient(addresses []string) *client {
+	return &client{addresses: addresses, http: &fasthttp.Client{MaxIdemponentCallAttempts: 1}}
+}
+
+// apiError is an error that a daemon answered.
+type apiError struct {
+	address string
+	status  int
+	Message string `json:"error"`
+	// Settled tells that the action is known not to have taken effect.
+	Settled bool `json:"settled"`
+}
+
+// Error implements error.
+func (e *apiError) Error() string {
+	return fmt.Sprintf("%s answered %d: %s", e.address, e.status, e.Message)
+}
+
+// get decodes the answer of the first daemon that answers into reply.
+func (c *client) get(path string, reply any) error {
+	var last error
+	for _, address := range c.addresses {
+		last = c.call(fasthttp.MethodGet, address, path, nil, reply)
+		var answered *apiError
+		if last == nil || errors.As(last, &answered) && answered.status < fasthttp.StatusInternalServerError {
+			return last
+		}
+	}
+	return fmt.Errorf("no daemon answered: %w", last)
+}
+
+func (c *client) call(method, address, path string, body, reply any) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + address + path)
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		request.Header.SetContentType("application/json")
+		request.SetBody(encoded)
+	}
+	if err := c.http.DoTimeout(request, response, callTimeout); err != nil {
+		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		failed := &apiError{address: address, status: response.StatusCode()}
+		if json.Unmarshal(response.Body(), failed) != nil {
+			failed.Message = string(response.Body())
+		}
+		return failed
+	}
+	return json.Unmarshal(response.Body(), reply)
+}
+
+// objects returns the objects in force, narrowed by kind, name and selector,
+// each of which may be empty.
+func (c *client) objects(kind, name, selector string) ([]daemon.ObjectRow, error) {
+	query := url.Values{"kind": {kind}, "name": {name}, "selector": {selector}}
+	var rows []daemon.ObjectRow
+	err := c.get("/api/objects?"+query.Encode(), &rows)
+	return rows, err
+}
+
+// errUnsettled says that a change set may or may not take effect.
+var errUnsettled = errors.New("the outcome is not known: the change may still take effect")
+
+// publish hands a change set to a daemon and returns the verdict. A lost
+// answer is settled by looking for the verdict at every daemon; the change is
+// never handed over a second time.
+func (c *client) publish(set config.ChangeSet) (daemon.ChangeReply, error) {
+	path := "/api/changes/" + uuid.NewString()
+	var reply daemon.ChangeReply
+	for _, address := range c.addresses {
+		err := c.call(fasthttp.MethodPost, address, path, set, &reply)
+		if err == nil {
+			return reply, nil
+		}
+		var answered *apiError
+		switch {
+		case errors.As(err, &answered) && answered.Settled && answered.status < fasthttp.StatusInternalServerError:
+			return reply, err
+		case errors.As(err, &answered) && answered.Settled:
+			continue
+		case notSent(err):
+			continue
+		}
+		return c.settle(path, err)
+	}
+	return reply, fmt.Errorf("no daemon took the change, and it did not take effect")
+}
+
+// settle looks for the verdict on a change set whose answer was lost.
+func (c *client) settle(path string, cause error) (daemon.ChangeReply, error) {
+	var reply daemon.ChangeReply
+	giveUp := time.Now().Add(settleFor)
+	for time.Now().Before(giveUp) {
+		for _, address := range c.addresses {
+			if c.call(fasthttp.MethodGet, address, path, nil, &reply) == nil {
+				return reply, nil
+			}
+		}
+		time.Sleep(settlePoll)
+	}
+	return reply, fmt.Errorf("%w (%w); look for it with: quartzshelf history", errUnsettled, cause)
+}
+
+// notSent reports whether an error arose before anything was sent.
+func notSent(err error) bool {
+	var dial *fasthttp.ErrDialWithUpstream
+	return errors.As(err, &dial) || errors.Is(err, fasthttp.ErrDialTimeout)
+}
--- /dev/null
+++ b/cmd/operatorcmd/run.go
@@ -0,0 +1,112 @@
+// Package operatorcmd is the command line of the operators' tool.
+package operatorcmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
+)
+
+// Exit codes of the tool; docs/OPERATORS.md lists them.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitRefused     = 3
+	exitUnreachable = 4
+	exitUnsettled   = 5
+)
+
+// globals are the flags that all commands have.
+type globals struct {
+	Daemon []string `help:"Operators' addresses of daemons, IP:port; the first that answers is used." default:"127.0.0.1:7401" env:"QUARTZSHELF_DAEMONS" short:"d"`
+	Output string   `help:"Format of output: table, json or yaml." enum:"table,json,yaml" default:"table" short:"o"`
+}
+
+type commandLine struct {
+	globals
+
+	Apply    applyCommand    `cmd:"" help:"Publish the documents in files."`
+	Get      getCommand      `cmd:"" help:"Show the configuration in force."`
+	Delete   deleteCommand   `cmd:"" help:"Delete an object."`
+	Label    labelCommand    `cmd:"" help:"Set or remove labels of an object; a node's object is made when missing."`
+	Validate validateCommand `cmd:"" help:"Check the documents in files without publishing them."`
+	History  historyCommand  `cmd:"" help:"Show the newest changes and the verdicts on them."`
+	Status   statusCommand   `cmd:"" help:"Show replicas, domains, daemons and refusals."`
+	Explain  explainCommand  `cmd:"" help:"Say why a replica or node is as it is, or why a request went where it did."`
+	HashKey  hashKeyCommand  `cmd:"" help:"Print the hash of a bearer key, as a ClientAccount needs it."`
+
+	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print or install completions for the shell."`
+}
+
+// environment is what commands run with.
+type environment struct {
+	client *client
+	format string
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// refusedError says that the daemons refused a change.
+type refusedError struct {
+	problem string
+}
+
+// Error implements error.
+func (e *refusedError) Error() string { return "refused: " + e.problem }
+
+// usageError says that the input is wrong.
+type usageError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *usageError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *usageError) Unwrap() error { return e.cause }
+
+// Run runs one command and returns its exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var line commandLine
+	parser, err := kong.New(&line, kong.Name("quartzshelf"),
+		kong.Description("Publishes labels and selectors to quartzshelf and shows what it does with them."),
+		kong.Writers(stdout, stderr), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	kongplete.Complete(parser)
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(stderr, "quartzshelf:", err)
+		return exitUsage
+	}
+	env := &environment{client: newClient(line.Daemon), format: line.Output, stdout: stdout, stderr: stderr}
+	if err := parsed.Run(env); err != nil {
+		fmt.Fprintln(stderr, "quartzshelf:", err)
+		return exitCode(err)
+	}
+	return exitOK
+}
+
+func exitCode(err error) int {
+	var refused *refusedError
+	var usage *usageError
+	var answered *apiError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &refused):
+		return exitRefused
+	case errors.Is(err, errUnsettled):
+		return exitUnsettled
+	case errors.As(err, &answered):
+		return exitFailed
+	default:
+		return exitUnreachable
+	}
+}
--- /dev/null
+++ b/cmd/quartzshelf/main.go
@@ -0,0 +1,12 @@
+// Command quartzshelf: see package operatorcmd.
+package main
+
+import (
+	"os"
+
+	"quartzshelf.dev/cmd/operatorcmd"
+)
+
+func main() {
+	os.Exit(operatorcmd.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/quartzshelfd/main.go
@@ -0,0 +1,12 @@
+// Command quartzshelfd: see package daemoncmd.
+package main
+
+import (
+	"os"
+
+	"quartzshelf.dev/cmd/daemoncmd"
+)
+
+func main() {
+	os.Exit(daemoncmd.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/common/reason/reason.go
@@ -0,0 +1,74 @@
+// Package reason names every cause for which a request is refused or retried.
+// The names are the labels of the counters, the reason field of error answers
+// and the headings of the operators' page, so that one word leads to all three.
+package reason
+
+// Reason is a cause of a refusal or a retry.
+type Reason string
+
+// Reasons of refusals: nothing of the request ran unless the answer says so.
+const (
+	Unauthorized       Reason = "unauthorized"
+	UnknownModel       Reason = "unknown_model"
+	UnknownService     Reason = "unknown_service"
+	NotFound           Reason = "not_found"
+	BadRequest         Reason = "bad_request"
+	BodyTooLarge       Reason = "body_too_large"
+	NoReplica          Reason = "no_replica"
+	Overloaded         Reason = "overloaded"
+	AccountLimit       Reason = "account_limit"
+	FairShare          Reason = "fair_share"
+	Starting           Reason = "starting"
+	Stopping           Reason = "stopping"
+	Isolated           Reason = "isolated"
+	IntentLog          Reason = "intent_log_unavailable"
+	KeyMismatch        Reason = "key_body_mismatch"
+	KeyInvalid         Reason = "key_invalid"
+	KeyExpired         Reason = "key_expired"
+	KeyPending         Reason = "key_pending"
+	KeyHolderGone      Reason = "key_holder_gone"
+	RetryBudget        Reason = "retry_budget_exhausted"
+	EndpointRefused    Reason = "endpoint_refused"
+	EndpointUnreached  Reason = "endpoint_unreachable"
+	EndpointBroken     Reason = "endpoint_broken"
+	EndpointTimeout    Reason = "endpoint_timeout"
+	EndpointCrossed    Reason = "endpoint_answer_mismatch"
+	ConfigurationClash Reason = "configuration_clash"
+)
+
+// Reasons of retries: the request was sent again to another replica.
+const (
+	RetryUnreached Reason = "retry_unreachable"
+	RetryRefused   Reason = "retry_refused"
+	RetryBroken    Reason = "retry_broken"
+	RetryResumed   Reason = "retry_resumed"
+)
+
+// Refusals returns every reason of a refusal.
+func Refusals() []Reason {
+	return []Reason{
+		Unauthorized, UnknownModel, UnknownService, NotFound, BadRequest, BodyTooLarge,
+		NoReplica, Overloaded, AccountLimit, FairShare, Starting, Stopping, Isolated,
+		IntentLog, KeyMismatch, KeyInvalid, KeyExpired, KeyPending, KeyHolderGone, RetryBudget,
+		EndpointRefused, EndpointUnreached, EndpointBroken, EndpointTimeout, EndpointCrossed,
+		ConfigurationClash,
+	}
+}
+
+// Retries returns every reason of a retry.
+func Retries() []Reason {
+	return []Reason{RetryUnreached, RetryRefused, RetryBroken, RetryResumed}
+}
+
+// Ran tells whether a request ran.
+type Ran string
+
+// The three things that an error answer can say about a request.
+const (
+	// RanNo promises that the request was not run and never will be.
+	RanNo Ran = "no"
+	// RanUnknown says that the request was sent and its fate is not known.
+	RanUnknown Ran = "unknown"
+	// RanYes says that the request ran.
+	RanYes Ran = "yes"
+)
--- /dev/null
+++ b/config/object.go
@@ -0,0 +1,150 @@
+package config
+
+import (
+	"strings"
+
+	"k8s.io/apimachinery/pkg/labels"
+)
+
+// Model is a compiled Model document.
+type Model struct {
+	name   string
+	labels map[string]string
+	spec   ModelSpec
+}
+
+// Name returns the name of the model.
+func (m Model) Name() string { return m.name }
+
+// Version returns the name of the weights.
+func (m Model) Version() string { return m.spec.Version }
+
+// WeightsGB returns the size of the weights in gigabytes.
+func (m Model) WeightsGB() float64 { return m.spec.WeightsGB }
+
+// Adapter is a compiled Adapter document.
+type Adapter struct {
+	name   string
+	labels map[string]string
+	models labels.Selector
+}
+
+// Deployment is a compiled Deployment document.
+type Deployment struct {
+	name     string
+	labels   map[string]string
+	spec     DeploymentSpec
+	models   labels.Selector
+	nodes    labels.Selector
+	adapters labels.Selector
+	accounts labels.Selector
+}
+
+// Name returns the name of the deployment, by which callers ask for it.
+func (d Deployment) Name() string { return d.name }
+
+// Spec returns the deployment as written.
+func (d Deployment) Spec() DeploymentSpec { return d.spec }
+
+// Draining reports whether the deployment's label asks for it to stop.
+func (d Deployment) Draining() bool { return d.labels[LabelDrain] == LabelTrue }
+
+// Allows reports whether the client account may use the deployment.
+func (d Deployment) Allows(a *Account) bool { return d.accounts.Matches(labels.Set(a.labels)) }
+
+// SelectsNode reports whether a node with the given labels may be part of a replica.
+func (d Deployment) SelectsNode(node map[string]string) bool {
+	return d.nodes.Matches(labels.Set(node))
+}
+
+// Account is a compiled ClientAccount document.
+type Account struct {
+	name   string
+	labels map[string]string
+	spec   AccountSpec
+}
+
+// Name returns the name of the client account.
+func (a *Account) Name() string { return a.name }
+
+// RequestsPerSecond returns the limit over all daemons, zero for none.
+func (a *Account) RequestsPerSecond() float64 { return a.spec.RequestsPerSecond }
+
+// Priority returns the priority of the account's requests.
+func (a *Account) Priority() int { return a.spec.Priority }
+
+// Service is a compiled Service document.
+type Service struct {
+	name     string
+	spec     ServiceSpec
+	nodes    labels.Selector
+	accounts labels.Selector
+}
+
+// Name returns the name of the service.
+func (s Service) Name() string { return s.name }
+
+// Allows reports whether the client account may use the service.
+func (s Service) Allows(a *Account) bool { return s.accounts.Matches(labels.Set(a.labels)) }
+
+// SelectsNode reports whether a node with the given labels runs the service.
+func (s Service) SelectsNode(node map[string]string) bool { return s.nodes.Matches(labels.Set(node)) }
+
+// Repeatable reports whether a call may be run more than once.
+func (s Service) Repeatable(method, path string) bool {
+	for _, call := range s.spec.NotRepeatable {
+		m, prefix, _ := strings.Cut(call, " ")
+		if m == method && strings.HasPrefix(path, prefix) {
+			return false
+		}
+	}
+	return true
+}
+
+// The constructors below are given valid documents, so that decoding and
+// compiling cannot fail.
+
+func newModel(d Document) Model {
+	spec, _ := decodeSpec[ModelSpec](d)
+	return Model{name: d.Name, labels: d.Labels, spec: spec}
+}
+
+func newAdapter(d Document) Adapter {
+	spec, _ := decodeSpec[AdapterSpec](d)
+	return Adapter{name: d.Name, labels: d.Labels, models: mustSelector(spec.ModelSelector)}
+}
+
+func newDeployment(d Document) Deployment {
+	spec, _ := decodeSpec[DeploymentSpec](d)
+	return Deployment{
+		name: d.Name, labels: d.Labels, spec: spec,
+		models:   mustSelector(spec.ModelSelector),
+		nodes:    mustSelector(spec.NodeSelector),
+		adapters: mustSelector(spec.AdapterSelector),
+		accounts: mustSelector(spec.AccountSelector),
+	}
+}
+
+func newAccount(d Document) *Account {
+	spec, _ := decodeSpec[AccountSpec](d)
+	return &Account{name: d.Name, labels: d.Labels, spec: spec}
+}
+
+func newService(d Document) Service {
+	spec, _ := decodeSpec[ServiceSpec](d)
+	return Service{
+		name: d.Name, spec: spec,
+		nodes:    mustSelector(spec.NodeSelector),
+		accounts: mustSelector(spec.AccountSelector),
+	}
+}
+
+// mustSelector compiles text that Validate has accepted; should it not
+// compile, nothing is selected.
+func mustSelector(text string) labels.Selector {
+	s, err := selector(text)
+	if err != nil {
+		return labels.Nothing()
+	}
+	return s
+}
--- /dev/null
+++ b/config/record.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Operation is what a change does to an object.
+type Operation string
+
+// The operations.
+const (
+	OperationPut    Operation = "put"
+	OperationDelete Operation = "delete"
+)
+
+// Change is one step of a record. Base is the revision of the object that the
+// change was made against, zero for an object that was not there.
+type Change struct {
+	Operation Operation `json:"operation"`
+	Document  Document  `json:"document"`
+	Base      int64     `json:"base"`
+}
+
+// ChangeSet is the content of a configuration record. It is accepted or
+// refused as a whole.
+type ChangeSet struct {
+	Author  string   `json:"author,omitempty"`
+	Changes []Change `json:"changes"`
+}
+
+// Encode returns the change set as JSON.
+func (c ChangeSet) Encode() (json.RawMessage, error) {
+	return json.Marshal(c)
+}
+
+// Verdict is what the fold decided on a change set.
+type Verdict struct {
+	// Offset of the record; an accepted object's revision is Offset plus one.
+	Offset   int64    `json:"offset"`
+	ID       string   `json:"id"`
+	Author   string   `json:"author,omitempty"`
+	Time     string   `json:"time"`
+	Accepted bool     `json:"accepted"`
+	Objects  []string `json:"objects"`
+	// Problem is empty for an accepted change set.
+	Problem string `json:"problem,omitempty"`
+}
+
+// clashError says that an object changed since the writer read it.
+type clashError struct {
+	object  Key
+	base    int64
+	current int64
+	fields  []string
+}
+
+// Error implements error.
+func (e *clashError) Error() string {
+	return fmt.Sprintf("%s was changed meanwhile: made against revision %d, now at %d, clashing in %s",
+		e.object, e.base, e.current, strings.Join(e.fields, ", "))
+}
+
+// differingFields returns the paths in which two documents differ, sorted.
+func differingFields(a, b Document) []string {
+	var fields []string
+	for name := range union(a.Labels, b.Labels) {
+		if a.Labels[name] != b.Labels[name] {
+			fields = append(fields, "labels."+name)
+		}
+	}
+	specA, specB := fieldsOf(a.Spec), fieldsOf(b.Spec)
+	for name := range union(specA, specB) {
+		if !bytes.Equal(specA[name], specB[name]) {
+			fields = append(fields, "spec."+name)
+		}
+	}
+	if len(fields) == 0 {
+		return []string{"nothing: both wrote the same"}
+	}
+	slices.Sort(fields)
+	return fields
+}
+
+func fieldsOf(spec json.RawMessage) map[string]json.RawMessage {
+	fields := make(map[string]json.RawMessage)
+	if len(spec) > 0 {
+		// A spec that is no object was refused by Validate.
+		_ = json.Unmarshal(spec, &fields)
+	}
+	return fields
+}
+
+func union[V any](a, b map[string]V) map[string]struct{} {
+	names := make(map[string]struct{}, len(a)+len(b))
+	for name := range a {
+		names[name] = struct{}{}
+	}
+	for name := range b {
+		names[name] = struct{}{}
+	}
+	return names
+}
--- /dev/null
+++ b/config/state.go
@@ -0,0 +1,126 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quartzshelf.dev/eventlog"
+	"quartzshelf.dev/platform"
+)
+
+// historyLimit is how many verdicts are kept for the operators.
+const historyLimit = 200
+
+// State folds the configuration stream. Readers take a View, which never
+// changes; the fold publishes a new one after each accepted change set.
+type State struct {
+	view    atomic.Pointer[View]
+	history atomic.Pointer[[]Verdict]
+}
+
+var _ eventlog.State = (*State)(nil)
+
+// NewState returns an empty configuration.
+func NewState() *State {
+	s := &State{}
+	s.view.Store(newView(nil, 0))
+	s.history.Store(&[]Verdict{})
+	return s
+}
+
+// View returns the configuration in force.
+func (s *State) View() *View {
+	return s.view.Load()
+}
+
+// History returns the newest verdicts, oldest first.
+func (s *State) History() []Verdict {
+	return *s.history.Load()
+}
+
+// Apply implements eventlog.State.
+func (s *State) Apply(record platform.Record, data json.RawMessage) {
+	var set ChangeSet
+	verdict := Verdict{Offset: record.Offset, ID: record.ID, Time: record.Time.UTC().Format(time.RFC3339Nano)}
+	if err := json.Unmarshal(data, &set); err != nil {
+		verdict.Problem = "not a change set: " + err.Error()
+		s.remember(verdict)
+		return
+	}
+	verdict.Author = set.Author
+	for _, c := range set.Changes {
+		verdict.Objects = append(verdict.Objects, c.Document.Key().String())
+	}
+	objects, err := s.View().with(set, record.Offset+1)
+	if err != nil {
+		verdict.Problem = err.Error()
+		s.remember(verdict)
+		return
+	}
+	verdict.Accepted = true
+	s.view.Store(newView(objects, record.Offset+1))
+	s.remember(verdict)
+}
+
+// Try returns what the fold would say of set now, without changing anything.
+func (s *State) Try(set ChangeSet) error {
+	_, err := s.View().with(set, 0)
+	return err
+}
+
+func (s *State) remember(v Verdict) {
+	old := *s.history.Load()
+	if len(old) >= historyLimit {
+		old = old[len(old)-historyLimit+1:]
+	}
+	next := make([]Verdict, 0, len(old)+1)
+	next = append(append(next, old...), v)
+	s.history.Store(&next)
+}
+
+// storedObject is an object inside a checkpoint.
+type storedObject struct {
+	Document []byte `cbor:"1,keyasint"`
+	Revision int64  `cbor:"2,keyasint"`
+}
+
+type storedState struct {
+	Objects  []storedObject `cbor:"1,keyasint"`
+	Revision int64          `cbor:"2,keyasint"`
+}
+
+// Checkpoint implements eventlog.State.
+func (s *State) Checkpoint() ([]byte, error) {
+	view := s.View()
+	stored := storedState{Revision: view.Revision()}
+	for _, object := range view.objects {
+		encoded, err := json.Marshal(object.document)
+		if err != nil {
+			return nil, err
+		}
+		stored.Objects = append(stored.Objects, storedObject{Document: encoded, Revision: object.revision})
+	}
+	return cbor.Marshal(stored)
+}
+
+// Restore implements eventlog.State.
+func (s *State) Restore(data []byte) error {
+	var stored storedState
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return fmt.Errorf("decode checkpoint: %w", err)
+	}
+	objects := make(map[Key]Object, len(stored.Objects))
+	for _, o := range stored.Objects {
+		var d Document
+		if err := json.Unmarshal(o.Document, &d); err != nil {
+			return fmt.Errorf("decode checkpoint: %w", err)
+		}
+		objects[d.Key()] = Object{document: d, revision: o.Revision}
+	}
+	s.view.Store(newView(objects, stored.Revision))
+	return nil
+}
--- /dev/null
+++ b/config/view.go
@@ -0,0 +1,269 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"k8s.io/apimachinery/pkg/labels"
+)
+
+// Object is a document in force, with the revision that its last change got.
+type Object struct {
+	document Document
+	revision int64
+}
+
+// Document returns the document.
+func (o Object) Document() Document { return o.document }
+
+// Revision returns the revision of the object's last change.
+func (o Object) Revision() int64 { return o.revision }
+
+// View is the configuration after some record. It never changes, so it may be
+// read without a lock.
+type View struct {
+	objects     map[Key]Object
+	revision    int64
+	models      []Model
+	adapters    []Adapter
+	deployments []Deployment
+	accounts    []*Account
+	services    []Service
+	accountKeys map[string]*Account
+	nodeLabels  map[string]map[string]string
+}
+
+// newView compiles objects, all of which are valid, into a view.
+func newView(objects map[Key]Object, revision int64) *View {
+	v := &View{
+		objects:     objects,
+		revision:    revision,
+		accountKeys: make(map[string]*Account),
+		nodeLabels:  make(map[string]map[string]string),
+	}
+	for _, key := range v.keys() {
+		v.compile(objects[key].document)
+	}
+	return v
+}
+
+func (v *View) compile(d Document) {
+	switch d.Kind {
+	case KindModel:
+		v.models = append(v.models, newModel(d))
+	case KindAdapter:
+		v.adapters = append(v.adapters, newAdapter(d))
+	case KindDeployment:
+		v.deployments = append(v.deployments, newDeployment(d))
+	case KindService:
+		v.services = append(v.services, newService(d))
+	case KindNode:
+		v.nodeLabels[d.Name] = d.Labels
+	case KindAccount:
+		account := newAccount(d)
+		v.accounts = append(v.accounts, account)
+		for _, hash := range account.spec.KeyHashes {
+			v.accountKeys[hash] = account
+		}
+	}
+}
+
+// keys returns the names of all objects in a fixed order.
+func (v *View) keys() []Key {
+	return slices.SortedFunc(maps.Keys(v.objects), func(a, b Key) int {
+		return cmp.Or(strings.Compare(string(a.Kind), string(b.Kind)), strings.Compare(a.Name, b.Name))
+	})
+}
+
+// Revision returns the revision of the last accepted change set.
+func (v *View) Revision() int64 { return v.revision }
+
+// Objects returns all objects, sorted by kind and name.
+func (v *View) Objects() []Object {
+	keys := v.keys()
+	all := make([]Object, 0, len(keys))
+	for _, key := range keys {
+		all = append(all, v.objects[key])
+	}
+	return all
+}
+
+// Object returns the object with the given name.
+func (v *View) Object(key Key) (Object, bool) {
+	o, ok := v.objects[key]
+	return o, ok
+}
+
+// Deployments returns all deployments, sorted by name.
+func (v *View) Deployments() []Deployment { return v.deployments }
+
+// Deployment returns the deployment with the given name.
+func (v *View) Deployment(name string) (Deployment, bool) {
+	i, ok := slices.BinarySearchFunc(v.deployments, name, func(d Deployment, name string) int {
+		return strings.Compare(d.name, name)
+	})
+	if !ok {
+		return Deployment{}, false
+	}
+	return v.deployments[i], true
+}
+
+// Service returns the service with the given name.
+func (v *View) Service(name string) (Service, bool) {
+	for _, s := range v.services {
+		if s.name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Services returns all services, sorted by name.
+func (v *View) Services() []Service { return v.services }
+
+// Accounts returns all client accounts, sorted by name.
+func (v *View) Accounts() []*Account { return v.accounts }
+
+// AccountByKey returns the client account to which a bearer key belongs.
+func (v *View) AccountByKey(key string) (*Account, bool) {
+	a, ok := v.accountKeys[HashKey(key)]
+	return a, ok
+}
+
+// ModelOf returns the one model that the deployment selects, or an error that
+// says why there is not exactly one.
+func (v *View) ModelOf(d Deployment) (Model, error) {
+	var found []Model
+	for _, m := range v.models {
+		if d.models.Matches(labels.Set(m.labels)) {
+			found = append(found, m)
+		}
+	}
+	switch len(found) {
+	case 0:
+		return Model{}, fmt.Errorf("model selector %q matches no model", d.spec.ModelSelector)
+	case 1:
+		return found[0], nil
+	default:
+		return Model{}, fmt.Errorf("model selector %q matches %d models, want one", d.spec.ModelSelector, len(found))
+	}
+}
+
+// AdaptersOf returns the names of the adapters that the deployment selects and
+// that fit its model, sorted.
+func (v *View) AdaptersOf(d Deployment, m Model) []string {
+	if d.spec.AdapterSelector == "" {
+		return nil
+	}
+	var names []string
+	for _, a := range v.adapters {
+		if d.adapters.Matches(labels.Set(a.labels)) && a.models.Matches(labels.Set(m.labels)) {
+			names = append(names, a.name)
+		}
+	}
+	return names
+}
+
+// NodeLabels returns the labels of a node: those of the node list, over which
+// those that operators published are laid.
+func (v *View) NodeLabels(node string, listed map[string]string) map[string]string {
+	all := maps.Clone(listed)
+	if all == nil {
+		all = make(map[string]string)
+	}
+	maps.Copy(all, v.nodeLabels[node])
+	return all
+}
+
+// Warnings returns what is allowed but probably not meant.
+func (v *View) Warnings() []string {
+	var warnings []string
+	for _, d := range v.deployments {
+		if _, err := v.ModelOf(d); err != nil {
+			warnings = append(warnings, fmt.Sprintf("Deployment/%s: %v", d.name, err))
+		}
+		if !slices.ContainsFunc(v.accounts, d.Allows) {
+			warnings = append(warnings, fmt.Sprintf("Deployment/%s: account selector %q matches no client account",
+				d.name, d.spec.AccountSelector))
+		}
+	}
+	return warnings
+}
+
+// with returns the objects after set, or why set is refused.
+func (v *View) with(set ChangeSet, revision int64) (map[Key]Object, error) {
+	if len(set.Changes) == 0 {
+		return nil, fmt.Errorf("the change set is empty")
+	}
+	objects := make(map[Key]Object, len(v.objects)+len(set.Changes))
+	maps.Copy(objects, v.objects)
+	for _, c := range set.Changes {
+		if err := v.applyChange(objects, c, revision); err != nil {
+			return nil, err
+		}
+	}
+	if err := checkKeys(objects); err != nil {
+		return nil, err
+	}
+	return objects, nil
+}
+
+func (v *View) applyChange(objects map[Key]Object, c Change, revision int64) error {
+	key := c.Document.Key()
+	current := v.objects[key]
+	if current.revision != c.Base {
+		return &clashError{
+			object: key, base: c.Base, current: current.revision,
+			fields: differingFields(current.document, c.Document),
+		}
+	}
+	switch c.Operation {
+	case OperationPut:
+		if err := Validate(c.Document); err != nil {
+			return err
+		}
+		objects[key] = Object{document: c.Document, revision: revision}
+	case OperationDelete:
+		if current.revision == 0 {
+			return fmt.Errorf("%s does not exist", key)
+		}
+		delete(objects, key)
+	default:
+		return fmt.Errorf("%s: unknown operation %q", key, c.Operation)
+	}
+	return nil
+}
+
+// checkKeys refuses two client accounts with the same key: their answers could
+// not be told apart.
+func checkKeys(objects map[Key]Object) error {
+	holders := make(map[string]string)
+	for key, object := range objects {
+		if key.Kind != KindAccount {
+			continue
+		}
+		spec, err := decodeSpec[AccountSpec](object.document)
+		if err != nil {
+			return err
+		}
+		for _, hash := range spec.KeyHashes {
+			if other, ok := holders[hash]; ok && other != key.Name {
+				first, second := min(other, key.Name), max(other, key.Name)
+				return fmt.Errorf("client accounts %s and %s have a key in common", first, second)
+			}
+			holders[hash] = key.Name
+		}
+	}
+	return nil
+}
+
+// HashKey returns the hash under which a bearer key is kept.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,390 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+
+	"quartzshelf.dev/admission"
+	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/config"
+	"quartzshelf.dev/eventlog"
+	"quartzshelf.dev/gateway"
+	"quartzshelf.dev/intent"
+	"quartzshelf.dev/membership"
+	"quartzshelf.dev/ownership"
+	"quartzshelf.dev/platform"
+	"quartzshelf.dev/replica"
+	"quartzshelf.dev/rpc"
+	"quartzshelf.dev/standin"
+	"quartzshelf.dev/standin/server"
+	"quartzshelf.dev/telemetry"
+)
+
+const (
+	// maxCheckpointDelay spreads the writers of checkpoints.
+	maxCheckpointDelay = 20 * time.Second
+	// keyShare of the log's retention is how long a caller's key is kept.
+	keyShare = 2
+	// announceTimeout bounds the append that announces the daemon.
+	announceTimeout = 5 * time.Second
+	announceRetry   = 5 * time.Second
+	peerReadTimeout = 10 * time.Second
+)
+
+// Daemon is one quartzshelf daemon.
+type Daemon struct {
+	settings *Settings
+	logger   hclog.Logger
+	start    time.Time
+
+	embedded  *server.Server
+	state     *config.State
+	grants    *ownership.State
+	intents   *intent.State
+	arrived   *arrivals
+	followers map[string]*eventlog.Follower
+
+	meter      *telemetry.Meter
+	catalog    *catalog.Catalog
+	agent      *membership.Agent
+	dialer     *dialer
+	controller *replica.Controller
+	ledger     *intent.Ledger
+	limiter    *admission.Limiter
+	gateway    *gateway.Gateway
+	peerServer *peerServer
+	peerHTTP   *http.Server
+	operators  *operators
+	accounts   *accounting
+	readiness  *readiness
+
+	listeners listeners
+	// cancel ends the duties of the group.
+	cancel context.CancelFunc
+	duties conc.WaitGroup
+	done   chan struct{}
+}
+
+// listeners are the open ports of a daemon.
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.operators, l.peers} {
+		if one != nil {
+			// A listener that is closed twice returns an error of no interest.
+			_ = one.Close()
+		}
+	}
+}
+
+// New opens the ports and builds the parts. Nothing runs before Start.
+func New(settings *Settings, logger hclog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: settings, logger: logger, start: time.Now(),
+		followers: make(map[string]*eventlog.Follower), done: make(chan struct{}),
+	}
+	if err := d.listen(); err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	client, err := d.connectPlatform()
+	if err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	if err := d.build(client); err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	for _, port := range []struct {
+		step, address string
+		listener      *net.Listener
+	}{
+		{"listen for callers", d.settings.Callers, &d.listeners.callers},
+		{"listen for operators", d.settings.Operators, &d.listeners.operators},
+		{"listen for peers", d.settings.Peers, &d.listeners.peers},
+	} {
+		if *port.listener, err = net.Listen("tcp", port.address); err != nil {
+			return failure.At(failure.Unavailable, port.step, port.address, err)
+		}
+	}
+	return nil
+}
+
+// connectPlatform returns a client of the platform, and starts an embedded one
+// if the settings ask for it.
+func (d *Daemon) connectPlatform() (*platform.Client, error) {
+	p := d.settings.Platform
+	if p.Embedded == nil {
+		return platform.NewClient(platform.ClientOptions{LogAddress: p.Log, NodesAddress: p.Nodes}), nil
+	}
+	host, _, err := net.SplitHostPort(d.settings.Callers)
+	if err != nil {
+		return nil, failure.At(failure.Invalid, "start embedded platform", d.settings.Callers, err)
+	}
+	d.embedded, err = server.New(server.Options{
+		Host: host,
+		Log:  standin.LogOptions{Retention: p.LogRetention},
+		Cluster: standin.ClusterOptions{
+			Domains: p.Embedded.Domains, StoreGBPerSecond: p.Embedded.StoreGBPerSecond,
+			LoadGB: p.Embedded.LoadGB, Step: p.Embedded.Step, Slots: p.Embedded.Slots,
+			ListLag: p.Embedded.ListLag,
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	address := d.embedded.Address()
+	return platform.NewClient(platform.ClientOptions{LogAddress: address, NodesAddress: address}), nil
+}
+
+// build makes the parts, each of which is given what it needs of the others.
+func (d *Daemon) build(client *platform.Client) error {
+	var err error
+	if d.meter, err = telemetry.NewMeter(); err != nil {
+		return err
+	}
+	retention := d.settings.Platform.LogRetention
+	d.state = config.NewState()
+	d.grants = ownership.NewState()
+	d.intents = intent.NewState(retention / keyShare)
+	d.arrived = newArrivals()
+	d.follow(client, streamConfiguration, d.state)
+	d.follow(client, ownership.Stream, d.grants)
+	d.follow(client, intent.Stream, d.intents)
+	d.follow(client, streamArrivals, d.arrived)
+
+	d.catalog = catalog.New()
+	d.dialer = newDialer()
+	d.agent = d.newAgent()
+	d.controller = d.newController(client)
+	d.ledger = d.newLedger()
+	d.limiter = admission.NewLimiter(admission.LimiterOptions{
+		Lease:   d.leaseShare,
+		Daemons: func() int { return len(d.stayingMembers()) },
+	})
+	d.peerServer = &peerServer{Agent: d.agent, ledger: d.ledger, home: admission.NewHome(), config: d.state.View}
+	d.peerHTTP = &http.Server{Handler: rpc.NewPeerServer(d.peerServer), ReadTimeout: peerReadTimeout}
+	d.readiness = newReadiness(d)
+	d.gateway = d.newGateway()
+	d.accounts = newAccounting(d)
+	d.operators = newOperators(d)
+	return nil
+}
+
+func (d *Daemon) follow(log platform.Log, stream string, state eventlog.State) {
+	d.followers[stream] = eventlog.NewFollower(eventlog.FollowerOptions{
+		Log: log, Stream: stream, State: state,
+		Retention: d.settings.Platform.LogRetention,
+		NewID:     newID,
+		CheckpointDelay: func() time.Duration {
+			return time.Duration(rand.Int64N(int64(maxCheckpointDelay)))
+		},
+	})
+}
+
+func (d *Daemon) newAgent() *membership.Agent {
+	s := d.settings
+	return membership.NewAgent(membership.Options{
+		Self: &rpc.Member{
+			Id: s.Name, Incarnation: uint64(d.start.UnixMilli()),
+			PeerAddress:  d.listeners.peers.Addr().String(),
+			EntryAddress: d.listeners.callers.Addr().String(),
+			DataHall:     s.DataHall, Region: s.Region,
+		},
+		Seeds: func() []string { return append(d.arrived.addresses(), s.Seeds...) },
+		Dial:  d.dialer.dial, Reports: d.catalog,
+		Configuration: configuration{fold: d.followers[streamConfiguration].Fold()},
+		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+}
+
+func (d *Daemon) newController(client *platform.Client) *replica.Controller {
+	grants := d.followers[ownership.Stream]
+	return replica.NewController(replica.Options{
+		Self: d.settings.Name, Config: d.state.View, List: client, Control: client,
+		Catalog: d.catalog, Members: members{table: d.agent.Table()}, Ownership: d.grants,
+		AppendGrant: func(ctx context.Context, record json.RawMessage) error {
+			return grants.Append(ctx, newID(), record)
+		},
+		OwnershipConfirmed: grants.Confirmed,
+		ServeWindow:        d.settings.ServeWindow,
+		LoadSlots:          d.settings.WeightLoads,
+		Logger:             d.logger.Named("replica"),
+	})
+}
+
+func (d *Daemon) newLedger() *intent.Ledger {
+	return intent.NewLedger(intent.Options{
+		Self: d.settings.Name, State: d.intents, Follower: d.followers[intent.Stream], NewID: newID,
+		FlushEvery: func() time.Duration { return flushEvery(len(d.stayingMembers())) },
+		Submit:     d.submitIntent,
+		Ask:        d.askOutcome,
+	})
+}
+
+func (d *Daemon) newGateway() *gateway.Gateway {
+	return gateway.New(gateway.Options{
+		Config: d.state.View, Catalog: d.catalog, Ledger: d.ledger, Limiter: d.limiter, Meter: d.meter,
+		Gate: d.readiness.gate, Leaving: func() bool { return d.agent.Table().Self().Leaving }, Entries: d.entries, KeepEntriesUntil: d.readiness.keepEntries,
+		Daemons: func() int { return len(d.stayingMembers()) },
+		NewID:   newID, MaxBody: d.settings.MaxBodyBytes,
+	})
+}
+
+// entries lists the addresses of the daemons that stay.
+func (d *Daemon) entries() []gateway.Entry {
+	all := []gateway.Entry{}
+	for _, m := range d.stayingMembers() {
+		if m.State == rpc.MemberState_ALIVE {
+			all = append(all, gateway.Entry{Address: m.EntryAddress, DataHall: m.DataHall})
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all
+}
+
+// Addresses returns the IP:port pairs for callers and operators.
+func (d *Daemon) Addresses() (callers, operators string) {
+	return d.listeners.callers.Addr().String(), d.listeners.operators.Addr().String()
+}
+
+// Done is closed when the daemon has stopped.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// Start runs the daemon's duties, each in a goroutine of its own.
+func (d *Daemon) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for _, f := range d.followers {
+		d.duties.Go(func() { f.Run(ctx) })
+	}
+	d.duties.Go(func() { d.agent.Run(ctx) })
+	d.duties.Go(func() { d.controller.Run(ctx) })
+	d.duties.Go(func() { d.ledger.Run(ctx) })
+	d.duties.Go(func() { d.limiter.Run(ctx) })
+	d.duties.Go(func() { d.accounts.run(ctx) })
+	d.duties.Go(func() { d.announce(ctx) })
+	d.duties.Go(func() { d.serve("peers", func() error { return d.peerHTTP.Serve(d.listeners.peers) }) })
+	d.duties.Go(func() { d.serve("operators", func() error { return d.operators.app.Listener(d.listeners.operators) }) })
+	d.duties.Go(func() { d.serve("callers", func() error { return d.gateway.Serve(d.listeners.callers) }) })
+}
+
+func (d *Daemon) serve(what string, run func() error) {
+	if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.logger.Error("stopped serving", "for", what, "error", err)
+	}
+}
+
+// announce tells the log of this daemon, again until it is done.
+func (d *Daemon) announce(ctx context.Context) {
+	record, err := json.Marshal(arrival{Name: d.settings.Name, Peer: d.listeners.peers.Addr().String()})
+	if err != nil {
+		d.logger.Error("arrival not encoded", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		attempt, cancel := context.WithTimeout(ctx, announceTimeout)
+		err := d.followers[streamArrivals].Append(attempt, newID(), record)
+		cancel()
+		if err == nil {
+			return
+		}
+		wait(ctx, announceRetry)
+	}
+}
+
+// newID returns a unique name that sorts by time.
+func newID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		// The system's source of randomness is gone; nothing can go on.
+		panic(err)
+	}
+	return id.String()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// ApplyConfigurationFile publishes the documents in a file if they are not in
+// force yet. It serves the first trial on an embedded platform.
+func (d *Daemon) ApplyConfigurationFile(ctx context.Context, file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return failure.At(failure.Invalid, "read configuration", file, err)
+	}
+	parsed, err := config.ParseFile(file, string(text))
+	if err != nil {
+		return err
+	}
+	select {
+	case <-d.followers[streamConfiguration].CaughtUp():
+	case <-ctx.Done():
+		return failure.At(failure.Unavailable, "read configuration stream", file, ctx.Err())
+	}
+	set := config.ChangeSet{Author: "settings"}
+	for _, p := range parsed {
+		set.Changes = append(set.Changes, config.Change{Operation: config.OperationPut, Document: p.Document()})
+	}
+	verdict, err := d.publish(ctx, newID(), set)
+	if err != nil {
+		return err
+	}
+	if !verdict.Accepted {
+		return failure.New(failure.Invalid, "apply configuration", file, "%s", verdict.Problem)
+	}
+	return nil
+}
+
+// publish appends a change set and returns what the fold decided.
+func (d *Daemon) publish(ctx context.Context, id string, set config.ChangeSet) (config.Verdict, error) {
+	data, err := set.Encode()
+	if err != nil {
+		return config.Verdict{}, failure.At(failure.Invalid, "encode change set", "", err)
+	}
+	if err := d.followers[streamConfiguration].Append(ctx, id, data); err != nil {
+		return config.Verdict{}, err
+	}
+	verdict, ok := d.verdict(id)
+	if !ok {
+		return verdict, failure.New(failure.Unavailable, "find verdict", id, "it was pushed out of the history")
+	}
+	return verdict, nil
+}
+
+// verdict returns what the fold decided on the change set with the given id.
+func (d *Daemon) verdict(id string) (config.Verdict, bool) {
+	for _, v := range d.state.History() {
+		if v.ID == id {
+			return v, true
+		}
+	}
+	return config.Verdict{}, false
+}
--- /dev/null
+++ b/daemon/homes.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quartzshelf.dev/rpc"
+)
+
+const (
+	// maxWriters is how many daemons of the fleet append intents, so that the
+	// log's rate suffices however many daemons there are.
+	maxWriters = 3
+	// intentAppendsPerSecond is the part of the log's rate that intents may use.
+	intentAppendsPerSecond = 60
+)
+
+// rendezvous returns the member with the highest score for key, nil for none.
+func rendezvous(key string, members []*rpc.Member) *rpc.Member {
+	if len(members) == 0 {
+		return nil
+	}
+	return slices.MaxFunc(members, func(a, b *rpc.Member) int {
+		scoreA, scoreB := xxhash.Sum64String(key+"\x00"+a.Id), xxhash.Sum64String(key+"\x00"+b.Id)
+		switch {
+		case scoreA < scoreB:
+			return -1
+		case scoreA > scoreB:
+			return 1
+		default:
+			return strings.Compare(a.Id, b.Id)
+		}
+	})
+}
+
+// accountHome returns the member that leases shares of an account's limit.
+func accountHome(account string, members []*rpc.Member) *rpc.Member {
+	return rendezvous("account/"+account, members)
+}
+
+// writers returns the members that append intents.
+func writers(members []*rpc.Member) []*rpc.Member {
+	left := slices.Clone(members)
+	var chosen []*rpc.Member
+	for len(chosen) < maxWriters && len(left) > 0 {
+		w := rendezvous("writer", left)
+		chosen = append(chosen, w)
+		left = slices.DeleteFunc(left, func(m *rpc.Member) bool { return m == w })
+	}
+	return chosen
+}
+
+// intentWriter returns the member that appends the records of a key.
+func intentWriter(key string, members []*rpc.Member) *rpc.Member {
+	return rendezvous("key/"+key, writers(members))
+}
+
+// flushEvery returns the least time between two appends of intents by one of
+// the writers.
+func flushEvery(members int) time.Duration {
+	return time.Second * time.Duration(min(max(members, 1), maxWriters)) / intentAppendsPerSecond
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"context"
+	_ "embed"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/joomcode/errorx"
+	"k8s.io/apimachinery/pkg/labels"
+
+	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/config"
+)
+
+// applyTimeout bounds the wait for a change set to be folded.
+const applyTimeout = 8 * time.Second
+
+//go:embed dashboard.html
+var dashboard string
+
+// operators serves the operators' address.
+type operators struct {
+	d   *Daemon
+	app *fiber.App
+}
+
+func newOperators(d *Daemon) *operators {
+	o := &operators{d: d}
+	app := fiber.New(fiber.Config{DisableStartupMessage: true, ErrorHandler: operatorsError})
+	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
+	app.Get("/readyz", o.ready)
+	app.Get("/metrics", adaptor.HTTPHandler(d.meter.Handler()))
+	app.Get("/", func(c *fiber.Ctx) error {
+		c.Set(fiber.HeaderContentType, fiber.MIMETextHTMLCharsetUTF8)
+		return c.SendString(dashboard)
+	})
+	app.Get("/api/objects", o.objects)
+	app.Get("/api/history", func(c *fiber.Ctx) error { return c.JSON(d.state.History()) })
+	app.Get("/api/status", func(c *fiber.Ctx) error { return c.JSON(d.status()) })
+	app.Get("/api/explain/:kind/*", o.explain)
+	app.Post("/api/changes/:id", o.change)
+	app.Get("/api/changes/:id", o.verdict)
+	o.app = app
+	return o
+}
+
+// problem is the JSON of an error towards operators.
+type problem struct {
+	Error string `json:"error"`
+	Step  string `json:"step,omitempty"`
+	Peer  string `json:"peer,omitempty"`
+	// Settled tells that the action is known not to have taken effect.
+	Settled bool `json:"settled"`
+}
+
+func operatorsError(c *fiber.Ctx, err error) error {
+	code, settled := http.StatusInternalServerError, false
+	var f *fiber.Error
+	switch {
+	case errors.As(err, &f):
+		code, settled = f.Code, true
+	case errorx.IsOfType(err, failure.Refused):
+		code, settled = http.StatusServiceUnavailable, true
+	case errorx.IsOfType(err, failure.Invalid):
+		code, settled = http.StatusUnprocessableEntity, true
+	case errorx.IsOfType(err, failure.Unavailable):
+		code = http.StatusServiceUnavailable
+	}
+	return c.Status(code).JSON(problem{
+		Error: err.Error(), Step: failure.Step(err), Peer: failure.Peer(err), Settled: settled,
+	})
+}
+
+func (o *operators) ready(c *fiber.Ctx) error {
+	if closed := o.d.readiness.gate(); closed != nil {
+		return c.Status(http.StatusServiceUnavailable).SendString(string(closed.Reason) + ": " + closed.Message + "\n")
+	}
+	return c.SendString("ready\n")
+}
+
+// ObjectRow is an object of the configuration with its revision.
+type ObjectRow struct {
+	config.Document
+	Revision int64 `json:"revision"`
+}
+
+func (o *operators) objects(c *fiber.Ctx) error {
+	selector, err := labels.Parse(c.Query("selector"))
+	if err != nil {
+		return fiber.NewError(http.StatusBadRequest, "bad selector: "+err.Error())
+	}
+	kind, name := c.Query("kind"), c.Query("name")
+	rows := []ObjectRow{}
+	for _, object := range o.d.state.View().Objects() {
+		d := object.Document()
+		if (kind != "" && kind != string(d.Kind)) || (name != "" && name != d.Name) {
+			continue
+		}
+		if selector.Matches(labels.Set(d.Labels)) {
+			rows = append(rows, ObjectRow{Document: d, Revision: object.Revision()})
+		}
+	}
+	return c.JSON(rows)
+}
+
+// ChangeReply is the answer to a change set.
+type ChangeReply struct {
+	Verdict  config.Verdict `json:"verdict"`
+	Warnings []string       `json:"warnings"`
+}
+
+// change publishes a change set. A daemon that is cut off refuses: what it
+// accepted might not come into force elsewhere.
+func (o *operators) change(c *fiber.Ctx) error {
+	var set config.ChangeSet
+	if err := c.BodyParser(&set); err != nil {
+		return fiber.NewError(http.StatusBadRequest, "not a change set: "+err.Error())
+	}
+	if closed := o.d.readiness.gate(); closed != nil {
+		return failure.New(failure.Refused, "publish configuration", o.d.settings.Name, "%s", closed.Message)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), applyTimeout)
+	defer cancel()
+	verdict, err := o.d.publish(ctx, c.Params("id"), set)
+	if err != nil {
+		return err
+	}
+	return c.JSON(ChangeReply{Verdict: verdict, Warnings: o.d.state.View().Warnings()})
+}
+
+func (o *operators) verdict(c *fiber.Ctx) error {
+	verdict, ok := o.d.verdict(c.Params("id"))
+	if !ok {
+		return fiber.NewError(http.StatusNotFound, "no such change set is folded here")
+	}
+	return c.JSON(ChangeReply{Verdict: verdict, Warnings: o.d.state.View().Warnings()})
+}
+
+func (o *operators) explain(c *fiber.Ctx) error {
+	kind, name := c.Params("kind"), c.Params("*")
+	explanation, ok := o.d.explain(kind, name)
+	if !ok {
+		return fiber.NewError(http.StatusNotFound, "nothing is known here of "+kind+" "+name)
+	}
+	return c.JSON(explanation)
+}
--- /dev/null
+++ b/daemon/peer.go
@@ -0,0 +1,164 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"quartzshelf.dev/admission"
+	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/config"
+	"quartzshelf.dev/intent"
+	"quartzshelf.dev/membership"
+	"quartzshelf.dev/platform"
+	"quartzshelf.dev/rpc"
+)
+
+// peerServer is what this daemon offers to the others.
+type peerServer struct {
+	*membership.Agent
+	ledger *intent.Ledger
+	home   *admission.Home
+	config func() *config.View
+}
+
+var _ rpc.Peer = (*peerServer)(nil)
+
+// Claim implements rpc.Peer: it queues a record for the next append.
+func (p *peerServer) Claim(_ context.Context, r *rpc.ClaimRequest) (*rpc.ClaimReply, error) {
+	if r.RecordId == "" || len(r.Data) == 0 {
+		return &rpc.ClaimReply{Reason: string(reason.BadRequest)}, nil
+	}
+	if !p.ledger.Write(platform.Record{ID: r.RecordId, Data: r.Data}) {
+		return &rpc.ClaimReply{Reason: string(reason.Overloaded)}, nil
+	}
+	return &rpc.ClaimReply{Committed: true}, nil
+}
+
+// Outcome implements rpc.Peer.
+func (p *peerServer) Outcome(_ context.Context, r *rpc.OutcomeRequest) (*rpc.OutcomeReply, error) {
+	o := p.ledger.Local(r.Attempt)
+	return &rpc.OutcomeReply{
+		State: string(o.Phase()), Status: uint32(o.Answer().Status()),
+		ContentType: o.Answer().ContentType(), Body: o.Answer().Body(),
+	}, nil
+}
+
+// LeaseShare implements rpc.Peer.
+func (p *peerServer) LeaseShare(_ context.Context, r *rpc.LeaseShareRequest) (*rpc.LeaseShareReply, error) {
+	for _, a := range p.config().Accounts() {
+		if a.Name() == r.Account {
+			share, expiresAt := p.home.Lease(r.Account, r.From, a.RequestsPerSecond(), r.Demand)
+			return &rpc.LeaseShareReply{
+				Share: share, RemainingMicros: uint64(time.Until(expiresAt).Microseconds()),
+			}, nil
+		}
+	}
+	return &rpc.LeaseShareReply{}, nil
+}
+
+// dialer keeps one client for each peer address.
+type dialer struct {
+	http *http.Client
+
+	mu      sync.Mutex
+	clients map[string]rpc.Peer
+}
+
+const (
+	// peerTimeout bounds a call between daemons whose context sets no deadline.
+	peerTimeout = 5 * time.Second
+	peerIdle    = 4
+)
+
+func newDialer() *dialer {
+	return &dialer{
+		http: &http.Client{
+			Timeout:   peerTimeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: peerIdle, IdleConnTimeout: time.Minute},
+		},
+		clients: make(map[string]rpc.Peer),
+	}
+}
+
+// dial returns the client of the daemon at a peer address.
+func (d *dialer) dial(address string) rpc.Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	client, ok := d.clients[address]
+	if !ok {
+		client = rpc.NewPeerProtobufClient("http://"+address, d.http)
+		d.clients[address] = client
+	}
+	return client
+}
+
+// close ends the idle connections.
+func (d *dialer) close() { d.http.CloseIdleConnections() }
+
+// addressOf returns the peer address of a member.
+func (d *Daemon) addressOf(id string) (string, error) {
+	m, ok := d.agent.Table().Member(id)
+	if !ok {
+		return "", failure.New(failure.Unavailable, "find member", id, "the member is not known")
+	}
+	return m.PeerAddress, nil
+}
+
+// submitIntent hands a record to the daemon that writes the key's records.
+func (d *Daemon) submitIntent(ctx context.Context, key intent.Key, record platform.Record) bool {
+	writer := intentWriter(string(key), d.stayingMembers())
+	if writer == nil || writer.Id == d.settings.Name {
+		return false
+	}
+	reply, err := d.dialer.dial(writer.PeerAddress).Claim(ctx, &rpc.ClaimRequest{RecordId: record.ID, Data: record.Data})
+	return err == nil && reply.Committed
+}
+
+// askOutcome asks the holder of an attempt what became of it.
+func (d *Daemon) askOutcome(ctx context.Context, holder, attempt string) (intent.Outcome, error) {
+	address, err := d.addressOf(holder)
+	if err != nil {
+		return intent.Outcome{}, err
+	}
+	reply, err := d.dialer.dial(address).Outcome(ctx, &rpc.OutcomeRequest{Attempt: attempt})
+	if err != nil {
+		return intent.Outcome{}, failure.At(failure.Unavailable, "ask outcome", holder, err)
+	}
+	answer := intent.NewAnswer(int(reply.Status), reply.ContentType, reply.Body)
+	return intent.NewOutcome(intent.Phase(reply.State), answer), nil
+}
+
+// leaseShare asks the home of an account for a share of its limit.
+func (d *Daemon) leaseShare(ctx context.Context, account string, demand float64) (float64, time.Time, error) {
+	home := accountHome(account, d.stayingMembers())
+	if home == nil {
+		return 0, time.Time{}, failure.New(failure.Unavailable, "find home", account, "no daemon is alive")
+	}
+	start := time.Now()
+	request := &rpc.LeaseShareRequest{Account: account, From: d.settings.Name, Demand: demand}
+	var reply *rpc.LeaseShareReply
+	var err error
+	if home.Id == d.settings.Name {
+		reply, err = d.peerServer.LeaseShare(ctx, request)
+	} else {
+		reply, err = d.dialer.dial(home.PeerAddress).LeaseShare(ctx, request)
+	}
+	if err != nil {
+		return 0, time.Time{}, failure.At(failure.Unavailable, "lease share", home.Id, err)
+	}
+	return reply.Share, start.Add(time.Duration(reply.RemainingMicros) * time.Microsecond), nil
+}
+
+// stayingMembers returns the members that are alive and do not leave.
+func (d *Daemon) stayingMembers() []*rpc.Member {
+	var all []*rpc.Member
+	for _, m := range d.agent.Table().Alive() {
+		if !m.Leaving {
+			all = append(all, m)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/daemon/readiness.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/gateway"
+)
+
+const (
+	// contactWindow is how long a read of the log or an answer of a peer counts
+	// as contact. A daemon without contact takes no new requests, since a
+	// configuration might be in force that it does not know.
+	contactWindow = 10 * time.Second
+	// headWindow is how long the daemon may lag behind a peer's configuration.
+	headWindow = 10 * time.Second
+)
+
+// readiness decides whether this daemon takes requests.
+//
+// It takes none before it has caught up with the highest configuration offset
+// that it can learn of, from the log or, while that is out, from a peer. It
+// goes on while the log is out as long as it is in contact with more than half
+// of the fleet: then nobody on the other side of a partition can hold more.
+// With neither, it stops taking requests after contactWindow.
+type readiness struct {
+	d *Daemon
+
+	mu sync.Mutex
+	// stopping is set by a planned stop.
+	stopping bool
+	// started stays set once the daemon has caught up for the first time.
+	started bool
+	// entriesUntil is until when callers may use the answers given out.
+	entriesUntil time.Time
+	// behindSince is since when a peer is known to hold a newer configuration.
+	behindSince time.Time
+}
+
+func newReadiness(d *Daemon) *readiness {
+	return &readiness{d: d}
+}
+
+// keepEntries returns until when an answer that lists addresses may be kept.
+func (r *readiness) keepEntries(now time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entriesUntil = now.Add(r.d.settings.KeepEntries)
+	return r.entriesUntil
+}
+
+// lastEntriesUntil returns until when callers may use the answers given out.
+func (r *readiness) lastEntriesUntil() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entriesUntil
+}
+
+// stop makes the gate refuse every new request.
+func (r *readiness) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+// gate returns nil while requests are taken.
+func (r *readiness) gate() *gateway.Closed {
+	now := time.Now()
+	connected, next := r.connected(now), r.d.followers[streamConfiguration].Fold().Next()
+	behind := next < r.d.agent.FleetNext()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !behind {
+		r.behindSince = time.Time{}
+	} else if r.behindSince.IsZero() {
+		r.behindSince = now
+	}
+	if !r.started && connected && !behind && r.known(next) {
+		r.started = true
+	}
+	switch {
+	case r.stopping:
+		return &gateway.Closed{Reason: reason.Stopping, Message: "this daemon is stopping; use another address"}
+	case !r.started:
+		return &gateway.Closed{Reason: reason.Starting, Message: "this daemon has not yet read the configuration"}
+	case !connected:
+		return &gateway.Closed{Reason: reason.Isolated, Message: "this daemon reaches neither the log nor most of its peers"}
+	case behind && now.After(r.behindSince.Add(headWindow)):
+		return &gateway.Closed{Reason: reason.Isolated, Message: "this daemon cannot get the newest configuration"}
+	}
+	return nil
+}
+
+// known reports whether there is a configuration to start with: the log was
+// read to its end, or a peer gave one.
+func (r *readiness) known(next int64) bool {
+	return !r.d.followers[streamConfiguration].Confirmed().IsZero() || next > 0
+}
+
+// connected reports whether the daemon hears of every new configuration.
+func (r *readiness) connected(now time.Time) bool {
+	since := now.Add(-contactWindow)
+	if r.d.followers[streamConfiguration].Confirmed().After(since) {
+		return true
+	}
+	reached, members := r.d.agent.Reached(since)
+	return members > 1 && 2*reached > members || members == 1 && r.alone()
+}
+
+// alone reports whether the daemon has been the only one all the time; then an
+// outage of the log leaves nobody who could accept a configuration through us.
+func (r *readiness) alone() bool {
+	return !r.d.followers[streamConfiguration].Confirmed().IsZero()
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,214 @@
+// Package daemon puts the parts of a quartzshelf daemon together and runs them.
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"quartzshelf.dev/standin"
+)
+
+// Defaults of the settings.
+const (
+	defaultLogRetention = time.Hour
+	defaultServeWindow  = 6 * time.Second
+	defaultKeepEntries  = 10 * time.Second
+	defaultMaxBody      = 8 << 20
+	defaultWeightLoads  = 2
+	minLogRetention     = 5 * time.Minute
+	minServeWindow      = 2 * time.Second
+	maxServeWindow      = time.Minute
+	maxKeepEntries      = 10 * time.Minute
+	minMaxBody          = 1 << 10
+	maxMaxBody          = 64 << 20
+	maxWeightLoads      = 1000
+)
+
+// Settings are the settings of a daemon as written in YAML. They are a message,
+// hence their exported fields.
+type Settings struct {
+	// Name is the daemon's name, unique in the fleet.
+	Name     string `yaml:"name"`
+	DataHall string `yaml:"data_hall"`
+	Region   string `yaml:"region"`
+	// Callers, Operators and Peers are the IP:port pairs to listen on.
+	Callers   string `yaml:"callers"`
+	Operators string `yaml:"operators"`
+	Peers     string `yaml:"peers"`
+	// Seeds are the peer addresses of daemons to begin with.
+	Seeds    []string         `yaml:"seeds"`
+	Platform PlatformSettings `yaml:"platform"`
+	// ServeWindow is how long after a probe a replica may serve.
+	ServeWindow time.Duration `yaml:"serve_window"`
+	// KeepEntries is how long callers may keep an answer of /v1/entries.
+	KeepEntries time.Duration `yaml:"keep_entries"`
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int `yaml:"max_body_bytes"`
+	// WeightLoads is how many replicas of a domain may load weights at a time.
+	WeightLoads int         `yaml:"weight_loads"`
+	Log         LogSettings `yaml:"log"`
+
+	// file is where the settings were read from.
+	file string
+}
+
+// PlatformSettings say where the platform's systems are.
+type PlatformSettings struct {
+	// Log and Nodes are the IP:port pairs of the log service and the node list.
+	Log   string `yaml:"log"`
+	Nodes string `yaml:"nodes"`
+	// LogRetention is how long the log service keeps a record.
+	LogRetention time.Duration     `yaml:"log_retention"`
+	Embedded     *EmbeddedSettings `yaml:"embedded"`
+}
+
+// EmbeddedSettings describe a stand-in of the platform inside the daemon, for
+// a first trial on one machine.
+type EmbeddedSettings struct {
+	Domains          []standin.DomainOptions `yaml:"domains"`
+	StoreGBPerSecond float64                 `yaml:"store_gb_per_second"`
+	LoadGB           float64                 `yaml:"load_gb"`
+	Step             time.Duration           `yaml:"step"`
+	Slots            int                     `yaml:"slots"`
+	ListLag          time.Duration           `yaml:"list_lag"`
+	// Configuration is a file of documents to apply at the start, relative to
+	// the settings.
+	Configuration string `yaml:"configuration"`
+}
+
+// LogSettings say what the daemon writes about itself.
+type LogSettings struct {
+	// Level is trace, debug, info, warn or error.
+	Level string `yaml:"level"`
+	// Format is text or json.
+	Format string `yaml:"format"`
+}
+
+// ReadSettings reads and checks the settings in a file.
+func ReadSettings(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return ParseSettings(file, data)
+}
+
+// ParseSettings parses and checks settings. Every problem found is reported.
+func ParseSettings(file string, data []byte) (*Settings, error) {
+	s := &Settings{
+		ServeWindow:  defaultServeWindow,
+		KeepEntries:  defaultKeepEntries,
+		MaxBodyBytes: defaultMaxBody,
+		WeightLoads:  defaultWeightLoads,
+		Platform:     PlatformSettings{LogRetention: defaultLogRetention},
+		Log:          LogSettings{Level: "info", Format: "text"},
+		file:         file,
+	}
+	if err := yaml.UnmarshalWithOptions(data, s, yaml.Strict()); err != nil {
+		return nil, fmt.Errorf("%s: %s", file, yaml.FormatError(err, false, false))
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// ConfigurationFile returns the path of the documents to apply at the start.
+func (s *Settings) ConfigurationFile() string {
+	if s.Platform.Embedded == nil || s.Platform.Embedded.Configuration == "" {
+		return ""
+	}
+	return filepath.Join(filepath.Dir(s.file), s.Platform.Embedded.Configuration)
+}
+
+var daemonName = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+// settingsChecker collects the problems of settings.
+type settingsChecker struct {
+	file     string
+	problems []error
+}
+
+func (c *settingsChecker) fail(field, format string, args ...any) {
+	c.problems = append(c.problems, fmt.Errorf("%s: field %s: %s", c.file, field, fmt.Sprintf(format, args...)))
+}
+
+func (c *settingsChecker) name(field, value string) {
+	if !daemonName.MatchString(value) {
+		c.fail(field, "%q must be lower-case letters, digits, dots and dashes", value)
+	}
+}
+
+func (c *settingsChecker) address(field, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fail(field, "%q must be an IP number and a port, as in 127.0.0.1:7400", value)
+	}
+}
+
+func (c *settingsChecker) duration(field string, value, low, high time.Duration) {
+	if value < low || value > high {
+		c.fail(field, "%v is outside %v to %v", value, low, high)
+	}
+}
+
+func (c *settingsChecker) number(field string, value, low, high int) {
+	if value < low || value > high {
+		c.fail(field, "%d is outside %d to %d", value, low, high)
+	}
+}
+
+func (c *settingsChecker) oneOf(field, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.fail(field, "%q must be one of %v", value, allowed)
+	}
+}
+
+func (s *Settings) check() error {
+	c := &settingsChecker{file: s.file}
+	c.name("name", s.Name)
+	c.name("data_hall", s.DataHall)
+	c.name("region", s.Region)
+	c.address("callers", s.Callers)
+	c.address("operators", s.Operators)
+	c.address("peers", s.Peers)
+	for i, seed := range s.Seeds {
+		c.address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	c.duration("serve_window", s.ServeWindow, minServeWindow, maxServeWindow)
+	c.duration("keep_entries", s.KeepEntries, time.Second, maxKeepEntries)
+	c.number("max_body_bytes", s.MaxBodyBytes, minMaxBody, maxMaxBody)
+	c.number("weight_loads", s.WeightLoads, 1, maxWeightLoads)
+	c.oneOf("log.level", s.Log.Level, "trace", "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "text", "json")
+	s.Platform.check(c)
+	return errors.Join(c.problems...)
+}
+
+func (p *PlatformSettings) check(c *settingsChecker) {
+	if p.LogRetention < minLogRetention {
+		c.fail("platform.log_retention", "%v is below %v", p.LogRetention, minLogRetention)
+	}
+	if p.Embedded == nil {
+		c.address("platform.log", p.Log)
+		c.address("platform.nodes", p.Nodes)
+		return
+	}
+	if p.Log != "" || p.Nodes != "" {
+		c.fail("platform.embedded", "cannot be given together with platform.log or platform.nodes")
+	}
+	if len(p.Embedded.Domains) == 0 {
+		c.fail("platform.embedded.domains", "must name at least one fabric domain")
+	}
+	if p.Embedded.StoreGBPerSecond <= 0 {
+		c.fail("platform.embedded.store_gb_per_second", "must be above zero")
+	}
+	c.number("platform.embedded.slots", p.Embedded.Slots, 1, maxWeightLoads)
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,247 @@
+package daemon
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/rpc"
+)
+
+// Status is what operators see of the fleet. It is a message, hence its
+// exported fields.
+type Status struct {
+	Daemon    string                  `json:"daemon"`
+	Ready     string                  `json:"ready"`
+	Revision  int64                   `json:"revision"`
+	Sums      Sums                    `json:"sums"`
+	Requests  int64                   `json:"requests"`
+	Refusals  map[reason.Reason]int64 `json:"refusals"`
+	Retries   map[reason.Reason]int64 `json:"retries"`
+	Members   []MemberRow             `json:"members"`
+	Domains   []DomainRow             `json:"domains"`
+	Replicas  []ReplicaRow            `json:"replicas"`
+	Nodes     []NodeRow               `json:"nodes"`
+	Warnings  []string                `json:"warnings"`
+	LogSilent string                  `json:"log_silent,omitempty"`
+}
+
+// MemberRow describes a daemon.
+type MemberRow struct {
+	Name     string `json:"name"`
+	State    string `json:"state"`
+	DataHall string `json:"data_hall"`
+	Address  string `json:"address"`
+}
+
+// DomainRow describes a fabric domain.
+type DomainRow struct {
+	Name     string `json:"name"`
+	DataHall string `json:"data_hall"`
+	Owner    string `json:"owner"`
+	// Leader is who reports on the domain now; a deputy while the owner is gone.
+	Leader  string `json:"leader"`
+	Epoch   uint64 `json:"epoch"`
+	Rank    uint32 `json:"rank"`
+	Current bool   `json:"current"`
+}
+
+// ReplicaRow describes a replica.
+type ReplicaRow struct {
+	Name       string   `json:"name"`
+	Deployment string   `json:"deployment"`
+	Domain     string   `json:"domain"`
+	State      string   `json:"state"`
+	Generation uint64   `json:"generation"`
+	Version    string   `json:"version"`
+	Nodes      []string `json:"nodes"`
+	Active     int      `json:"active"`
+	Queue      int      `json:"queue"`
+	Reason     string   `json:"reason"`
+}
+
+// NodeRow describes a node.
+type NodeRow struct {
+	Name         string `json:"name"`
+	Domain       string `json:"domain"`
+	State        string `json:"state"`
+	Replica      string `json:"replica"`
+	Accelerators int    `json:"accelerators"`
+	Reason       string `json:"reason"`
+}
+
+// States of a replica as operators see them.
+const (
+	replicaServing  = "serving"
+	replicaDraining = "draining"
+	replicaDark     = "dark"
+	replicaScripted = "serving (scripts)"
+)
+
+func (d *Daemon) status() Status {
+	now := time.Now()
+	s := Status{
+		Daemon: d.settings.Name, Ready: "ready", Revision: d.state.View().Revision(),
+		Sums: d.accounts.sums(), Requests: d.meter.Requests(),
+		Refusals: d.meter.Refusals(), Retries: d.meter.Retries(),
+		Warnings: d.state.View().Warnings(),
+		Replicas: d.replicaRows(now),
+	}
+	if closed := d.readiness.gate(); closed != nil {
+		s.Ready = string(closed.Reason) + ": " + closed.Message
+	}
+	if confirmed := d.followers[streamConfiguration].Confirmed(); now.Sub(confirmed) > contactWindow {
+		s.LogSilent = "the log does not answer"
+	}
+	for _, m := range d.agent.Table().Members() {
+		s.Members = append(s.Members, memberRow(m))
+	}
+	for _, report := range d.catalog.Reports() {
+		s.Domains = append(s.Domains, d.domainRow(report, now))
+		for _, n := range report.Nodes {
+			s.Nodes = append(s.Nodes, nodeRow(report.Domain, n))
+		}
+	}
+	return s
+}
+
+func memberRow(m *rpc.Member) MemberRow {
+	row := MemberRow{Name: m.Id, State: m.State.String(), DataHall: m.DataHall, Address: m.EntryAddress}
+	if m.Leaving && m.State == rpc.MemberState_ALIVE {
+		row.State = "LEAVING"
+	}
+	return row
+}
+
+func (d *Daemon) domainRow(report *rpc.DomainReport, now time.Time) DomainRow {
+	_, deadline, _ := d.catalog.Current(report.Domain)
+	return DomainRow{
+		Name: report.Domain, DataHall: report.DataHall,
+		Owner: d.grants.Grant(report.Domain).Owner(), Leader: report.Owner,
+		Epoch: report.Token.GetEpoch(), Rank: report.Token.GetRank(), Current: now.Before(deadline),
+	}
+}
+
+func nodeRow(domain string, n *rpc.NodeReport) NodeRow {
+	return NodeRow{
+		Name: n.Id, Domain: domain, State: n.State.String(), Replica: n.Replica,
+		Accelerators: int(n.Accelerators), Reason: n.Reason,
+	}
+}
+
+func (d *Daemon) replicaRows(now time.Time) []ReplicaRow {
+	rows := []ReplicaRow{}
+	for _, r := range d.catalog.Replicas() {
+		row := ReplicaRow{
+			Name: r.ID(), Deployment: r.Deployment(), Domain: r.Domain(), Generation: r.Generation(),
+			Version: r.ModelVersion(), Nodes: r.Nodes(), Reason: r.Reason(),
+			Active: r.Load().Active(), Queue: r.Load().Queue(),
+		}
+		switch {
+		case !r.Listed():
+			row.State = replicaDark
+		case !now.Before(r.Deadline()):
+			row.State = replicaDark
+			row.Reason = "nothing was heard from the leader of its domain"
+		case r.Draining():
+			row.State = replicaDraining
+		case r.Scripted():
+			row.State = replicaScripted
+		default:
+			row.State = replicaServing
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// Explanation answers an operator's why.
+type Explanation struct {
+	Subject string   `json:"subject"`
+	State   string   `json:"state"`
+	Because []string `json:"because"`
+}
+
+// explain says why a replica or a node is as it is, or why a request went
+// where it did.
+func (d *Daemon) explain(kind, name string) (Explanation, bool) {
+	switch kind {
+	case "replica":
+		return d.explainReplica(name)
+	case "node":
+		return d.explainNode(name)
+	case "request":
+		return d.explainRequest(name)
+	default:
+		return Explanation{}, false
+	}
+}
+
+func (d *Daemon) explainReplica(name string) (Explanation, bool) {
+	rows := d.replicaRows(time.Now())
+	i := slices.IndexFunc(rows, func(r ReplicaRow) bool { return r.Name == name })
+	if i < 0 {
+		return Explanation{}, false
+	}
+	row := rows[i]
+	e := Explanation{Subject: "replica " + name, State: row.State}
+	if row.Reason != "" {
+		e.Because = append(e.Because, row.Reason)
+	}
+	for _, report := range d.catalog.Reports() {
+		if report.Domain == row.Domain {
+			e.Because = append(e.Because, fmt.Sprintf("reported by %s, which leads domain %s under epoch %d, rank %d",
+				report.Owner, report.Domain, report.Token.GetEpoch(), report.Token.GetRank()))
+			e.Because = append(e.Because, nodeReasons(report, row.Nodes)...)
+		}
+	}
+	return e, true
+}
+
+// nodeReasons describes the nodes of a replica that are not simply assigned.
+func nodeReasons(report *rpc.DomainReport, nodes []string) []string {
+	var all []string
+	for _, n := range report.Nodes {
+		if slices.Contains(nodes, n.Id) && n.State != rpc.NodeState_ASSIGNED {
+			all = append(all, fmt.Sprintf("node %s is %s", n.Id, n.State))
+		}
+	}
+	return all
+}
+
+func (d *Daemon) explainNode(name string) (Explanation, bool) {
+	for _, report := range d.catalog.Reports() {
+		for _, n := range report.Nodes {
+			if n.Id != name {
+				continue
+			}
+			e := Explanation{Subject: "node " + name, State: n.State.String()}
+			if n.Replica != "" {
+				e.Because = append(e.Because, "it is assigned to replica "+n.Replica)
+			}
+			if n.Reason != "" {
+				e.Because = append(e.Because, n.Reason)
+			}
+			return e, true
+		}
+	}
+	return Explanation{}, false
+}
+
+func (d *Daemon) explainRequest(id string) (Explanation, bool) {
+	decision, ok := d.gateway.Decision(id)
+	if !ok {
+		return Explanation{}, false
+	}
+	return Explanation{
+		Subject: "request " + id,
+		State:   "sent to replica " + decision.Replica,
+		Because: []string{
+			fmt.Sprintf("at %s it was chosen from %d serving replicas of %s for client account %s",
+				decision.Time.Format(time.RFC3339Nano), decision.Candidates, decision.Deployment, decision.Account),
+			fmt.Sprintf("its slots were %.0f%% occupied, the least occupied replica's %.0f%%",
+				100*decision.Occupancy, 100*decision.Least),
+		},
+	}, true
+}
--- /dev/null
+++ b/eventlog/fold_test.go
@@ -0,0 +1,102 @@
+package eventlog
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quartzshelf.dev/platform"
+)
+
+// listState keeps the records it was given.
+type listState struct {
+	Seen []string `json:"seen"`
+}
+
+func (l *listState) Apply(_ platform.Record, data json.RawMessage) {
+	l.Seen = append(l.Seen, string(data))
+}
+
+func (l *listState) Checkpoint() ([]byte, error) { return json.Marshal(l) }
+
+func (l *listState) Restore(data []byte) error {
+	l.Seen = nil
+	return json.Unmarshal(data, l)
+}
+
+func record(t rapid.TB, offset int64) platform.Record {
+	r, err := NewRecord(fmt.Sprint("r", offset), json.RawMessage(fmt.Sprint(offset)))
+	assert.NilError(t, err)
+	r.Offset, r.Time = offset, time.Unix(offset, 0)
+	return r
+}
+
+// TestTwoWatchersOfOneRecord fails when the second watcher takes the place of
+// the first: a claim then waits for its record until it gives up.
+func TestTwoWatchersOfOneRecord(t *testing.T) {
+	f := NewFold(&listState{})
+	first, second := f.Watch("r0"), f.Watch("r0")
+	f.Unwatch("r0")
+	f.Add(record(t, 0))
+	for name, seen := range map[string]<-chan struct{}{"first": first, "second": second} {
+		select {
+		case <-seen:
+		default:
+			t.Errorf("the %s watcher was not told", name)
+		}
+	}
+}
+
+// TestFoldIsTheSameHoweverItIsRead draws a log with checkpoints, a retention
+// that cuts off its beginning, and reads that repeat and overlap. A fold that
+// started late must agree with one that saw everything.
+func TestFoldIsTheSameHoweverItIsRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := NewFold(&listState{})
+		var log []platform.Record
+		lastCheckpoint := int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "records") {
+			next := int64(len(log))
+			r := record(t, next)
+			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+				c, err := whole.Checkpoint()
+				assert.NilError(t, err)
+				r, err = newCheckpointRecord(fmt.Sprint("c", next), c)
+				assert.NilError(t, err)
+				r.Offset = next
+				lastCheckpoint = c.Next
+			}
+			log = append(log, r)
+			whole.Add(r)
+		}
+		late := NewFold(&listState{})
+		from := rapid.Int64Range(0, lastCheckpoint).Draw(t, "earliest")
+		for late.Next() < int64(len(log)) {
+			end := rapid.Int64Range(from, int64(len(log))).Draw(t, "end")
+			for _, r := range log[from:end] {
+				late.Add(r)
+			}
+			if end == int64(len(log)) {
+				break
+			}
+		}
+		assert.DeepEqual(t, late.state.(*listState).Seen, whole.state.(*listState).Seen)
+		assert.Equal(t, late.Next(), whole.Next())
+	})
+}
+
+// TestInstallNeverGoesBack keeps a peer's stale checkpoint from taking back
+// what is in force.
+func TestInstallNeverGoesBack(t *testing.T) {
+	f := NewFold(&listState{})
+	f.Add(record(t, 0))
+	stale, err := f.Checkpoint()
+	assert.NilError(t, err)
+	f.Add(record(t, 1))
+	assert.Assert(t, !f.Install(stale))
+	assert.Equal(t, f.Next(), int64(2))
+}
--- /dev/null
+++ b/intent/state.go
@@ -0,0 +1,249 @@
+// Package intent makes requests that must not be repeated run at most once
+// over all daemons. Before such a request is sent, an intent is committed to
+// the log; the first intent for a key in log order wins, and only the daemon
+// that wrote it may send the request, once.
+package intent
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quartzshelf.dev/eventlog"
+	"quartzshelf.dev/platform"
+)
+
+// Stream is the log stream that holds the intents.
+const Stream = "intents"
+
+// Operation is what a record does to a key.
+type Operation string
+
+// The operations.
+const (
+	// OperationClaim takes a key for an attempt.
+	OperationClaim Operation = "claim"
+	// OperationRelease gives a key back; its writer promises never to send the attempt.
+	OperationRelease Operation = "release"
+	// OperationDone notes that the attempt ran to its end.
+	OperationDone Operation = "done"
+)
+
+// Record is an entry of the stream of intents.
+type Record struct {
+	Operation Operation `json:"op"`
+	Key       Key       `json:"key"`
+	Attempt   string    `json:"attempt"`
+	Holder    string    `json:"holder,omitempty"`
+	Body      string    `json:"body,omitempty"`
+	Status    int       `json:"status,omitempty"`
+}
+
+// Key names a request: a hash of the client account and of the key that the
+// caller made.
+type Key string
+
+// KeyOf returns the key of a caller's key within a client account.
+func KeyOf(account, callerKey string) Key {
+	return Key(shortHash([]byte(account + "\x00" + callerKey)))
+}
+
+// BodyHash returns the hash by which a repeated request is compared.
+func BodyHash(method, path string, body []byte) string {
+	return shortHash(slices.Concat([]byte(method+" "+path+"\x00"), body))
+}
+
+// shortHash returns the first half of a SHA-256 hash in hexadecimal.
+func shortHash(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:len(sum)/2])
+}
+
+// Entry is the state of a key.
+type Entry struct {
+	attempt   string
+	holder    string
+	body      string
+	status    int
+	done      bool
+	expiresAt time.Time
+	// released lists attempts that were given back and may not come again.
+	released []string
+}
+
+// Attempt returns the attempt that holds the key, empty for none.
+func (e Entry) Attempt() string { return e.attempt }
+
+// Holder returns the daemon that alone may send the request.
+func (e Entry) Holder() string { return e.holder }
+
+// Body returns the hash of the request's content.
+func (e Entry) Body() string { return e.body }
+
+// Done reports whether the request is known to have run, with its status.
+func (e Entry) Done() (status int, done bool) { return e.status, e.done }
+
+// State folds the stream of intents. A key is forgotten ttl after its first
+// claim, by the log's clock, so all daemons forget it at the same record.
+type State struct {
+	ttl time.Duration
+
+	mu      sync.RWMutex
+	entries map[Key]Entry
+	// order lists keys by the time at which they expire.
+	order []Key
+}
+
+var _ eventlog.State = (*State)(nil)
+
+// NewState returns a state that keeps keys for ttl, which must be well below
+// the log's retention.
+func NewState(ttl time.Duration) *State {
+	return &State{ttl: ttl, entries: make(map[Key]Entry)}
+}
+
+// Entry returns the state of a key.
+func (s *State) Entry(key Key) (Entry, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e, ok := s.entries[key]
+	return e, ok
+}
+
+// Len returns how many keys are kept.
+func (s *State) Len() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.entries)
+}
+
+// Apply implements eventlog.State.
+func (s *State) Apply(record platform.Record, data json.RawMessage) {
+	var r Record
+	if json.Unmarshal(data, &r) != nil || r.Key == "" || r.Attempt == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(record.Time)
+	switch r.Operation {
+	case OperationClaim:
+		s.claim(r, record.Time)
+	case OperationRelease:
+		s.release(r, record.Time)
+	case OperationDone:
+		s.finish(r)
+	}
+}
+
+// claim gives the key to the first attempt that asks for it. A repeated record
+// of one attempt changes nothing.
+func (s *State) claim(r Record, at time.Time) {
+	e, known := s.entries[r.Key]
+	if known && (e.attempt != "" || slices.Contains(e.released, r.Attempt)) {
+		return
+	}
+	if e.body != "" && e.body != r.Body {
+		return
+	}
+	if !known {
+		e = s.add(r.Key, at)
+	}
+	e.attempt, e.holder, e.body = r.Attempt, r.Holder, r.Body
+	s.entries[r.Key] = e
+}
+
+// release gives the key back. It also bars an attempt whose claim comes later
+// than its release.
+func (s *State) release(r Record, at time.Time) {
+	e, known := s.entries[r.Key]
+	if !known {
+		e = s.add(r.Key, at)
+	}
+	if e.done || slices.Contains(e.released, r.Attempt) {
+		return
+	}
+	e.released = append(slices.Clone(e.released), r.Attempt)
+	if e.attempt == r.Attempt {
+		e.attempt, e.holder = "", ""
+	}
+	s.entries[r.Key] = e
+}
+
+// add begins an entry for a key first seen at the given time of the log.
+func (s *State) add(key Key, at time.Time) Entry {
+	s.order = append(s.order, key)
+	return Entry{expiresAt: at.Add(s.ttl)}
+}
+
+func (s *State) finish(r Record) {
+	e, known := s.entries[r.Key]
+	if !known || e.attempt != r.Attempt {
+		return
+	}
+	e.done, e.status = true, r.Status
+	s.entries[r.Key] = e
+}
+
+// expire forgets the keys whose time is over at the log's time now.
+func (s *State) expire(now time.Time) {
+	n := 0
+	for n < len(s.order) && now.After(s.entries[s.order[n]].expiresAt) {
+		delete(s.entries, s.order[n])
+		n++
+	}
+	s.order = s.order[n:]
+}
+
+type storedEntry struct {
+	Key       Key      `cbor:"1,keyasint"`
+	Attempt   string   `cbor:"2,keyasint"`
+	Holder    string   `cbor:"3,keyasint"`
+	Body      string   `cbor:"4,keyasint"`
+	Status    int      `cbor:"5,keyasint"`
+	Done      bool     `cbor:"6,keyasint"`
+	ExpiresAt int64    `cbor:"7,keyasint"`
+	Released  []string `cbor:"8,keyasint"`
+}
+
+// Checkpoint implements eventlog.State.
+func (s *State) Checkpoint() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	stored := make([]storedEntry, 0, len(s.order))
+	for _, key := range s.order {
+		e := s.entries[key]
+		stored = append(stored, storedEntry{
+			Key: key, Attempt: e.attempt, Holder: e.holder, Body: e.body, Status: e.status,
+			Done: e.done, ExpiresAt: e.expiresAt.UnixNano(), Released: e.released,
+		})
+	}
+	return cbor.Marshal(stored)
+}
+
+// Restore implements eventlog.State.
+func (s *State) Restore(data []byte) error {
+	var stored []storedEntry
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return fmt.Errorf("decode checkpoint of intents: %w", err)
+	}
+	entries := make(map[Key]Entry, len(stored))
+	order := make([]Key, 0, len(stored))
+	for _, e := range stored {
+		entries[e.Key] = Entry{
+			attempt: e.Attempt, holder: e.Holder, body: e.Body, status: e.Status,
+			done: e.Done, expiresAt: time.Unix(0, e.ExpiresAt), released: e.Released,
+		}
+		order = append(order, e.Key)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.order = entries, order
+	return nil
+}
--- /dev/null
+++ b/ownership/grant.go
@@ -0,0 +1,134 @@
+// Package ownership decides which daemon looks after a fabric domain. Grants
+// on the log name an owner and ranked deputies; between grants, and while the
+// log is out, a deputy takes over by using a higher rank of the same epoch.
+package ownership
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quartzshelf.dev/eventlog"
+	"quartzshelf.dev/platform"
+)
+
+// Stream is the log stream that holds the grants.
+const Stream = "ownership"
+
+// Record is a grant as it is written on the log.
+type Record struct {
+	Domain string `json:"domain"`
+	// Replaces is the epoch of the grant that this one follows; a grant that
+	// does not follow the newest one is void.
+	Replaces uint64 `json:"replaces"`
+	// Holders are the owner and then its deputies by rank.
+	Holders []string `json:"holders"`
+}
+
+// Grant is a valid grant.
+type Grant struct {
+	domain  string
+	epoch   uint64
+	holders []string
+}
+
+// Domain returns the fabric domain that is granted.
+func (g Grant) Domain() string { return g.domain }
+
+// Epoch returns one past the log offset of the grant; zero stands for none.
+func (g Grant) Epoch() uint64 { return g.epoch }
+
+// Holders returns the owner and then its deputies.
+func (g Grant) Holders() []string { return g.holders }
+
+// Owner returns the owner, or an empty string where there is no grant.
+func (g Grant) Owner() string {
+	if len(g.holders) == 0 {
+		return ""
+	}
+	return g.holders[0]
+}
+
+// Position returns the place of a daemon among the holders, -1 for none.
+func (g Grant) Position(daemon string) int {
+	return slices.Index(g.holders, daemon)
+}
+
+// State folds the stream of grants. It is safe for concurrent use.
+type State struct {
+	mu     sync.RWMutex
+	grants map[string]Grant
+}
+
+var _ eventlog.State = (*State)(nil)
+
+// NewState returns a state without grants.
+func NewState() *State {
+	return &State{grants: make(map[string]Grant)}
+}
+
+// Grant returns the newest grant of a domain; its zero value if there is none.
+func (s *State) Grant(domain string) Grant {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.grants[domain]
+}
+
+// Grants returns the newest grant of each domain.
+func (s *State) Grants() map[string]Grant {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return maps.Clone(s.grants)
+}
+
+// Apply implements eventlog.State: the first grant that replaces the newest
+// one wins.
+func (s *State) Apply(record platform.Record, data json.RawMessage) {
+	var r Record
+	if json.Unmarshal(data, &r) != nil || r.Domain == "" || len(r.Holders) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.grants[r.Domain].epoch != r.Replaces {
+		return
+	}
+	s.grants[r.Domain] = Grant{domain: r.Domain, epoch: uint64(record.Offset) + 1, holders: r.Holders}
+}
+
+type storedGrant struct {
+	Domain  string   `cbor:"1,keyasint"`
+	Epoch   uint64   `cbor:"2,keyasint"`
+	Holders []string `cbor:"3,keyasint"`
+}
+
+// Checkpoint implements eventlog.State.
+func (s *State) Checkpoint() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	stored := make([]storedGrant, 0, len(s.grants))
+	for _, g := range s.grants {
+		stored = append(stored, storedGrant{Domain: g.domain, Epoch: g.epoch, Holders: g.holders})
+	}
+	return cbor.Marshal(stored)
+}
+
+// Restore implements eventlog.State.
+func (s *State) Restore(data []byte) error {
+	var stored []storedGrant
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return fmt.Errorf("decode checkpoint of grants: %w", err)
+	}
+	grants := make(map[string]Grant, len(stored))
+	for _, g := range stored {
+		grants[g.Domain] = Grant{domain: g.Domain, epoch: g.Epoch, holders: g.Holders}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grants = grants
+	return nil
+}
--- /dev/null
+++ b/placement/plan.go
@@ -0,0 +1,409 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"quartzshelf.dev/platform"
+)
+
+// Make returns the plan for an input.
+//
+// A replica that is whole stays. A broken one is formed anew from its
+// survivors and from spares that hold the weights, before any other node. A
+// replica is taken from a deployment of lower priority only when the domain
+// has no other nodes. Nothing moves without a reason.
+func Make(in Input) Plan {
+	p := newPlanner(in)
+	for _, want := range p.wants {
+		p.keep(want)
+	}
+	for _, want := range p.wants {
+		p.roll(want)
+	}
+	for _, want := range p.wants {
+		p.form(want)
+	}
+	p.release()
+	p.explainIdle()
+	return p.plan
+}
+
+// group is the set of nodes that hold one assignment.
+type group struct {
+	id         string
+	generation uint64
+	deployment string
+	nodes      []*Node
+}
+
+type planner struct {
+	in     Input
+	plan   Plan
+	nodes  map[string]*Node
+	wants  []Want
+	groups map[string]*group
+	// taken holds, for each node in use, the replica that uses it.
+	taken map[string]string
+	// placed counts the replicas found for each deployment.
+	placed map[string]int
+	// broken holds the groups of each deployment that need repair.
+	broken  map[string][]*group
+	loading int
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{
+		in:     in,
+		nodes:  make(map[string]*Node, len(in.Nodes)),
+		wants:  slices.Clone(in.Wants),
+		groups: make(map[string]*group),
+		taken:  make(map[string]string),
+		placed: make(map[string]int),
+		broken: make(map[string][]*group),
+		plan:   Plan{Dark: make(map[string]string), Idle: make(map[string]string), deployments: make(map[string]string)},
+	}
+	slices.SortStableFunc(p.wants, func(a, b Want) int {
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), strings.Compare(a.Deployment, b.Deployment))
+	})
+	for i := range in.Nodes {
+		n := &in.Nodes[i]
+		p.nodes[n.ID] = n
+		p.addToGroup(n)
+	}
+	return p
+}
+
+// addToGroup files a node under its assignment. Of several generations of one
+// replica the newest counts; nodes of older ones are free.
+func (p *planner) addToGroup(n *Node) {
+	a := n.Assignment
+	if a.Empty() || n.Scripted {
+		return
+	}
+	g, ok := p.groups[a.Replica]
+	if !ok || a.Generation > g.generation {
+		g = &group{id: a.Replica, generation: a.Generation, deployment: a.Deployment}
+		p.groups[a.Replica] = g
+	}
+	if a.Generation == g.generation {
+		g.nodes = append(g.nodes, n)
+	}
+}
+
+// sortedGroups returns the groups of a deployment: those that load or serve
+// first, then by name, so that surplus is taken from the least useful.
+func (p *planner) sortedGroups(deployment string) []*group {
+	var all []*group
+	for _, g := range p.groups {
+		if g.deployment == deployment {
+			all = append(all, g)
+		}
+	}
+	slices.SortFunc(all, func(a, b *group) int {
+		return cmp.Or(cmp.Compare(b.readiness(), a.readiness()), strings.Compare(a.id, b.id))
+	})
+	return all
+}
+
+// readiness ranks groups: more usable and ready nodes first.
+func (g *group) readiness() int {
+	sum := 0
+	for _, n := range g.nodes {
+		if n.usable() {
+			sum++
+		}
+		if n.Phase == platform.PhaseReady {
+			sum++
+		}
+	}
+	return sum
+}
+
+// keep counts the deployment's groups and notes which are whole.
+func (p *planner) keep(want Want) {
+	for _, g := range p.sortedGroups(want.Deployment) {
+		if p.placed[want.Deployment] >= want.Replicas {
+			break
+		}
+		p.placed[want.Deployment]++
+		if problem := p.problemOf(g, want); problem != "" {
+			p.plan.Dark[g.id] = problem
+			p.broken[want.Deployment] = append(p.broken[want.Deployment], g)
+			continue
+		}
+		p.keepGroup(g)
+	}
+}
+
+func (p *planner) keepGroup(g *group) {
+	p.plan.Kept = append(p.plan.Kept, g.id)
+	isLoading := false
+	for _, n := range g.nodes {
+		p.taken[n.ID] = g.id
+		isLoading = isLoading || n.Phase == platform.PhaseLoading
+	}
+	if isLoading {
+		p.loading++
+		p.plan.Dark[g.id] = "loading weights"
+	}
+}
+
+// problemOf returns why a group cannot go on as it is, or an empty string. A
+// node that merely missed a probe is no problem yet.
+func (p *planner) problemOf(g *group, want Want) string {
+	members := g.nodes[0].Assignment.Members
+	if len(members) != want.Size {
+		return fmt.Sprintf("has %d nodes, wants %d", len(members), want.Size)
+	}
+	for _, id := range members {
+		n, ok := p.nodes[id]
+		switch {
+		case !ok:
+			return fmt.Sprintf("node %s is not listed", id)
+		case n.Lost:
+			return fmt.Sprintf("node %s does not answer", id)
+		case n.Leaving:
+			return fmt.Sprintf("node %s is leaving", id)
+		case n.Answering && (n.Assignment.Replica != g.id || n.Assignment.Generation != g.generation):
+			return fmt.Sprintf("node %s lost its assignment", id)
+		case !want.Selects(n.Labels):
+			return fmt.Sprintf("node %s is no longer selected", id)
+		}
+	}
+	return ""
+}
+
+// roll breaks up the groups of another version that may go down now.
+func (p *planner) roll(want Want) {
+	for _, g := range p.sortedGroups(want.Deployment) {
+		current := g.nodes[0].Assignment
+		outdated := current.Version != want.Version || !slices.Equal(current.Adapters, want.Adapters)
+		isKept := slices.Contains(p.plan.Kept, g.id)
+		if !outdated || !isKept || !slices.Contains(want.MayRoll, g.id) {
+			continue
+		}
+		for _, n := range g.nodes {
+			delete(p.taken, n.ID)
+		}
+		p.plan.Kept = slices.DeleteFunc(p.plan.Kept, func(id string) bool { return id == g.id })
+		p.plan.Dark[g.id] = fmt.Sprintf("changing from version %s to %s", current.Version, want.Version)
+		p.broken[want.Deployment] = append(p.broken[want.Deployment], g)
+	}
+}
+
+// form repairs the deployment's broken groups and adds what is missing.
+func (p *planner) form(want Want) {
+	for _, g := range p.broken[want.Deployment] {
+		p.formReplica(want, g.id, g.nodes, p.plan.Dark[g.id])
+	}
+	for p.placed[want.Deployment] < want.Replicas {
+		id := p.freeID(want.Deployment)
+		if !p.formReplica(want, id, nil, "wanted by the deployment") {
+			return
+		}
+		p.placed[want.Deployment]++
+	}
+}
+
+// freeID returns the first unused name for a replica of the deployment here.
+func (p *planner) freeID(deployment string) string {
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("%s-%s-%d", deployment, p.in.Domain, i)
+		_, used := p.groups[id]
+		_, dark := p.plan.Dark[id]
+		if !used && !dark {
+			return id
+		}
+	}
+}
+
+// formReplica plans a replica from survivors and other nodes. It reports
+// whether it found enough of them.
+func (p *planner) formReplica(want Want, id string, survivors []*Node, reason string) bool {
+	p.plan.deployments[id] = want.Deployment
+	chosen := p.choose(want, survivors)
+	if len(chosen) < want.Size {
+		chosen = append(chosen, p.preempt(want, want.Size-len(chosen))...)
+	}
+	if len(chosen) < want.Size {
+		p.plan.Dark[id] = fmt.Sprintf("%s; needs %d nodes, only %d can be used", reason, want.Size, len(chosen))
+		p.reserve(id, survivors)
+		return false
+	}
+	needsLoad := slices.ContainsFunc(chosen, func(n *Node) bool { return !n.holds(want.Version) })
+	if needsLoad && p.in.LoadSlots > 0 && p.loading >= p.in.LoadSlots {
+		p.plan.Dark[id] = reason + "; waits for the weight store"
+		for _, n := range chosen {
+			p.taken[n.ID] = id
+		}
+		return true
+	}
+	if needsLoad {
+		p.loading++
+	}
+	p.plan.Dark[id] = reason
+	p.plan.Formations = append(p.plan.Formations, p.formation(want, id, chosen, reason))
+	return true
+}
+
+// reserve keeps the survivors of a replica that cannot be formed yet, so that
+// the next spare completes it.
+func (p *planner) reserve(id string, survivors []*Node) {
+	for _, n := range survivors {
+		if n.usable() && p.taken[n.ID] == "" {
+			p.taken[n.ID] = id
+		}
+	}
+}
+
+func (p *planner) formation(want Want, id string, chosen []*Node, reason string) Formation {
+	slices.SortFunc(chosen, func(a, b *Node) int { return strings.Compare(a.ID, b.ID) })
+	members := make([]string, 0, len(chosen))
+	for _, n := range chosen {
+		members = append(members, n.ID)
+		p.taken[n.ID] = id
+	}
+	assignment := platform.Assignment{
+		Replica: id, Deployment: want.Deployment, Model: want.Model,
+		Version: want.Version, Adapters: want.Adapters, Members: members,
+	}
+	f := Formation{Replica: id, Reason: reason}
+	for _, n := range chosen {
+		f.Steps = append(f.Steps, Step{Node: n.ID, Assignment: assignment, Reason: reason})
+	}
+	return f
+}
+
+// choose returns up to the wanted number of free nodes, the cheapest first:
+// survivors, then nodes that hold the weights, then any.
+func (p *planner) choose(want Want, survivors []*Node) []*Node {
+	var free []*Node
+	for _, n := range p.nodes {
+		if n.usable() && p.taken[n.ID] == "" && want.Selects(n.Labels) && !p.heldByOther(n, want) {
+			free = append(free, n)
+		}
+	}
+	rank := func(n *Node) int {
+		switch {
+		case slices.Contains(survivors, n):
+			return 0
+		case n.holds(want.Version):
+			return 1
+		default:
+			return 2
+		}
+	}
+	slices.SortFunc(free, func(a, b *Node) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), strings.Compare(a.ID, b.ID))
+	})
+	return free[:min(want.Size, len(free))]
+}
+
+// heldByOther reports whether the node belongs to a broken group of another
+// deployment of equal or higher priority, which comes first.
+func (p *planner) heldByOther(n *Node, want Want) bool {
+	for _, other := range p.wants {
+		if other.Deployment == want.Deployment || other.Priority < want.Priority {
+			continue
+		}
+		for _, g := range p.broken[other.Deployment] {
+			if slices.Contains(g.nodes, n) && g.generation == n.Assignment.Generation {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// preempt takes whole replicas of lower priority until missing nodes are
+// found, or none at all when there are not enough.
+func (p *planner) preempt(want Want, missing int) []*Node {
+	var found []*Node
+	var victims []*group
+	for _, other := range slices.Backward(p.wants) {
+		if other.Priority >= want.Priority {
+			break
+		}
+		for _, g := range slices.Backward(p.sortedGroups(other.Deployment)) {
+			if len(found) >= missing || !slices.Contains(p.plan.Kept, g.id) {
+				continue
+			}
+			usable := p.usableOf(g, want)
+			if len(usable) > 0 {
+				victims = append(victims, g)
+				found = append(found, usable...)
+			}
+		}
+	}
+	if len(found) < missing {
+		return nil
+	}
+	for _, g := range victims {
+		p.giveUp(g, want.Deployment)
+	}
+	return found[:missing]
+}
+
+func (p *planner) usableOf(g *group, want Want) []*Node {
+	var usable []*Node
+	for _, n := range g.nodes {
+		if n.usable() && want.Selects(n.Labels) {
+			usable = append(usable, n)
+		}
+	}
+	return usable
+}
+
+func (p *planner) giveUp(g *group, to string) {
+	p.plan.Kept = slices.DeleteFunc(p.plan.Kept, func(id string) bool { return id == g.id })
+	p.plan.Dark[g.id] = "its nodes went to " + to + ", which has the higher priority"
+	for _, n := range g.nodes {
+		delete(p.taken, n.ID)
+	}
+}
+
+// release frees the nodes of replicas that nobody wants any more.
+func (p *planner) release() {
+	for _, id := range slices.Sorted(maps.Keys(p.nodes)) {
+		n := p.nodes[id]
+		if n.Assignment.Empty() || n.Scripted || !n.Answering || n.Unorderable || p.taken[id] != "" {
+			continue
+		}
+		if _, stillBroken := p.plan.Dark[n.Assignment.Replica]; stillBroken && !n.Leaving {
+			continue
+		}
+		p.plan.Releases = append(p.plan.Releases, Step{Node: id, Reason: "its replica is no longer wanted"})
+	}
+}
+
+// explainIdle says why the nodes that are left belong to no replica.
+func (p *planner) explainIdle() {
+	for id, n := range p.nodes {
+		if p.taken[id] == "" {
+			p.plan.Idle[id] = p.idleReason(n)
+		}
+	}
+}
+
+func (p *planner) idleReason(n *Node) string {
+	switch {
+	case n.Scripted:
+		return "managed by scripts"
+	case n.Lost || !n.Answering:
+		return "does not answer"
+	case n.Leaving:
+		return "is leaving"
+	case n.Unorderable:
+		return "does not check tokens, and the lease for its domain is not confirmed"
+	}
+	for _, want := range p.wants {
+		if want.Selects(n.Labels) {
+			return "spare: the selected deployments have all the replicas they want here or too few nodes for another"
+		}
+	}
+	return "no deployment selects it"
+}
--- /dev/null
+++ b/replica/domain.go
@@ -0,0 +1,227 @@
+// Package replica looks after the fabric domains that a daemon owns: it probes
+// their nodes, forms and repairs replicas by fenced orders, and publishes which
+// replicas may serve and until when.
+package replica
+
+import (
+	"context"
+	"time"
+
+	"quartzshelf.dev/common/token"
+	"quartzshelf.dev/ownership"
+	"quartzshelf.dev/placement"
+	"quartzshelf.dev/platform"
+	"quartzshelf.dev/rpc"
+)
+
+// domain is the state of one fabric domain at one daemon. Only the goroutine
+// that ticks it uses it.
+type domain struct {
+	c        *Controller
+	name     string
+	dataHall string
+
+	// leading tells that this daemon acted as leader at the last tick.
+	leading bool
+	// token is the highest one used by this daemon for the domain.
+	token token.Token
+	// seen is the highest token seen on nodes.
+	seen token.Token
+	// version, beat and content describe the last report.
+	version uint64
+	beat    uint64
+	content *rpc.DomainReport
+
+	nodes  map[string]*nodeMemory
+	drains map[string]drain
+	// quietUntil is when a new owner may order nodes that do not check tokens.
+	quietUntil  time.Time
+	quietEpoch  uint64
+	proposeNext time.Time
+}
+
+// nodeMemory is what a leader remembers about a node between probes.
+type nodeMemory struct {
+	listed platform.ListedNode
+	labels map[string]string
+	state  platform.NodeState
+	// answered tells whether the last probe was answered.
+	answered bool
+	// lostAt is when a silent node is given up; zero while it answers.
+	lostAt time.Time
+	// ordered is the token of the last order sent to the node.
+	ordered token.Token
+}
+
+// drain is the state of a replica that is emptied before its nodes move.
+type drain struct {
+	// settledAt is when all routers know of the drain and loads are fresh.
+	settledAt time.Time
+	// forceAt is when the drain ends though requests are still running.
+	forceAt time.Time
+}
+
+func newDomain(c *Controller, name string) *domain {
+	return &domain{c: c, name: name, nodes: make(map[string]*nodeMemory), drains: make(map[string]drain)}
+}
+
+// tick decides what to do about the domain and does it.
+func (d *domain) tick(ctx context.Context, listed []platform.ListedNode) {
+	d.remember(listed)
+	grant := d.c.opts.Ownership.Grant(d.name)
+	action := d.decide(grant)
+	if action.Proposes() {
+		d.propose(ctx, grant)
+	}
+	if !action.Leads() {
+		d.stepDown()
+		return
+	}
+	start := time.Now()
+	d.probe(ctx)
+	if !d.claim(grant) {
+		d.stepDown()
+		return
+	}
+	view := d.c.opts.Config()
+	d.relabel(view)
+	plan := placement.Make(d.input(view))
+	groups := d.groups(view)
+	orders := d.orders(plan, groups, start)
+	d.publish(groups, plan, start)
+	d.send(ctx, orders)
+	d.c.remember(d.name, plan)
+}
+
+// stepDown forgets what only a leader may know.
+func (d *domain) stepDown() {
+	if d.leading {
+		d.c.opts.Logger.Info("stopped leading domain", "domain", d.name)
+	}
+	d.leading = false
+	d.drains = make(map[string]drain)
+	for _, m := range d.nodes {
+		m.lostAt = time.Time{}
+	}
+}
+
+// remember takes over the rows of the node list.
+func (d *domain) remember(listed []platform.ListedNode) {
+	present := make(map[string]bool, len(listed))
+	for _, l := range listed {
+		present[l.ID] = true
+		d.dataHall = l.DataHall
+		m, ok := d.nodes[l.ID]
+		if !ok {
+			m = &nodeMemory{}
+			d.nodes[l.ID] = m
+		}
+		m.listed = l
+	}
+	now := time.Now()
+	for id, m := range d.nodes {
+		// The list lags: a node that still answers stays, whatever it says.
+		if !present[id] && !m.answered && !m.lostAt.IsZero() && now.After(m.lostAt) {
+			delete(d.nodes, id)
+		}
+	}
+}
+
+// decide asks package ownership what this daemon should do.
+func (d *domain) decide(grant ownership.Grant) ownership.Action {
+	active := -1
+	if current, _, ok := d.c.opts.Catalog.Current(d.name); ok && current.Epoch == grant.Epoch() {
+		active = int(current.Rank)
+	}
+	if d.seen.Epoch == grant.Epoch() && grant.Epoch() > 0 {
+		active = max(active, int(d.seen.Rank))
+	}
+	members := d.c.opts.Members
+	return ownership.Decide(ownership.Situation{
+		Self:       d.c.opts.Self,
+		Domain:     d.name,
+		Grant:      grant,
+		ActiveRank: active,
+		Gone:       members.Gone,
+		Leaving:    members.Leaving,
+		Candidates: members.Candidates(d.dataHall),
+	})
+}
+
+// propose appends a new grant in the background, now and then at the most.
+func (d *domain) propose(ctx context.Context, grant ownership.Grant) {
+	now := time.Now()
+	if now.Before(d.proposeNext) {
+		return
+	}
+	d.proposeNext = now.Add(proposeEvery)
+	holders := ownership.Holders(d.name, d.c.opts.Members.Candidates(d.dataHall))
+	record := ownership.Record{Domain: d.name, Replaces: grant.Epoch(), Holders: d.selfFirst(holders)}
+	d.c.background.Go(func() { d.c.appendGrant(ctx, record) })
+}
+
+// selfFirst puts this daemon first unless it is leaving: it knows the domain.
+func (d *domain) selfFirst(holders []string) []string {
+	self := d.c.opts.Self
+	if d.c.opts.Members.Leaving(self) {
+		return holders
+	}
+	ordered := []string{self}
+	for _, h := range holders {
+		if h != self && len(ordered) <= ownership.Deputies {
+			ordered = append(ordered, h)
+		}
+	}
+	return ordered
+}
+
+// claim makes sure that this daemon's token is the highest of the domain. It
+// reports false when a newer grant than the one folded is at work.
+func (d *domain) claim(grant ownership.Grant) bool {
+	if d.seen.Epoch > grant.Epoch() {
+		return false
+	}
+	mine := d.leading && d.token.Epoch == grant.Epoch()
+	outdone := d.seen.Higher(d.token)
+	if mine && !outdone {
+		return true
+	}
+	used := -1
+	if d.seen.Epoch == grant.Epoch() {
+		used = int(d.seen.Rank)
+	}
+	if current, _, ok := d.c.opts.Catalog.Current(d.name); ok && current.Epoch == grant.Epoch() {
+		used = max(used, int(current.Rank))
+	}
+	if d.token.Epoch == grant.Epoch() {
+		used = max(used, int(d.token.Rank))
+	}
+	rank := ownership.NextRank(used, grant.Position(d.c.opts.Self), len(grant.Holders()))
+	d.token = token.Token{Epoch: grant.Epoch(), Rank: rank}
+	d.version, d.beat, d.content = 0, 0, nil
+	d.leading = true
+	if d.quietEpoch != grant.Epoch() {
+		d.quietEpoch = grant.Epoch()
+		d.quietUntil = time.Now().Add(unfencedLease + unfencedMargin)
+	}
+	d.c.opts.Logger.Info("leading domain", "domain", d.name, "epoch", d.token.Epoch, "rank", rank)
+	return true
+}
+
+// next returns a token for one more order.
+func (d *domain) next() token.Token {
+	d.token.Sequence++
+	return d.token
+}
+
+// mayOrderUnfenced reports whether this daemon may order nodes that do not
+// check tokens: it must be the owner, not a deputy; it must have read the log
+// within the lease and found its grant; and the lease of the owner before it
+// must have run out. Nothing but the margin protects against a pause between
+// this check and the order.
+func (d *domain) mayOrderUnfenced(grant ownership.Grant, now time.Time) bool {
+	if grant.Owner() != d.c.opts.Self || now.Before(d.quietUntil) {
+		return false
+	}
+	return now.Before(d.c.opts.OwnershipConfirmed().Add(unfencedLease))
+}
--- /dev/null
+++ b/replica/order.go
@@ -0,0 +1,161 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"quartzshelf.dev/common/token"
+	"quartzshelf.dev/placement"
+	"quartzshelf.dev/platform"
+)
+
+// outgoing is an order about to be sent.
+type outgoing struct {
+	memory *nodeMemory
+	order  platform.Order
+	reason string
+}
+
+// orders turns a plan into the orders that may go out now. Replicas that are
+// intact are drained first; their orders wait.
+func (d *domain) orders(plan placement.Plan, groups []observed, now time.Time) []outgoing {
+	intact := make(map[string]observed)
+	for _, o := range groups {
+		if o.intact() && !o.scripted {
+			for _, m := range o.members {
+				intact[m.listed.ID] = o
+			}
+		}
+	}
+	wasDraining := d.drains
+	d.drains = make(map[string]drain)
+	for id, state := range wasDraining {
+		if touched(plan, intact, id) {
+			d.drains[id] = state
+		}
+	}
+	var all []outgoing
+	for _, f := range plan.Formations {
+		all = append(all, d.formationOrders(f, intact, now)...)
+	}
+	for _, step := range plan.Releases {
+		if o, ok := intact[step.Node]; ok && !d.drained(o, now) {
+			continue
+		}
+		all = append(all, d.prepare(step.Node, step.Assignment, step.Reason))
+	}
+	return append(all, d.reaffirmations(all)...)
+}
+
+// touched reports whether the plan moves a node of the intact replica.
+func touched(plan placement.Plan, intact map[string]observed, replica string) bool {
+	of := func(step placement.Step) bool {
+		o, ok := intact[step.Node]
+		return ok && o.id == replica
+	}
+	for _, step := range plan.Releases {
+		if of(step) {
+			return true
+		}
+	}
+	for _, f := range plan.Formations {
+		for _, step := range f.Steps {
+			if of(step) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// formationOrders returns the orders of a formation, or none while a replica
+// that has to give up nodes for it is still being drained.
+func (d *domain) formationOrders(f placement.Formation, intact map[string]observed, now time.Time) []outgoing {
+	ready := true
+	for _, step := range f.Steps {
+		if o, ok := intact[step.Node]; ok && !d.drained(o, now) {
+			ready = false
+		}
+	}
+	if !ready {
+		return nil
+	}
+	generation := generationOf(d.next())
+	all := make([]outgoing, 0, len(f.Steps))
+	for _, step := range f.Steps {
+		step.Assignment.Generation = generation
+		all = append(all, d.prepare(step.Node, step.Assignment, step.Reason))
+	}
+	d.c.opts.Logger.Info("forming replica", "replica", f.Replica, "generation", generation, "reason", f.Reason)
+	return all
+}
+
+// Bits of a generation that hold the epoch, the rank and the sequence.
+const (
+	rankBits     = 12
+	sequenceBits = 28
+)
+
+// generationOf returns the generation that a token stands for: as a token is
+// used once, no two formations share a generation, and later ones are higher.
+// It is reported in JSON, so it must stay below 2^63.
+func generationOf(t token.Token) uint64 {
+	rank := uint64(t.Rank) & (1<<rankBits - 1)
+	sequence := t.Sequence & (1<<sequenceBits - 1)
+	return t.Epoch<<(rankBits+sequenceBits) | rank<<sequenceBits | sequence
+}
+
+// reaffirmations returns orders that repeat, under this leader's token, the
+// assignment of each node that still holds an older one. They disturb nothing
+// and fence off the orders of earlier leaders.
+func (d *domain) reaffirmations(sent []outgoing) []outgoing {
+	busy := make(map[string]bool, len(sent))
+	for _, o := range sent {
+		busy[o.memory.listed.ID] = true
+	}
+	var all []outgoing
+	for id, m := range d.nodes {
+		if busy[id] || m.listed.Kind != platform.KindEngine || m.scripted() || !m.fenced() || !m.answered {
+			continue
+		}
+		if d.mine(m) || m.state.Assignment.Empty() {
+			continue
+		}
+		all = append(all, d.prepare(id, m.state.Assignment, "confirm the owner"))
+	}
+	return all
+}
+
+// prepare makes an order with a token of its own.
+func (d *domain) prepare(node string, a platform.Assignment, reason string) outgoing {
+	m := d.nodes[node]
+	t := d.next()
+	m.ordered = t
+	return outgoing{memory: m, order: platform.Order{Token: t, Assignment: a}, reason: reason}
+}
+
+// send gives the orders side by side. What an order without an answer did is
+// seen by the next probe; until the node shows the order's token or a higher
+// one, it counts for no replica.
+func (d *domain) send(ctx context.Context, orders []outgoing) {
+	if len(orders) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	p := pool.NewWithResults[probeResult]().WithMaxGoroutines(probeParallel)
+	for _, o := range orders {
+		address, id := o.memory.listed.Address, o.memory.listed.ID
+		p.Go(func() probeResult {
+			reply, err := d.c.opts.Control.Order(ctx, address, o.order)
+			return probeResult{id: id, state: reply.State, err: err}
+		})
+	}
+	for _, r := range p.Wait() {
+		if r.err == nil && r.state.Token.Higher(d.seen) {
+			d.seen = r.state.Token
+		}
+	}
+}
--- /dev/null
+++ b/replica/probe.go
@@ -0,0 +1,113 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"quartzshelf.dev/config"
+	"quartzshelf.dev/placement"
+	"quartzshelf.dev/platform"
+)
+
+// probeResult is what one probe brought.
+type probeResult struct {
+	id    string
+	state platform.NodeState
+	err   error
+}
+
+// probe asks every node of the domain for its state, side by side.
+func (d *domain) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	p := pool.NewWithResults[probeResult]().WithMaxGoroutines(probeParallel)
+	for id, m := range d.nodes {
+		address := m.listed.Address
+		p.Go(func() probeResult {
+			state, err := d.c.opts.Control.State(ctx, address)
+			return probeResult{id: id, state: state, err: err}
+		})
+	}
+	now := time.Now()
+	for _, r := range p.Wait() {
+		d.note(r, now)
+	}
+}
+
+// note takes over what a probe brought.
+func (d *domain) note(r probeResult, now time.Time) {
+	m := d.nodes[r.id]
+	m.answered = r.err == nil && r.state.Node == r.id
+	if !m.answered {
+		if m.lostAt.IsZero() {
+			m.lostAt = now.Add(loseAfter)
+		}
+		return
+	}
+	m.lostAt = time.Time{}
+	m.state = r.state
+	if r.state.Token.Higher(d.seen) {
+		d.seen = r.state.Token
+	}
+}
+
+// relabel works out the labels of all nodes.
+func (d *domain) relabel(view *config.View) {
+	for id, m := range d.nodes {
+		m.labels = view.NodeLabels(id, listLabels(m.listed.Domain, m.listed.DataHall, m.listed.Kind))
+	}
+}
+
+// listLabels returns the labels that a node has from the node list.
+func listLabels(domain, dataHall string, kind platform.NodeKind) map[string]string {
+	return map[string]string{
+		config.LabelDomain:   domain,
+		config.LabelDataHall: dataHall,
+		config.LabelKind:     string(kind),
+	}
+}
+
+func (m *nodeMemory) scripted() bool {
+	return m.labels[config.LabelManagedBy] == config.ManagedByScripts
+}
+
+func (m *nodeMemory) fenced() bool {
+	return m.labels[config.LabelFenced] != config.LabelFalse
+}
+
+func (m *nodeMemory) leaving() bool {
+	return m.listed.Leaving || m.labels[config.LabelDrain] == config.LabelTrue
+}
+
+func (m *nodeMemory) lost(now time.Time) bool {
+	return !m.answered && !m.lostAt.IsZero() && !now.Before(m.lostAt)
+}
+
+// input makes the planner's input from what is known now.
+func (d *domain) input(view *config.View) placement.Input {
+	now := time.Now()
+	in := placement.Input{Domain: d.name, LoadSlots: d.c.opts.LoadSlots}
+	mayUnfenced := d.mayOrderUnfenced(d.c.opts.Ownership.Grant(d.name), now)
+	for id, m := range d.nodes {
+		if m.listed.Kind != platform.KindEngine {
+			continue
+		}
+		in.Nodes = append(in.Nodes, placement.Node{
+			ID:           id,
+			Labels:       m.labels,
+			Answering:    m.answered,
+			Lost:         m.lost(now),
+			Leaving:      m.leaving(),
+			Scripted:     m.scripted(),
+			Unorderable:  !m.fenced() && !mayUnfenced,
+			Accelerators: m.listed.Accelerators,
+			Assignment:   m.state.Assignment,
+			Phase:        m.state.Phase,
+			Cached:       m.state.Cached,
+		})
+	}
+	in.Wants = d.wants(view)
+	return in
+}
--- /dev/null
+++ b/replica/want.go
@@ -0,0 +1,148 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/config"
+	"quartzshelf.dev/placement"
+	"quartzshelf.dev/platform"
+	"quartzshelf.dev/rpc"
+)
+
+// rollShare is the divisor that gives how many replicas of a deployment may be
+// down for a new version at a time: one in rollShare, one at the least.
+const rollShare = 10
+
+// wants works out what each deployment asks of this domain.
+func (d *domain) wants(view *config.View) []placement.Want {
+	var wants []placement.Want
+	for _, deployment := range view.Deployments() {
+		model, err := view.ModelOf(deployment)
+		if err != nil || deployment.Draining() {
+			continue
+		}
+		spec := deployment.Spec()
+		demand := placement.Demand{
+			Deployment: deployment.Name(), Replicas: spec.Replicas,
+			Size: spec.NodesPerReplica, Priority: spec.Priority,
+		}
+		shares := placement.Apportion(demand, d.supplies(view, deployment))
+		want := placement.Want{
+			Deployment: deployment.Name(),
+			Replicas:   shares[d.name],
+			Size:       spec.NodesPerReplica,
+			Priority:   spec.Priority,
+			Model:      model.Name(),
+			Version:    model.Version(),
+			Adapters:   view.AdaptersOf(deployment, model),
+			Selects:    deployment.SelectsNode,
+			Objective:  placement.Objective{Downtime: spec.Objective.Downtime, Stranded: spec.Objective.Stranded},
+		}
+		want.MayRoll = d.mayRoll(deployment.Name(), want)
+		wants = append(wants, want)
+	}
+	return wants
+}
+
+// supplies works out what each domain can give to a deployment: other domains
+// by their reports, this one by what was just probed.
+func (d *domain) supplies(view *config.View, deployment config.Deployment) []placement.Supply {
+	now := time.Now()
+	supplies := []placement.Supply{d.ownSupply(deployment, now)}
+	for _, report := range d.c.opts.Catalog.Reports() {
+		if report.Domain == d.name {
+			continue
+		}
+		if _, deadline, _ := d.c.opts.Catalog.Current(report.Domain); now.After(deadline.Add(staleSupply)) {
+			continue
+		}
+		supplies = append(supplies, reportedSupply(view, deployment, report))
+	}
+	return supplies
+}
+
+func (d *domain) ownSupply(deployment config.Deployment, now time.Time) placement.Supply {
+	s := placement.Supply{Domain: d.name}
+	groups := make(map[string]bool)
+	for _, m := range d.nodes {
+		if m.listed.Kind != platform.KindEngine || m.scripted() {
+			continue
+		}
+		if !m.lost(now) && !m.leaving() && deployment.SelectsNode(m.labels) {
+			s.Eligible++
+		}
+		if a := m.state.Assignment; a.Deployment == deployment.Name() && m.answered {
+			groups[a.Replica] = true
+		}
+	}
+	s.Existing = len(groups)
+	if d.content != nil {
+		s.Serving = servingIn(d.content, deployment.Name())
+	}
+	return s
+}
+
+func reportedSupply(view *config.View, deployment config.Deployment, report *rpc.DomainReport) placement.Supply {
+	s := placement.Supply{Domain: report.Domain, Serving: servingIn(report, deployment.Name())}
+	for _, r := range report.Replicas {
+		if r.Deployment == deployment.Name() && !r.Scripted && len(r.Nodes) > 0 {
+			s.Existing++
+		}
+	}
+	for _, n := range report.Nodes {
+		if n.State != rpc.NodeState_SPARE && n.State != rpc.NodeState_ASSIGNED && n.State != rpc.NodeState_SILENT {
+			continue
+		}
+		labels := view.NodeLabels(n.Id, listLabels(report.Domain, report.DataHall, platform.KindEngine))
+		if deployment.SelectsNode(labels) {
+			s.Eligible++
+		}
+	}
+	return s
+}
+
+func servingIn(report *rpc.DomainReport, deployment string) int {
+	n := 0
+	for _, r := range report.Replicas {
+		if r.Deployment == deployment && r.Serving && !r.Scripted {
+			n++
+		}
+	}
+	return n
+}
+
+// mayRoll returns the replicas of the deployment that may go down for the
+// wanted version now. All owners work it out from the same reports: the first
+// outdated replicas by name may go, as long as few enough are down.
+func (d *domain) mayRoll(deployment string, want placement.Want) []string {
+	var managed, outdated []catalog.Replica
+	down := 0
+	for _, r := range d.c.opts.Catalog.Replicas() {
+		if r.Deployment() != deployment || r.Scripted() {
+			continue
+		}
+		managed = append(managed, r)
+		switch {
+		case !r.Listed():
+			down++
+		case r.ModelVersion() != want.Version:
+			outdated = append(outdated, r)
+		}
+	}
+	room := max(len(managed)/rollShare, 1) - down
+	var allowed []string
+	for _, r := range outdated {
+		if r.Draining() || len(allowed) < room {
+			allowed = append(allowed, r.ID())
+		}
+	}
+	for _, r := range managed {
+		// A replica that is down anyway may take the new version at once.
+		if !r.Listed() && !slices.Contains(allowed, r.ID()) {
+			allowed = append(allowed, r.ID())
+		}
+	}
+	return allowed
+}
--- /dev/null
+++ b/standin/log.go
@@ -0,0 +1,207 @@
+// Package standin provides small stand-ins of the systems that the platform
+// runs: the log service, the node list, the weight store, model engines and a
+// plain service. Their faults can be switched on and off while they run. They
+// serve trials and tests, in one process or, through package server, over HTTP.
+package standin
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/platform"
+)
+
+// Defaults of the log.
+const (
+	DefaultAppendsPerSecond = 100
+	DefaultRetention        = time.Hour
+	appendBurst             = 100
+)
+
+var (
+	errOutage = errors.New("the log service is out")
+	errLost   = errors.New("the answer was lost")
+	errRate   = errors.New("too many appends")
+)
+
+// LogFaults are the faults of a log that can be switched on.
+type LogFaults struct {
+	// Outage makes every call fail.
+	Outage bool `json:"outage" yaml:"outage"`
+	// LoseAnswers lets appends take effect but fail towards the writer.
+	LoseAnswers bool `json:"lose_answers" yaml:"lose_answers"`
+	// SlowMillis delays every call, in milliseconds.
+	SlowMillis int `json:"slow_millis" yaml:"slow_millis"`
+}
+
+// LogOptions configures a Log. Zero values stand for the defaults.
+type LogOptions struct {
+	AppendsPerSecond float64
+	Retention        time.Duration
+}
+
+// Log is an in-memory log service.
+type Log struct {
+	retention time.Duration
+	limiter   *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*logStream
+	faults  LogFaults
+	appends int
+}
+
+var _ platform.Log = (*Log)(nil)
+
+type logStream struct {
+	earliest int64
+	records  []platform.Record
+	changed  chan struct{}
+}
+
+// NewLog returns an empty log.
+func NewLog(opts LogOptions) *Log {
+	if opts.AppendsPerSecond == 0 {
+		opts.AppendsPerSecond = DefaultAppendsPerSecond
+	}
+	if opts.Retention == 0 {
+		opts.Retention = DefaultRetention
+	}
+	return &Log{
+		retention: opts.Retention,
+		limiter:   rate.NewLimiter(rate.Limit(opts.AppendsPerSecond), appendBurst),
+		streams:   make(map[string]*logStream),
+	}
+}
+
+// SetFaults replaces the faults that are on.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Appends returns how many appends took effect.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, stream string, records []platform.Record) (int64, error) {
+	if err := l.admit(ctx); err != nil {
+		return 0, err
+	}
+	if !l.limiter.Allow() {
+		return 0, failure.At(failure.Refused, "append to log", stream, errRate)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	first := s.next()
+	now := time.Now()
+	for i, r := range records {
+		r.Offset, r.Time = first+int64(i), now
+		s.records = append(s.records, r)
+	}
+	l.appends++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if l.faults.LoseAnswers {
+		return 0, failure.At(failure.Unavailable, "append to log", stream, errLost)
+	}
+	return first, nil
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+	if err := l.admit(ctx); err != nil {
+		return platform.Batch{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		batch, changed := l.snapshot(stream, from, limit)
+		if len(batch.Records) > 0 || from < batch.Earliest {
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if err := l.outage(); err != nil {
+				return platform.Batch{}, err
+			}
+			return batch, nil
+		case <-ctx.Done():
+			return platform.Batch{}, failure.At(failure.Unavailable, "read log", stream, ctx.Err())
+		}
+	}
+}
+
+// admit applies the faults that hit every call.
+func (l *Log) admit(ctx context.Context) error {
+	l.mu.Lock()
+	slow := time.Duration(l.faults.SlowMillis) * time.Millisecond
+	l.mu.Unlock()
+	if slow > 0 {
+		timer := time.NewTimer(slow)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return failure.At(failure.Unavailable, "call log", "log", ctx.Err())
+		}
+	}
+	return l.outage()
+}
+
+func (l *Log) outage() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Outage {
+		return failure.At(failure.Unavailable, "call log", "log", errOutage)
+	}
+	return nil
+}
+
+func (l *Log) snapshot(stream string, from int64, limit int) (platform.Batch, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	s.expire(time.Now().Add(-l.retention))
+	batch := platform.Batch{Earliest: s.earliest, Next: s.next()}
+	if from >= s.earliest && from < s.next() {
+		kept := s.records[from-s.earliest:]
+		batch.Records = append(batch.Records, kept[:min(limit, len(kept))]...)
+	}
+	return batch, s.changed
+}
+
+func (l *Log) stream(name string) *logStream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &logStream{changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *logStream) next() int64 {
+	return s.earliest + int64(len(s.records))
+}
+
+// expire drops the records appended before the given time.
+func (s *logStream) expire(before time.Time) {
+	n := 0
+	for n < len(s.records) && s.records[n].Time.Before(before) {
+		n++
+	}
+	s.earliest += int64(n)
+	s.records = s.records[n:]
+}
--- /dev/null
+++ b/standin/node.go
@@ -0,0 +1,217 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/platform"
+)
+
+// cachedVersions is how many model versions a node keeps the weights of.
+const cachedVersions = 2
+
+var (
+	errDown  = errors.New("connection refused")
+	errStuck = errors.New("no answer")
+)
+
+// NodeOptions describes a node.
+type NodeOptions struct {
+	Listed platform.ListedNode
+	// Unfenced makes the node take any order, whatever its token.
+	Unfenced bool
+	Store    *WeightStore
+	// LoadGB is what one node loads for a version it does not hold.
+	LoadGB float64
+	// Step is the time between two tokens.
+	Step time.Duration
+	// Slots is how many requests are worked on at once.
+	Slots int
+	// LoadLag is the age of the load that a state reports.
+	LoadLag time.Duration
+	// Alive reports whether the member node with the given id is up.
+	Alive func(id string) bool
+}
+
+// Node is an engine's node or a plain service's node.
+type Node struct {
+	opts NodeOptions
+
+	mu     sync.Mutex
+	life   int
+	up     bool
+	stuck  bool
+	state  platform.NodeState
+	cancel context.CancelFunc
+	active int
+	queue  int
+	// reported and reportedAt are the load that a lagging report shows.
+	reported   platform.Load
+	reportedAt time.Time
+	// runs counts the calls of the plain service by what they carried.
+	runs  map[string]int
+	freed chan struct{}
+}
+
+// NewNode returns a node that is up and has no assignment.
+func NewNode(opts NodeOptions) *Node {
+	n := &Node{opts: opts, runs: make(map[string]int), freed: make(chan struct{})}
+	n.Restart()
+	return n
+}
+
+// Listed returns the node's row of the node list.
+func (n *Node) Listed() platform.ListedNode {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.opts.Listed
+}
+
+// SetLeaving changes what the node list says of the node.
+func (n *Node) SetLeaving(leaving bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.opts.Listed.Leaving = leaving
+}
+
+// Kill ends the node's process at once; its memory is lost.
+func (n *Node) Kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.up = false
+	if n.cancel != nil {
+		n.cancel()
+		n.cancel = nil
+	}
+}
+
+// Restart starts the node's process anew, with nothing assigned.
+func (n *Node) Restart() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.up {
+		return
+	}
+	n.up = true
+	n.life++
+	n.active, n.queue = 0, 0
+	n.state = platform.NodeState{
+		Node:  n.opts.Listed.ID,
+		Phase: platform.PhaseIdle,
+		Start: strconv.Itoa(n.life),
+	}
+}
+
+// SetStuck makes the node accept connections but answer nothing.
+func (n *Node) SetStuck(stuck bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stuck = stuck
+}
+
+// Up reports whether the node's process runs.
+func (n *Node) Up() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.up
+}
+
+// reachable returns the error that a call to the node gets, if any.
+func (n *Node) reachable(ctx context.Context, step string) error {
+	n.mu.Lock()
+	up, stuck := n.up, n.stuck
+	n.mu.Unlock()
+	if !up {
+		return failure.At(failure.Refused, step, n.opts.Listed.ID, errDown)
+	}
+	if stuck {
+		<-ctx.Done()
+		return failure.At(failure.Unavailable, step, n.opts.Listed.ID, errStuck)
+	}
+	return nil
+}
+
+// State returns the node's state.
+func (n *Node) State(ctx context.Context) (platform.NodeState, error) {
+	if err := n.reachable(ctx, "probe node"); err != nil {
+		return platform.NodeState{}, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stateLocked(), nil
+}
+
+func (n *Node) stateLocked() platform.NodeState {
+	now := time.Now()
+	if now.Sub(n.reportedAt) >= n.opts.LoadLag {
+		n.reported = platform.Load{Queue: n.queue, Active: n.active, Slots: n.opts.Slots}
+		n.reportedAt = now
+	}
+	state := n.state
+	state.Cached = slices.Clone(state.Cached)
+	state.Load = n.reported
+	return state
+}
+
+// Order gives the node an order. A node that checks tokens takes only a higher
+// one than it holds.
+func (n *Node) Order(ctx context.Context, order platform.Order) (platform.OrderReply, error) {
+	if err := n.reachable(ctx, "order node"); err != nil {
+		return platform.OrderReply{}, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.opts.Unfenced && !order.Token.Higher(n.state.Token) {
+		return platform.OrderReply{State: n.stateLocked()}, nil
+	}
+	n.state.Token = order.Token
+	if n.state.Assignment.Same(order.Assignment) {
+		// The same assignment under a higher token disturbs nothing.
+		return platform.OrderReply{Accepted: true, State: n.stateLocked()}, nil
+	}
+	if n.cancel != nil {
+		n.cancel()
+		n.cancel = nil
+	}
+	n.state.Assignment = order.Assignment
+	n.begin(order.Assignment)
+	return platform.OrderReply{Accepted: true, State: n.stateLocked()}, nil
+}
+
+// begin starts the work that an assignment asks for.
+func (n *Node) begin(a platform.Assignment) {
+	switch {
+	case a.Empty():
+		n.state.Phase = platform.PhaseIdle
+	case slices.Contains(n.state.Cached, a.Version):
+		n.state.Phase = platform.PhaseReady
+	default:
+		n.state.Phase = platform.PhaseLoading
+		ctx, cancel := context.WithCancel(context.Background())
+		n.cancel = cancel
+		go n.load(ctx, a)
+	}
+}
+
+// load fetches the weights of a and then marks the node ready, unless another
+// order came meanwhile.
+func (n *Node) load(ctx context.Context, a platform.Assignment) {
+	if n.opts.Store != nil && n.opts.Store.Load(ctx, n.opts.LoadGB) != nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ctx.Err() != nil || !n.up || !n.state.Assignment.Same(a) {
+		return
+	}
+	n.state.Cached = append(n.state.Cached, a.Version)
+	if extra := len(n.state.Cached) - cachedVersions; extra > 0 {
+		n.state.Cached = n.state.Cached[extra:]
+	}
+	n.state.Phase = platform.PhaseReady
+}
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,171 @@
+// Package telemetry counts what a daemon does and shows it as OpenTelemetry
+// metrics in the text format of Prometheus.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"quartzshelf.dev/common/reason"
+)
+
+// Meter holds the counters of one daemon. It is safe for concurrent use.
+type Meter struct {
+	refusals map[reason.Reason]*atomic.Int64
+	retries  map[reason.Reason]*atomic.Int64
+	requests atomic.Int64
+	first    metric.Float64Histogram
+	between  metric.Float64Histogram
+	handler  http.Handler
+
+	mu     sync.Mutex
+	gauges map[string]func() float64
+}
+
+// NewMeter returns a meter with a counter for each reason, all at zero.
+func NewMeter() (*Meter, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
+	if err != nil {
+		return nil, fmt.Errorf("start metrics exporter: %w", err)
+	}
+	m := &Meter{
+		refusals: zeroes(reason.Refusals()),
+		retries:  zeroes(reason.Retries()),
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		gauges:   make(map[string]func() float64),
+	}
+	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("quartzshelf")
+	if err := m.register(meter); err != nil {
+		return nil, fmt.Errorf("register metrics: %w", err)
+	}
+	return m, nil
+}
+
+func zeroes(reasons []reason.Reason) map[reason.Reason]*atomic.Int64 {
+	all := make(map[reason.Reason]*atomic.Int64, len(reasons))
+	for _, r := range reasons {
+		all[r] = &atomic.Int64{}
+	}
+	return all
+}
+
+func (m *Meter) register(meter metric.Meter) error {
+	if err := observe(meter, "quartzshelf_refusals", "Requests refused or failed, by reason.", m.refusals); err != nil {
+		return err
+	}
+	if err := observe(meter, "quartzshelf_retries", "Requests sent again, by reason.", m.retries); err != nil {
+		return err
+	}
+	_, err := meter.Int64ObservableCounter("quartzshelf_requests",
+		metric.WithDescription("Requests received from callers."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(m.requests.Load())
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Float64ObservableGauge("quartzshelf_state",
+		metric.WithDescription("State of the daemon, by name."),
+		metric.WithFloat64Callback(m.observeGauges))
+	if err != nil {
+		return err
+	}
+	bounds := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.074, 0.1, 0.2, 0.36, 0.5, 1, 2, 5, 10)
+	m.first, err = meter.Float64Histogram("quartzshelf_first_token_seconds",
+		metric.WithDescription("Time from a request to the first token."), bounds)
+	if err != nil {
+		return err
+	}
+	m.between, err = meter.Float64Histogram("quartzshelf_between_tokens_seconds",
+		metric.WithDescription("Time between two tokens of an answer."), bounds)
+	return err
+}
+
+// observe exports a set of counters under one name, labelled by reason.
+func observe(meter metric.Meter, name, description string, counters map[reason.Reason]*atomic.Int64) error {
+	_, err := meter.Int64ObservableCounter(name,
+		metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for r, counter := range counters {
+				o.Observe(counter.Load(), metric.WithAttributes(attribute.String("reason", string(r))))
+			}
+			return nil
+		}))
+	return err
+}
+
+func (m *Meter) observeGauges(_ context.Context, o metric.Float64Observer) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, read := range m.gauges {
+		o.Observe(read(), metric.WithAttributes(attribute.String("name", name)))
+	}
+	return nil
+}
+
+// Gauge shows what read returns under the given name.
+func (m *Meter) Gauge(name string, read func() float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gauges[name] = read
+}
+
+// Request counts a request received.
+func (m *Meter) Request() { m.requests.Add(1) }
+
+// Refuse counts a refusal; reasons outside reason.Refusals are not counted.
+func (m *Meter) Refuse(r reason.Reason) { add(m.refusals, r) }
+
+// Retry counts a retry; reasons outside reason.Retries are not counted.
+func (m *Meter) Retry(r reason.Reason) { add(m.retries, r) }
+
+func add(counters map[reason.Reason]*atomic.Int64, r reason.Reason) {
+	if counter, ok := counters[r]; ok {
+		counter.Add(1)
+	}
+}
+
+// FirstToken records the time from a request, begun at start, to its first token.
+func (m *Meter) FirstToken(start time.Time) {
+	m.first.Record(context.Background(), time.Since(start).Seconds())
+}
+
+// NextToken records the time since the token before, which came at last.
+func (m *Meter) NextToken(last time.Time) {
+	m.between.Record(context.Background(), time.Since(last).Seconds())
+}
+
+// Refusals returns the counters of refusals that are not zero.
+func (m *Meter) Refusals() map[reason.Reason]int64 { return nonZero(m.refusals) }
+
+// Retries returns the counters of retries that are not zero.
+func (m *Meter) Retries() map[reason.Reason]int64 { return nonZero(m.retries) }
+
+// Requests returns how many requests were received.
+func (m *Meter) Requests() int64 { return m.requests.Load() }
+
+// Handler serves the metrics in the text format of Prometheus.
+func (m *Meter) Handler() http.Handler { return m.handler }
+
+func nonZero(counters map[reason.Reason]*atomic.Int64) map[reason.Reason]int64 {
+	all := make(map[reason.Reason]int64)
+	for r, counter := range counters {
+		if n := counter.Load(); n != 0 {
+			all[r] = n
+		}
+	}
+	return all
+}
