standin: Keep the names of streams beyond a request

Cause: the HTTP library reuses the memory of a path's parts after a request; the stand-in kept a stream's name as a map key, so records of one stream turned up in another and an apply never saw its own record. Ruled out: the follower (it read to the end of what the log answered) and the fold.

Before: scripts/fleet up failed at its first apply; the new test TestStreamsKeepTheirNames failed with offset 0 instead of 1.

Conclusion: stand-in and operators' API now copy what they keep.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .bin
 MODULES := $(shell sed -n 's|^\t\./||p' go.work)
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
-PROGRAMS := quartzshelfd quartzshelf quartzshelf-standin
+PROGRAMS := quartzshelfd quartzshelf quartzshelf-standin quartzshelf-load
 
 .PHONY: build test lint quickstart fleet faults soak measure bench generate tools clean
 
@@ -31,3 +31,9 @@
 
 clean:
 	rm -rf $(BIN) .run
+
+fleet: build
+	scripts/fleet run 3
+
+faults: build
+	scripts/faults
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -30,7 +30,12 @@
 
 func newOperators(d *Daemon) *operators {
 	o := &operators{d: d}
-	app := fiber.New(fiber.Config{DisableStartupMessage: true, ErrorHandler: operatorsError})
+	app := fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		// Names from the path become record ids, beyond the life of a request.
+		Immutable:    true,
+		ErrorHandler: operatorsError,
+	})
 	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", o.ready)
 	app.Get("/metrics", adaptor.HTTPHandler(d.meter.Handler()))
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -121,8 +121,10 @@
 func newApp() *fiber.App {
 	return fiber.New(fiber.Config{
 		DisableStartupMessage: true,
-		BodyLimit:             bodyLimit,
-		ReadBufferSize:        16 << 10,
+		// Names from the path are kept as keys, beyond the life of a request.
+		Immutable:      true,
+		BodyLimit:      bodyLimit,
+		ReadBufferSize: 16 << 10,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			code := fiber.StatusInternalServerError
 			if errorx.IsOfType(err, failure.Refused) {
--- /dev/null
+++ b/standin/server/server_test.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/platform"
+	"quartzshelf.dev/standin"
+)
+
+func newServer(t *testing.T) (*Server, *platform.Client) {
+	t.Helper()
+	s, err := New(Options{
+		Host: "127.0.0.1",
+		Cluster: standin.ClusterOptions{
+			Domains:          []standin.DomainOptions{{Name: "fabric-1", DataHall: "hall-a", Nodes: 4, Accelerators: 4}},
+			StoreGBPerSecond: 1000, LoadGB: 1, Step: time.Millisecond, Slots: 2,
+		},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	return s, platform.NewClient(platform.ClientOptions{LogAddress: s.Address(), NodesAddress: s.Address()})
+}
+
+// TestStreamsKeepTheirNames fails when the name of a stream is kept in memory
+// that the HTTP library uses again: records then turn up in another stream.
+func TestStreamsKeepTheirNames(t *testing.T) {
+	_, client := newServer(t)
+	ctx := context.Background()
+	streams := []string{"configuration", "ownership", "intents", "arrivals"}
+	for i := range 20 {
+		for _, stream := range streams {
+			record := platform.Record{ID: fmt.Sprint(stream, i), Data: []byte(stream)}
+			first, err := client.Append(ctx, stream, []platform.Record{record})
+			assert.NilError(t, err)
+			assert.Equal(t, first, int64(i), stream)
+		}
+	}
+	for _, stream := range streams {
+		batch, err := client.Read(ctx, stream, 0, 100, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(batch.Records), 20, stream)
+		for _, r := range batch.Records {
+			assert.Equal(t, string(r.Data), stream)
+		}
+	}
+}
