gateway: Say of a request only what is true of all its attempts

Cause: the promises on requests and configuration were not yet proved.

Found and mended: - A request whose first attempt was cut off and whose last was refused was answered ran: no.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 PROGRAMS := quartzshelfd quartzshelf quartzshelf-standin quartzshelf-load
 
-.PHONY: build test lint quickstart fleet faults soak measure bench generate tools clean
+.PHONY: build test lint tools quickstart fleet faults soak measure bench generate clean
 
 build:
 	go build -o $(BIN)/ $(addprefix ./cmd/,$(PROGRAMS))
@@ -37,3 +37,10 @@
 
 faults: build
 	scripts/faults
+
+# soak draws new seeds and prints them; replay one with
+# SEED=n make soak.
+soak:
+	seed=$${SEED:-$$RANDOM$$RANDOM}; echo "seed $$seed"; \
+	QUARTZSHELF_SOAK=1 go test ./proof ./gateway -timeout 60m -count=1 \
+		-run 'Partial|Key|Configuration|Answers' -rapid.seed=$$seed -rapid.checks=$${CHECKS:-2000}
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const goodSettings = `
+name: entry-1
+data_hall: hall-a
+region: region-1
+callers: 127.0.0.1:0
+operators: 127.0.0.1:0
+peers: 127.0.0.1:0
+keep_entries: 1s
+platform:
+  embedded:
+    configuration: configuration.yaml
+    domains: [{name: fabric-1, data_hall: hall-a, nodes: 5, accelerators: 4, services: 1}]
+    store_gb_per_second: 1000
+    load_gb: 1
+    step: 20ms
+    slots: 8
+`
+
+func TestSettings(t *testing.T) {
+	replace := func(old, fresh string) string { return strings.Replace(goodSettings, old, fresh, 1) }
+	cases := map[string]struct {
+		text string
+		want string
+	}{
+		"good":              {goodSettings, ""},
+		"unknown field":     {goodSettings + "colour: red\n", `unknown field "colour"`},
+		"host name":         {replace("callers: 127.0.0.1:0", "callers: localhost:7400"), "field callers"},
+		"no data hall":      {replace("data_hall: hall-a", "data_hall: ''"), "field data_hall"},
+		"bad window":        {goodSettings + "serve_window: 1s\n", "field serve_window"},
+		"bad seed":          {goodSettings + "seeds: [127.0.0.1]\n", "field seeds[0]"},
+		"bad log format":    {goodSettings + "log: {level: info, format: xml}\n", "field log.format"},
+		"two platforms":     {replace("platform:\n", "platform:\n  log: 127.0.0.1:1\n"), "field platform.embedded"},
+		"malformed":         {"name: [", "settings.yaml"},
+		"no platform":       {goodSettings[:strings.Index(goodSettings, "platform:")], "field platform.log"},
+		"short retention":   {replace("platform:\n", "platform:\n  log_retention: 1m\n"), "field platform.log_retention"},
+		"store of no speed": {replace("store_gb_per_second: 1000", "store_gb_per_second: 0"), "store_gb_per_second"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseSettings("settings.yaml", []byte(c.text))
+			if c.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+// startDaemon starts a daemon on an embedded platform with the quickstart's
+// configuration, whose deployment it narrows to one replica.
+func startDaemon(t *testing.T) *Daemon {
+	t.Helper()
+	dir := t.TempDir()
+	documents, err := os.ReadFile("../examples/quickstart-configuration.yaml")
+	assert.NilError(t, err)
+	documents = bytes.Replace(documents, []byte("replicas: 2"), []byte("replicas: 1"), 1)
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "configuration.yaml"), documents, 0o600))
+	settings, err := ParseSettings(filepath.Join(dir, "settings.yaml"), []byte(goodSettings))
+	assert.NilError(t, err)
+	d, err := New(settings, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	d.Start()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	assert.NilError(t, d.ApplyConfigurationFile(ctx, settings.ConfigurationFile()))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(d.catalog.Serving("demo", time.Now())) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no replica serves yet: %+v", d.status().Replicas)
+	}, poll.WithTimeout(time.Minute))
+	return d
+}
+
+// TestPlannedStopCutsNothingOff stops a daemon while a stream is on its way:
+// the caller must get all of it.
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	d := startDaemon(t)
+	callers, _ := d.Addresses()
+	body := `{"model":"demo","stream":true,"prompt":"p","max_tokens":150}`
+	request, err := http.NewRequest(http.MethodPost, "http://"+callers+"/v1/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer demo-key")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	first := make([]byte, 1)
+	_, err = io.ReadFull(response.Body, first)
+	assert.NilError(t, err)
+	go d.Stop()
+	rest, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, bytes.Count(rest, []byte("token_index")), 150)
+	assert.Assert(t, bytes.HasSuffix(rest, []byte("data: [DONE]\n\n")))
+	<-d.Done()
+	_, err = http.Get("http://" + callers + "/v1/entries")
+	assert.ErrorContains(t, err, "refused")
+}
+
+// TestKilledDaemonLeavesNothingRunning ends a daemon as a crash would.
+func TestKilledDaemonLeavesNothingRunning(t *testing.T) {
+	d := startDaemon(t)
+	d.Kill()
+	<-d.Done()
+	<-d.controller.Done()
+	<-d.agent.Done()
+}
+
+// TestPortTaken names the step and the peer when a port is in use.
+func TestPortTaken(t *testing.T) {
+	d := startDaemon(t)
+	defer d.Kill()
+	taken, _ := d.Addresses()
+	text := strings.Replace(goodSettings, "callers: 127.0.0.1:0", "callers: "+taken, 1)
+	settings, err := ParseSettings("settings.yaml", []byte(text))
+	assert.NilError(t, err)
+	_, err = New(settings, hclog.NewNullLogger())
+	assert.ErrorContains(t, err, "listen for callers")
+	assert.ErrorContains(t, err, taken)
+}
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -101,15 +101,12 @@
 
 // again opens another attempt after one that broke while it answered.
 func (g *Gateway) again(r *request, body []byte, failed *refusal, choose chooser, tried map[string]bool) (*attempt, *refusal) {
+	failed = r.truthful(failed)
 	if !r.repeatable || len(tried) >= maxTries || r.ctx.Err() != nil || !g.budget.take() {
 		return nil, failed
 	}
 	g.opts.Meter.Retry(reason.RetryBroken)
-	a, none := g.open(r, body, choose, tried, func(time.Time) bool { return true })
-	if none != nil {
-		return nil, none.withRan(reason.RanUnknown)
-	}
-	return a, nil
+	return g.open(r, body, choose, tried, func(time.Time) bool { return true })
 }
 
 // settle tells the ledger how the request ended.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -128,7 +128,7 @@
 	for {
 		t, none := choose(tried)
 		if none != nil {
-			return nil, none
+			return nil, r.truthful(none)
 		}
 		tried[t.id] = true
 		now := time.Now()
@@ -138,14 +138,16 @@
 		}
 		if !maySend(now) {
 			t.finish()
-			return nil, refuse(reason.KeyExpired, "the claim of the key ran out before the request was sent")
+			return nil, r.truthful(refuse(reason.KeyExpired, "the claim of the key ran out before the request was sent"))
 		}
 		a, failed := g.try(r, body, t)
 		if failed == nil {
 			return a, nil
 		}
 		t.finish()
-		retry := retryReason(failed, r.repeatable)
+		ran := failed.ran
+		failed = r.truthful(failed)
+		retry := retryReason(failed.reason, ran, r.repeatable)
 		if retry == "" || len(tried) >= maxTries || r.ctx.Err() != nil {
 			return nil, failed
 		}
@@ -159,13 +161,13 @@
 
 // retryReason returns why a failed attempt may be sent again, or an empty
 // reason when it may not.
-func retryReason(failed *refusal, repeatable bool) reason.Reason {
+func retryReason(why reason.Reason, ran reason.Ran, repeatable bool) reason.Reason {
 	switch {
-	case failed.reason == reason.EndpointUnreached:
+	case why == reason.EndpointUnreached:
 		return reason.RetryUnreached
-	case failed.reason == reason.EndpointRefused:
+	case why == reason.EndpointRefused:
 		return reason.RetryRefused
-	case repeatable && failed.ran == reason.RanUnknown:
+	case repeatable && ran == reason.RanUnknown:
 		return reason.RetryBroken
 	default:
 		return ""
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,9 @@
 	// readBuffer bounds the header of a request, in bytes.
 	readBuffer  = 16 << 10
 	idleCallers = 2 * time.Minute
+	// bodySlack is by how many times a body may exceed the limit and still be
+	// read to its end, so that its sender gets the answer that says so.
+	bodySlack = 2
 	// DefaultMaxBody bounds the body of a request, in bytes.
 	DefaultMaxBody = 8 << 20
 )
@@ -119,7 +122,7 @@
 func (g *Gateway) routes() *fiber.App {
 	app := fiber.New(fiber.Config{
 		DisableStartupMessage: true,
-		BodyLimit:             g.opts.MaxBody,
+		BodyLimit:             bodySlack * g.opts.MaxBody,
 		ReadBufferSize:        readBuffer,
 		IdleTimeout:           idleCallers,
 		ErrorHandler:          g.handleError,
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,471 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quartzshelf.dev/admission"
+	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/common/proptest"
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/config"
+	"quartzshelf.dev/eventlog"
+	"quartzshelf.dev/intent"
+	"quartzshelf.dev/platform"
+	"quartzshelf.dev/rpc"
+	"quartzshelf.dev/standin"
+	"quartzshelf.dev/telemetry"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+// behaviour is what a fake endpoint does with a request.
+type behaviour string
+
+const (
+	answers  behaviour = "answers"
+	refuses  behaviour = "refuses before the start"
+	cuts     behaviour = "runs and cuts off its answer"
+	resets   behaviour = "runs and cuts the connection"
+	crosses  behaviour = "runs and answers for another request"
+	repeats  behaviour = "answers and repeats tokens"
+	skips    behaviour = "answers and leaves out a token"
+	garbles  behaviour = "answers with an event that is no JSON"
+	tokens             = 6
+	promptOf           = "prompt"
+)
+
+var behaviours = []behaviour{answers, refuses, cuts, resets, crosses, repeats, skips, garbles}
+
+// fakeEndpoint answers as its script says, one behaviour for each request.
+type fakeEndpoint struct {
+	mu     sync.Mutex
+	script []behaviour
+	runs   int
+	server *http.Server
+	addr   string
+}
+
+func newEndpoint(t *testing.T) *fakeEndpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &fakeEndpoint{addr: l.Addr().String()}
+	e.server = &http.Server{Handler: e}
+	go func() { _ = e.server.Serve(l) }()
+	t.Cleanup(func() { _ = e.server.Close() })
+	return e
+}
+
+// follow sets the script and forgets the runs.
+func (e *fakeEndpoint) follow(script []behaviour) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.script, e.runs = script, 0
+}
+
+func (e *fakeEndpoint) ran() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs
+}
+
+func (e *fakeEndpoint) next() behaviour {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := answers
+	if len(e.script) > 0 {
+		b, e.script = e.script[0], e.script[1:]
+	}
+	if b != refuses {
+		e.runs++
+	}
+	return b
+}
+
+// ServeHTTP implements http.Handler.
+func (e *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Stream bool     `json:"stream"`
+		Resume []string `json:"resume"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	id, b := r.Header.Get(platform.HeaderRequest), e.next()
+	switch b {
+	case refuses:
+		w.Header().Set(platform.HeaderStarted, platform.StartedNo)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case resets:
+		panic(http.ErrAbortHandler)
+	case crosses:
+		id = "of-another-request"
+	}
+	if !body.Stream {
+		e.whole(w, id, b)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := len(body.Resume); i < tokens; i++ {
+		e.token(w, id, i, b)
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+// textFor returns the prompt that the endpoint answers.
+func textFor(b behaviour) string {
+	if b == crosses {
+		return "the prompt of another request"
+	}
+	return promptOf
+}
+
+func (e *fakeEndpoint) whole(w http.ResponseWriter, id string, b behaviour) {
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(standin.Token(textFor(b), i))
+	}
+	w.Header().Set(platform.HeaderRequest, id)
+	if b == cuts {
+		w.Header().Set("Content-Length", "1000")
+		_, _ = io.WriteString(w, "{")
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(w, `{"id":%q,"choices":[{"text":%q}]}`, id, text.String())
+}
+
+func (e *fakeEndpoint) token(w http.ResponseWriter, id string, i int, b behaviour) {
+	const half = tokens / 2
+	switch {
+	case i == half && b == cuts:
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	case i == half && b == skips:
+		return
+	case i == half && b == garbles:
+		_, _ = io.WriteString(w, "data: {no json\n\n")
+	}
+	event := fmt.Sprintf("data: {\"id\":%q,\"token_index\":%d,\"choices\":[{\"text\":%q}]}\n\n", id, i, standin.Token(textFor(b), i))
+	_, _ = io.WriteString(w, event)
+	if b == repeats {
+		_, _ = io.WriteString(w, event)
+	}
+	w.(http.Flusher).Flush()
+}
+
+// harness is a gateway before fake endpoints, one of which is not there.
+type harness struct {
+	endpoints []*fakeEndpoint
+	catalog   *catalog.Catalog
+	log       *standin.Log
+	gateway   *Gateway
+	address   string
+	sent      int
+}
+
+const downAddress = "127.0.0.1:1"
+
+func newHarness(t *testing.T) *harness {
+	t.Helper()
+	h := &harness{catalog: catalog.New(), log: standin.NewLog(standin.LogOptions{AppendsPerSecond: 1e6})}
+	for range 3 {
+		h.endpoints = append(h.endpoints, newEndpoint(t))
+	}
+	h.publish()
+	meter, err := telemetry.NewMeter()
+	assert.NilError(t, err)
+	state := config.NewState()
+	applyDocuments(t, state)
+	h.gateway = New(Options{
+		Config: state.View, Catalog: h.catalog, Ledger: h.ledger(t), Meter: meter,
+		Limiter: admission.NewLimiter(admission.LimiterOptions{Daemons: func() int { return 1 }}),
+		Gate:    func() *Closed { return nil }, Leaving: func() bool { return false },
+		Entries: func() []Entry { return nil }, KeepEntriesUntil: func(now time.Time) time.Time { return now },
+		Daemons: func() int { return 1 },
+		NewID:   func() string { return fmt.Sprint("request-", rand.Uint64()) },
+	})
+	// The property is about what is said of a request, not about the budget.
+	h.gateway.budget.left = budgetMax
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h.address = l.Addr().String()
+	go func() { _ = h.gateway.Serve(l) }()
+	t.Cleanup(func() { _ = h.gateway.Stop(time.Second) })
+	return h
+}
+
+// ledger returns a ledger on the harness's log.
+func (h *harness) ledger(t *testing.T) *intent.Ledger {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	state := intent.NewState(time.Hour)
+	newID := func() string { return fmt.Sprint("id-", rand.Uint64()) }
+	follower := eventlog.NewFollower(eventlog.FollowerOptions{
+		Log: h.log, Stream: intent.Stream, State: state, Retention: time.Hour, NewID: newID,
+		CheckpointDelay: func() time.Duration { return time.Hour },
+	})
+	ledger := intent.NewLedger(intent.Options{
+		Self: "entry-1", State: state, Follower: follower, NewID: newID,
+		FlushEvery: func() time.Duration { return time.Millisecond },
+		Submit:     func(context.Context, intent.Key, platform.Record) bool { return false },
+	})
+	go follower.Run(ctx)
+	go ledger.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-ledger.Done()
+		<-follower.Done()
+	})
+	<-follower.CaughtUp()
+	return ledger
+}
+
+// publish lists each endpoint, and an address where nothing listens, as a
+// serving replica.
+func (h *harness) publish() {
+	report := &rpc.DomainReport{Domain: "fabric-1", Token: &rpc.Token{Epoch: 1}, Version: 1, Beat: 1}
+	addresses := []string{downAddress}
+	for _, e := range h.endpoints {
+		addresses = append(addresses, e.addr)
+	}
+	for i, address := range addresses {
+		report.Replicas = append(report.Replicas, &rpc.ReplicaReport{
+			Id: fmt.Sprint("replica-", i), Deployment: "chat", Generation: 1, Serving: true, LeaderAddress: address,
+		})
+	}
+	h.catalog.Publish(report, time.Now().Add(time.Hour))
+}
+
+func applyDocuments(t *testing.T, s *config.State) {
+	t.Helper()
+	text := `
+{kind: Model, name: m, labels: {family: m}, spec: {version: v1}}
+---
+{kind: Deployment, name: chat, spec: {modelSelector: family=m, nodesPerReplica: 4}}
+---
+{kind: ClientAccount, name: demo, spec: {keyHashes: [` + config.HashKey("demo-key") + `]}}
+`
+	parsed, err := config.ParseFile("documents", text)
+	assert.NilError(t, err)
+	var set config.ChangeSet
+	for _, p := range parsed {
+		set.Changes = append(set.Changes, config.Change{Operation: config.OperationPut, Document: p.Document()})
+	}
+	data, err := set.Encode()
+	assert.NilError(t, err)
+	s.Apply(platform.Record{}, data)
+	assert.Equal(t, len(s.View().Deployments()), 1)
+}
+
+// outcome is what a caller got.
+type outcome struct {
+	status int
+	body   []byte
+	header http.Header
+}
+
+func (o outcome) problem() (ran reason.Ran, why reason.Reason) {
+	var body struct {
+		Ran    reason.Ran    `json:"ran"`
+		Reason reason.Reason `json:"reason"`
+	}
+	_ = json.Unmarshal(o.body, &body)
+	return body.Ran, body.Reason
+}
+
+// post sends a completion request.
+func (h *harness) post(body string, header map[string]string) (outcome, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+h.address+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return outcome{}, err
+	}
+	request.Header.Set("Authorization", "Bearer demo-key")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return outcome{}, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return outcome{status: response.StatusCode, body: data, header: response.Header}, err
+}
+
+func (h *harness) ran() int {
+	sum := 0
+	for _, e := range h.endpoints {
+		sum += e.ran()
+	}
+	return sum
+}
+
+// wantText is the right answer.
+func wantText() string {
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(standin.Token(promptOf, i))
+	}
+	return text.String()
+}
+
+// streamText returns the tokens of a stream and whether it ended as whole.
+func streamText(body []byte) (string, bool) {
+	var text strings.Builder
+	for line := range bytes.SplitSeq(body, []byte("\n")) {
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
+		var e tokenEvent
+		if ok && json.Unmarshal(data, &e) == nil {
+			text.WriteString(e.text())
+		}
+	}
+	return text.String(), bytes.HasSuffix(bytes.TrimSpace(body), []byte("[DONE]"))
+}
+
+// TestAnswersAreWholeAndTrue draws what each endpoint does with each request,
+// and the kind of request. Whatever they do, a caller gets its own answer,
+// whole, or is told the truth about whether the request ran; a request that
+// must not be repeated runs at most once.
+func TestAnswersAreWholeAndTrue(t *testing.T) {
+	h := newHarness(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		for _, e := range h.endpoints {
+			e.follow(rapid.SliceOfN(rapid.SampledFrom(behaviours), 3, 3).Draw(rt, "script"))
+		}
+		streamed := rapid.Bool().Draw(rt, "streamed")
+		repeatable := rapid.Bool().Draw(rt, "repeatable")
+		keyed := rapid.Bool().Draw(rt, "keyed")
+		header := map[string]string{}
+		if !repeatable {
+			header[headerRepeatable] = valueNo
+		}
+		h.sent++
+		if !repeatable && keyed {
+			header[headerKey] = fmt.Sprint("key-", h.sent, "-", rand.Uint64())
+		}
+		body := fmt.Sprintf(`{"model":"chat","prompt":%q,"stream":%v,"max_tokens":%d}`, promptOf, streamed, tokens)
+		got, err := h.post(body, header)
+		if err != nil {
+			rt.Fatalf("the gateway gave no answer: %v", err)
+		}
+		h.judge(rt, got, streamed, repeatable)
+	})
+}
+
+func (h *harness) judge(rt *rapid.T, got outcome, streamed, repeatable bool) {
+	runs := h.ran()
+	if !repeatable && runs > 1 {
+		rt.Fatalf("a request that must not be repeated ran %d times", runs)
+	}
+	if got.status != http.StatusOK {
+		ran, why := got.problem()
+		if ran == "" || why == "" {
+			rt.Fatalf("status %d without ran and reason: %s", got.status, got.body)
+		}
+		if ran == reason.RanNo && runs > 0 {
+			rt.Fatalf("said not run (%s), but %d endpoints ran it", why, runs)
+		}
+		return
+	}
+	text, whole := choiceOf(got.body), true
+	if streamed {
+		text, whole = streamText(got.body)
+	}
+	if whole && text != wantText() {
+		rt.Fatalf("a whole answer is wrong: %q", text)
+	}
+	if !strings.HasPrefix(wantText(), text) {
+		rt.Fatalf("tokens were lost, doubled or crossed: %q", text)
+	}
+	if !whole && !bytes.Contains(got.body, []byte(`"ran":"unknown"`)) {
+		rt.Fatalf("a stream ended early without an error: %s", got.body)
+	}
+}
+
+func choiceOf(body []byte) string {
+	var e tokenEvent
+	_ = json.Unmarshal(body, &e)
+	return e.text()
+}
+
+// TestSecondCallerGetsTheFirstOutcome sends the same key twice, and then with
+// another body.
+func TestSecondCallerGetsTheFirstOutcome(t *testing.T) {
+	for name, streamed := range map[string]bool{"whole": false, "streamed": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			body := fmt.Sprintf(`{"model":"chat","prompt":"prompt","stream":%v}`, streamed)
+			key := map[string]string{headerKey: "seat-12"}
+			first, err := h.post(body, key)
+			assert.NilError(t, err)
+			assert.Equal(t, first.status, http.StatusOK, string(first.body))
+			second, err := h.post(body, key)
+			assert.NilError(t, err)
+			assert.Equal(t, string(second.body), string(first.body))
+			assert.Equal(t, second.header.Get(headerReplayed), "true")
+			assert.Equal(t, h.ran(), 1)
+			other, err := h.post(`{"model":"chat","prompt":"other"}`, key)
+			assert.NilError(t, err)
+			_, why := other.problem()
+			assert.Equal(t, why, reason.KeyMismatch)
+			assert.Equal(t, h.ran(), 1)
+		})
+	}
+}
+
+// TestKeyWithoutLog refuses a keyed request while the log is out, and serves
+// others.
+func TestKeyWithoutLog(t *testing.T) {
+	h := newHarness(t)
+	h.log.SetFaults(standin.LogFaults{Outage: true})
+	got, err := h.post(`{"model":"chat","prompt":"prompt"}`, map[string]string{headerKey: "k"})
+	assert.NilError(t, err)
+	ran, why := got.problem()
+	assert.Equal(t, ran, reason.RanNo)
+	assert.Equal(t, why, reason.IntentLog)
+	assert.Equal(t, h.ran(), 0)
+	got, err = h.post(`{"model":"chat","prompt":"prompt"}`, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK)
+}
+
+// TestBadRequests checks the answers to input that is wrong.
+func TestBadRequests(t *testing.T) {
+	h := newHarness(t)
+	cases := map[string]struct {
+		body   string
+		header map[string]string
+		status int
+		reason reason.Reason
+	}{
+		"broken JSON":   {`{"model":`, nil, http.StatusBadRequest, reason.BadRequest},
+		"unknown model": {`{"model":"x"}`, nil, http.StatusNotFound, reason.UnknownModel},
+		"wrong key":     {`{}`, map[string]string{"Authorization": "Bearer no"}, http.StatusUnauthorized, reason.Unauthorized},
+		"no key":        {`{}`, map[string]string{"Authorization": ""}, http.StatusUnauthorized, reason.Unauthorized},
+		"long key":      {`{}`, map[string]string{headerKey: strings.Repeat("k", 300)}, http.StatusBadRequest, reason.KeyInvalid},
+		"large body":    {strings.Repeat(" ", DefaultMaxBody+1), nil, http.StatusRequestEntityTooLarge, reason.BodyTooLarge},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, err := h.post(c.body, c.header)
+			assert.NilError(t, err)
+			assert.Equal(t, got.status, c.status, string(got.body))
+			ran, why := got.problem()
+			assert.Equal(t, why, c.reason)
+			assert.Equal(t, ran, reason.RanNo)
+		})
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -43,6 +43,19 @@
 	cancel context.CancelFunc
 	// priority is the account's.
 	priority int
+	// mayHaveRan tells that some attempt was sent and may have run.
+	mayHaveRan bool
+}
+
+// truthful returns the refusal with what it may say of the whole request: an
+// attempt that was refused says nothing of those before it.
+func (r *request) truthful(f *refusal) *refusal {
+	if f.ran != reason.RanNo {
+		r.mayHaveRan = true
+	} else if r.mayHaveRan {
+		f.ran = reason.RanUnknown
+	}
+	return f
 }
 
 // completionRequest is the part of a completion request that is read here.
@@ -90,6 +103,9 @@
 			}
 		}
 	}
+	if len(r.body) > g.opts.MaxBody {
+		return nil, refuse(reason.BodyTooLarge, "the body is longer than %d bytes", g.opts.MaxBody)
+	}
 	if len(r.key) > maxKey || strings.ContainsAny(r.key, "\x00\n") {
 		return nil, refuse(reason.KeyInvalid, "%s must be at most %d printable characters", headerKey, maxKey)
 	}
--- a/intent/ledger.go
+++ b/intent/ledger.go
@@ -24,6 +24,9 @@
 	// sendWithin is how long after its claim an attempt may still be sent. It
 	// lies far below the time for which a key is kept.
 	sendWithin = 30 * time.Second
+	// logSilence is for how long the log may not answer before claims are
+	// refused at once. It is longer than a read that waits for news.
+	logSilence = 8 * time.Second
 	// retryAppend is how long the writer waits after an append that failed.
 	retryAppend = 200 * time.Millisecond
 )
@@ -91,8 +94,8 @@
 // not won, the entry says who holds the key. An error means that nothing was
 // and nothing will be sent for this call.
 func (l *Ledger) Take(ctx context.Context, key Key, body string) (Claim, error) {
-	if l.opts.Follower.Confirmed().IsZero() {
-		return Claim{}, failure.New(failure.Unavailable, "claim key", Stream, "the stream of intents is not read yet")
+	if time.Since(l.opts.Follower.Confirmed()) > logSilence {
+		return Claim{}, failure.New(failure.Unavailable, "claim key", Stream, "the log has not answered for %v", logSilence)
 	}
 	if e, ok := l.opts.State.Entry(key); ok && (e.attempt != "" || e.body != body) {
 		return Claim{key: key, entry: e}, nil
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -207,10 +207,7 @@
 	if h.cancel == nil {
 		return
 	}
-	h.fleet.net.mu.Lock()
-	h.fleet.net.peers[h.id] = nil
-	h.fleet.net.mu.Unlock()
-	h.fleet.net.resume(h.id)
+	h.fleet.net.die(h.id)
 	h.cancel()
 	h.duties.Wait()
 	h.cancel = nil
--- a/proof/network_test.go
+++ b/proof/network_test.go
@@ -32,13 +32,15 @@
 	frozen map[string]chan struct{}
 	// traps freeze a daemon right before its next order or append takes effect.
 	traps map[[2]string]bool
-	peers map[string]rpc.Peer
+	// deaths counts how often each daemon was killed.
+	deaths map[string]int
+	peers  map[string]rpc.Peer
 }
 
 func newNetwork() *network {
 	return &network{
 		cuts: make(map[[2]string]bool), frozen: make(map[string]chan struct{}),
-		traps: make(map[[2]string]bool), peers: make(map[string]rpc.Peer),
+		traps: make(map[[2]string]bool), deaths: make(map[string]int), peers: make(map[string]rpc.Peer),
 	}
 }
 
@@ -98,6 +100,21 @@
 	}
 }
 
+// die notes that the daemon was killed.
+func (n *network) die(id string) {
+	n.mu.Lock()
+	n.peers[id] = nil
+	n.deaths[id]++
+	n.mu.Unlock()
+	n.resume(id)
+}
+
+func (n *network) deathsOf(id string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.deaths[id]
+}
+
 func (n *network) isFrozen(id string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/proof/schedule_test.go
+++ b/proof/schedule_test.go
@@ -62,7 +62,6 @@
 // hit makes the fault happen.
 func (f *fleet) hit(x fault, opts fleetOptions) {
 	h := f.hosts[x.host]
-	node := f.cluster.All()[x.node]
 	switch x.name {
 	case "kill host":
 		h.kill()
@@ -87,11 +86,38 @@
 	case "heal":
 		f.net.heal()
 	default:
-		f.hitPlatform(x.name, node)
+		f.hitLog(x.name)
+		if nodes := f.cluster.All(); x.node < len(nodes) {
+			hitNode(x.name, nodes[x.node])
+		}
+	}
+}
+
+// hitAll makes the faults of a schedule happen, one after the other.
+func (f *fleet) hitAll(schedule []fault, opts fleetOptions) {
+	for _, x := range schedule {
+		time.Sleep(x.wait)
+		f.hit(x, opts)
 	}
 }
 
-func (f *fleet) hitPlatform(name string, node *standin.Node) {
+// mend ends all faults and starts what is down.
+func (f *fleet) mend(opts fleetOptions) {
+	f.net.heal()
+	f.log.SetFaults(standin.LogFaults{})
+	for _, h := range f.hosts {
+		if h.cancel == nil {
+			h.start(opts)
+		}
+	}
+	for _, n := range f.cluster.All() {
+		n.SetStuck(false)
+		n.SetLeaving(false)
+		n.Restart()
+	}
+}
+
+func hitNode(name string, node *standin.Node) {
 	switch name {
 	case "kill node":
 		node.Kill()
@@ -105,6 +131,11 @@
 		node.SetLeaving(true)
 	case "node stays":
 		node.SetLeaving(false)
+	}
+}
+
+func (f *fleet) hitLog(name string) {
+	switch name {
 	case "log out":
 		f.log.SetFaults(standin.LogFaults{Outage: true})
 	case "log loses answers":
--- a/proof/serving_test.go
+++ b/proof/serving_test.go
@@ -129,8 +129,8 @@
 
 // checkForwards demands that no late order of an earlier leader is taken.
 func (w *watcher) checkForwards(n *standin.Node) {
-	life := fmt.Sprint(n.Listed().ID, " in life ", n.Life())
-	held := n.Token()
+	count, held := n.Fence()
+	life := fmt.Sprint(n.Listed().ID, " in life ", count)
 	if w.highest[life].Higher(held) {
 		w.fail("node %s went back from token %v to %v", life, w.highest[life], held)
 	}
@@ -204,22 +204,8 @@
 		f.basics(t, 2)
 		w := watch(f)
 		time.Sleep(10 * time.Second)
-		for _, x := range schedule {
-			time.Sleep(x.wait)
-			f.hit(x, servingOptions)
-		}
-		f.net.heal()
-		f.log.SetFaults(standin.LogFaults{})
-		for _, h := range f.hosts {
-			if h.cancel == nil {
-				h.start(servingOptions)
-			}
-		}
-		for _, n := range f.cluster.All() {
-			n.SetStuck(false)
-			n.SetLeaving(false)
-			n.Restart()
-		}
+		f.hitAll(schedule, servingOptions)
+		f.mend(servingOptions)
 		time.Sleep(settleTime)
 		problem = w.stop()
 		if problem == "" {
--- a/replica/order.go
+++ b/replica/order.go
@@ -22,14 +22,7 @@
 // orders turns a plan into the orders that may go out now. Replicas that are
 // intact are drained first; their orders wait.
 func (d *domain) orders(plan placement.Plan, groups []observed, now time.Time) []outgoing {
-	intact := make(map[string]observed)
-	for _, o := range groups {
-		if o.intact() && !o.scripted {
-			for _, m := range o.members {
-				intact[m.listed.ID] = o
-			}
-		}
-	}
+	intact := intactByNode(groups)
 	wasDraining := d.drains
 	d.drains = make(map[string]drain)
 	for id, state := range wasDraining {
@@ -42,15 +35,34 @@
 		all = append(all, d.formationOrders(f, intact, now)...)
 	}
 	for _, step := range plan.Releases {
-		if o, ok := intact[step.Node]; ok && !d.drained(o, now) {
-			continue
+		if d.mayRelease(step, intact, now) {
+			all = append(all, d.prepare(step.Node, step.Assignment, step.Reason))
 		}
-		if len(d.guards(step.Node, now)) > 0 {
+	}
+	return append(all, d.reaffirmations(all)...)
+}
+
+// intactByNode returns, for each node of an intact replica that is not run by
+// scripts, the replica.
+func intactByNode(groups []observed) map[string]observed {
+	intact := make(map[string]observed)
+	for _, o := range groups {
+		if !o.intact() || o.scripted {
 			continue
 		}
-		all = append(all, d.prepare(step.Node, step.Assignment, step.Reason))
+		for _, m := range o.members {
+			intact[m.listed.ID] = o
+		}
 	}
-	return append(all, d.reaffirmations(all)...)
+	return intact
+}
+
+// mayRelease reports whether a node may be freed now.
+func (d *domain) mayRelease(step placement.Step, intact map[string]observed, now time.Time) bool {
+	if o, ok := intact[step.Node]; ok && !d.drained(o, now) {
+		return false
+	}
+	return len(d.guards(step.Node, now)) == 0
 }
 
 // touched reports whether the plan moves a node of the intact replica.
--- a/standin/node.go
+++ b/standin/node.go
@@ -225,16 +225,10 @@
 	return n.state.Assignment, n.up && n.state.Phase == platform.PhaseReady
 }
 
-// Life returns how often the node's process was started.
-func (n *Node) Life() int {
+// Fence returns how often the node's process was started, and the token of the
+// last order that it took in this life.
+func (n *Node) Fence() (life int, held token.Token) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.life
-}
-
-// Token returns the token of the last order that the node took.
-func (n *Node) Token() token.Token {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.state.Token
+	return n.life, n.state.Token
 }
