placement: Preload weights and let idle nodes serve

Cause: the objective had no effect yet: spares waited cold, a new version took each replica down for a whole load, and nodes beyond the wanted replicas were stranded. Orders may now carry preloads; a replica rolls when its nodes hold the new weights; where stranded accelerators are priced, idle nodes form further replicas that stand in for a broken one and give way to wanted ones.

Tried and left out: holding back nodes of wanted replicas as spares.

--- a/placement/input.go
+++ b/placement/input.go
@@ -28,6 +28,8 @@
 	Assignment   platform.Assignment
 	Phase        platform.Phase
 	Cached       []string
+	// Preloading lists the versions that the node fetches beside its work.
+	Preloading []string
 }
 
 // usable reports whether the node can be part of a replica from now on.
@@ -55,6 +57,8 @@
 	Selects func(labels map[string]string) bool
 	// Objective prices the two measures.
 	Objective Objective
+	// Fill asks for further replicas from nodes that would be idle otherwise.
+	Fill bool
 	// MayRoll lists the replicas that may be taken down for a new version now.
 	MayRoll []string
 }
@@ -85,6 +89,13 @@
 	Reason string
 }
 
+// Preload is an order to one node to fetch a version.
+type Preload struct {
+	Node    string
+	Version string
+	Reason  string
+}
+
 // Formation is a group of steps that together form a replica.
 type Formation struct {
 	Replica string
@@ -95,6 +106,8 @@
 // Plan is what to do and why the rest stays as it is.
 type Plan struct {
 	Formations []Formation
+	// Preloads let nodes fetch weights beside their work.
+	Preloads []Preload
 	// Releases take nodes out of replicas that are no longer wanted.
 	Releases []Step
 	// Dark says, by replica, why a wanted replica does not serve.
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -27,6 +27,10 @@
 	for _, want := range p.wants {
 		p.form(want)
 	}
+	for _, want := range p.wants {
+		p.fill(want)
+	}
+	p.preload()
 	p.release()
 	p.explainIdle()
 	return p.plan
@@ -51,8 +55,12 @@
 	// placed counts the replicas found for each deployment.
 	placed map[string]int
 	// broken holds the groups of each deployment that need repair.
-	broken  map[string][]*group
-	loading int
+	broken map[string][]*group
+	// extra marks the replicas kept beyond the wanted number.
+	extra map[string]bool
+	// outdated are the groups that run another version than the wanted one.
+	outdated []outdatedGroup
+	loading  int
 }
 
 func newPlanner(in Input) *planner {
@@ -64,6 +72,7 @@
 		taken:  make(map[string]string),
 		placed: make(map[string]int),
 		broken: make(map[string][]*group),
+		extra:  make(map[string]bool),
 		plan:   Plan{Dark: make(map[string]string), Idle: make(map[string]string), deployments: make(map[string]string)},
 	}
 	slices.SortStableFunc(p.wants, func(a, b Want) int {
@@ -127,7 +136,8 @@
 func (p *planner) keep(want Want) {
 	for _, g := range p.sortedGroups(want.Deployment) {
 		if p.placed[want.Deployment] >= want.Replicas {
-			break
+			p.keepExtra(g, want)
+			continue
 		}
 		p.placed[want.Deployment]++
 		if problem := p.problemOf(g, want); problem != "" {
@@ -139,6 +149,15 @@
 	}
 }
 
+// keepExtra keeps a whole replica beyond the wanted number while its nodes
+// would be idle otherwise. It gives way to every replica that is wanted.
+func (p *planner) keepExtra(g *group, want Want) {
+	if want.Fill && p.problemOf(g, want) == "" {
+		p.extra[g.id] = true
+		p.keepGroup(g)
+	}
+}
+
 func (p *planner) keepGroup(g *group) {
 	p.plan.Kept = append(p.plan.Kept, g.id)
 	isLoading := false
@@ -177,13 +196,32 @@
 	return ""
 }
 
-// roll breaks up the groups of another version that may go down now.
+// outdatedGroup is a group whose nodes should fetch another version.
+type outdatedGroup struct {
+	group   *group
+	version string
+}
+
+// holds reports whether every node of the group has the weights of a version.
+func (g *group) holds(version string) bool {
+	return !slices.ContainsFunc(g.nodes, func(n *Node) bool { return !n.holds(version) })
+}
+
+// roll breaks up the groups of another version that may go down now. Their
+// nodes hold the new weights by then, so that they are not dark for a load.
 func (p *planner) roll(want Want) {
 	for _, g := range p.sortedGroups(want.Deployment) {
 		current := g.nodes[0].Assignment
 		outdated := current.Version != want.Version || !slices.Equal(current.Adapters, want.Adapters)
 		isKept := slices.Contains(p.plan.Kept, g.id)
-		if !outdated || !isKept || !slices.Contains(want.MayRoll, g.id) {
+		if !outdated || !isKept {
+			continue
+		}
+		if !g.holds(want.Version) {
+			p.outdated = append(p.outdated, outdatedGroup{group: g, version: want.Version})
+			continue
+		}
+		if !slices.Contains(want.MayRoll, g.id) {
 			continue
 		}
 		for _, n := range g.nodes {
@@ -319,24 +357,18 @@
 	return false
 }
 
-// preempt takes whole replicas of lower priority until missing nodes are
-// found, or none at all when there are not enough.
+// preempt takes whole replicas that are not wanted, or of lower priority, until
+// missing nodes are found, or none at all when there are not enough.
 func (p *planner) preempt(want Want, missing int) []*Node {
 	var found []*Node
 	var victims []*group
-	for _, other := range slices.Backward(p.wants) {
-		if other.Priority >= want.Priority {
+	for _, g := range p.victims(want) {
+		if len(found) >= missing {
 			break
 		}
-		for _, g := range slices.Backward(p.sortedGroups(other.Deployment)) {
-			if len(found) >= missing || !slices.Contains(p.plan.Kept, g.id) {
-				continue
-			}
-			usable := p.usableOf(g, want)
-			if len(usable) > 0 {
-				victims = append(victims, g)
-				found = append(found, usable...)
-			}
+		if usable := p.usableOf(g, want); len(usable) > 0 {
+			victims = append(victims, g)
+			found = append(found, usable...)
 		}
 	}
 	if len(found) < missing {
@@ -348,6 +380,24 @@
 	return found[:missing]
 }
 
+// victims returns the kept replicas that give way to the want: first those
+// beyond the wanted number, then those of lower priority, the lowest first.
+func (p *planner) victims(want Want) []*group {
+	var extra, lower []*group
+	for _, other := range slices.Backward(p.wants) {
+		for _, g := range slices.Backward(p.sortedGroups(other.Deployment)) {
+			switch {
+			case !slices.Contains(p.plan.Kept, g.id):
+			case p.extra[g.id]:
+				extra = append(extra, g)
+			case other.Priority < want.Priority:
+				lower = append(lower, g)
+			}
+		}
+	}
+	return append(extra, lower...)
+}
+
 func (p *planner) usableOf(g *group, want Want) []*Node {
 	var usable []*Node
 	for _, n := range g.nodes {
@@ -360,7 +410,9 @@
 
 func (p *planner) giveUp(g *group, to string) {
 	p.plan.Kept = slices.DeleteFunc(p.plan.Kept, func(id string) bool { return id == g.id })
-	p.plan.Dark[g.id] = "its nodes went to " + to + ", which has the higher priority"
+	if !p.extra[g.id] {
+		p.plan.Dark[g.id] = "its nodes went to " + to + ", which has the higher priority"
+	}
 	for _, n := range g.nodes {
 		delete(p.taken, n.ID)
 	}
--- a/replica/order.go
+++ b/replica/order.go
@@ -39,9 +39,33 @@
 			all = append(all, d.prepare(step.Node, step.Assignment, step.Reason))
 		}
 	}
+	all = append(all, d.preloads(plan, all)...)
 	return append(all, d.reaffirmations(all)...)
 }
 
+// preloads returns the orders that let nodes fetch weights beside their work.
+func (d *domain) preloads(plan placement.Plan, sent []outgoing) []outgoing {
+	busy := nodesOf(sent)
+	var all []outgoing
+	for _, p := range plan.Preloads {
+		if !busy[p.Node] {
+			o := d.prepare(p.Node, d.nodes[p.Node].state.Assignment, p.Reason)
+			o.order.Preload = []string{p.Version}
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+// nodesOf returns the nodes that the orders are for.
+func nodesOf(orders []outgoing) map[string]bool {
+	nodes := make(map[string]bool, len(orders))
+	for _, o := range orders {
+		nodes[o.memory.listed.ID] = true
+	}
+	return nodes
+}
+
 // intactByNode returns, for each node of an intact replica that is not run by
 // scripts, the replica.
 func intactByNode(groups []observed) map[string]observed {
@@ -155,10 +179,7 @@
 // assignment of each node that still holds an older one. They disturb nothing
 // and fence off the orders of earlier leaders.
 func (d *domain) reaffirmations(sent []outgoing) []outgoing {
-	busy := make(map[string]bool, len(sent))
-	for _, o := range sent {
-		busy[o.memory.listed.ID] = true
-	}
+	busy := nodesOf(sent)
 	var all []outgoing
 	for id, m := range d.nodes {
 		if busy[id] || m.listed.Kind != platform.KindEngine || m.scripted() || !m.fenced() || !m.answered {
@@ -176,7 +197,10 @@
 func (d *domain) prepare(node string, a platform.Assignment, reason string) outgoing {
 	m := d.nodes[node]
 	t := d.next()
-	m.ordered = t
+	if !m.state.Assignment.Same(a) {
+		// An order that repeats the assignment may arrive late without harm.
+		m.ordered = t
+	}
 	return outgoing{memory: m, order: platform.Order{Token: t, Assignment: a}, reason: reason}
 }
 
--- a/replica/probe.go
+++ b/replica/probe.go
@@ -107,6 +107,7 @@
 			Assignment:   m.state.Assignment,
 			Phase:        m.state.Phase,
 			Cached:       m.state.Cached,
+			Preloading:   m.state.Preloading,
 		})
 	}
 	in.Wants = d.wants(view)
--- a/replica/want.go
+++ b/replica/want.go
@@ -40,6 +40,7 @@
 			Selects:    deployment.SelectsNode,
 			Objective:  placement.Objective{Downtime: spec.Objective.Downtime, Stranded: spec.Objective.Stranded},
 		}
+		want.Fill = spec.Replicas > 0 && want.Objective.Pays(d.acceleratorsOf(want.Size), d.assignedNodes())
 		want.MayRoll = d.mayRoll(deployment.Name(), want)
 		wants = append(wants, want)
 	}
@@ -63,6 +64,29 @@
 	return supplies
 }
 
+// acceleratorsOf returns how many accelerators the given number of the domain's
+// nodes has, by the smallest node.
+func (d *domain) acceleratorsOf(nodes int) int {
+	least := 0
+	for _, m := range d.nodes {
+		if m.listed.Kind == platform.KindEngine && (least == 0 || m.listed.Accelerators < least) {
+			least = m.listed.Accelerators
+		}
+	}
+	return nodes * least
+}
+
+// assignedNodes returns how many nodes of the domain belong to a replica.
+func (d *domain) assignedNodes() int {
+	n := 0
+	for _, m := range d.nodes {
+		if !m.state.Assignment.Empty() {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *domain) ownSupply(deployment config.Deployment, now time.Time) placement.Supply {
 	s := placement.Supply{Domain: d.name}
 	groups := make(map[string]bool)
--- a/standin/node.go
+++ b/standin/node.go
@@ -155,6 +155,7 @@
 	}
 	state := n.state
 	state.Cached = slices.Clone(state.Cached)
+	state.Preloading = slices.Clone(state.Preloading)
 	state.Load = n.reported
 	return state
 }
@@ -173,6 +174,7 @@
 	n.state.Token = order.Token
 	if n.state.Assignment.Same(order.Assignment) {
 		// The same assignment under a higher token disturbs nothing.
+		n.preload(order.Preload)
 		return platform.OrderReply{Accepted: true, State: n.stateLocked()}, nil
 	}
 	if n.cancel != nil {
@@ -181,6 +183,7 @@
 	}
 	n.state.Assignment = order.Assignment
 	n.begin(order.Assignment)
+	n.preload(order.Preload)
 	return platform.OrderReply{Accepted: true, State: n.stateLocked()}, nil
 }
 
@@ -199,6 +202,40 @@
 	}
 }
 
+// preload begins to fetch the versions that the node neither holds nor fetches.
+func (n *Node) preload(versions []string) {
+	for _, v := range versions {
+		if slices.Contains(n.state.Cached, v) || slices.Contains(n.state.Preloading, v) {
+			continue
+		}
+		n.state.Preloading = append(n.state.Preloading, v)
+		life := n.life
+		go func() {
+			if n.opts.Store != nil && n.opts.Store.Load(context.Background(), n.opts.LoadGB) != nil {
+				return
+			}
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if n.life != life || !n.up {
+				return
+			}
+			n.state.Preloading = slices.DeleteFunc(n.state.Preloading, func(p string) bool { return p == v })
+			n.keep(v)
+		}()
+	}
+}
+
+// keep adds a version to those held and drops the oldest ones.
+func (n *Node) keep(version string) {
+	if slices.Contains(n.state.Cached, version) {
+		return
+	}
+	n.state.Cached = append(n.state.Cached, version)
+	if extra := len(n.state.Cached) - cachedVersions; extra > 0 {
+		n.state.Cached = n.state.Cached[extra:]
+	}
+}
+
 // load fetches the weights of a and then marks the node ready, unless another
 // order came meanwhile.
 func (n *Node) load(ctx context.Context, a platform.Assignment) {
@@ -210,10 +247,7 @@
 	if ctx.Err() != nil || !n.up || !n.state.Assignment.Same(a) {
 		return
 	}
-	n.state.Cached = append(n.state.Cached, a.Version)
-	if extra := len(n.state.Cached) - cachedVersions; extra > 0 {
-		n.state.Cached = n.state.Cached[extra:]
-	}
+	n.keep(a.Version)
 	n.state.Phase = platform.PhaseReady
 }
 
