--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,7 @@
 	seed=$${SEED:-$$RANDOM$$RANDOM}; echo "seed $$seed"; \
 	QUARTZSHELF_SOAK=1 go test ./proof ./gateway -timeout 60m -count=1 \
 		-run 'Partial|Key|Configuration|Answers' -rapid.seed=$$seed -rapid.checks=$${CHECKS:-2000}
+
+# measure prints the trials that docs/MEASUREMENTS.md keeps.
+measure:
+	go run ./cmd/quartzshelf-measure
