routing: Count own requests and keep prefixes at two homes

Cause: reports are 0.5 to 1 s old and describe requests that have ended; correcting them by own counts added noise, and the affinity of one home with slack on occupancy overfilled popular homes.

Conclusion: own counts first, reports to break ties.

--- a/routing/picker.go
+++ b/routing/picker.go
@@ -3,10 +3,10 @@
 package routing
 
 import (
-	"cmp"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Candidate is a replica as the router sees it now.
@@ -26,10 +26,13 @@
 const (
 	// defaultSlots stands in for a replica that has not reported its slots.
 	defaultSlots = 8
-	// affinitySlack is by how much more occupied than the least occupied of two
-	// random candidates the replica with the cached prefix may be, in shares of
-	// its slots. See docs/MEASUREMENTS.md for how it was chosen.
-	affinitySlack = 0.5
+	// homes is how many replicas a prefix may be kept at.
+	homes = 2
+	// homeSlack and homeSpare bound how many of this daemon's requests a home may
+	// have: homeSlack times the mean, and homeSpare more. docs/MEASUREMENTS.md
+	// tells how they were chosen.
+	homeSlack = 1.25
+	homeSpare = 0.0
 )
 
 // Occupancy returns the replica's expected load as a share of its slots: the
@@ -53,40 +56,77 @@
 	return hash(account + "\x00" + prompt[:min(len(prompt), prefixBytes)])
 }
 
-// Pick returns the index of the candidate for a request, -1 for none. The
-// replica that the prefix hashes to is the same at every daemon; it is taken
-// unless it is clearly busier than the better of two random candidates, which
-// also keeps daemons with the same stale reports from all choosing alike.
+// Pick returns the index of the candidate for a request, -1 for none.
+//
+// The first of the prefix's homes that is not clearly busier than the mean is
+// taken: homes are the same at every daemon, so prefixes stay cached, and a
+// popular prefix spreads over several homes. Otherwise the request goes to a
+// replica with the fewest of this daemon's own requests. Reports break ties
+// alone: they are older than most requests, and daemons that follow the same
+// stale report all choose alike.
 func Pick(candidates []Candidate, prefix uint64, random *rand.Rand) int {
 	if len(candidates) == 0 {
 		return -1
 	}
-	other := twoChoices(candidates, random)
-	home := homeOf(candidates, prefix)
-	if candidates[home].Occupancy() <= candidates[other].Occupancy()+affinitySlack && candidates[home].Occupancy() < 1 {
-		return home
+	bound := homeSlack*meanOwn(candidates) + homeSpare
+	for _, home := range homesOf(candidates, prefix) {
+		if float64(candidates[home].Own) <= bound {
+			return home
+		}
 	}
-	return other
+	return leastOwn(candidates, random)
+}
+
+func meanOwn(candidates []Candidate) float64 {
+	return float64(Own(candidates)) / float64(len(candidates))
 }
 
-// twoChoices returns the less occupied of two random candidates.
-func twoChoices(candidates []Candidate, random *rand.Rand) int {
-	a, b := random.IntN(len(candidates)), random.IntN(len(candidates))
-	if cmp.Less(candidates[b].Occupancy(), candidates[a].Occupancy()) {
-		return b
+// leastOwn returns, of two random candidates with the fewest own requests, the
+// less occupied one.
+func leastOwn(candidates []Candidate, random *rand.Rand) int {
+	first, second, found := -1, -1, 0
+	for i, c := range candidates {
+		switch {
+		case first < 0 || c.Own < candidates[first].Own:
+			first, second, found = i, i, 1
+		case c.Own == candidates[first].Own:
+			found++
+			// Each of the candidates found is as likely as any other.
+			if random.IntN(found) == 0 {
+				first = i
+			}
+			if random.IntN(found) == 0 {
+				second = i
+			}
+		}
+	}
+	if candidates[second].Occupancy() < candidates[first].Occupancy() {
+		return second
 	}
-	return a
+	return first
 }
 
-// homeOf returns the candidate with the highest rendezvous score for prefix.
-func homeOf(candidates []Candidate, prefix uint64) int {
-	best, bestScore := 0, uint64(0)
+// homesOf returns the candidates with the highest rendezvous scores for the
+// prefix, the highest first.
+func homesOf(candidates []Candidate, prefix uint64) []int {
+	var best [homes]int
+	var scores [homes]uint64
+	n := 0
 	for i, c := range candidates {
-		if s := mix(hash(c.ID) ^ prefix); s >= bestScore {
-			best, bestScore = i, s
+		score := mix(hash(c.ID) ^ prefix)
+		place := n
+		for place > 0 && scores[place-1] < score {
+			place--
 		}
+		if place == homes {
+			continue
+		}
+		n = min(n+1, homes)
+		copy(best[place+1:], best[place:])
+		copy(scores[place+1:], scores[place:])
+		best[place], scores[place] = i, score
 	}
-	return best
+	return best[:n]
 }
 
 // LeastOccupancy returns the lowest occupancy of the candidates, infinity for
@@ -113,6 +153,15 @@
 	return load / slots
 }
 
+// Own returns how many requests this daemon has in flight at the candidates.
+func Own(candidates []Candidate) int {
+	sum := 0
+	for _, c := range candidates {
+		sum += c.Own
+	}
+	return sum
+}
+
 // Slots returns the sum of the candidates' slots.
 func Slots(candidates []Candidate) int {
 	sum := 0
@@ -123,10 +172,7 @@
 }
 
 func hash(text string) uint64 {
-	h := fnv.New64a()
-	// Writes to a hash never fail.
-	_, _ = h.Write([]byte(text))
-	return h.Sum64()
+	return xxhash.Sum64String(text)
 }
 
 // mix spreads the bits of a weak hash (the finalizer of SplitMix64).
--- /dev/null
+++ b/routing/picker_test.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quartzshelf.dev/common/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+func candidates(own ...int) []Candidate {
+	all := make([]Candidate, len(own))
+	for i, n := range own {
+		all[i] = Candidate{ID: fmt.Sprint("replica-", i), Own: n, Slots: 16}
+	}
+	return all
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestPickOfNothing(t *testing.T) {
+	assert.Equal(t, Pick(nil, 1, random()), -1)
+}
+
+// TestSamePrefixGoesHome lets two daemons with nothing in flight choose the
+// same replica for one prefix.
+func TestSamePrefixGoesHome(t *testing.T) {
+	prefix := Prefix("account", "prompt")
+	first := Pick(candidates(0, 0, 0, 0, 0), prefix, random())
+	for seed := range uint64(20) {
+		assert.Equal(t, Pick(candidates(0, 0, 0, 0, 0), prefix, rand.New(rand.NewPCG(seed, 0))), first)
+	}
+}
+
+// TestPickIsBounded draws loads: whatever the prefix, a request never goes to
+// a replica with clearly more of this daemon's requests than the mean.
+func TestPickIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		own := rapid.SliceOfN(rapid.IntRange(0, 40), 1, 60).Draw(rt, "own")
+		all := candidates(own...)
+		i := Pick(all, rapid.Uint64().Draw(rt, "prefix"), random())
+		least := all[0].Own
+		for _, c := range all {
+			least = min(least, c.Own)
+		}
+		if float64(all[i].Own) > homeSlack*meanOwn(all)+homeSpare && all[i].Own > least {
+			rt.Fatalf("picked one with %d, mean %g, least %d", all[i].Own, meanOwn(all), least)
+		}
+	})
+}
+
+// TestRemovedReplicaMovesFewPrefixes takes one of 60 replicas away: only its
+// own prefixes may move.
+func TestRemovedReplicaMovesFewPrefixes(t *testing.T) {
+	all := candidates(make([]int, 60)...)
+	for prefix := range uint64(500) {
+		before := all[homesOf(all, prefix)[0]].ID
+		after := all[1:][homesOf(all[1:], prefix)[0]].ID
+		if before != all[0].ID {
+			assert.Equal(t, after, before)
+		}
+	}
+}
+
+func TestInflightCounts(t *testing.T) {
+	f := NewInflight()
+	report := time.Unix(1, 0)
+	end := f.Start("r", "a")
+	own, at := f.Observe("r", report)
+	assert.DeepEqual(t, []int{own, at}, []int{1, 1})
+	f.Start("r", "b")
+	own, at = f.Observe("r", report)
+	assert.DeepEqual(t, []int{own, at}, []int{2, 1})
+	end()
+	end()
+	own, _ = f.Observe("r", report)
+	assert.Equal(t, own, 1)
+	mine, active := f.Account("a")
+	assert.DeepEqual(t, []int{mine, active, f.Total()}, []int{0, 2, 1})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{4, 60, 400} {
+		b.Run(fmt.Sprint(n, " replicas"), func(b *testing.B) {
+			all, r := candidates(make([]int, n)...), random()
+			for i := range all {
+				all[i].Own = i % 5
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				Pick(all, uint64(i), r)
+			}
+		})
+	}
+}
