admission: Limit own requests in flight, not late reports

Cause: a limit on reported occupancy swings between taking all and nothing, since it hears of its own effect a second late.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -11,18 +11,23 @@
 )
 
 // Thresholds of occupancy. Occupancy one means that every slot is busy; what
-// is above one waits in queues of the engines.
+// is above one waits in queues of the engines. docs/MEASUREMENTS.md tells how
+// they were chosen.
 const (
-	// fairAbove is the occupancy above which accounts are held to a fair share.
-	fairAbove = 0.8
+	// busyAbove is the reported occupancy above which limits apply at all.
+	busyAbove = 0.7
+	// fairAbove is the own occupancy above which accounts are held to a fair share.
+	fairAbove = 0.9
 	// fairSlack is by how much an account may exceed its fair share.
 	fairSlack = 1.25
-	// refuseAbove is the occupancy above which requests of priority zero are refused.
-	refuseAbove = 1.5
+	// refuseAbove is the own occupancy above which requests of priority zero are refused.
+	refuseAbove = 1.0
 	// priorityStep is by how much one step of priority moves that limit.
-	priorityStep = 0.25
+	priorityStep = 0.1
 	// priorityRange bounds the steps that count.
 	priorityRange = 2
+	// floodAbove is the reported occupancy above which nothing is taken.
+	floodAbove = 3.0
 	// retryUnit is the retry time for each full occupancy above the limit.
 	retryUnit = 2 * time.Second
 	minRetry  = time.Second
@@ -31,8 +36,11 @@
 
 // Situation is what the decision about a request depends on.
 type Situation struct {
-	// Occupancy is the mean occupancy of the deployment's replicas.
-	Occupancy float64
+	// Reported is the mean occupancy of the deployment's replicas by their
+	// reports, which are late.
+	Reported float64
+	// InFlight is how many requests to the deployment this daemon has in flight.
+	InFlight int
 	// Slots is the sum of the replicas' slots, Daemons how many daemons share them.
 	Slots   int
 	Daemons int
@@ -56,16 +64,34 @@
 func (r Refusal) RetryAfter() time.Duration { return r.retryAfter }
 
 // Decide returns nil when the request is taken.
+//
+// The limit is on this daemon's own requests in flight, held against its part
+// of the slots: they are known at once, whereas reports are so late that limits
+// on them alone swing between taking everything and nothing. Reports only tell
+// whether the replicas are busy at all, so that a daemon with more callers than
+// the others may use what they leave free.
 func Decide(s Situation) *Refusal {
-	if limit := limitOf(s.Priority); s.Occupancy >= limit {
-		return &Refusal{reason: reason.Overloaded, retryAfter: retryAfter(s.Occupancy - limit)}
+	if s.Reported >= floodAbove {
+		return &Refusal{reason: reason.Overloaded, retryAfter: retryAfter(s.Reported - 1)}
 	}
-	if s.Occupancy >= fairAbove && float64(s.Own) >= fairShare(s) {
-		return &Refusal{reason: reason.FairShare, retryAfter: retryAfter(s.Occupancy - fairAbove)}
+	if s.Reported < busyAbove {
+		return nil
+	}
+	own := ownOccupancy(s)
+	if limit := limitOf(s.Priority); own >= limit {
+		return &Refusal{reason: reason.Overloaded, retryAfter: retryAfter(own - limit)}
+	}
+	if own >= fairAbove && float64(s.Own) >= fairShare(s) {
+		return &Refusal{reason: reason.FairShare, retryAfter: retryAfter(own - fairAbove)}
 	}
 	return nil
 }
 
+// ownOccupancy returns this daemon's requests as a share of its part of the slots.
+func ownOccupancy(s Situation) float64 {
+	return float64(s.InFlight) * float64(max(s.Daemons, 1)) / float64(max(s.Slots, 1))
+}
+
 // limitOf returns the occupancy at which requests of a priority are refused.
 func limitOf(priority int) float64 {
 	steps := max(min(priority, priorityRange), -priorityRange)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -93,12 +93,13 @@
 	}
 	own, active := g.inflight.Account(r.account.Name())
 	refused := admission.Decide(admission.Situation{
-		Occupancy: routing.MeanOccupancy(candidates),
-		Slots:     routing.Slots(candidates),
-		Daemons:   g.opts.Daemons(),
-		Own:       own,
-		Accounts:  active,
-		Priority:  r.priority,
+		Reported: routing.MeanOccupancy(candidates),
+		InFlight: routing.Own(candidates),
+		Slots:    routing.Slots(candidates),
+		Daemons:  g.opts.Daemons(),
+		Own:      own,
+		Accounts: active,
+		Priority: r.priority,
 	})
 	if refused == nil {
 		return nil
