membership: Share the lists made for each version of the table

Cause: every exchange and probe cloned and sorted all members.

Conclusion: entries are replaced instead of changed, so that lists and the hash can be shared until the table's version moves on.

--- a/membership/agent.go
+++ b/membership/agent.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
 
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/rpc"
@@ -304,7 +305,7 @@
 func (a *Agent) answerProbe(request *rpc.ProbeRequest) *rpc.ProbeReply {
 	self := a.table.Self()
 	if request.AccusedIncarnation >= self.Incarnation {
-		accused := self
+		accused := proto.CloneOf(self)
 		accused.State = rpc.MemberState_SUSPECT
 		accused.Incarnation = request.AccusedIncarnation
 		a.table.Merge([]*rpc.Member{accused})
@@ -366,17 +367,17 @@
 	}
 	a.contact(m.PeerAddress, start)
 	if reply.Incarnation > m.Incarnation {
-		m.Incarnation = reply.Incarnation
-		m.State = rpc.MemberState_ALIVE
-		a.table.Merge([]*rpc.Member{m})
+		renewed := proto.CloneOf(m)
+		renewed.Incarnation = reply.Incarnation
+		renewed.State = rpc.MemberState_ALIVE
+		a.table.Merge([]*rpc.Member{renewed})
 	}
 	return nil
 }
 
 // helpers returns members to probe target through.
 func (a *Agent) helpers(target string) []*rpc.Member {
-	alive := a.table.Alive()
-	candidates := slices.DeleteFunc(alive, func(m *rpc.Member) bool {
+	candidates := slices.DeleteFunc(slices.Clone(a.table.Alive()), func(m *rpc.Member) bool {
 		return m.Id == target || m.Id == a.opts.Self.Id || m.State != rpc.MemberState_ALIVE
 	})
 	a.mu.Lock()
--- a/membership/peers.go
+++ b/membership/peers.go
@@ -61,25 +61,40 @@
 
 // exchangePeers returns the members to exchange with in this round.
 func exchangePeers(self *rpc.Member, alive []*rpc.Member, random *rand.Rand) []*rpc.Member {
-	others := slices.DeleteFunc(slices.Clone(alive), func(m *rpc.Member) bool { return m.Id == self.Id })
-	if len(others) < smallFleet {
-		return others
+	if len(alive) <= smallFleet {
+		return slices.DeleteFunc(slices.Clone(alive), func(m *rpc.Member) bool { return m.Id == self.Id })
 	}
-	near := slices.DeleteFunc(slices.Clone(others), func(m *rpc.Member) bool { return m.DataHall != self.DataHall })
 	chosen := make([]*rpc.Member, 0, fanout)
 	for range fanout {
-		from := near
-		if len(near) == 0 || random.Float64() < farShare {
-			from = others
-		}
-		m := from[random.IntN(len(from))]
-		if !slices.Contains(chosen, m) {
+		m := randomPeer(self, alive, random)
+		if m != nil && !slices.Contains(chosen, m) {
 			chosen = append(chosen, m)
 		}
 	}
 	return chosen
 }
 
+// peerTries bounds the search for a random peer.
+const peerTries = 32
+
+// randomPeer returns a random member, mostly of the own data hall; nil when
+// chance brings none.
+func randomPeer(self *rpc.Member, alive []*rpc.Member, random *rand.Rand) *rpc.Member {
+	far := random.Float64() < farShare
+	var fallback *rpc.Member
+	for range peerTries {
+		m := alive[random.IntN(len(alive))]
+		if m.Id == self.Id {
+			continue
+		}
+		if far || m.DataHall == self.DataHall {
+			return m
+		}
+		fallback = m
+	}
+	return fallback
+}
+
 // position returns the place of a member on the ring of hashes.
 func position(id string) uint64 {
 	h := fnv.New64a()
--- a/membership/table.go
+++ b/membership/table.go
@@ -25,7 +25,8 @@
 	spreadFactor = 3
 )
 
-// entry is what the table holds of one member.
+// entry is what the table holds of one member. The member is replaced, never
+// changed, since readers share it.
 type entry struct {
 	member *rpc.Member
 	// condemnAt is when a suspected member is taken for dead.
@@ -43,10 +44,21 @@
 	self    *rpc.Member
 	entries map[string]*entry
 	version uint64
+	// views is what was derived from the entries at the version it names.
+	views views
 	// suspectFor is how long a suspected member may take to refute.
 	suspectFor time.Duration
 }
 
+// views are lists that are made once for each version of the table.
+type views struct {
+	version uint64
+	made    bool
+	members []*rpc.Member
+	alive   []*rpc.Member
+	hash    uint64
+}
+
 // NewTable returns a table that knows self alone.
 func NewTable(self *rpc.Member, suspectFor time.Duration) *Table {
 	t := &Table{
@@ -58,46 +70,76 @@
 	return t
 }
 
-// Self returns the daemon's own entry.
+// Self returns the daemon's own entry, which must not be changed.
 func (t *Table) Self() *rpc.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return proto.CloneOf(t.self)
+	return t.self
 }
 
 // UpdateSelf changes the daemon's own entry and spreads the change.
 func (t *Table) UpdateSelf(change func(*rpc.Member)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := proto.CloneOf(t.self)
-	change(t.self)
-	if proto.Equal(before, t.self) {
+	changed := proto.CloneOf(t.self)
+	change(changed)
+	if proto.Equal(changed, t.self) {
 		return
 	}
-	t.self.Beat++
-	t.touch(t.entries[t.self.Id])
+	changed.Beat++
+	t.setSelf(changed)
+}
+
+// setSelf replaces the daemon's own entry and spreads it.
+func (t *Table) setSelf(m *rpc.Member) {
+	t.self = m
+	e := t.entries[m.Id]
+	e.member = m
+	t.touch(e)
 }
 
 // Members returns all entries but those of forgotten members, sorted by id.
+// The list is shared: it must not be changed.
 func (t *Table) Members() []*rpc.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sorted()
+	return t.view().members
 }
 
-func (t *Table) sorted() []*rpc.Member {
-	all := make([]*rpc.Member, 0, len(t.entries))
+// Alive returns the members that are neither dead nor departed, sorted by id;
+// suspected ones count as alive. The list is shared: it must not be changed.
+func (t *Table) Alive() []*rpc.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view().alive
+}
+
+// view returns the lists of the present version.
+func (t *Table) view() *views {
+	if t.views.made && t.views.version == t.version {
+		return &t.views
+	}
+	v := views{version: t.version, made: true, members: make([]*rpc.Member, 0, len(t.entries))}
 	for _, e := range t.entries {
-		all = append(all, proto.CloneOf(e.member))
+		v.members = append(v.members, e.member)
+		v.hash += entryHash(e.member)
 	}
-	slices.SortFunc(all, func(a, b *rpc.Member) int { return strings.Compare(a.Id, b.Id) })
-	return all
+	slices.SortFunc(v.members, func(a, b *rpc.Member) int { return strings.Compare(a.Id, b.Id) })
+	for _, m := range v.members {
+		if !gone(m.State) {
+			v.alive = append(v.alive, m)
+		}
+	}
+	t.views = v
+	return &t.views
 }
 
-// Alive returns the members that are neither dead nor departed, sorted by id;
-// suspected ones count as alive.
-func (t *Table) Alive() []*rpc.Member {
-	return slices.DeleteFunc(t.Members(), func(m *rpc.Member) bool { return gone(m.State) })
+// entryHash returns a hash of what a merge looks at.
+func entryHash(m *rpc.Member) uint64 {
+	h := fnv.New64a()
+	// Writes to a hash never fail.
+	_, _ = h.Write([]byte(m.Id))
+	return h.Sum64() * (m.Incarnation*8 + m.Beat*64 + uint64(m.State) + 1)
 }
 
 // State returns the state of a member; unknown members count as dead.
@@ -110,7 +152,7 @@
 	return rpc.MemberState_DEAD
 }
 
-// Member returns the entry of a member.
+// Member returns the entry of a member, which must not be changed.
 func (t *Table) Member(id string) (*rpc.Member, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -118,7 +160,7 @@
 	if !ok {
 		return nil, false
 	}
-	return proto.CloneOf(e.member), true
+	return e.member, true
 }
 
 // Version grows with every change of the table.
@@ -132,15 +174,7 @@
 func (t *Table) Hash() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var sum uint64
-	for id, e := range t.entries {
-		h := fnv.New64a()
-		// Writes to a hash never fail.
-		_, _ = h.Write([]byte(id))
-		m := e.member
-		sum += h.Sum64() * (m.Incarnation*8 + m.Beat*64 + uint64(m.State) + 1)
-	}
-	return sum
+	return t.view().hash
 }
 
 // Merge takes the entries that another daemon sent.
@@ -197,8 +231,9 @@
 	if t.self.State == rpc.MemberState_LEFT {
 		return
 	}
-	t.self.Incarnation = m.Incarnation + 1
-	t.touch(t.entries[t.self.Id])
+	renewed := proto.CloneOf(t.self)
+	renewed.Incarnation = m.Incarnation + 1
+	t.setSelf(renewed)
 }
 
 // supersedes reports whether news replaces old.
@@ -224,7 +259,14 @@
 	if !ok || id == t.self.Id || e.member.State >= state {
 		return
 	}
-	e.member.State = state
+	t.setState(e, state)
+}
+
+// setState moves an entry to a later state and spreads the change.
+func (t *Table) setState(e *entry, state rpc.MemberState) {
+	changed := proto.CloneOf(e.member)
+	changed.State = state
+	e.member = changed
 	t.schedule(e, false)
 	t.touch(e)
 }
@@ -242,9 +284,7 @@
 	for id, e := range t.entries {
 		switch {
 		case e.member.State == rpc.MemberState_SUSPECT && !now.Before(e.condemnAt):
-			e.member.State = rpc.MemberState_DEAD
-			t.schedule(e, true)
-			t.touch(e)
+			t.setState(e, rpc.MemberState_DEAD)
 		case gone(e.member.State) && id != t.self.Id && !now.Before(e.forgetAt):
 			delete(t.entries, id)
 			t.version++
@@ -270,7 +310,7 @@
 	news := make([]*rpc.Member, 0, len(fresh))
 	for _, e := range fresh {
 		e.sends--
-		news = append(news, proto.CloneOf(e.member))
+		news = append(news, e.member)
 	}
 	return news
 }
--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,187 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/rpc"
+)
+
+func member(id string, incarnation uint64, state rpc.MemberState) *rpc.Member {
+	return &rpc.Member{Id: id, Incarnation: incarnation, State: state, PeerAddress: id}
+}
+
+func TestMerge(t *testing.T) {
+	alive, suspect, dead := rpc.MemberState_ALIVE, rpc.MemberState_SUSPECT, rpc.MemberState_DEAD
+	cases := map[string]struct {
+		news []*rpc.Member
+		want rpc.MemberState
+	}{
+		"suspicion holds over old life sign":  {[]*rpc.Member{member("b", 1, alive), member("b", 1, suspect), member("b", 1, alive)}, suspect},
+		"refutation with higher incarnation":  {[]*rpc.Member{member("b", 1, suspect), member("b", 2, alive)}, alive},
+		"death holds over the same life":      {[]*rpc.Member{member("b", 1, dead), member("b", 1, alive)}, dead},
+		"a new life after death":              {[]*rpc.Member{member("b", 1, dead), member("b", 2, alive)}, alive},
+		"what an older life says is ignored":  {[]*rpc.Member{member("b", 2, alive), member("b", 1, dead)}, alive},
+		"an entry without a name is ignored":  {[]*rpc.Member{member("", 9, dead), member("b", 1, alive)}, alive},
+		"a departed one does not come back":   {[]*rpc.Member{member("b", 1, rpc.MemberState_LEFT), member("b", 1, suspect)}, rpc.MemberState_LEFT},
+		"a repeated message changes nothing":  {[]*rpc.Member{member("b", 1, suspect), member("b", 2, alive), member("b", 1, suspect)}, alive},
+		"an unknown member counts as dead":    {nil, dead},
+		"an older suspicion is of no account": {[]*rpc.Member{member("b", 5, alive), member("b", 4, suspect)}, alive},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(member("a", 1, alive), time.Second)
+			for _, m := range c.news {
+				table.Merge([]*rpc.Member{m})
+			}
+			assert.Equal(t, table.State("b"), c.want)
+		})
+	}
+}
+
+func TestAccusedRefutes(t *testing.T) {
+	table := NewTable(member("a", 3, rpc.MemberState_ALIVE), time.Second)
+	table.Merge([]*rpc.Member{member("a", 3, rpc.MemberState_SUSPECT)})
+	assert.Equal(t, table.Self().Incarnation, uint64(4))
+	table.Merge([]*rpc.Member{member("a", 3, rpc.MemberState_DEAD)})
+	assert.Equal(t, table.Self().Incarnation, uint64(4))
+}
+
+// local is a fleet of agents in one process that counts the bytes of its calls.
+type local struct {
+	agents map[string]*Agent
+	bytes  int
+	calls  int
+}
+
+// localPeer calls an agent of the same process.
+type localPeer struct {
+	rpc.Peer
+	fleet *local
+	to    string
+}
+
+func (p localPeer) count(messages ...proto.Message) {
+	p.fleet.calls++
+	for _, m := range messages {
+		p.fleet.bytes += proto.Size(m)
+	}
+}
+
+func (p localPeer) Exchange(ctx context.Context, q *rpc.ExchangeRequest) (*rpc.ExchangeReply, error) {
+	reply, err := p.fleet.agents[p.to].Exchange(ctx, q)
+	p.count(q, reply)
+	return reply, err
+}
+
+func (p localPeer) Probe(ctx context.Context, q *rpc.ProbeRequest) (*rpc.ProbeReply, error) {
+	reply, err := p.fleet.agents[p.to].Probe(ctx, q)
+	p.count(q, reply)
+	return reply, err
+}
+
+// noReports has no domain reports.
+type noReports struct{}
+
+func (noReports) Digest() []*rpc.ReportDigest                   { return nil }
+func (noReports) Since([]*rpc.ReportDigest) []*rpc.DomainReport { return nil }
+func (noReports) Merge([]*rpc.DomainReport, time.Time)          {}
+
+// noConfiguration has no configuration.
+type noConfiguration struct{}
+
+func (noConfiguration) Next() int64              { return 0 }
+func (noConfiguration) Encoded() ([]byte, error) { return nil, nil }
+func (noConfiguration) Install([]byte) error     { return nil }
+
+func newLocal(n int) *local {
+	l := &local{agents: make(map[string]*Agent)}
+	var members []*rpc.Member
+	for i := range n {
+		m := member(fmt.Sprintf("entry-%03d", i), 1, rpc.MemberState_ALIVE)
+		m.DataHall = fmt.Sprint("hall-", i%5)
+		members = append(members, m)
+	}
+	for i, m := range members {
+		a := NewAgent(Options{
+			Self: m, Seeds: func() []string { return nil }, Reports: noReports{}, Configuration: noConfiguration{},
+			Dial:   func(address string) rpc.Peer { return localPeer{fleet: l, to: address} },
+			Random: rand.New(rand.NewPCG(uint64(i), 1)),
+		})
+		a.table.Merge(members)
+		for range 200 {
+			a.table.News(n)
+		}
+		l.agents[m.Id] = a
+	}
+	return l
+}
+
+// round lets every agent exchange once, one after the other.
+func (l *local) round(ctx context.Context) {
+	for i := range len(l.agents) {
+		a := l.agents[fmt.Sprintf("entry-%03d", i)]
+		for _, address := range a.roundAddresses() {
+			_ = a.exchange(ctx, address)
+		}
+	}
+}
+
+// spread returns how many rounds a change at one member takes to reach all.
+func (l *local) spread(ctx context.Context) int {
+	source := l.agents["entry-000"]
+	source.table.UpdateSelf(func(m *rpc.Member) { m.Leaving = true })
+	for round := 1; ; round++ {
+		l.round(ctx)
+		heard := 0
+		for _, a := range l.agents {
+			if m, ok := a.table.Member("entry-000"); ok && m.Leaving {
+				heard++
+			}
+		}
+		if heard == len(l.agents) {
+			return round
+		}
+	}
+}
+
+// TestNewsReachesEverybody spreads a change through fleets of growing size.
+func TestNewsReachesEverybody(t *testing.T) {
+	for _, n := range []int{2, 9, 50, 200} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rounds := newLocal(n).spread(t.Context())
+				assert.Assert(t, rounds <= 20, "%d rounds", rounds)
+			})
+		})
+	}
+}
+
+// BenchmarkRound measures one member's part of a round of exchanges in a quiet
+// fleet, and how many rounds a change takes to reach all.
+func BenchmarkRound(b *testing.B) {
+	for _, n := range []int{9, 50, 200, 970} {
+		b.Run(fmt.Sprint(n, " members"), func(b *testing.B) {
+			l := newLocal(n)
+			ctx := context.Background()
+			rounds := l.spread(ctx)
+			l.bytes = 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				l.round(ctx)
+			}
+			perMember := float64(b.N) * float64(n)
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/perMember, "µs/member-round")
+			b.ReportMetric(float64(l.bytes)/perMember, "bytes/member-round")
+			b.ReportMetric(float64(rounds), "rounds-to-all")
+		})
+	}
+}
