gateway: Check tokens with a parser that reuses its memory

Cause: checking and passing on one token took 2.96 us and 10 allocations, as each event was decoded by reflection; at the size to come a daemon passes on 5,300 tokens a second.

Before -> after: 2959 -> 848 ns a token, 10 -> 1 allocations. Time to the first token of a short answer is unchanged within the noise (3.3 and 3.6 times that of a direct connection, 0.24 ms more on this machine).

Conclusion: kept; the property test on answers passes 500 cases.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fastjson"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -327,9 +328,8 @@
 	var text strings.Builder
 	for line := range bytes.SplitSeq(body, []byte("\n")) {
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
-		var e tokenEvent
-		if ok && json.Unmarshal(data, &e) == nil {
-			text.WriteString(e.text())
+		if e, err := parseEvent(&fastjson.Parser{}, data); ok && err == nil {
+			text.WriteString(e.text)
 		}
 	}
 	return text.String(), bytes.HasSuffix(bytes.TrimSpace(body), []byte("[DONE]"))
@@ -396,9 +396,15 @@
 }
 
 func choiceOf(body []byte) string {
-	var e tokenEvent
-	_ = json.Unmarshal(body, &e)
-	return e.text()
+	var answer struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal(body, &answer) != nil || len(answer.Choices) == 0 {
+		return ""
+	}
+	return answer.Choices[0].Text
 }
 
 // TestSecondCallerGetsTheFirstOutcome sends the same key twice, and then with
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,12 +3,13 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/valyala/fastjson"
+
 	"quartzshelf.dev/common/failure"
 )
 
@@ -30,24 +31,23 @@
 
 // tokenEvent is the part of an event of an engine that is checked.
 type tokenEvent struct {
-	ID      string        `json:"id"`
-	Index   int           `json:"token_index"`
-	Choices []tokenChoice `json:"choices"`
-}
-
-type tokenChoice struct {
-	Text  string `json:"text"`
-	Delta struct {
-		Content string `json:"content"`
-	} `json:"delta"`
+	id    string
+	index int
+	text  string
 }
 
-// text returns the token.
-func (e tokenEvent) text() string {
-	if len(e.Choices) == 0 {
-		return ""
+// parseEvent reads an event. What it returns does not outlive the parser's next
+// use, but for the text.
+func parseEvent(p *fastjson.Parser, data []byte) (tokenEvent, error) {
+	v, err := p.ParseBytes(data)
+	if err != nil || !v.Exists("token_index") {
+		return tokenEvent{}, errEvent
 	}
-	return e.Choices[0].Text + e.Choices[0].Delta.Content
+	text := v.GetStringBytes("choices", "0", "text")
+	if text == nil {
+		text = v.GetStringBytes("choices", "0", "delta", "content")
+	}
+	return tokenEvent{id: string(v.GetStringBytes("id")), index: v.GetInt("token_index"), text: string(text)}, nil
 }
 
 // stream reads the events of one attempt and checks that they are of this
@@ -55,6 +55,7 @@
 type stream struct {
 	attempt *attempt
 	reader  *bufio.Reader
+	parser  fastjson.Parser
 	id      string
 	// next is the index of the token that must come next.
 	next  int
@@ -88,21 +89,21 @@
 		if bytes.Equal(data, doneMark) {
 			return nil, "", nil
 		}
-		var e tokenEvent
-		if err := json.Unmarshal(data, &e); err != nil {
-			return nil, "", failure.At(failure.Remote, "read event", s.attempt.target.address, errEvent)
+		e, err := parseEvent(&s.parser, data)
+		if err != nil {
+			return nil, "", failure.At(failure.Remote, "read event", s.attempt.target.address, err)
 		}
-		if e.ID != s.id {
+		if e.id != s.id {
 			return nil, "", failure.At(failure.Remote, "check event", s.attempt.target.address, errMismatch)
 		}
-		if e.Index < s.next {
+		if e.index < s.next {
 			continue
 		}
-		if e.Index > s.next {
+		if e.index > s.next {
 			return nil, "", failure.At(failure.Remote, "check event", s.attempt.target.address, errGap)
 		}
 		s.next++
-		return data, e.text(), nil
+		return data, e.text, nil
 	}
 }
 
