replica: Give domains back to the daemon best placed for them

Cause: after a kill and a restart one of three daemons owned all three domains, as the dashboard showed, and kept them; callers were sent to a daemon that had not read its configuration (95 answers 'starting' in a run of scripts/faults). An owner now hands over once another daemon has been better placed for 30 s, and daemons say in membership whether they take requests.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -252,11 +252,11 @@
 	})
 }
 
-// entries lists the addresses of the daemons that stay.
+// entries lists the addresses of the daemons that take requests and stay.
 func (d *Daemon) entries() []gateway.Entry {
 	all := []gateway.Entry{}
 	for _, m := range d.stayingMembers() {
-		if m.State == rpc.MemberState_ALIVE {
+		if m.State == rpc.MemberState_ALIVE && m.Ready {
 			all = append(all, gateway.Entry{Address: m.EntryAddress, DataHall: m.DataHall})
 		}
 	}
@@ -285,6 +285,7 @@
 	d.duties.Go(func() { d.limiter.Run(ctx) })
 	d.duties.Go(func() { d.accounts.run(ctx) })
 	d.duties.Go(func() { d.announce(ctx) })
+	d.duties.Go(func() { d.readiness.run(ctx) })
 	d.duties.Go(func() { d.serve("peers", func() error { return d.peerHTTP.Serve(d.listeners.peers) }) })
 	d.duties.Go(func() { d.serve("operators", func() error { return d.operators.app.Listener(d.listeners.operators) }) })
 	d.duties.Go(func() { d.serve("callers", func() error { return d.gateway.Serve(d.listeners.callers) }) })
--- a/daemon/readiness.go
+++ b/daemon/readiness.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/gateway"
+	"quartzshelf.dev/rpc"
 )
 
 const (
@@ -17,6 +19,8 @@
 	headWindow = 10 * time.Second
 	// seedWindow is how long a starting daemon waits for an answer of its seeds.
 	seedWindow = 3 * time.Second
+	// readyEvery is how often the daemon looks whether it takes requests.
+	readyEvery = 200 * time.Millisecond
 )
 
 // readiness decides whether this daemon takes requests.
@@ -66,6 +70,21 @@
 	r.stopping = true
 }
 
+// run tells the other daemons whether this one takes requests, so that they do
+// not name it to callers while it does not.
+func (r *readiness) run(ctx context.Context) {
+	ticker := time.NewTicker(readyEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		ready := r.gate() == nil
+		r.d.agent.Table().UpdateSelf(func(m *rpc.Member) { m.Ready = ready })
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // gate returns nil while requests are taken.
 func (r *readiness) gate() *gateway.Closed {
 	now := time.Now()
--- a/proof/scenario_test.go
+++ b/proof/scenario_test.go
@@ -214,3 +214,26 @@
 		assert.Equal(t, serving(router, "chat"), 1)
 	})
 }
+
+// TestDomainsReturnToTheirDaemon kills the owner and starts it again: once it
+// has stayed for a while it gets the domain back, and the replica serves on.
+func TestDomainsReturnToTheirDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opts := oneDomain(3, 6)
+		f := newFleet(opts)
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		f.basics(t, 1)
+		time.Sleep(50 * time.Second)
+		own, router := owner(t, f, "fabric-1")
+		own.kill()
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, router.grants.Grant("fabric-1").Owner() != own.id)
+		own.start(opts)
+		for range 800 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, serving(router, "chat"), 1)
+		}
+		assert.Equal(t, router.grants.Grant("fabric-1").Owner(), own.id)
+	})
+}
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -35,6 +35,9 @@
 	// renewals is how often a permit is renewed while it lasts.
 	renewals     = 6
 	proposeEvery = 2 * time.Second
+	// rebalanceAfter is how long another daemon must be better placed to own a
+	// domain before it gets it.
+	rebalanceAfter = 30 * time.Second
 	// proposeTimeout bounds the append of a grant.
 	proposeTimeout = 3 * time.Second
 	// loadLag is how old a load report may be.
--- a/replica/domain.go
+++ b/replica/domain.go
@@ -46,6 +46,9 @@
 	quietUntil  time.Time
 	quietEpoch  uint64
 	proposeNext time.Time
+	// rebalanceAt is when a better placed daemon may get the domain; zero while
+	// there is none.
+	rebalanceAt time.Time
 }
 
 // nodeMemory is what a leader remembers about a node between probes.
@@ -82,7 +85,10 @@
 	grant := d.c.opts.Ownership.Grant(d.name)
 	action := d.decide(grant)
 	if action.Proposes() {
-		d.propose(ctx, grant)
+		d.propose(ctx, grant, d.selfFirst(d.bestHolders()))
+	}
+	if action == ownership.Lead {
+		d.rebalance(ctx, grant)
 	}
 	if !action.Leads() {
 		d.stepDown()
@@ -176,17 +182,40 @@
 }
 
 // propose appends a new grant in the background, now and then at the most.
-func (d *domain) propose(ctx context.Context, grant ownership.Grant) {
+func (d *domain) propose(ctx context.Context, grant ownership.Grant, holders []string) {
 	now := time.Now()
-	if now.Before(d.proposeNext) {
+	if now.Before(d.proposeNext) || len(holders) == 0 {
 		return
 	}
 	d.proposeNext = now.Add(proposeEvery)
-	holders := ownership.Holders(d.name, d.c.opts.Members.Candidates(d.dataHall))
-	record := ownership.Record{Domain: d.name, Replaces: grant.Epoch(), Holders: d.selfFirst(holders)}
+	record := ownership.Record{Domain: d.name, Replaces: grant.Epoch(), Holders: holders}
 	d.c.background.Go(func() { d.c.appendGrant(ctx, record) })
 }
 
+// bestHolders returns the holders that a new grant should name.
+func (d *domain) bestHolders() []string {
+	return ownership.Holders(d.name, d.c.opts.Members.Candidates(d.dataHall))
+}
+
+// rebalance hands the domain to the daemon that is best placed for it once
+// that has been the same one for a while. Without it, the survivors of
+// failures would own ever more domains.
+func (d *domain) rebalance(ctx context.Context, grant ownership.Grant) {
+	best := d.bestHolders()
+	if len(best) == 0 || best[0] == d.c.opts.Self {
+		d.rebalanceAt = time.Time{}
+		return
+	}
+	now := time.Now()
+	if d.rebalanceAt.IsZero() {
+		d.rebalanceAt = now.Add(rebalanceAfter)
+	}
+	if now.After(d.rebalanceAt) {
+		d.rebalanceAt = time.Time{}
+		d.propose(ctx, grant, best)
+	}
+}
+
 // selfFirst puts this daemon first unless it is leaving: it knows the domain.
 func (d *domain) selfFirst(holders []string) []string {
 	self := d.c.opts.Self
