replica: Let a leader that cannot see yield

Cause: the soak found that a router might use a replica whose node had been leaving for 49 s. A leader that was cut off from the nodes kept its domain for as long as that lasted, and when it reached them again it reported from a node list older than the leave.

--- a/daemon/accounting.go
+++ b/daemon/accounting.go
@@ -32,6 +32,8 @@
 	d.meter.Gauge("requests_in_flight", func() float64 { return float64(d.gateway.Inflight().Total()) })
 	d.meter.Gauge("members_alive", func() float64 { return float64(len(d.agent.Table().Alive())) })
 	d.meter.Gauge("configuration_next", func() float64 { return float64(d.followers[streamConfiguration].Fold().Next()) })
+	d.meter.Gauge("peer_bytes_received", func() float64 { return float64(d.dialer.traffic.received.Load()) })
+	d.meter.Gauge("peer_bytes_sent", func() float64 { return float64(d.dialer.traffic.sent.Load()) })
 	d.meter.Gauge("keys_kept", func() float64 { return float64(d.intents.Len()) })
 	return a
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -286,7 +286,9 @@
 	d.duties.Go(func() { d.accounts.run(ctx) })
 	d.duties.Go(func() { d.announce(ctx) })
 	d.duties.Go(func() { d.readiness.run(ctx) })
-	d.duties.Go(func() { d.serve("peers", func() error { return d.peerHTTP.Serve(d.listeners.peers) }) })
+	d.duties.Go(func() {
+		d.serve("peers", func() error { return d.peerHTTP.Serve(countedListener{d.listeners.peers, d.dialer.traffic}) })
+	})
 	d.duties.Go(func() { d.serve("operators", func() error { return d.operators.app.Listener(d.listeners.operators) }) })
 	d.duties.Go(func() { d.serve("callers", func() error { return d.gateway.Serve(d.listeners.callers) }) })
 }
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -61,7 +61,8 @@
 
 // dialer keeps one client for each peer address.
 type dialer struct {
-	http *http.Client
+	http    *http.Client
+	traffic *traffic
 
 	mu      sync.Mutex
 	clients map[string]rpc.Peer
@@ -70,15 +71,22 @@
 const (
 	// peerTimeout bounds a call between daemons whose context sets no deadline.
 	peerTimeout = 5 * time.Second
-	peerIdle    = 4
+	peerIdle    = 2
+	// peerIdleTime is how long an idle connection is kept: in a large fleet the
+	// same two daemons seldom meet again soon.
+	peerIdleTime = 5 * time.Second
 )
 
 func newDialer() *dialer {
+	t := &traffic{}
 	return &dialer{
 		http: &http.Client{
-			Timeout:   peerTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: peerIdle, IdleConnTimeout: time.Minute},
+			Timeout: peerTimeout,
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: peerIdle, IdleConnTimeout: peerIdleTime, DialContext: t.dial,
+			},
 		},
+		traffic: t,
 		clients: make(map[string]rpc.Peer),
 	}
 }
--- a/membership/agent.go
+++ b/membership/agent.go
@@ -19,8 +19,8 @@
 const (
 	// exchangeEvery is the time between exchanges in a fleet of up to
 	// smallFleet members; larger ones exchange largeFactor times less often.
-	exchangeEvery   = 250 * time.Millisecond
-	largeFactor     = 4
+	exchangeEvery   = 500 * time.Millisecond
+	largeFactor     = 2
 	exchangeTimeout = 800 * time.Millisecond
 	probeEvery      = time.Second
 	probeTimeout    = 400 * time.Millisecond
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -45,6 +45,9 @@
 	// ActiveRank is the highest rank known to have been used in the grant's
 	// epoch, -1 for none.
 	ActiveRank int
+	// Overdue tells that whoever used the active rank has not reported for too
+	// long though it may be alive: it cannot look after the domain.
+	Overdue bool
 	// Gone reports whether a daemon is dead or has departed.
 	Gone func(id string) bool
 	// Leaving reports whether a daemon has begun a planned stop.
@@ -81,6 +84,9 @@
 func leaderPosition(s Situation) int {
 	n := len(s.Grant.holders)
 	start := max(s.ActiveRank, 0) % n
+	if s.Overdue {
+		start++
+	}
 	for i := range n {
 		position := (start + i) % n
 		if !s.Gone(s.Grant.holders[position]) {
--- a/proof/scenario_test.go
+++ b/proof/scenario_test.go
@@ -237,3 +237,27 @@
 		assert.Equal(t, router.grants.Grant("fabric-1").Owner(), own.id)
 	})
 }
+
+// TestLeaderWithoutNodesYields cuts the owner off from all nodes, though not
+// from the other daemons: another one must look after the domain.
+func TestLeaderWithoutNodesYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(oneDomain(3, 6))
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		f.basics(t, 1)
+		time.Sleep(10 * time.Second)
+		own, router := owner(t, f, "fabric-1")
+		f.net.setCut(own.id, placeNodes, true)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, serving(router, "chat"), 1)
+		n, _ := f.cluster.Node("fabric-1-n01")
+		n.SetLeaving(true)
+		w := watch(f)
+		time.Sleep(10 * time.Second)
+		f.net.heal()
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, w.stop(), "")
+		assert.Equal(t, serving(own, "chat"), 1)
+	})
+}
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -18,9 +18,21 @@
 
 // Timing of a controller.
 const (
-	tickEvery    = 500 * time.Millisecond
-	listEvery    = 2 * time.Second
-	listTimeout  = time.Second
+	tickEvery   = 500 * time.Millisecond
+	listEvery   = 2 * time.Second
+	listTimeout = time.Second
+	// listFresh is how old the node list may be for a daemon to begin to lead:
+	// from an older one it would not know which nodes are leaving.
+	listFresh = 6 * time.Second
+	// yieldAfter is how long a leader may fail to reach most nodes before it lets
+	// another daemon lead, and yieldFor for how long it then does not.
+	yieldAfter = 5 * time.Second
+	yieldFor   = 20 * time.Second
+	// regainLimit bounds the wait for the node list after nodes are reached again.
+	regainLimit = 10 * time.Second
+	// listOutage is how long a domain must have been without a current report
+	// before a daemon leads it by an older list: then nobody has a newer one.
+	listOutage   = 4 * time.Second
 	probeTimeout = 400 * time.Millisecond
 	orderTimeout = 2 * time.Second
 	// probeFresh is how old the probe may be on which an order rests.
@@ -98,7 +110,9 @@
 
 	mu     sync.Mutex
 	listed map[string][]platform.ListedNode
-	plans  map[string]placement.Plan
+	// listedAt is when the newest successful read of the node list began.
+	listedAt time.Time
+	plans    map[string]placement.Plan
 }
 
 // NewController returns a controller; Run makes it work.
@@ -156,6 +170,7 @@
 func (c *Controller) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	start := time.Now()
 	nodes, err := c.opts.List.Nodes(ctx)
 	if err != nil {
 		c.opts.Logger.Debug("node list not read", "error", err)
@@ -173,7 +188,14 @@
 			byDomain[domain] = nil
 		}
 	}
-	c.listed = byDomain
+	c.listed, c.listedAt = byDomain, start
+}
+
+// listReadAt returns when the newest successful read of the node list began.
+func (c *Controller) listReadAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listedAt
 }
 
 // tickDomains ticks every domain, each in its own goroutine so that a slow one
--- a/replica/domain.go
+++ b/replica/domain.go
@@ -24,6 +24,14 @@
 
 	// leading tells that this daemon acted as leader at the last tick.
 	leading bool
+	// cutOffAt is when a probe last reached less than half of the nodes, and
+	// cutOffSince since when without a better one; zero while it does.
+	cutOffAt    time.Time
+	cutOffSince time.Time
+	// yieldUntil is until when another daemon should look after the domain.
+	yieldUntil time.Time
+	// beganAt is when it began to lead.
+	beganAt time.Time
 	// token is the highest one used by this daemon for the domain.
 	token token.Token
 	// seen is the highest token seen on nodes.
@@ -62,6 +70,9 @@
 	lostAt time.Time
 	// ordered is the token of the last order sent to the node.
 	ordered token.Token
+	// toldLeaving tells that the leader before reported the node as leaving. It
+	// counts until this daemon has read the node list itself.
+	toldLeaving bool
 }
 
 // drain is the state of a replica that is emptied before its nodes move.
@@ -83,7 +94,7 @@
 func (d *domain) tick(ctx context.Context, listed []platform.ListedNode) {
 	d.remember(listed)
 	grant := d.c.opts.Ownership.Grant(d.name)
-	action := d.decide(grant)
+	action := d.mayBegin(d.decide(grant))
 	if action.Proposes() {
 		d.propose(ctx, grant, d.selfFirst(d.bestHolders()))
 	}
@@ -101,6 +112,9 @@
 		d.stepDown()
 		return
 	}
+	if d.yields(time.Now()) {
+		return
+	}
 	view := d.c.opts.Config()
 	d.relabel(view)
 	if before.Epoch != d.token.Epoch || before.Rank != d.token.Rank {
@@ -114,6 +128,33 @@
 	d.round(ctx, view, start)
 }
 
+// yields reports whether this leader should say nothing now. One that has not
+// reached most nodes for a while lets another daemon try. One that reaches them
+// again first reads the node list, which may have changed meanwhile.
+func (d *domain) yields(now time.Time) bool {
+	if !d.cutOffSince.IsZero() && now.After(d.cutOffSince.Add(yieldAfter)) {
+		d.c.opts.Logger.Warn("cannot reach most nodes; another daemon should lead", "domain", d.name)
+		d.yieldUntil = now.Add(yieldFor)
+		d.cutOffSince = time.Time{}
+		d.stepDown()
+		return true
+	}
+	regained := d.cutOffSince.IsZero() && !d.cutOffAt.IsZero()
+	return regained && d.c.listReadAt().Before(d.cutOffAt) && now.Before(d.cutOffAt.Add(regainLimit))
+}
+
+// noteReach notes how many of the nodes the last probe did not reach.
+func (d *domain) noteReach(silent, nodes int, now time.Time) {
+	if nodes == 0 || 2*silent <= nodes {
+		d.cutOffSince = time.Time{}
+		return
+	}
+	d.cutOffAt = now
+	if d.cutOffSince.IsZero() {
+		d.cutOffSince = now
+	}
+}
+
 // round plans by what the probe that began at start found, publishes, and
 // gives orders.
 func (d *domain) round(ctx context.Context, view *config.View, start time.Time) {
@@ -152,7 +193,9 @@
 		m.listed = l
 	}
 	now := time.Now()
+	readSince := d.c.listReadAt().After(d.beganAt)
 	for id, m := range d.nodes {
+		m.toldLeaving = m.toldLeaving && !readSince
 		// The list lags: a node that still answers stays, whatever it says.
 		if !present[id] && !m.answered && !m.lostAt.IsZero() && now.After(m.lostAt) {
 			delete(d.nodes, id)
@@ -169,8 +212,10 @@
 	if d.seen.Epoch == grant.Epoch() && grant.Epoch() > 0 {
 		active = max(active, int(d.seen.Rank))
 	}
+	_, deadline, reported := d.c.opts.Catalog.Current(d.name)
 	members := d.c.opts.Members
 	return ownership.Decide(ownership.Situation{
+		Overdue:    reported && active >= 0 && time.Now().After(deadline.Add(listOutage)),
 		Self:       d.c.opts.Self,
 		Domain:     d.name,
 		Grant:      grant,
@@ -181,6 +226,39 @@
 	})
 }
 
+// mayBegin keeps a daemon that cannot read the node list from taking a domain
+// over, unless nobody else has for a while.
+func (d *domain) mayBegin(action ownership.Action) ownership.Action {
+	now := time.Now()
+	if !action.Leads() {
+		return action
+	}
+	if now.Before(d.yieldUntil) {
+		return ownership.Follow
+	}
+	if d.leading || now.Before(d.c.listReadAt().Add(listFresh)) {
+		return action
+	}
+	if _, deadline, ok := d.c.opts.Catalog.Current(d.name); ok && now.Before(deadline.Add(listOutage)) {
+		return ownership.Follow
+	}
+	return action
+}
+
+// inherit takes over which nodes the leader before reported as leaving.
+func (d *domain) inherit() {
+	for _, report := range d.c.opts.Catalog.Reports() {
+		if report.Domain != d.name {
+			continue
+		}
+		for _, n := range report.Nodes {
+			if m, ok := d.nodes[n.Id]; ok && n.State == rpc.NodeState_LEAVING {
+				m.toldLeaving = true
+			}
+		}
+	}
+}
+
 // propose appends a new grant in the background, now and then at the most.
 func (d *domain) propose(ctx context.Context, grant ownership.Grant, holders []string) {
 	now := time.Now()
@@ -255,6 +333,10 @@
 	rank := ownership.NextRank(used, grant.Position(d.c.opts.Self), len(grant.Holders()))
 	d.token = token.Token{Epoch: grant.Epoch(), Rank: rank}
 	d.version, d.beat, d.content = 0, 0, nil
+	if !d.leading {
+		d.inherit()
+		d.beganAt = time.Now()
+	}
 	d.leading = true
 	if d.quietEpoch != grant.Epoch() {
 		d.quietEpoch = grant.Epoch()
--- a/replica/probe.go
+++ b/replica/probe.go
@@ -38,6 +38,7 @@
 			silent++
 		}
 	}
+	d.noteReach(silent, len(results), time.Now())
 	loseAt := time.Now().Add(loseAfter)
 	if 2*silent > len(results) {
 		loseAt = time.Now().Add(loseManyAfter)
@@ -90,7 +91,7 @@
 }
 
 func (m *nodeMemory) leaving() bool {
-	return m.listed.Leaving || m.labels[config.LabelDrain] == config.LabelTrue
+	return m.listed.Leaving || m.toldLeaving || m.labels[config.LabelDrain] == config.LabelTrue
 }
 
 func (m *nodeMemory) lost(now time.Time) bool {
