--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -239,6 +239,16 @@
 	return h.token, h.deadline, true
 }
 
+// Version returns the version of a domain's newest report, zero for none.
+func (c *Catalog) Version(domain string) uint64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if h, ok := c.domains[domain]; ok {
+		return h.report.Version
+	}
+	return 0
+}
+
 // Publish takes a report of this daemon's own, whose replicas may serve until
 // deadline.
 func (c *Catalog) Publish(report *rpc.DomainReport, deadline time.Time) {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -14,6 +14,8 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"quartzshelf.dev/common/reason"
 )
 
 const goodSettings = `
@@ -137,3 +139,12 @@
 	assert.ErrorContains(t, err, "listen for callers")
 	assert.ErrorContains(t, err, taken)
 }
+
+// TestOperatorsPageNamesEveryReason keeps the page and the counters in step.
+func TestOperatorsPageNamesEveryReason(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATORS.md")
+	assert.NilError(t, err)
+	for _, r := range append(reason.Refusals(), reason.Retries()...) {
+		assert.Assert(t, bytes.Contains(page, []byte("`"+string(r)+"`")), "%s is not on the page", r)
+	}
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -13,6 +13,7 @@
 	"k8s.io/apimachinery/pkg/labels"
 
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
 )
 
@@ -134,6 +135,9 @@
 	if err != nil {
 		return err
 	}
+	if !verdict.Accepted {
+		o.d.meter.Refuse(reason.ConfigurationClash)
+	}
 	return c.JSON(ChangeReply{Verdict: verdict, Warnings: o.d.state.View().Warnings()})
 }
 
--- a/proof/network_test.go
+++ b/proof/network_test.go
@@ -73,20 +73,24 @@
 // spring springs the trap of a daemon, if one is armed.
 func (n *network) spring(id, place string) {
 	n.mu.Lock()
-	// A daemon that was killed meanwhile must be able to end.
-	armed := n.traps[[2]string{id, place}] && n.peers[id] != nil
+	armed := n.traps[[2]string{id, place}]
 	delete(n.traps, [2]string{id, place})
-	n.mu.Unlock()
 	if armed {
-		n.freeze(id)
-		n.gate(id)
+		n.freezeLocked(id)
 	}
+	n.mu.Unlock()
+	n.gate(id)
 }
 
 func (n *network) freeze(id string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.frozen[id] == nil {
+	n.freezeLocked(id)
+}
+
+// freezeLocked freezes a daemon; one that is dead must be able to end.
+func (n *network) freezeLocked(id string) {
+	if n.frozen[id] == nil && n.peers[id] != nil {
 		n.frozen[id] = make(chan struct{})
 	}
 }
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -23,7 +23,7 @@
 	listTimeout = time.Second
 	// listFresh is how old the node list may be for a daemon to begin to lead:
 	// from an older one it would not know which nodes are leaving.
-	listFresh = 6 * time.Second
+	listFresh = 3500 * time.Millisecond
 	// yieldAfter is how long a leader may fail to reach most nodes before it lets
 	// another daemon lead, and yieldFor for how long it then does not.
 	yieldAfter = 5 * time.Second
--- a/replica/domain.go
+++ b/replica/domain.go
@@ -316,8 +316,7 @@
 		return false
 	}
 	mine := d.leading && d.token.Epoch == grant.Epoch()
-	outdone := d.seen.Higher(d.token)
-	if mine && !outdone {
+	if mine && !d.seen.Higher(d.token) && !d.outdoneByReport() {
 		return true
 	}
 	used := -1
@@ -346,6 +345,20 @@
 	return true
 }
 
+// outdoneByReport reports whether the catalog holds a report that this leader's
+// would not replace: one of another leader with a higher rank, or one that an
+// earlier life of this daemon published under the same rank.
+func (d *domain) outdoneByReport() bool {
+	current, _, ok := d.c.opts.Catalog.Current(d.name)
+	if !ok || current.Epoch != d.token.Epoch {
+		return false
+	}
+	if current.Rank != d.token.Rank {
+		return current.Rank > d.token.Rank
+	}
+	return d.c.opts.Catalog.Version(d.name) > d.version
+}
+
 // next returns a token for one more order.
 func (d *domain) next() token.Token {
 	d.token.Sequence++
