replica: Read the node list before reporting after a pause

Cause: a leader that was frozen for 14 s and woke renewed permits by the node list that it had read before; a node had begun to leave meanwhile.

A list that is old because reads of it fail still serves: then nobody has a newer one.

--- a/replica/controller.go
+++ b/replica/controller.go
@@ -112,6 +112,8 @@
 	listed map[string][]platform.ListedNode
 	// listedAt is when the newest successful read of the node list began.
 	listedAt time.Time
+	// listFailedAt is when a read of the node list last failed.
+	listFailedAt time.Time
 	plans    map[string]placement.Plan
 }
 
@@ -174,6 +176,9 @@
 	nodes, err := c.opts.List.Nodes(ctx)
 	if err != nil {
 		c.opts.Logger.Debug("node list not read", "error", err)
+		c.mu.Lock()
+		c.listFailedAt = time.Now()
+		c.mu.Unlock()
 		return
 	}
 	byDomain := make(map[string][]platform.ListedNode)
@@ -191,6 +196,14 @@
 	c.listed, c.listedAt = byDomain, start
 }
 
+// heldUp reports whether the node list is old though no read of it has failed:
+// then this process was held up, and must read the list before it reports.
+func (c *Controller) heldUp(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.After(c.listedAt.Add(listFresh)) && now.After(c.listFailedAt.Add(listFresh))
+}
+
 // listReadAt returns when the newest successful read of the node list began.
 func (c *Controller) listReadAt() time.Time {
 	c.mu.Lock()
--- a/replica/domain.go
+++ b/replica/domain.go
@@ -139,6 +139,9 @@
 		d.stepDown()
 		return true
 	}
+	if d.c.heldUp(now) {
+		return true
+	}
 	regained := d.cutOffSince.IsZero() && !d.cutOffAt.IsZero()
 	return regained && d.c.listReadAt().Before(d.cutOffAt) && now.Before(d.cutOffAt.Add(regainLimit))
 }
