all: Keep one copy of what stood twice

The membership adapter, the shared form of a fold and the parsing of command lines each stood in two to four places; they now stand in replica, eventlog and cmd/common.

--- a/cmd/daemoncmd/run.go
+++ b/cmd/daemoncmd/run.go
@@ -11,9 +11,9 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"github.com/hashicorp/go-hclog"
 
+	"quartzshelf.dev/cmd/common"
 	"quartzshelf.dev/daemon"
 )
 
@@ -35,15 +35,7 @@
 // Run runs the daemon until it is told to stop, and returns its exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	var line commandLine
-	parser, err := kong.New(&line, kong.Name("quartzshelfd"),
-		kong.Description("Serves models whose replicas span several nodes."),
-		kong.Writers(stdout, stderr), kong.UsageOnError())
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	if _, err := parser.Parse(args); err != nil {
-		fmt.Fprintln(stderr, "quartzshelfd:", err)
+	if !common.Parse("quartzshelfd", "Serves models whose replicas span several nodes.", &line, args, stdout, stderr) {
 		return exitSettings
 	}
 	settings, err := daemon.ReadSettings(line.Settings)
--- a/cmd/loadcmd/run.go
+++ b/cmd/loadcmd/run.go
@@ -15,8 +15,9 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"github.com/sourcegraph/conc"
+
+	"quartzshelf.dev/cmd/common"
 )
 
 // Exit codes of the load tool.
@@ -46,14 +47,7 @@
 // doubled, crossed or cut.
 func Run(args []string, stdout, stderr io.Writer) int {
 	var line commandLine
-	parser, err := kong.New(&line, kong.Name("quartzshelf-load"),
-		kong.Description("Sends requests and checks every answer."), kong.Writers(stdout, stderr))
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	if _, err := parser.Parse(args); err != nil {
-		fmt.Fprintln(stderr, "quartzshelf-load:", err)
+	if !common.Parse("quartzshelf-load", "Sends requests and checks every answer.", &line, args, stdout, stderr) {
 		return exitUsage
 	}
 	if line.Callers < 1 || line.Callers > maxCallers || line.Duration > maxDuration {
--- a/cmd/measurecmd/run.go
+++ b/cmd/measurecmd/run.go
@@ -5,8 +5,7 @@
 	"fmt"
 	"io"
 
-	"github.com/alecthomas/kong"
-
+	"quartzshelf.dev/cmd/common"
 	"quartzshelf.dev/measure"
 )
 
@@ -23,14 +22,7 @@
 // Run prints all trials and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	var line commandLine
-	parser, err := kong.New(&line, kong.Name("quartzshelf-measure"),
-		kong.Description("Tries single decisions against baselines."), kong.Writers(stdout, stderr))
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	if _, err := parser.Parse(args); err != nil {
-		fmt.Fprintln(stderr, "quartzshelf-measure:", err)
+	if !common.Parse("quartzshelf-measure", "Tries single decisions against baselines.", &line, args, stdout, stderr) {
 		return exitUsage
 	}
 	routing(stdout, line.Seed)
--- a/cmd/standincmd/run.go
+++ b/cmd/standincmd/run.go
@@ -9,9 +9,9 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"github.com/goccy/go-yaml"
 
+	"quartzshelf.dev/cmd/common"
 	"quartzshelf.dev/standin"
 	"quartzshelf.dev/standin/server"
 )
@@ -45,15 +45,7 @@
 // Run serves the stand-ins until SIGINT or SIGTERM and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	var line commandLine
-	parser, err := kong.New(&line, kong.Name("quartzshelf-standin"),
-		kong.Description("Stands in for the log service, the node list and the nodes."),
-		kong.Writers(stdout, stderr))
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	if _, err := parser.Parse(args); err != nil {
-		fmt.Fprintln(stderr, "quartzshelf-standin:", err)
+	if !common.Parse("quartzshelf-standin", "Stands in for the log service, the node list and the nodes.", &line, args, stdout, stderr) {
 		return exitSettings
 	}
 	data, err := os.ReadFile(line.Settings)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -205,7 +205,6 @@
 
 func (d *Daemon) newAgent() *membership.Agent {
 	s := d.settings
-	follower := d.followers[streamConfiguration]
 	return membership.NewAgent(membership.Options{
 		Self: &rpc.Member{
 			Id: s.Name, Incarnation: uint64(d.start.UnixMilli()),
@@ -215,7 +214,7 @@
 		},
 		Seeds: func() []string { return append(d.arrived.addresses(), s.Seeds...) },
 		Dial:  d.dialer.dial, Reports: d.catalog,
-		Configuration: configuration{follower: follower, fold: follower.Fold()},
+		Configuration: eventlog.NewShared(d.followers[streamConfiguration]),
 		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 }
@@ -224,7 +223,7 @@
 	grants := d.followers[ownership.Stream]
 	return replica.NewController(replica.Options{
 		Self: d.settings.Name, Config: d.state.View, List: client, Control: client,
-		Catalog: d.catalog, Members: members{table: d.agent.Table()}, Ownership: d.grants,
+		Catalog: d.catalog, Members: replica.NewTableMembers(d.agent.Table()), Ownership: d.grants,
 		AppendGrant: func(ctx context.Context, record json.RawMessage) error {
 			return grants.Append(ctx, newID(), record)
 		},
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -5,6 +5,7 @@
 package proof
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -119,15 +120,9 @@
 		"configuration": h.state, ownership.Stream: h.grants, intent.Stream: h.intents,
 	} {
 		h.followers[stream] = eventlog.NewFollower(eventlog.FollowerOptions{
-			Log: log, Stream: stream, State: state, Retention: max(opts.retention, time.Hour),
+			Log: log, Stream: stream, State: state, Retention: cmp.Or(opts.retention, time.Hour),
 			NewID: h.fleet.newID, CheckpointDelay: func() time.Duration { return time.Second },
 		})
-		if opts.retention != 0 {
-			h.followers[stream] = eventlog.NewFollower(eventlog.FollowerOptions{
-				Log: log, Stream: stream, State: state, Retention: opts.retention,
-				NewID: h.fleet.newID, CheckpointDelay: func() time.Duration { return time.Second },
-			})
-		}
 	}
 	var seeds []string
 	for i := range opts.daemons {
@@ -141,7 +136,7 @@
 		Seeds:         func() []string { return seeds },
 		Dial:          func(address string) rpc.Peer { return remotePeer{net: h.fleet.net, from: h.id, to: address} },
 		Reports:       h.catalog,
-		Configuration: foldedConfiguration{follower: h.followers["configuration"], fold: h.followers["configuration"].Fold()},
+		Configuration: eventlog.NewShared(h.followers["configuration"]),
 		Random:        rand.New(rand.NewPCG(1, uint64(h.life))),
 	})
 	h.ledger = h.newLedger()
@@ -188,7 +183,7 @@
 	if !opts.withoutControllers {
 		controller := replica.NewController(replica.Options{
 			Self: h.id, Config: h.state.View, List: nodes, Control: nodes, Catalog: h.catalog,
-			Members: hostMembers{table: h.agent.Table()}, Ownership: h.grants,
+			Members: replica.NewTableMembers(h.agent.Table()), Ownership: h.grants,
 			AppendGrant: func(ctx context.Context, record json.RawMessage) error {
 				return grants.Append(ctx, h.fleet.newID(), record)
 			},
@@ -237,54 +232,6 @@
 	return &rpc.LeaseShareReply{}, nil
 }
 
-// hostMembers answers the controller's questions.
-type hostMembers struct {
-	table *membership.Table
-}
-
-func (m hostMembers) Gone(id string) bool {
-	state := m.table.State(id)
-	return state == rpc.MemberState_DEAD || state == rpc.MemberState_LEFT
-}
-
-func (m hostMembers) Leaving(id string) bool {
-	member, ok := m.table.Member(id)
-	return ok && member.Leaving
-}
-
-func (m hostMembers) Candidates(dataHall string) []ownership.Candidate {
-	var all []ownership.Candidate
-	for _, member := range m.table.Alive() {
-		if !member.Leaving {
-			all = append(all, ownership.Candidate{ID: member.Id, Local: member.DataHall == dataHall})
-		}
-	}
-	return all
-}
-
-// foldedConfiguration lets the configuration spread with membership.
-type foldedConfiguration struct {
-	follower *eventlog.Follower
-	fold     *eventlog.Fold
-}
-
-func (c foldedConfiguration) Stale() bool { return time.Since(c.follower.Confirmed()) > 4*time.Second }
-
-func (c foldedConfiguration) Next() int64 { return c.fold.Next() }
-
-func (c foldedConfiguration) Encoded() ([]byte, error) {
-	checkpoint, err := c.fold.Checkpoint()
-	return checkpoint.Encode(), err
-}
-
-func (c foldedConfiguration) Install(data []byte) error {
-	checkpoint, err := eventlog.DecodeCheckpoint(data)
-	if err == nil {
-		c.fold.Install(checkpoint)
-	}
-	return err
-}
-
 // publish appends a change set through a daemon and returns the verdict.
 func (h *host) publish(ctx context.Context, id string, set config.ChangeSet) (config.Verdict, error) {
 	data, err := set.Encode()
@@ -302,6 +249,15 @@
 	return config.Verdict{}, errCut
 }
 
+// settle lets the daemons start, publishes the basics with one replica wanted,
+// and waits until it has been formed.
+func (f *fleet) settle(t *testing.T) {
+	t.Helper()
+	time.Sleep(2 * time.Second)
+	f.basics(t, 1)
+	time.Sleep(10 * time.Second)
+}
+
 // document returns a document with a spec.
 func document(kind config.Kind, name string, labels map[string]string, spec any) config.Document {
 	data, err := json.Marshal(spec)
