intent: Let a key be claimed of which only a release was seen

Cause: scripts/faults showed 38 answers key_body_mismatch with ran: no. A claim that was given up while the log was out leaves its release alone on the log; the ledger took the key, which then has no body, for one that was used with another request, and refused it for good. Ruled out: the callers, whose bodies do not change.

Before: TestKeyAfterAbandonedClaim fails (the key is held by nobody).

--- a/intent/ledger.go
+++ b/intent/ledger.go
@@ -97,7 +97,7 @@
 	if time.Since(l.opts.Follower.Confirmed()) > logSilence {
 		return Claim{}, failure.New(failure.Unavailable, "claim key", Stream, "the log has not answered for %v", logSilence)
 	}
-	if e, ok := l.opts.State.Entry(key); ok && (e.attempt != "" || e.body != body) {
+	if e, ok := l.opts.State.Entry(key); ok && !e.openTo(body) {
 		return Claim{key: key, entry: e}, nil
 	}
 	attempt := l.opts.NewID()
--- a/intent/state.go
+++ b/intent/state.go
@@ -86,6 +86,12 @@
 // Body returns the hash of the request's content.
 func (e Entry) Body() string { return e.body }
 
+// openTo reports whether a request with the given body hash may claim the key.
+// A key of which only a release was seen has no body yet.
+func (e Entry) openTo(body string) bool {
+	return e.attempt == "" && (e.body == "" || e.body == body)
+}
+
 // Done reports whether the request is known to have run, with its status.
 func (e Entry) Done() (status int, done bool) { return e.status, e.done }
 
@@ -146,10 +152,7 @@
 // of one attempt changes nothing.
 func (s *State) claim(r Record, at time.Time) {
 	e, known := s.entries[r.Key]
-	if known && (e.attempt != "" || slices.Contains(e.released, r.Attempt)) {
-		return
-	}
-	if e.body != "" && e.body != r.Body {
+	if !e.openTo(r.Body) || slices.Contains(e.released, r.Attempt) {
 		return
 	}
 	if !known {
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"quartzshelf.dev/intent"
@@ -178,3 +179,23 @@
 		}
 	})
 }
+
+// TestKeyAfterAbandonedClaim lets a claim be given up while the log is out. Its
+// release may be all that the log ever shows of the key; the next caller must
+// be able to claim it.
+func TestKeyAfterAbandonedClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(onceOptions)
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		f.log.SetFaults(standin.LogFaults{Outage: true})
+		_, err := f.hosts[1].ledger.Take(t.Context(), "key", "body")
+		assert.Assert(t, err != nil)
+		time.Sleep(time.Second)
+		f.log.SetFaults(standin.LogFaults{})
+		time.Sleep(5 * time.Second)
+		claim, err := f.hosts[2].ledger.Take(t.Context(), "key", "body")
+		assert.NilError(t, err)
+		assert.Assert(t, claim.Won(), "the key is held: %+v", claim.Entry())
+	})
+}
