replica: Ignore the tokens of nodes that scripts run

Cause: adopting a replica run by scripts had no test. Its nodes hold tokens that the scripts chose; a leader took the highest of them for that of a newer grant and led nothing any more.

What nodes showed is forgotten at each probe, so that a label that comes late helps too.

The daemon also logs when it begins or ends to take requests, and once when the log cannot be reached.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -306,6 +306,7 @@
 		d.logger.Error("arrival not encoded", "error", err)
 		return
 	}
+	warned := false
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, announceTimeout)
 		err := d.followers[streamArrivals].Append(attempt, newID(), record)
@@ -313,6 +314,10 @@
 		if err == nil {
 			return
 		}
+		if !warned && ctx.Err() == nil {
+			d.logger.Warn("the log cannot be reached; trying on", "error", err)
+			warned = true
+		}
 		wait(ctx, announceRetry)
 	}
 }
--- a/daemon/readiness.go
+++ b/daemon/readiness.go
@@ -75,8 +75,18 @@
 func (r *readiness) run(ctx context.Context) {
 	ticker := time.NewTicker(readyEvery)
 	defer ticker.Stop()
+	last := reason.Starting
 	for ctx.Err() == nil {
-		ready := r.gate() == nil
+		now := reason.Reason("")
+		closed := r.gate()
+		if closed != nil {
+			now = closed.Reason
+		}
+		if now != last {
+			r.report(closed)
+			last = now
+		}
+		ready := closed == nil
 		r.d.agent.Table().UpdateSelf(func(m *rpc.Member) { m.Ready = ready })
 		select {
 		case <-ticker.C:
@@ -85,6 +95,15 @@
 	}
 }
 
+// report logs a change of whether requests are taken.
+func (r *readiness) report(closed *gateway.Closed) {
+	if closed == nil {
+		r.d.logger.Info("taking requests")
+		return
+	}
+	r.d.logger.Warn("not taking requests", "reason", closed.Reason, "message", closed.Message)
+}
+
 // gate returns nil while requests are taken.
 func (r *readiness) gate() *gateway.Closed {
 	now := time.Now()
--- a/proof/scenario_test.go
+++ b/proof/scenario_test.go
@@ -8,7 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"quartzshelf.dev/common/token"
 	"quartzshelf.dev/config"
+	"quartzshelf.dev/platform"
 	"quartzshelf.dev/standin"
 )
 
@@ -252,3 +254,44 @@
 		assert.Equal(t, serving(own, "chat"), 1)
 	})
 }
+
+// TestScriptedReplicaIsRoutedToAndLeftAlone runs a replica by scripts beside a
+// managed one: it is usable while all its nodes are ready, its nodes are never
+// given an order, and they are not taken when the managed one needs a node.
+func TestScriptedReplicaIsRoutedToAndLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(oneDomain(2, 8))
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		scripted := []string{"fabric-1-n04", "fabric-1-n05", "fabric-1-n06", "fabric-1-n07"}
+		order := platform.Order{Token: token.Token{Epoch: 1 << 40}, Assignment: platform.Assignment{
+			Replica: "by-script", Generation: 3, Deployment: "chat", Version: "v1", Members: scripted,
+		}}
+		for _, id := range scripted {
+			label(t, f.hosts[0], id, map[string]string{
+				config.LabelManagedBy: config.ManagedByScripts, config.LabelDeployment: "chat", config.LabelReplica: "s1",
+			})
+			_, err := f.cluster.Order(t.Context(), id, order)
+			assert.NilError(t, err)
+		}
+		f.settle(t)
+		router := f.hosts[1]
+		assert.Equal(t, serving(router, "chat"), 2)
+		replica, ok := router.catalog.Replica("chat/s1")
+		assert.Assert(t, ok)
+		assert.Equal(t, replica.AssignedName(), "by-script")
+		lost, _ := f.cluster.Node("fabric-1-n01")
+		lost.Kill()
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, serving(router, "chat"), 1, "the managed replica has no node to take")
+		for _, id := range scripted {
+			n, _ := f.cluster.Node(id)
+			_, held := n.Fence()
+			assert.Equal(t, held, order.Token, id)
+		}
+		member, _ := f.cluster.Node("fabric-1-n06")
+		member.Kill()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, serving(router, "chat"), 0, "a partial scripted replica must not serve")
+	})
+}
--- a/replica/domain.go
+++ b/replica/domain.go
@@ -34,7 +34,7 @@
 	beganAt time.Time
 	// token is the highest one used by this daemon for the domain.
 	token token.Token
-	// seen is the highest token seen on nodes.
+	// seen is the highest token that the last probe and later orders saw on nodes.
 	seen token.Token
 	// version, beat and content describe the last report.
 	version uint64
@@ -105,6 +105,8 @@
 		d.stepDown()
 		return
 	}
+	view := d.c.opts.Config()
+	d.relabel(view)
 	start := time.Now()
 	d.probe(ctx)
 	before := d.token
@@ -115,8 +117,6 @@
 	if d.yields(time.Now()) {
 		return
 	}
-	view := d.c.opts.Config()
-	d.relabel(view)
 	if before.Epoch != d.token.Epoch || before.Rank != d.token.Rank {
 		// Let the nodes confirm this leader before the first report: one that
 		// shows them unconfirmed would darken replicas that serve.
--- a/replica/order.go
+++ b/replica/order.go
@@ -226,8 +226,8 @@
 		})
 	}
 	for _, r := range p.Wait() {
-		if r.err == nil && r.state.Token.Higher(d.seen) {
-			d.seen = r.state.Token
+		if r.err == nil {
+			d.see(d.nodes[r.id], r.state.Token)
 		}
 	}
 }
--- a/replica/probe.go
+++ b/replica/probe.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"quartzshelf.dev/common/token"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/placement"
 	"quartzshelf.dev/platform"
@@ -21,6 +22,8 @@
 // probe asks every node of the domain for its state, side by side.
 func (d *domain) probe(ctx context.Context) {
 	d.probedAt = time.Now()
+	// What nodes showed before may have been of nodes that now count no more.
+	d.seen = token.Token{}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	p := pool.NewWithResults[probeResult]().WithMaxGoroutines(probeParallel)
@@ -61,8 +64,14 @@
 	}
 	m.lostAt = time.Time{}
 	m.state = r.state
-	if r.state.Token.Higher(d.seen) {
-		d.seen = r.state.Token
+	d.see(m, r.state.Token)
+}
+
+// see notes the highest token of the domain. Nodes that scripts run or that do
+// not check tokens say nothing of who leads.
+func (d *domain) see(m *nodeMemory, t token.Token) {
+	if !m.scripted() && m.fenced() && t.Higher(d.seen) {
+		d.seen = t
 	}
 }
 
