all: Name a generation in one place and drop what nothing calls

REPLICA@GENERATION was written in three places (now platform.Assignment.Name); the rank in use was worked out twice (now activeRank); two scenarios repeated the same frame (now loseOwner, with the same assertions); Fold.Changed, Fold.Time, Inflight.Forget and Model.WeightsGB had no caller, and each folded record closed and made a channel for nobody; each request made a random generator of its own.

--- a/config/object.go
+++ b/config/object.go
@@ -19,9 +19,6 @@
 // Version returns the name of the weights.
 func (m Model) Version() string { return m.spec.Version }
 
-// WeightsGB returns the size of the weights in gigabytes.
-func (m Model) WeightsGB() float64 { return m.spec.WeightsGB }
-
 // Adapter is a compiled Adapter document.
 type Adapter struct {
 	name   string
--- a/eventlog/fold.go
+++ b/eventlog/fold.go
@@ -34,7 +34,6 @@
 	// checkpointAt and checkpointTime describe the newest checkpoint seen.
 	checkpointAt   int64
 	checkpointTime time.Time
-	changed        chan struct{}
 	// watched holds the watchers of each record id that somebody waits for.
 	watched map[string]*watch
 }
@@ -47,7 +46,7 @@
 
 // NewFold returns a fold of state that starts at offset zero.
 func NewFold(state State) *Fold {
-	return &Fold{state: state, checkpointAt: -1, changed: make(chan struct{}), watched: make(map[string]*watch)}
+	return &Fold{state: state, checkpointAt: -1, watched: make(map[string]*watch)}
 }
 
 // Next returns one past the highest offset folded.
@@ -57,20 +56,6 @@
 	return f.next
 }
 
-// Time returns the log's time of the last record folded.
-func (f *Fold) Time() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.time
-}
-
-// Changed returns a channel that is closed at the next change of the fold.
-func (f *Fold) Changed() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.changed
-}
-
 // Watch returns a channel that is closed when the record with the given id is
 // folded. Call Unwatch when it is no longer of interest.
 func (f *Fold) Watch(id string) <-chan struct{} {
@@ -117,7 +102,6 @@
 	}
 	if record.Offset == f.next && len(f.pending) == 0 {
 		f.apply(record)
-		f.notify()
 		return
 	}
 	if n := len(f.pending); n > 0 && record.Offset <= f.pending[n-1].Offset {
@@ -185,7 +169,6 @@
 		}
 		f.apply(record)
 	}
-	f.notify()
 	return true
 }
 
@@ -211,11 +194,6 @@
 	}
 }
 
-func (f *Fold) notify() {
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
 func checkpointOf(record platform.Record) (Checkpoint, bool) {
 	var e envelope
 	if json.Unmarshal(record.Data, &e) != nil || e.Kind != kindCheckpoint {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -28,6 +27,15 @@
 	finish func()
 }
 
+// sharedSource draws from the source that all goroutines share.
+type sharedSource struct{}
+
+// Uint64 implements rand.Source.
+func (sharedSource) Uint64() uint64 { return rand.Uint64() }
+
+// random keeps no state of its own, so it is safe for concurrent use.
+var random = rand.New(sharedSource{})
+
 // chooser picks the next target, none of those tried before, or says why there
 // is none.
 type chooser func(tried map[string]bool) (*target, *refusal)
@@ -37,7 +45,7 @@
 	prefix := routing.Prefix(r.account.Name(), prompt)
 	return func(tried map[string]bool) (*target, *refusal) {
 		replicas, candidates := g.candidates(d.Name(), tried)
-		i := routing.Pick(candidates, prefix, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		i := routing.Pick(candidates, prefix, random)
 		if i < 0 {
 			return nil, g.noReplica(d, tried)
 		}
@@ -46,7 +54,7 @@
 		return &target{
 			id:         chosen.ID(),
 			address:    chosen.Address(),
-			assignment: fmt.Sprintf("%s@%d", chosen.AssignedName(), chosen.Generation()),
+			assignment: platform.Assignment{Replica: chosen.AssignedName(), Generation: chosen.Generation()}.Name(),
 			mayServe:   chosen.MayServe,
 			finish:     g.inflight.Start(chosen.ID(), r.account.Name()),
 		}, nil
--- a/proof/scenario_test.go
+++ b/proof/scenario_test.go
@@ -132,34 +132,39 @@
 // TestLateOwnerDoesNoHarm freezes an owner right before an order takes effect,
 // lets a deputy take over and repair, and continues the owner.
 func TestLateOwnerDoesNoHarm(t *testing.T) {
-	for name, logOut := range map[string]bool{"log well": false, "log out": true} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(oneDomain(3, 6))
-				defer f.stop()
-				f.settle(t)
-				own, router := owner(t, f, "fabric-1")
-				w := watch(f)
-				time.Sleep(time.Second)
-				f.log.SetFaults(standin.LogFaults{Outage: logOut})
-				f.net.arm(own.id, placeNodes)
-				n, _ := f.cluster.Node("fabric-1-n01")
-				n.Kill()
-				time.Sleep(25 * time.Second)
-				assert.Assert(t, f.net.isFrozen(own.id), "the owner gave no order")
-				assert.Equal(t, serving(router, "chat"), 1, "a deputy repaired the replica")
-				f.net.resume(own.id)
-				time.Sleep(20 * time.Second)
-				assert.Equal(t, w.stop(), "")
-				assert.Equal(t, serving(router, "chat"), 1)
-			})
-		})
-	}
+	loseOwner(t, func(t *testing.T, f *fleet, own, router *host, setLog func()) {
+		w := watch(f)
+		time.Sleep(time.Second)
+		setLog()
+		f.net.arm(own.id, placeNodes)
+		n, _ := f.cluster.Node("fabric-1-n01")
+		n.Kill()
+		time.Sleep(25 * time.Second)
+		assert.Assert(t, f.net.isFrozen(own.id), "the owner gave no order")
+		assert.Equal(t, serving(router, "chat"), 1, "a deputy repaired the replica")
+		f.net.resume(own.id)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, w.stop(), "")
+		assert.Equal(t, serving(router, "chat"), 1)
+	})
 }
 
 // TestTakeoverKeepsReplicasServing kills the owner of a domain: its replicas
 // must be usable at every moment until a deputy looks after them, and after.
 func TestTakeoverKeepsReplicasServing(t *testing.T) {
+	loseOwner(t, func(t *testing.T, _ *fleet, own, router *host, setLog func()) {
+		setLog()
+		own.kill()
+		for range 400 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, serving(router, "chat"), 1)
+		}
+	})
+}
+
+// loseOwner runs body on a settled fleet of three daemons, once with the log
+// well and once with it out from the moment at which body calls setLog.
+func loseOwner(t *testing.T, body func(t *testing.T, f *fleet, own, router *host, setLog func())) {
 	for name, logOut := range map[string]bool{"log well": false, "log out": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -167,12 +172,7 @@
 				defer f.stop()
 				f.settle(t)
 				own, router := owner(t, f, "fabric-1")
-				f.log.SetFaults(standin.LogFaults{Outage: logOut})
-				own.kill()
-				for range 400 {
-					time.Sleep(100 * time.Millisecond)
-					assert.Equal(t, serving(router, "chat"), 1)
-				}
+				body(t, f, own, router, func() { f.log.SetFaults(standin.LogFaults{Outage: logOut}) })
 			})
 		})
 	}
--- a/proof/serving_test.go
+++ b/proof/serving_test.go
@@ -113,7 +113,7 @@
 		a, ready := n.Held()
 		w.checkForwards(n)
 		if ready && !a.Empty() {
-			name := standin.AssignmentName(a)
+			name := a.Name()
 			holders[name]++
 			if holders[name] == len(a.Members) {
 				w.whole[name] = now
@@ -162,7 +162,7 @@
 func (w *watcher) accepts(r catalog.Replica, name string) bool {
 	for _, n := range w.fleet.cluster.All() {
 		if a, ready := n.Held(); ready && n.Listed().Address == r.Address() {
-			return standin.AssignmentName(a) == name
+			return a.Name() == name
 		}
 	}
 	return false
@@ -178,7 +178,7 @@
 		for _, id := range r.Nodes() {
 			n, _ := w.fleet.cluster.Node(id)
 			held, up := n.Held()
-			if !up || held.Empty() || standin.AssignmentName(held) == name {
+			if !up || held.Empty() || held.Name() == name {
 				continue
 			}
 			since, known := w.astray[name+id]
@@ -187,7 +187,7 @@
 			}
 			still[name+id] = since
 			if w.strict || now.Sub(since) > serveWindow {
-				w.fail("%s would answer with node %s, which belongs to %s", name, id, standin.AssignmentName(held))
+				w.fail("%s would answer with node %s, which belongs to %s", name, id, held.Name())
 			}
 		}
 	}
--- a/replica/lead.go
+++ b/replica/lead.go
@@ -10,13 +10,7 @@
 
 // decide asks package ownership what this daemon should do.
 func (d *domain) decide(grant ownership.Grant) ownership.Action {
-	active := -1
-	if current, _, ok := d.c.opts.Catalog.Current(d.name); ok && current.Epoch == grant.Epoch() {
-		active = int(current.Rank)
-	}
-	if d.seen.Epoch == grant.Epoch() && grant.Epoch() > 0 {
-		active = max(active, int(d.seen.Rank))
-	}
+	active := d.activeRank(grant)
 	_, deadline, reported := d.c.opts.Catalog.Current(d.name)
 	members := d.c.opts.Members
 	return ownership.Decide(ownership.Situation{
@@ -31,6 +25,19 @@
 	})
 }
 
+// activeRank returns the highest rank known to have been used under the grant,
+// by reports and by nodes; -1 for none.
+func (d *domain) activeRank(grant ownership.Grant) int {
+	active := -1
+	if current, _, ok := d.c.opts.Catalog.Current(d.name); ok && current.Epoch == grant.Epoch() {
+		active = int(current.Rank)
+	}
+	if d.seen.Epoch == grant.Epoch() && grant.Epoch() > 0 {
+		active = max(active, int(d.seen.Rank))
+	}
+	return active
+}
+
 // mayBegin keeps a daemon that cannot read the node list from taking a domain
 // over, unless nobody else has for a while.
 func (d *domain) mayBegin(action ownership.Action) ownership.Action {
@@ -74,13 +81,7 @@
 	if mine && !d.seen.Higher(d.token) && !d.outdoneByReport() {
 		return true
 	}
-	used := -1
-	if d.seen.Epoch == grant.Epoch() {
-		used = int(d.seen.Rank)
-	}
-	if current, _, ok := d.c.opts.Catalog.Current(d.name); ok && current.Epoch == grant.Epoch() {
-		used = max(used, int(current.Rank))
-	}
+	used := d.activeRank(grant)
 	if d.token.Epoch == grant.Epoch() {
 		used = max(used, int(d.token.Rank))
 	}
--- a/replica/permit.go
+++ b/replica/permit.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -15,16 +14,11 @@
 	until      time.Time
 }
 
-// permitName names the generation of a replica.
-func permitName(a platform.Assignment) string {
-	return fmt.Sprintf("%s@%d", a.Replica, a.Generation)
-}
-
 // grantPermits notes what a report that was just published allows.
 func (d *domain) grantPermits(groups []observed, until time.Time) {
 	for _, o := range groups {
 		if o.intact() && !o.scripted && !d.isDraining(o) {
-			d.permits[permitName(o.assignment)] = permit{assignment: o.assignment, until: until}
+			d.permits[o.assignment.Name()] = permit{assignment: o.assignment, until: until}
 		}
 	}
 }
@@ -40,7 +34,7 @@
 	for _, o := range groups {
 		unconfirmed := slices.ContainsFunc(o.members, func(m *nodeMemory) bool { return m.fenced() && !d.mine(m) })
 		if unconfirmed && !o.scripted {
-			d.permits[permitName(o.assignment)] = permit{assignment: o.assignment, until: now.Add(d.c.opts.ServeWindow)}
+			d.permits[o.assignment.Name()] = permit{assignment: o.assignment, until: now.Add(d.c.opts.ServeWindow)}
 		}
 	}
 }
--- a/routing/inflight.go
+++ b/routing/inflight.go
@@ -79,17 +79,6 @@
 	return f.total
 }
 
-// Forget drops the counts of replicas that have no request and are not in keep.
-func (f *Inflight) Forget(keep map[string]bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for id, r := range f.replicas {
-		if r.own == 0 && !keep[id] {
-			delete(f.replicas, id)
-		}
-	}
-}
-
 func (f *Inflight) replica(id string) *flights {
 	r, ok := f.replicas[id]
 	if !ok {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -100,7 +100,7 @@
 func (n *Node) leads(assignment string) bool {
 	a := n.state.Assignment
 	return n.up && n.state.Phase == platform.PhaseReady &&
-		assignment == AssignmentName(a) && len(a.Members) > 0 && a.Members[0] == n.opts.Listed.ID
+		assignment == a.Name() && len(a.Members) > 0 && a.Members[0] == n.opts.Listed.ID
 }
 
 // whole reports whether the node still leads the same replica and every member is up.
@@ -120,11 +120,6 @@
 	return true
 }
 
-// AssignmentName returns REPLICA@GENERATION, as platform.HeaderAssignment carries it.
-func AssignmentName(a platform.Assignment) string {
-	return fmt.Sprintf("%s@%d", a.Replica, a.Generation)
-}
-
 // Call runs one call of the plain service, after work of the given time, and
 // counts it under mark.
 func (n *Node) Call(ctx context.Context, mark string, work time.Duration) (int, error) {
