--- a/platform/log.go
+++ b/cluster/log.go
@@ -1,7 +1,7 @@
-// Package platform holds the messages of the systems that the platform runs
-// (log service, node list, nodes) and the HTTP clients that speak to them.
-// Its types are messages and so have exported fields.
-package platform
+// Package cluster holds the messages between daemons and what surrounds them (log
+// service, node list, nodes) and the interfaces by which these are reached. Its
+// types are messages and so have exported fields.
+package cluster
 
 import (
 	"context"
--- a/platform/node.go
+++ b/cluster/node.go
@@ -1,4 +1,4 @@
-package platform
+package cluster
 
 import (
 	"context"
--- a/cmd/loadcmd/result.go
+++ b/cmd/loadcmd/result.go
@@ -11,7 +11,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 // receiptState is what a caller knows of a receipt at the end.
@@ -114,14 +114,14 @@
 func (r *result) checkRuns(address string) error {
 	client := &http.Client{Timeout: callTimeout}
 	var list struct {
-		Nodes []platform.ListedNode `json:"nodes"`
+		Nodes []cluster.ListedNode `json:"nodes"`
 	}
 	if err := getJSON(client, "http://"+address+"/nodes", &list); err != nil {
 		return err
 	}
 	runs := make(map[string]int)
 	for _, n := range list.Nodes {
-		if n.Kind != platform.KindService {
+		if n.Kind != cluster.KindService {
 			continue
 		}
 		var counted map[string]int
--- a/config/state.go
+++ b/config/state.go
@@ -8,8 +8,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/eventlog"
-	"quartzshelf.dev/platform"
 )
 
 // historyLimit is how many verdicts are kept for the operators.
@@ -43,7 +43,7 @@
 }
 
 // Apply implements eventlog.State.
-func (s *State) Apply(record platform.Record, data json.RawMessage) {
+func (s *State) Apply(record cluster.Record, data json.RawMessage) {
 	var set ChangeSet
 	verdict := Verdict{Offset: record.Offset, ID: record.ID, Time: record.Time.UTC().Format(time.RFC3339Nano)}
 	if err := json.Unmarshal(data, &set); err != nil {
--- a/config/state_test.go
+++ b/config/state_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 func nodeChange(name, value string, base int64) Change {
@@ -21,7 +21,7 @@
 	t.Helper()
 	data, err := ChangeSet{Changes: changes}.Encode()
 	assert.NilError(t, err)
-	s.Apply(platform.Record{Offset: offset, ID: fmt.Sprint("r", offset), Time: time.Unix(offset, 0)}, data)
+	s.Apply(cluster.Record{Offset: offset, ID: fmt.Sprint("r", offset), Time: time.Unix(offset, 0)}, data)
 	history := s.History()
 	return history[len(history)-1]
 }
--- a/daemon/arrivals.go
+++ b/daemon/arrivals.go
@@ -7,8 +7,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/eventlog"
-	"quartzshelf.dev/platform"
 )
 
 // streamArrivals is the log stream on which daemons announce themselves.
@@ -49,7 +49,7 @@
 }
 
 // Apply implements eventlog.State.
-func (a *arrivals) Apply(_ platform.Record, data json.RawMessage) {
+func (a *arrivals) Apply(_ cluster.Record, data json.RawMessage) {
 	var news arrival
 	if json.Unmarshal(data, &news) != nil || news.Name == "" || news.Peer == "" {
 		return
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"quartzshelf.dev/admission"
 	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/eventlog"
@@ -23,10 +24,10 @@
 	"quartzshelf.dev/intent"
 	"quartzshelf.dev/membership"
 	"quartzshelf.dev/ownership"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/replica"
 	"quartzshelf.dev/rpc"
 	"quartzshelf.dev/standin"
+	"quartzshelf.dev/standin/client"
 	"quartzshelf.dev/standin/server"
 	"quartzshelf.dev/telemetry"
 )
@@ -102,12 +103,12 @@
 		d.listeners.close()
 		return nil, err
 	}
-	client, err := d.connectPlatform()
+	surroundings, err := d.connectPlatform()
 	if err != nil {
 		d.listeners.close()
 		return nil, err
 	}
-	if err := d.build(client); err != nil {
+	if err := d.build(surroundings); err != nil {
 		d.listeners.close()
 		return nil, err
 	}
@@ -133,10 +134,10 @@
 
 // connectPlatform returns a client of the platform, and starts an embedded one
 // if the settings ask for it.
-func (d *Daemon) connectPlatform() (*platform.Client, error) {
+func (d *Daemon) connectPlatform() (*client.Client, error) {
 	p := d.settings.Platform
 	if p.Embedded == nil {
-		return platform.NewClient(platform.ClientOptions{LogAddress: p.Log, NodesAddress: p.Nodes}), nil
+		return client.New(client.Options{LogAddress: p.Log, NodesAddress: p.Nodes}), nil
 	}
 	host, _, err := net.SplitHostPort(d.settings.Callers)
 	if err != nil {
@@ -155,11 +156,11 @@
 		return nil, err
 	}
 	address := d.embedded.Address()
-	return platform.NewClient(platform.ClientOptions{LogAddress: address, NodesAddress: address}), nil
+	return client.New(client.Options{LogAddress: address, NodesAddress: address}), nil
 }
 
 // build makes the parts, each of which is given what it needs of the others.
-func (d *Daemon) build(client *platform.Client) error {
+func (d *Daemon) build(surroundings *client.Client) error {
 	var err error
 	if d.meter, err = telemetry.NewMeter(); err != nil {
 		return err
@@ -169,15 +170,15 @@
 	d.grants = ownership.NewState()
 	d.intents = intent.NewState(retention / keyShare)
 	d.arrived = newArrivals()
-	d.follow(client, streamConfiguration, d.state)
-	d.follow(client, ownership.Stream, d.grants)
-	d.follow(client, intent.Stream, d.intents)
-	d.follow(client, streamArrivals, d.arrived)
+	d.follow(surroundings, streamConfiguration, d.state)
+	d.follow(surroundings, ownership.Stream, d.grants)
+	d.follow(surroundings, intent.Stream, d.intents)
+	d.follow(surroundings, streamArrivals, d.arrived)
 
 	d.catalog = catalog.New()
 	d.dialer = newDialer()
 	d.agent = d.newAgent()
-	d.controller = d.newController(client)
+	d.controller = d.newController(surroundings)
 	d.ledger = d.newLedger()
 	d.limiter = admission.NewLimiter(admission.LimiterOptions{
 		Lease:   d.leaseShare,
@@ -192,7 +193,7 @@
 	return nil
 }
 
-func (d *Daemon) follow(log platform.Log, stream string, state eventlog.State) {
+func (d *Daemon) follow(log cluster.Log, stream string, state eventlog.State) {
 	d.followers[stream] = eventlog.NewFollower(eventlog.FollowerOptions{
 		Log: log, Stream: stream, State: state,
 		Retention: d.settings.Platform.LogRetention,
@@ -219,10 +220,10 @@
 	})
 }
 
-func (d *Daemon) newController(client *platform.Client) *replica.Controller {
+func (d *Daemon) newController(surroundings *client.Client) *replica.Controller {
 	grants := d.followers[ownership.Stream]
 	return replica.NewController(replica.Options{
-		Self: d.settings.Name, Config: d.state.View, List: client, Control: client,
+		Self: d.settings.Name, Config: d.state.View, List: surroundings, Control: surroundings,
 		Catalog: d.catalog, Members: replica.NewTableMembers(d.agent.Table()), Ownership: d.grants,
 		AppendGrant: func(ctx context.Context, record json.RawMessage) error {
 			return grants.Append(ctx, newID(), record)
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"quartzshelf.dev/admission"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/intent"
 	"quartzshelf.dev/membership"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/rpc"
 )
 
@@ -31,7 +31,7 @@
 	if r.RecordId == "" || len(r.Data) == 0 {
 		return &rpc.ClaimReply{Reason: string(reason.BadRequest)}, nil
 	}
-	if !p.ledger.Write(platform.Record{ID: r.RecordId, Data: r.Data}) {
+	if !p.ledger.Write(cluster.Record{ID: r.RecordId, Data: r.Data}) {
 		return &rpc.ClaimReply{Reason: string(reason.Overloaded)}, nil
 	}
 	return &rpc.ClaimReply{Committed: true}, nil
@@ -116,7 +116,7 @@
 }
 
 // submitIntent hands a record to the daemon that writes the key's records.
-func (d *Daemon) submitIntent(ctx context.Context, key intent.Key, record platform.Record) bool {
+func (d *Daemon) submitIntent(ctx context.Context, key intent.Key, record cluster.Record) bool {
 	writer := intentWriter(string(key), d.stayingMembers())
 	if writer == nil || writer.Id == d.settings.Name {
 		return false
--- a/eventlog/envelope.go
+++ b/eventlog/envelope.go
@@ -9,7 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 // envelopeKind tells what a log record of ours carries.
@@ -53,16 +53,16 @@
 }
 
 // NewRecord wraps data, which must be JSON, as a record with the given id.
-func NewRecord(id string, data json.RawMessage) (platform.Record, error) {
+func NewRecord(id string, data json.RawMessage) (cluster.Record, error) {
 	return seal(id, envelope{Kind: kindRecord, Data: data})
 }
 
 // newCheckpointRecord wraps a checkpoint as a record with the given id.
-func newCheckpointRecord(id string, c Checkpoint) (platform.Record, error) {
+func newCheckpointRecord(id string, c Checkpoint) (cluster.Record, error) {
 	return seal(id, envelope{Kind: kindCheckpoint, Checkpoint: c.Encode()})
 }
 
-func seal(id string, e envelope) (platform.Record, error) {
+func seal(id string, e envelope) (cluster.Record, error) {
 	data, err := json.Marshal(e)
-	return platform.Record{ID: id, Data: data}, err
+	return cluster.Record{ID: id, Data: data}, err
 }
--- a/eventlog/fold.go
+++ b/eventlog/fold.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 // maxPending bounds the records kept while a fold waits for a checkpoint.
@@ -15,7 +15,7 @@
 // of its arguments alone, so that every reader reaches the same state.
 type State interface {
 	// Apply folds one record. Data that does not decode must be ignored.
-	Apply(record platform.Record, data json.RawMessage)
+	Apply(record cluster.Record, data json.RawMessage)
 	// Checkpoint returns the state in a form that Restore takes.
 	Checkpoint() ([]byte, error)
 	// Restore replaces the state.
@@ -30,7 +30,7 @@
 	state   State
 	next    int64
 	time    time.Time
-	pending []platform.Record
+	pending []cluster.Record
 	// checkpointAt and checkpointTime describe the newest checkpoint seen.
 	checkpointAt   int64
 	checkpointTime time.Time
@@ -94,7 +94,7 @@
 // Add takes the next record of the stream. Records below Next are ignored, so
 // a repeated read does no harm. A record beyond Next is kept until a
 // checkpoint closes the gap.
-func (f *Fold) Add(record platform.Record) {
+func (f *Fold) Add(record cluster.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if record.Offset < f.next {
@@ -173,7 +173,7 @@
 }
 
 // apply folds a record whose offset is Next.
-func (f *Fold) apply(record platform.Record) {
+func (f *Fold) apply(record cluster.Record) {
 	f.next = record.Offset + 1
 	if record.Time.After(f.time) {
 		f.time = record.Time
@@ -194,7 +194,7 @@
 	}
 }
 
-func checkpointOf(record platform.Record) (Checkpoint, bool) {
+func checkpointOf(record cluster.Record) (Checkpoint, bool) {
 	var e envelope
 	if json.Unmarshal(record.Data, &e) != nil || e.Kind != kindCheckpoint {
 		return Checkpoint{}, false
--- a/eventlog/fold_test.go
+++ b/eventlog/fold_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 // listState keeps the records it was given.
@@ -17,7 +17,7 @@
 	Seen []string `json:"seen"`
 }
 
-func (l *listState) Apply(_ platform.Record, data json.RawMessage) {
+func (l *listState) Apply(_ cluster.Record, data json.RawMessage) {
 	l.Seen = append(l.Seen, string(data))
 }
 
@@ -28,7 +28,7 @@
 	return json.Unmarshal(data, l)
 }
 
-func record(t rapid.TB, offset int64) platform.Record {
+func record(t rapid.TB, offset int64) cluster.Record {
 	r, err := NewRecord(fmt.Sprint("r", offset), json.RawMessage(fmt.Sprint(offset)))
 	assert.NilError(t, err)
 	r.Offset, r.Time = offset, time.Unix(offset, 0)
@@ -57,7 +57,7 @@
 func TestFoldIsTheSameHoweverItIsRead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		whole := NewFold(&listState{})
-		var log []platform.Record
+		var log []cluster.Record
 		lastCheckpoint := int64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "records") {
 			next := int64(len(log))
--- a/eventlog/follower.go
+++ b/eventlog/follower.go
@@ -7,8 +7,8 @@
 
 	"github.com/joomcode/errorx"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
-	"quartzshelf.dev/platform"
 )
 
 // Timing of a follower.
@@ -26,7 +26,7 @@
 
 // FollowerOptions configures a Follower.
 type FollowerOptions struct {
-	Log    platform.Log
+	Log    cluster.Log
 	Stream string
 	State  State
 	// Retention is how long the log keeps a record.
@@ -145,7 +145,7 @@
 }
 
 // note records that a read which began at start returned batch.
-func (f *Follower) note(start time.Time, batch platform.Batch) {
+func (f *Follower) note(start time.Time, batch cluster.Batch) {
 	next := f.fold.Next()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -181,7 +181,7 @@
 	if err == nil {
 		// A lost answer needs no settling: the follower sees the checkpoint,
 		// or writes another one.
-		_, _ = f.opts.Log.Append(ctx, f.opts.Stream, []platform.Record{record})
+		_, _ = f.opts.Log.Append(ctx, f.opts.Stream, []cluster.Record{record})
 	}
 	return now.Add(readTimeout + f.opts.CheckpointDelay())
 }
@@ -222,12 +222,12 @@
 	if err != nil {
 		return failure.At(failure.Invalid, "encode record", f.opts.Stream, err)
 	}
-	return f.AppendRecords(ctx, []platform.Record{record})
+	return f.AppendRecords(ctx, []cluster.Record{record})
 }
 
 // AppendRecords appends records, which must not be empty, as one unit. See
 // Append for when it returns and what an error means.
-func (f *Follower) AppendRecords(ctx context.Context, records []platform.Record) error {
+func (f *Follower) AppendRecords(ctx context.Context, records []cluster.Record) error {
 	last := records[len(records)-1].ID
 	seen := f.fold.Watch(last)
 	defer f.fold.Unwatch(last)
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/standin"
 )
 
@@ -23,7 +23,7 @@
 		return 0, err
 	}
 	request.Header.Set("Authorization", "Bearer demo-key")
-	request.Header.Set(platform.HeaderRequest, "r")
+	request.Header.Set(cluster.HeaderRequest, "r")
 	start := time.Now()
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -10,9 +10,9 @@
 
 	"quartzshelf.dev/admission"
 	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/routing"
 )
 
@@ -54,7 +54,7 @@
 		return &target{
 			id:         chosen.ID(),
 			address:    chosen.Address(),
-			assignment: platform.Assignment{Replica: chosen.AssignedName(), Generation: chosen.Generation()}.Name(),
+			assignment: cluster.Assignment{Replica: chosen.AssignedName(), Generation: chosen.Generation()}.Name(),
 			mayServe:   chosen.MayServe,
 			finish:     g.inflight.Start(chosen.ID(), r.account.Name()),
 		}, nil
@@ -186,9 +186,9 @@
 // try sends the request to one target.
 func (g *Gateway) try(r *request, body []byte, t *target) (*attempt, *refusal) {
 	header := r.header.Clone()
-	header.Set(platform.HeaderPriority, strconv.Itoa(r.priority))
+	header.Set(cluster.HeaderPriority, strconv.Itoa(r.priority))
 	if t.assignment != "" {
-		header.Set(platform.HeaderAssignment, t.assignment)
+		header.Set(cluster.HeaderAssignment, t.assignment)
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	response, err := g.upstream.send(ctx, call{
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,12 +20,12 @@
 
 	"quartzshelf.dev/admission"
 	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/proptest"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/eventlog"
 	"quartzshelf.dev/intent"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/rpc"
 	"quartzshelf.dev/standin"
 	"quartzshelf.dev/telemetry"
@@ -104,10 +104,10 @@
 		Resume []string `json:"resume"`
 	}
 	_ = json.NewDecoder(r.Body).Decode(&body)
-	id, b := r.Header.Get(platform.HeaderRequest), e.next()
+	id, b := r.Header.Get(cluster.HeaderRequest), e.next()
 	switch b {
 	case refuses:
-		w.Header().Set(platform.HeaderStarted, platform.StartedNo)
+		w.Header().Set(cluster.HeaderStarted, cluster.StartedNo)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case resets:
@@ -139,7 +139,7 @@
 	for i := range tokens {
 		text.WriteString(standin.Token(textFor(b), i))
 	}
-	w.Header().Set(platform.HeaderRequest, id)
+	w.Header().Set(cluster.HeaderRequest, id)
 	if b == cuts {
 		w.Header().Set("Content-Length", "1000")
 		_, _ = io.WriteString(w, "{")
@@ -221,7 +221,7 @@
 	ledger := intent.NewLedger(intent.Options{
 		Self: "entry-1", State: state, Follower: follower, NewID: newID,
 		FlushEvery: func() time.Duration { return time.Millisecond },
-		Submit:     func(context.Context, intent.Key, platform.Record) bool { return false },
+		Submit:     func(context.Context, intent.Key, cluster.Record) bool { return false },
 	})
 	go follower.Run(ctx)
 	go ledger.Run(ctx)
@@ -267,7 +267,7 @@
 	}
 	data, err := set.Encode()
 	assert.NilError(t, err)
-	s.Apply(platform.Record{}, data)
+	s.Apply(cluster.Record{}, data)
 	assert.Equal(t, len(s.View().Deployments()), 1)
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -9,9 +9,9 @@
 	"github.com/gofiber/fiber/v2"
 
 	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
-	"quartzshelf.dev/platform"
 )
 
 // callService passes a call on to a plain service.
@@ -88,7 +88,7 @@
 	for _, e := range g.opts.Catalog.Endpoints() {
 		labels := view.NodeLabels(e.ID(), map[string]string{
 			config.LabelDomain: e.Domain(), config.LabelDataHall: e.DataHall(),
-			config.LabelKind: string(platform.KindService),
+			config.LabelKind: string(cluster.KindService),
 		})
 		drained := labels[config.LabelDrain] == config.LabelTrue
 		if e.MayServe(now) && !tried[e.ID()] && !drained && s.SelectsNode(labels) {
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
-	"quartzshelf.dev/platform"
 )
 
 // Limits of the connections to endpoints.
@@ -103,7 +103,7 @@
 	}
 	request.ContentLength = int64(len(c.body))
 	request.Header = c.header.Clone()
-	request.Header.Set(platform.HeaderRequest, c.id)
+	request.Header.Set(cluster.HeaderRequest, c.id)
 	client := u.shared
 	if !c.repeatable {
 		client = u.single
@@ -116,7 +116,7 @@
 	if err != nil {
 		return nil, &sendError{sent: connected.Load(), cause: failure.At(failure.Remote, "send request", c.address, err)}
 	}
-	if id := response.Header.Get(platform.HeaderRequest); id != "" && id != c.id {
+	if id := response.Header.Get(cluster.HeaderRequest); id != "" && id != c.id {
 		closeBody(response)
 		return nil, &sendError{sent: true, cause: failure.At(failure.Remote, "check answer", c.address, errMismatch)}
 	}
@@ -132,7 +132,7 @@
 
 // notStarted reports whether the endpoint refused before it ran anything.
 func notStarted(r *http.Response) bool {
-	return r.Header.Get(platform.HeaderStarted) == platform.StartedNo
+	return r.Header.Get(cluster.HeaderStarted) == cluster.StartedNo
 }
 
 // closeBody closes a body; when it was not read to its end, this closes the
--- a/intent/ledger.go
+++ b/intent/ledger.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"time"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/ring"
 	"quartzshelf.dev/eventlog"
-	"quartzshelf.dev/platform"
 )
 
 // Limits of a ledger.
@@ -45,7 +45,7 @@
 	FlushEvery func() time.Duration
 	// Submit hands a record to the daemon that writes the key's records, and
 	// reports false when that is this daemon itself or cannot be reached.
-	Submit func(ctx context.Context, key Key, record platform.Record) bool
+	Submit func(ctx context.Context, key Key, record cluster.Record) bool
 	// Ask asks the holder of an attempt what became of it.
 	Ask func(ctx context.Context, holder, attempt string) (Outcome, error)
 }
@@ -53,7 +53,7 @@
 // Ledger claims keys for this daemon and remembers what became of them.
 type Ledger struct {
 	opts     Options
-	queue    *ring.Ring[platform.Record]
+	queue    *ring.Ring[cluster.Record]
 	outcomes *outcomes
 	done     chan struct{}
 }
@@ -61,7 +61,7 @@
 // NewLedger returns a ledger; Run makes it work.
 func NewLedger(opts Options) *Ledger {
 	return &Ledger{
-		opts: opts, queue: ring.New[platform.Record](queueSize),
+		opts: opts, queue: ring.New[cluster.Record](queueSize),
 		outcomes: newOutcomes(), done: make(chan struct{}),
 	}
 }
@@ -189,7 +189,7 @@
 	}
 }
 
-func (l *Ledger) submit(ctx context.Context, key Key, record platform.Record) bool {
+func (l *Ledger) submit(ctx context.Context, key Key, record cluster.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	return l.opts.Submit(ctx, key, record)
@@ -203,17 +203,17 @@
 	}
 }
 
-func (l *Ledger) encode(r Record) (platform.Record, error) {
+func (l *Ledger) encode(r Record) (cluster.Record, error) {
 	data, err := json.Marshal(r)
 	if err != nil {
-		return platform.Record{}, failure.At(failure.Invalid, "encode intent", Stream, err)
+		return cluster.Record{}, failure.At(failure.Invalid, "encode intent", Stream, err)
 	}
 	return eventlog.NewRecord(l.opts.NewID(), data)
 }
 
 // Write queues a record that another daemon handed over. It reports false when
 // there is no room.
-func (l *Ledger) Write(record platform.Record) bool {
+func (l *Ledger) Write(record cluster.Record) bool {
 	return l.queue.Offer(record)
 }
 
@@ -223,7 +223,7 @@
 	for {
 		select {
 		case record := <-l.queue.Values():
-			batch := append([]platform.Record{record}, l.queue.Drain(batchSize-1)...)
+			batch := append([]cluster.Record{record}, l.queue.Drain(batchSize-1)...)
 			l.flush(ctx, batch)
 			pause(ctx, l.opts.FlushEvery())
 		case <-ctx.Done():
@@ -234,7 +234,7 @@
 
 // flush appends a batch, again and again until it shows in the log. Repeated
 // records of one attempt change nothing, so a lost answer does no harm.
-func (l *Ledger) flush(ctx context.Context, batch []platform.Record) {
+func (l *Ledger) flush(ctx context.Context, batch []cluster.Record) {
 	giveUp := time.Now().Add(claimTimeout)
 	for ctx.Err() == nil && time.Now().Before(giveUp) {
 		attempt, cancel := context.WithTimeout(ctx, time.Second)
--- a/intent/state.go
+++ b/intent/state.go
@@ -15,8 +15,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/eventlog"
-	"quartzshelf.dev/platform"
 )
 
 // Stream is the log stream that holds the intents.
@@ -130,7 +130,7 @@
 }
 
 // Apply implements eventlog.State.
-func (s *State) Apply(record platform.Record, data json.RawMessage) {
+func (s *State) Apply(record cluster.Record, data json.RawMessage) {
 	var r Record
 	if json.Unmarshal(data, &r) != nil || r.Key == "" || r.Attempt == "" {
 		return
--- a/intent/state_test.go
+++ b/intent/state_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 // apply folds records, one a second from the given offset.
@@ -17,7 +17,7 @@
 		data, err := json.Marshal(r)
 		assert.NilError(t, err)
 		offset := from + int64(i)
-		s.Apply(platform.Record{Offset: offset, Time: time.Unix(offset, 0)}, data)
+		s.Apply(cluster.Record{Offset: offset, Time: time.Unix(offset, 0)}, data)
 	}
 }
 
--- a/measure/repair.go
+++ b/measure/repair.go
@@ -5,8 +5,8 @@
 	"math"
 	"slices"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/placement"
-	"quartzshelf.dev/platform"
 )
 
 // Model of the repair trials, in seconds unless said otherwise.
@@ -166,7 +166,7 @@
 		n.Cached = append(n.Cached, n.loading)
 		n.loading, n.Preloading = "", nil
 		if !n.Assignment.Empty() && slices.Contains(n.Cached, n.Assignment.Version) {
-			n.Phase = platform.PhaseReady
+			n.Phase = cluster.PhaseReady
 		}
 	}
 }
@@ -229,7 +229,7 @@
 		}
 	}
 	for _, s := range p.Releases {
-		byID[s.Node].Assignment = platform.Assignment{}
+		byID[s.Node].Assignment = cluster.Assignment{}
 	}
 	for _, l := range p.Preloads {
 		n := byID[l.Node]
@@ -241,10 +241,10 @@
 
 func (r *repair) begin(n *repairNode, version string) {
 	if slices.Contains(n.Cached, version) {
-		n.Phase = platform.PhaseReady
+		n.Phase = cluster.PhaseReady
 		return
 	}
-	n.Phase = platform.PhaseLoading
+	n.Phase = cluster.PhaseLoading
 	n.loading, n.loadsLeft, n.Preloading = version, loadPerNodeGB, nil
 }
 
@@ -275,7 +275,7 @@
 func (r *repair) serving() []string {
 	count := make(map[string]int)
 	for _, n := range r.nodes {
-		if n.Answering && !n.Assignment.Empty() && n.Phase == platform.PhaseReady {
+		if n.Answering && !n.Assignment.Empty() && n.Phase == cluster.PhaseReady {
 			count[fmt.Sprint(n.Assignment.Replica, "@", n.Assignment.Generation)]++
 		}
 	}
--- a/ownership/decide_test.go
+++ b/ownership/decide_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 func candidates(ids ...string) []Candidate {
@@ -81,7 +81,7 @@
 	for i, holder := range []string{"a", "b"} {
 		data, err := json.Marshal(Record{Domain: "d", Holders: []string{holder}})
 		assert.NilError(t, err)
-		s.Apply(platform.Record{Offset: int64(i)}, data)
+		s.Apply(cluster.Record{Offset: int64(i)}, data)
 	}
 	assert.Equal(t, s.Grant("d").Owner(), "a")
 	assert.Equal(t, s.Grant("d").Epoch(), uint64(1))
--- a/ownership/grant.go
+++ b/ownership/grant.go
@@ -12,8 +12,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/eventlog"
-	"quartzshelf.dev/platform"
 )
 
 // Stream is the log stream that holds the grants.
@@ -87,7 +87,7 @@
 
 // Apply implements eventlog.State: the first grant that replaces the newest
 // one wins.
-func (s *State) Apply(record platform.Record, data json.RawMessage) {
+func (s *State) Apply(record cluster.Record, data json.RawMessage) {
 	var r Record
 	if json.Unmarshal(data, &r) != nil || r.Domain == "" || len(r.Holders) == 0 {
 		return
--- a/placement/input.go
+++ b/placement/input.go
@@ -5,7 +5,7 @@
 import (
 	"slices"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 // Node is a node as the planner sees it. It is plain input, hence its exported
@@ -25,8 +25,8 @@
 	// Unorderable tells that the node cannot be given an order at present.
 	Unorderable  bool
 	Accelerators int
-	Assignment   platform.Assignment
-	Phase        platform.Phase
+	Assignment   cluster.Assignment
+	Phase        cluster.Phase
 	Cached       []string
 	// Preloading lists the versions that the node fetches beside its work.
 	Preloading []string
@@ -84,7 +84,7 @@
 // Step is one order to one node.
 type Step struct {
 	Node       string
-	Assignment platform.Assignment
+	Assignment cluster.Assignment
 	// Reason says why, for the operator.
 	Reason string
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 // Make returns the plan for an input.
@@ -125,7 +125,7 @@
 		if n.usable() {
 			sum++
 		}
-		if n.Phase == platform.PhaseReady {
+		if n.Phase == cluster.PhaseReady {
 			sum++
 		}
 	}
@@ -163,7 +163,7 @@
 	isLoading := false
 	for _, n := range g.nodes {
 		p.taken[n.ID] = g.id
-		isLoading = isLoading || n.Phase == platform.PhaseLoading
+		isLoading = isLoading || n.Phase == cluster.PhaseLoading
 	}
 	if isLoading {
 		p.loading++
@@ -305,7 +305,7 @@
 		members = append(members, n.ID)
 		p.taken[n.ID] = id
 	}
-	assignment := platform.Assignment{
+	assignment := cluster.Assignment{
 		Replica: id, Deployment: want.Deployment, Model: want.Model,
 		Version: want.Version, Adapters: want.Adapters, Members: members,
 	}
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -8,8 +8,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/proptest"
-	"quartzshelf.dev/platform"
 )
 
 func TestMain(m *testing.M) { proptest.Main(m) }
@@ -26,7 +26,7 @@
 func idleNodes(n int) []Node {
 	nodes := make([]Node, n)
 	for i := range nodes {
-		nodes[i] = Node{ID: fmt.Sprintf("n%02d", i), Answering: true, Phase: platform.PhaseIdle, Accelerators: 4}
+		nodes[i] = Node{ID: fmt.Sprintf("n%02d", i), Answering: true, Phase: cluster.PhaseIdle, Accelerators: 4}
 	}
 	return nodes
 }
@@ -40,14 +40,14 @@
 		byID[next[i].ID] = &next[i]
 	}
 	for _, s := range p.Releases {
-		byID[s.Node].Assignment = platform.Assignment{}
+		byID[s.Node].Assignment = cluster.Assignment{}
 	}
 	for _, f := range p.Formations {
 		for _, s := range f.Steps {
 			n := byID[s.Node]
 			n.Assignment = s.Assignment
 			n.Assignment.Generation = generation
-			n.Phase = platform.PhaseReady
+			n.Phase = cluster.PhaseReady
 			n.Cached = []string{s.Assignment.Version}
 		}
 		generation++
@@ -90,7 +90,7 @@
 			formed: 1, members: []string{"n00", "n01", "n03", "n04"}, released: 1, dark: "node n02 is leaving",
 		},
 		"takes back a node that restarted": {
-			in:     Input{Nodes: change(3, func(n *Node) { n.Assignment = platform.Assignment{} }), Wants: []Want{want("chat", 1, 0)}},
+			in:     Input{Nodes: change(3, func(n *Node) { n.Assignment = cluster.Assignment{} }), Wants: []Want{want("chat", 1, 0)}},
 			formed: 1, dark: "node n03 lost its assignment",
 		},
 		"higher priority takes nodes": {
@@ -174,12 +174,12 @@
 		}
 		n.Lost = !n.Answering && rapid.Bool().Draw(t, "lost")
 		if id := rapid.SampledFrom(replicas).Draw(t, "replica"); id != "" {
-			n.Assignment = platform.Assignment{
+			n.Assignment = cluster.Assignment{
 				Replica: id, Generation: uint64(rapid.IntRange(1, 2).Draw(t, "generation")),
 				Deployment: id[:len(id)-len("-d-0")], Version: "v1",
 				Members: []string{"n00", "n01", "n02", n.ID},
 			}
-			n.Phase = platform.PhaseReady
+			n.Phase = cluster.PhaseReady
 		}
 		in.Nodes = append(in.Nodes, n)
 	}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -19,13 +19,13 @@
 	"gotest.tools/v3/assert"
 
 	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/proptest"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/eventlog"
 	"quartzshelf.dev/intent"
 	"quartzshelf.dev/membership"
 	"quartzshelf.dev/ownership"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/replica"
 	"quartzshelf.dev/rpc"
 	"quartzshelf.dev/standin"
@@ -147,7 +147,7 @@
 	return intent.NewLedger(intent.Options{
 		Self: h.id, State: h.intents, Follower: h.followers[intent.Stream], NewID: h.fleet.newID,
 		FlushEvery: func() time.Duration { return 50 * time.Millisecond },
-		Submit: func(ctx context.Context, _ intent.Key, record platform.Record) bool {
+		Submit: func(ctx context.Context, _ intent.Key, record cluster.Record) bool {
 			// The first daemon writes for all; it may be dead, cut off or frozen.
 			if h.id == h.fleet.hosts[0].id {
 				return false
@@ -220,7 +220,7 @@
 }
 
 func (p peerOf) Claim(_ context.Context, r *rpc.ClaimRequest) (*rpc.ClaimReply, error) {
-	return &rpc.ClaimReply{Committed: p.ledger.Write(platform.Record{ID: r.RecordId, Data: r.Data})}, nil
+	return &rpc.ClaimReply{Committed: p.ledger.Write(cluster.Record{ID: r.RecordId, Data: r.Data})}, nil
 }
 
 func (p peerOf) Outcome(_ context.Context, r *rpc.OutcomeRequest) (*rpc.OutcomeReply, error) {
--- a/proof/network_test.go
+++ b/proof/network_test.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/rpc"
 	"quartzshelf.dev/standin"
 )
@@ -185,7 +185,7 @@
 	log  *standin.Log
 }
 
-func (l hostLog) Append(ctx context.Context, stream string, records []platform.Record) (int64, error) {
+func (l hostLog) Append(ctx context.Context, stream string, records []cluster.Record) (int64, error) {
 	ctx, cancel := withDefault(ctx)
 	defer cancel()
 	return between(ctx, l.net, l.host, placeLog, func() (int64, error) {
@@ -194,10 +194,10 @@
 	})
 }
 
-func (l hostLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+func (l hostLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (cluster.Batch, error) {
 	ctx, cancel := withDefault(ctx)
 	defer cancel()
-	return between(ctx, l.net, l.host, placeLog, func() (platform.Batch, error) {
+	return between(ctx, l.net, l.host, placeLog, func() (cluster.Batch, error) {
 		return l.log.Read(ctx, stream, from, limit, wait)
 	})
 }
@@ -209,18 +209,18 @@
 	cluster *standin.Cluster
 }
 
-func (h hostNodes) Nodes(ctx context.Context) ([]platform.ListedNode, error) {
+func (h hostNodes) Nodes(ctx context.Context) ([]cluster.ListedNode, error) {
 	ctx, cancel := withDefault(ctx)
 	defer cancel()
-	return between(ctx, h.net, h.host, placeNodes, func() ([]platform.ListedNode, error) { return h.cluster.Nodes(ctx) })
+	return between(ctx, h.net, h.host, placeNodes, func() ([]cluster.ListedNode, error) { return h.cluster.Nodes(ctx) })
 }
 
-func (h hostNodes) State(ctx context.Context, address string) (platform.NodeState, error) {
-	return between(ctx, h.net, h.host, placeNodes, func() (platform.NodeState, error) { return h.cluster.State(ctx, address) })
+func (h hostNodes) State(ctx context.Context, address string) (cluster.NodeState, error) {
+	return between(ctx, h.net, h.host, placeNodes, func() (cluster.NodeState, error) { return h.cluster.State(ctx, address) })
 }
 
-func (h hostNodes) Order(ctx context.Context, address string, order platform.Order) (platform.OrderReply, error) {
-	return between(ctx, h.net, h.host, placeNodes, func() (platform.OrderReply, error) {
+func (h hostNodes) Order(ctx context.Context, address string, order cluster.Order) (cluster.OrderReply, error) {
+	return between(ctx, h.net, h.host, placeNodes, func() (cluster.OrderReply, error) {
 		h.net.spring(h.host, placeNodes)
 		return h.cluster.Order(ctx, address, order)
 	})
--- a/proof/scenario_test.go
+++ b/proof/scenario_test.go
@@ -8,9 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/token"
 	"quartzshelf.dev/config"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/standin"
 )
 
@@ -264,7 +264,7 @@
 		defer f.stop()
 		time.Sleep(2 * time.Second)
 		scripted := []string{"fabric-1-n04", "fabric-1-n05", "fabric-1-n06", "fabric-1-n07"}
-		order := platform.Order{Token: token.Token{Epoch: 1 << 40}, Assignment: platform.Assignment{
+		order := cluster.Order{Token: token.Token{Epoch: 1 << 40}, Assignment: cluster.Assignment{
 			Replica: "by-script", Generation: 3, Deployment: "chat", Version: "v1", Members: scripted,
 		}}
 		for _, id := range scripted {
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -10,10 +10,10 @@
 	"github.com/sourcegraph/conc"
 
 	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/ownership"
 	"quartzshelf.dev/placement"
-	"quartzshelf.dev/platform"
 )
 
 // Timing of a controller.
@@ -85,8 +85,8 @@
 type Options struct {
 	Self    string
 	Config  func() *config.View
-	List    platform.NodeList
-	Control platform.NodeControl
+	List    cluster.NodeList
+	Control cluster.NodeControl
 	Catalog *catalog.Catalog
 	Members Members
 	// Ownership holds the grants; AppendGrant appends one and returns once it
@@ -109,7 +109,7 @@
 	background conc.WaitGroup
 
 	mu     sync.Mutex
-	listed map[string][]platform.ListedNode
+	listed map[string][]cluster.ListedNode
 	// listedAt is when the newest successful read of the node list began.
 	listedAt time.Time
 	// listFailedAt is when a read of the node list last failed.
@@ -124,7 +124,7 @@
 	}
 	return &Controller{
 		opts: opts, done: make(chan struct{}),
-		listed: make(map[string][]platform.ListedNode), plans: make(map[string]placement.Plan),
+		listed: make(map[string][]cluster.ListedNode), plans: make(map[string]placement.Plan),
 	}
 }
 
@@ -181,7 +181,7 @@
 		c.mu.Unlock()
 		return
 	}
-	byDomain := make(map[string][]platform.ListedNode)
+	byDomain := make(map[string][]cluster.ListedNode)
 	for _, n := range nodes {
 		byDomain[n.Domain] = append(byDomain[n.Domain], n)
 	}
@@ -263,7 +263,7 @@
 	}
 }
 
-func (c *Controller) listedIn(domain string) []platform.ListedNode {
+func (c *Controller) listedIn(domain string) []cluster.ListedNode {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.listed[domain]
--- a/replica/domain.go
+++ b/replica/domain.go
@@ -7,11 +7,11 @@
 	"context"
 	"time"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/token"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/ownership"
 	"quartzshelf.dev/placement"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/rpc"
 )
 
@@ -61,9 +61,9 @@
 
 // nodeMemory is what a leader remembers about a node between probes.
 type nodeMemory struct {
-	listed platform.ListedNode
+	listed cluster.ListedNode
 	labels map[string]string
-	state  platform.NodeState
+	state  cluster.NodeState
 	// answered tells whether the last probe was answered.
 	answered bool
 	// lostAt is when a silent node is given up; zero while it answers.
@@ -91,7 +91,7 @@
 }
 
 // tick decides what to do about the domain and does it.
-func (d *domain) tick(ctx context.Context, listed []platform.ListedNode) {
+func (d *domain) tick(ctx context.Context, listed []cluster.ListedNode) {
 	d.remember(listed)
 	grant := d.c.opts.Ownership.Grant(d.name)
 	action := d.mayBegin(d.decide(grant))
@@ -141,7 +141,7 @@
 }
 
 // remember takes over the rows of the node list.
-func (d *domain) remember(listed []platform.ListedNode) {
+func (d *domain) remember(listed []cluster.ListedNode) {
 	present := make(map[string]bool, len(listed))
 	for _, l := range listed {
 		present[l.ID] = true
--- a/replica/group.go
+++ b/replica/group.go
@@ -6,14 +6,14 @@
 	"strings"
 	"time"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/config"
-	"quartzshelf.dev/platform"
 )
 
 // observed is a replica as the last probe found it on its nodes.
 type observed struct {
 	id         string
-	assignment platform.Assignment
+	assignment cluster.Assignment
 	members    []*nodeMemory
 	scripted   bool
 	// problem is empty when every member confirms the replica.
@@ -40,11 +40,11 @@
 
 // groups returns the replicas found on the nodes, sorted by name.
 func (d *domain) groups(view *config.View) []observed {
-	byID := make(map[string]platform.Assignment)
+	byID := make(map[string]cluster.Assignment)
 	scripted := make(map[string][]*nodeMemory)
 	for _, m := range d.nodes {
 		switch {
-		case m.listed.Kind != platform.KindEngine:
+		case m.listed.Kind != cluster.KindEngine:
 		case m.scripted():
 			id := m.labels[config.LabelDeployment] + "/" + m.labels[config.LabelReplica]
 			scripted[id] = append(scripted[id], m)
@@ -69,7 +69,7 @@
 // managedGroup checks that every member confirms the same generation, under
 // this leader's token where the member checks tokens: then no order of an
 // earlier leader can change it any more.
-func (d *domain) managedGroup(id string, a platform.Assignment) observed {
+func (d *domain) managedGroup(id string, a cluster.Assignment) observed {
 	o := observed{id: id, assignment: a}
 	for _, member := range a.Members {
 		m, ok := d.nodes[member]
@@ -86,13 +86,13 @@
 }
 
 // memberProblem returns what keeps a member from confirming an assignment.
-func (d *domain) memberProblem(m *nodeMemory, a platform.Assignment) string {
+func (d *domain) memberProblem(m *nodeMemory, a cluster.Assignment) string {
 	switch {
 	case !m.answered:
 		return "does not answer"
 	case !m.state.Assignment.Same(a):
 		return "is not part of this generation"
-	case m.state.Phase != platform.PhaseReady:
+	case m.state.Phase != cluster.PhaseReady:
 		return "is " + string(m.state.Phase)
 	case m.fenced() && !d.mine(m):
 		return "has not yet confirmed this owner"
@@ -128,7 +128,7 @@
 		switch {
 		case !m.answered:
 			o.problem = fmt.Sprintf("node %s does not answer", m.listed.ID)
-		case m.state.Phase != platform.PhaseReady || !m.state.Assignment.Same(members[0].state.Assignment):
+		case m.state.Phase != cluster.PhaseReady || !m.state.Assignment.Same(members[0].state.Assignment):
 			o.problem = fmt.Sprintf("node %s is not ready", m.listed.ID)
 		}
 	}
--- a/replica/order.go
+++ b/replica/order.go
@@ -7,15 +7,15 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/token"
 	"quartzshelf.dev/placement"
-	"quartzshelf.dev/platform"
 )
 
 // outgoing is an order about to be sent.
 type outgoing struct {
 	memory *nodeMemory
-	order  platform.Order
+	order  cluster.Order
 	reason string
 }
 
@@ -154,7 +154,7 @@
 				continue
 			}
 			freed[leader] = true
-			all = append(all, d.prepare(leader, platform.Assignment{}, "free a broken replica before its nodes move"))
+			all = append(all, d.prepare(leader, cluster.Assignment{}, "free a broken replica before its nodes move"))
 		}
 	}
 	return all
@@ -182,7 +182,7 @@
 	busy := nodesOf(sent)
 	var all []outgoing
 	for id, m := range d.nodes {
-		if busy[id] || m.listed.Kind != platform.KindEngine || m.scripted() || !m.fenced() || !m.answered {
+		if busy[id] || m.listed.Kind != cluster.KindEngine || m.scripted() || !m.fenced() || !m.answered {
 			continue
 		}
 		if d.mine(m) || m.state.Assignment.Empty() {
@@ -194,14 +194,14 @@
 }
 
 // prepare makes an order with a token of its own.
-func (d *domain) prepare(node string, a platform.Assignment, reason string) outgoing {
+func (d *domain) prepare(node string, a cluster.Assignment, reason string) outgoing {
 	m := d.nodes[node]
 	t := d.next()
 	if !m.state.Assignment.Same(a) {
 		// An order that repeats the assignment may arrive late without harm.
 		m.ordered = t
 	}
-	return outgoing{memory: m, order: platform.Order{Token: t, Assignment: a}, reason: reason}
+	return outgoing{memory: m, order: cluster.Order{Token: t, Assignment: a}, reason: reason}
 }
 
 // send gives the orders side by side. What an order without an answer did is
--- a/replica/permit.go
+++ b/replica/permit.go
@@ -4,13 +4,13 @@
 	"slices"
 	"time"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 // permit is what routers may still act on: that a replica may serve, in one
 // generation, until a deadline.
 type permit struct {
-	assignment platform.Assignment
+	assignment cluster.Assignment
 	until      time.Time
 }
 
--- a/replica/probe.go
+++ b/replica/probe.go
@@ -6,16 +6,16 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/token"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/placement"
-	"quartzshelf.dev/platform"
 )
 
 // probeResult is what one probe brought.
 type probeResult struct {
 	id    string
-	state platform.NodeState
+	state cluster.NodeState
 	err   error
 }
 
@@ -83,7 +83,7 @@
 }
 
 // listLabels returns the labels that a node has from the node list.
-func listLabels(domain, dataHall string, kind platform.NodeKind) map[string]string {
+func listLabels(domain, dataHall string, kind cluster.NodeKind) map[string]string {
 	return map[string]string{
 		config.LabelDomain:   domain,
 		config.LabelDataHall: dataHall,
@@ -113,7 +113,7 @@
 	in := placement.Input{Domain: d.name, LoadSlots: d.c.opts.LoadSlots}
 	mayUnfenced := d.mayOrderUnfenced(d.c.opts.Ownership.Grant(d.name), now)
 	for id, m := range d.nodes {
-		if m.listed.Kind != platform.KindEngine {
+		if m.listed.Kind != cluster.KindEngine {
 			continue
 		}
 		in.Nodes = append(in.Nodes, placement.Node{
--- a/replica/report.go
+++ b/replica/report.go
@@ -8,8 +8,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/placement"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/rpc"
 )
 
@@ -22,7 +22,7 @@
 	var loads []uint32
 	for _, o := range groups {
 		report.Replicas = append(report.Replicas, d.replicaReport(o, plan))
-		load := platform.Load{}
+		load := cluster.Load{}
 		if len(o.members) > 0 {
 			load = o.leader().state.Load
 		}
@@ -89,7 +89,7 @@
 			Id: id, State: m.reportState(now), Accelerators: uint32(m.listed.Accelerators),
 			Replica: m.state.Assignment.Replica, Reason: plan.Idle[id],
 		}
-		if m.listed.Kind == platform.KindService {
+		if m.listed.Kind == cluster.KindService {
 			n.Address = m.listed.Address
 		}
 		all = append(all, n)
@@ -106,7 +106,7 @@
 		return rpc.NodeState_SILENT
 	case m.leaving():
 		return rpc.NodeState_LEAVING
-	case m.listed.Kind == platform.KindService:
+	case m.listed.Kind == cluster.KindService:
 		return rpc.NodeState_SERVICE
 	case m.scripted():
 		return rpc.NodeState_SCRIPTED
--- a/replica/want.go
+++ b/replica/want.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/placement"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/rpc"
 )
 
@@ -69,7 +69,7 @@
 func (d *domain) acceleratorsOf(nodes int) int {
 	least := 0
 	for _, m := range d.nodes {
-		if m.listed.Kind == platform.KindEngine && (least == 0 || m.listed.Accelerators < least) {
+		if m.listed.Kind == cluster.KindEngine && (least == 0 || m.listed.Accelerators < least) {
 			least = m.listed.Accelerators
 		}
 	}
@@ -91,7 +91,7 @@
 	s := placement.Supply{Domain: d.name}
 	groups := make(map[string]bool)
 	for _, m := range d.nodes {
-		if m.listed.Kind != platform.KindEngine || m.scripted() {
+		if m.listed.Kind != cluster.KindEngine || m.scripted() {
 			continue
 		}
 		if !m.lost(now) && !m.leaving() && deployment.SelectsNode(m.labels) {
@@ -119,7 +119,7 @@
 		if n.State != rpc.NodeState_SPARE && n.State != rpc.NodeState_ASSIGNED && n.State != rpc.NodeState_SILENT {
 			continue
 		}
-		labels := view.NodeLabels(n.Id, listLabels(report.Domain, report.DataHall, platform.KindEngine))
+		labels := view.NodeLabels(n.Id, listLabels(report.Domain, report.DataHall, cluster.KindEngine))
 		if deployment.SelectsNode(labels) {
 			s.Eligible++
 		}
--- a/platform/client.go
+++ b/standin/client/client.go
@@ -1,4 +1,6 @@
-package platform
+// Package client speaks to the stand-in of the surroundings of a daemon over
+// HTTP: the log, the node list and the nodes.
+package client
 
 import (
 	"context"
@@ -12,6 +14,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
 )
 
@@ -33,20 +36,20 @@
 }
 
 var (
-	_ Log         = (*Client)(nil)
-	_ NodeList    = (*Client)(nil)
-	_ NodeControl = (*Client)(nil)
+	_ cluster.Log         = (*Client)(nil)
+	_ cluster.NodeList    = (*Client)(nil)
+	_ cluster.NodeControl = (*Client)(nil)
 )
 
-// ClientOptions says where the platform is.
-type ClientOptions struct {
+// Options says where the platform is.
+type Options struct {
 	// LogAddress and NodesAddress are IP:port pairs.
 	LogAddress   string
 	NodesAddress string
 }
 
-// NewClient returns a client of the platform that opts describes.
-func NewClient(opts ClientOptions) *Client {
+// New returns a client of the platform that opts describes.
+func New(opts Options) *Client {
 	return &Client{
 		logURL:   "http://" + opts.LogAddress,
 		nodesURL: "http://" + opts.NodesAddress,
@@ -61,7 +64,7 @@
 }
 
 type appendRequest struct {
-	Records []Record `json:"records"`
+	Records []cluster.Record `json:"records"`
 }
 
 type appendReply struct {
@@ -69,7 +72,7 @@
 }
 
 // Append implements Log.
-func (c *Client) Append(ctx context.Context, stream string, records []Record) (int64, error) {
+func (c *Client) Append(ctx context.Context, stream string, records []cluster.Record) (int64, error) {
 	var reply appendReply
 	target := c.logURL + "/log/" + url.PathEscape(stream)
 	err := c.call(ctx, "append to log", fasthttp.MethodPost, target, appendRequest{Records: records}, &reply)
@@ -77,8 +80,8 @@
 }
 
 // Read implements Log.
-func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Batch, error) {
-	var batch Batch
+func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (cluster.Batch, error) {
+	var batch cluster.Batch
 	target := fmt.Sprintf("%s/log/%s?from=%d&limit=%d&wait_ms=%d",
 		c.logURL, url.PathEscape(stream), from, limit, wait.Milliseconds())
 	err := c.call(ctx, "read log", fasthttp.MethodGet, target, nil, &batch)
@@ -86,26 +89,26 @@
 }
 
 type nodesReply struct {
-	Nodes []ListedNode `json:"nodes"`
+	Nodes []cluster.ListedNode `json:"nodes"`
 }
 
 // Nodes implements NodeList.
-func (c *Client) Nodes(ctx context.Context) ([]ListedNode, error) {
+func (c *Client) Nodes(ctx context.Context) ([]cluster.ListedNode, error) {
 	var reply nodesReply
 	err := c.call(ctx, "read node list", fasthttp.MethodGet, c.nodesURL+"/nodes", nil, &reply)
 	return reply.Nodes, err
 }
 
 // State implements NodeControl.
-func (c *Client) State(ctx context.Context, address string) (NodeState, error) {
-	var state NodeState
+func (c *Client) State(ctx context.Context, address string) (cluster.NodeState, error) {
+	var state cluster.NodeState
 	err := c.call(ctx, "probe node", fasthttp.MethodGet, "http://"+address+"/control/state", nil, &state)
 	return state, err
 }
 
 // Order implements NodeControl.
-func (c *Client) Order(ctx context.Context, address string, order Order) (OrderReply, error) {
-	var reply OrderReply
+func (c *Client) Order(ctx context.Context, address string, order cluster.Order) (cluster.OrderReply, error) {
+	var reply cluster.OrderReply
 	err := c.call(ctx, "order node", fasthttp.MethodPost, "http://"+address+"/control/order", order, &reply)
 	return reply, err
 }
--- a/standin/cluster.go
+++ b/standin/cluster.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
-	"quartzshelf.dev/platform"
 )
 
 var errUnknownAddress = errors.New("no node at this address")
@@ -51,13 +51,13 @@
 	byAdr map[string]*Node
 
 	mu       sync.Mutex
-	listed   []platform.ListedNode
+	listed   []cluster.ListedNode
 	listedAt time.Time
 }
 
 var (
-	_ platform.NodeList    = (*Cluster)(nil)
-	_ platform.NodeControl = (*Cluster)(nil)
+	_ cluster.NodeList    = (*Cluster)(nil)
+	_ cluster.NodeControl = (*Cluster)(nil)
 )
 
 // NewCluster returns a cluster whose nodes are all up.
@@ -66,22 +66,22 @@
 	store := NewWeightStore(opts.StoreGBPerSecond)
 	for _, d := range opts.Domains {
 		for i := range d.Nodes {
-			c.add(d, fmt.Sprintf("%s-n%02d", d.Name, i), platform.KindEngine, store)
+			c.add(d, fmt.Sprintf("%s-n%02d", d.Name, i), cluster.KindEngine, store)
 		}
 		for i := range d.Services {
-			c.add(d, fmt.Sprintf("%s-s%02d", d.Name, i), platform.KindService, store)
+			c.add(d, fmt.Sprintf("%s-s%02d", d.Name, i), cluster.KindService, store)
 		}
 	}
 	return c
 }
 
-func (c *Cluster) add(d DomainOptions, id string, kind platform.NodeKind, store *WeightStore) {
+func (c *Cluster) add(d DomainOptions, id string, kind cluster.NodeKind, store *WeightStore) {
 	address := id
 	if c.opts.Address != nil {
 		address = c.opts.Address(id)
 	}
 	n := NewNode(NodeOptions{
-		Listed: platform.ListedNode{
+		Listed: cluster.ListedNode{
 			ID: id, Domain: d.Name, DataHall: d.DataHall, Address: address,
 			Kind: kind, Accelerators: d.Accelerators,
 		},
@@ -110,9 +110,9 @@
 	return ok && n.Up()
 }
 
-// Nodes implements platform.NodeList. The list lags: it is made anew only when
+// Nodes implements cluster.NodeList. The list lags: it is made anew only when
 // the last one is older than the lag.
-func (c *Cluster) Nodes(context.Context) ([]platform.ListedNode, error) {
+func (c *Cluster) Nodes(context.Context) ([]cluster.ListedNode, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.listed != nil && time.Since(c.listedAt) < c.opts.ListLag {
@@ -125,24 +125,24 @@
 			c.listed = append(c.listed, n.Listed())
 		}
 	}
-	slices.SortFunc(c.listed, func(a, b platform.ListedNode) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(c.listed, func(a, b cluster.ListedNode) int { return strings.Compare(a.ID, b.ID) })
 	return c.listed, nil
 }
 
-// State implements platform.NodeControl.
-func (c *Cluster) State(ctx context.Context, address string) (platform.NodeState, error) {
+// State implements cluster.NodeControl.
+func (c *Cluster) State(ctx context.Context, address string) (cluster.NodeState, error) {
 	n, ok := c.byAdr[address]
 	if !ok {
-		return platform.NodeState{}, failure.At(failure.Refused, "probe node", address, errUnknownAddress)
+		return cluster.NodeState{}, failure.At(failure.Refused, "probe node", address, errUnknownAddress)
 	}
 	return n.State(ctx)
 }
 
-// Order implements platform.NodeControl.
-func (c *Cluster) Order(ctx context.Context, address string, order platform.Order) (platform.OrderReply, error) {
+// Order implements cluster.NodeControl.
+func (c *Cluster) Order(ctx context.Context, address string, order cluster.Order) (cluster.OrderReply, error) {
 	n, ok := c.byAdr[address]
 	if !ok {
-		return platform.OrderReply{}, failure.At(failure.Refused, "order node", address, errUnknownAddress)
+		return cluster.OrderReply{}, failure.At(failure.Refused, "order node", address, errUnknownAddress)
 	}
 	return n.Order(ctx, order)
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -8,7 +8,7 @@
 	"maps"
 	"time"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 )
 
 // ErrNotStarted is given by an engine that refuses a request before it ran
@@ -99,7 +99,7 @@
 // leads reports whether the node leads the ready replica REPLICA@GENERATION.
 func (n *Node) leads(assignment string) bool {
 	a := n.state.Assignment
-	return n.up && n.state.Phase == platform.PhaseReady &&
+	return n.up && n.state.Phase == cluster.PhaseReady &&
 		assignment == a.Name() && len(a.Members) > 0 && a.Members[0] == n.opts.Listed.ID
 }
 
--- a/standin/log.go
+++ b/standin/log.go
@@ -12,8 +12,8 @@
 
 	"golang.org/x/time/rate"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
-	"quartzshelf.dev/platform"
 )
 
 // Defaults of the log.
@@ -56,11 +56,11 @@
 	appends int
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ cluster.Log = (*Log)(nil)
 
 type logStream struct {
 	earliest int64
-	records  []platform.Record
+	records  []cluster.Record
 	changed  chan struct{}
 }
 
@@ -93,8 +93,8 @@
 	return l.appends
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, stream string, records []platform.Record) (int64, error) {
+// Append implements cluster.Log.
+func (l *Log) Append(ctx context.Context, stream string, records []cluster.Record) (int64, error) {
 	if err := l.admit(ctx); err != nil {
 		return 0, err
 	}
@@ -119,10 +119,10 @@
 	return first, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements cluster.Log.
+func (l *Log) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (cluster.Batch, error) {
 	if err := l.admit(ctx); err != nil {
-		return platform.Batch{}, err
+		return cluster.Batch{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -135,11 +135,11 @@
 		case <-changed:
 		case <-timer.C:
 			if err := l.outage(); err != nil {
-				return platform.Batch{}, err
+				return cluster.Batch{}, err
 			}
 			return batch, nil
 		case <-ctx.Done():
-			return platform.Batch{}, failure.At(failure.Unavailable, "read log", stream, ctx.Err())
+			return cluster.Batch{}, failure.At(failure.Unavailable, "read log", stream, ctx.Err())
 		}
 	}
 }
@@ -170,12 +170,12 @@
 	return nil
 }
 
-func (l *Log) snapshot(stream string, from int64, limit int) (platform.Batch, <-chan struct{}) {
+func (l *Log) snapshot(stream string, from int64, limit int) (cluster.Batch, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(stream)
 	s.expire(time.Now().Add(-l.retention))
-	batch := platform.Batch{Earliest: s.earliest, Next: s.next()}
+	batch := cluster.Batch{Earliest: s.earliest, Next: s.next()}
 	if from >= s.earliest && from < s.next() {
 		kept := s.records[from-s.earliest:]
 		batch.Records = append(batch.Records, kept[:min(limit, len(kept))]...)
--- a/standin/node.go
+++ b/standin/node.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/token"
-	"quartzshelf.dev/platform"
 )
 
 // cachedVersions is how many model versions a node keeps the weights of.
@@ -23,7 +23,7 @@
 
 // NodeOptions describes a node.
 type NodeOptions struct {
-	Listed platform.ListedNode
+	Listed cluster.ListedNode
 	// Unfenced makes the node take any order, whatever its token.
 	Unfenced bool
 	Store    *WeightStore
@@ -47,12 +47,12 @@
 	life   int
 	up     bool
 	stuck  bool
-	state  platform.NodeState
+	state  cluster.NodeState
 	cancel context.CancelFunc
 	active int
 	queue  int
 	// reported and reportedAt are the load that a lagging report shows.
-	reported   platform.Load
+	reported   cluster.Load
 	reportedAt time.Time
 	// runs counts the calls of the plain service by what they carried.
 	runs  map[string]int
@@ -67,7 +67,7 @@
 }
 
 // Listed returns the node's row of the node list.
-func (n *Node) Listed() platform.ListedNode {
+func (n *Node) Listed() cluster.ListedNode {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.opts.Listed
@@ -101,9 +101,9 @@
 	n.up = true
 	n.life++
 	n.active, n.queue = 0, 0
-	n.state = platform.NodeState{
+	n.state = cluster.NodeState{
 		Node:  n.opts.Listed.ID,
-		Phase: platform.PhaseIdle,
+		Phase: cluster.PhaseIdle,
 		Start: strconv.Itoa(n.life),
 	}
 }
@@ -138,19 +138,19 @@
 }
 
 // State returns the node's state.
-func (n *Node) State(ctx context.Context) (platform.NodeState, error) {
+func (n *Node) State(ctx context.Context) (cluster.NodeState, error) {
 	if err := n.reachable(ctx, "probe node"); err != nil {
-		return platform.NodeState{}, err
+		return cluster.NodeState{}, err
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.stateLocked(), nil
 }
 
-func (n *Node) stateLocked() platform.NodeState {
+func (n *Node) stateLocked() cluster.NodeState {
 	now := time.Now()
 	if now.Sub(n.reportedAt) >= n.opts.LoadLag {
-		n.reported = platform.Load{Queue: n.queue, Active: n.active, Slots: n.opts.Slots}
+		n.reported = cluster.Load{Queue: n.queue, Active: n.active, Slots: n.opts.Slots}
 		n.reportedAt = now
 	}
 	state := n.state
@@ -162,20 +162,20 @@
 
 // Order gives the node an order. A node that checks tokens takes only a higher
 // one than it holds.
-func (n *Node) Order(ctx context.Context, order platform.Order) (platform.OrderReply, error) {
+func (n *Node) Order(ctx context.Context, order cluster.Order) (cluster.OrderReply, error) {
 	if err := n.reachable(ctx, "order node"); err != nil {
-		return platform.OrderReply{}, err
+		return cluster.OrderReply{}, err
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.opts.Unfenced && !order.Token.Higher(n.state.Token) {
-		return platform.OrderReply{State: n.stateLocked()}, nil
+		return cluster.OrderReply{State: n.stateLocked()}, nil
 	}
 	n.state.Token = order.Token
 	if n.state.Assignment.Same(order.Assignment) {
 		// The same assignment under a higher token disturbs nothing.
 		n.preload(order.Preload)
-		return platform.OrderReply{Accepted: true, State: n.stateLocked()}, nil
+		return cluster.OrderReply{Accepted: true, State: n.stateLocked()}, nil
 	}
 	if n.cancel != nil {
 		n.cancel()
@@ -184,18 +184,18 @@
 	n.state.Assignment = order.Assignment
 	n.begin(order.Assignment)
 	n.preload(order.Preload)
-	return platform.OrderReply{Accepted: true, State: n.stateLocked()}, nil
+	return cluster.OrderReply{Accepted: true, State: n.stateLocked()}, nil
 }
 
 // begin starts the work that an assignment asks for.
-func (n *Node) begin(a platform.Assignment) {
+func (n *Node) begin(a cluster.Assignment) {
 	switch {
 	case a.Empty():
-		n.state.Phase = platform.PhaseIdle
+		n.state.Phase = cluster.PhaseIdle
 	case slices.Contains(n.state.Cached, a.Version):
-		n.state.Phase = platform.PhaseReady
+		n.state.Phase = cluster.PhaseReady
 	default:
-		n.state.Phase = platform.PhaseLoading
+		n.state.Phase = cluster.PhaseLoading
 		ctx, cancel := context.WithCancel(context.Background())
 		n.cancel = cancel
 		go n.load(ctx, a)
@@ -238,7 +238,7 @@
 
 // load fetches the weights of a and then marks the node ready, unless another
 // order came meanwhile.
-func (n *Node) load(ctx context.Context, a platform.Assignment) {
+func (n *Node) load(ctx context.Context, a cluster.Assignment) {
 	if n.opts.Store != nil && n.opts.Store.Load(ctx, n.opts.LoadGB) != nil {
 		return
 	}
@@ -248,15 +248,15 @@
 		return
 	}
 	n.keep(a.Version)
-	n.state.Phase = platform.PhaseReady
+	n.state.Phase = cluster.PhaseReady
 }
 
 // Held returns the assignment of a node that is up, and whether it is ready to
 // do its part of it.
-func (n *Node) Held() (platform.Assignment, bool) {
+func (n *Node) Held() (cluster.Assignment, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.state.Assignment, n.up && n.state.Phase == platform.PhaseReady
+	return n.state.Assignment, n.up && n.state.Phase == cluster.PhaseReady
 }
 
 // Fence returns how often the node's process was started, and the token of the
--- a/standin/server/node.go
+++ b/standin/server/node.go
@@ -12,7 +12,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/standin"
 )
 
@@ -70,7 +70,7 @@
 	})
 	app.Post("/control/order", func(c *fiber.Ctx) error { return postOrder(n, c) })
 	app.Get("/control/runs", func(c *fiber.Ctx) error { return c.JSON(n.Runs()) })
-	if n.Listed().Kind == platform.KindService {
+	if n.Listed().Kind == cluster.KindService {
 		app.All("/*", func(c *fiber.Ctx) error { return serveCall(n, c) })
 		return app
 	}
@@ -80,7 +80,7 @@
 }
 
 func postOrder(n *standin.Node, c *fiber.Ctx) error {
-	var order platform.Order
+	var order cluster.Order
 	if err := c.BodyParser(&order); err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 }
 
 func refuse(c *fiber.Ctx, err error) error {
-	c.Set(platform.HeaderStarted, platform.StartedNo)
+	c.Set(cluster.HeaderStarted, cluster.StartedNo)
 	return c.Status(fiber.StatusServiceUnavailable).JSON(fiber.Map{"error": err.Error()})
 }
 
@@ -115,19 +115,19 @@
 	if err != nil || !n.Up() {
 		return cut(c)
 	}
-	c.Set(platform.HeaderRequest, c.Get(platform.HeaderRequest))
+	c.Set(cluster.HeaderRequest, c.Get(cluster.HeaderRequest))
 	return c.JSON(fiber.Map{"path": path, "mark": mark, "run": count})
 }
 
 func serveCompletion(n *standin.Node, c *fiber.Ctx, chat bool) error {
 	var r completion
 	if err := json.Unmarshal(c.Body(), &r); err != nil {
-		c.Set(platform.HeaderStarted, platform.StartedNo)
+		c.Set(cluster.HeaderStarted, cluster.StartedNo)
 		return c.Status(fiber.StatusBadRequest).JSON(fiber.Map{"error": err.Error()})
 	}
-	id := strings.Clone(c.Get(platform.HeaderRequest))
-	assignment := strings.Clone(c.Get(platform.HeaderAssignment))
-	c.Set(platform.HeaderRequest, id)
+	id := strings.Clone(c.Get(cluster.HeaderRequest))
+	assignment := strings.Clone(c.Get(cluster.HeaderAssignment))
+	c.Set(cluster.HeaderRequest, id)
 	if r.Stream {
 		return streamCompletion(n, c, r, id, assignment, chat)
 	}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -13,8 +13,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/conc"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
-	"quartzshelf.dev/platform"
 	"quartzshelf.dev/standin"
 )
 
@@ -136,7 +136,7 @@
 }
 
 type appendBody struct {
-	Records []platform.Record `json:"records"`
+	Records []cluster.Record `json:"records"`
 }
 
 func (s *Server) platformApp() *fiber.App {
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -8,11 +8,12 @@
 
 	"gotest.tools/v3/assert"
 
-	"quartzshelf.dev/platform"
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/standin"
+	"quartzshelf.dev/standin/client"
 )
 
-func newServer(t *testing.T) (*Server, *platform.Client) {
+func newServer(t *testing.T) (*Server, *client.Client) {
 	t.Helper()
 	s, err := New(Options{
 		Host: "127.0.0.1",
@@ -23,7 +24,7 @@
 	})
 	assert.NilError(t, err)
 	t.Cleanup(s.Stop)
-	return s, platform.NewClient(platform.ClientOptions{LogAddress: s.Address(), NodesAddress: s.Address()})
+	return s, client.New(client.Options{LogAddress: s.Address(), NodesAddress: s.Address()})
 }
 
 // TestStreamsKeepTheirNames fails when the name of a stream is kept in memory
@@ -34,8 +35,8 @@
 	streams := []string{"configuration", "ownership", "intents", "arrivals"}
 	for i := range 20 {
 		for _, stream := range streams {
-			record := platform.Record{ID: fmt.Sprint(stream, i), Data: []byte(stream)}
-			first, err := client.Append(ctx, stream, []platform.Record{record})
+			record := cluster.Record{ID: fmt.Sprint(stream, i), Data: []byte(stream)}
+			first, err := client.Append(ctx, stream, []cluster.Record{record})
 			assert.NilError(t, err)
 			assert.Equal(t, first, int64(i), stream)
 		}
