--- /dev/null
+++ b/fleet/beliefs.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Beliefs holds the configuration in force. It only moves forwards. It is safe
+// for concurrent use.
+type Beliefs struct {
+	current atomic.Pointer[Config]
+
+	mu        sync.Mutex
+	confirmed time.Time
+	changed   chan struct{}
+}
+
+// NewBeliefs returns beliefs without a configuration.
+func NewBeliefs() *Beliefs { return &Beliefs{changed: make(chan struct{})} }
+
+// Config returns the configuration in force, or nil before the first.
+func (b *Beliefs) Config() *Config { return b.current.Load() }
+
+// Version returns the version in force, 0 before the first.
+func (b *Beliefs) Version() int64 {
+	if c := b.current.Load(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+// Confirmed returns the latest time at which the configuration in force is
+// known to have been the newest: the sending of a read, never its answer.
+func (b *Beliefs) Confirmed() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.confirmed
+}
+
+// Offer takes a configuration that was read from its source by a read sent at
+// the given time. An older one than that in force is ignored.
+func (b *Beliefs) Offer(c *Config, sent time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if held := b.current.Load(); held == nil || c.Version() > held.Version() {
+		b.current.Store(c)
+		close(b.changed)
+		b.changed = make(chan struct{})
+	}
+	if c.Version() >= b.current.Load().Version() {
+		b.confirm(sent)
+	}
+}
+
+// Confirm notes that the given version was the newest at the given time.
+func (b *Beliefs) Confirm(version int64, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c := b.current.Load(); c != nil && c.Version() == version {
+		b.confirm(at)
+	}
+}
+
+func (b *Beliefs) confirm(at time.Time) {
+	if at.After(b.confirmed) {
+		b.confirmed = at
+	}
+}
--- /dev/null
+++ b/fleet/follower.go
@@ -0,0 +1,208 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+)
+
+// Timing of a follower.
+const (
+	// configWait and workersWait are how long a read waits for news. A waiting
+	// read confirms only the time at which it was sent, so the former decides
+	// how old the belief in the configuration gets.
+	configWait  = 1500 * time.Millisecond
+	workersWait = 3 * time.Second
+	// answerSlack is how much longer than its wait a read may take.
+	answerSlack = 700 * time.Millisecond
+	// readTimeout bounds a read that does not wait.
+	readTimeout = time.Second
+	// retryFirst and retryMost bound the pause after a failed read.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// idlePause is how often a follower that leaves reading to others looks
+	// whether it should read itself.
+	idlePause = 100 * time.Millisecond
+	// mergePause joins changes that come close upon one another into one read.
+	mergePause = 60 * time.Millisecond
+)
+
+// ConfigNews is what a read of the configuration brought.
+type ConfigNews struct {
+	// Config is nil when there was nothing new.
+	Config *Config
+	// Next is the position to go on from.
+	Next int64
+	// Lost says that the position is gone; everything is to be read anew.
+	Lost bool
+}
+
+// WorkerNews is what a read of the worker list brought.
+type WorkerNews struct {
+	Changes []Change
+	Next    int64
+	Lost    bool
+}
+
+// Source is where the configuration and the worker list are published.
+type Source interface {
+	// ReadConfig returns the newest configuration.
+	ReadConfig(ctx context.Context) (ConfigNews, error)
+	// NextConfig waits for news after position.
+	NextConfig(ctx context.Context, position int64, wait time.Duration) (ConfigNews, error)
+	// ReadWorkers returns all workers as changes.
+	ReadWorkers(ctx context.Context) (WorkerNews, error)
+	// NextWorkers waits for news after position.
+	NextWorkers(ctx context.Context, position int64, wait time.Duration) (WorkerNews, error)
+}
+
+// FollowerOptions configures a Follower.
+type FollowerOptions struct {
+	Source    Source
+	Beliefs   *Beliefs
+	Inventory *Inventory
+	// ReadsConfig and ReadsWorkers report whether this daemon is to read now,
+	// rather than to be told by a peer.
+	ReadsConfig  func() bool
+	ReadsWorkers func() bool
+	Logger       hclog.Logger
+}
+
+// Follower keeps beliefs and inventory up to date from their source.
+type Follower struct {
+	opts FollowerOptions
+	done chan struct{}
+}
+
+// NewFollower returns a follower; Run makes it work.
+func NewFollower(opts FollowerOptions) *Follower {
+	return &Follower{opts: opts, done: make(chan struct{})}
+}
+
+// Done is closed when Run has returned.
+func (f *Follower) Done() <-chan struct{} { return f.done }
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	defer close(f.done)
+	var group conc.WaitGroup
+	group.Go(func() { f.followConfig(ctx) })
+	group.Go(func() { f.followWorkers(ctx) })
+	group.Wait()
+}
+
+func (f *Follower) followConfig(ctx context.Context) {
+	position := int64(-1)
+	f.follow(ctx, "configuration", f.opts.ReadsConfig, func(ctx context.Context) error {
+		sent := time.Now()
+		news, err := f.readConfig(ctx, position)
+		if err != nil {
+			return err
+		}
+		position = news.Next
+		switch {
+		case news.Lost:
+			position = -1
+		case news.Config != nil:
+			f.opts.Beliefs.Offer(news.Config, sent)
+		default:
+			f.opts.Beliefs.Confirm(f.opts.Beliefs.Version(), sent)
+		}
+		return nil
+	})
+}
+
+func (f *Follower) readConfig(ctx context.Context, position int64) (ConfigNews, error) {
+	if position < 0 || f.opts.Beliefs.Config() == nil {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		news, err := f.opts.Source.ReadConfig(ctx)
+		if err == nil && news.Config == nil {
+			sleep(ctx, retryFirst)
+		}
+		return news, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, configWait+answerSlack)
+	defer cancel()
+	return f.opts.Source.NextConfig(ctx, position, configWait)
+}
+
+func (f *Follower) followWorkers(ctx context.Context) {
+	position := int64(-1)
+	f.follow(ctx, "worker list", f.opts.ReadsWorkers, func(ctx context.Context) error {
+		sent := time.Now()
+		if position < 0 {
+			return f.readWorkers(ctx, &position, sent)
+		}
+		// What peers told since the last read need not be read again.
+		position = max(position, f.opts.Inventory.Position())
+		next, cancel := context.WithTimeout(ctx, workersWait+answerSlack)
+		defer cancel()
+		news, err := f.opts.Source.NextWorkers(next, position, workersWait)
+		switch {
+		case err != nil:
+			return err
+		case news.Lost:
+			position = -1
+			return nil
+		}
+		position = news.Next
+		f.opts.Inventory.Apply(news.Changes, position, sent)
+		sleep(ctx, mergePause)
+		return nil
+	})
+}
+
+func (f *Follower) readWorkers(ctx context.Context, position *int64, sent time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	news, err := f.opts.Source.ReadWorkers(ctx)
+	if err != nil {
+		return err
+	}
+	*position = news.Next
+	f.opts.Inventory.Replace(news.Changes, news.Next, sent)
+	return nil
+}
+
+// follow reads again and again while reads allows it, and pauses longer and
+// longer while reads fail. It logs each loss and return of the source once.
+func (f *Follower) follow(ctx context.Context, what string, reads func() bool, read func(context.Context) error) {
+	pause, lost := retryFirst, false
+	for ctx.Err() == nil {
+		if !reads() {
+			sleep(ctx, idlePause)
+			continue
+		}
+		err := read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			if lost {
+				f.opts.Logger.Info("source regained", "of", what)
+			}
+			pause, lost = retryFirst, false
+			continue
+		}
+		if !lost {
+			f.opts.Logger.Warn("source lost", "of", what, "error", err)
+			lost = true
+		}
+		sleep(ctx, pause+rand.N(pause))
+		pause = min(2*pause, retryMost)
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/fleet/inventory.go
@@ -0,0 +1,203 @@
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Change is one step of the worker list.
+type Change struct {
+	ID string `json:"id"`
+	// Worker is nil when the worker is no longer listed.
+	Worker *Worker `json:"worker,omitempty"`
+}
+
+// Announcement is a leader's word about a group that the list may not show yet.
+type Announcement struct {
+	Group   string   `json:"group"`
+	Epoch   int64    `json:"epoch"`
+	Service string   `json:"service"`
+	Model   string   `json:"model"`
+	Members []string `json:"members"`
+	// Open tells that the head takes requests; otherwise it must not get any.
+	Open bool `json:"open"`
+}
+
+// Head returns the member that takes the group's requests.
+func (a Announcement) Head() string {
+	if len(a.Members) == 0 {
+		return ""
+	}
+	return a.Members[0]
+}
+
+// Inventory holds the workers as they are listed. It is safe for concurrent use.
+type Inventory struct {
+	mu        sync.Mutex
+	workers   map[string]*Worker
+	announced map[string]Announcement
+	position  int64
+	confirmed time.Time
+	view      atomic.Pointer[View]
+	journal   []batch
+	changed   chan struct{}
+}
+
+// maxJournal is how many batches of changes are kept for peers.
+const maxJournal = 256
+
+// batch is the changes that led from one position to another.
+type batch struct {
+	from, to int64
+	changes  []Change
+}
+
+// NewInventory returns an inventory without workers.
+func NewInventory() *Inventory {
+	i := &Inventory{
+		workers: make(map[string]*Worker), announced: make(map[string]Announcement),
+		changed: make(chan struct{}, 1),
+	}
+	i.view.Store(newView(nil, nil))
+	return i
+}
+
+// View returns the workers and replicas as last known.
+func (i *Inventory) View() *View { return i.view.Load() }
+
+// Changed receives after changes; several may be joined into one.
+func (i *Inventory) Changed() <-chan struct{} { return i.changed }
+
+// Position returns one past the offset of the newest change applied.
+func (i *Inventory) Position() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.position
+}
+
+// Confirmed returns when the newest successful read of the list was sent.
+func (i *Inventory) Confirmed() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.confirmed
+}
+
+// Replace takes a whole list, as changes from an empty one, which reaches up to position and was asked for
+// at sent. A list older than what is held is ignored.
+func (i *Inventory) Replace(all []Change, position int64, sent time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if position < i.position {
+		return
+	}
+	i.workers = make(map[string]*Worker, len(all))
+	for _, c := range all {
+		if c.Worker != nil {
+			i.workers[c.ID] = c.Worker
+		}
+	}
+	i.journal = nil
+	i.advance(position, sent)
+	i.publish()
+}
+
+// Apply takes changes up to position that were asked for at sent.
+func (i *Inventory) Apply(changes []Change, position int64, sent time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if position < i.position {
+		return
+	}
+	if len(changes) > 0 {
+		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes})
+		i.journal = i.journal[max(len(i.journal)-maxJournal, 0):]
+	}
+	for _, c := range changes {
+		if c.Worker == nil {
+			delete(i.workers, c.ID)
+			continue
+		}
+		i.workers[c.ID] = c.Worker
+	}
+	i.advance(position, sent)
+	if len(changes) > 0 {
+		i.publish()
+	}
+}
+
+// Since returns the changes that lead from a position to the current one, for
+// a peer. Whole tells that they are the whole list instead.
+func (i *Inventory) Since(from int64) (changes []Change, position int64, whole bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if from == i.position {
+		return nil, i.position, false
+	}
+	found := false
+	for _, b := range i.journal {
+		found = found || b.from == from
+		if found {
+			changes = append(changes, b.changes...)
+		}
+	}
+	if found {
+		return changes, i.position, false
+	}
+	for id, w := range i.workers {
+		changes = append(changes, Change{ID: id, Worker: w})
+	}
+	return changes, i.position, true
+}
+
+// Confirm notes that the list up to position is known, on a peer's word, to
+// have been the newest at the given time.
+func (i *Inventory) Confirm(position int64, at time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if position == i.position && at.After(i.confirmed) {
+		i.confirmed = at
+	}
+}
+
+// Announce takes a leader's word about groups.
+func (i *Inventory) Announce(all []Announcement) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	news := false
+	for _, a := range all {
+		held, ok := i.announced[a.Group]
+		if ok && (held.Epoch > a.Epoch || held.Open == a.Open || !held.Open) {
+			// A group that was closed never opens again.
+			continue
+		}
+		i.announced[a.Group] = a
+		news = true
+	}
+	if news {
+		i.publish()
+	}
+}
+
+func (i *Inventory) advance(position int64, sent time.Time) {
+	i.position = position
+	if sent.After(i.confirmed) {
+		i.confirmed = sent
+	}
+}
+
+// publish makes the view anew and forgets announcements that the list has
+// overtaken.
+func (i *Inventory) publish() {
+	for name, a := range i.announced {
+		head, ok := i.workers[a.Head()]
+		if !ok || head.Member.Epoch > a.Epoch {
+			delete(i.announced, name)
+		}
+	}
+	i.view.Store(newView(i.workers, i.announced))
+	select {
+	case i.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/fleet/worker.go
@@ -0,0 +1,60 @@
+package fleet
+
+// GroupState is how far a worker is in its group.
+type GroupState string
+
+// The states of a worker in its group.
+const (
+	// Joining workers load weights or wait.
+	Joining GroupState = "joining"
+	// Ready workers can be opened.
+	Ready GroupState = "ready"
+	// Open groups take requests at their head.
+	Open GroupState = "open"
+	// Closing groups end their work.
+	Closing GroupState = "closing"
+	// Broken groups have lost a member.
+	Broken GroupState = "broken"
+)
+
+// Membership is a worker's part in a group.
+type Membership struct {
+	// Group names the group; it is empty for a worker of none.
+	Group string     `json:"group,omitempty"`
+	Epoch int64      `json:"epoch,omitempty"`
+	Rank  int        `json:"rank,omitempty"`
+	State GroupState `json:"state,omitempty"`
+}
+
+// Same reports whether both name the same group and epoch.
+func (m Membership) Same(other Membership) bool {
+	return m.Group == other.Group && m.Epoch == other.Epoch
+}
+
+// Worker is one life of a worker as it describes itself.
+type Worker struct {
+	// ID names this life; a restarted worker has another one.
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Domain is the fabric domain; replicas lie within one.
+	Domain   string `json:"domain,omitempty"`
+	Slots    int    `json:"slots"`
+	Draining bool   `json:"draining,omitempty"`
+	// Loaded is the model that the worker is set up for, empty for none.
+	Loaded string `json:"loaded,omitempty"`
+	// Staged lists the models on the worker's host.
+	Staged []string   `json:"staged,omitempty"`
+	Member Membership `json:"member"`
+}
+
+// HasStaged reports whether the model lies on the worker's host.
+func (w *Worker) HasStaged(model string) bool {
+	for _, s := range w.Staged {
+		if s == model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/formation/groups.go
@@ -0,0 +1,236 @@
+package formation
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"quartzshelf.dev/fleet"
+)
+
+// observed is a group as its members show it.
+type observed struct {
+	key   string
+	group Group
+	model fleet.Model
+	// known tells that the model is one of the service's.
+	known   bool
+	head    *fleet.Worker
+	state   fleet.GroupState
+	members []*fleet.Worker
+	// ready counts the members that were seen ready, the head included.
+	ready    int
+	draining bool
+}
+
+// whole reports whether every member is there.
+func (o *observed) whole() bool { return o.known && o.head != nil && len(o.members) == o.model.Size }
+
+// groups returns the groups of a service as its workers show them, sorted by key.
+func (k *Keeper) groups(s *fleet.Service, view *fleet.View) []*observed {
+	byKey := make(map[string]*observed)
+	for _, w := range view.Workers() {
+		m := k.member(w)
+		if w.Service != s.Name || m.Group == "" {
+			continue
+		}
+		key := fleet.GroupKey(m)
+		o, ok := byKey[key]
+		if !ok {
+			o = &observed{key: key, group: Group{Name: m.Group, Epoch: m.Epoch}}
+			byKey[key] = o
+		}
+		k.addMember(o, w, m)
+	}
+	all := make([]*observed, 0, len(byKey))
+	for _, o := range byKey {
+		k.complete(s.Engine, o)
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(a, b *observed) int { return cmp.Compare(a.key, b.key) })
+	return all
+}
+
+func (k *Keeper) addMember(o *observed, w *fleet.Worker, m fleet.Membership) {
+	if _, silent := k.silent[w.ID]; !silent {
+		o.members = append(o.members, w)
+	}
+	o.draining = o.draining || w.Draining
+	if m.State != fleet.Joining {
+		o.ready++
+	}
+	if m.Rank == 0 {
+		o.head, o.state = w, m.State
+	}
+}
+
+// complete works out the group's model and members.
+func (k *Keeper) complete(e *fleet.Engine, o *observed) {
+	if formed, ok := k.formed[o.key]; ok {
+		o.group = formed
+	}
+	name := o.group.Model
+	if name == "" && o.head != nil {
+		name = o.head.Loaded
+	}
+	o.model, o.known = e.Model(name)
+	o.group.Model = name
+}
+
+// mend begins what has to be done about a group. The keeper's mutex is held.
+func (k *Keeper) mend(ctx context.Context, o *observed, now time.Time) {
+	if k.operating[o.key] || k.retired[o.key] || k.anyBusy(o.members) {
+		return
+	}
+	switch {
+	case o.head == nil:
+		k.mendHeadless(ctx, o, now)
+	case o.state == fleet.Open && o.whole() && !o.draining:
+		// All is well.
+	case o.state == fleet.Open && o.whole():
+		k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
+	case o.whole() && !o.draining && o.ready == o.model.Size && o.state == fleet.Ready:
+		// An earlier leader formed it and did not come to open it.
+		k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.reopen(ctx, o) })
+	default:
+		k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.dissolve(ctx, o, o.head) })
+	}
+}
+
+// mendHeadless frees the members of a group whose head is not listed: at once
+// when the head confirms, else when it is certain to be gone.
+func (k *Keeper) mendHeadless(ctx context.Context, o *observed, now time.Time) {
+	since, ok := k.headless[o.key]
+	if !ok {
+		k.headless[o.key] = now
+		since = now
+	}
+	if now.Sub(since) > k.opts.StallAfter {
+		k.retired[o.key] = true
+		return
+	}
+	formed, ok := k.formed[o.key]
+	if !ok {
+		return
+	}
+	if head, ok := k.former[formed.Members[0]]; ok {
+		k.begin(ctx, o.key, nil, func(ctx context.Context) { k.dissolve(ctx, o, head) })
+	}
+}
+
+func (k *Keeper) anyBusy(members []*fleet.Worker) bool {
+	return slices.ContainsFunc(members, func(w *fleet.Worker) bool {
+		_, busy := k.busy[w.ID]
+		return busy
+	})
+}
+
+// begin runs an operation about a group and its members. The keeper's mutex is
+// held.
+func (k *Keeper) begin(ctx context.Context, key string, members []*fleet.Worker, operation func(context.Context)) {
+	k.operating[key] = true
+	for _, w := range members {
+		k.busy[w.ID] = time.Time{}
+	}
+	k.group.Go(func() {
+		operation(ctx)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.operating, key)
+		for _, w := range members {
+			delete(k.busy, w.ID)
+		}
+	})
+}
+
+// free returns the workers of a service that can be ordered into a new group.
+func (k *Keeper) free(s *fleet.Service, groups []*observed, view *fleet.View, now time.Time) []Free {
+	held := make(map[string]bool)
+	for _, o := range groups {
+		if k.retired[o.key] {
+			continue
+		}
+		for _, w := range o.members {
+			held[w.ID] = true
+		}
+	}
+	var all []Free
+	for id, w := range view.Workers() {
+		_, busy := k.busy[id]
+		_, silent := k.silent[id]
+		if w.Service != s.Name || w.Draining || busy || silent || held[id] {
+			continue
+		}
+		all = append(all, Free{ID: id, Domain: w.Domain, Loaded: k.loaded(w), Staged: w.Staged})
+	}
+	slices.SortFunc(all, func(a, b Free) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// loaded returns the model that a worker was set up for last.
+func (k *Keeper) loaded(w *fleet.Worker) string {
+	if o, ok := k.known[w.ID]; ok && o.at.After(k.opts.Inventory.Confirmed()) {
+		return o.state.Loaded
+	}
+	return w.Loaded
+}
+
+const (
+	// fillTarget is the part of a replica's slots that should be busy.
+	fillTarget = 0.5
+	// demandWeight is the part of a newly measured demand in the smoothed one.
+	demandWeight = 0.02
+	// reserve is how many replicas more than the measured demand are wanted.
+	reserve = 1
+)
+
+// needs returns what is wanted and there of each model.
+func (k *Keeper) needs(s *fleet.Service, groups []*observed, view *fleet.View) []Need {
+	workers := 0
+	for _, w := range view.Workers() {
+		if w.Service == s.Name {
+			workers++
+		}
+	}
+	have := make(map[string]int)
+	for _, o := range groups {
+		if o.whole() && !k.retired[o.key] {
+			have[o.model.Name]++
+		}
+	}
+	for key, g := range k.formed {
+		if k.operating[key] && !slices.ContainsFunc(groups, func(o *observed) bool { return o.key == key && o.whole() }) {
+			have[g.Model]++
+		}
+	}
+	k.smoothDemand()
+	var all []Need
+	for _, m := range s.Engine.Models {
+		all = append(all, Need{Model: m, Want: k.want(s.Engine, m, workers), Have: have[m.Name]})
+	}
+	return all
+}
+
+// want returns the wanted number of replicas: by the measured work, or by the
+// model's share before any was measured.
+func (k *Keeper) want(e *fleet.Engine, m fleet.Model, workers int) float64 {
+	measured := 0.0
+	for _, other := range e.Models {
+		measured += k.smooth[other.Name]
+	}
+	if measured < 1 {
+		return m.Share * float64(workers) / float64(max(m.Size, 1))
+	}
+	return k.smooth[m.Name]/(fillTarget*float64(max(e.Slots, 1))) + reserve
+}
+
+func (k *Keeper) smoothDemand() {
+	for model, demand := range k.opts.Demand() {
+		held, ok := k.smooth[model]
+		if !ok {
+			held = demand
+		}
+		k.smooth[model] = held + demandWeight*(demand-held)
+	}
+}
--- /dev/null
+++ b/formation/operate.go
@@ -0,0 +1,289 @@
+package formation
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"quartzshelf.dev/fleet"
+)
+
+// beginForm begins the forming of a group. The keeper's mutex is held.
+func (k *Keeper) beginForm(ctx context.Context, s *fleet.Service, f Formation) {
+	k.sequence++
+	epoch := int64(NewFence(k.term.Epoch, k.term.Rank, k.sequence))
+	g := Group{Name: fmt.Sprintf("r-%x", epoch), Epoch: epoch, Model: f.Model.Name, Members: f.Members}
+	var members []*fleet.Worker
+	for _, id := range f.Members {
+		members = append(members, k.former[id])
+	}
+	k.formed[g.Key()] = g
+	k.opts.Logger.Info("forming replica", "replica", g.Key(), "model", g.Model, "members", g.Members, "loads", f.Loads)
+	k.begin(ctx, g.Key(), members, func(ctx context.Context) { k.form(ctx, s, f, g, members) })
+}
+
+// form joins the members, waits until each was seen ready under this name,
+// epoch and list, and only then opens the head.
+func (k *Keeper) form(ctx context.Context, s *fleet.Service, f Formation, g Group, members []*fleet.Worker) {
+	start := time.Now()
+	expected := joinSlack + f.Model.Warm
+	if f.Loads > 0 {
+		expected += slowLoads * f.Model.Load
+	}
+	ctx, cancel := context.WithDeadline(ctx, start.Add(expected))
+	defer cancel()
+	if !k.join(ctx, g, members) || !k.awaitReady(ctx, g, members) {
+		k.giveUp(ctx, g, members[0], "a member did not become ready")
+		return
+	}
+	if !k.open(ctx, s.Name, g, members[0]) {
+		k.giveUp(ctx, g, members[0], "the head was not opened")
+		return
+	}
+	k.opts.Logger.Info("replica opened", "replica", g.Key(), "model", g.Model,
+		"head", g.Members[0], "ms", time.Since(start).Milliseconds())
+}
+
+// giveUp makes certain that a group which could not be formed is never opened
+// by a late order, then frees its members.
+func (k *Keeper) giveUp(ctx context.Context, g Group, head *fleet.Worker, why string) {
+	k.opts.Logger.Warn("forming given up", "replica", g.Key(), "model", g.Model, "reason", why)
+	k.dissolve(context.WithoutCancel(ctx), &observed{key: g.Key(), group: g}, head)
+}
+
+// join gives each member its order to join, side by side, and reports whether
+// all took it.
+func (k *Keeper) join(ctx context.Context, g Group, members []*fleet.Worker) bool {
+	p := pool.NewWithResults[bool]()
+	for _, w := range members {
+		p.Go(func() bool {
+			verdict, ok := k.order(ctx, "join", w, func(ctx context.Context, fence Fence) (Verdict, error) {
+				return k.opts.Orders.Join(ctx, w, fence, g)
+			})
+			return ok && verdict.Accepted()
+		})
+	}
+	for _, ok := range p.Wait() {
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitReady waits until every member was seen ready in the group.
+func (k *Keeper) awaitReady(ctx context.Context, g Group, members []*fleet.Worker) bool {
+	seen := make(map[string]bool)
+	nextAsk := time.Now().Add(askEvery)
+	for ctx.Err() == nil {
+		view := k.opts.Inventory.View()
+		for _, w := range members {
+			if listed, ok := view.Worker(w.ID); ok && isReadyIn(listed.Member, g) {
+				seen[w.ID] = true
+			}
+		}
+		if len(seen) == len(members) {
+			return true
+		}
+		if now := time.Now(); now.After(nextAsk) && now.Sub(k.opts.Inventory.Confirmed()) > listFresh {
+			nextAsk = now.Add(askEvery)
+			k.askReady(ctx, g, members, seen)
+		}
+		if k.lost(members, view) {
+			return false
+		}
+		pause(ctx, tickEvery/4)
+	}
+	return false
+}
+
+func isReadyIn(m fleet.Membership, g Group) bool {
+	return m.Group == g.Name && m.Epoch == g.Epoch && m.State == fleet.Ready
+}
+
+// askReady asks the members that were not seen ready, while the list is old.
+func (k *Keeper) askReady(ctx context.Context, g Group, members []*fleet.Worker, seen map[string]bool) {
+	for _, w := range members {
+		if seen[w.ID] {
+			continue
+		}
+		if state, ok := k.ask(ctx, w); ok && isReadyIn(state.Member, g) {
+			seen[w.ID] = true
+		}
+	}
+}
+
+// lost reports whether a member left the list or is leaving.
+func (k *Keeper) lost(members []*fleet.Worker, view *fleet.View) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, w := range members {
+		listed, ok := view.Worker(w.ID)
+		if !ok || listed.Draining {
+			return true
+		}
+		if _, silent := k.silent[w.ID]; silent {
+			return true
+		}
+	}
+	return false
+}
+
+// open opens a group whose members are all ready, and announces it.
+func (k *Keeper) open(ctx context.Context, service string, g Group, head *fleet.Worker) bool {
+	verdict, ok := k.order(ctx, "open", head, func(ctx context.Context, fence Fence) (Verdict, error) {
+		return k.opts.Orders.Open(ctx, head, fence, g)
+	})
+	if !ok || !verdict.Accepted() {
+		return false
+	}
+	k.mu.Lock()
+	k.known[head.ID] = observation{at: time.Now(), state: State{
+		Member: fleet.Membership{Group: g.Name, Epoch: g.Epoch, State: fleet.Open}, Loaded: g.Model, Staged: []string{g.Model},
+	}}
+	k.mu.Unlock()
+	pause(ctx, k.openingTime(service))
+	k.opts.Announced(fleet.Announcement{
+		Group: g.Name, Epoch: g.Epoch, Service: service, Model: g.Model, Members: g.Members, Open: true,
+	})
+	return true
+}
+
+// openingTime returns how long the opening of a group takes.
+func (k *Keeper) openingTime(service string) time.Duration {
+	if c := k.opts.Config(); c != nil {
+		if s, ok := c.Service(service); ok && s.Engine != nil {
+			return s.Engine.Form
+		}
+	}
+	return 0
+}
+
+// reopen opens a group that an earlier leader formed.
+func (k *Keeper) reopen(ctx context.Context, o *observed) {
+	g := o.group
+	if len(g.Members) == 0 {
+		g.Members = []string{o.head.ID}
+	}
+	if !k.open(ctx, o.head.Service, g, o.head) {
+		k.giveUp(ctx, g, o.head, "a group of an earlier leader was not opened")
+	}
+}
+
+// dissolve makes certain that the head takes no more requests for the group,
+// and by then frees its members.
+func (k *Keeper) dissolve(ctx context.Context, o *observed, head *fleet.Worker) {
+	k.announceClosed(o, head)
+	unreachableSince := time.Time{}
+	for ctx.Err() == nil {
+		verdict, ok := k.order(ctx, "leave", head, func(ctx context.Context, fence Fence) (Verdict, error) {
+			return k.opts.Orders.Leave(ctx, head, fence, o.group)
+		})
+		now := time.Now()
+		switch {
+		case ok && verdict == Fenced:
+			return
+		case ok:
+			k.retire(o, head, verdict)
+			return
+		case unreachableSince.IsZero():
+			unreachableSince = now.Add(-orderTries * orderTimeout)
+		}
+		if k.gone(head, unreachableSince, now) {
+			k.retire(o, head, Elsewhere)
+			return
+		}
+		pause(ctx, tickEvery)
+	}
+}
+
+// gone reports whether a head that does not answer is certain to be gone: it is
+// not listed although the list is fresh, or it had time to break.
+func (k *Keeper) gone(head *fleet.Worker, since, now time.Time) bool {
+	_, listed := k.opts.Inventory.View().Worker(head.ID)
+	fresh := now.Sub(k.opts.Inventory.Confirmed()) < listFresh
+	silence := now.Sub(since)
+	return !listed && fresh && silence > lostHead || silence > k.opts.StallAfter+lostHead
+}
+
+func (k *Keeper) retire(o *observed, head *fleet.Worker, verdict Verdict) {
+	k.opts.Logger.Info("replica dissolved", "replica", o.key, "head", head.ID, "left", verdict.Accepted())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.retired[o.key] = true
+	delete(k.headless, o.key)
+}
+
+func (k *Keeper) announceClosed(o *observed, head *fleet.Worker) {
+	members := o.group.Members
+	if len(members) == 0 {
+		members = []string{head.ID}
+	}
+	k.opts.Announced(fleet.Announcement{
+		Group: o.group.Name, Epoch: o.group.Epoch, Service: head.Service, Model: o.group.Model, Members: members,
+	})
+}
+
+// drain lets a group's requests end before it is dissolved.
+func (k *Keeper) drain(ctx context.Context, o *observed) {
+	k.opts.Logger.Info("draining replica", "replica", o.key)
+	k.announceClosed(o, o.head)
+	deadline := time.Now().Add(drainMost)
+	verdict, ok := k.order(ctx, "close", o.head, func(ctx context.Context, fence Fence) (Verdict, error) {
+		return k.opts.Orders.Close(ctx, o.head, fence, o.group)
+	})
+	for ok && verdict.Accepted() && ctx.Err() == nil && time.Now().Before(deadline) {
+		listed, there := k.opts.Inventory.View().Worker(o.head.ID)
+		if !there || listed.Member.Same(fleet.Membership{Group: o.group.Name, Epoch: o.group.Epoch}) && listed.Member.State == fleet.Ready {
+			break
+		}
+		pause(ctx, tickEvery)
+	}
+	k.dissolve(ctx, o, o.head)
+}
+
+// order gives an order until it is answered, each time with a new fence so
+// that an earlier one that comes late is void. It reports whether an answer
+// came.
+func (k *Keeper) order(ctx context.Context, what string, w *fleet.Worker, give func(context.Context, Fence) (Verdict, error)) (Verdict, bool) {
+	for range orderTries {
+		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+		verdict, err := give(bounded, k.fence())
+		cancel()
+		if err == nil {
+			if verdict == Fenced {
+				k.opts.Logger.Warn("order refused: another leader has a higher term", "order", what, "worker", w.ID)
+				k.outdone()
+			}
+			return verdict, true
+		}
+		if ctx.Err() != nil {
+			return Unfit, false
+		}
+		k.opts.Logger.Debug("order not answered", "order", what, "worker", w.ID, "error", err)
+	}
+	return Unfit, false
+}
+
+// ask asks a worker for its state.
+func (k *Keeper) ask(ctx context.Context, w *fleet.Worker) (State, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	state, err := k.opts.Orders.Ask(ctx, w)
+	if err != nil {
+		return State{}, false
+	}
+	k.learn(w.ID, state)
+	return state, true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/formation/plan_test.go
@@ -0,0 +1,64 @@
+package formation
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+func TestPlan(t *testing.T) {
+	big := fleet.Model{Name: "big", Size: 3}
+	small := fleet.Model{Name: "small", Size: 2}
+	worker := func(id, domain, loaded string) Free {
+		f := Free{ID: id, Domain: domain, Loaded: loaded}
+		if loaded != "" {
+			f.Staged = []string{loaded}
+		}
+		return f
+	}
+	tests := map[string]struct {
+		needs    []Need
+		free     []Free
+		maxLoads int
+		want     [][]string
+	}{
+		"nothing free": {needs: []Need{{Model: big, Want: 3}}},
+		"never across domains": {
+			needs: []Need{{Model: small, Want: 3}}, maxLoads: 9,
+			free: []Free{worker("a", "d1", ""), worker("b", "d2", "")},
+		},
+		"survivors of two broken groups make a whole one without a load": {
+			needs: []Need{{Model: big, Want: 3}, {Model: small, Want: 9}},
+			free:  []Free{worker("a", "d", "big"), worker("b", "d", "big"), worker("c", "d", "big")},
+			want:  [][]string{{"a", "b", "c"}},
+		},
+		"the shorter model goes first": {
+			needs: []Need{{Model: big, Want: 3, Have: 3}, {Model: small, Want: 3}}, maxLoads: 9,
+			free: []Free{worker("a", "d", ""), worker("b", "d", ""), worker("c", "d", "")},
+			want: [][]string{{"a", "b"}},
+		},
+		"loads are bounded": {
+			needs: []Need{{Model: small, Want: 9}}, maxLoads: 3,
+			free: []Free{
+				worker("a", "d", ""), worker("b", "d", ""), worker("c", "d", ""), worker("e", "d", ""),
+			},
+			want: [][]string{{"a", "b"}},
+		},
+		"blank workers are taken before those of another model": {
+			needs: []Need{{Model: small, Want: 9}, {Model: big, Want: 1, Have: 1}}, maxLoads: 9,
+			free: []Free{worker("a", "d", "big"), worker("b", "d", ""), worker("c", "d", "")},
+			want: [][]string{{"b", "c"}},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got [][]string
+			for _, f := range Plan(test.needs, test.free, test.maxLoads) {
+				got = append(got, f.Members)
+			}
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/formation/suspect.go
@@ -0,0 +1,79 @@
+package formation
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"quartzshelf.dev/fleet"
+)
+
+// silentTries is how often a worker must not answer to count as silent.
+const silentTries = 2
+
+// examine asks the members of a suspected replica whether they live. Those
+// that do not answer count as lost, which makes the next tick mend the group.
+func (k *Keeper) examine(ctx context.Context, replica string) {
+	members := k.membersOf(replica)
+	if members == nil {
+		return
+	}
+	k.group.Go(func() {
+		p := pool.New()
+		for _, w := range members {
+			p.Go(func() { k.check(ctx, w, replica) })
+		}
+		p.Wait()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.operating, "examine "+replica)
+	})
+}
+
+// membersOf returns the members of a replica that is not being looked at yet.
+func (k *Keeper) membersOf(replica string) []*fleet.Worker {
+	view := k.opts.Inventory.View()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.operating["examine "+replica] || k.operating[replica] || k.retired[replica] {
+		return nil
+	}
+	var members []*fleet.Worker
+	for _, w := range view.Workers() {
+		if m := k.member(w); m.Group != "" && fleet.GroupKey(m) == replica {
+			members = append(members, w)
+		}
+	}
+	if members != nil {
+		k.operating["examine "+replica] = true
+	}
+	return members
+}
+
+func (k *Keeper) check(ctx context.Context, w *fleet.Worker, replica string) {
+	for range silentTries {
+		if _, ok := k.ask(ctx, w); ok {
+			return
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	k.opts.Logger.Warn("worker does not answer", "worker", w.ID, "replica", replica)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silent[w.ID] = time.Now().Add(reviveEvery)
+}
+
+// revive asks silent workers again now and then. The keeper's mutex is held.
+func (k *Keeper) revive(ctx context.Context, view *fleet.View, now time.Time) {
+	for id, at := range k.silent {
+		w, listed := view.Worker(id)
+		if !listed || now.Before(at) {
+			continue
+		}
+		k.silent[id] = now.Add(reviveEvery)
+		k.group.Go(func() { k.ask(ctx, w) })
+	}
+}
--- /dev/null
+++ b/leadership/elector.go
@@ -0,0 +1,299 @@
+// Package leadership decides which daemon leads. A grant in the store names the
+// holders of an epoch; while the store is away, they follow one another by
+// their ranks. Two daemons may lead for a moment: fencing tokens keep that
+// harmless, and the lower one yields as soon as it hears of the higher.
+package leadership
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"quartzshelf.dev/peers"
+)
+
+// Timing of an elector.
+const (
+	tickEvery = 100 * time.Millisecond
+	// registryTimeout bounds a call to the registry.
+	registryTimeout = 600 * time.Millisecond
+	// firstPatience is how long a daemon that has just started listens for
+	// others before it takes part.
+	firstPatience = 500 * time.Millisecond
+	// turnPatience is how much longer each further candidate waits.
+	turnPatience = 700 * time.Millisecond
+	// retryPause is the pause after an attempt that did not win.
+	retryPause = 300 * time.Millisecond
+	// knownFor is how far back daemons count towards a majority.
+	knownFor = 20 * time.Second
+	// storeFresh is how recently the store must have answered to be reached.
+	storeFresh = 4 * time.Second
+	// deputies is how many holders a grant names after the first.
+	deputies = 4
+	maxRank  = 200
+)
+
+// Registry keeps grants. Each has an epoch that no other one shares.
+type Registry interface {
+	// Newest returns the newest grant, the zero one before the first, and the
+	// position at which the next one has to be added.
+	Newest(ctx context.Context) (grant peers.Grant, position int64, err error)
+	// Add adds a grant if the position still holds, and returns its epoch.
+	Add(ctx context.Context, holders []peers.Holder, position int64) (epoch int64, won bool, err error)
+}
+
+// Options configures an Elector.
+type Options struct {
+	Self     peers.Holder
+	Registry Registry
+	// Alive returns the daemons that are alive, this one left out.
+	Alive func(now time.Time) []*peers.Peer
+	// Known returns how many others were alive since a time.
+	Known func(since time.Time) int
+	// Settled reports whether what was heard is up to date.
+	Settled func(now time.Time) bool
+	// Fit reports whether this daemon knows enough to lead, and stays.
+	Fit func() bool
+	// StoreSeen returns when the store last answered this daemon.
+	StoreSeen func() time.Time
+	// Lead is called with each term won and runs it until its context ends.
+	Lead   func(ctx context.Context, claim peers.Claim, first bool)
+	Logger hclog.Logger
+}
+
+// Elector takes part in leadership.
+type Elector struct {
+	opts  Options
+	start time.Time
+	done  chan struct{}
+
+	mu      sync.Mutex
+	grant   peers.Grant
+	highest peers.Claim
+	own     *peers.Claim
+	// stop ends the own term.
+	stop func()
+	// leaderlessSince is since when no leader was heard; zero while one is.
+	leaderlessSince time.Time
+	// pauseUntil is until when no attempt is made.
+	pauseUntil time.Time
+	trying     bool
+}
+
+// NewElector returns an elector; Run makes it work.
+func NewElector(opts Options) *Elector {
+	return &Elector{opts: opts, start: time.Now(), done: make(chan struct{})}
+}
+
+// Done is closed when Run has returned.
+func (e *Elector) Done() <-chan struct{} { return e.done }
+
+// State returns what peers are to be told: the own claim, if any, the highest
+// known, and the newest grant known.
+func (e *Elector) State() (own *peers.Claim, highest peers.Claim, grant peers.Grant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.own, e.highest, e.grant
+}
+
+// Hear takes what a peer told of leadership.
+func (e *Elector) Hear(p *peers.Peer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p.Grant.Epoch > e.grant.Epoch {
+		e.grant = p.Grant
+	}
+	for _, c := range []*peers.Claim{&p.Highest, p.Leads} {
+		if c != nil && c.Higher(e.highest) {
+			e.highest = *c
+		}
+	}
+	if e.own != nil && e.highest.Higher(*e.own) {
+		e.yield("a higher claim was heard")
+	}
+}
+
+// Yield ends the own term, if there is one.
+func (e *Elector) Yield(why string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.yield(why)
+}
+
+func (e *Elector) yield(why string) {
+	if e.own == nil {
+		return
+	}
+	e.opts.Logger.Warn("leadership given up", "epoch", e.own.Epoch, "rank", e.own.Rank, "reason", why)
+	e.stop()
+	e.own, e.stop = nil, nil
+	e.pauseUntil = time.Now().Add(turnPatience)
+}
+
+// Run takes part until ctx ends.
+func (e *Elector) Run(ctx context.Context) {
+	defer close(e.done)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			e.Yield("the daemon stops")
+			return
+		case <-ticker.C:
+			if e.tick(time.Now()) {
+				e.attempt(ctx)
+			}
+		}
+	}
+}
+
+// tick reports whether it is this daemon's turn to try for leadership.
+func (e *Elector) tick(now time.Time) bool {
+	alive := e.opts.Alive(now)
+	fit := e.opts.Fit()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.own != nil {
+		switch {
+		case !fit:
+			e.yield("the daemon leaves or knows too little")
+		case e.isolated(alive, now):
+			e.yield("neither the store nor most daemons are reached")
+		}
+		return false
+	}
+	if !fit || !e.opts.Settled(now) || now.Sub(e.start) < firstPatience || now.Before(e.pauseUntil) {
+		e.leaderlessSince = time.Time{}
+		return false
+	}
+	if led(alive) {
+		e.leaderlessSince = time.Time{}
+		return false
+	}
+	if e.leaderlessSince.IsZero() {
+		e.leaderlessSince = now
+	}
+	turn := e.turn(alive)
+	return now.Sub(e.leaderlessSince) >= time.Duration(turn)*turnPatience && !e.isolated(alive, now)
+}
+
+// isolated reports whether neither the store nor most daemons are reached.
+func (e *Elector) isolated(alive []*peers.Peer, now time.Time) bool {
+	known := e.opts.Known(now.Add(-knownFor)) + 1
+	return 2*(len(alive)+1) <= known && now.Sub(e.opts.StoreSeen()) > storeFresh
+}
+
+// led reports whether a daemon that stays leads.
+func led(alive []*peers.Peer) bool {
+	return slices.ContainsFunc(alive, func(p *peers.Peer) bool { return p.Leads != nil && !p.Leaving })
+}
+
+// turn returns how many daemons are to try before this one: holders of the
+// grant first, in their order, then the others by name.
+func (e *Elector) turn(alive []*peers.Peer) int {
+	candidates := []peers.Holder{e.opts.Self}
+	for _, p := range alive {
+		if p.Ready && !p.Leaving {
+			candidates = append(candidates, peers.Holder{ID: p.ID, Incarnation: p.Incarnation})
+		}
+	}
+	e.order(candidates)
+	return slices.Index(candidates, e.opts.Self)
+}
+
+func (e *Elector) order(candidates []peers.Holder) {
+	place := func(h peers.Holder) int {
+		if i := slices.Index(e.grant.Holders, h); i >= 0 {
+			return i
+		}
+		return len(e.grant.Holders)
+	}
+	slices.SortFunc(candidates, func(a, b peers.Holder) int {
+		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// attempt tries to win a term: by a new grant, or by rank when the store
+// cannot be reached.
+func (e *Elector) attempt(ctx context.Context) {
+	claim, first, won := e.takeGrant(ctx)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !won || e.highest.Higher(claim) || ctx.Err() != nil {
+		e.pauseUntil = time.Now().Add(retryPause)
+		return
+	}
+	e.highest = claim
+	e.own = &claim
+	term, stop := context.WithCancel(ctx)
+	e.stop = stop
+	e.leaderlessSince = time.Time{}
+	e.opts.Logger.Info("leading", "epoch", claim.Epoch, "rank", claim.Rank, "first", first)
+	go e.opts.Lead(term, claim, first)
+}
+
+// takeGrant returns the claim that this daemon may make.
+func (e *Elector) takeGrant(ctx context.Context) (claim peers.Claim, first, won bool) {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	newest, position, err := e.opts.Registry.Newest(ctx)
+	if err != nil {
+		claim, won = e.nextRank()
+		return claim, false, won
+	}
+	e.mu.Lock()
+	if newest.Epoch > e.grant.Epoch {
+		e.grant = newest
+	}
+	holders := e.holders()
+	unused := len(newest.Holders) > 0 && newest.Holders[0] == e.opts.Self && e.highest.Epoch < newest.Epoch
+	e.mu.Unlock()
+	if unused {
+		// An earlier addition was made though its answer was lost.
+		return peers.Claim{Epoch: newest.Epoch}, false, true
+	}
+	epoch, won, err := e.opts.Registry.Add(ctx, holders, position)
+	if err != nil {
+		e.opts.Logger.Warn("grant not added", "error", err)
+		return peers.Claim{}, false, false
+	}
+	if won {
+		e.mu.Lock()
+		e.grant = peers.Grant{Epoch: epoch, Holders: holders}
+		e.mu.Unlock()
+	}
+	return peers.Claim{Epoch: epoch}, newest.Epoch == 0, won
+}
+
+// holders returns the holders that a new grant names: this daemon, then others
+// that are alive and stay.
+func (e *Elector) holders() []peers.Holder {
+	holders := []peers.Holder{e.opts.Self}
+	for _, p := range e.opts.Alive(time.Now()) {
+		if p.Ready && !p.Leaving && len(holders) <= deputies {
+			holders = append(holders, peers.Holder{ID: p.ID, Incarnation: p.Incarnation})
+		}
+	}
+	return holders
+}
+
+// nextRank returns the next claim under the known grant that is this daemon's
+// to make. Holders take turns, so ranks are never used twice.
+func (e *Elector) nextRank() (peers.Claim, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	mine := slices.Index(e.grant.Holders, e.opts.Self)
+	if mine < 0 || e.highest.Epoch > e.grant.Epoch {
+		return peers.Claim{}, false
+	}
+	rank := mine
+	for e.highest.Epoch == e.grant.Epoch && rank <= e.highest.Rank {
+		rank += len(e.grant.Holders)
+	}
+	return peers.Claim{Epoch: e.grant.Epoch, Rank: rank}, rank <= maxRank
+}
--- /dev/null
+++ b/peers/table.go
@@ -0,0 +1,139 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// aliveFor is how long a daemon counts as alive after a beat. It spans
+	// several beats, since datagrams get lost.
+	aliveFor = 800 * time.Millisecond
+	// forgetAfter is how long a silent daemon is still sent beats, so that it
+	// finds back after a partition.
+	forgetAfter = 90 * time.Second
+)
+
+// Table holds what is known of the other daemons. It is safe for concurrent use.
+type Table struct {
+	self Identity
+
+	mu    sync.Mutex
+	peers map[string]*Peer
+	// seeds holds the addresses of daemons that were not heard yet, with the
+	// time until which they are tried.
+	seeds map[string]time.Time
+	// pausedUntil is until when silence counts less: after this process stood
+	// still for pausedFor, beats that waited for it have yet to be read.
+	pausedUntil time.Time
+	pausedFor   time.Duration
+}
+
+// NewTable returns a table that knows nobody.
+func NewTable(self Identity) *Table {
+	return &Table{self: self, peers: make(map[string]*Peer), seeds: make(map[string]time.Time)}
+}
+
+// AddSeed notes an address at which a daemon may be.
+func (t *Table) AddSeed(address string, now time.Time) {
+	if address == t.self.Address {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seeds[address] = now.Add(forgetAfter)
+}
+
+// HeldUp notes that this process stood still for a while up to now.
+func (t *Table) HeldUp(now time.Time, gap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pausedUntil, t.pausedFor = now.Add(aliveFor), gap
+}
+
+// Hear takes a beat. It reports false for one that is out of date.
+func (t *Table) Hear(b Beat, now, sentAfter time.Time) bool {
+	if b.ID == t.self.ID && b.Incarnation <= t.self.Incarnation {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held, ok := t.peers[b.ID]
+	if ok && held.Incarnation > b.Incarnation {
+		return false
+	}
+	if ok && held.Incarnation == b.Incarnation && held.SentAfter.After(sentAfter) {
+		// Datagrams may overtake each other.
+		held.HeardAt = now
+		return false
+	}
+	t.peers[b.ID] = &Peer{Beat: b, HeardAt: now, SentAfter: sentAfter}
+	delete(t.seeds, b.Address)
+	return true
+}
+
+// Alive returns the daemons that were heard of late, sorted by id.
+func (t *Table) Alive(now time.Time) []*Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit := now.Add(-aliveFor)
+	if now.Before(t.pausedUntil) {
+		limit = limit.Add(-t.pausedFor)
+	}
+	var all []*Peer
+	for _, p := range t.peers {
+		if p.HeardAt.After(limit) {
+			all = append(all, p)
+		}
+	}
+	slices.SortFunc(all, func(a, b *Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Known returns how many daemons were heard within the given time and were not
+// leaving, whether they are alive or not.
+func (t *Table) Known(since time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := 0
+	for _, p := range t.peers {
+		if p.HeardAt.After(since) && !p.Leaving {
+			known++
+		}
+	}
+	return known
+}
+
+// Settled reports whether beats that waited while this process stood still
+// have had time to be read.
+func (t *Table) Settled(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !now.Before(t.pausedUntil)
+}
+
+// destinations returns the addresses to send beats to, and forgets those that
+// were silent for long.
+func (t *Table) destinations(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []string
+	for id, p := range t.peers {
+		if now.Sub(p.HeardAt) > forgetAfter {
+			delete(t.peers, id)
+			continue
+		}
+		all = append(all, p.Address)
+	}
+	for address, until := range t.seeds {
+		if now.After(until) {
+			delete(t.seeds, address)
+			continue
+		}
+		all = append(all, address)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- /dev/null
+++ b/relay/refusal.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"quartzshelf.dev/common/reason"
+)
+
+const (
+	// retrySoon, retryLater and retryRevived are the times after which callers
+	// are asked to come again: when it was chance, when the fleet is busy or
+	// being mended, and when this daemon knows too little.
+	retrySoon    = 50 * time.Millisecond
+	retryBusy    = 300 * time.Millisecond
+	retryRevived = 500 * time.Millisecond
+)
+
+// refusal is an answer of the system's own.
+type refusal struct {
+	status  int
+	reason  reason.Reason
+	message string
+	// after is when to come back; zero for never. It is told only with
+	// statuses that promise that the request did not run.
+	after time.Duration
+	// cause is the error that led here, if there was one.
+	cause error
+}
+
+// promises reports whether the refusal says that the request did not run.
+func (f *refusal) promises() bool {
+	return f.status == http.StatusServiceUnavailable || f.status == http.StatusTooManyRequests
+}
+
+func refuse(status int, why reason.Reason, message string) *refusal {
+	return &refusal{status: status, reason: why, message: message}
+}
+
+func unavailable(why reason.Reason, message string, after time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: why, message: message, after: after}
+}
+
+type refusalBody struct {
+	Reason  string `json:"reason"`
+	Message string `json:"message"`
+}
+
+// write sends the refusal.
+func (f *refusal) write(w http.ResponseWriter) {
+	body, err := json.Marshal(refusalBody{Reason: string(f.reason), Message: f.message})
+	if err != nil {
+		body = nil
+	}
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if f.after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(f.status)
+	// A caller that has gone does not get it; there is nobody to tell.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,214 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/telemetry"
+)
+
+const (
+	defaultBody    = 8 << 20
+	defaultTimeout = 10 * time.Minute
+	lowestPriority = 9
+	// maxRejections is how many workers may turn a request away before it is
+	// given up.
+	maxRejections = 2
+	// engineRoom and serviceRoom are how much work may be in flight at a
+	// worker, in multiples of its slots, before requests are refused.
+	engineRoom  = 1.5
+	serviceRoom = 4.0
+	// sweepEvery is how often silent replicas are looked for.
+	sweepEvery = 50 * time.Millisecond
+	// prefillObjective is the part of a second of reading that weighs as one slot.
+	prefillSlots = 20
+)
+
+// Options configures a Relay.
+type Options struct {
+	Names  Names
+	Config func() *fleet.Config
+	// Confirmed returns when the configuration was last known to be the
+	// newest, BeliefFor for how long after that keys are believed in; zero
+	// means for ever.
+	Confirmed func() time.Time
+	BeliefFor time.Duration
+	View      func() *fleet.View
+	Tracker   *Tracker
+	Budget    BudgetOptions
+	// Leaving reports whether this daemon is to stop.
+	Leaving func() bool
+	Meter   *telemetry.Meter
+	Logger  hclog.Logger
+}
+
+// Relay serves callers. It implements http.Handler.
+type Relay struct {
+	opts     Options
+	upstream *upstream
+	budget   *budget
+	done     chan struct{}
+}
+
+var _ http.Handler = (*Relay)(nil)
+
+// New returns a relay; Run does its housekeeping.
+func New(opts Options) *Relay {
+	return &Relay{opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), done: make(chan struct{})}
+}
+
+// Done is closed when Run has returned.
+func (r *Relay) Done() <-chan struct{} { return r.done }
+
+// Run looks for silent replicas and closes idle connections until ctx ends.
+func (r *Relay) Run(ctx context.Context) {
+	defer close(r.done)
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			now := time.Now()
+			r.opts.Tracker.Sweep(now, now.Sub(last))
+			r.upstream.sweep(now)
+			last = now
+		}
+	}
+}
+
+func (r *Relay) random() float64 { return rand.Float64() }
+
+// ServeHTTP answers one request.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, h *http.Request) {
+	r.opts.Meter.Request()
+	if r.opts.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	c, refused := r.accept(h)
+	if refused == nil {
+		defer c.cancel()
+		r.budget.earn(c.service, c.arrived)
+		if c.route.Kind == fleet.Stream {
+			refused = r.serveStream(w, c)
+		} else {
+			refused = r.serveWhole(w, c)
+		}
+	}
+	if refused != nil {
+		r.refuse(w, c, refused)
+	}
+}
+
+// refuse answers with a refusal, counts it, and logs why.
+func (r *Relay) refuse(w http.ResponseWriter, c *request, f *refusal) {
+	r.opts.Meter.Refuse(f.reason)
+	if c != nil {
+		service, sends, rejections := c.service, c.sends, c.rejections
+		r.opts.Logger.Info("request refused", "request", c.id, "status", f.status, "reason", string(f.reason),
+			"service", service, "model", c.model, "sends", sends, "rejections", rejections,
+			"ms", time.Since(c.arrived).Milliseconds(), "config", r.version(), "error", f.cause)
+	}
+	f.write(w)
+}
+
+func (r *Relay) version() int64 {
+	if c := r.opts.Config(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+// choose returns the replica for the next attempt, or why there is none.
+func (r *Relay) choose(c *request) (*fleet.Replica, *refusal) {
+	now := time.Now()
+	if c.tenant != nil && r.beliefTooOld(now) {
+		return nil, unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
+	}
+	replicas := r.opts.View().Replicas(c.service, c.model)
+	weight := 1.0
+	if c.engine != nil {
+		weight = max(c.engine.PrefillPerSecond/prefillSlots, 1)
+	}
+	choice, ok := r.opts.Tracker.Choose(replicas, c.tried, weight, now)
+	if !ok {
+		return nil, unavailable(reason.NoReplica, "no replica serves at present", retryBusy)
+	}
+	if choice.Busy >= r.room(c, choice.Replica) {
+		return nil, unavailable(reason.Overloaded, "all replicas are busy", retryBusy)
+	}
+	return choice.Replica, nil
+}
+
+// room returns how much work a replica may have in flight.
+func (r *Relay) room(c *request, replica *fleet.Replica) float64 {
+	if c.engine != nil {
+		return engineRoom * float64(c.engine.Slots)
+	}
+	return serviceRoom * float64(max(replica.Head.Slots, 1))
+}
+
+// mayRepeat reports whether a failed attempt may be followed by another one,
+// and draws on the budget if so. ran tells whether the attempt may have run.
+func (r *Relay) mayRepeat(c *request, ran bool) bool {
+	switch {
+	case c.gaveUp():
+		return false
+	case ran && (!c.route.Repeatable() || c.sends >= c.route.Attempts):
+		return false
+	case !ran && c.rejections > maxRejections:
+		return false
+	}
+	if !r.budget.take(c.service, time.Now()) {
+		r.opts.Meter.Refuse(reason.RetryBudget)
+		return false
+	}
+	return true
+}
+
+// note records a failed attempt and returns whether it may have run.
+func (r *Relay) note(c *request, replica *fleet.Replica, err error) (ran bool) {
+	c.lastCause = err
+	c.tried[replica.ID] = true
+	ran = wasSent(err)
+	if ran {
+		c.sends++
+	} else {
+		c.rejections++
+	}
+	if !c.gaveUp() {
+		r.opts.Tracker.Fail(replica, time.Now())
+	}
+	return ran
+}
+
+// failed returns the answer to a request whose attempts all failed.
+func (r *Relay) failed(c *request) *refusal {
+	if c.outOfTime() {
+		return c.truthful(timedOut(c))
+	}
+	f := unavailable(reason.EndpointRefused, "no worker took the request", retrySoon)
+	if c.mayHaveRan() {
+		f = refuse(http.StatusBadGateway, reason.EndpointBroken, "the worker's answer was lost")
+	}
+	if errors.Is(c.lastCause, errStalled) {
+		f.reason = reason.EndpointTimeout
+	}
+	return c.truthful(f)
+}
+
+func timedOut(c *request) *refusal {
+	if c.mayHaveRan() {
+		return refuse(http.StatusGatewayTimeout, reason.EndpointTimeout, "the time was up before the answer came")
+	}
+	return unavailable(reason.EndpointTimeout, "the time was up before the request began", 0)
+}
--- /dev/null
+++ b/relay/request.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/fleet"
+)
+
+// request is a caller's request on its way through the daemon.
+type request struct {
+	id      string
+	method  string
+	target  string
+	host    string
+	header  http.Header
+	body    []byte
+	route   *fleet.Route
+	service string
+	// engine is nil for services whose workers serve alone.
+	engine *fleet.Engine
+	model  string
+	// prompt is the number of prompt tokens, as the caller gives it.
+	prompt   int
+	tenant   *fleet.Tenant
+	arrived  time.Time
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	// sends counts the workers that may have run the request, rejections those
+	// that certainly did not.
+	sends      int
+	rejections int
+	tried      map[string]bool
+	// lastCause is the error of the newest failed attempt.
+	lastCause error
+}
+
+// mayHaveRan reports whether some worker may have begun the request.
+func (c *request) mayHaveRan() bool { return c.sends > 0 }
+
+// truthful turns a refusal that promises too much into one that does not.
+func (c *request) truthful(f *refusal) *refusal {
+	if f.cause == nil {
+		f.cause = c.lastCause
+	}
+	if f.promises() && c.mayHaveRan() {
+		f.status, f.after = http.StatusBadGateway, 0
+	}
+	return f
+}
+
+// accept reads a request and decides by the configuration whether it may run.
+func (r *Relay) accept(h *http.Request) (*request, *refusal) {
+	config := r.opts.Config()
+	if config == nil {
+		return nil, unavailable(reason.Starting, "no configuration is known yet", retryRevived)
+	}
+	c := &request{
+		method: h.Method, target: h.RequestURI, host: h.Host, header: h.Header,
+		id: h.Header.Get(r.opts.Names.Attempt), arrived: time.Now(), tried: make(map[string]bool),
+	}
+	path, _, _ := strings.Cut(c.target, "?")
+	route, ok := config.Route(c.host, path)
+	if !ok {
+		return c, refuse(http.StatusNotFound, reason.NotFound, "no route leads there")
+	}
+	c.route = route
+	if bad := r.authenticate(c, config); bad != nil {
+		return c, bad
+	}
+	if bad := r.read(c, h, config.Limits()); bad != nil {
+		return c, bad
+	}
+	c.service = route.Choose(r.random())
+	if s, ok := config.Service(c.service); ok {
+		c.engine = s.Engine
+	}
+	if c.engine != nil {
+		c.model = h.Header.Get(r.opts.Names.Model)
+		c.prompt = promptTokens(h.Header.Get(r.opts.Names.Usage))
+	}
+	r.begin(c, h)
+	return c, nil
+}
+
+// authenticate finds the tenant by the request's key.
+func (r *Relay) authenticate(c *request, config *fleet.Config) *refusal {
+	key := c.header.Get(r.opts.Names.Key)
+	if c.route.Public || !config.NeedsKeys() {
+		return nil
+	}
+	if r.beliefTooOld(time.Now()) {
+		return unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
+	}
+	tenant, ok := config.Tenant(key)
+	if !ok {
+		return refuse(http.StatusUnauthorized, reason.Unauthorized, "the key is not known")
+	}
+	c.tenant = tenant
+	return nil
+}
+
+// beliefTooOld reports whether keys may have been taken away without this
+// daemon knowing.
+func (r *Relay) beliefTooOld(now time.Time) bool {
+	return r.opts.BeliefFor > 0 && now.Sub(r.opts.Confirmed()) > r.opts.BeliefFor
+}
+
+// read reads the body within the configured limit.
+func (r *Relay) read(c *request, h *http.Request, limits fleet.Limits) *refusal {
+	most := limits.BodyBytes
+	if most <= 0 {
+		most = defaultBody
+	}
+	if h.ContentLength > most {
+		return refuse(http.StatusRequestEntityTooLarge, reason.BodyTooLarge, "the body is too long")
+	}
+	body, err := io.ReadAll(io.LimitReader(h.Body, most+1))
+	if err != nil {
+		return refuse(http.StatusBadRequest, reason.BadRequest, "the body was not read whole")
+	}
+	if int64(len(body)) > most {
+		return refuse(http.StatusRequestEntityTooLarge, reason.BodyTooLarge, "the body is too long")
+	}
+	c.body = body
+	return nil
+}
+
+// begin sets the request's deadline and context. A request that must not be
+// repeated goes on when its caller has gone, so that it ends whole.
+func (r *Relay) begin(c *request, h *http.Request) {
+	c.deadline = c.arrived.Add(defaultTimeout)
+	if c.route.Timeout > 0 {
+		c.deadline = c.arrived.Add(c.route.Timeout)
+	}
+	if ms, err := strconv.ParseFloat(h.Header.Get(r.opts.Names.Deadline), 64); err == nil && ms >= 0 {
+		wanted := c.arrived.Add(time.Duration(ms * float64(time.Millisecond)))
+		if wanted.Before(c.deadline) {
+			c.deadline = wanted
+		}
+	}
+	parent := h.Context()
+	if c.route.Kind == fleet.NonIdempotent {
+		parent = context.WithoutCancel(parent)
+	}
+	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline)
+}
+
+// promptTokens returns the first of the comma-separated figures of a usage.
+func promptTokens(usage string) int {
+	first, _, _ := strings.Cut(usage, ",")
+	n, err := strconv.Atoi(strings.TrimSpace(first))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// forwarded returns the headers that are passed on.
+func forwarded(header http.Header) http.Header {
+	out := header.Clone()
+	for _, field := range header.Values("Connection") {
+		for _, name := range strings.Split(field, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// messageFor returns the request as it goes to a worker.
+func (r *Relay) messageFor(c *request, worker *fleet.Worker, lastEvent string) *message {
+	names := r.opts.Names
+	header := forwarded(c.header)
+	for _, own := range []string{names.Key, names.Tenant, names.Instance, names.Priority, names.Deadline} {
+		header.Del(own)
+	}
+	left := max(time.Until(c.deadline).Milliseconds(), 1)
+	header.Set(names.Deadline, strconv.FormatInt(left, 10))
+	header.Set(names.Instance, worker.ID)
+	priority := c.route.Priority
+	if c.tenant != nil {
+		header.Set(names.Tenant, c.tenant.Name)
+		if c.tenant.Ranked {
+			priority = c.tenant.Priority
+		}
+	}
+	if c.engine != nil {
+		header.Set(names.Priority, strconv.Itoa(min(max(priority, 0), lowestPriority)))
+	}
+	if lastEvent != "" {
+		header.Set(names.LastEvent, lastEvent)
+	}
+	return &message{
+		method: c.method, encoded: encode(c.method, c.target, c.host, header, c.body),
+		attempt: c.id, attemptName: names.Attempt, once: !c.route.Repeatable(),
+	}
+}
+
+// gaveUp reports whether the caller has gone or the time is up.
+func (c *request) gaveUp() bool { return c.ctx.Err() != nil }
+
+// outOfTime reports whether the request's time is up.
+func (c *request) outOfTime() bool { return errors.Is(c.ctx.Err(), context.DeadlineExceeded) }
--- /dev/null
+++ b/relay/tracker.go
@@ -0,0 +1,334 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+const (
+	// beginSilence and goSilence are how long all streams from a replica may be
+	// silent before it is suspected: while none has begun, and after.
+	beginSilence = 900 * time.Millisecond
+	goSilence    = 450 * time.Millisecond
+	// suspectFor is how long a suspected replica gets no requests unless it
+	// shows progress.
+	suspectFor = 2 * time.Second
+	// failureFor is how long a replica that failed a request is passed over if
+	// others are there.
+	failureFor = time.Second
+	// remoteFor is how long a peer's word about its load counts.
+	remoteFor = time.Second
+	// zoneCost is the cost, in busy slots, of sending to another zone.
+	zoneCost = 0.5
+)
+
+// station is a replica as this daemon's requests see it.
+type station struct {
+	replica   *fleet.Replica
+	inFlight  int
+	prefill   int
+	streams   map[*streamTrack]struct{}
+	lastMove  time.Time
+	suspect   time.Time
+	failedAt  time.Time
+	lastKnown time.Time
+}
+
+// streamTrack is a stream in flight.
+type streamTrack struct {
+	begun  bool
+	since  time.Time
+	cancel context.CancelCauseFunc
+}
+
+// Tracker counts the work in flight at each replica and notices when one falls
+// silent. It is safe for concurrent use.
+type Tracker struct {
+	zone string
+
+	mu       sync.Mutex
+	stations map[string]*station
+	remote   map[string]remoteLoads
+	// stalled is called, without the lock, with a replica that fell silent.
+	stalled func(r *fleet.Replica)
+}
+
+// remoteLoads is a peer's word about its work.
+type remoteLoads struct {
+	at    time.Time
+	loads map[string]peers.Load
+}
+
+// NewTracker returns a tracker for a daemon in a zone. It calls stalled with
+// each replica whose streams all fell silent.
+func NewTracker(zone string, stalled func(r *fleet.Replica)) *Tracker {
+	return &Tracker{
+		zone: zone, stations: make(map[string]*station),
+		remote: make(map[string]remoteLoads), stalled: stalled,
+	}
+}
+
+func (t *Tracker) station(r *fleet.Replica) *station {
+	s, ok := t.stations[r.ID]
+	if !ok {
+		s = &station{replica: r, streams: make(map[*streamTrack]struct{})}
+		t.stations[r.ID] = s
+	}
+	s.lastKnown = time.Now()
+	return s
+}
+
+// SetRemote takes a peer's word about its work.
+func (t *Tracker) SetRemote(peer string, loads []peers.Load, now time.Time) {
+	byReplica := make(map[string]peers.Load, len(loads))
+	for _, l := range loads {
+		byReplica[l.Replica] = l
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remote[peer] = remoteLoads{at: now, loads: byReplica}
+}
+
+// Loads returns this daemon's own work.
+func (t *Tracker) Loads() []peers.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []peers.Load
+	for id, s := range t.stations {
+		if s.inFlight > 0 {
+			all = append(all, peers.Load{Replica: id, InFlight: s.inFlight, Prefill: s.prefill})
+		}
+	}
+	return all
+}
+
+// Demand returns this daemon's own work by model, in busy slots.
+func (t *Tracker) Demand() map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	demand := make(map[string]float64)
+	for _, s := range t.stations {
+		if s.replica.Model != "" {
+			demand[s.replica.Model] += float64(s.inFlight)
+		}
+	}
+	return demand
+}
+
+// Choice is a replica chosen for a request.
+type Choice struct {
+	Replica *fleet.Replica
+	// Busy is the work in flight there over all daemons, as far as known.
+	Busy float64
+}
+
+// Choose returns the replica at which the request would begin the soonest, and
+// false when there is none. Those in tried are left out.
+func (t *Tracker) Choose(replicas []*fleet.Replica, tried map[string]bool, prefillSlot float64, now time.Time) (Choice, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best Choice
+	bestCost, found := 0.0, false
+	for _, r := range replicas {
+		if tried[r.ID] {
+			continue
+		}
+		busy, cost := t.cost(r, prefillSlot, now)
+		cost += rand.Float64()
+		if !found || cost < bestCost {
+			best, bestCost, found = Choice{Replica: r, Busy: busy}, cost, true
+		}
+	}
+	return best, found
+}
+
+// cost returns the work in flight at a replica, and a cost by which replicas
+// compare. prefillSlot is the number of prompt tokens that weigh as one slot.
+func (t *Tracker) cost(r *fleet.Replica, prefillSlot float64, now time.Time) (busy, cost float64) {
+	inFlight, prefill := 0, 0
+	s, ok := t.stations[r.ID]
+	if ok {
+		inFlight, prefill = s.inFlight, s.prefill
+	}
+	for _, peer := range t.remote {
+		if now.Sub(peer.at) < remoteFor {
+			l := peer.loads[r.ID]
+			inFlight += l.InFlight
+			prefill += l.Prefill
+		}
+	}
+	busy = float64(inFlight)
+	cost = busy + float64(prefill)/prefillSlot
+	if r.Head.Zone != t.zone {
+		cost += zoneCost
+	}
+	if ok {
+		cost += t.penalty(s, r, now)
+	}
+	return busy, cost
+}
+
+func (t *Tracker) penalty(s *station, r *fleet.Replica, now time.Time) float64 {
+	slots := float64(max(r.Head.Slots, 1))
+	penalty := 0.0
+	if now.Before(s.suspect) {
+		const suspectedSlots = 20
+		penalty += suspectedSlots * slots
+	}
+	if now.Sub(s.failedAt) < failureFor {
+		penalty += slots
+	}
+	return penalty
+}
+
+// Hold is a request counted at a replica.
+type Hold struct {
+	tracker *Tracker
+	station *station
+	prefill int
+	ended   bool
+}
+
+// Begin counts a request with a number of prompt tokens to be read.
+func (t *Tracker) Begin(r *fleet.Replica, prefill int) *Hold {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.station(r)
+	s.inFlight++
+	s.prefill += prefill
+	return &Hold{tracker: t, station: s, prefill: prefill}
+}
+
+// Started notes that the prompt was read.
+func (h *Hold) Started() {
+	h.tracker.mu.Lock()
+	defer h.tracker.mu.Unlock()
+	h.station.prefill -= h.prefill
+	h.prefill = 0
+}
+
+// End ends the count; further calls do nothing.
+func (h *Hold) End() {
+	h.tracker.mu.Lock()
+	defer h.tracker.mu.Unlock()
+	if h.ended {
+		return
+	}
+	h.ended = true
+	h.station.inFlight--
+	h.station.prefill -= h.prefill
+}
+
+// Fail notes that a replica failed a request.
+func (t *Tracker) Fail(r *fleet.Replica, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.station(r).failedAt = now
+}
+
+// Watch follows a stream: cancel is called when its replica falls silent.
+func (t *Tracker) Watch(r *fleet.Replica, cancel context.CancelCauseFunc) *streamTrack {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	track := &streamTrack{since: time.Now(), cancel: cancel}
+	t.station(r).streams[track] = struct{}{}
+	return track
+}
+
+// Moved notes that an event of a stream came.
+func (t *Tracker) Moved(r *fleet.Replica, track *streamTrack, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.station(r)
+	track.begun = true
+	s.lastMove = now
+	s.suspect = time.Time{}
+}
+
+// Unwatch ends the following of a stream.
+func (t *Tracker) Unwatch(r *fleet.Replica, track *streamTrack) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.station(r).streams, track)
+}
+
+// Suspect passes a replica over for a while, on a peer's word.
+func (t *Tracker) Suspect(replica string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.stations[replica]; ok && now.Sub(s.lastMove) > goSilence {
+		s.suspect = now.Add(suspectFor)
+	}
+}
+
+// Sweep looks for replicas that fell silent, cuts their streams off so that
+// they go on elsewhere, and forgets replicas that are gone. A gap since the
+// last sweep that shows this process stood still excuses all silence.
+func (t *Tracker) Sweep(now time.Time, gap time.Duration) {
+	if gap > goSilence/2 {
+		t.excuse(now)
+		return
+	}
+	for _, r := range t.silent(now) {
+		t.stalled(r)
+	}
+}
+
+func (t *Tracker) excuse(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.stations {
+		s.lastMove = now
+	}
+}
+
+func (t *Tracker) silent(now time.Time) []*fleet.Replica {
+	const forgetAfter = time.Minute
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []*fleet.Replica
+	for id, s := range t.stations {
+		if s.inFlight == 0 && len(s.streams) == 0 && now.Sub(s.lastKnown) > forgetAfter {
+			delete(t.stations, id)
+			continue
+		}
+		if !s.isSilent(now) {
+			continue
+		}
+		s.suspect = now.Add(suspectFor)
+		all = append(all, s.replica)
+		for track := range s.streams {
+			track.cancel(errStalled)
+		}
+	}
+	return all
+}
+
+// isSilent reports whether none of the replica's streams moved for so long
+// that it must have stopped.
+func (s *station) isSilent(now time.Time) bool {
+	if len(s.streams) == 0 {
+		return false
+	}
+	limit, since := beginSilence, s.lastMove
+	for track := range s.streams {
+		if track.begun {
+			limit = goSilence
+		}
+	}
+	first := now
+	for track := range s.streams {
+		if track.since.Before(first) {
+			first = track.since
+		}
+	}
+	if first.After(since) {
+		since = first
+	}
+	return now.Sub(since) > limit
+}
--- /dev/null
+++ b/relay/whole.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/fleet"
+)
+
+// maxAnswer bounds the body of an answer that is relayed whole, in bytes.
+const maxAnswer = 32 << 20
+
+// answer is a worker's answer, read whole.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// serveWhole relays a request whose answer is read whole before it is passed on.
+func (r *Relay) serveWhole(w http.ResponseWriter, c *request) *refusal {
+	for {
+		replica, none := r.choose(c)
+		if none != nil {
+			return c.truthful(none)
+		}
+		got, err := r.tryWhole(c, replica)
+		if err == nil && !r.wantsAnother(c, replica, got) {
+			writeAnswer(w, got)
+			return nil
+		}
+		if err == nil {
+			r.opts.Meter.Retry(reason.RetryBroken)
+			continue
+		}
+		ran := r.note(c, replica, err)
+		if !r.mayRepeat(c, ran) {
+			return r.failed(c)
+		}
+		r.opts.Meter.Retry(retryReason(ran))
+	}
+}
+
+// retryReason names why an attempt is repeated.
+func retryReason(ran bool) reason.Reason {
+	if ran {
+		return reason.RetryBroken
+	}
+	return reason.RetryRefused
+}
+
+// wantsAnother reports whether a worker's own failure is to be followed by an
+// attempt at another worker.
+func (r *Relay) wantsAnother(c *request, replica *fleet.Replica, got *answer) bool {
+	if got.status < http.StatusInternalServerError || !c.route.Repeatable() {
+		return false
+	}
+	c.sends++
+	c.tried[replica.ID] = true
+	if len(r.opts.View().Replicas(c.service, c.model)) <= len(c.tried) {
+		return false
+	}
+	return r.mayRepeat(c, true)
+}
+
+// tryWhole sends the request to one worker and reads the whole answer.
+func (r *Relay) tryWhole(c *request, replica *fleet.Replica) (*answer, error) {
+	hold := r.opts.Tracker.Begin(replica, c.prompt)
+	defer hold.End()
+	e, err := r.upstream.send(c.ctx, replica.Head, r.messageFor(c, replica.Head, ""))
+	if err != nil {
+		return nil, err
+	}
+	if err := r.rejected(e, replica.Head.ID); err != nil {
+		e.discard()
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(e.response.Body, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswer)
+	}
+	if err != nil {
+		e.abort()
+		return nil, withCause(c.ctx, replica.Head.ID, &sendError{sent: true, cause: err})
+	}
+	e.finish()
+	got := &answer{status: e.response.StatusCode, header: forwarded(e.response.Header), body: body}
+	return got, r.checkSigned(got, replica.Head.ID)
+}
+
+// checkSigned refuses a success that does not carry its worker's signature.
+func (r *Relay) checkSigned(got *answer, worker string) error {
+	if got.status >= http.StatusMultipleChoices || got.header.Get(r.opts.Names.Signature) != "" {
+		return nil
+	}
+	return &sendError{sent: true, cause: failure.New(failure.Remote, "check answer", worker, "the success is not signed")}
+}
+
+// rejected returns an error if the worker turned the request away before
+// anything ran.
+func (r *Relay) rejected(e *exchange, worker string) error {
+	status := e.response.StatusCode
+	if e.response.Header.Get(r.opts.Names.NotRun) == "" && status != http.StatusMisdirectedRequest {
+		return nil
+	}
+	return &sendError{cause: failure.New(failure.Refused, "exchange with worker", worker, "turned away with status %d", status)}
+}
+
+// writeAnswer passes a whole answer on.
+func writeAnswer(w http.ResponseWriter, got *answer) {
+	header := w.Header()
+	for name, values := range got.header {
+		header[name] = values
+	}
+	header.Set("Content-Length", strconv.Itoa(len(got.body)))
+	w.WriteHeader(got.status)
+	// A caller that has gone does not get it; there is nobody to tell.
+	_, _ = w.Write(got.body)
+}
--- /dev/null
+++ b/serving/fetch.go
@@ -0,0 +1,165 @@
+package serving
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/peers"
+)
+
+const (
+	pathConfig  = "/configuration"
+	pathWorkers = "/workers"
+	// fetchDelay leaves this daemon's own reading the first chance.
+	fetchDelay = 150 * time.Millisecond
+	// fetchTimeout bounds a call to a peer, maxFetched its answer, in bytes.
+	fetchTimeout = time.Second
+	maxFetched   = 16 << 20
+)
+
+// fetcher brings from peers what they know and this daemon does not.
+type fetcher struct {
+	server *Server
+	client *http.Client
+	wanted chan *peers.Peer
+}
+
+func newFetcher(s *Server) *fetcher {
+	return &fetcher{
+		server: s, wanted: make(chan *peers.Peer, 1),
+		client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}},
+	}
+}
+
+// want asks for what a peer knows, unless a fetch is waiting already.
+func (f *fetcher) want(p *peers.Peer) {
+	select {
+	case f.wanted <- p:
+	default:
+	}
+}
+
+// run serves peers and fetches from them until ctx ends.
+func (f *fetcher) run(ctx context.Context) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathConfig, f.giveConfig)
+	mux.HandleFunc("GET "+pathWorkers, f.giveWorkers)
+	server := &http.Server{Addr: f.server.opts.Self.Address, Handler: mux, ReadHeaderTimeout: headerWait}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	go func() {
+		if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+			f.server.logger.Error("peers are not served", "address", server.Addr, "error", err)
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-f.wanted:
+			sleep(ctx, fetchDelay)
+			f.fetch(ctx, p)
+		}
+	}
+}
+
+// fetch brings what is still missing. What cannot be had now is asked for again
+// after the next beat.
+func (f *fetcher) fetch(ctx context.Context, p *peers.Peer) {
+	if p.ConfigVersion > f.server.beliefs.Version() {
+		f.report(p, f.fetchConfig(ctx, p))
+	}
+	if p.WorkersPosition > f.server.inventory.Position() {
+		f.report(p, f.fetchWorkers(ctx, p))
+	}
+}
+
+func (f *fetcher) report(p *peers.Peer, err error) {
+	if err != nil {
+		f.server.logger.Debug("not fetched from peer", "peer", p.ID, "error", err)
+	}
+}
+
+func (f *fetcher) fetchConfig(ctx context.Context, p *peers.Peer) error {
+	data, err := f.get(ctx, p, pathConfig)
+	if err != nil {
+		return err
+	}
+	config, err := f.server.opts.Decode(data)
+	if err != nil {
+		return err
+	}
+	f.server.beliefs.Offer(config, p.ConfigConfirmed())
+	return nil
+}
+
+func (f *fetcher) fetchWorkers(ctx context.Context, p *peers.Peer) error {
+	from := strconv.FormatInt(f.server.inventory.Position(), 10)
+	data, err := f.get(ctx, p, pathWorkers+"?from="+from)
+	if err != nil {
+		return err
+	}
+	var m changesMessage
+	if err := json.Unmarshal(data, &m); err != nil {
+		return failure.At(failure.Remote, "decode workers", p.ID, err)
+	}
+	if m.Whole {
+		f.server.inventory.Replace(m.Changes, m.Position, p.WorkersConfirmed())
+		return nil
+	}
+	if strconv.FormatInt(f.server.inventory.Position(), 10) == from {
+		f.server.inventory.Apply(m.Changes, m.Position, p.WorkersConfirmed())
+	}
+	return nil
+}
+
+func (f *fetcher) get(ctx context.Context, p *peers.Peer, path string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+path, nil)
+	if err != nil {
+		return nil, failure.At(failure.Invalid, "ask peer", p.ID, err)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return nil, failure.At(failure.Unavailable, "ask peer", p.ID, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxFetched))
+	if err != nil {
+		return nil, failure.At(failure.Unavailable, "read answer of peer", p.ID, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, failure.New(failure.Refused, "ask peer", p.ID, "status %d", response.StatusCode)
+	}
+	return data, nil
+}
+
+func (f *fetcher) giveConfig(w http.ResponseWriter, _ *http.Request) {
+	config := f.server.beliefs.Config()
+	if config == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	// A peer that has gone does not get it; it asks again.
+	_, _ = w.Write(config.Encoded())
+}
+
+func (f *fetcher) giveWorkers(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var m changesMessage
+	m.Changes, m.Position, m.Whole = f.server.inventory.Since(from)
+	data, err := json.Marshal(m)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/serving/lead.go
@@ -0,0 +1,75 @@
+package serving
+
+import (
+	"context"
+	"time"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/formation"
+	"quartzshelf.dev/peers"
+)
+
+// lead runs a term of leadership until ctx ends.
+func (s *Server) lead(ctx context.Context, claim peers.Claim, first bool) {
+	keeper := formation.NewKeeper(formation.Options{
+		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders,
+		Demand: s.demand, Announced: s.announce,
+		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
+		Logger: s.logger.Named("formation"),
+	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first},
+		func() { s.elector.Yield("a worker knows a higher term") })
+	s.setKeeper(keeper)
+	keeper.Run(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keeper == keeper {
+		s.keeper = nil
+	}
+}
+
+func (s *Server) setKeeper(k *formation.Keeper) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper = k
+}
+
+// demand returns the work of each model over all daemons, in busy slots.
+func (s *Server) demand() map[string]float64 {
+	total := s.tracker.Demand()
+	for _, p := range s.agent.Table().Alive(time.Now()) {
+		for model, d := range p.Demand {
+			total[model] += d
+		}
+	}
+	return total
+}
+
+// announce takes a decision of this daemon's own keeper and tells peers.
+func (s *Server) announce(a fleet.Announcement) {
+	s.inventory.Announce([]fleet.Announcement{a})
+	s.mu.Lock()
+	s.announced = append(s.announced, timedAnnouncement{Announcement: a, until: time.Now().Add(announcedFor)})
+	s.mu.Unlock()
+	s.agent.Send(time.Now())
+}
+
+// stalled takes a suspicion of this daemon's own.
+func (s *Server) stalled(r *fleet.Replica) {
+	now := time.Now()
+	s.logger.Warn("replica fell silent", "replica", r.ID, "head", r.Head.ID)
+	s.mu.Lock()
+	s.stalls[r.ID] = timedStall{Stall: peers.Stall{Replica: r.ID, Head: r.Head.ID}, until: now.Add(stallFor)}
+	s.mu.Unlock()
+	s.suspect(r.ID)
+	s.agent.Send(now)
+}
+
+// suspect tells the keeper of a suspicion if this daemon leads.
+func (s *Server) suspect(replica string) {
+	s.mu.Lock()
+	keeper := s.keeper
+	s.mu.Unlock()
+	if keeper != nil {
+		keeper.Suspect(replica)
+	}
+}
--- /dev/null
+++ b/serving/options.go
@@ -0,0 +1,56 @@
+// Package serving is the daemon: it joins what follows the configuration and
+// the workers, what talks to peers, what leads and what relays.
+package serving
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/formation"
+	"quartzshelf.dev/leadership"
+	"quartzshelf.dev/peers"
+	"quartzshelf.dev/relay"
+)
+
+// Roster is where daemons find each other after a start.
+type Roster interface {
+	// Register notes this daemon for others to find.
+	Register(ctx context.Context, self peers.Identity) error
+	// Read returns the daemons noted so far; some may be gone.
+	Read(ctx context.Context) ([]peers.Identity, error)
+}
+
+// Bounds is what the operator promises callers, as far as it binds the daemon.
+type Bounds struct {
+	// Grace is the time from the order to stop until the process is killed.
+	Grace time.Duration
+	// Revoke is the time after which a key that was taken away must not work
+	// anywhere; zero when that is not strict.
+	Revoke time.Duration
+	// Stall is how long a replica that lost a member stands still.
+	Stall   time.Duration
+	Ceiling formation.Ceiling
+	Budget  relay.BudgetOptions
+	// KeepEntries is for how long callers keep an answer of Entries.
+	KeepEntries time.Duration
+}
+
+// Options configures a Server.
+type Options struct {
+	Self   peers.Identity
+	Bounds Bounds
+	Names  relay.Names
+
+	Source   fleet.Source
+	Decode   func(data []byte) (*fleet.Config, error)
+	Registry leadership.Registry
+	Roster   Roster
+	Orders   formation.Orders
+
+	// Metrics is the address for metrics; empty for none.
+	Metrics string
+	Logger  hclog.Logger
+}
--- /dev/null
+++ b/serving/server.go
@@ -0,0 +1,276 @@
+package serving
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+
+	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/formation"
+	"quartzshelf.dev/leadership"
+	"quartzshelf.dev/peers"
+	"quartzshelf.dev/relay"
+	"quartzshelf.dev/telemetry"
+)
+
+const (
+	// revokeMargin is how much earlier than the bound keys are no longer
+	// believed in.
+	revokeMargin = 200 * time.Millisecond
+	// headerWait bounds the reading of a request's head.
+	headerWait = 10 * time.Second
+	// idleWait is how long a caller's connection may be idle. Closing sooner
+	// than callers expect would cross their next request.
+	idleWait = time.Minute
+	// rosterTimeout bounds a call to the roster.
+	rosterTimeout = time.Second
+	// announcedFor is how long a decision about a group is told to peers.
+	announcedFor = 8 * time.Second
+	// stallFor is how long a suspicion of a replica is told to peers.
+	stallFor = time.Second
+)
+
+// Server is one daemon.
+type Server struct {
+	opts      Options
+	logger    hclog.Logger
+	meter     *telemetry.Meter
+	beliefs   *fleet.Beliefs
+	inventory *fleet.Inventory
+	follower  *fleet.Follower
+	agent     *peers.Agent
+	elector   *leadership.Elector
+	tracker   *relay.Tracker
+	relay     *relay.Relay
+	fetcher   *fetcher
+	leaving   atomic.Bool
+	done      chan struct{}
+
+	mu sync.Mutex
+	// keeper is nil while this daemon does not lead.
+	keeper    *formation.Keeper
+	announced []timedAnnouncement
+	stalls    map[string]timedStall
+}
+
+type timedAnnouncement struct {
+	fleet.Announcement
+	until time.Time
+}
+
+type timedStall struct {
+	peers.Stall
+	until time.Time
+}
+
+// New builds a daemon and opens its peers' port. Nothing runs before Run.
+func New(opts Options) (*Server, error) {
+	meter, err := telemetry.NewMeter()
+	if err != nil {
+		return nil, failure.At(failure.Unavailable, "start metrics", opts.Metrics, err)
+	}
+	s := &Server{
+		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(),
+		inventory: fleet.NewInventory(), stalls: make(map[string]timedStall), done: make(chan struct{}),
+	}
+	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
+	s.fetcher = newFetcher(s)
+	s.follower = fleet.NewFollower(fleet.FollowerOptions{
+		Source: opts.Source, Beliefs: s.beliefs, Inventory: s.inventory,
+		ReadsConfig: always, ReadsWorkers: always, Logger: opts.Logger.Named("follower"),
+	})
+	s.agent, err = peers.NewAgent(peers.Options{
+		Self: opts.Self, Compose: s.compose, Heard: s.heard, Logger: opts.Logger.Named("peers"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.elector = s.newElector()
+	s.relay = s.newRelay()
+	return s, nil
+}
+
+func always() bool { return true }
+
+func (s *Server) newElector() *leadership.Elector {
+	table := s.agent.Table()
+	return leadership.NewElector(leadership.Options{
+		Self:     peers.Holder{ID: s.opts.Self.ID, Incarnation: s.opts.Self.Incarnation},
+		Registry: s.opts.Registry,
+		Alive:    table.Alive, Known: table.Known, Settled: table.Settled,
+		Fit:       func() bool { return !s.leaving.Load() && s.knows() },
+		StoreSeen: s.storeSeen,
+		Lead:      s.lead, Logger: s.logger.Named("leadership"),
+	})
+}
+
+func (s *Server) newRelay() *relay.Relay {
+	budget := s.opts.Bounds.Budget
+	budget.Daemons = func() int { return len(s.agent.Table().Alive(time.Now())) + 1 }
+	return relay.New(relay.Options{
+		Names: s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
+		View: s.inventory.View, Tracker: s.tracker, Budget: budget,
+		Leaving: s.leaving.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
+	})
+}
+
+func (s *Server) beliefFor() time.Duration {
+	if s.opts.Bounds.Revoke <= 0 {
+		return 0
+	}
+	return max(s.opts.Bounds.Revoke-revokeMargin, revokeMargin)
+}
+
+// knows reports whether a configuration and a worker list are known.
+func (s *Server) knows() bool {
+	return s.beliefs.Config() != nil && !s.inventory.Confirmed().IsZero()
+}
+
+// storeSeen returns when the store last told this daemon anything.
+func (s *Server) storeSeen() time.Time {
+	config, workers := s.beliefs.Confirmed(), s.inventory.Confirmed()
+	if config.After(workers) {
+		return config
+	}
+	return workers
+}
+
+// Done is closed when Run has returned.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Run serves callers on front until ctx ends, then stops as planned.
+func (s *Server) Run(ctx context.Context, front net.Listener) error {
+	defer close(s.done)
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	server := &http.Server{
+		Handler: s.relay, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
+		ErrorLog: s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	var duties conc.WaitGroup
+	duties.Go(func() { s.follower.Run(running) })
+	duties.Go(func() { s.agent.Run(running) })
+	duties.Go(func() { s.elector.Run(running) })
+	duties.Go(func() { s.relay.Run(running) })
+	duties.Go(func() { s.fetcher.run(running) })
+	duties.Go(func() { s.meet(running) })
+	duties.Go(func() { s.serveMetrics(running) })
+	stopped := make(chan error, 1)
+	duties.Go(func() { stopped <- server.Serve(front) })
+	var err error
+	select {
+	case <-ctx.Done():
+		s.stop(server)
+	case err = <-stopped:
+		err = failure.At(failure.Unavailable, "serve callers", front.Addr().String(), err)
+	}
+	cancel()
+	duties.Wait()
+	return err
+}
+
+// Ready reports whether callers should come here.
+func (s *Server) Ready() bool {
+	return s.knows() && !s.leaving.Load() && !s.beliefTooOld(time.Now())
+}
+
+func (s *Server) beliefTooOld(now time.Time) bool {
+	bound := s.beliefFor()
+	return bound > 0 && now.Sub(s.beliefs.Confirmed()) > bound
+}
+
+// Entries returns the addresses that callers should use: those of daemons that
+// are alive, ready and stay; those that are not ready only if no other is left.
+func (s *Server) Entries() []string {
+	var ready, others []string
+	if s.Ready() {
+		ready = append(ready, s.opts.Self.Front)
+	} else if !s.leaving.Load() {
+		others = append(others, s.opts.Self.Front)
+	}
+	for _, p := range s.agent.Table().Alive(time.Now()) {
+		switch {
+		case p.Leaving:
+		case p.Ready:
+			ready = append(ready, p.Front)
+		default:
+			others = append(others, p.Front)
+		}
+	}
+	if len(ready) > 0 {
+		return ready
+	}
+	return others
+}
+
+// KeepEntries returns for how long callers keep an answer of Entries.
+func (s *Server) KeepEntries() time.Duration { return s.opts.Bounds.KeepEntries }
+
+// meet registers this daemon and looks for others, often at first.
+func (s *Server) meet(ctx context.Context) {
+	registered := false
+	for _, pause := range []time.Duration{0, 300 * time.Millisecond, time.Second, 2 * time.Second} {
+		sleep(ctx, pause)
+		registered = registered || s.register(ctx)
+		s.readRoster(ctx)
+	}
+	const whileAlone = 2 * time.Second
+	for ctx.Err() == nil {
+		sleep(ctx, whileAlone)
+		registered = registered || s.register(ctx)
+		if len(s.agent.Table().Alive(time.Now())) == 0 {
+			s.readRoster(ctx)
+		}
+	}
+}
+
+func (s *Server) register(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	err := s.opts.Roster.Register(ctx, s.opts.Self)
+	if err != nil {
+		s.logger.Debug("not registered", "error", err)
+	}
+	return err == nil
+}
+
+func (s *Server) readRoster(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	all, err := s.opts.Roster.Read(ctx)
+	if err != nil {
+		s.logger.Debug("roster not read", "error", err)
+		return
+	}
+	for _, other := range all {
+		s.agent.Table().AddSeed(other.Address, time.Now())
+	}
+}
+
+// serveMetrics shows the metrics until ctx ends.
+func (s *Server) serveMetrics(ctx context.Context) {
+	if s.opts.Metrics == "" {
+		return
+	}
+	server := &http.Server{Addr: s.opts.Metrics, Handler: s.meter.Handler(), ReadHeaderTimeout: headerWait}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+		s.logger.Warn("metrics not served", "address", s.opts.Metrics, "error", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/serving/stop.go
@@ -0,0 +1,39 @@
+package serving
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const (
+	// entryLives is how many times the given time some callers keep an answer
+	// that names addresses.
+	entryLives = 3
+	// graceMargin is how long before it would be killed the process ends.
+	graceMargin = 300 * time.Millisecond
+)
+
+// stop is the planned stop: peers and callers are told first, then callers
+// that kept an address are still served, then what is in flight may end.
+func (s *Server) stop(server *http.Server) {
+	start := time.Now()
+	end := start.Add(s.opts.Bounds.Grace - graceMargin)
+	s.leaving.Store(true)
+	s.elector.Yield("the daemon leaves")
+	s.agent.Send(start)
+	s.logger.Info("stopping", "until", end)
+	void := start.Add(entryLives*s.opts.Bounds.KeepEntries + graceMargin)
+	if void.After(end) {
+		void = end
+	}
+	time.Sleep(time.Until(void))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		s.logger.Warn("stopped with requests in flight", "error", err)
+		_ = server.Close()
+		return
+	}
+	s.logger.Info("stopped with nothing in flight", "ms", time.Since(start).Milliseconds())
+}
