--- a/formation/plan.go
+++ b/formation/plan.go
@@ -63,7 +63,8 @@
 
 // Plan returns the groups to form now out of free workers, with at most
 // maxLoads loads from the store. Groups lie within one domain. What needs no
-// load is formed first, the shortest model first; then the rest.
+// load is formed first, the shortest model first; then the rest. A model that
+// waits for its loads is not overtaken by a less short one that needs fewer.
 func Plan(needs []Need, free []Free, maxLoads int) []Formation {
 	needs = slices.Clone(needs)
 	byDomain := make(map[string][]Free)
@@ -93,32 +94,40 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(needs[b].short(), needs[a].short()) })
 	for _, i := range order {
-		domain, chosen := bestDomain(needs[i].Model, byDomain, limit, maxLoads)
+		domain, chosen := bestDomain(needs[i].Model, byDomain, limit)
 		if chosen == nil {
 			continue
 		}
-		needs[i].Have++
-		f := Formation{Model: needs[i].Model}
-		for _, c := range chosen {
-			f.Members = append(f.Members, c.ID)
-			if c.warmth(f.Model.Name) >= Cold {
-				f.Loads++
-			}
+		f := newFormation(needs[i].Model, chosen)
+		if f.Loads > maxLoads {
+			return Formation{}, false
 		}
+		needs[i].Have++
 		byDomain[domain] = slices.DeleteFunc(byDomain[domain], func(w Free) bool { return slices.Contains(f.Members, w.ID) })
 		return f, true
 	}
 	return Formation{}, false
 }
 
+func newFormation(m fleet.Model, chosen []Free) Formation {
+	f := Formation{Model: m}
+	for _, c := range chosen {
+		f.Members = append(f.Members, c.ID)
+		if c.warmth(m.Name) >= Cold {
+			f.Loads++
+		}
+	}
+	return f
+}
+
 // bestDomain returns the warmest workers for a group of the model, and their
 // domain; nil when no domain has enough.
-func bestDomain(m fleet.Model, byDomain map[string][]Free, limit Warmth, maxLoads int) (string, []Free) {
+func bestDomain(m fleet.Model, byDomain map[string][]Free, limit Warmth) (string, []Free) {
 	var best []Free
 	var bestName string
 	bestCost := 0
 	for name, workers := range byDomain {
-		chosen, cost := warmest(m, workers, limit, maxLoads)
+		chosen, cost := warmest(m, workers, limit)
 		if chosen == nil {
 			continue
 		}
@@ -131,7 +140,7 @@
 
 // warmest returns the warmest workers for a group of the model and a cost by
 // which domains compare; nil when there are too few.
-func warmest(m fleet.Model, workers []Free, limit Warmth, maxLoads int) ([]Free, int) {
+func warmest(m fleet.Model, workers []Free, limit Warmth) ([]Free, int) {
 	if m.Size <= 0 || len(workers) < m.Size {
 		return nil, 0
 	}
@@ -140,19 +149,13 @@
 		return cmp.Or(cmp.Compare(a.warmth(m.Name), b.warmth(m.Name)), cmp.Compare(a.ID, b.ID))
 	})
 	chosen := sorted[:m.Size]
-	cost, loads := 0, 0
+	cost := 0
 	for _, w := range chosen {
 		warmth := w.warmth(m.Name)
 		if warmth > limit {
 			return nil, 0
 		}
-		if warmth >= Cold {
-			loads++
-		}
 		cost += int(warmth)
 	}
-	if loads > maxLoads {
-		return nil, 0
-	}
 	return chosen, cost
 }
--- a/formation/plan_test.go
+++ b/formation/plan_test.go
@@ -46,6 +46,10 @@
 			},
 			want: [][]string{{"a", "b"}},
 		},
+		"a model that waits for loads is not overtaken": {
+			needs: []Need{{Model: big, Want: 9}, {Model: small, Want: 2}}, maxLoads: 2,
+			free: []Free{worker("a", "d", ""), worker("b", "d", ""), worker("c", "d", "")},
+		},
 		"blank workers are taken before those of another model": {
 			needs: []Need{{Model: small, Want: 9}, {Model: big, Want: 1, Have: 1}}, maxLoads: 9,
 			free: []Free{worker("a", "d", "big"), worker("b", "d", ""), worker("c", "d", "")},
