formation: Keep spares warm and mend groups out of them

Changed: before the first request loads are not bounded and every worker brings the other model to its host; a fifth of the workers stands by; domains are kept to one model; groups of an earlier leader are waited for; a model that is short gets the members of a surplus replica; unanswered orders mark workers silent.

--- a/formation/groups.go
+++ b/formation/groups.go
@@ -27,6 +27,21 @@
 // whole reports whether every member is there.
 func (o *observed) whole() bool { return o.known && o.head != nil && len(o.members) == o.model.Size }
 
+// isForming reports whether members have yet to become ready.
+func (o *observed) isForming() bool {
+	return o.ready < len(o.members) && (o.state == fleet.Joining || o.state == fleet.Ready)
+}
+
+// seenSince returns since when a group has been known.
+func (k *Keeper) seenSince(o *observed, now time.Time) time.Time {
+	since, ok := k.seen[o.key]
+	if !ok {
+		since = now
+		k.seen[o.key] = now
+	}
+	return since
+}
+
 // groups returns the groups of a service as its workers show them, sorted by key.
 func (k *Keeper) groups(s *fleet.Service, view *fleet.View) []*observed {
 	byKey := make(map[string]*observed)
@@ -71,8 +86,8 @@
 		o.group = formed
 	}
 	name := o.group.Model
-	if name == "" && o.head != nil {
-		name = o.head.Loaded
+	if name == "" {
+		name = modelOf(o.group.Name)
 	}
 	o.model, o.known = e.Model(name)
 	o.group.Model = name
@@ -80,6 +95,7 @@
 
 // mend begins what has to be done about a group. The keeper's mutex is held.
 func (k *Keeper) mend(ctx context.Context, o *observed, now time.Time) {
+	age := now.Sub(k.seenSince(o, now))
 	if k.operating[o.key] || k.retired[o.key] || k.anyBusy(o.members) {
 		return
 	}
@@ -90,6 +106,10 @@
 		// All is well.
 	case o.state == fleet.Open && o.whole():
 		k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
+	case age < settleFor:
+		// The list may show its members one after the other.
+	case o.whole() && !o.draining && o.isForming() && age < joinSlack+slowLoads*o.model.Load:
+		// An earlier leader began it; its members still load.
 	case o.whole() && !o.draining && o.ready == o.model.Size && o.state == fleet.Ready:
 		// An earlier leader formed it and did not come to open it.
 		k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.reopen(ctx, o) })
@@ -145,7 +165,7 @@
 }
 
 // free returns the workers of a service that can be ordered into a new group.
-func (k *Keeper) free(s *fleet.Service, groups []*observed, view *fleet.View, now time.Time) []Free {
+func (k *Keeper) free(s *fleet.Service, groups []*observed, view *fleet.View) []Free {
 	held := make(map[string]bool)
 	for _, o := range groups {
 		if k.retired[o.key] {
@@ -162,12 +182,20 @@
 		if w.Service != s.Name || w.Draining || busy || silent || held[id] {
 			continue
 		}
-		all = append(all, Free{ID: id, Domain: w.Domain, Loaded: k.loaded(w), Staged: w.Staged})
+		if _, loading := k.loading[id]; loading {
+			continue
+		}
+		all = append(all, k.freeOf(w))
 	}
 	slices.SortFunc(all, func(a, b Free) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
+// freeOf returns a worker as the planner sees it.
+func (k *Keeper) freeOf(w *fleet.Worker) Free {
+	return Free{ID: w.ID, Domain: w.Domain, Loaded: k.loaded(w), Staged: w.Staged}
+}
+
 // loaded returns the model that a worker was set up for last.
 func (k *Keeper) loaded(w *fleet.Worker) string {
 	if o, ok := k.known[w.ID]; ok && o.at.After(k.opts.Inventory.Confirmed()) {
@@ -178,11 +206,19 @@
 
 const (
 	// fillTarget is the part of a replica's slots that should be busy.
-	fillTarget = 0.5
-	// demandWeight is the part of a newly measured demand in the smoothed one.
-	demandWeight = 0.02
+	fillTarget = 0.7
+	// demandRise and demandFall are the parts of a newly measured demand in the
+	// smoothed one, at each tick, when it is higher and when it is lower.
+	demandRise = 0.1
+	demandFall = 0.01
+	// firstFor is how long after the first request the models' shares count
+	// beside the measured work.
+	firstFor = 10 * time.Second
 	// reserve is how many replicas more than the measured demand are wanted.
 	reserve = 1
+	// firstUse is the part of the workers that serve before any work was
+	// measured; the others stand by.
+	firstUse = 0.8
 )
 
 // needs returns what is wanted and there of each model.
@@ -215,14 +251,19 @@
 // want returns the wanted number of replicas: by the measured work, or by the
 // model's share before any was measured.
 func (k *Keeper) want(e *fleet.Engine, m fleet.Model, workers int) float64 {
-	measured := 0.0
-	for _, other := range e.Models {
-		measured += k.smooth[other.Name]
+	byShare := firstUse * m.Share * float64(workers) / float64(max(m.Size, 1))
+	byWork := k.smooth[m.Name]/(fillTarget*float64(max(e.Slots, 1))) + reserve
+	now := time.Now()
+	switch {
+	case !k.opts.Traffic():
+		return byShare
+	case k.trafficSince.IsZero():
+		k.trafficSince = now
 	}
-	if measured < 1 {
-		return m.Share * float64(workers) / float64(max(m.Size, 1))
+	if now.Sub(k.trafficSince) < firstFor {
+		return max(byShare, byWork)
 	}
-	return k.smooth[m.Name]/(fillTarget*float64(max(e.Slots, 1))) + reserve
+	return byWork
 }
 
 func (k *Keeper) smoothDemand() {
@@ -231,6 +272,10 @@
 		if !ok {
 			held = demand
 		}
-		k.smooth[model] = held + demandWeight*(demand-held)
+		weight := demandFall
+		if demand > held {
+			weight = demandRise
+		}
+		k.smooth[model] = held + weight*(demand-held)
 	}
 }
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -15,11 +15,11 @@
 const (
 	tickEvery = 100 * time.Millisecond
 	// orderTimeout bounds an order, askTimeout a question to a worker.
-	orderTimeout = 500 * time.Millisecond
-	askTimeout   = 300 * time.Millisecond
+	orderTimeout = 400 * time.Millisecond
+	askTimeout   = 200 * time.Millisecond
 	// orderTries is how often an order that got no answer is given, each time
 	// with a new fence.
-	orderTries = 3
+	orderTries = 2
 	// askEvery is how often a worker is asked while its list entry is awaited.
 	askEvery = 250 * time.Millisecond
 	// joinSlack is how much longer than expected a join may take.
@@ -37,8 +37,8 @@
 	lostHead = 1200 * time.Millisecond
 	// listFresh is how old the list may be to prove that a worker is gone.
 	listFresh = 4 * time.Second
-	// bootWindow is how long after its start a daemon may take the fleet for new.
-	bootWindow = 15 * time.Second
+	// tradeEvery is the time between two trades of replicas between models.
+	tradeEvery = 2 * time.Second
 )
 
 // Options configures a Keeper.
@@ -48,6 +48,8 @@
 	Orders    Orders
 	// Demand returns the measured work of each model in busy slots.
 	Demand func() map[string]float64
+	// Traffic reports whether any request has come to the fleet yet.
+	Traffic func() bool
 	// Announced is called with each decision about a group.
 	Announced func(a fleet.Announcement)
 	// StallAfter is how long a group whose member is gone stands still before
@@ -94,8 +96,25 @@
 	former map[string]*fleet.Worker
 	// headless holds since when groups have had no listed head.
 	headless map[string]time.Time
-	loads    map[string]*loads
-	smooth   map[string]float64
+	// loading holds the loads that workers make, by worker.
+	loading map[string]load
+	// seen holds since when groups have been known.
+	seen   map[string]time.Time
+	loads  map[string]*loads
+	smooth map[string]float64
+	// trafficSince is when this leader first knew of requests.
+	trafficSince time.Time
+	// idleSince holds since when workers have had nothing to do at the start.
+	idleSince map[string]time.Time
+	// tradeNext is when groups may be given up for another model again.
+	tradeNext time.Time
+}
+
+// load is a load of a model's weights that counts until its end is seen or its
+// time is up.
+type load struct {
+	model string
+	until time.Time
 }
 
 // observation is what a worker told directly.
@@ -114,6 +133,7 @@
 		operating: make(map[string]bool), retired: make(map[string]bool), formed: make(map[string]Group),
 		silent: make(map[string]time.Time), former: make(map[string]*fleet.Worker),
 		headless: make(map[string]time.Time), loads: make(map[string]*loads), smooth: make(map[string]float64),
+		loading: make(map[string]load), seen: make(map[string]time.Time),
 	}
 }
 
@@ -170,15 +190,149 @@
 	for _, g := range groups {
 		k.mend(ctx, g, now)
 	}
-	needs := k.needs(s, groups, view)
 	budget := k.budget(s, now)
-	for _, f := range Plan(needs, k.free(s, groups, view, now), budget.available(now)) {
-		budget.take(f.Loads)
+	needs, free := k.needs(s, groups, view), k.free(s, groups, view)
+	formations, stagings := Plan(Input{
+		Needs: needs, Free: free, Warm: k.warm(s, view),
+		MaxLoads: k.room(s, view, budget, now),
+	})
+	counted := k.opts.Traffic()
+	for _, f := range formations {
+		if counted {
+			budget.take(f.Loads)
+		}
 		k.beginForm(ctx, s, f)
 	}
+	if len(formations) == 0 && counted {
+		k.trade(ctx, needs, free, groups, now)
+	}
+	if !counted {
+		stagings = append(k.longIdle(stagings, now), k.seconds(s, view)...)
+	}
+	for _, stage := range stagings {
+		model, _ := s.Engine.Model(stage.Model)
+		if counted {
+			budget.take(1)
+		}
+		k.beginStage(ctx, k.former[stage.Worker], model)
+	}
 	k.revive(ctx, view, now)
 }
 
+// trade dissolves surplus groups of one model in favour of another that is
+// short, one trade at a time.
+func (k *Keeper) trade(ctx context.Context, needs []Need, free []Free, groups []*observed, now time.Time) {
+	if now.Before(k.tradeNext) {
+		return
+	}
+	byKey := make(map[string]*observed)
+	var standing []Standing
+	for _, o := range groups {
+		if o.whole() && o.state == fleet.Open && !k.operating[o.key] && !k.retired[o.key] {
+			byKey[o.key] = o
+			standing = append(standing, Standing{Key: o.key, Domain: o.head.Domain, Model: o.model.Name, Members: len(o.members)})
+		}
+	}
+	for _, key := range Trade(needs, free, standing) {
+		o := byKey[key]
+		k.tradeNext = now.Add(tradeEvery)
+		k.opts.Logger.Info("replica given up for another model", "replica", key)
+		k.begin(ctx, key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
+	}
+}
+
+// longIdle returns the stagings of workers that have been idle for a while: at
+// the start, most workers are about to be formed into a group.
+func (k *Keeper) longIdle(stagings []Staging, now time.Time) []Staging {
+	var all []Staging
+	idle := make(map[string]time.Time)
+	for _, s := range stagings {
+		since, ok := k.idleSince[s.Worker]
+		if !ok {
+			since = now
+		}
+		idle[s.Worker] = since
+		if now.Sub(since) > settleFor {
+			all = append(all, s)
+		}
+	}
+	k.idleSince = idle
+	return all
+}
+
+// seconds returns what workers that serve one model should bring to their hosts
+// while loads are not bounded: another model, so that they can turn to it fast.
+// What they serve they take up again without their host's help.
+func (k *Keeper) seconds(s *fleet.Service, view *fleet.View) []Staging {
+	var all []Staging
+	for id, w := range view.Workers() {
+		m := k.member(w)
+		_, loading := k.loading[id]
+		if w.Service != s.Name || w.Draining || loading || m.State != fleet.Open && m.State != fleet.Ready {
+			continue
+		}
+		own := modelOf(m.Group)
+		if other := largestOther(s.Engine, own); other != "" && !w.HasStaged(other) {
+			all = append(all, Staging{Worker: id, Model: other})
+		}
+	}
+	return all
+}
+
+// largestOther returns the model with the largest share of the work but for one.
+func largestOther(e *fleet.Engine, own string) string {
+	best, share := "", -1.0
+	for _, m := range e.Models {
+		if m.Name != own && m.Share > share {
+			best, share = m.Name, m.Share
+		}
+	}
+	return best
+}
+
+// unbounded is how many loads may begin while they are not bounded.
+const unbounded = 1 << 20
+
+// room returns how many loads may begin now. Before the first request loads
+// are quick and not bounded; afterwards they slow each other beyond those that
+// run well side by side.
+func (k *Keeper) room(s *fleet.Service, view *fleet.View, budget *loads, now time.Time) int {
+	if !k.opts.Traffic() {
+		return unbounded
+	}
+	running := 0
+	for id, w := range view.Workers() {
+		l, loading := k.loading[id]
+		if loading && (now.After(l.until) || w.HasStaged(l.model)) {
+			delete(k.loading, id)
+			loading = false
+		}
+		if loading || w.Service == s.Name && k.member(w).State == fleet.Joining {
+			running++
+		}
+	}
+	return min(s.Engine.LoadsAtOnce-running, budget.available(now))
+}
+
+// warm counts the workers that are warm for models, by domain.
+func (k *Keeper) warm(s *fleet.Service, view *fleet.View) map[string]map[string]int {
+	counts := make(map[string]map[string]int)
+	for _, w := range view.Workers() {
+		if w.Service != s.Name || w.Draining {
+			continue
+		}
+		if counts[w.Domain] == nil {
+			counts[w.Domain] = make(map[string]int)
+		}
+		for _, m := range s.Engine.Models {
+			if k.freeOf(w).warmth(m.Name) <= Staged || modelOf(k.member(w).Group) == m.Name {
+				counts[w.Domain][m.Name]++
+			}
+		}
+	}
+	return counts
+}
+
 // budget returns the bound on loads of a service.
 func (k *Keeper) budget(s *fleet.Service, now time.Time) *loads {
 	l, ok := k.loads[s.Name]
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -14,12 +13,15 @@
 func (k *Keeper) beginForm(ctx context.Context, s *fleet.Service, f Formation) {
 	k.sequence++
 	epoch := int64(NewFence(k.term.Epoch, k.term.Rank, k.sequence))
-	g := Group{Name: fmt.Sprintf("r-%x", epoch), Epoch: epoch, Model: f.Model.Name, Members: f.Members}
+	g := Group{Name: newName(f.Model.Name, epoch), Epoch: epoch, Model: f.Model.Name, Members: f.Members}
 	var members []*fleet.Worker
 	for _, id := range f.Members {
 		members = append(members, k.former[id])
 	}
 	k.formed[g.Key()] = g
+	for _, w := range members {
+		k.noteLoad(w, f.Model)
+	}
 	k.opts.Logger.Info("forming replica", "replica", g.Key(), "model", g.Model, "members", g.Members, "loads", f.Loads)
 	k.begin(ctx, g.Key(), members, func(ctx context.Context) { k.form(ctx, s, f, g, members) })
 }
@@ -32,6 +34,7 @@
 	if f.Loads > 0 {
 		expected += slowLoads * f.Model.Load
 	}
+	defer k.loadsEnded(f.Members)
 	ctx, cancel := context.WithDeadline(ctx, start.Add(expected))
 	defer cancel()
 	if !k.join(ctx, g, members) || !k.awaitReady(ctx, g, members) {
@@ -264,6 +267,7 @@
 		}
 		k.opts.Logger.Debug("order not answered", "order", what, "worker", w.ID, "error", err)
 	}
+	k.fellSilent(w.ID)
 	return Unfit, false
 }
 
@@ -287,3 +291,35 @@
 	case <-ctx.Done():
 	}
 }
+
+// noteLoad counts a load if the worker has to make one for the model. The
+// keeper's mutex is held.
+func (k *Keeper) noteLoad(w *fleet.Worker, m fleet.Model) {
+	if k.freeOf(w).warmth(m.Name) > Staged {
+		k.loading[w.ID] = load{model: m.Name, until: time.Now().Add(slowLoads * m.Load)}
+	}
+}
+
+// loadsEnded ends the count of the loads of workers.
+func (k *Keeper) loadsEnded(ids []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, id := range ids {
+		delete(k.loading, id)
+	}
+}
+
+// beginStage begins to bring a model to the host of an idle worker. The
+// keeper's mutex is held.
+func (k *Keeper) beginStage(ctx context.Context, w *fleet.Worker, m fleet.Model) {
+	k.noteLoad(w, m)
+	k.opts.Logger.Info("staging", "worker", w.ID, "model", m.Name)
+	k.group.Go(func() {
+		verdict, ok := k.order(ctx, "stage", w, func(ctx context.Context, fence Fence) (Verdict, error) {
+			return k.opts.Orders.Stage(ctx, w, fence, m.Name)
+		})
+		if !ok || !verdict.Accepted() {
+			k.opts.Logger.Warn("staging not taken", "worker", w.ID, "model", m.Name, "answered", ok)
+		}
+	})
+}
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 
 	"quartzshelf.dev/fleet"
@@ -30,6 +32,12 @@
 	Have int
 }
 
+// met reports whether no further replica is wanted.
+func (n Need) met() bool { return float64(n.Have) >= n.Want }
+
+// surplus returns how many replicas there are beyond what is wanted.
+func (n Need) surplus() int { return n.Have - int(math.Ceil(n.Want)) }
+
 // short returns how short the model is; higher is shorter.
 func (n Need) short() float64 { return n.Want / float64(n.Have+1) }
 
@@ -61,48 +69,129 @@
 	Loads int
 }
 
-// Plan returns the groups to form now out of free workers, with at most
-// maxLoads loads from the store. Groups lie within one domain. What needs no
-// load is formed first, the shortest model first; then the rest. A model that
-// waits for its loads is not overtaken by a less short one that needs fewer.
-func Plan(needs []Need, free []Free, maxLoads int) []Formation {
-	needs = slices.Clone(needs)
-	byDomain := make(map[string][]Free)
-	for _, f := range free {
-		byDomain[f.Domain] = append(byDomain[f.Domain], f)
+// Input is what a plan is made from.
+type Input struct {
+	Needs []Need
+	// Free holds the workers that can be ordered.
+	Free []Free
+	// Warm counts, by domain and model, the workers that are warm for the
+	// model, those in groups included.
+	Warm map[string]map[string]int
+	// MaxLoads is how many loads from the store may begin.
+	MaxLoads int
+}
+
+// Staging is a model to bring to the host of an idle worker.
+type Staging struct {
+	Worker string
+	Model  string
+}
+
+// Plan returns the groups to form now, and what idle workers should bring to
+// their hosts so that they are warm when they are needed. Groups lie within
+// one domain. What needs no load is formed first, the shortest model first;
+// then what needs loads. Workers beyond what is wanted stay idle: a broken
+// group is mended at once by one that is warm. A model that waits for its loads is not
+// overtaken by a less short one that needs fewer. Domains are kept to one model
+// as far as possible: the survivors of broken groups then make whole ones.
+func Plan(in Input) ([]Formation, []Staging) {
+	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads}
+	for _, f := range in.Free {
+		p.byDomain[f.Domain] = append(p.byDomain[f.Domain], f)
 	}
 	var all []Formation
 	for _, limit := range []Warmth{Staged, ColdOther} {
 		for {
-			f, ok := next(needs, byDomain, limit, maxLoads)
+			f, ok := p.next(limit)
 			if !ok {
 				break
 			}
-			maxLoads -= f.Loads
+			p.maxLoads -= f.Loads
 			all = append(all, f)
 		}
 	}
+	if p.waiting {
+		return all, nil
+	}
+	return all, p.stagings()
+}
+
+// planner holds what is left while a plan is made.
+type planner struct {
+	needs    []Need
+	byDomain map[string][]Free
+	warm     map[string]map[string]int
+	maxLoads int
+	// waiting tells that a wanted group waits for its loads.
+	waiting bool
+}
+
+// stagings returns what the workers that are left should bring to their hosts:
+// the model that most of their domain is warm for.
+func (p *planner) stagings() []Staging {
+	var all []Staging
+	for _, domain := range slices.Sorted(maps.Keys(p.byDomain)) {
+		model := p.mainModel(domain)
+		for _, f := range p.byDomain[domain] {
+			if model == "" || len(all) >= p.maxLoads {
+				break
+			}
+			if f.warmth(model) > Staged {
+				all = append(all, Staging{Worker: f.ID, Model: model})
+			}
+		}
+	}
 	return all
 }
 
+// mainModel returns the model that most workers of a domain are warm for.
+func (p *planner) mainModel(domain string) string {
+	best, most := "", 0
+	for _, n := range p.needs {
+		if count := p.warm[domain][n.Model.Name]; count > most {
+			best, most = n.Model.Name, count
+		}
+	}
+	return best
+}
+
+// affinity returns how much better a domain suits a model than others.
+func (p *planner) affinity(domain, model string) int {
+	total := 0
+	for name, count := range p.warm[domain] {
+		if name == model {
+			total += count
+		} else {
+			total -= count
+		}
+	}
+	return total
+}
+
 // next forms one group out of workers at least as warm as limit and takes its
-// members out of byDomain.
-func next(needs []Need, byDomain map[string][]Free, limit Warmth, maxLoads int) (Formation, bool) {
+// members out of those that are left.
+func (p *planner) next(limit Warmth) (Formation, bool) {
+	needs, byDomain := p.needs, p.byDomain
 	order := make([]int, len(needs))
 	for i := range order {
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(needs[b].short(), needs[a].short()) })
 	for _, i := range order {
-		domain, chosen := bestDomain(needs[i].Model, byDomain, limit)
+		if needs[i].met() {
+			continue
+		}
+		domain, chosen := p.bestDomain(needs[i].Model, limit)
 		if chosen == nil {
 			continue
 		}
 		f := newFormation(needs[i].Model, chosen)
-		if f.Loads > maxLoads {
+		if f.Loads > p.maxLoads {
+			p.waiting = true
 			return Formation{}, false
 		}
 		needs[i].Have++
+		p.warmed(domain, f)
 		byDomain[domain] = slices.DeleteFunc(byDomain[domain], func(w Free) bool { return slices.Contains(f.Members, w.ID) })
 		return f, true
 	}
@@ -120,19 +209,32 @@
 	return f
 }
 
+// warmed counts the members of a new group as warm for its model.
+func (p *planner) warmed(domain string, f Formation) {
+	if p.warm == nil {
+		p.warm = make(map[string]map[string]int)
+	}
+	if p.warm[domain] == nil {
+		p.warm[domain] = make(map[string]int)
+	}
+	p.warm[domain][f.Model.Name] += f.Loads
+}
+
 // bestDomain returns the warmest workers for a group of the model, and their
-// domain; nil when no domain has enough.
-func bestDomain(m fleet.Model, byDomain map[string][]Free, limit Warmth) (string, []Free) {
+// domain; nil when no domain has enough. Among equals the domain that suits the
+// model best is taken.
+func (p *planner) bestDomain(m fleet.Model, limit Warmth) (string, []Free) {
 	var best []Free
 	var bestName string
-	bestCost := 0
-	for name, workers := range byDomain {
-		chosen, cost := warmest(m, workers, limit)
+	bestCost, bestAffinity := 0, 0
+	for _, name := range slices.Sorted(maps.Keys(p.byDomain)) {
+		chosen, cost := warmest(m, p.byDomain[name], limit)
 		if chosen == nil {
 			continue
 		}
-		if best == nil || cost < bestCost || cost == bestCost && name < bestName {
-			best, bestName, bestCost = chosen, name, cost
+		affinity := p.affinity(name, m.Name)
+		if best == nil || cost < bestCost || cost == bestCost && affinity > bestAffinity {
+			best, bestName, bestCost, bestAffinity = chosen, name, cost, affinity
 		}
 	}
 	return bestName, best
--- a/formation/plan_test.go
+++ b/formation/plan_test.go
@@ -21,8 +21,10 @@
 	tests := map[string]struct {
 		needs    []Need
 		free     []Free
+		warm     map[string]map[string]int
 		maxLoads int
 		want     [][]string
+		staged   []Staging
 	}{
 		"nothing free": {needs: []Need{{Model: big, Want: 3}}},
 		"never across domains": {
@@ -36,8 +38,9 @@
 		},
 		"the shorter model goes first": {
 			needs: []Need{{Model: big, Want: 3, Have: 3}, {Model: small, Want: 3}}, maxLoads: 9,
-			free: []Free{worker("a", "d", ""), worker("b", "d", ""), worker("c", "d", "")},
-			want: [][]string{{"a", "b"}},
+			free:   []Free{worker("a", "d", ""), worker("b", "d", ""), worker("c", "d", "")},
+			want:   [][]string{{"a", "b"}},
+			staged: []Staging{{Worker: "c", Model: "small"}},
 		},
 		"loads are bounded": {
 			needs: []Need{{Model: small, Want: 9}}, maxLoads: 3,
@@ -50,19 +53,39 @@
 			needs: []Need{{Model: big, Want: 9}, {Model: small, Want: 2}}, maxLoads: 2,
 			free: []Free{worker("a", "d", ""), worker("b", "d", ""), worker("c", "d", "")},
 		},
+		"a domain is kept to one model": {
+			needs: []Need{{Model: small, Want: 9}}, maxLoads: 2,
+			warm: map[string]map[string]int{"d1": {"big": 4}, "d2": {"small": 2}},
+			free: []Free{worker("a", "d1", ""), worker("b", "d1", ""), worker("c", "d2", ""), worker("e", "d2", "")},
+			want: [][]string{{"c", "e"}},
+		},
+		"no more than is wanted is formed": {
+			needs: []Need{{Model: small, Want: 1.5, Have: 1}}, maxLoads: 9,
+			free: []Free{worker("a", "d", "small"), worker("b", "d", "small"), worker("c", "d", "small"), worker("e", "d", "small")},
+			want: [][]string{{"a", "b"}},
+		},
+		"an idle worker brings its domain's model to its host": {
+			needs: []Need{{Model: big, Want: 1, Have: 1}}, maxLoads: 1,
+			warm:   map[string]map[string]int{"d": {"big": 3}},
+			free:   []Free{worker("a", "d", ""), worker("b", "d", "")},
+			staged: []Staging{{Worker: "a", Model: "big"}},
+		},
 		"blank workers are taken before those of another model": {
 			needs: []Need{{Model: small, Want: 9}, {Model: big, Want: 1, Have: 1}}, maxLoads: 9,
-			free: []Free{worker("a", "d", "big"), worker("b", "d", ""), worker("c", "d", "")},
-			want: [][]string{{"b", "c"}},
+			free:   []Free{worker("a", "d", "big"), worker("b", "d", ""), worker("c", "d", "")},
+			want:   [][]string{{"b", "c"}},
+			staged: []Staging{{Worker: "a", Model: "small"}},
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var got [][]string
-			for _, f := range Plan(test.needs, test.free, test.maxLoads) {
+			formations, stagings := Plan(Input{Needs: test.needs, Free: test.free, Warm: test.warm, MaxLoads: test.maxLoads})
+			for _, f := range formations {
 				got = append(got, f.Members)
 			}
 			assert.DeepEqual(t, got, test.want)
+			assert.DeepEqual(t, stagings, test.staged)
 		})
 	}
 }
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -61,9 +61,14 @@
 		return
 	}
 	k.opts.Logger.Warn("worker does not answer", "worker", w.ID, "replica", replica)
+	k.fellSilent(w.ID)
+}
+
+// fellSilent notes that a worker does not answer.
+func (k *Keeper) fellSilent(id string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.silent[w.ID] = time.Now().Add(reviveEvery)
+	k.silent[id] = time.Now().Add(reviveEvery)
 }
 
 // revive asks silent workers again now and then. The keeper's mutex is held.
--- /dev/null
+++ b/formation/trade_test.go
@@ -0,0 +1,56 @@
+package formation
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+func TestTrade(t *testing.T) {
+	big := fleet.Model{Name: "big", Size: 4}
+	small := fleet.Model{Name: "small", Size: 2}
+	tests := map[string]struct {
+		needs    []Need
+		free     []Free
+		standing []Standing
+		want     []string
+	}{
+		"nothing is short": {
+			needs:    []Need{{Model: big, Want: 1, Have: 1}, {Model: small, Want: 1, Have: 3}},
+			standing: []Standing{{Key: "s", Domain: "d", Model: "small", Members: 2}},
+		},
+		"a surplus group gives its members": {
+			needs:    []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 2, Have: 3}},
+			free:     []Free{{ID: "a", Domain: "d"}, {ID: "b", Domain: "d"}, {ID: "c", Domain: "d"}},
+			standing: []Standing{{Key: "s", Domain: "d", Model: "small", Members: 2}},
+			want:     []string{"s"},
+		},
+		"no more than the surplus is given": {
+			needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 2, Have: 3}},
+			standing: []Standing{
+				{Key: "s", Domain: "d", Model: "small", Members: 2}, {Key: "t", Domain: "d", Model: "small", Members: 2},
+			},
+		},
+		"never across domains": {
+			needs:    []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 1, Have: 3}},
+			free:     []Free{{ID: "a", Domain: "d"}, {ID: "b", Domain: "d"}, {ID: "c", Domain: "d"}},
+			standing: []Standing{{Key: "s", Domain: "e", Model: "small", Members: 2}},
+		},
+		"the domain that gives the fewest groups": {
+			needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 1, Have: 9}},
+			free:  []Free{{ID: "a", Domain: "e"}, {ID: "b", Domain: "e"}},
+			standing: []Standing{
+				{Key: "s", Domain: "d", Model: "small", Members: 2}, {Key: "t", Domain: "d", Model: "small", Members: 2},
+				{Key: "u", Domain: "e", Model: "small", Members: 2},
+			},
+			want: []string{"u"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.DeepEqual(t, Trade(test.needs, test.free, test.standing), test.want)
+		})
+	}
+}
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -81,6 +81,8 @@
 	Announcements []fleet.Announcement `json:"groups,omitempty"`
 	// Demand is the measured work of each model, in slots busy.
 	Demand map[string]float64 `json:"demand,omitempty"`
+	// Traffic tells that requests came to the fleet.
+	Traffic bool `json:"traffic,omitempty"`
 }
 
 // Peer is what is known of another daemon.
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -54,6 +54,8 @@
 	mu       sync.Mutex
 	stations map[string]*station
 	remote   map[string]remoteLoads
+	// traffic tells that a request came, here or at a peer.
+	traffic bool
 	// stalled is called, without the lock, with a replica that fell silent.
 	stalled func(r *fleet.Replica)
 }
@@ -94,6 +96,20 @@
 	t.remote[peer] = remoteLoads{at: now, loads: byReplica}
 }
 
+// Traffic reports whether a request to a model came yet, here or at a peer.
+func (t *Tracker) Traffic() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.traffic
+}
+
+// SetTraffic notes that a request came to a peer.
+func (t *Tracker) SetTraffic() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.traffic = true
+}
+
 // Loads returns this daemon's own work.
 func (t *Tracker) Loads() []peers.Load {
 	t.mu.Lock()
@@ -201,6 +217,7 @@
 	s := t.station(r)
 	s.inFlight++
 	s.prefill += prefill
+	t.traffic = t.traffic || prefill > 0
 	return &Hold{tracker: t, station: s, prefill: prefill}
 }
 
--- a/serving/beat.go
+++ b/serving/beat.go
@@ -13,7 +13,7 @@
 	b.ConfigVersion, b.ConfigAge = s.beliefs.Version(), age(s.beliefs.Confirmed(), now)
 	b.WorkersPosition, b.WorkersAge = s.inventory.Position(), age(s.inventory.Confirmed(), now)
 	b.Leads, b.Highest, b.Grant = s.elector.State()
-	b.Loads, b.Demand = s.tracker.Loads(), s.tracker.Demand()
+	b.Loads, b.Demand, b.Traffic = s.tracker.Loads(), s.tracker.Demand(), s.tracker.Traffic()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kept := s.announced[:0]
@@ -46,6 +46,9 @@
 func (s *Server) heard(p *peers.Peer) {
 	s.elector.Hear(p)
 	s.tracker.SetRemote(p.ID, p.Loads, p.HeardAt)
+	if p.Traffic {
+		s.tracker.SetTraffic()
+	}
 	s.inventory.Announce(p.Announcements)
 	s.beliefs.Confirm(p.ConfigVersion, p.ConfigConfirmed())
 	s.inventory.Confirm(p.WorkersPosition, p.WorkersConfirmed())
