formation: Leave groups that load to the next leader

Cause: a leader whose term ended (a planned stop, a higher claim) gave up the groups it was forming, and so dissolved what its successor would have adopted. Found by a simulation of workers in virtual time, which is added with it: workers die, orders stay unanswered and come late, leaders are replaced and do not notice; no group may open before all members were ready, no worker may join while its group serves. The new test of adoption failed before.

--- /dev/null
+++ b/formation/keeper_test.go
@@ -0,0 +1,173 @@
+package formation
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// term runs a keeper until the returned function is called.
+func term(w *world, epoch int64) (k *Keeper, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	k = NewKeeper(w.options(), Term{Epoch: epoch, First: epoch == 1}, cancel)
+	go k.Run(ctx)
+	return k, func() {
+		cancel()
+		<-k.Done()
+	}
+}
+
+func TestFleetIsFormedBeforeTheFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		_, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+		serving := w.serving()
+		assert.Equal(t, serving["big"], 2)
+		assert.Equal(t, serving["small"], 4)
+	})
+}
+
+func TestLostMemberIsReplacedFromSpares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		k, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		w.mu.Lock()
+		w.traffic = true
+		head := ""
+		for _, s := range w.workers {
+			if s.group.Model == "big" && s.rank == 0 {
+				head = s.id
+			}
+		}
+		g := w.workers[head].group
+		w.mu.Unlock()
+		w.kill(g.Members[2])
+		k.Suspect(g.Key())
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, w.serving()["big"], 2)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+func TestNewLeaderAdoptsWhatStandsAndWhatLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		w.traffic = true
+		_, stop := term(w, 1)
+		time.Sleep(2 * time.Second)
+		stop()
+		w.mu.Lock()
+		names := make(map[string]bool)
+		for _, s := range w.workers {
+			if s.group.Name != "" {
+				names[s.group.Name] = true
+			}
+		}
+		w.mu.Unlock()
+		assert.Assert(t, len(names) > 0)
+		_, stop = term(w, 2)
+		time.Sleep(15 * time.Second)
+		stop()
+		w.pending.Wait()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, s := range w.workers {
+			delete(names, s.group.Name)
+		}
+		assert.Equal(t, len(names), 0, "groups that loaded were dissolved")
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestNothingPartialAndNothingTwice kills workers, leaves orders unanswered and
+// carries them out late, replaces leaders, and lets old ones go on.
+func TestNothingPartialAndNothingTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		late := rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "late")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 4, 16).Draw(t, "steps")
+		synctest.Test(&testing.T{}, func(*testing.T) {
+			runSchedule(t, seed, late, steps)
+		})
+	})
+}
+
+// runSchedule plays one schedule of faults and checks the world after it.
+func runSchedule(t *rapid.T, seed uint64, late float64, steps []int) {
+	w := newWorld(seed, 2, 10)
+	w.late = late
+	epoch := int64(1)
+	k, stop := term(w, epoch)
+	var stops []func()
+	for i, step := range steps {
+		time.Sleep(time.Duration(300+400*step) * time.Millisecond)
+		switch {
+		case step <= 2:
+			id := fmt.Sprintf("w%d-%d", i%2, (i*7+step)%10)
+			w.kill(id)
+			for _, g := range w.groupsOf(id) {
+				k.Suspect(g)
+			}
+		case step == 3:
+			// The old leader does not know that it was replaced.
+			stops = append(stops, stop)
+			epoch++
+			k, stop = term(w, epoch)
+		case step == 4:
+			stop()
+			epoch++
+			k, stop = term(w, epoch)
+		default:
+			w.mu.Lock()
+			w.traffic = true
+			w.mu.Unlock()
+		}
+	}
+	w.mu.Lock()
+	w.late = 0
+	w.mu.Unlock()
+	time.Sleep(30 * time.Second)
+	for _, end := range append(stops, stop) {
+		end()
+	}
+	w.pending.Wait()
+	if len(w.broken) > 0 {
+		t.Fatalf("broken: %v", w.broken)
+	}
+	if alive := w.alive(); alive >= 14 && len(w.serving()) == 0 {
+		t.Fatalf("nothing serves though %d workers live", alive)
+	}
+}
+
+func (w *world) groupsOf(id string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if g := w.workers[id].group; g.Name != "" {
+		return []string{g.Key()}
+	}
+	return nil
+}
+
+func (w *world) alive() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, s := range w.workers {
+		if !s.dead {
+			n++
+		}
+	}
+	return n
+}
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -28,21 +28,21 @@
 
 // form joins the members, waits until each was seen ready under this name,
 // epoch and list, and only then opens the head.
-func (k *Keeper) form(ctx context.Context, s *fleet.Service, f Formation, g Group, members []*fleet.Worker) {
+func (k *Keeper) form(term context.Context, s *fleet.Service, f Formation, g Group, members []*fleet.Worker) {
 	start := time.Now()
 	expected := joinSlack + f.Model.Warm
 	if f.Loads > 0 {
 		expected += slowLoads * f.Model.Load
 	}
 	defer k.loadsEnded(f.Members)
-	ctx, cancel := context.WithDeadline(ctx, start.Add(expected))
+	ctx, cancel := context.WithDeadline(term, start.Add(expected))
 	defer cancel()
 	if !k.join(ctx, g, members) || !k.awaitReady(ctx, g, members) {
-		k.giveUp(ctx, g, members[0], "a member did not become ready")
+		k.giveUp(term, g, members[0], "a member did not become ready")
 		return
 	}
 	if !k.open(ctx, s.Name, g, members[0]) {
-		k.giveUp(ctx, g, members[0], "the head was not opened")
+		k.giveUp(term, g, members[0], "the head was not opened")
 		return
 	}
 	k.opts.Logger.Info("replica opened", "replica", g.Key(), "model", g.Model,
@@ -50,10 +50,14 @@
 }
 
 // giveUp makes certain that a group which could not be formed is never opened
-// by a late order, then frees its members.
-func (k *Keeper) giveUp(ctx context.Context, g Group, head *fleet.Worker, why string) {
+// by a late order, then frees its members. When the term has ended, the group
+// is left to the next leader.
+func (k *Keeper) giveUp(term context.Context, g Group, head *fleet.Worker, why string) {
+	if term.Err() != nil {
+		return
+	}
 	k.opts.Logger.Warn("forming given up", "replica", g.Key(), "model", g.Model, "reason", why)
-	k.dissolve(context.WithoutCancel(ctx), &observed{key: g.Key(), group: g}, head)
+	k.dissolve(term, &observed{key: g.Key(), group: g}, head)
 }
 
 // join gives each member its order to join, side by side, and reports whether
--- /dev/null
+++ b/formation/world_test.go
@@ -0,0 +1,307 @@
+package formation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"quartzshelf.dev/fleet"
+)
+
+var errSilent = errors.New("no answer")
+
+// simWorker is a worker as the rules describe it, in virtual time.
+type simWorker struct {
+	id, domain string
+	dead       bool
+	draining   bool
+	fence      Fence
+	epoch      int64
+	group      Group
+	state      fleet.GroupState
+	rank       int
+	readyAt    time.Time
+	last       string
+	staged     string
+}
+
+// world is a set of simulated workers that checks what must always hold.
+type world struct {
+	mu        sync.Mutex
+	random    *rand.Rand
+	workers   map[string]*simWorker
+	inventory *fleet.Inventory
+	position  int64
+	// wasReady holds, by group key and member, who was ever ready.
+	wasReady map[string]bool
+	// late is the part of the orders that get no answer and are carried out later.
+	late    float64
+	traffic bool
+	broken  []string
+	pending sync.WaitGroup
+}
+
+const (
+	simLoad = 12 * time.Second
+	simWarm = 1200 * time.Millisecond
+	simHot  = 200 * time.Millisecond
+	simForm = 300 * time.Millisecond
+)
+
+var simModels = []fleet.Model{
+	{Name: "big", Size: 4, Share: 0.5, Pace: 1, Load: simLoad, Warm: simWarm},
+	{Name: "small", Size: 2, Share: 0.5, Pace: 1, Load: simLoad, Warm: simWarm},
+}
+
+func simConfig() *fleet.Config {
+	return fleet.NewConfig(fleet.Parts{Version: 1, Services: []*fleet.Service{{Name: "models", Engine: &fleet.Engine{
+		Slots: 10, LoadsPerSecond: 5, LoadsAtOnce: 7, Form: simForm, Models: simModels,
+	}}}})
+}
+
+func newWorld(seed uint64, domains, perDomain int) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
+		inventory: fleet.NewInventory(), wasReady: make(map[string]bool),
+	}
+	for d := range domains {
+		for i := range perDomain {
+			s := &simWorker{id: fmt.Sprintf("w%d-%d", d, i), domain: fmt.Sprintf("d%d", d)}
+			w.workers[s.id] = s
+			w.list(s)
+		}
+	}
+	return w
+}
+
+func (w *world) options() Options {
+	config := simConfig()
+	return Options{
+		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w,
+		Demand:     func() map[string]float64 { return map[string]float64{"big": 5, "small": 5} },
+		Traffic:    func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.traffic },
+		Announced:  func(fleet.Announcement) {},
+		StallAfter: 6 * time.Second, Ceiling: Ceiling{Window: 5 * time.Second, Over: 1.1},
+		Logger: hclog.NewNullLogger(),
+	}
+}
+
+// list writes a worker's entry into the list. The mutex is held.
+func (w *world) list(s *simWorker) {
+	w.position++
+	change := fleet.Change{ID: s.id}
+	if !s.dead {
+		entry := &fleet.Worker{
+			ID: s.id, Service: "models", Address: s.id, Domain: s.domain, Slots: 10, Draining: s.draining,
+			Loaded: s.last, Member: fleet.Membership{Group: s.group.Name, Epoch: s.group.Epoch, Rank: s.rank, State: s.state},
+		}
+		if s.staged != "" {
+			entry.Staged = []string{s.staged}
+		}
+		change.Worker = entry
+	}
+	w.inventory.Apply([]fleet.Change{change}, w.position, time.Now())
+}
+
+// kill ends a worker without a word; the list shows it later.
+func (w *world) kill(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers[id].dead = true
+	w.pending.Go(func() {
+		time.Sleep(3600 * time.Millisecond)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.list(w.workers[id])
+	})
+}
+
+// run carries an order out, now or later, and returns its answer.
+func (w *world) run(ctx context.Context, id string, fence Fence, do func(*simWorker) Verdict) (Verdict, error) {
+	w.mu.Lock()
+	s := w.workers[id]
+	dead, late := s.dead, w.random.Float64() < w.late
+	delay := time.Duration(2+w.random.IntN(10)) * time.Second
+	w.mu.Unlock()
+	apply := func() Verdict {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if s.dead {
+			return Unfit
+		}
+		if fence < s.fence {
+			return Fenced
+		}
+		s.fence = fence
+		return do(s)
+	}
+	if late && !dead {
+		w.pending.Go(func() {
+			time.Sleep(delay)
+			apply()
+		})
+	}
+	if dead || late {
+		<-ctx.Done()
+		return Unfit, errSilent
+	}
+	time.Sleep(2 * time.Millisecond)
+	return apply(), nil
+}
+
+func (w *world) Join(ctx context.Context, worker *fleet.Worker, fence Fence, g Group) (Verdict, error) {
+	return w.run(ctx, worker.ID, fence, func(s *simWorker) Verdict {
+		if g.Epoch < s.epoch || s.group.Name == g.Name && !slices.Equal(s.group.Members, g.Members) {
+			return Fenced
+		}
+		if s.group.Name == g.Name {
+			return Holds
+		}
+		w.checkTwo(s, g)
+		s.epoch, s.group, s.state, s.rank = g.Epoch, g, fleet.Joining, slices.Index(g.Members, s.id)
+		wait := simLoad
+		switch g.Model {
+		case s.last:
+			wait = simHot
+		case s.staged:
+			wait = simWarm
+		}
+		if !w.traffic && wait == simLoad {
+			wait /= 10
+		}
+		w.list(s)
+		w.later(wait, s, g, func() {
+			s.state, s.last, s.staged = fleet.Ready, g.Model, g.Model
+			w.wasReady[g.Key()+s.id] = true
+		})
+		return Begun
+	})
+}
+
+// later changes a worker after a time if it is still in the group.
+func (w *world) later(wait time.Duration, s *simWorker, g Group, change func()) {
+	w.pending.Go(func() {
+		time.Sleep(wait)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !s.dead && s.group.Name == g.Name {
+			change()
+			w.list(s)
+		}
+	})
+}
+
+func (w *world) Open(ctx context.Context, worker *fleet.Worker, fence Fence, g Group) (Verdict, error) {
+	return w.run(ctx, worker.ID, fence, func(s *simWorker) Verdict {
+		if s.group.Name != g.Name || s.rank != 0 || s.state != fleet.Ready && s.state != fleet.Open {
+			return Unfit
+		}
+		w.checkPartial(s)
+		s.state = fleet.Open
+		w.list(s)
+		return Begun
+	})
+}
+
+func (w *world) Close(ctx context.Context, worker *fleet.Worker, fence Fence, g Group) (Verdict, error) {
+	return w.run(ctx, worker.ID, fence, func(s *simWorker) Verdict {
+		if s.group.Name != g.Name || s.state != fleet.Open {
+			return Unfit
+		}
+		s.state = fleet.Closing
+		w.list(s)
+		w.later(time.Second, s, g, func() { s.state = fleet.Ready })
+		return Begun
+	})
+}
+
+func (w *world) Leave(ctx context.Context, worker *fleet.Worker, fence Fence, g Group) (Verdict, error) {
+	return w.run(ctx, worker.ID, fence, func(s *simWorker) Verdict {
+		if s.group.Name == g.Name {
+			s.group, s.state, s.rank = Group{}, "", 0
+			w.list(s)
+		}
+		return Holds
+	})
+}
+
+func (w *world) Stage(ctx context.Context, worker *fleet.Worker, fence Fence, model string) (Verdict, error) {
+	return w.run(ctx, worker.ID, fence, func(s *simWorker) Verdict {
+		w.pending.Go(func() {
+			time.Sleep(simLoad / 10)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			s.staged = model
+			w.list(s)
+		})
+		return Begun
+	})
+}
+
+func (w *world) Ask(ctx context.Context, worker *fleet.Worker) (State, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.workers[worker.ID]
+	if s.dead {
+		w.mu.Unlock()
+		<-ctx.Done()
+		w.mu.Lock()
+		return State{}, errSilent
+	}
+	return State{
+		Member: fleet.Membership{Group: s.group.Name, Epoch: s.group.Epoch, Rank: s.rank, State: s.state},
+		Loaded: s.last, Staged: []string{s.staged},
+	}, nil
+}
+
+// checkPartial notes a group that is opened although a member was never ready.
+func (w *world) checkPartial(head *simWorker) {
+	model := simModels[slices.IndexFunc(simModels, func(m fleet.Model) bool { return m.Name == head.group.Model })]
+	if len(head.group.Members) != model.Size {
+		w.broken = append(w.broken, fmt.Sprintf("%s opened with %d members", head.group.Name, len(head.group.Members)))
+	}
+	for _, id := range head.group.Members {
+		if !w.wasReady[head.group.Key()+id] {
+			w.broken = append(w.broken, fmt.Sprintf("%s opened though %s was never ready", head.group.Name, id))
+		}
+	}
+}
+
+// checkTwo notes a worker that joins a group while another serves with it.
+func (w *world) checkTwo(s *simWorker, g Group) {
+	if len(s.group.Members) == 0 {
+		return
+	}
+	head := w.workers[s.group.Members[0]]
+	serving := head.state == fleet.Open || head.state == fleet.Closing
+	if !head.dead && head.group.Name == s.group.Name && serving {
+		w.broken = append(w.broken, fmt.Sprintf("%s joins %s while %s serves", s.id, g.Name, s.group.Name))
+	}
+}
+
+// serving counts the open groups whose members are all there.
+func (w *world) serving() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := make(map[string]int)
+	for _, s := range w.workers {
+		if s.dead || s.state != fleet.Open || s.rank != 0 {
+			continue
+		}
+		whole := true
+		for _, id := range s.group.Members {
+			m := w.workers[id]
+			whole = whole && !m.dead && m.group.Name == s.group.Name
+		}
+		if whole {
+			counts[s.group.Model]++
+		}
+	}
+	return counts
+}
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -81,7 +81,6 @@
 	leaderlessSince time.Time
 	// pauseUntil is until when no attempt is made.
 	pauseUntil time.Time
-	trying     bool
 }
 
 // NewElector returns an elector; Run makes it work.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -99,8 +99,8 @@
 	defer cancel(nil)
 	hold := r.opts.Tracker.Begin(replica, c.prompt)
 	defer hold.End()
-	track := r.opts.Tracker.Watch(replica, cancel)
-	defer r.opts.Tracker.Unwatch(replica, track)
+	track := r.opts.Tracker.Follow(replica, cancel)
+	defer r.opts.Tracker.Unfollow(replica, track)
 	e, err := r.upstream.send(ctx, replica.Head, r.messageFor(c, replica.Head, s.last))
 	if err != nil {
 		return err
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -32,15 +32,15 @@
 	replica   *fleet.Replica
 	inFlight  int
 	prefill   int
-	streams   map[*streamTrack]struct{}
+	streams   map[*Watch]struct{}
 	lastMove  time.Time
 	suspect   time.Time
 	failedAt  time.Time
 	lastKnown time.Time
 }
 
-// streamTrack is a stream in flight.
-type streamTrack struct {
+// Watch is a stream in flight.
+type Watch struct {
 	begun  bool
 	since  time.Time
 	cancel context.CancelCauseFunc
@@ -78,7 +78,7 @@
 func (t *Tracker) station(r *fleet.Replica) *station {
 	s, ok := t.stations[r.ID]
 	if !ok {
-		s = &station{replica: r, streams: make(map[*streamTrack]struct{})}
+		s = &station{replica: r, streams: make(map[*Watch]struct{})}
 		t.stations[r.ID] = s
 	}
 	s.lastKnown = time.Now()
@@ -248,17 +248,17 @@
 	t.station(r).failedAt = now
 }
 
-// Watch follows a stream: cancel is called when its replica falls silent.
-func (t *Tracker) Watch(r *fleet.Replica, cancel context.CancelCauseFunc) *streamTrack {
+// Follow follows a stream: cancel is called when its replica falls silent.
+func (t *Tracker) Follow(r *fleet.Replica, cancel context.CancelCauseFunc) *Watch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	track := &streamTrack{since: time.Now(), cancel: cancel}
+	track := &Watch{since: time.Now(), cancel: cancel}
 	t.station(r).streams[track] = struct{}{}
 	return track
 }
 
 // Moved notes that an event of a stream came.
-func (t *Tracker) Moved(r *fleet.Replica, track *streamTrack, now time.Time) {
+func (t *Tracker) Moved(r *fleet.Replica, track *Watch, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.station(r)
@@ -267,8 +267,8 @@
 	s.suspect = time.Time{}
 }
 
-// Unwatch ends the following of a stream.
-func (t *Tracker) Unwatch(r *fleet.Replica, track *streamTrack) {
+// Unfollow ends the following of a stream.
+func (t *Tracker) Unfollow(r *fleet.Replica, track *Watch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.station(r).streams, track)
