formation: Ask a head that is cut off from the list before moving its members

Cause: a leader that had not formed a group itself knew the head only from the list. Changed: heads are remembered from the list and asked; a head that shows up again undoes a retirement that rested on silence; a listed head is never taken for gone. The new test failed before.

--- a/formation/groups.go
+++ b/formation/groups.go
@@ -77,6 +77,7 @@
 	}
 	if m.Rank == 0 {
 		o.head, o.state = w, m.State
+		k.heads[o.key] = w.ID
 	}
 }
 
@@ -96,7 +97,11 @@
 // mend begins what has to be done about a group. The keeper's mutex is held.
 func (k *Keeper) mend(ctx context.Context, o *observed, now time.Time) {
 	age := now.Sub(k.seenSince(o, now))
-	if k.operating[o.key] || k.retired[o.key] || k.anyBusy(o.members) {
+	if o.head != nil && o.state != fleet.Broken && k.retired[o.key] == assumed {
+		// The head is back after all.
+		delete(k.retired, o.key)
+	}
+	if k.operating[o.key] || k.retired[o.key] != 0 || k.anyBusy(o.members) {
 		return
 	}
 	switch {
@@ -119,23 +124,20 @@
 }
 
 // mendHeadless frees the members of a group whose head is not listed: at once
-// when the head confirms, else when it is certain to be gone.
+// when the head confirms, else when it must be gone. A head that is cut off
+// from the list may still serve, so one that was ever seen is asked first.
 func (k *Keeper) mendHeadless(ctx context.Context, o *observed, now time.Time) {
 	since, ok := k.headless[o.key]
 	if !ok {
 		k.headless[o.key] = now
 		since = now
 	}
-	if now.Sub(since) > k.opts.StallAfter {
-		k.retired[o.key] = true
-		return
-	}
-	formed, ok := k.formed[o.key]
-	if !ok {
+	if head, ok := k.former[k.heads[o.key]]; ok {
+		k.begin(ctx, o.key, nil, func(ctx context.Context) { k.dissolve(ctx, o, head) })
 		return
 	}
-	if head, ok := k.former[formed.Members[0]]; ok {
-		k.begin(ctx, o.key, nil, func(ctx context.Context) { k.dissolve(ctx, o, head) })
+	if now.Sub(since) > k.opts.StallAfter {
+		k.retired[o.key] = assumed
 	}
 }
 
@@ -168,7 +170,7 @@
 func (k *Keeper) free(s *fleet.Service, groups []*observed, view *fleet.View) []Free {
 	held := make(map[string]bool)
 	for _, o := range groups {
-		if k.retired[o.key] {
+		if k.retired[o.key] != 0 {
 			continue
 		}
 		for _, w := range o.members {
@@ -231,7 +233,7 @@
 	}
 	have := make(map[string]int)
 	for _, o := range groups {
-		if o.whole() && !k.retired[o.key] {
+		if o.whole() && k.retired[o.key] == 0 {
 			have[o.model.Name]++
 		}
 	}
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -86,8 +86,11 @@
 	busy map[string]time.Time
 	// operating holds the groups that an operation is about.
 	operating map[string]bool
-	// retired holds the groups whose head is certain to take no more requests.
-	retired map[string]bool
+	// retired holds the groups whose head takes no more requests: by its own
+	// word, which is final, or since it must be gone.
+	retired map[string]retirement
+	// heads holds, by group, the head that the list showed.
+	heads map[string]string
 	// formed holds the groups formed in this term, by key.
 	formed map[string]Group
 	// silent holds the workers that do not answer, with when to ask again.
@@ -117,6 +120,16 @@
 	until time.Time
 }
 
+// retirement says how it is known that a group's head takes no more requests.
+type retirement int
+
+const (
+	// assumed retirements rest on the head's silence.
+	assumed retirement = iota + 1
+	// confirmed retirements rest on the head's own word.
+	confirmed
+)
+
 // observation is what a worker told directly.
 type observation struct {
 	state State
@@ -130,7 +143,7 @@
 		opts: opts, term: term, start: time.Now(), outdone: outdone,
 		done: make(chan struct{}), suspects: make(chan string, 64),
 		known: make(map[string]observation), busy: make(map[string]time.Time),
-		operating: make(map[string]bool), retired: make(map[string]bool), formed: make(map[string]Group),
+		operating: make(map[string]bool), retired: make(map[string]retirement), heads: make(map[string]string), formed: make(map[string]Group),
 		silent: make(map[string]time.Time), former: make(map[string]*fleet.Worker),
 		headless: make(map[string]time.Time), loads: make(map[string]*loads), smooth: make(map[string]float64),
 		loading: make(map[string]load), seen: make(map[string]time.Time),
@@ -228,7 +241,7 @@
 	byKey := make(map[string]*observed)
 	var standing []Standing
 	for _, o := range groups {
-		if o.whole() && o.state == fleet.Open && !k.operating[o.key] && !k.retired[o.key] {
+		if o.whole() && o.state == fleet.Open && !k.operating[o.key] && k.retired[o.key] == 0 {
 			byKey[o.key] = o
 			standing = append(standing, Standing{Key: o.key, Domain: o.head.Domain, Model: o.model.Name, Members: len(o.members)})
 		}
--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"quartzshelf.dev/fleet"
 )
 
 // term runs a keeper until the returned function is called.
@@ -93,19 +95,23 @@
 
 // TestNothingPartialAndNothingTwice kills workers, leaves orders unanswered and
 // carries them out late, replaces leaders, and lets old ones go on.
-func TestNothingPartialAndNothingTwice(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+func TestNothingPartialAndNothingTwice(outer *testing.T) {
+	rapid.Check(outer, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		late := rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "late")
 		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 4, 16).Draw(t, "steps")
-		synctest.Test(&testing.T{}, func(*testing.T) {
-			runSchedule(t, seed, late, steps)
+		var problems []string
+		synctest.Test(outer, func(*testing.T) {
+			problems = runSchedule(seed, late, steps)
 		})
+		if len(problems) > 0 {
+			t.Fatalf("broken: %v", problems)
+		}
 	})
 }
 
-// runSchedule plays one schedule of faults and checks the world after it.
-func runSchedule(t *rapid.T, seed uint64, late float64, steps []int) {
+// runSchedule plays one schedule of faults and returns what was wrong.
+func runSchedule(seed uint64, late float64, steps []int) []string {
 	w := newWorld(seed, 2, 10)
 	w.late = late
 	epoch := int64(1)
@@ -143,12 +149,10 @@
 		end()
 	}
 	w.pending.Wait()
-	if len(w.broken) > 0 {
-		t.Fatalf("broken: %v", w.broken)
-	}
 	if alive := w.alive(); alive >= 14 && len(w.serving()) == 0 {
-		t.Fatalf("nothing serves though %d workers live", alive)
+		w.broken = append(w.broken, fmt.Sprintf("nothing serves though %d workers live", alive))
 	}
+	return w.broken
 }
 
 func (w *world) groupsOf(id string) []string {
@@ -171,3 +175,52 @@
 	}
 	return n
 }
+
+// TestHeadThatIsCutOffFromTheListKeepsItsMembers loses the entries of a whole
+// group, whose head serves on, and brings them back one by one.
+func TestHeadThatIsCutOffFromTheListKeepsItsMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 10)
+		_, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		stop()
+		_, stop = term(w, 2)
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.traffic = true
+		var head *simWorker
+		for _, s := range w.workers {
+			if s.group.Model == "big" && s.rank == 0 {
+				head = s
+			}
+		}
+		g := head.group
+		w.mu.Unlock()
+		for _, id := range g.Members {
+			w.unlist(id)
+		}
+		time.Sleep(5 * time.Second)
+		for i := len(g.Members) - 1; i >= 0; i-- {
+			w.relist(g.Members[i])
+			time.Sleep(7 * time.Second)
+		}
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// unlist takes a worker's entry from the list though it goes on.
+func (w *world) unlist(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.position++
+	w.inventory.Apply([]fleet.Change{{ID: id}}, w.position, time.Now())
+}
+
+// relist brings a worker's entry back.
+func (w *world) relist(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.list(w.workers[id])
+}
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -19,6 +19,7 @@
 		members = append(members, k.former[id])
 	}
 	k.formed[g.Key()] = g
+	k.heads[g.Key()] = g.Members[0]
 	for _, w := range members {
 		k.noteLoad(w, f.Model)
 	}
@@ -193,33 +194,37 @@
 		case ok && verdict == Fenced:
 			return
 		case ok:
-			k.retire(o, head, verdict)
+			k.retire(o, head, confirmed)
 			return
 		case unreachableSince.IsZero():
 			unreachableSince = now.Add(-orderTries * orderTimeout)
 		}
 		if k.gone(head, unreachableSince, now) {
-			k.retire(o, head, Elsewhere)
+			k.retire(o, head, assumed)
 			return
 		}
 		pause(ctx, tickEvery)
 	}
 }
 
-// gone reports whether a head that does not answer is certain to be gone: it is
-// not listed although the list is fresh, or it had time to break.
+// gone reports whether a head that does not answer must be gone: it is not
+// listed although the list is fresh, or it had time to break while nobody could
+// read the list.
 func (k *Keeper) gone(head *fleet.Worker, since, now time.Time) bool {
 	_, listed := k.opts.Inventory.View().Worker(head.ID)
 	fresh := now.Sub(k.opts.Inventory.Confirmed()) < listFresh
 	silence := now.Sub(since)
-	return !listed && fresh && silence > lostHead || silence > k.opts.StallAfter+lostHead
+	if fresh {
+		return !listed && silence > lostHead
+	}
+	return silence > k.opts.StallAfter+lostHead
 }
 
-func (k *Keeper) retire(o *observed, head *fleet.Worker, verdict Verdict) {
-	k.opts.Logger.Info("replica dissolved", "replica", o.key, "head", head.ID, "left", verdict.Accepted())
+func (k *Keeper) retire(o *observed, head *fleet.Worker, how retirement) {
+	k.opts.Logger.Info("replica dissolved", "replica", o.key, "head", head.ID, "confirmed", how == confirmed)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.retired[o.key] = true
+	k.retired[o.key] = how
 	delete(k.headless, o.key)
 }
 
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -36,7 +36,7 @@
 	view := k.opts.Inventory.View()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.operating["examine "+replica] || k.operating[replica] || k.retired[replica] {
+	if k.operating["examine "+replica] || k.operating[replica] || k.retired[replica] != 0 {
 		return nil
 	}
 	var members []*fleet.Worker
