serving: Let the leader read the store and tell the others

Changed: the leader reads, with short waits, and pushes the newest changes with its beats; ages count from a time before which the beat cannot have been sent.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -11,11 +11,9 @@
 
 // Timing of a follower.
 const (
-	// configWait and workersWait are how long a read waits for news. A waiting
-	// read confirms only the time at which it was sent, so the former decides
-	// how old the belief in the configuration gets.
-	configWait  = 1500 * time.Millisecond
-	workersWait = 3 * time.Second
+	// newsWait is how long a read waits for news. A waiting read confirms only
+	// the time at which it was sent, so this decides how old beliefs get.
+	newsWait = 500 * time.Millisecond
 	// answerSlack is how much longer than its wait a read may take.
 	answerSlack = 700 * time.Millisecond
 	// readTimeout bounds a read that does not wait.
@@ -64,11 +62,10 @@
 	Source    Source
 	Beliefs   *Beliefs
 	Inventory *Inventory
-	// ReadsConfig and ReadsWorkers report whether this daemon is to read now,
-	// rather than to be told by a peer.
-	ReadsConfig  func() bool
-	ReadsWorkers func() bool
-	Logger       hclog.Logger
+	// Reads reports whether this daemon is to read now what it last knew to be
+	// the newest at the given time, rather than to be told by a peer.
+	Reads  func(confirmed time.Time) bool
+	Logger hclog.Logger
 }
 
 // Follower keeps beliefs and inventory up to date from their source.
@@ -96,7 +93,7 @@
 
 func (f *Follower) followConfig(ctx context.Context) {
 	position := int64(-1)
-	f.follow(ctx, "configuration", f.opts.ReadsConfig, func(ctx context.Context) error {
+	f.follow(ctx, "configuration", f.opts.Beliefs.Confirmed, func(ctx context.Context) error {
 		sent := time.Now()
 		news, err := f.readConfig(ctx, position)
 		if err != nil {
@@ -125,23 +122,23 @@
 		}
 		return news, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, configWait+answerSlack)
+	ctx, cancel := context.WithTimeout(ctx, newsWait+answerSlack)
 	defer cancel()
-	return f.opts.Source.NextConfig(ctx, position, configWait)
+	return f.opts.Source.NextConfig(ctx, position, newsWait)
 }
 
 func (f *Follower) followWorkers(ctx context.Context) {
 	position := int64(-1)
-	f.follow(ctx, "worker list", f.opts.ReadsWorkers, func(ctx context.Context) error {
+	f.follow(ctx, "worker list", f.opts.Inventory.Confirmed, func(ctx context.Context) error {
 		sent := time.Now()
 		if position < 0 {
 			return f.readWorkers(ctx, &position, sent)
 		}
 		// What peers told since the last read need not be read again.
 		position = max(position, f.opts.Inventory.Position())
-		next, cancel := context.WithTimeout(ctx, workersWait+answerSlack)
+		next, cancel := context.WithTimeout(ctx, newsWait+answerSlack)
 		defer cancel()
-		news, err := f.opts.Source.NextWorkers(next, position, workersWait)
+		news, err := f.opts.Source.NextWorkers(next, position, newsWait)
 		switch {
 		case err != nil:
 			return err
@@ -168,12 +165,12 @@
 	return nil
 }
 
-// follow reads again and again while reads allows it, and pauses longer and
-// longer while reads fail. It logs each loss and return of the source once.
-func (f *Follower) follow(ctx context.Context, what string, reads func() bool, read func(context.Context) error) {
+// follow reads again and again while this daemon is to read, and pauses longer
+// and longer while reads fail. It logs each loss and return of the source once.
+func (f *Follower) follow(ctx context.Context, what string, confirmed func() time.Time, read func(context.Context) error) {
 	pause, lost := retryFirst, false
 	for ctx.Err() == nil {
-		if !reads() {
+		if !f.opts.Reads(confirmed()) {
 			sleep(ctx, idlePause)
 			continue
 		}
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -150,6 +150,44 @@
 	return changes, i.position, true
 }
 
+// Delta is the changes that lead from one position of the list to another.
+type Delta struct {
+	From    int64    `json:"from"`
+	To      int64    `json:"to"`
+	Changes []Change `json:"changes"`
+}
+
+// Recent returns the newest changes, at most the given number.
+func (i *Inventory) Recent(most int) (Delta, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	first, count := len(i.journal), 0
+	for first > 0 && count+len(i.journal[first-1].changes) <= most {
+		first--
+		count += len(i.journal[first].changes)
+	}
+	if first == len(i.journal) {
+		return Delta{}, false
+	}
+	d := Delta{From: i.journal[first].from, To: i.position}
+	for _, b := range i.journal[first:] {
+		d.Changes = append(d.Changes, b.changes...)
+	}
+	return d, true
+}
+
+// Follow takes a peer's newest changes, which were known to be the newest at
+// the given time, if they join on to what is held. Changes that are held
+// already do no harm, since all of them are taken in their order.
+func (i *Inventory) Follow(d Delta, at time.Time) {
+	i.mu.Lock()
+	joins := d.From <= i.position && i.position < d.To && i.position > 0
+	i.mu.Unlock()
+	if joins {
+		i.Apply(d.Changes, d.To, at)
+	}
+}
+
 // Confirm notes that the list up to position is known, on a peer's word, to
 // have been the newest at the given time.
 func (i *Inventory) Confirm(position int64, at time.Time) {
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -70,6 +70,9 @@
 	WorkersPosition int64 `json:"wp,omitempty"`
 	WorkersAge      int64 `json:"wa"`
 
+	// Delta is the newest changes of the worker list.
+	Delta *fleet.Delta `json:"delta,omitempty"`
+
 	// Leads is the daemon's own claim while it leads, Highest the highest one
 	// that it knows of, and Grant the newest grant that it knows of.
 	Leads   *Claim `json:"leads,omitempty"`
--- a/serving/beat.go
+++ b/serving/beat.go
@@ -7,11 +7,17 @@
 	"quartzshelf.dev/peers"
 )
 
+// maxDelta is how many changes of the worker list go with a beat.
+const maxDelta = 12
+
 // compose fills in what this daemon tells its peers.
 func (s *Server) compose(b *peers.Beat, now time.Time) {
 	b.Ready, b.Leaving = s.Ready(), s.leaving.Load()
 	b.ConfigVersion, b.ConfigAge = s.beliefs.Version(), age(s.beliefs.Confirmed(), now)
 	b.WorkersPosition, b.WorkersAge = s.inventory.Position(), age(s.inventory.Confirmed(), now)
+	if d, ok := s.inventory.Recent(maxDelta); ok && s.isReader() {
+		b.Delta = &d
+	}
 	b.Leads, b.Highest, b.Grant = s.elector.State()
 	b.Loads, b.Demand, b.Traffic = s.tracker.Loads(), s.tracker.Demand(), s.tracker.Traffic()
 	s.mu.Lock()
@@ -51,6 +57,9 @@
 	}
 	s.inventory.Announce(p.Announcements)
 	s.beliefs.Confirm(p.ConfigVersion, p.ConfigConfirmed())
+	if p.Delta != nil {
+		s.inventory.Follow(*p.Delta, p.WorkersConfirmed())
+	}
 	s.inventory.Confirm(p.WorkersPosition, p.WorkersConfirmed())
 	for _, stall := range p.Stalls {
 		s.tracker.Suspect(stall.Replica, p.HeardAt)
--- /dev/null
+++ b/serving/reader.go
@@ -0,0 +1,67 @@
+package serving
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+)
+
+const (
+	// readAfter is how old a belief gets before a daemon that is told by others
+	// reads for itself, and readSpread by how much daemons differ in that, so
+	// that one comes first and tells the others.
+	readAfter  = 1100 * time.Millisecond
+	readSpread = 500 * time.Millisecond
+	// pushPause joins changes of the worker list that come close upon one
+	// another into one beat.
+	pushPause = 40 * time.Millisecond
+)
+
+// isReader reports whether this daemon reads the store for all: the leader does.
+func (s *Server) isReader() bool {
+	own, _, _ := s.elector.State()
+	return own != nil
+}
+
+// reads reports whether this daemon is to read from the store what it last
+// knew to be the newest at the given time: while it leads, while nobody does,
+// and when what peers tell is too old.
+func (s *Server) reads(confirmed time.Time) bool {
+	if s.isReader() {
+		return true
+	}
+	now := time.Now()
+	if now.Sub(confirmed) > readAfter+s.readDelay {
+		return true
+	}
+	for _, p := range s.agent.Table().Alive(now) {
+		if p.Leads != nil && !p.Leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// readDelayOf returns a daemon's own part of readSpread.
+func readDelayOf(id string) time.Duration {
+	h := fnv.New32a()
+	// Writing to a hash does not fail.
+	_, _ = h.Write([]byte(id))
+	const steps = 16
+	return time.Duration(h.Sum32()%steps) * readSpread / steps
+}
+
+// push tells peers of changes of the worker list at once while this daemon
+// reads for all.
+func (s *Server) push(ctx context.Context) {
+	position := int64(0)
+	for ctx.Err() == nil {
+		sleep(ctx, pushPause)
+		if now := s.inventory.Position(); now != position {
+			position = now
+			if s.isReader() {
+				s.agent.Send(time.Now())
+			}
+		}
+	}
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -51,6 +51,7 @@
 	relay     *relay.Relay
 	fetcher   *fetcher
 	leaving   atomic.Bool
+	readDelay time.Duration
 	done      chan struct{}
 
 	mu sync.Mutex
@@ -78,13 +79,14 @@
 	}
 	s := &Server{
 		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(),
-		inventory: fleet.NewInventory(), stalls: make(map[string]timedStall), done: make(chan struct{}),
+		inventory: fleet.NewInventory(), stalls: make(map[string]timedStall),
+		readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
 	}
 	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
 	s.fetcher = newFetcher(s)
 	s.follower = fleet.NewFollower(fleet.FollowerOptions{
 		Source: opts.Source, Beliefs: s.beliefs, Inventory: s.inventory,
-		ReadsConfig: always, ReadsWorkers: always, Logger: opts.Logger.Named("follower"),
+		Reads: s.reads, Logger: opts.Logger.Named("follower"),
 	})
 	s.agent, err = peers.NewAgent(peers.Options{
 		Self: opts.Self, Compose: s.compose, Heard: s.heard, Logger: opts.Logger.Named("peers"),
@@ -97,8 +99,6 @@
 	return s, nil
 }
 
-func always() bool { return true }
-
 func (s *Server) newElector() *leadership.Elector {
 	table := s.agent.Table()
 	return leadership.NewElector(leadership.Options{
@@ -159,6 +159,7 @@
 	duties.Go(func() { s.elector.Run(running) })
 	duties.Go(func() { s.relay.Run(running) })
 	duties.Go(func() { s.fetcher.run(running) })
+	duties.Go(func() { s.push(running) })
 	duties.Go(func() { s.meet(running) })
 	duties.Go(func() { s.serveMetrics(running) })
 	stopped := make(chan error, 1)
@@ -215,7 +216,7 @@
 // meet registers this daemon and looks for others, often at first.
 func (s *Server) meet(ctx context.Context) {
 	registered := false
-	for _, pause := range []time.Duration{0, 300 * time.Millisecond, time.Second, 2 * time.Second} {
+	for _, pause := range []time.Duration{0, 400 * time.Millisecond, 2 * time.Second} {
 		sleep(ctx, pause)
 		registered = registered || s.register(ctx)
 		s.readRoster(ctx)
