--- /dev/null
+++ b/relay/worker_test.go
@@ -0,0 +1,233 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"quartzshelf.dev/fleet"
+)
+
+// behaviour is what a fake worker does with a request.
+type behaviour string
+
+const (
+	// answers serves the request whole.
+	answers behaviour = "answers"
+	// rejects turns it away before it runs.
+	rejects behaviour = "rejects"
+	// fails runs it and answers with a failure of its own.
+	fails behaviour = "fails"
+	// loses runs it and closes the connection without an answer.
+	loses behaviour = "loses"
+	// cuts runs it and breaks off within its answer.
+	cuts behaviour = "cuts"
+	// tears breaks a stream off within an event.
+	tears behaviour = "tears"
+	// unsigned answers without a signature.
+	unsigned behaviour = "unsigned"
+	// surplus sends an answer to another request first.
+	surplus behaviour = "surplus"
+	// garbles sends bytes that are no answer.
+	garbles behaviour = "garbles"
+	// stalls sends two events and then nothing.
+	stalls behaviour = "stalls"
+)
+
+var testNames = Names{
+	Attempt: "X-Attempt", Deadline: "X-Deadline", Key: "X-Key", Tenant: "X-Tenant", Instance: "X-Instance",
+	NotRun: "X-Not-Run", Signature: "X-Signature", Model: "X-Model", Usage: "X-Usage",
+	LastEvent: "Last-Event-Id", Priority: "X-Priority",
+}
+
+// fakeEvents is how many events a whole stream has.
+const fakeEvents = 9
+
+// fakeWorker is a worker on a port of its own.
+type fakeWorker struct {
+	id       string
+	listener net.Listener
+	// script gives the behaviour for the next requests; after it all answers.
+	mu     sync.Mutex
+	script []behaviour
+	// ran counts the runs by request, heads holds what came.
+	ran   map[string]int
+	heads []http.Header
+}
+
+func newFakeWorker(t *testing.T, id string, script ...behaviour) *fakeWorker {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &fakeWorker{id: id, listener: l, script: script, ran: make(map[string]int)}
+	t.Cleanup(func() { _ = l.Close() })
+	go w.accept()
+	return w
+}
+
+func (w *fakeWorker) accept() {
+	for {
+		c, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		go w.serve(c)
+	}
+}
+
+func (w *fakeWorker) next() behaviour {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.script) == 0 {
+		return answers
+	}
+	b := w.script[0]
+	w.script = w.script[1:]
+	return b
+}
+
+func (w *fakeWorker) runs(request string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ran[request]
+}
+
+func (w *fakeWorker) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !w.answer(c, r) {
+			return
+		}
+	}
+}
+
+// answer plays the next behaviour and reports whether the connection goes on.
+func (w *fakeWorker) answer(c net.Conn, r *http.Request) bool {
+	id := r.Header.Get(testNames.Attempt)
+	b := w.next()
+	w.mu.Lock()
+	w.heads = append(w.heads, r.Header)
+	if b != rejects {
+		w.ran[id]++
+	}
+	w.mu.Unlock()
+	signed := "X-Attempt: " + id + "\r\nX-Signature: " + w.id + "\r\n"
+	switch b {
+	case rejects:
+		write(c, "HTTP/1.1 503 Full\r\nX-Attempt: "+id+"\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	case fails:
+		write(c, "HTTP/1.1 500 Failed\r\n"+signed+"Content-Length: 0\r\n\r\n")
+		return true
+	case loses:
+		return false
+	case garbles:
+		write(c, "these bytes are no answer\r\n\r\n")
+		return false
+	case unsigned:
+		write(c, "HTTP/1.1 200 OK\r\nX-Attempt: "+id+"\r\nContent-Length: 2\r\n\r\nno")
+		return true
+	case surplus:
+		write(c, "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nX-Signature: other\r\nContent-Length: 5\r\n\r\nother")
+	}
+	if r.URL.Path == "/stream/" {
+		return w.stream(c, r, signed, b)
+	}
+	body := "answer to " + id
+	if b == cuts || b == tears {
+		write(c, "HTTP/1.1 200 OK\r\n"+signed+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\nans")
+		return false
+	}
+	write(c, "HTTP/1.1 200 OK\r\n"+signed+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	return true
+}
+
+// stream sends the events after the last one that the caller has.
+func (w *fakeWorker) stream(c net.Conn, r *http.Request, signed string, b behaviour) bool {
+	first := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	write(c, "HTTP/1.1 200 OK\r\n"+signed+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for i := first; i <= fakeEvents; i++ {
+		event := fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
+		if i == first+2 {
+			switch b {
+			case cuts:
+				return false
+			case tears:
+				chunk(c, event[:len(event)/2])
+				return false
+			case stalls:
+				// The connection stays open until the other side leaves.
+				_, _ = c.Read(make([]byte, 1))
+				return false
+			}
+		}
+		chunk(c, event)
+	}
+	write(c, "0\r\n\r\n")
+	return true
+}
+
+func chunk(c net.Conn, data string) { write(c, fmt.Sprintf("%x\r\n%s\r\n", len(data), data)) }
+
+func write(c net.Conn, data string) {
+	// A connection that the other side has closed is seen when reading from it.
+	_, _ = io.WriteString(c, data)
+}
+
+// testRelay is a relay before fake workers.
+type testRelay struct {
+	*Relay
+	inventory *fleet.Inventory
+	confirmed time.Time
+	leaving   bool
+}
+
+func (w *fakeWorker) entry() *fleet.Worker {
+	return &fleet.Worker{ID: w.id, Service: "plain", Address: w.listener.Addr().String(), Slots: 4}
+}
+
+// modelEntry lists the worker as the head of an open replica.
+func (w *fakeWorker) modelEntry() *fleet.Worker {
+	return &fleet.Worker{
+		ID: w.id, Service: "models", Address: w.listener.Addr().String(), Domain: "d", Slots: 4, Loaded: "m",
+		Member: fleet.Membership{Group: w.id, Epoch: 1, State: fleet.Open},
+	}
+}
+
+func testConfig() *fleet.Config {
+	plain := []fleet.Target{{Service: "plain", Weight: 1}}
+	models := []fleet.Target{{Service: "models", Weight: 1}}
+	return fleet.NewConfig(fleet.Parts{
+		Version: 7,
+		Routes: []*fleet.Route{
+			{Host: "h", Prefix: "/once/", Kind: fleet.NonIdempotent, Timeout: 5 * time.Second, Attempts: 2, Targets: plain},
+			{Host: "h", Prefix: "/safe/", Kind: fleet.Idempotent, Timeout: 5 * time.Second, Attempts: 2, Targets: plain},
+			{Host: "h", Prefix: "/stream/", Kind: fleet.Stream, Timeout: 5 * time.Second, Attempts: 3, Resumable: true, Targets: models},
+			{Host: "h", Prefix: "/open/", Kind: fleet.Idempotent, Timeout: 5 * time.Second, Attempts: 1, Public: true, Targets: plain},
+		},
+		Services: []*fleet.Service{
+			{Name: "plain"},
+			{Name: "models", Engine: &fleet.Engine{Slots: 4, PrefillPerSecond: 1000}},
+		},
+		Keys: map[string]*fleet.Tenant{"key": {Name: "tenant"}},
+	})
+}
