--- /dev/null
+++ b/fleet/inventory_test.go
@@ -0,0 +1,215 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quartzshelf.dev/common/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+func head(id, group string, epoch int64, state GroupState) *Worker {
+	return &Worker{ID: id, Service: "s", Domain: "d", Loaded: "m", Member: Membership{Group: group, Epoch: epoch, State: state}}
+}
+
+func TestReplicas(t *testing.T) {
+	open := Announcement{Group: "g", Epoch: 5, Service: "s", Model: "m", Members: []string{"h", "x"}, Open: true}
+	closed := open
+	closed.Open = false
+	draining := head("x", "g", 5, Ready)
+	draining.Draining, draining.Member.Rank = true, 1
+	tests := map[string]struct {
+		workers   []*Worker
+		announced []Announcement
+		want      int
+	}{
+		"an open head":                        {workers: []*Worker{head("h", "g", 5, Open)}, want: 1},
+		"a ready head":                        {workers: []*Worker{head("h", "g", 5, Ready)}},
+		"announced before the list shows it":  {workers: []*Worker{head("h", "g", 5, Ready)}, announced: []Announcement{open}, want: 1},
+		"closed before the list shows it":     {workers: []*Worker{head("h", "g", 5, Open)}, announced: []Announcement{open, closed}},
+		"once closed it stays closed":         {workers: []*Worker{head("h", "g", 5, Open)}, announced: []Announcement{open, closed, open}},
+		"the list shows a later group":        {workers: []*Worker{head("h", "later", 6, Joining)}, announced: []Announcement{open}},
+		"a broken head is not opened by word": {workers: []*Worker{head("h", "g", 5, Broken)}, announced: []Announcement{open}},
+		"a member drains":                     {workers: []*Worker{head("h", "g", 5, Open), draining}},
+		"a head that is not listed":           {announced: []Announcement{open}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			i := NewInventory()
+			var changes []Change
+			for _, w := range test.workers {
+				changes = append(changes, Change{ID: w.ID, Worker: w})
+			}
+			i.Apply(changes, 1, time.Now())
+			for _, a := range test.announced {
+				i.Announce([]Announcement{a})
+			}
+			assert.Equal(t, len(i.View().Replicas("s", "m")), test.want)
+		})
+	}
+}
+
+// TestPeersReachTheSameList draws changes and lets a second inventory follow
+// the first one by deltas, by what it lacks, or by the whole list.
+func TestPeersReachTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, follower := NewInventory(), NewInventory()
+		position := int64(0)
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 60).Draw(t, "steps")
+		for n, step := range steps {
+			now := time.Now()
+			switch step {
+			case 0, 1, 2:
+				position += int64(step + 1)
+				source.Apply([]Change{{ID: fmt.Sprint(n % 7), Worker: head(fmt.Sprint(n%7), "g", int64(n), Open)}}, position, now)
+			case 3:
+				position++
+				source.Apply([]Change{{ID: fmt.Sprint(n % 7)}}, position, now)
+			case 4:
+				if d, ok := source.Recent(3); ok {
+					follower.Follow(d, now)
+				}
+			default:
+				catchUp(source, follower, now)
+			}
+		}
+		catchUp(source, follower, time.Now())
+		for id, w := range source.View().Workers() {
+			if other, ok := follower.View().Worker(id); !ok || other != w {
+				t.Fatalf("worker %s differs", id)
+			}
+		}
+		if len(source.View().Workers()) != len(follower.View().Workers()) {
+			t.Fatalf("%d workers and %d", len(source.View().Workers()), len(follower.View().Workers()))
+		}
+	})
+}
+
+func catchUp(source, follower *Inventory, now time.Time) {
+	changes, position, whole := source.Since(follower.Position())
+	if whole {
+		follower.Replace(changes, position, now)
+		return
+	}
+	follower.Apply(changes, position, now)
+}
+
+func TestBeliefsOnlyMoveForwards(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBeliefs()
+		start := time.Now()
+		highest, confirmed := int64(0), time.Time{}
+		for _, version := range rapid.SliceOfN(rapid.Int64Range(1, 9), 1, 40).Draw(t, "versions") {
+			at := start.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "at")))
+			b.Offer(NewConfig(Parts{Version: version}), at)
+			highest = max(highest, version)
+			if b.Version() != highest {
+				t.Fatalf("version %d after %d", b.Version(), highest)
+			}
+			if version == highest && at.After(confirmed) {
+				confirmed = at
+			}
+			b.Confirm(version-1, at.Add(time.Hour))
+			if b.Confirmed().After(confirmed) && version != highest+1 {
+				t.Fatalf("an old version confirmed the newest")
+			}
+		}
+	})
+}
+
+var errDown = errors.New("down")
+
+// fakeSource publishes a configuration and fails while it is down.
+type fakeSource struct {
+	mu      sync.Mutex
+	version int64
+	down    bool
+	lost    bool
+	calls   int
+}
+
+func (s *fakeSource) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *fakeSource) ReadConfig(context.Context) (ConfigNews, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return ConfigNews{}, errDown
+	}
+	return ConfigNews{Config: NewConfig(Parts{Version: s.version}), Next: s.version}, nil
+}
+
+func (s *fakeSource) NextConfig(ctx context.Context, position int64, wait time.Duration) (ConfigNews, error) {
+	s.mu.Lock()
+	down, lost, version := s.down, s.lost, s.version
+	s.lost = false
+	s.mu.Unlock()
+	switch {
+	case lost:
+		return ConfigNews{Lost: true}, nil
+	case !down && version > position:
+		return s.ReadConfig(ctx)
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	if down {
+		return ConfigNews{}, errDown
+	}
+	return ConfigNews{Next: position}, nil
+}
+
+func (s *fakeSource) ReadWorkers(context.Context) (WorkerNews, error) {
+	return WorkerNews{Next: 1, Changes: []Change{{ID: "w", Worker: head("w", "g", 1, Open)}}}, nil
+}
+
+func (s *fakeSource) NextWorkers(ctx context.Context, position int64, wait time.Duration) (WorkerNews, error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return WorkerNews{Next: position}, nil
+}
+
+func TestFollowerKeepsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{version: 3}
+		beliefs, inventory := NewBeliefs(), NewInventory()
+		f := NewFollower(FollowerOptions{
+			Source: source, Beliefs: beliefs, Inventory: inventory,
+			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		assert.Equal(t, beliefs.Version(), int64(3))
+		assert.Equal(t, len(inventory.View().Workers()), 1)
+		assert.Assert(t, time.Since(beliefs.Confirmed()) <= time.Second)
+
+		source.set(func() { source.down = true })
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, time.Since(beliefs.Confirmed()) > 8*time.Second, "a failed read confirms nothing")
+
+		source.set(func() { source.down, source.version, source.lost = false, 5, true })
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, beliefs.Version(), int64(5))
+		cancel()
+		<-f.Done()
+	})
+}
--- /dev/null
+++ b/leadership/elector_test.go
@@ -0,0 +1,319 @@
+package leadership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quartzshelf.dev/common/proptest"
+	"quartzshelf.dev/peers"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+var errAway = errors.New("the store is away")
+
+// fakeFleet joins electors by beats and a registry, both of which can fail.
+type fakeFleet struct {
+	mu      sync.Mutex
+	grants  []peers.Grant
+	storeUp bool
+	// cut holds the daemons that reach neither others nor the store.
+	cut     map[string]bool
+	dead    map[string]bool
+	daemons []*fakeDaemon
+	// claims holds every claim ever made, with its maker.
+	claims map[peers.Claim]string
+	// twice notes claims that two daemons made.
+	twice []string
+}
+
+type fakeDaemon struct {
+	fleet   *fakeFleet
+	self    peers.Holder
+	elector *Elector
+	heard   map[string]*peers.Peer
+	stop    context.CancelFunc
+}
+
+func newFakeFleet(daemons int) *fakeFleet {
+	f := &fakeFleet{storeUp: true, cut: make(map[string]bool), dead: make(map[string]bool), claims: make(map[peers.Claim]string)}
+	for i := range daemons {
+		f.start(fmt.Sprintf("d%d", i), 1)
+	}
+	return f
+}
+
+func (f *fakeFleet) start(id string, incarnation int64) {
+	d := &fakeDaemon{fleet: f, self: peers.Holder{ID: id, Incarnation: incarnation}, heard: make(map[string]*peers.Peer)}
+	d.elector = NewElector(Options{
+		Self: d.self, Registry: d, Alive: d.alive, Known: d.known,
+		Settled: func(time.Time) bool { return true }, Fit: func() bool { return true },
+		StoreSeen: d.storeSeen, Lead: d.lead, Logger: hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = cancel
+	f.mu.Lock()
+	f.daemons = append(f.daemons, d)
+	f.mu.Unlock()
+	go d.elector.Run(ctx)
+	go d.beat(ctx)
+}
+
+func (d *fakeDaemon) lead(_ context.Context, claim peers.Claim, _ bool) {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	if other, ok := d.fleet.claims[claim]; ok {
+		d.fleet.twice = append(d.fleet.twice, fmt.Sprintf("%v by %s and %s", claim, other, d.self.ID))
+	}
+	d.fleet.claims[claim] = d.self.ID
+}
+
+func (f *fakeFleet) connected(a, b string) bool {
+	return !f.cut[a] && !f.cut[b] && !f.dead[a] && !f.dead[b]
+}
+
+// beat tells all that can hear it of this daemon, five times a second.
+func (d *fakeDaemon) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		p := &peers.Peer{Beat: peers.Beat{Identity: peers.Identity{ID: d.self.ID, Incarnation: d.self.Incarnation}, Ready: true}, HeardAt: time.Now()}
+		p.Leads, p.Highest, p.Grant = d.elector.State()
+		d.fleet.mu.Lock()
+		all := slices.Clone(d.fleet.daemons)
+		d.fleet.mu.Unlock()
+		for _, other := range all {
+			d.fleet.mu.Lock()
+			hears := other != d && d.fleet.connected(d.self.ID, other.self.ID)
+			if hears {
+				other.heard[d.self.ID] = p
+			}
+			d.fleet.mu.Unlock()
+			if hears {
+				other.elector.Hear(p)
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (d *fakeDaemon) alive(now time.Time) []*peers.Peer {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	var all []*peers.Peer
+	for _, p := range d.heard {
+		if now.Sub(p.HeardAt) < 800*time.Millisecond {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+func (d *fakeDaemon) known(since time.Time) int {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	n := 0
+	for _, p := range d.heard {
+		if p.HeardAt.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *fakeDaemon) storeSeen() time.Time {
+	if d.reachesStore() {
+		return time.Now()
+	}
+	return time.Time{}
+}
+
+func (d *fakeDaemon) reachesStore() bool {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	return d.fleet.storeUp && !d.fleet.cut[d.self.ID] && !d.fleet.dead[d.self.ID]
+}
+
+func (d *fakeDaemon) Newest(context.Context) (peers.Grant, int64, error) {
+	if !d.reachesStore() {
+		return peers.Grant{}, 0, errAway
+	}
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	n := len(d.fleet.grants)
+	if n == 0 {
+		return peers.Grant{}, 0, nil
+	}
+	return d.fleet.grants[n-1], int64(n), nil
+}
+
+func (d *fakeDaemon) Add(_ context.Context, holders []peers.Holder, position int64) (int64, bool, error) {
+	if !d.reachesStore() {
+		return 0, false, errAway
+	}
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	if position != int64(len(d.fleet.grants)) {
+		return 0, false, nil
+	}
+	epoch := position + 1
+	d.fleet.grants = append(d.fleet.grants, peers.Grant{Epoch: epoch, Holders: holders})
+	return epoch, true, nil
+}
+
+// leaders returns the living daemons that lead.
+func (f *fakeFleet) leaders() []string {
+	f.mu.Lock()
+	all := slices.Clone(f.daemons)
+	f.mu.Unlock()
+	var names []string
+	for _, d := range all {
+		own, _, _ := d.elector.State()
+		if own != nil {
+			names = append(names, d.self.ID)
+		}
+	}
+	return names
+}
+
+func (f *fakeFleet) find(id string) *fakeDaemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.daemons {
+		if d.self.ID == id {
+			return d
+		}
+	}
+	return nil
+}
+
+func (f *fakeFleet) kill(id string) {
+	d := f.find(id)
+	f.mu.Lock()
+	f.dead[id] = true
+	f.daemons = slices.DeleteFunc(f.daemons, func(o *fakeDaemon) bool { return o == d })
+	f.mu.Unlock()
+	d.stop()
+}
+
+func (f *fakeFleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeFleet) end() {
+	f.mu.Lock()
+	all := slices.Clone(f.daemons)
+	f.mu.Unlock()
+	for _, d := range all {
+		d.stop()
+	}
+	// Let everything that runs see it.
+	time.Sleep(time.Second)
+}
+
+func TestOneLeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(5)
+		time.Sleep(3 * time.Second)
+		first := f.leaders()
+		assert.Equal(t, len(first), 1)
+		f.kill(first[0])
+		time.Sleep(3 * time.Second)
+		second := f.leaders()
+		assert.Equal(t, len(second), 1)
+		assert.Assert(t, second[0] != first[0])
+		f.end()
+	})
+}
+
+// TestDeputiesFollowWithoutTheStore kills leaders for as long as most daemons
+// that were known of late are left: fewer do not lead without the store, since
+// they may be the ones that are cut off.
+func TestDeputiesFollowWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(5)
+		time.Sleep(3 * time.Second)
+		f.set(func() { f.storeUp = false })
+		for range 2 {
+			f.kill(f.leaders()[0])
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, len(f.leaders()), 1)
+		}
+		f.end()
+	})
+}
+
+func TestCutOffLeaderYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(5)
+		time.Sleep(3 * time.Second)
+		old := f.leaders()[0]
+		f.set(func() { f.cut[old] = true })
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, len(f.leaders()), 1)
+		assert.Assert(t, f.leaders()[0] != old)
+		f.set(func() { f.cut[old] = false })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(f.leaders()), 1)
+		f.end()
+	})
+}
+
+// TestNoClaimIsMadeTwice draws kills, restarts, partitions and outages.
+func TestNoClaimIsMadeTwice(outer *testing.T) {
+	rapid.Check(outer, func(t *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 3, 14).Draw(t, "steps")
+		which := rapid.SliceOfN(rapid.IntRange(0, 4), 14, 14).Draw(t, "which")
+		var twice, leaders []string
+		synctest.Test(outer, func(*testing.T) {
+			f := newFakeFleet(5)
+			incarnation := int64(1)
+			for i, step := range steps {
+				time.Sleep(time.Duration(400+350*step) * time.Millisecond)
+				incarnation++
+				f.disturb(step, fmt.Sprintf("d%d", which[i]), incarnation)
+			}
+			f.set(func() { f.storeUp, f.cut = true, make(map[string]bool) })
+			time.Sleep(10 * time.Second)
+			twice, leaders = f.twice, f.leaders()
+			f.end()
+		})
+		if len(twice) > 0 {
+			t.Fatalf("claimed twice: %v", twice)
+		}
+		if len(leaders) != 1 {
+			t.Fatalf("when all is well again, %v lead", leaders)
+		}
+	})
+}
+
+func (f *fakeFleet) disturb(step int, id string, incarnation int64) {
+	switch step {
+	case 0, 1:
+		f.kill(id)
+		f.set(func() { f.dead[id] = false })
+		f.start(id, incarnation)
+	case 2:
+		f.set(func() { f.cut[id] = !f.cut[id] })
+	case 3:
+		f.set(func() { f.storeUp = !f.storeUp })
+	case 4:
+		if leaders := f.leaders(); len(leaders) > 0 {
+			f.kill(leaders[0])
+			f.set(func() { f.dead[leaders[0]] = false })
+			f.start(leaders[0], incarnation)
+		}
+	default:
+		f.set(func() { f.cut = make(map[string]bool) })
+	}
+}
