--- a/fleet/config.go
+++ b/fleet/config.go
@@ -101,6 +101,8 @@
 	Step, StepPerRequest time.Duration
 	// Stride is the number of steps in a pass.
 	Stride int
+	// UsualAnswer is the mean number of tokens of an answer.
+	UsualAnswer int
 	// LoadsPerSecond bounds the loads that may begin each second, LoadsAtOnce
 	// those that run side by side without slowing each other.
 	LoadsPerSecond float64
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -211,7 +211,7 @@
 	fillTarget = 0.7
 	// demandRise and demandFall are the parts of a newly measured demand in the
 	// smoothed one, at each tick, when it is higher and when it is lower.
-	demandRise = 0.1
+	demandRise = 0.04
 	demandFall = 0.01
 	// firstFor is how long after the first request the models' shares count
 	// beside the measured work.
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -37,6 +37,8 @@
 	lostHead = 1200 * time.Millisecond
 	// listFresh is how old the list may be to prove that a worker is gone.
 	listFresh = 4 * time.Second
+	// reportEvery is the time between two lines about what is wanted and there.
+	reportEvery = 3 * time.Second
 	// tradeEvery is the time between two trades of replicas between models.
 	tradeEvery = 2 * time.Second
 )
@@ -109,6 +111,8 @@
 	trafficSince time.Time
 	// idleSince holds since when workers have had nothing to do at the start.
 	idleSince map[string]time.Time
+	// reportNext is when what is wanted and there is logged again.
+	reportNext time.Time
 	// tradeNext is when groups may be given up for another model again.
 	tradeNext time.Time
 }
@@ -205,8 +209,9 @@
 	}
 	budget := k.budget(s, now)
 	needs, free := k.needs(s, groups, view), k.free(s, groups, view)
+	k.report(needs, free, now)
 	formations, stagings := Plan(Input{
-		Needs: needs, Free: free, Warm: k.warm(s, view),
+		Needs: needs, Free: free, Warm: k.warm(s, view), Sizes: sizes(s, view),
 		MaxLoads: k.room(s, view, budget, now),
 	})
 	counted := k.opts.Traffic()
@@ -232,6 +237,18 @@
 	k.revive(ctx, view, now)
 }
 
+// report logs now and then what is wanted and there.
+func (k *Keeper) report(needs []Need, free []Free, now time.Time) {
+	if now.Before(k.reportNext) {
+		return
+	}
+	k.reportNext = now.Add(reportEvery)
+	for _, n := range needs {
+		k.opts.Logger.Info("replicas", "model", n.Model.Name, "want", n.Want, "have", n.Have,
+			"work", k.smooth[n.Model.Name], "idle_workers", len(free))
+	}
+}
+
 // trade dissolves surplus groups of one model in favour of another that is
 // short, one trade at a time.
 func (k *Keeper) trade(ctx context.Context, needs []Need, free []Free, groups []*observed, now time.Time) {
@@ -346,6 +363,17 @@
 	return counts
 }
 
+// sizes counts the workers of each domain.
+func sizes(s *fleet.Service, view *fleet.View) map[string]int {
+	counts := make(map[string]int)
+	for _, w := range view.Workers() {
+		if w.Service == s.Name {
+			counts[w.Domain]++
+		}
+	}
+	return counts
+}
+
 // budget returns the bound on loads of a service.
 func (k *Keeper) budget(s *fleet.Service, now time.Time) *loads {
 	l, ok := k.loads[s.Name]
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -35,8 +35,13 @@
 // met reports whether no further replica is wanted.
 func (n Need) met() bool { return float64(n.Have) >= n.Want }
 
-// surplus returns how many replicas there are beyond what is wanted.
-func (n Need) surplus() int { return n.Have - int(math.Ceil(n.Want)) }
+// share returns which part of what is wanted there would be with more replicas.
+func (n Need) share(more int) float64 {
+	if n.Want <= 0 {
+		return math.Inf(1)
+	}
+	return float64(n.Have+more) / n.Want
+}
 
 // short returns how short the model is; higher is shorter.
 func (n Need) short() float64 { return n.Want / float64(n.Have+1) }
@@ -77,6 +82,8 @@
 	// Warm counts, by domain and model, the workers that are warm for the
 	// model, those in groups included.
 	Warm map[string]map[string]int
+	// Sizes counts the workers of each domain, those in groups included.
+	Sizes map[string]int
 	// MaxLoads is how many loads from the store may begin.
 	MaxLoads int
 }
@@ -90,19 +97,23 @@
 // Plan returns the groups to form now, and what idle workers should bring to
 // their hosts so that they are warm when they are needed. Groups lie within
 // one domain. What needs no load is formed first, the shortest model first;
-// then what needs loads. Workers beyond what is wanted stay idle: a broken
-// group is mended at once by one that is warm. A model that waits for its loads is not
+// then what needs loads; then more than is wanted, as long as each domain keeps
+// idle workers by which a broken group is mended at once. A model that waits for its loads is not
 // overtaken by a less short one that needs fewer. Domains are kept to one model
 // as far as possible: the survivors of broken groups then make whole ones.
 func Plan(in Input) ([]Formation, []Staging) {
-	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads}
+	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, sizes: in.Sizes, maxLoads: in.MaxLoads}
 	for _, f := range in.Free {
 		p.byDomain[f.Domain] = append(p.byDomain[f.Domain], f)
 	}
 	var all []Formation
-	for _, limit := range []Warmth{Staged, ColdOther} {
+	for _, step := range []struct {
+		limit  Warmth
+		beyond bool
+	}{{limit: Staged}, {limit: ColdOther}, {limit: Staged, beyond: true}} {
+		p.beyond = step.beyond
 		for {
-			f, ok := p.next(limit)
+			f, ok := p.next(step.limit)
 			if !ok {
 				break
 			}
@@ -121,7 +132,10 @@
 	needs    []Need
 	byDomain map[string][]Free
 	warm     map[string]map[string]int
+	sizes    map[string]int
 	maxLoads int
+	// beyond tells that groups beyond what is wanted are being planned.
+	beyond bool
 	// waiting tells that a wanted group waits for its loads.
 	waiting bool
 }
@@ -178,7 +192,7 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(needs[b].short(), needs[a].short()) })
 	for _, i := range order {
-		if needs[i].met() {
+		if needs[i].met() != p.beyond {
 			continue
 		}
 		domain, chosen := p.bestDomain(needs[i].Model, limit)
@@ -209,6 +223,14 @@
 	return f
 }
 
+// spareShare is the part of a domain's workers that stays idle to mend groups.
+const spareShare = 0.15
+
+// spares returns how many idle workers a domain keeps.
+func (p *planner) spares(domain string) int {
+	return int(math.Ceil(spareShare * float64(p.sizes[domain])))
+}
+
 // warmed counts the members of a new group as warm for its model.
 func (p *planner) warmed(domain string, f Formation) {
 	if p.warm == nil {
@@ -229,7 +251,7 @@
 	bestCost, bestAffinity := 0, 0
 	for _, name := range slices.Sorted(maps.Keys(p.byDomain)) {
 		chosen, cost := warmest(m, p.byDomain[name], limit)
-		if chosen == nil {
+		if chosen == nil || p.beyond && len(p.byDomain[name])-m.Size < p.spares(name) {
 			continue
 		}
 		affinity := p.affinity(name, m.Name)
--- a/formation/trade.go
+++ b/formation/trade.go
@@ -13,9 +13,13 @@
 	Members int
 }
 
+// tradeMargin is by how much a model that gives must be better off afterwards
+// than the one that gets, lest replicas go back and forth.
+const tradeMargin = 1.1
+
 // Trade returns the groups to dissolve so that a model that is short can be
-// formed: groups, within one domain, of models that have more replicas than are
-// wanted. It returns none when nothing is short or nothing can be done.
+// formed: groups, within one domain, of models that stay better off than it. It
+// returns none when nothing is short or nothing can be done.
 func Trade(needs []Need, free []Free, standing []Standing) []string {
 	short := slices.Clone(needs)
 	slices.SortStableFunc(short, func(a, b Need) int { return cmp.Compare(b.short(), a.short()) })
@@ -43,7 +47,7 @@
 	}
 	var best []string
 	for domain, groups := range domains {
-		given := trade(n.Model.Size-idle[domain], n.Model.Name, needs, groups)
+		given := trade(n, n.Model.Size-idle[domain], needs, groups)
 		if given != nil && (best == nil || len(given) < len(best) || len(given) == len(best) && given[0] < best[0]) {
 			best = given
 		}
@@ -51,27 +55,28 @@
 	return best
 }
 
-// trade returns groups, of models with a surplus, that have enough members.
-func trade(missing int, model string, needs []Need, groups []Standing) []string {
-	surplus := make(map[string]int)
-	for _, n := range needs {
-		surplus[n.Model.Name] = n.surplus()
+// trade returns groups, of models that can spare them, that have enough members.
+func trade(n Need, missing int, needs []Need, groups []Standing) []string {
+	enough := tradeMargin * n.share(1)
+	given := make(map[string]int)
+	spares := func(model string) bool {
+		i := slices.IndexFunc(needs, func(o Need) bool { return o.Model.Name == model })
+		return i >= 0 && model != n.Model.Name && needs[i].share(-given[model]-1) >= enough
 	}
 	slices.SortFunc(groups, func(a, b Standing) int { return cmp.Compare(a.Key, b.Key) })
-	var given []string
+	var keys []string
 	for _, g := range groups {
 		if missing <= 0 {
 			break
 		}
-		if g.Model == model || surplus[g.Model] <= 0 {
-			continue
+		if spares(g.Model) {
+			given[g.Model]++
+			missing -= g.Members
+			keys = append(keys, g.Key)
 		}
-		surplus[g.Model]--
-		missing -= g.Members
-		given = append(given, g.Key)
 	}
 	if missing > 0 {
 		return nil
 	}
-	return given
+	return keys
 }
--- /dev/null
+++ b/relay/cost.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"time"
+
+	"quartzshelf.dev/fleet"
+)
+
+const (
+	// serviceTime is what a request is taken to hold a slot of a service that
+	// tells nothing of its times.
+	serviceTime = 30 * time.Millisecond
+	// usualAnswer is the length of an answer, in tokens, of an engine that
+	// tells none.
+	usualAnswer = 150
+	// crossZone is the cost of sending to another zone.
+	crossZone = 4 * time.Millisecond
+	// crowding is the cost of a replica whose slots are all taken, in multiples
+	// of a pass; it grows with the cube of the part that is taken, since loads
+	// that are told late add up the most where little is left.
+	crowding = 2.0
+)
+
+// costs predicts how long a request waits at a replica for its first answer.
+type costs struct {
+	slots float64
+	// perToken is the time to read a prompt token.
+	perToken time.Duration
+	// pass is the time of a pass without other requests, perRequest what each
+	// adds to it.
+	pass       time.Duration
+	perRequest time.Duration
+	// service is how long a request holds its slot.
+	service time.Duration
+}
+
+// costsOf returns the costs of a service and model; slots counts for services
+// without an engine.
+func costsOf(e *fleet.Engine, model string, slots int) costs {
+	if e == nil {
+		return costs{slots: float64(max(slots, 1)), pass: serviceTime, service: serviceTime}
+	}
+	pace := 1.0
+	if m, ok := e.Model(model); ok && m.Pace > 0 {
+		pace = m.Pace
+	}
+	stride := float64(max(e.Stride, 1))
+	c := costs{slots: float64(max(e.Slots, 1))}
+	c.pass = time.Duration(pace * stride * float64(e.Step))
+	c.perRequest = time.Duration(pace * stride * float64(e.StepPerRequest))
+	if e.PrefillPerSecond > 0 {
+		c.perToken = time.Duration(pace * float64(time.Second) / e.PrefillPerSecond)
+	}
+	tokens := e.UsualAnswer
+	if tokens <= 0 {
+		tokens = usualAnswer
+	}
+	step := float64(e.Step) + c.slots*float64(e.StepPerRequest)
+	c.service = time.Duration(pace * float64(tokens) * step)
+	return c
+}
+
+// wait returns the predicted wait at a replica with work in flight and prompt
+// tokens to be read before.
+func (c costs) wait(busy float64, prefill int) time.Duration {
+	w := time.Duration(prefill)*c.perToken + time.Duration(busy*float64(c.perRequest))
+	filled := busy / c.slots
+	w += time.Duration(crowding * filled * filled * filled * float64(c.pass))
+	if queued := busy - c.slots + 1; queued > 0 {
+		w += time.Duration(queued / c.slots * float64(c.service))
+	}
+	return w
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,8 +27,6 @@
 	serviceRoom = 4.0
 	// sweepEvery is how often silent replicas are looked for.
 	sweepEvery = 50 * time.Millisecond
-	// prefillObjective is the part of a second of reading that weighs as one slot.
-	prefillSlots = 20
 )
 
 // Options configures a Relay.
@@ -135,11 +133,11 @@
 		return nil, unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
 	}
 	replicas := r.opts.View().Replicas(c.service, c.model)
-	weight := 1.0
-	if c.engine != nil {
-		weight = max(c.engine.PrefillPerSecond/prefillSlots, 1)
+	slots := 0
+	if len(replicas) > 0 {
+		slots = replicas[0].Head.Slots
 	}
-	choice, ok := r.opts.Tracker.Choose(replicas, c.tried, weight, now)
+	choice, ok := r.opts.Tracker.Choose(replicas, c.tried, costsOf(c.engine, c.model, slots), c.prompt, now)
 	if !ok {
 		return nil, unavailable(reason.NoReplica, "no replica serves at present", retryBusy)
 	}
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -23,8 +23,14 @@
 	failureFor = time.Second
 	// remoteFor is how long a peer's word about its load counts.
 	remoteFor = time.Second
-	// zoneCost is the cost, in busy slots, of sending to another zone.
-	zoneCost = 0.5
+	// suspectCost and failureCost are added to the waits at suspected replicas
+	// and, at the least, at those that failed a request of late.
+	suspectCost = time.Minute
+	failureCost = 100 * time.Millisecond
+	// leastLate is the least time that loads of peers are late by.
+	leastLate = 50 * time.Millisecond
+	// noisePasses is how many times less than a pass choices are spread at least.
+	noisePasses = 5
 )
 
 // station is a replica as this daemon's requests see it.
@@ -54,6 +60,7 @@
 	mu       sync.Mutex
 	stations map[string]*station
 	remote   map[string]remoteLoads
+	rates    *rates
 	// traffic tells that a request came, here or at a peer.
 	traffic bool
 	// stalled is called, without the lock, with a replica that fell silent.
@@ -71,7 +78,7 @@
 func NewTracker(zone string, stalled func(r *fleet.Replica)) *Tracker {
 	return &Tracker{
 		zone: zone, stations: make(map[string]*station),
-		remote: make(map[string]remoteLoads), stalled: stalled,
+		remote: make(map[string]remoteLoads), rates: newRates(), stalled: stalled,
 	}
 }
 
@@ -143,19 +150,21 @@
 	Busy float64
 }
 
-// Choose returns the replica at which the request would begin the soonest, and
-// false when there is none. Those in tried are left out.
-func (t *Tracker) Choose(replicas []*fleet.Replica, tried map[string]bool, prefillSlot float64, now time.Time) (Choice, bool) {
+// Choose returns the replica at which a request with a number of prompt tokens
+// would begin the soonest, and false when there is none. Those in tried are
+// left out.
+func (t *Tracker) Choose(replicas []*fleet.Replica, tried map[string]bool, c costs, prompt int, now time.Time) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	noise := t.noise(replicas, c, prompt, now)
 	var best Choice
-	bestCost, found := 0.0, false
+	bestCost, found := time.Duration(0), false
 	for _, r := range replicas {
 		if tried[r.ID] {
 			continue
 		}
-		busy, cost := t.cost(r, prefillSlot, now)
-		cost += rand.Float64()
+		busy, cost := t.cost(r, c, now)
+		cost += time.Duration(rand.Float64() * float64(noise))
 		if !found || cost < bestCost {
 			best, bestCost, found = Choice{Replica: r, Busy: busy}, cost, true
 		}
@@ -163,9 +172,34 @@
 	return best, found
 }
 
-// cost returns the work in flight at a replica, and a cost by which replicas
-// compare. prefillSlot is the number of prompt tokens that weigh as one slot.
-func (t *Tracker) cost(r *fleet.Replica, prefillSlot float64, now time.Time) (busy, cost float64) {
+// noise returns how far the predicted waits may be off, since other daemons
+// choose by the same loads, which are told late: by what the requests of the
+// fleet bring to one replica within that time. Without it all daemons would
+// choose the same replica.
+func (t *Tracker) noise(replicas []*fleet.Replica, c costs, prompt int, now time.Time) time.Duration {
+	if len(replicas) == 0 {
+		return 0
+	}
+	late, count := time.Duration(0), 0
+	for _, peer := range t.remote {
+		if age := now.Sub(peer.at); age < remoteFor {
+			late += age
+			count++
+		}
+	}
+	key := replicas[0].Service + "/" + replicas[0].Model
+	t.rates.count(key, now)
+	rate := t.rates.perSecond(key, now) * float64(count)
+	if count > 0 {
+		late /= time.Duration(count)
+	}
+	arrivals := rate * (late + leastLate).Seconds() / float64(len(replicas))
+	each := time.Duration(prompt)*c.perToken + c.perRequest + c.pass/noisePasses
+	return time.Duration(arrivals*float64(each)) + c.pass/noisePasses
+}
+
+// cost returns the work in flight at a replica, and the predicted wait there.
+func (t *Tracker) cost(r *fleet.Replica, c costs, now time.Time) (busy float64, wait time.Duration) {
 	inFlight, prefill := 0, 0
 	s, ok := t.stations[r.ID]
 	if ok {
@@ -179,25 +213,24 @@
 		}
 	}
 	busy = float64(inFlight)
-	cost = busy + float64(prefill)/prefillSlot
+	wait = c.wait(busy, prefill)
 	if r.Head.Zone != t.zone {
-		cost += zoneCost
+		wait += crossZone
 	}
 	if ok {
-		cost += t.penalty(s, r, now)
+		wait += t.penalty(s, c, now)
 	}
-	return busy, cost
+	return busy, wait
 }
 
-func (t *Tracker) penalty(s *station, r *fleet.Replica, now time.Time) float64 {
-	slots := float64(max(r.Head.Slots, 1))
-	penalty := 0.0
+// penalty returns what is added to the wait at a replica that gave cause.
+func (t *Tracker) penalty(s *station, c costs, now time.Time) time.Duration {
+	penalty := time.Duration(0)
 	if now.Before(s.suspect) {
-		const suspectedSlots = 20
-		penalty += suspectedSlots * slots
+		penalty += suspectCost
 	}
 	if now.Sub(s.failedAt) < failureFor {
-		penalty += slots
+		penalty += max(c.service/2, failureCost)
 	}
 	return penalty
 }
