relay: Refuse what cannot begin at once

Cause: in bursts up to half of a replica's slots again were queued there, so that nearly all requests began late and earned a quarter of their credit, at the same throughput.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,7 +23,7 @@
 	maxRejections = 2
 	// engineRoom and serviceRoom are how much work may be in flight at a
 	// worker, in multiples of its slots, before requests are refused.
-	engineRoom  = 1.5
+	engineRoom  = 1.0
 	serviceRoom = 4.0
 	// sweepEvery is how often silent replicas are looked for.
 	sweepEvery = 50 * time.Millisecond
