formation, leadership, fleet: Go on through outages of the store

Changed: grants name deputies that are not ready yet and are renewed when too few of them live; who leads has first read the roster and listened; entries that go right after an outage are doubted for three heartbeats; warm groups are formed whatever the loads; only a first leader takes the fleet for new; orders are given up to six times in 200 ms each, and only who does not answer a question either counts as silent.

--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -42,8 +42,27 @@
 	view      atomic.Pointer[View]
 	journal   []batch
 	changed   chan struct{}
+	// heartbeat is how often workers write to the list.
+	heartbeat time.Duration
+	// knownSince is when the first list was taken.
+	knownSince time.Time
+	// outageEnd is when the list was last regained after an outage.
+	outageEnd time.Time
+	// lapsed holds the workers whose entries went right after an outage, with
+	// until when they count as listed all the same.
+	lapsed map[string]time.Time
 }
 
+const (
+	// outageAfter is how long the list must not have been confirmed for an outage.
+	outageAfter = 1600 * time.Millisecond
+	// lapseWindow is how long after an outage entries that go are doubted: they
+	// may have run out because their workers could not write either.
+	lapseWindow = 2500 * time.Millisecond
+	// lapseBeats is how many heartbeats such a worker has to write again.
+	lapseBeats = 3
+)
+
 // maxJournal is how many batches of changes are kept for peers.
 const maxJournal = 256
 
@@ -53,9 +72,11 @@
 	changes  []Change
 }
 
-// NewInventory returns an inventory without workers.
-func NewInventory() *Inventory {
+// NewInventory returns an inventory without workers, which write to the list
+// at every heartbeat.
+func NewInventory(heartbeat time.Duration) *Inventory {
 	i := &Inventory{
+		heartbeat: heartbeat, lapsed: make(map[string]time.Time),
 		workers: make(map[string]*Worker), announced: make(map[string]Announcement),
 		changed: make(chan struct{}, 1),
 	}
@@ -76,6 +97,13 @@
 	return i.position
 }
 
+// KnownSince returns when the first list was taken; the zero time before.
+func (i *Inventory) KnownSince() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.knownSince
+}
+
 // Confirmed returns when the newest successful read of the list was sent.
 func (i *Inventory) Confirmed() time.Time {
 	i.mu.Lock()
@@ -91,10 +119,18 @@
 	if position < i.position {
 		return
 	}
+	i.noteOutage(sent)
+	held := i.workers
 	i.workers = make(map[string]*Worker, len(all))
 	for _, c := range all {
 		if c.Worker != nil {
 			i.workers[c.ID] = c.Worker
+			delete(i.lapsed, c.ID)
+		}
+	}
+	for id, w := range held {
+		if _, listed := i.workers[id]; !listed && i.lapses(id) {
+			i.workers[id] = w
 		}
 	}
 	i.journal = nil
@@ -109,19 +145,23 @@
 	if position < i.position {
 		return
 	}
+	i.noteOutage(sent)
 	if len(changes) > 0 {
 		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes})
 		i.journal = i.journal[max(len(i.journal)-maxJournal, 0):]
 	}
 	for _, c := range changes {
 		if c.Worker == nil {
-			delete(i.workers, c.ID)
+			if _, held := i.workers[c.ID]; held && !i.lapses(c.ID) {
+				delete(i.workers, c.ID)
+			}
 			continue
 		}
+		delete(i.lapsed, c.ID)
 		i.workers[c.ID] = c.Worker
 	}
 	i.advance(position, sent)
-	if len(changes) > 0 {
+	if i.endLapses() || len(changes) > 0 {
 		i.publish()
 	}
 }
@@ -194,8 +234,12 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if position == i.position && at.After(i.confirmed) {
+		i.noteOutage(at)
 		i.confirmed = at
 	}
+	if i.endLapses() {
+		i.publish()
+	}
 }
 
 // Announce takes a leader's word about groups.
@@ -217,8 +261,46 @@
 	}
 }
 
+// noteOutage notes the end of an outage if the list was not confirmed for long.
+func (i *Inventory) noteOutage(sent time.Time) {
+	if !i.confirmed.IsZero() && sent.Sub(i.confirmed) > outageAfter {
+		i.outageEnd = time.Now()
+	}
+}
+
+// lapses reports whether an entry that went is doubted, so that its worker
+// still counts as listed for a while.
+func (i *Inventory) lapses(id string) bool {
+	now := time.Now()
+	if until, ok := i.lapsed[id]; ok {
+		return now.Before(until)
+	}
+	if i.outageEnd.IsZero() || now.Sub(i.outageEnd) > lapseWindow {
+		return false
+	}
+	i.lapsed[id] = now.Add(lapseBeats * i.heartbeat)
+	return true
+}
+
+// endLapses removes the workers that did not write again in time, and reports
+// whether there were any.
+func (i *Inventory) endLapses() bool {
+	now, ended := time.Now(), false
+	for id, until := range i.lapsed {
+		if now.After(until) {
+			delete(i.lapsed, id)
+			delete(i.workers, id)
+			ended = true
+		}
+	}
+	return ended
+}
+
 func (i *Inventory) advance(position int64, sent time.Time) {
 	i.position = position
+	if i.knownSince.IsZero() {
+		i.knownSince = time.Now()
+	}
 	if sent.After(i.confirmed) {
 		i.confirmed = sent
 	}
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -45,7 +45,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			i := NewInventory()
+			i := NewInventory(1200 * time.Millisecond)
 			var changes []Change
 			for _, w := range test.workers {
 				changes = append(changes, Change{ID: w.ID, Worker: w})
@@ -63,7 +63,7 @@
 // the first one by deltas, by what it lacks, or by the whole list.
 func TestPeersReachTheSameList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		source, follower := NewInventory(), NewInventory()
+		source, follower := NewInventory(1200*time.Millisecond), NewInventory(1200*time.Millisecond)
 		position := int64(0)
 		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 60).Draw(t, "steps")
 		for n, step := range steps {
@@ -190,7 +190,7 @@
 func TestFollowerKeepsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &fakeSource{version: 3}
-		beliefs, inventory := NewBeliefs(), NewInventory()
+		beliefs, inventory := NewBeliefs(), NewInventory(1200*time.Millisecond)
 		f := NewFollower(FollowerOptions{
 			Source: source, Beliefs: beliefs, Inventory: inventory,
 			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
@@ -213,3 +213,25 @@
 		<-f.Done()
 	})
 }
+
+func TestEntriesThatLapseInAnOutageAreDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const beat = time.Second
+		i := NewInventory(beat)
+		i.Apply([]Change{{ID: "a", Worker: head("a", "g", 1, Open)}, {ID: "b", Worker: head("b", "h", 2, Open)}}, 2, time.Now())
+		time.Sleep(5 * time.Second)
+		i.Apply([]Change{{ID: "a"}, {ID: "b"}}, 4, time.Now())
+		assert.Equal(t, len(i.View().Replicas("s", "m")), 2, "right after an outage nobody is given up")
+		time.Sleep(beat)
+		i.Apply([]Change{{ID: "a", Worker: head("a", "g", 1, Open)}}, 5, time.Now())
+		for range lapseBeats {
+			time.Sleep(beat)
+			i.Confirm(5, time.Now())
+		}
+		_, listed := i.View().Worker("b")
+		assert.Assert(t, !listed, "who does not write again is gone")
+		i.Apply([]Change{{ID: "a"}}, 6, time.Now())
+		_, listed = i.View().Worker("a")
+		assert.Assert(t, !listed, "in calm times an entry that goes is believed")
+	})
+}
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -27,6 +27,15 @@
 // whole reports whether every member is there.
 func (o *observed) whole() bool { return o.known && o.head != nil && len(o.members) == o.model.Size }
 
+// settle returns how long a group that lacks members is left alone after it was
+// first seen. In a young process the list may yet be incomplete.
+func (k *Keeper) settle(now time.Time) time.Duration {
+	if now.Sub(k.opts.ListSince()) < youngFor {
+		return settleYoung
+	}
+	return settleFor
+}
+
 // isForming reports whether members have yet to become ready.
 func (o *observed) isForming() bool {
 	return o.ready < len(o.members) && (o.state == fleet.Joining || o.state == fleet.Ready)
@@ -111,7 +120,7 @@
 		// All is well.
 	case o.state == fleet.Open && o.whole():
 		k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
-	case age < settleFor:
+	case age < k.settle(now):
 		// The list may show its members one after the other.
 	case o.whole() && !o.draining && o.isForming() && age < joinSlack+slowLoads*o.model.Load:
 		// An earlier leader began it; its members still load.
@@ -257,7 +266,7 @@
 	byWork := k.smooth[m.Name]/(fillTarget*float64(max(e.Slots, 1))) + reserve
 	now := time.Now()
 	switch {
-	case !k.opts.Traffic():
+	case !k.traffic():
 		return byShare
 	case k.trafficSince.IsZero():
 		k.trafficSince = now
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -15,11 +15,11 @@
 const (
 	tickEvery = 100 * time.Millisecond
 	// orderTimeout bounds an order, askTimeout a question to a worker.
-	orderTimeout = 400 * time.Millisecond
+	orderTimeout = 200 * time.Millisecond
 	askTimeout   = 200 * time.Millisecond
 	// orderTries is how often an order that got no answer is given, each time
 	// with a new fence.
-	orderTries = 2
+	orderTries = 6
 	// askEvery is how often a worker is asked while its list entry is awaited.
 	askEvery = 250 * time.Millisecond
 	// joinSlack is how much longer than expected a join may take.
@@ -28,6 +28,10 @@
 	slowLoads = 4
 	// settleFor is how long after an operation the list may lag behind it.
 	settleFor = time.Second
+	// settleYoung is the same in a process that has known the list for less
+	// than youngFor.
+	settleYoung = 4 * time.Second
+	youngFor    = 10 * time.Second
 	// drainMost is how long a group's requests may hold up its dissolution.
 	drainMost = 8 * time.Second
 	// reviveEvery is how often a worker that was silent is asked again.
@@ -50,7 +54,10 @@
 	Orders    Orders
 	// Demand returns the measured work of each model in busy slots.
 	Demand func() map[string]float64
-	// Traffic reports whether any request has come to the fleet yet.
+	// ListSince returns since when this process has known the worker list.
+	ListSince func() time.Time
+	// Traffic reports whether any request has come to the fleet yet. Only a
+	// first leader asks; later ones take it for granted.
 	Traffic func() bool
 	// Announced is called with each decision about a group.
 	Announced func(a fleet.Announcement)
@@ -214,7 +221,7 @@
 		Needs: needs, Free: free, Warm: k.warm(s, view), Sizes: sizes(s, view),
 		MaxLoads: k.room(s, view, budget, now),
 	})
-	counted := k.opts.Traffic()
+	counted := k.traffic()
 	for _, f := range formations {
 		if counted {
 			budget.take(f.Loads)
@@ -327,7 +334,7 @@
 // are quick and not bounded; afterwards they slow each other beyond those that
 // run well side by side.
 func (k *Keeper) room(s *fleet.Service, view *fleet.View, budget *loads, now time.Time) int {
-	if !k.opts.Traffic() {
+	if !k.traffic() {
 		return unbounded
 	}
 	running := 0
@@ -374,6 +381,9 @@
 	return counts
 }
 
+// traffic reports whether requests come to the fleet.
+func (k *Keeper) traffic() bool { return !k.term.First || k.opts.Traffic() }
+
 // budget returns the bound on loads of a service.
 func (k *Keeper) budget(s *fleet.Service, now time.Time) *loads {
 	l, ok := k.loads[s.Name]
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -276,7 +276,9 @@
 		}
 		k.opts.Logger.Debug("order not answered", "order", what, "worker", w.ID, "error", err)
 	}
-	k.fellSilent(w.ID)
+	if _, lives := k.ask(ctx, w); !lives && ctx.Err() == nil {
+		k.fellSilent(w.ID)
+	}
 	return Unfit, false
 }
 
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -200,7 +200,7 @@
 			continue
 		}
 		f := newFormation(needs[i].Model, chosen)
-		if f.Loads > p.maxLoads {
+		if f.Loads > max(p.maxLoads, 0) {
 			p.waiting = true
 			return Formation{}, false
 		}
--- a/formation/plan_test.go
+++ b/formation/plan_test.go
@@ -54,6 +54,11 @@
 			needs: []Need{{Model: big, Want: 9}, {Model: small, Want: 2}}, maxLoads: 2,
 			free: []Free{worker("a", "d", ""), worker("b", "d", ""), worker("c", "d", "")},
 		},
+		"what needs no load is formed though too many loads run": {
+			needs: []Need{{Model: small, Want: 9}}, maxLoads: -5,
+			free: []Free{worker("a", "d", "small"), worker("b", "d", "small"), worker("c", "d", ""), worker("e", "d", "")},
+			want: [][]string{{"a", "b"}},
+		},
 		"a domain is kept to one model": {
 			needs: []Need{{Model: small, Want: 9}}, maxLoads: 2,
 			warm: map[string]map[string]int{"d1": {"big": 4}, "d2": {"small": 2}},
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -68,7 +68,7 @@
 func newWorld(seed uint64, domains, perDomain int) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
-		inventory: fleet.NewInventory(), wasReady: make(map[string]bool),
+		inventory: fleet.NewInventory(1200 * time.Millisecond), wasReady: make(map[string]bool),
 	}
 	for d := range domains {
 		for i := range perDomain {
@@ -86,6 +86,7 @@
 		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w,
 		Demand:     func() map[string]float64 { return map[string]float64{"big": 5, "small": 5} },
 		Traffic:    func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.traffic },
+		ListSince:  func() time.Time { return time.Time{} },
 		Announced:  func(fleet.Announcement) {},
 		StallAfter: 6 * time.Second, Ceiling: Ceiling{Window: 5 * time.Second, Over: 1.1},
 		Logger: hclog.NewNullLogger(),
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -35,6 +35,10 @@
 	// deputies is how many holders a grant names after the first.
 	deputies = 4
 	maxRank  = 200
+	// leastDeputies is how many of a grant's holders should be alive beside
+	// the leader, and refreshEvery how often it looks.
+	leastDeputies = 2
+	refreshEvery  = 2 * time.Second
 )
 
 // Registry keeps grants. Each has an epoch that no other one shares.
@@ -79,6 +83,8 @@
 	stop func()
 	// leaderlessSince is since when no leader was heard; zero while one is.
 	leaderlessSince time.Time
+	// refreshNext is when the leader looks again for deputies.
+	refreshNext time.Time
 	// pauseUntil is until when no attempt is made.
 	pauseUntil time.Time
 }
@@ -147,6 +153,9 @@
 			if e.tick(time.Now()) {
 				e.attempt(ctx)
 			}
+			if e.lacksDeputies(time.Now()) {
+				e.refresh(ctx)
+			}
 		}
 	}
 }
@@ -193,7 +202,8 @@
 }
 
 // turn returns how many daemons are to try before this one: holders of the
-// grant first, in their order, then the others by name.
+// grant first, in their order, then the others, those that run the longest
+// first, since they know the fleet best.
 func (e *Elector) turn(alive []*peers.Peer) int {
 	candidates := []peers.Holder{e.opts.Self}
 	for _, p := range alive {
@@ -213,7 +223,7 @@
 		return len(e.grant.Holders)
 	}
 	slices.SortFunc(candidates, func(a, b peers.Holder) int {
-		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.ID, b.ID))
 	})
 }
 
@@ -269,12 +279,64 @@
 	return peers.Claim{Epoch: epoch}, newest.Epoch == 0, won
 }
 
+// lacksDeputies reports whether this daemon leads by a grant that names too few
+// daemons that live, though there are others.
+func (e *Elector) lacksDeputies(now time.Time) bool {
+	alive := e.opts.Alive(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.own == nil || now.Before(e.refreshNext) {
+		return false
+	}
+	e.refreshNext = now.Add(refreshEvery)
+	able, named := 0, 0
+	for _, p := range alive {
+		if p.Leaving {
+			continue
+		}
+		able++
+		if slices.Contains(e.grant.Holders, peers.Holder{ID: p.ID, Incarnation: p.Incarnation}) {
+			named++
+		}
+	}
+	return named < min(leastDeputies, able)
+}
+
+// refresh adds a grant that names living deputies. The own claim goes on: every
+// claim under the new grant outdoes it.
+func (e *Elector) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	newest, position, err := e.opts.Registry.Newest(ctx)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	outdone := newest.Epoch > e.grant.Epoch
+	if outdone {
+		e.grant = newest
+	}
+	e.mu.Unlock()
+	if outdone && (len(newest.Holders) == 0 || newest.Holders[0] != e.opts.Self) {
+		e.Yield("another daemon holds a newer grant")
+		return
+	}
+	holders := e.holders()
+	epoch, won, err := e.opts.Registry.Add(ctx, holders, position)
+	if err != nil || !won {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.grant = peers.Grant{Epoch: epoch, Holders: holders}
+}
+
 // holders returns the holders that a new grant names: this daemon, then others
 // that are alive and stay.
 func (e *Elector) holders() []peers.Holder {
 	holders := []peers.Holder{e.opts.Self}
 	for _, p := range e.opts.Alive(time.Now()) {
-		if p.Ready && !p.Leaving && len(holders) <= deputies {
+		if !p.Leaving && len(holders) <= deputies {
 			holders = append(holders, peers.Holder{ID: p.ID, Incarnation: p.Incarnation})
 		}
 	}
--- a/leadership/elector_test.go
+++ b/leadership/elector_test.go
@@ -253,6 +253,25 @@
 	})
 }
 
+// TestDeputiesAreReplaced lets the only daemon lead before others come: those that
+// come later must be able to follow it without the store.
+func TestDeputiesAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(1)
+		time.Sleep(3 * time.Second)
+		leader := f.leaders()[0]
+		for i := range 4 {
+			f.start(fmt.Sprintf("late%d", i), 1)
+		}
+		time.Sleep(4 * time.Second)
+		f.set(func() { f.storeUp = false })
+		f.kill(leader)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(f.leaders()), 1)
+		f.end()
+	})
+}
+
 func TestCutOffLeaderYields(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeFleet(5)
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -13,7 +13,7 @@
 func (s *Server) lead(ctx context.Context, claim peers.Claim, first bool) {
 	keeper := formation.NewKeeper(formation.Options{
 		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders,
-		Demand: s.demand, Traffic: s.tracker.Traffic, Announced: s.announce,
+		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince, Announced: s.announce,
 		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
 		Logger: s.logger.Named("formation"),
 	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first},
--- a/serving/options.go
+++ b/serving/options.go
@@ -30,6 +30,8 @@
 	// Revoke is the time after which a key that was taken away must not work
 	// anywhere; zero when that is not strict.
 	Revoke time.Duration
+	// Heartbeat is how often workers write to the list.
+	Heartbeat time.Duration
 	// Stall is how long a replica that lost a member stands still.
 	Stall   time.Duration
 	Ceiling formation.Ceiling
--- a/serving/server.go
+++ b/serving/server.go
@@ -31,6 +31,9 @@
 	idleWait = time.Minute
 	// rosterTimeout bounds a call to the roster.
 	rosterTimeout = time.Second
+	// hearFor is how long after it first read the roster a daemon listens for
+	// others before it may lead.
+	hearFor = 700 * time.Millisecond
 	// announcedFor is how long a decision about a group is told to peers.
 	announcedFor = 8 * time.Second
 	// stallFor is how long a suspicion of a replica is told to peers.
@@ -51,6 +54,8 @@
 	relay     *relay.Relay
 	fetcher   *fetcher
 	leaving   atomic.Bool
+	// metAt is when the roster of daemons was first read.
+	metAt     atomic.Pointer[time.Time]
 	readDelay time.Duration
 	done      chan struct{}
 
@@ -79,7 +84,7 @@
 	}
 	s := &Server{
 		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(),
-		inventory: fleet.NewInventory(), stalls: make(map[string]timedStall),
+		inventory: fleet.NewInventory(opts.Bounds.Heartbeat), stalls: make(map[string]timedStall),
 		readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
 	}
 	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
@@ -105,7 +110,7 @@
 		Self:     peers.Holder{ID: s.opts.Self.ID, Incarnation: s.opts.Self.Incarnation},
 		Registry: s.opts.Registry,
 		Alive:    table.Alive, Known: table.Known, Settled: table.Settled,
-		Fit:       func() bool { return !s.leaving.Load() && s.knows() },
+		Fit:       s.fit,
 		StoreSeen: s.storeSeen,
 		Lead:      s.lead, Logger: s.logger.Named("leadership"),
 	})
@@ -133,6 +138,13 @@
 	return s.beliefs.Config() != nil && !s.inventory.Confirmed().IsZero()
 }
 
+// fit reports whether this daemon may lead: it stays, knows the fleet, and has
+// had time to hear of the other daemons.
+func (s *Server) fit() bool {
+	met := s.metAt.Load()
+	return !s.leaving.Load() && s.knows() && met != nil && time.Since(*met) > hearFor
+}
+
 // storeSeen returns when the store last told this daemon anything.
 func (s *Server) storeSeen() time.Time {
 	config, workers := s.beliefs.Confirmed(), s.inventory.Confirmed()
@@ -221,11 +233,11 @@
 		registered = registered || s.register(ctx)
 		s.readRoster(ctx)
 	}
-	const whileAlone = 2 * time.Second
+	const whileAlone = time.Second
 	for ctx.Err() == nil {
 		sleep(ctx, whileAlone)
 		registered = registered || s.register(ctx)
-		if len(s.agent.Table().Alive(time.Now())) == 0 {
+		if s.metAt.Load() == nil || len(s.agent.Table().Alive(time.Now())) == 0 {
 			s.readRoster(ctx)
 		}
 	}
@@ -249,8 +261,10 @@
 		s.logger.Debug("roster not read", "error", err)
 		return
 	}
+	now := time.Now()
+	s.metAt.CompareAndSwap(nil, &now)
 	for _, other := range all {
-		s.agent.Table().AddSeed(other.Address, time.Now())
+		s.agent.Table().AddSeed(other.Address, now)
 	}
 }
 
