--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -224,3 +224,24 @@
 	defer w.mu.Unlock()
 	w.list(w.workers[id])
 }
+
+// TestLaterLeaderBoundsLoads lets a leader come second to a fleet that nobody
+// has sent requests to, as far as it knows: it must not take it for new.
+func TestLaterLeaderBoundsLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 4, 10)
+		_, stop := term(w, 2)
+		time.Sleep(time.Second)
+		joining := 0
+		w.mu.Lock()
+		for _, s := range w.workers {
+			if s.state == fleet.Joining {
+				joining++
+			}
+		}
+		w.mu.Unlock()
+		assert.Assert(t, joining <= 7, "%d loads run at once", joining)
+		stop()
+		w.pending.Wait()
+	})
+}
--- /dev/null
+++ b/serving/server_test.go
@@ -0,0 +1,134 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+var errAway = errors.New("away")
+
+// fakeStore is a source and a roster whose answers a test sets.
+type fakeStore struct {
+	known []peers.Identity
+	away  bool
+}
+
+func (f *fakeStore) ReadConfig(context.Context) (fleet.ConfigNews, error) {
+	return fleet.ConfigNews{Config: fleet.NewConfig(fleet.Parts{Version: 1})}, nil
+}
+
+func (f *fakeStore) NextConfig(context.Context, int64, time.Duration) (fleet.ConfigNews, error) {
+	return fleet.ConfigNews{}, errAway
+}
+
+func (f *fakeStore) ReadWorkers(context.Context) (fleet.WorkerNews, error) {
+	return fleet.WorkerNews{Next: 1}, nil
+}
+
+func (f *fakeStore) NextWorkers(context.Context, int64, time.Duration) (fleet.WorkerNews, error) {
+	return fleet.WorkerNews{}, errAway
+}
+
+func (f *fakeStore) Register(context.Context, peers.Identity) error { return nil }
+
+func (f *fakeStore) Read(context.Context) ([]peers.Identity, error) {
+	if f.away {
+		return nil, errAway
+	}
+	return f.known, nil
+}
+
+func newServer(t *testing.T, store *fakeStore) *Server {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := c.LocalAddr().String()
+	assert.NilError(t, c.Close())
+	s, err := New(Options{
+		Self:   peers.Identity{ID: "a", Incarnation: 1, Zone: "z", Address: address, Front: "front-a"},
+		Bounds: Bounds{Heartbeat: time.Second, Revoke: 5 * time.Second, KeepEntries: time.Second},
+		Source: store, Roster: store, Logger: hclog.NewNullLogger(),
+	})
+	assert.NilError(t, err)
+	return s
+}
+
+// learn lets the server know a configuration and the workers as of a time.
+func learn(s *Server, at time.Time) {
+	s.beliefs.Offer(fleet.NewConfig(fleet.Parts{Version: 1}), at)
+	s.inventory.Replace(nil, 1, at)
+}
+
+func TestWhoHasNotMetOthersDoesNotLead(t *testing.T) {
+	store := &fakeStore{away: true}
+	s := newServer(t, store)
+	learn(s, time.Now())
+	s.readRoster(context.Background())
+	assert.Assert(t, !s.fit(), "the roster was not read")
+	store.away = false
+	s.readRoster(context.Background())
+	assert.Assert(t, !s.fit(), "nobody had time to be heard")
+	long := time.Now().Add(-2 * hearFor)
+	s.metAt.Store(&long)
+	assert.Assert(t, s.fit())
+	s.leaving.Store(true)
+	assert.Assert(t, !s.fit())
+}
+
+func TestEntries(t *testing.T) {
+	hear := func(s *Server, id string, ready, leaving bool) {
+		b := peers.Beat{Identity: peers.Identity{ID: id, Incarnation: 1, Address: id, Front: "front-" + id}, Ready: ready, Leaving: leaving}
+		s.agent.Table().Hear(b, time.Now(), time.Now())
+	}
+	tests := map[string]struct {
+		prepare func(s *Server)
+		want    []string
+	}{
+		"itself and a ready peer": {
+			prepare: func(s *Server) { learn(s, time.Now()); hear(s, "b", true, false) },
+			want:    []string{"front-a", "front-b"},
+		},
+		"peers that leave or are not ready are left out": {
+			prepare: func(s *Server) { learn(s, time.Now()); hear(s, "b", true, true); hear(s, "c", false, false) },
+			want:    []string{"front-a"},
+		},
+		"a daemon that knows too little names others": {
+			prepare: func(s *Server) { learn(s, time.Now().Add(-time.Hour)); hear(s, "b", true, false) },
+			want:    []string{"front-b"},
+		},
+		"when nobody is ready, all that stay": {
+			prepare: func(s *Server) { hear(s, "b", false, false) },
+			want:    []string{"front-a", "front-b"},
+		},
+		"a leaving daemon names others": {
+			prepare: func(s *Server) { learn(s, time.Now()); s.leaving.Store(true); hear(s, "b", true, false) },
+			want:    []string{"front-b"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, &fakeStore{})
+			test.prepare(s)
+			assert.DeepEqual(t, s.Entries(), test.want)
+		})
+	}
+}
+
+func TestReaderIsOnlyOne(t *testing.T) {
+	s := newServer(t, &fakeStore{})
+	now := time.Now()
+	assert.Assert(t, s.reads(now), "nobody leads")
+	b := peers.Beat{Identity: peers.Identity{ID: "b", Incarnation: 1, Address: "b"}, Leads: &peers.Claim{Epoch: 1}}
+	s.agent.Table().Hear(b, now, now)
+	assert.Assert(t, !s.reads(now), "the leader reads")
+	assert.Assert(t, s.reads(now.Add(-readAfter-readSpread)), "what the leader tells is too old")
+}
