formation: Mend at once what is known to be broken, also when young

Changed: silence that was asked about needs no settling, and is not asked about again. The new test failed before.

--- a/formation/groups.go
+++ b/formation/groups.go
@@ -22,6 +22,8 @@
 	// ready counts the members that were seen ready, the head included.
 	ready    int
 	draining bool
+	// lost tells that a listed member does not answer.
+	lost bool
 }
 
 // whole reports whether every member is there.
@@ -77,7 +79,9 @@
 }
 
 func (k *Keeper) addMember(o *observed, w *fleet.Worker, m fleet.Membership) {
-	if _, silent := k.silent[w.ID]; !silent {
+	if _, silent := k.silent[w.ID]; silent {
+		o.lost = true
+	} else {
 		o.members = append(o.members, w)
 	}
 	o.draining = o.draining || w.Draining
@@ -120,7 +124,7 @@
 		// All is well.
 	case o.state == fleet.Open && o.whole():
 		k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
-	case age < k.settle(now):
+	case age < k.settle(now) && !o.lost:
 		// The list may show its members one after the other.
 	case o.whole() && !o.draining && o.isForming() && age < joinSlack+slowLoads*o.model.Load:
 		// An earlier leader began it; its members still load.
--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -245,3 +245,32 @@
 		w.pending.Wait()
 	})
 }
+
+// TestYoungLeaderMendsWhatIsKnownToBeBroken lets a member die under a leader
+// whose process has not known the list for long.
+func TestYoungLeaderMendsWhatIsKnownToBeBroken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		_, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		stop()
+		w.mu.Lock()
+		w.traffic, w.young = true, true
+		var g Group
+		for _, s := range w.workers {
+			if s.group.Model == "big" && s.rank == 0 {
+				g = s.group
+			}
+		}
+		w.mu.Unlock()
+		k, stop := term(w, 2)
+		time.Sleep(200 * time.Millisecond)
+		w.kill(g.Members[2])
+		k.Suspect(g.Key())
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.serving()["big"], 2)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -41,9 +41,15 @@
 	}
 	var members []*fleet.Worker
 	for _, w := range view.Workers() {
-		if m := k.member(w); m.Group != "" && fleet.GroupKey(m) == replica {
-			members = append(members, w)
+		m := k.member(w)
+		if m.Group == "" || fleet.GroupKey(m) != replica {
+			continue
+		}
+		if _, silent := k.silent[w.ID]; silent {
+			// The group is known to be broken.
+			return nil
 		}
+		members = append(members, w)
 	}
 	if members != nil {
 		k.operating["examine "+replica] = true
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -43,6 +43,8 @@
 	// late is the part of the orders that get no answer and are carried out later.
 	late    float64
 	traffic bool
+	// young tells that leaders have not known the list for long.
+	young   bool
 	broken  []string
 	pending sync.WaitGroup
 }
@@ -84,9 +86,14 @@
 	config := simConfig()
 	return Options{
 		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w,
-		Demand:     func() map[string]float64 { return map[string]float64{"big": 5, "small": 5} },
-		Traffic:    func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.traffic },
-		ListSince:  func() time.Time { return time.Time{} },
+		Demand:  func() map[string]float64 { return map[string]float64{"big": 5, "small": 5} },
+		Traffic: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.traffic },
+		ListSince: func() time.Time {
+			if w.young {
+				return time.Now()
+			}
+			return time.Time{}
+		},
 		Announced:  func(fleet.Announcement) {},
 		StallAfter: 6 * time.Second, Ceiling: Ceiling{Window: 5 * time.Second, Over: 1.1},
 		Logger: hclog.NewNullLogger(),
