--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -84,17 +84,21 @@
 			}
 		}
 		catchUp(source, follower, time.Now())
-		for id, w := range source.View().Workers() {
-			if other, ok := follower.View().Worker(id); !ok || other != w {
-				t.Fatalf("worker %s differs", id)
-			}
-		}
-		if len(source.View().Workers()) != len(follower.View().Workers()) {
-			t.Fatalf("%d workers and %d", len(source.View().Workers()), len(follower.View().Workers()))
-		}
+		checkSame(t, source.View(), follower.View())
 	})
 }
 
+func checkSame(t *rapid.T, a, b *View) {
+	for id, w := range a.Workers() {
+		if other, ok := b.Worker(id); !ok || other != w {
+			t.Fatalf("worker %s differs", id)
+		}
+	}
+	if len(a.Workers()) != len(b.Workers()) {
+		t.Fatalf("%d workers and %d", len(a.Workers()), len(b.Workers()))
+	}
+}
+
 func catchUp(source, follower *Inventory, now time.Time) {
 	changes, position, whole := source.Since(follower.Position())
 	if whole {
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -26,7 +26,6 @@
 	group      Group
 	state      fleet.GroupState
 	rank       int
-	readyAt    time.Time
 	last       string
 	staged     string
 }
