peers, leadership: Keep leaders in larger fleets

Changed: patience grows with the turns; a leader that some daemon still hears is not replaced; beats are deflated, and carry changes and decisions for 1 and 4 s.

--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -70,6 +70,7 @@
 type batch struct {
 	from, to int64
 	changes  []Change
+	at       time.Time
 }
 
 // NewInventory returns an inventory without workers, which write to the list
@@ -147,7 +148,7 @@
 	}
 	i.noteOutage(sent)
 	if len(changes) > 0 {
-		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes})
+		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes, at: time.Now()})
 		i.journal = i.journal[max(len(i.journal)-maxJournal, 0):]
 	}
 	for _, c := range changes {
@@ -197,12 +198,13 @@
 	Changes []Change `json:"changes"`
 }
 
-// Recent returns the newest changes, at most the given number.
-func (i *Inventory) Recent(most int) (Delta, bool) {
+// Recent returns the changes taken since a time, the newest ones if they are
+// more than the given number.
+func (i *Inventory) Recent(since time.Time, most int) (Delta, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	first, count := len(i.journal), 0
-	for first > 0 && count+len(i.journal[first-1].changes) <= most {
+	for first > 0 && i.journal[first-1].at.After(since) && count+len(i.journal[first-1].changes) <= most {
 		first--
 		count += len(i.journal[first].changes)
 	}
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -76,7 +76,7 @@
 				position++
 				source.Apply([]Change{{ID: fmt.Sprint(n % 7)}}, position, now)
 			case 4:
-				if d, ok := source.Recent(3); ok {
+				if d, ok := source.Recent(now.Add(-time.Hour), 3); ok {
 					follower.Follow(d, now)
 				}
 			default:
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -58,6 +58,8 @@
 	Alive func(now time.Time) []*peers.Peer
 	// Known returns how many others were alive since a time.
 	Known func(since time.Time) int
+	// Patience is how long a daemon counts as alive after it was heard.
+	Patience func() time.Duration
 	// Settled reports whether what was heard is up to date.
 	Settled func(now time.Time) bool
 	// Fit reports whether this daemon knows enough to lead, and stays.
@@ -179,7 +181,7 @@
 		e.leaderlessSince = time.Time{}
 		return false
 	}
-	if led(alive) {
+	if led(alive) || e.heardByOthers(alive, now) {
 		e.leaderlessSince = time.Time{}
 		return false
 	}
@@ -201,6 +203,16 @@
 	return slices.ContainsFunc(alive, func(p *peers.Peer) bool { return p.Leads != nil && !p.Leaving })
 }
 
+// heardByOthers reports whether some daemon has heard a leader of late, though
+// this one has not.
+func (e *Elector) heardByOthers(alive []*peers.Peer, now time.Time) bool {
+	patience := e.opts.Patience()
+	return slices.ContainsFunc(alive, func(p *peers.Peer) bool {
+		age := time.Duration(p.LeaderAge) * time.Millisecond
+		return p.LeaderAge > 0 && age+now.Sub(p.HeardAt) < patience
+	})
+}
+
 // turn returns how many daemons are to try before this one: holders of the
 // grant first, in their order, then the others, those that run the longest
 // first, since they know the fleet best.
--- a/leadership/elector_test.go
+++ b/leadership/elector_test.go
@@ -57,7 +57,8 @@
 	d := &fakeDaemon{fleet: f, self: peers.Holder{ID: id, Incarnation: incarnation}, heard: make(map[string]*peers.Peer)}
 	d.elector = NewElector(Options{
 		Self: d.self, Registry: d, Alive: d.alive, Known: d.known,
-		Settled: func(time.Time) bool { return true }, Fit: func() bool { return true },
+		Patience: func() time.Duration { return 800 * time.Millisecond },
+		Settled:  func(time.Time) bool { return true }, Fit: func() bool { return true },
 		StoreSeen: d.storeSeen, Lead: d.lead, Logger: hclog.NewNullLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"sync"
@@ -25,7 +24,8 @@
 	fanout = 24
 	// A datagram begins with its format, the sender's clock, and the
 	// receiver's clock as it stood in the last datagram heard from it.
-	formatByte   = 1
+	// The rest is JSON, deflated.
+	formatByte   = 2
 	headerLength = 1 + 8 + 8
 	maxDatagram  = 60 << 10
 )
@@ -111,7 +111,7 @@
 func (a *Agent) Send(now time.Time) {
 	b := Beat{Identity: a.opts.Self}
 	a.opts.Compose(&b, now)
-	body, err := json.Marshal(&b)
+	body, err := encodeBeat(&b)
 	if err != nil || len(body) > maxDatagram {
 		a.opts.Logger.Error("beat not sent", "bytes", len(body), "error", err)
 		return
@@ -167,8 +167,8 @@
 	if len(datagram) < headerLength || datagram[0] != formatByte {
 		return
 	}
-	var b Beat
-	if json.Unmarshal(datagram[headerLength:], &b) != nil || b.ID == "" || b.Address == "" {
+	b, err := decodeBeat(datagram[headerLength:])
+	if err != nil || b.ID == "" || b.Address == "" {
 		return
 	}
 	a.mu.Lock()
--- a/peers/agent_test.go
+++ b/peers/agent_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"net"
 	"testing"
@@ -79,6 +78,24 @@
 	assert.Equal(t, len(table.destinations(now)), 0, "no daemon is its own seed")
 }
 
+func TestLargeFleetsAreGivenMoreTime(t *testing.T) {
+	table := NewTable(Identity{ID: "a", Incarnation: 1})
+	now := time.Unix(1000, 0)
+	assert.Equal(t, table.Patience(), aliveFor)
+	for i := range 3 * fanout {
+		table.Hear(Beat{Identity: Identity{ID: fmt.Sprint(i), Incarnation: 1}}, now, now)
+	}
+	assert.Equal(t, table.Patience(), aliveFor+2*aliveTurn)
+}
+
+func TestLeaderAge(t *testing.T) {
+	table := NewTable(Identity{ID: "a", Incarnation: 1})
+	now := time.Unix(1000, 0)
+	assert.Equal(t, table.LeaderAge(now), int64(0))
+	table.Hear(Beat{Identity: Identity{ID: "b", Incarnation: 1}, Leads: &Claim{Epoch: 1}}, now, now)
+	assert.Equal(t, table.LeaderAge(now.Add(time.Second)), int64(1001))
+}
+
 func TestLargeFleetsAreToldInTurns(t *testing.T) {
 	a := newAgent(t, "a", func(*Peer) {})
 	defer func() { _ = a.conn.Close() }()
@@ -99,7 +116,7 @@
 
 // FuzzDatagram checks that foreign and torn datagrams do no harm.
 func FuzzDatagram(f *testing.F) {
-	body, err := json.Marshal(Beat{Identity: Identity{ID: "b", Incarnation: 2, Address: "b:1"}})
+	body, err := encodeBeat(&Beat{Identity: Identity{ID: "b", Incarnation: 2, Address: "b:1"}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -78,6 +78,8 @@
 	Leads   *Claim `json:"leads,omitempty"`
 	Highest Claim  `json:"highest"`
 	Grant   Grant  `json:"grant"`
+	// LeaderAge is how long ago a leader was last heard, 0 if none was.
+	LeaderAge int64 `json:"la,omitempty"`
 
 	Loads         []Load               `json:"loads,omitempty"`
 	Stalls        []Stall              `json:"stalls,omitempty"`
--- a/peers/table.go
+++ b/peers/table.go
@@ -9,8 +9,10 @@
 
 const (
 	// aliveFor is how long a daemon counts as alive after a beat. It spans
-	// several beats, since datagrams get lost.
-	aliveFor = 800 * time.Millisecond
+	// several beats, since datagrams get lost. Where daemons are told in turns,
+	// aliveTurn is added for each further turn.
+	aliveFor  = 800 * time.Millisecond
+	aliveTurn = 2 * beatEvery
 	// forgetAfter is how long a silent daemon is still sent beats, so that it
 	// finds back after a partition.
 	forgetAfter = 90 * time.Second
@@ -78,7 +80,7 @@
 func (t *Table) Alive(now time.Time) []*Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	limit := now.Add(-aliveFor)
+	limit := now.Add(-t.patience())
 	if now.Before(t.pausedUntil) {
 		limit = limit.Add(-t.pausedFor)
 	}
@@ -92,6 +94,36 @@
 	return all
 }
 
+// patience returns how long a daemon counts as alive after a beat.
+func (t *Table) patience() time.Duration {
+	further := (len(t.peers) - 1) / fanout
+	return aliveFor + time.Duration(max(further, 0))*aliveTurn
+}
+
+// LeaderAge returns how long ago a leader that stays was last heard, in
+// milliseconds; 0 if none was.
+func (t *Table) LeaderAge(now time.Time) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	age := int64(0)
+	for _, p := range t.peers {
+		if p.Leads == nil || p.Leaving {
+			continue
+		}
+		if heard := now.Sub(p.HeardAt).Milliseconds() + 1; age == 0 || heard < age {
+			age = heard
+		}
+	}
+	return age
+}
+
+// Patience returns how long a daemon counts as alive after a beat.
+func (t *Table) Patience() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.patience()
+}
+
 // Known returns how many daemons were heard within the given time and were not
 // leaving, whether they are alive or not.
 func (t *Table) Known(since time.Time) int {
--- a/serving/beat.go
+++ b/serving/beat.go
@@ -7,18 +7,23 @@
 	"quartzshelf.dev/peers"
 )
 
-// maxDelta is how many changes of the worker list go with a beat.
-const maxDelta = 12
+const (
+	// maxDelta is how many changes of the worker list go with a beat, and
+	// deltaFor for how long each is told.
+	maxDelta = 24
+	deltaFor = time.Second
+)
 
 // compose fills in what this daemon tells its peers.
 func (s *Server) compose(b *peers.Beat, now time.Time) {
 	b.Ready, b.Leaving = s.Ready(), s.leaving.Load()
 	b.ConfigVersion, b.ConfigAge = s.beliefs.Version(), age(s.beliefs.Confirmed(), now)
 	b.WorkersPosition, b.WorkersAge = s.inventory.Position(), age(s.inventory.Confirmed(), now)
-	if d, ok := s.inventory.Recent(maxDelta); ok && s.isReader() {
+	if d, ok := s.inventory.Recent(now.Add(-deltaFor), maxDelta); ok && s.isReader() {
 		b.Delta = &d
 	}
 	b.Leads, b.Highest, b.Grant = s.elector.State()
+	b.LeaderAge = s.agent.Table().LeaderAge(now)
 	b.Loads, b.Demand, b.Traffic = s.tracker.Loads(), s.tracker.Demand(), s.tracker.Traffic()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/serving/server.go
+++ b/serving/server.go
@@ -35,7 +35,7 @@
 	// others before it may lead.
 	hearFor = 700 * time.Millisecond
 	// announcedFor is how long a decision about a group is told to peers.
-	announcedFor = 8 * time.Second
+	announcedFor = 4 * time.Second
 	// stallFor is how long a suspicion of a replica is told to peers.
 	stallFor = time.Second
 )
@@ -109,7 +109,7 @@
 	return leadership.NewElector(leadership.Options{
 		Self:     peers.Holder{ID: s.opts.Self.ID, Incarnation: s.opts.Self.Incarnation},
 		Registry: s.opts.Registry,
-		Alive:    table.Alive, Known: table.Known, Settled: table.Settled,
+		Alive:    table.Alive, Known: table.Known, Settled: table.Settled, Patience: table.Patience,
 		Fit:       s.fit,
 		StoreSeen: s.storeSeen,
 		Lead:      s.lead, Logger: s.logger.Named("leadership"),
