--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -56,8 +56,8 @@
 	Demand func() map[string]float64
 	// ListSince returns since when this process has known the worker list.
 	ListSince func() time.Time
-	// Traffic reports whether any request has come to the fleet yet. Only a
-	// first leader asks; later ones take it for granted.
+	// Traffic reports whether any request has come to the fleet yet. A leader of
+	// a fleet that serves takes it for granted.
 	Traffic func() bool
 	// Announced is called with each decision about a group.
 	Announced func(a fleet.Announcement)
@@ -78,9 +78,11 @@
 
 // Keeper forms and mends replicas for one term.
 type Keeper struct {
-	opts     Options
-	term     Term
-	start    time.Time
+	opts  Options
+	term  Term
+	start time.Time
+	// fresh tells that nothing served when the term began.
+	fresh    bool
 	outdone  func()
 	group    conc.WaitGroup
 	done     chan struct{}
@@ -150,7 +152,7 @@
 // NewKeeper returns a keeper for a term. It calls outdone when a worker shows
 // that another leader has a higher term.
 func NewKeeper(opts Options, term Term, outdone func()) *Keeper {
-	return &Keeper{
+	k := &Keeper{
 		opts: opts, term: term, start: time.Now(), outdone: outdone,
 		done: make(chan struct{}), suspects: make(chan string, 64),
 		known: make(map[string]observation), busy: make(map[string]time.Time),
@@ -159,6 +161,8 @@
 		headless: make(map[string]time.Time), loads: make(map[string]*loads), smooth: make(map[string]float64),
 		loading: make(map[string]load), seen: make(map[string]time.Time),
 	}
+	k.fresh = k.isFresh(opts.Inventory.View())
+	return k
 }
 
 // Done is closed when Run has returned.
@@ -381,8 +385,22 @@
 	return counts
 }
 
-// traffic reports whether requests come to the fleet.
-func (k *Keeper) traffic() bool { return !k.term.First || k.opts.Traffic() }
+// traffic reports whether requests come to the fleet, or may. A later leader
+// takes a fleet for new only if nothing in it served when its term began.
+func (k *Keeper) traffic() bool { return !k.fresh || k.opts.Traffic() }
+
+// isFresh reports whether nothing serves yet.
+func (k *Keeper) isFresh(view *fleet.View) bool {
+	if k.term.First {
+		return true
+	}
+	for _, w := range view.Workers() {
+		if w.Member.State == fleet.Open || w.Member.State == fleet.Closing || w.Member.State == fleet.Broken {
+			return false
+		}
+	}
+	return true
+}
 
 // budget returns the bound on loads of a service.
 func (k *Keeper) budget(s *fleet.Service, now time.Time) *loads {
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// fanout bounds the datagrams of one round; in larger fleets each daemon
 	// is told in every second round, or every third, and so on.
 	fanout = 24
+	// leaderFanout is the same for a leader, on whose word the others rest.
+	leaderFanout = 96
 	// A datagram begins with its format, the sender's clock, and the
 	// receiver's clock as it stood in the last datagram heard from it.
 	// The rest is JSON, deflated.
@@ -120,7 +123,7 @@
 	datagram[0] = formatByte
 	binary.BigEndian.PutUint64(datagram[1:], uint64(now.Sub(a.start)))
 	datagram = append(datagram, body...)
-	for _, address := range a.turn(a.table.destinations(now)) {
+	for _, address := range a.turn(a.table.destinations(now), b.Leads != nil) {
 		binary.BigEndian.PutUint64(datagram[9:], uint64(a.clockOf(address)))
 		if to, err := netip.ParseAddrPort(address); err == nil {
 			// A datagram may be lost anyway.
@@ -129,19 +132,26 @@
 	}
 }
 
-// turn returns the daemons of this round.
-func (a *Agent) turn(all []string) []string {
-	if len(all) <= fanout {
+// turn returns the daemons of this round. The leader is told in every one.
+func (a *Agent) turn(all []string, leads bool) []string {
+	most := fanout
+	if leads {
+		most = leaderFanout
+	}
+	if len(all) <= most {
 		return all
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.round++
-	first := a.round * fanout % len(all)
-	chosen := make([]string, 0, fanout)
-	for i := range fanout {
+	first := a.round * most % len(all)
+	chosen := make([]string, 0, most+1)
+	for i := range most {
 		chosen = append(chosen, all[(first+i)%len(all)])
 	}
+	if leader := a.table.leaderAddress(); leader != "" && !slices.Contains(chosen, leader) {
+		chosen = append(chosen, leader)
+	}
 	return chosen
 }
 
--- a/peers/table.go
+++ b/peers/table.go
@@ -117,6 +117,22 @@
 	return age
 }
 
+// leaderAddress returns the address of the leader heard last, or an empty string.
+func (t *Table) leaderAddress() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var leader *Peer
+	for _, p := range t.peers {
+		if p.Leads != nil && (leader == nil || p.HeardAt.After(leader.HeardAt)) {
+			leader = p
+		}
+	}
+	if leader == nil {
+		return ""
+	}
+	return leader.Address
+}
+
 // Patience returns how long a daemon counts as alive after a beat.
 func (t *Table) Patience() time.Duration {
 	t.mu.Lock()
