--- a/Makefile
+++ b/Makefile
@@ -42,8 +42,8 @@
 # SEED=n make soak.
 soak:
 	seed=$${SEED:-$$RANDOM$$RANDOM}; echo "seed $$seed"; \
-	QUARTZSHELF_SOAK=1 go test ./proof ./gateway -timeout 60m -count=1 \
-		-run 'Partial|Key|Configuration|Answers' -rapid.seed=$$seed -rapid.checks=$${CHECKS:-2000}
+	QUARTZSHELF_SOAK=1 go test ./proof ./gateway ./formation ./leadership ./fleet -timeout 60m -count=1 \
+		-run 'Partial|Key|Configuration|Answers|Twice|SameList|Forwards' -rapid.seed=$$seed -rapid.checks=$${CHECKS:-2000}
 
 # measure prints the trials that docs/MEASUREMENTS.md keeps.
 measure:
