common: Wait in one place and drop what the platform's daemon left dead

No behaviour changes. - Waiting until a time or the end of a context stood six times (daemon, eventlog, intent, and now fleet, formation, serving) and once inline in relay: package common/pause serves all. - fleet.Beliefs signalled changes that nobody waited for; the keeper kept the start of its term unread and, for busy workers, times that were always zero with a loop that could never find one to drop: a set now. - Replicas being examined stood among the groups being operated on under a key with a prefix: a set of their own. - Whether beliefs are too old was worked out in serving and again in relay: serving asks relay. - The first write of a stream returned an error that was always nil; trace compiled four expressions for each line that it printed. Left: gateway.hungUp and relay's check of idle connections look at a socket in nearly the same way, but differ in what an interrupted look means; the older one goes with the gateway.

--- a/cmd/operatorcmd/trace.go
+++ b/cmd/operatorcmd/trace.go
@@ -97,6 +97,9 @@
 // peerInError finds the worker that an error names.
 var peerInError = regexp.MustCompile(`peer: ([^,}]+)`)
 
+// knownFields finds the fields that every line has.
+var knownFields = regexp.MustCompile(`"@(level|message|module|timestamp)":"(\\.|[^"\\])*",?`)
+
 // names returns the workers and replicas that a line tells of.
 func (l logLine) names() []string {
 	all := []string{l.Replica, l.Head, l.Worker, l.From}
@@ -108,11 +111,7 @@
 
 // fields returns what a line tells beside its message, as it stands.
 func (l logLine) fields() string {
-	text := string(l.raw)
-	for _, known := range []string{"@level", "@message", "@module", "@timestamp"} {
-		text = regexp.MustCompile(`"`+known+`":"(\\.|[^"\\])*",?`).ReplaceAllString(text, "")
-	}
-	return text
+	return string(knownFields.ReplaceAll(l.raw, nil))
 }
 
 // storyOf returns the lines that tell of an identity, in order of time: for a
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"quartzshelf.dev/catalog"
 	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/eventlog"
 	"quartzshelf.dev/gateway"
@@ -319,7 +320,7 @@
 			d.logger.Warn("the log cannot be reached; trying on", "error", err)
 			warned = true
 		}
-		wait(ctx, announceRetry)
+		pause.For(ctx, announceRetry)
 	}
 }
 
@@ -333,15 +334,6 @@
 	return id.String()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // ApplyConfigurationFile publishes the documents in a file if they are not in
 // force yet. It serves the first trial on an embedded platform.
 func (d *Daemon) ApplyConfigurationFile(ctx context.Context, file string) error {
--- a/eventlog/follower.go
+++ b/eventlog/follower.go
@@ -9,6 +9,7 @@
 
 	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/pause"
 )
 
 // Timing of a follower.
@@ -93,7 +94,7 @@
 	var checkpointDue time.Time
 	for ctx.Err() == nil {
 		if err := f.read(ctx); err != nil {
-			sleep(ctx, retryAfter)
+			pause.For(ctx, retryAfter)
 			continue
 		}
 		checkpointDue = f.maybeCheckpoint(ctx, checkpointDue)
@@ -242,12 +243,3 @@
 		return failure.At(failure.Unavailable, "settle append", f.opts.Stream, ctx.Err())
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/fleet/beliefs.go
+++ b/fleet/beliefs.go
@@ -13,11 +13,10 @@
 
 	mu        sync.Mutex
 	confirmed time.Time
-	changed   chan struct{}
 }
 
 // NewBeliefs returns beliefs without a configuration.
-func NewBeliefs() *Beliefs { return &Beliefs{changed: make(chan struct{})} }
+func NewBeliefs() *Beliefs { return &Beliefs{} }
 
 // Config returns the configuration in force, or nil before the first.
 func (b *Beliefs) Config() *Config { return b.current.Load() }
@@ -45,8 +44,6 @@
 	defer b.mu.Unlock()
 	if held := b.current.Load(); held == nil || c.Version() > held.Version() {
 		b.current.Store(c)
-		close(b.changed)
-		b.changed = make(chan struct{})
 	}
 	if c.Version() >= b.current.Load().Version() {
 		b.confirm(sent)
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -7,6 +7,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
+
+	"quartzshelf.dev/common/pause"
 )
 
 // Timing of a follower.
@@ -118,7 +120,7 @@
 		defer cancel()
 		news, err := f.opts.Source.ReadConfig(ctx)
 		if err == nil && news.Config == nil {
-			sleep(ctx, retryFirst)
+			pause.For(ctx, retryFirst)
 		}
 		return news, err
 	}
@@ -148,7 +150,7 @@
 		}
 		position = news.Next
 		f.opts.Inventory.Apply(news.Changes, position, sent)
-		sleep(ctx, mergePause)
+		pause.For(ctx, mergePause)
 		return nil
 	})
 }
@@ -168,10 +170,10 @@
 // follow reads again and again while this daemon is to read, and pauses longer
 // and longer while reads fail. It logs each loss and return of the source once.
 func (f *Follower) follow(ctx context.Context, what string, confirmed func() time.Time, read func(context.Context) error) {
-	pause, lost := retryFirst, false
+	backoff, lost := retryFirst, false
 	for ctx.Err() == nil {
 		if !f.opts.Reads(confirmed()) {
-			sleep(ctx, idlePause)
+			pause.For(ctx, idlePause)
 			continue
 		}
 		err := read(ctx)
@@ -182,24 +184,14 @@
 			if lost {
 				f.opts.Logger.Info("source regained", "of", what)
 			}
-			pause, lost = retryFirst, false
+			backoff, lost = retryFirst, false
 			continue
 		}
 		if !lost {
 			f.opts.Logger.Warn("source lost", "of", what, "error", err)
 			lost = true
 		}
-		sleep(ctx, pause+rand.N(pause))
-		pause = min(2*pause, retryMost)
-	}
-}
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.For(ctx, backoff+rand.N(backoff))
+		backoff = min(2*backoff, retryMost)
 	}
 }
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -156,8 +156,7 @@
 
 func (k *Keeper) anyBusy(members []*fleet.Worker) bool {
 	return slices.ContainsFunc(members, func(w *fleet.Worker) bool {
-		_, busy := k.busy[w.ID]
-		return busy
+		return k.busy[w.ID]
 	})
 }
 
@@ -166,7 +165,7 @@
 func (k *Keeper) begin(ctx context.Context, key string, members []*fleet.Worker, operation func(context.Context)) {
 	k.operating[key] = true
 	for _, w := range members {
-		k.busy[w.ID] = time.Time{}
+		k.busy[w.ID] = true
 	}
 	k.group.Go(func() {
 		operation(ctx)
@@ -192,9 +191,8 @@
 	}
 	var all []Free
 	for id, w := range view.Workers() {
-		_, busy := k.busy[id]
 		_, silent := k.silent[id]
-		if w.Service != s.Name || w.Draining || busy || silent || held[id] {
+		if w.Service != s.Name || w.Draining || k.busy[id] || silent || held[id] {
 			continue
 		}
 		if _, loading := k.loading[id]; loading {
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -78,9 +78,8 @@
 
 // Keeper forms and mends replicas for one term.
 type Keeper struct {
-	opts  Options
-	term  Term
-	start time.Time
+	opts Options
+	term Term
 	// fresh tells that nothing served when the term began.
 	fresh    bool
 	outdone  func()
@@ -92,11 +91,12 @@
 	sequence int64
 	// known holds what workers told directly, by id.
 	known map[string]observation
-	// busy holds the workers that an operation is about, with until when the
-	// list may still show what was before; zero while the operation runs.
-	busy map[string]time.Time
+	// busy holds the workers that an operation is about.
+	busy map[string]bool
 	// operating holds the groups that an operation is about.
 	operating map[string]bool
+	// examining holds the replicas whose members are being asked.
+	examining map[string]bool
 	// retired holds the groups whose head takes no more requests: by its own
 	// word, which is final, or since it must be gone.
 	retired map[string]retirement
@@ -153,10 +153,10 @@
 // that another leader has a higher term.
 func NewKeeper(opts Options, term Term, outdone func()) *Keeper {
 	k := &Keeper{
-		opts: opts, term: term, start: time.Now(), outdone: outdone,
+		opts: opts, term: term, outdone: outdone,
 		done: make(chan struct{}), suspects: make(chan string, 64),
-		known: make(map[string]observation), busy: make(map[string]time.Time),
-		operating: make(map[string]bool), retired: make(map[string]retirement), heads: make(map[string]string), formed: make(map[string]Group),
+		known: make(map[string]observation), busy: make(map[string]bool),
+		operating: make(map[string]bool), examining: make(map[string]bool), retired: make(map[string]retirement), heads: make(map[string]string), formed: make(map[string]Group),
 		silent: make(map[string]time.Time), former: make(map[string]*fleet.Worker),
 		headless: make(map[string]time.Time), loads: make(map[string]*loads), smooth: make(map[string]float64),
 		loading: make(map[string]load), seen: make(map[string]time.Time),
@@ -205,7 +205,7 @@
 	view := k.opts.Inventory.View()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.refresh(view, now)
+	k.refresh(view)
 	for _, s := range config.Services() {
 		if s.Engine != nil {
 			k.tickService(ctx, s, view, now)
@@ -417,13 +417,8 @@
 	return l
 }
 
-// refresh forgets what the list has overtaken and notes who left it.
-func (k *Keeper) refresh(view *fleet.View, now time.Time) {
-	for id, until := range k.busy {
-		if !until.IsZero() && now.After(until) {
-			delete(k.busy, id)
-		}
-	}
+// refresh notes who is listed and forgets the silence of those who left.
+func (k *Keeper) refresh(view *fleet.View) {
 	for id, w := range view.Workers() {
 		k.former[id] = w
 	}
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/fleet"
 )
 
@@ -102,7 +103,7 @@
 		if k.lost(members, view) {
 			return false
 		}
-		pause(ctx, tickEvery/4)
+		pause.For(ctx, tickEvery/4)
 	}
 	return false
 }
@@ -152,7 +153,7 @@
 		Member: fleet.Membership{Group: g.Name, Epoch: g.Epoch, State: fleet.Open}, Loaded: g.Model, Staged: []string{g.Model},
 	}}
 	k.mu.Unlock()
-	pause(ctx, k.openingTime(service))
+	pause.For(ctx, k.openingTime(service))
 	k.opts.Announced(fleet.Announcement{
 		Group: g.Name, Epoch: g.Epoch, Service: service, Model: g.Model, Members: g.Members, Open: true,
 	})
@@ -203,7 +204,7 @@
 			k.retire(o, head, assumed)
 			return
 		}
-		pause(ctx, tickEvery)
+		pause.For(ctx, tickEvery)
 	}
 }
 
@@ -251,7 +252,7 @@
 		if !there || listed.Member.Same(fleet.Membership{Group: o.group.Name, Epoch: o.group.Epoch}) && listed.Member.State == fleet.Ready {
 			break
 		}
-		pause(ctx, tickEvery)
+		pause.For(ctx, tickEvery)
 	}
 	k.dissolve(ctx, o, o.head)
 }
@@ -294,15 +295,6 @@
 	return state, true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // noteLoad counts a load if the worker has to make one for the model. The
 // keeper's mutex is held.
 func (k *Keeper) noteLoad(w *fleet.Worker, m fleet.Model) {
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -98,9 +98,10 @@
 // their hosts so that they are warm when they are needed. Groups lie within
 // one domain. What needs no load is formed first, the shortest model first;
 // then what needs loads; then more than is wanted, as long as each domain keeps
-// idle workers by which a broken group is mended at once. A model that waits for its loads is not
-// overtaken by a less short one that needs fewer. Domains are kept to one model
-// as far as possible: the survivors of broken groups then make whole ones.
+// idle workers by which a broken group is mended at once. A model that waits
+// for its loads is not overtaken by a less short one that needs fewer. Domains
+// are kept to one model as far as possible: the survivors of broken groups then
+// make whole ones.
 func Plan(in Input) ([]Formation, []Staging) {
 	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, sizes: in.Sizes, maxLoads: in.MaxLoads}
 	for _, f := range in.Free {
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -27,7 +27,7 @@
 		p.Wait()
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		delete(k.operating, "examine "+replica)
+		delete(k.examining, replica)
 	})
 }
 
@@ -36,7 +36,7 @@
 	view := k.opts.Inventory.View()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.operating["examine "+replica] || k.operating[replica] || k.retired[replica] != 0 {
+	if k.examining[replica] || k.operating[replica] || k.retired[replica] != 0 {
 		return nil
 	}
 	var members []*fleet.Worker
@@ -52,7 +52,7 @@
 		members = append(members, w)
 	}
 	if members != nil {
-		k.operating["examine "+replica] = true
+		k.examining[replica] = true
 	}
 	return members
 }
--- a/intent/ledger.go
+++ b/intent/ledger.go
@@ -7,6 +7,7 @@
 
 	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/common/ring"
 	"quartzshelf.dev/eventlog"
 )
@@ -225,7 +226,7 @@
 		case record := <-l.queue.Values():
 			batch := append([]cluster.Record{record}, l.queue.Drain(batchSize-1)...)
 			l.flush(ctx, batch)
-			pause(ctx, l.opts.FlushEvery())
+			pause.For(ctx, l.opts.FlushEvery())
 		case <-ctx.Done():
 			return
 		}
@@ -243,15 +244,6 @@
 		if err == nil {
 			return
 		}
-		pause(ctx, retryAppend)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.For(ctx, retryAppend)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -129,7 +129,7 @@
 // choose returns the replica for the next attempt, or why there is none.
 func (r *Relay) choose(c *request) (*fleet.Replica, *refusal) {
 	now := time.Now()
-	if c.tenant != nil && r.beliefTooOld(now) {
+	if c.tenant != nil && r.BeliefTooOld(now) {
 		return nil, unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
 	}
 	replicas := r.opts.View().Replicas(c.service, c.model)
--- a/relay/request.go
+++ b/relay/request.go
@@ -97,7 +97,7 @@
 	if c.route.Public || !config.NeedsKeys() {
 		return nil
 	}
-	if r.beliefTooOld(time.Now()) {
+	if r.BeliefTooOld(time.Now()) {
 		return unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
 	}
 	tenant, ok := config.Tenant(key)
@@ -108,9 +108,9 @@
 	return nil
 }
 
-// beliefTooOld reports whether keys may have been taken away without this
+// BeliefTooOld reports whether keys may have been taken away without this
 // daemon knowing.
-func (r *Relay) beliefTooOld(now time.Time) bool {
+func (r *Relay) BeliefTooOld(now time.Time) bool {
 	return r.opts.BeliefFor > 0 && now.Sub(r.opts.Confirmed()) > r.opts.BeliefFor
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/fleet"
 )
@@ -70,12 +71,7 @@
 		if none == nil || !s.begun || time.Since(s.movedAt) > resumeWait || c.gaveUp() {
 			return replica, none
 		}
-		timer := time.NewTimer(resumePoll)
-		select {
-		case <-timer.C:
-		case <-c.ctx.Done():
-			timer.Stop()
-		}
+		pause.For(c.ctx, resumePoll)
 	}
 }
 
@@ -166,7 +162,8 @@
 		case errors.Is(err, io.EOF) && len(rest) > 0:
 			return errTornStream
 		case errors.Is(err, io.EOF):
-			return s.begin(e)
+			s.begin(e)
+			return nil
 		case err != nil:
 			return err
 		}
@@ -174,9 +171,9 @@
 }
 
 // begin sends the head of the first worker's answer, once.
-func (s *relayed) begin(e *exchange) error {
+func (s *relayed) begin(e *exchange) {
 	if s.begun {
-		return nil
+		return
 	}
 	header := s.w.Header()
 	for name, values := range forwarded(e.response.Header) {
@@ -184,14 +181,11 @@
 	}
 	s.w.WriteHeader(http.StatusOK)
 	s.begun = true
-	return nil
 }
 
 // pass sends whole events to the caller.
 func (s *relayed) pass(e *exchange, whole []byte) error {
-	if err := s.begin(e); err != nil {
-		return err
-	}
+	s.begin(e)
 	if _, err := s.w.Write(whole); err != nil {
 		s.clientGone = true
 		return err
--- a/serving/beat.go
+++ b/serving/beat.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// changesOf are the messages between daemons about the worker list.
+// changesMessage is what a daemon answers a peer that asks for the worker list.
 type changesMessage struct {
 	Changes  []fleet.Change `json:"changes"`
 	Position int64          `json:"position"`
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/peers"
 )
 
@@ -62,7 +63,7 @@
 		case <-ctx.Done():
 			return
 		case p := <-f.wanted:
-			sleep(ctx, fetchDelay)
+			pause.For(ctx, fetchDelay)
 			f.fetch(ctx, p)
 		}
 	}
--- a/serving/reader.go
+++ b/serving/reader.go
@@ -4,6 +4,8 @@
 	"context"
 	"hash/fnv"
 	"time"
+
+	"quartzshelf.dev/common/pause"
 )
 
 const (
@@ -56,7 +58,7 @@
 func (s *Server) push(ctx context.Context) {
 	position := int64(0)
 	for ctx.Err() == nil {
-		sleep(ctx, pushPause)
+		pause.For(ctx, pushPause)
 		if now := s.inventory.Position(); now != position {
 			position = now
 			if s.isReader() {
--- a/serving/server.go
+++ b/serving/server.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/formation"
 	"quartzshelf.dev/leadership"
@@ -190,12 +191,7 @@
 
 // Ready reports whether callers should come here.
 func (s *Server) Ready() bool {
-	return s.knows() && !s.leaving.Load() && !s.beliefTooOld(time.Now())
-}
-
-func (s *Server) beliefTooOld(now time.Time) bool {
-	bound := s.beliefFor()
-	return bound > 0 && now.Sub(s.beliefs.Confirmed()) > bound
+	return s.knows() && !s.leaving.Load() && !s.relay.BeliefTooOld(time.Now())
 }
 
 // Entries returns the addresses that callers should use: those of daemons that
@@ -228,14 +224,14 @@
 // meet registers this daemon and looks for others, often at first.
 func (s *Server) meet(ctx context.Context) {
 	registered := false
-	for _, pause := range []time.Duration{0, 400 * time.Millisecond, 2 * time.Second} {
-		sleep(ctx, pause)
+	for _, before := range []time.Duration{0, 400 * time.Millisecond, 2 * time.Second} {
+		pause.For(ctx, before)
 		registered = registered || s.register(ctx)
 		s.readRoster(ctx)
 	}
 	const whileAlone = time.Second
 	for ctx.Err() == nil {
-		sleep(ctx, whileAlone)
+		pause.For(ctx, whileAlone)
 		registered = registered || s.register(ctx)
 		if s.metAt.Load() == nil || len(s.agent.Table().Alive(time.Now())) == 0 {
 			s.readRoster(ctx)
@@ -280,12 +276,3 @@
 		s.logger.Warn("metrics not served", "address", s.opts.Metrics, "error", err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
