formation: Let a worker answer the term before it joins

Cause: the simulation of workers broke TWO in about one draw of 1,500 to 3,000: two leaders led at once, the later one's join got no answer, the earlier one formed and opened a group with that worker, and the late join took it away. The worker had not yet seen a fence of the later term.

Ruled out: the expected count of orders, which a report tells some hundred milliseconds late, would refuse the leader's own next order; a trial in a scratch copy showed that a leave of a group that does not exist is answered 200 and raises the fence.

Change: before the first join of a term a worker is given such a leave until it answers. Only that order can then come late. The first term of a fleet needs none.

Test: TestLateJoinsOfALaterLeaderTakeNobodyAway fails without the change.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -106,6 +106,9 @@
 	formed map[string]Group
 	// silent holds the workers that do not answer, with when to ask again.
 	silent map[string]time.Time
+	// claimed holds the workers that have answered an order of this term, and
+	// so refuse those of earlier ones.
+	claimed map[string]bool
 	// former holds workers that left the list.
 	former map[string]*fleet.Worker
 	// headless holds since when groups have had no listed head.
@@ -159,7 +162,7 @@
 		operating: make(map[string]bool), examining: make(map[string]bool), retired: make(map[string]retirement), heads: make(map[string]string), formed: make(map[string]Group),
 		silent: make(map[string]time.Time), former: make(map[string]*fleet.Worker),
 		headless: make(map[string]time.Time), loads: make(map[string]*loads), smooth: make(map[string]float64),
-		loading: make(map[string]load), seen: make(map[string]time.Time),
+		loading: make(map[string]load), seen: make(map[string]time.Time), claimed: make(map[string]bool),
 	}
 	k.fresh = k.isFresh(opts.Inventory.View())
 	return k
--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -280,6 +280,23 @@
 	return n
 }
 
+// TestLateJoinsOfALaterLeaderTakeNobodyAway lets two leaders lead a new fleet at
+// once. Every order of the later one is carried out seconds late, when the
+// earlier one, which does not know of it, has formed and opened its groups.
+func TestLateJoinsOfALaterLeaderTakeNobodyAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		w.lateFrom = 2
+		_, stopLater := term(w, 2)
+		_, stopEarlier := term(w, 1)
+		time.Sleep(20 * time.Second)
+		stopLater()
+		stopEarlier()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
 // TestYoungLeaderMendsWhatIsKnownToBeBroken lets a member die under a leader
 // whose process has not known the list for long.
 func TestYoungLeaderMendsWhatIsKnownToBeBroken(t *testing.T) {
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -68,6 +68,9 @@
 	p := pool.NewWithResults[bool]()
 	for _, w := range members {
 		p.Go(func() bool {
+			if !k.claim(ctx, w) {
+				return false
+			}
 			verdict, ok := k.order(ctx, "join", w, func(ctx context.Context, fence Fence) (Verdict, error) {
 				return k.opts.Orders.Join(ctx, w, fence, g)
 			})
@@ -82,6 +85,36 @@
 	return true
 }
 
+// claim makes certain that a worker takes no more orders of earlier leaders,
+// and reports whether it does. A join that is carried out late could otherwise
+// take a worker out of a group that an earlier leader, which does not know of
+// its successor yet, formed in between. What is late then is only this order,
+// which names no group that there is.
+func (k *Keeper) claim(ctx context.Context, w *fleet.Worker) bool {
+	if k.hasClaimed(w.ID) {
+		return true
+	}
+	nothing := Group{Name: newName("none", k.term.Epoch), Epoch: k.term.Epoch}
+	verdict, ok := k.order(ctx, "claim", w, func(ctx context.Context, fence Fence) (Verdict, error) {
+		return k.opts.Orders.Leave(ctx, w, fence, nothing)
+	})
+	if !ok || !verdict.Accepted() {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.claimed[w.ID] = true
+	return true
+}
+
+// hasClaimed reports whether a worker is known to refuse earlier leaders. There
+// are none in the fleet's first term.
+func (k *Keeper) hasClaimed(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.term.First || k.claimed[id]
+}
+
 // awaitReady waits until every member was seen ready in the group.
 func (k *Keeper) awaitReady(ctx context.Context, g Group, members []*fleet.Worker) bool {
 	seen := make(map[string]bool)
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -40,8 +40,10 @@
 	// wasReady holds, by group key and member, who was ever ready.
 	wasReady map[string]bool
 	// late is the part of the orders that get no answer and are carried out later.
-	late    float64
-	traffic bool
+	late float64
+	// lateFrom is the epoch from which on all orders are late; 0 for none.
+	lateFrom int64
+	traffic  bool
 	// young tells that leaders have not known the list for long.
 	young   bool
 	broken  []string
@@ -133,7 +135,7 @@
 func (w *world) run(ctx context.Context, id string, fence Fence, do func(*simWorker) Verdict) (Verdict, error) {
 	w.mu.Lock()
 	s := w.workers[id]
-	dead, late := s.dead, w.random.Float64() < w.late
+	dead, late := s.dead, w.random.Float64() < w.late || w.lateFrom > 0 && fence >= NewFence(w.lateFrom, 0, 0)
 	delay := time.Duration(2+w.random.IntN(10)) * time.Second
 	w.mu.Unlock()
 	apply := func() Verdict {
