fleet, formation, serving: Keep promises about workers off the list

Now a group's name tells the head's id and address, so that any member leads to it.

The doubt now ends within the bound on leaving, less 300 ms.

Ruled out: remembering heads in the inventory, which a restart of all daemons would lose; asking peers whether they had an outage too, which does not help where all were cut off in turn.

Tests, each seen to fail first: TestHeadThatWasGoneBeforeTheTermKeepsItsMembers, TestHeadThatOnlyOthersReachKeepsItsMembers, TestDoubtEndsWithinTheBoundOnLeaving, TestOrdersByWayOfPeers.

--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -42,8 +42,8 @@
 	view      atomic.Pointer[View]
 	journal   []batch
 	changed   chan struct{}
-	// heartbeat is how often workers write to the list.
-	heartbeat time.Duration
+	// doubtFor is how long an entry that went right after an outage is doubted.
+	doubtFor time.Duration
 	// knownSince is when the first list was taken.
 	knownSince time.Time
 	// outageEnd is when the list was last regained after an outage.
@@ -59,8 +59,10 @@
 	// lapseWindow is how long after an outage entries that go are doubted: they
 	// may have run out because their workers could not write either.
 	lapseWindow = 2500 * time.Millisecond
-	// lapseBeats is how many heartbeats such a worker has to write again.
-	lapseBeats = 3
+	// lapseBeats is how many heartbeats such a worker has to write again, if
+	// the bound on leaving workers allows, less leaveMargin.
+	lapseBeats  = 3
+	leaveMargin = 300 * time.Millisecond
 )
 
 // maxJournal is how many batches of changes are kept for peers.
@@ -74,10 +76,16 @@
 }
 
 // NewInventory returns an inventory without workers, which write to the list
-// at every heartbeat.
-func NewInventory(heartbeat time.Duration) *Inventory {
+// at every heartbeat. A worker that left the list must get no more requests
+// after leaveBound; zero means that there is no such bound. An outage may have
+// been this daemon's alone, so entries are never doubted for longer.
+func NewInventory(heartbeat, leaveBound time.Duration) *Inventory {
+	doubtFor := lapseBeats * heartbeat
+	if leaveBound > 0 {
+		doubtFor = min(doubtFor, max(leaveBound-leaveMargin, 0))
+	}
 	i := &Inventory{
-		heartbeat: heartbeat, lapsed: make(map[string]time.Time),
+		doubtFor: doubtFor, lapsed: make(map[string]time.Time),
 		workers: make(map[string]*Worker), announced: make(map[string]Announcement),
 		changed: make(chan struct{}, 1),
 	}
@@ -280,7 +288,7 @@
 	if i.outageEnd.IsZero() || now.Sub(i.outageEnd) > lapseWindow {
 		return false
 	}
-	i.lapsed[id] = now.Add(lapseBeats * i.heartbeat)
+	i.lapsed[id] = now.Add(i.doubtFor)
 	return true
 }
 
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -45,7 +45,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			i := NewInventory(1200 * time.Millisecond)
+			i := NewInventory(1200*time.Millisecond, 0)
 			var changes []Change
 			for _, w := range test.workers {
 				changes = append(changes, Change{ID: w.ID, Worker: w})
@@ -63,7 +63,7 @@
 // the first one by deltas, by what it lacks, or by the whole list.
 func TestPeersReachTheSameList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		source, follower := NewInventory(1200*time.Millisecond), NewInventory(1200*time.Millisecond)
+		source, follower := NewInventory(1200*time.Millisecond, 0), NewInventory(1200*time.Millisecond, 0)
 		position := int64(0)
 		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 60).Draw(t, "steps")
 		for n, step := range steps {
@@ -194,7 +194,7 @@
 func TestFollowerKeepsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &fakeSource{version: 3}
-		beliefs, inventory := NewBeliefs(), NewInventory(1200*time.Millisecond)
+		beliefs, inventory := NewBeliefs(), NewInventory(1200*time.Millisecond, 0)
 		f := NewFollower(FollowerOptions{
 			Source: source, Beliefs: beliefs, Inventory: inventory,
 			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
@@ -218,10 +218,30 @@
 	})
 }
 
+// TestDoubtEndsWithinTheBoundOnLeaving lets a daemon alone lose the list for a
+// while, and a worker leave right after it is back.
+func TestDoubtEndsWithinTheBoundOnLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const beat, bound = 1200 * time.Millisecond, 2 * time.Second
+		i := NewInventory(beat, bound)
+		i.Apply([]Change{{ID: "a", Worker: head("a", "g", 1, Open)}}, 1, time.Now())
+		time.Sleep(6 * time.Second)
+		i.Confirm(1, time.Now())
+		time.Sleep(100 * time.Millisecond)
+		i.Apply([]Change{{ID: "a"}}, 2, time.Now())
+		left := time.Now()
+		for time.Since(left) < bound-100*time.Millisecond {
+			time.Sleep(100 * time.Millisecond)
+			i.Confirm(2, time.Now())
+		}
+		assert.Equal(t, len(i.View().Replicas("s", "m")), 0, "a worker that left still gets requests")
+	})
+}
+
 func TestEntriesThatLapseInAnOutageAreDoubted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const beat = time.Second
-		i := NewInventory(beat)
+		i := NewInventory(beat, 0)
 		i.Apply([]Change{{ID: "a", Worker: head("a", "g", 1, Open)}, {ID: "b", Worker: head("b", "h", 2, Open)}}, 2, time.Now())
 		time.Sleep(5 * time.Second)
 		i.Apply([]Change{{ID: "a"}, {ID: "b"}}, 4, time.Now())
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 )
 
 // Replica is a group of workers, or a single worker of a service without an
@@ -72,9 +71,6 @@
 	return &Replica{ID: GroupKey(m), Service: w.Service, Model: model, Head: w}
 }
 
-// GroupKey names a group in one epoch.
-func GroupKey(m Membership) string { return m.Group + "@" + strconv.FormatInt(m.Epoch, 10) }
-
 func replicaKey(service, model string) string { return service + "\x00" + model }
 
 // Worker returns the worker with the given id.
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -101,7 +101,7 @@
 	}
 	name := o.group.Model
 	if name == "" {
-		name = modelOf(o.group.Name)
+		name = fleet.ModelOf(o.group.Name)
 	}
 	o.model, o.known = e.Model(name)
 	o.group.Model = name
@@ -138,14 +138,23 @@
 
 // mendHeadless frees the members of a group whose head is not listed: at once
 // when the head confirms, else when it must be gone. A head that is cut off
-// from the list may still serve, so one that was ever seen is asked first.
+// from the list may still serve, so it is asked first. Only a group that an
+// operator made by hand may not tell where its head is; it is left to break.
 func (k *Keeper) mendHeadless(ctx context.Context, o *observed, now time.Time) {
 	since, ok := k.headless[o.key]
 	if !ok {
 		k.headless[o.key] = now
 		since = now
 	}
-	if head, ok := k.former[k.heads[o.key]]; ok {
+	head, seen := k.former[k.heads[o.key]]
+	if !seen && now.Sub(since) < k.settle(now) {
+		// The list may yet show it.
+		return
+	}
+	if !seen {
+		head = headByName(o)
+	}
+	if head != nil {
 		k.begin(ctx, o.key, nil, func(ctx context.Context) { k.dissolve(ctx, o, head) })
 		return
 	}
@@ -154,6 +163,15 @@
 	}
 }
 
+// headByName returns the head that a group's name tells, or nil.
+func headByName(o *observed) *fleet.Worker {
+	id, address, ok := fleet.HeadOf(o.group.Name)
+	if !ok || len(o.members) == 0 {
+		return nil
+	}
+	return &fleet.Worker{ID: id, Address: address, Service: o.members[0].Service, Domain: o.members[0].Domain}
+}
+
 func (k *Keeper) anyBusy(members []*fleet.Worker) bool {
 	return slices.ContainsFunc(members, func(w *fleet.Worker) bool {
 		return k.busy[w.ID]
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -17,6 +17,8 @@
 	// orderTimeout bounds an order, askTimeout a question to a worker.
 	orderTimeout = 200 * time.Millisecond
 	askTimeout   = 200 * time.Millisecond
+	// detourTimeout bounds an order by way of other daemons.
+	detourTimeout = 500 * time.Millisecond
 	// orderTries is how often an order that got no answer is given, each time
 	// with a new fence.
 	orderTries = 6
@@ -52,6 +54,7 @@
 	Config    func() *fleet.Config
 	Inventory *fleet.Inventory
 	Orders    Orders
+	Detour    Detour
 	// Demand returns the measured work of each model in busy slots.
 	Demand func() map[string]float64
 	// ListSince returns since when this process has known the worker list.
@@ -315,7 +318,7 @@
 		if w.Service != s.Name || w.Draining || loading || m.State != fleet.Open && m.State != fleet.Ready {
 			continue
 		}
-		own := modelOf(m.Group)
+		own := fleet.ModelOf(m.Group)
 		if other := largestOther(s.Engine, own); other != "" && !w.HasStaged(other) {
 			all = append(all, Staging{Worker: id, Model: other})
 		}
@@ -369,7 +372,7 @@
 			counts[w.Domain] = make(map[string]int)
 		}
 		for _, m := range s.Engine.Models {
-			if k.freeOf(w).warmth(m.Name) <= Staged || modelOf(k.member(w).Group) == m.Name {
+			if k.freeOf(w).warmth(m.Name) <= Staged || fleet.ModelOf(k.member(w).Group) == m.Name {
 				counts[w.Domain][m.Name]++
 			}
 		}
--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -210,6 +210,73 @@
 	})
 }
 
+// TestHeadThatWasGoneBeforeTheTermKeepsItsMembers lets a leader come after the
+// entry of a head has gone: it never saw the head in the list, yet the head
+// serves on.
+func TestHeadThatWasGoneBeforeTheTermKeepsItsMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		_, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		stop()
+		w.mu.Lock()
+		w.traffic = true
+		head := w.headOf("big")
+		w.mu.Unlock()
+		w.pending.Go(func() { w.readList(25 * time.Second) })
+		time.Sleep(4 * time.Second)
+		w.unlist(head.id)
+		_, stop = term(w, 2)
+		time.Sleep(15 * time.Second)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestHeadThatOnlyOthersReachKeepsItsMembers cuts a head off from the list and
+// from the leader, while other daemons reach it.
+func TestHeadThatOnlyOthersReachKeepsItsMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		_, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		w.pending.Go(func() { w.readList(25 * time.Second) })
+		time.Sleep(4 * time.Second)
+		w.mu.Lock()
+		w.traffic = true
+		head := w.headOf("big")
+		w.cut[head.id] = true
+		w.mu.Unlock()
+		w.unlist(head.id)
+		time.Sleep(15 * time.Second)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// readList confirms the list again and again for a while, as a reader does.
+func (w *world) readList(howLong time.Duration) {
+	const every = 500 * time.Millisecond
+	for range howLong / every {
+		time.Sleep(every)
+		w.mu.Lock()
+		w.inventory.Apply(nil, w.position, time.Now())
+		w.mu.Unlock()
+	}
+}
+
+// headOf returns the head of a group of a model. The mutex is held.
+func (w *world) headOf(model string) *simWorker {
+	for _, s := range w.workers {
+		if s.group.Model == model && s.rank == 0 {
+			return s
+		}
+	}
+	return nil
+}
+
 // unlist takes a worker's entry from the list though it goes on.
 func (w *world) unlist(id string) {
 	w.mu.Lock()
@@ -257,7 +324,7 @@
 
 // serveWith makes two workers an open group. The mutex is held.
 func (w *world) serveWith(head, other string) {
-	g := Group{Name: newName("small", 1), Epoch: 1, Model: "small", Members: []string{head, other}}
+	g := Group{Name: fleet.GroupName("small", 1, nil), Epoch: 1, Model: "small", Members: []string{head, other}}
 	for rank, id := range g.Members {
 		s := w.workers[id]
 		s.group, s.epoch, s.rank, s.state = g, 1, rank, fleet.Ready
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -14,7 +14,8 @@
 func (k *Keeper) beginForm(ctx context.Context, s *fleet.Service, f Formation) {
 	k.sequence++
 	epoch := int64(NewFence(k.term.Epoch, k.term.Rank, k.sequence))
-	g := Group{Name: newName(f.Model.Name, epoch), Epoch: epoch, Model: f.Model.Name, Members: f.Members}
+	head := k.former[f.Members[0]]
+	g := Group{Name: fleet.GroupName(f.Model.Name, epoch, head), Epoch: epoch, Model: f.Model.Name, Members: f.Members}
 	var members []*fleet.Worker
 	for _, id := range f.Members {
 		members = append(members, k.former[id])
@@ -94,7 +95,7 @@
 	if k.hasClaimed(w.ID) {
 		return true
 	}
-	nothing := Group{Name: newName("none", k.term.Epoch), Epoch: k.term.Epoch}
+	nothing := Group{Name: fleet.GroupName("none", k.term.Epoch, nil), Epoch: k.term.Epoch}
 	verdict, ok := k.order(ctx, "claim", w, func(ctx context.Context, fence Fence) (Verdict, error) {
 		return k.opts.Orders.Leave(ctx, w, fence, nothing)
 	})
@@ -220,9 +221,7 @@
 	k.announceClosed(o, head)
 	unreachableSince := time.Time{}
 	for ctx.Err() == nil {
-		verdict, ok := k.order(ctx, "leave", head, func(ctx context.Context, fence Fence) (Verdict, error) {
-			return k.opts.Orders.Leave(ctx, head, fence, o.group)
-		})
+		verdict, ok := k.leave(ctx, o.group, head)
 		now := time.Now()
 		switch {
 		case ok && verdict == Fenced:
@@ -241,6 +240,28 @@
 	}
 }
 
+// leave lets a head leave its group, and reports whether it answered. A head
+// that this daemon does not reach may still serve others, so they try too.
+func (k *Keeper) leave(ctx context.Context, g Group, head *fleet.Worker) (Verdict, bool) {
+	verdict, ok := k.order(ctx, "leave", head, func(ctx context.Context, fence Fence) (Verdict, error) {
+		return k.opts.Orders.Leave(ctx, head, fence, g)
+	})
+	if ok || ctx.Err() != nil {
+		return verdict, ok
+	}
+	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
+	defer cancel()
+	verdict, err := k.opts.Detour.Leave(ctx, head, k.fence(), g)
+	if err != nil {
+		return Unfit, false
+	}
+	k.opts.Logger.Info("order given by way of another daemon", "order", "leave", "worker", head.ID)
+	if verdict == Fenced {
+		k.outdone()
+	}
+	return verdict, true
+}
+
 // gone reports whether a head that does not answer must be gone: it is not
 // listed although the list is fresh, or it had time to break while nobody could
 // read the list.
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"strconv"
-	"strings"
 
 	"quartzshelf.dev/fleet"
 )
@@ -58,24 +56,6 @@
 	Members []string
 }
 
-// newName returns the name of a group. No two groups share an epoch, and so
-// no two share a name. A later leader reads the model from it.
-func newName(model string, epoch int64) string {
-	return model + nameMark + strconv.FormatInt(epoch, 36)
-}
-
-// nameMark separates the model from the epoch in a group's name.
-const nameMark = "-r"
-
-// modelOf returns the model that a group's name tells, or an empty string.
-func modelOf(name string) string {
-	i := strings.LastIndex(name, nameMark)
-	if i < 0 {
-		return ""
-	}
-	return name[:i]
-}
-
 // Key returns the group's name in its epoch.
 func (g Group) Key() string {
 	return fleet.GroupKey(fleet.Membership{Group: g.Name, Epoch: g.Epoch})
@@ -101,3 +81,10 @@
 	// Ask returns the worker's state, which may lag by some hundred milliseconds.
 	Ask(ctx context.Context, w *fleet.Worker) (State, error)
 }
+
+// Detour reaches workers by way of other daemons.
+type Detour interface {
+	// Leave gives the order through any daemon that reaches the worker. An error
+	// says that no answer came by any way.
+	Leave(ctx context.Context, w *fleet.Worker, fence Fence, g Group) (Verdict, error)
+}
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -44,6 +44,8 @@
 	// lateFrom is the epoch from which on all orders are late; 0 for none.
 	lateFrom int64
 	traffic  bool
+	// cut holds the workers that leaders do not reach, though other daemons do.
+	cut map[string]bool
 	// young tells that leaders have not known the list for long.
 	young   bool
 	broken  []string
@@ -71,7 +73,7 @@
 func newWorld(seed uint64, domains, perDomain int) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
-		inventory: fleet.NewInventory(1200 * time.Millisecond), wasReady: make(map[string]bool),
+		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool),
 	}
 	for d := range domains {
 		for i := range perDomain {
@@ -86,7 +88,7 @@
 func (w *world) options() Options {
 	config := simConfig()
 	return Options{
-		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w,
+		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w, Detour: detour{w},
 		Demand:  func() map[string]float64 { return map[string]float64{"big": 5, "small": 5} },
 		Traffic: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.traffic },
 		ListSince: func() time.Time {
@@ -135,7 +137,7 @@
 func (w *world) run(ctx context.Context, id string, fence Fence, do func(*simWorker) Verdict) (Verdict, error) {
 	w.mu.Lock()
 	s := w.workers[id]
-	dead, late := s.dead, w.random.Float64() < w.late || w.lateFrom > 0 && fence >= NewFence(w.lateFrom, 0, 0)
+	dead, late := s.dead || w.cut[id], w.random.Float64() < w.late || w.lateFrom > 0 && fence >= NewFence(w.lateFrom, 0, 0)
 	delay := time.Duration(2+w.random.IntN(10)) * time.Second
 	w.mu.Unlock()
 	apply := func() Verdict {
@@ -231,13 +233,32 @@
 }
 
 func (w *world) Leave(ctx context.Context, worker *fleet.Worker, fence Fence, g Group) (Verdict, error) {
-	return w.run(ctx, worker.ID, fence, func(s *simWorker) Verdict {
-		if s.group.Name == g.Name {
-			s.group, s.state, s.rank = Group{}, "", 0
-			w.list(s)
-		}
-		return Holds
-	})
+	return w.run(ctx, worker.ID, fence, func(s *simWorker) Verdict { return w.leave(s, g) })
+}
+
+// detour reaches the workers that leaders do not.
+type detour struct{ world *world }
+
+func (d detour) Leave(ctx context.Context, worker *fleet.Worker, _ Fence, g Group) (Verdict, error) {
+	w := d.world
+	w.mu.Lock()
+	s := w.workers[worker.ID]
+	if !s.dead {
+		defer w.mu.Unlock()
+		return w.leave(s, g), nil
+	}
+	w.mu.Unlock()
+	<-ctx.Done()
+	return Unfit, errSilent
+}
+
+// leave lets a worker leave a group. The mutex is held.
+func (w *world) leave(s *simWorker, g Group) Verdict {
+	if s.group.Name == g.Name {
+		s.group, s.state, s.rank = Group{}, "", 0
+		w.list(s)
+	}
+	return Holds
 }
 
 func (w *world) Stage(ctx context.Context, worker *fleet.Worker, fence Fence, model string) (Verdict, error) {
@@ -257,7 +278,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.workers[worker.ID]
-	if s.dead {
+	if s.dead || w.cut[worker.ID] {
 		w.mu.Unlock()
 		<-ctx.Done()
 		w.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	meter, err := telemetry.NewMeter()
 	assert.NilError(t, err)
-	r := &testRelay{inventory: fleet.NewInventory(1200 * time.Millisecond), confirmed: time.Now()}
+	r := &testRelay{inventory: fleet.NewInventory(1200*time.Millisecond, 0), confirmed: time.Now()}
 	config := testConfig()
 	r.Relay = New(Options{
 		Names: testNames, Config: func() *fleet.Config { return config },
--- /dev/null
+++ b/serving/detour_test.go
@@ -0,0 +1,79 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/formation"
+	"quartzshelf.dev/peers"
+)
+
+// leaveOrders takes orders to leave; the others are not given here.
+type leaveOrders struct {
+	formation.Orders
+	verdict formation.Verdict
+	err     error
+	taken   chan leaveMessage
+}
+
+func (o *leaveOrders) Leave(_ context.Context, w *fleet.Worker, fence formation.Fence, g formation.Group) (formation.Verdict, error) {
+	o.taken <- leaveMessage{Worker: *w, Fence: fence, Group: g.Name, Epoch: g.Epoch}
+	return o.verdict, o.err
+}
+
+func TestOrdersByWayOfPeers(t *testing.T) {
+	worker := &fleet.Worker{ID: "w", Address: "127.0.0.1:1", Service: "s"}
+	group := formation.Group{Name: "m-r5", Epoch: 5}
+	tests := map[string]struct {
+		orders  *leaveOrders
+		peer    bool
+		want    formation.Verdict
+		failure bool
+	}{
+		"the peer reaches it":         {orders: &leaveOrders{verdict: formation.Holds}, peer: true, want: formation.Holds},
+		"a higher term is known":      {orders: &leaveOrders{verdict: formation.Fenced}, peer: true, want: formation.Fenced},
+		"the peer does not reach it":  {orders: &leaveOrders{err: errors.New("silent")}, peer: true, want: formation.Unfit, failure: true},
+		"there is nobody to go about": {orders: &leaveOrders{}, want: formation.Unfit, failure: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			test.orders.taken = make(chan leaveMessage, 1)
+			leader, peer := newServer(t, &fakeStore{}), newServer(t, &fakeStore{})
+			peer.opts.Orders = test.orders
+			if test.peer {
+				hearPeer(t, leader, servePeer(t, peer))
+			}
+			verdict, err := detour{leader, http.DefaultClient}.Leave(context.Background(), worker, 9, group)
+			assert.Equal(t, verdict, test.want)
+			assert.Equal(t, err != nil, test.failure)
+			if test.peer {
+				assert.DeepEqual(t, <-test.orders.taken, leaveMessage{Worker: *worker, Fence: 9, Group: "m-r5", Epoch: 5})
+			}
+		})
+	}
+}
+
+// servePeer serves what a daemon gives its peers and returns its address.
+func servePeer(t *testing.T, s *Server) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: s.fetcher.handler(), ReadHeaderTimeout: time.Second}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String()
+}
+
+// hearPeer lets a daemon know a peer at an address.
+func hearPeer(t *testing.T, s *Server, address string) {
+	t.Helper()
+	b := peers.Beat{Identity: peers.Identity{ID: "b", Incarnation: 1, Address: address}, Ready: true}
+	assert.Assert(t, s.agent.Table().Hear(b, time.Now(), time.Now()))
+}
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -47,10 +47,7 @@
 
 // run serves peers and fetches from them until ctx ends.
 func (f *fetcher) run(ctx context.Context) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathConfig, f.giveConfig)
-	mux.HandleFunc("GET "+pathWorkers, f.giveWorkers)
-	server := &http.Server{Addr: f.server.opts.Self.Address, Handler: mux, ReadHeaderTimeout: headerWait}
+	server := &http.Server{Addr: f.server.opts.Self.Address, Handler: f.handler(), ReadHeaderTimeout: headerWait}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	go func() {
@@ -69,6 +66,15 @@
 	}
 }
 
+// handler serves what peers ask for.
+func (f *fetcher) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathConfig, f.giveConfig)
+	mux.HandleFunc("GET "+pathWorkers, f.giveWorkers)
+	mux.HandleFunc("POST "+pathLeave, f.server.giveLeave)
+	return mux
+}
+
 // fetch brings what is still missing. What cannot be had now is asked for again
 // after the next beat.
 func (f *fetcher) fetch(ctx context.Context, p *peers.Peer) {
--- a/serving/options.go
+++ b/serving/options.go
@@ -30,6 +30,9 @@
 	// Revoke is the time after which a key that was taken away must not work
 	// anywhere; zero when that is not strict.
 	Revoke time.Duration
+	// Leave is the time after which a worker that left the list must get no
+	// more requests; zero for none.
+	Leave time.Duration
 	// Heartbeat is how often workers write to the list.
 	Heartbeat time.Duration
 	// Stall is how long a replica that lost a member stands still.
--- a/serving/server.go
+++ b/serving/server.go
@@ -85,7 +85,7 @@
 	}
 	s := &Server{
 		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(),
-		inventory: fleet.NewInventory(opts.Bounds.Heartbeat), stalls: make(map[string]timedStall),
+		inventory: fleet.NewInventory(opts.Bounds.Heartbeat, opts.Bounds.Leave), stalls: make(map[string]timedStall),
 		readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
 	}
 	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
