formation: Give an order refused for its fence once more

Cause: a tick ordered a worker to join a group and to stage a model at once; the stage went out first and came second, was refused for its fence, and the leader took itself for replaced.

Ruled out: a late order, since it would be the one that is refused; a second leader, since the schedule has none.

Change: the term ends when a worker refuses twice, the second time a fence that is higher than all others of the term. Workers that are being formed are not staged in the same tick.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -315,7 +315,7 @@
 	for id, w := range view.Workers() {
 		m := k.member(w)
 		_, loading := k.loading[id]
-		if w.Service != s.Name || w.Draining || loading || m.State != fleet.Open && m.State != fleet.Ready {
+		if w.Service != s.Name || w.Draining || loading || k.busy[id] || m.State != fleet.Open && m.State != fleet.Ready {
 			continue
 		}
 		own := fleet.ModelOf(m.Group)
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -256,9 +256,7 @@
 		return Unfit, false
 	}
 	k.opts.Logger.Info("order given by way of another daemon", "order", "leave", "worker", head.ID)
-	if verdict == Fenced {
-		k.outdone()
-	}
+	k.checkTerm("leave", head, verdict)
 	return verdict, true
 }
 
@@ -315,18 +313,20 @@
 // that an earlier one that comes late is void. It reports whether an answer
 // came.
 func (k *Keeper) order(ctx context.Context, what string, w *fleet.Worker, give func(context.Context, Fence) (Verdict, error)) (Verdict, bool) {
+	refused := 0
 	for range orderTries {
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 		verdict, err := give(bounded, k.fence())
 		cancel()
-		if err == nil {
-			if verdict == Fenced {
-				k.opts.Logger.Warn("order refused: another leader has a higher term", "order", what, "worker", w.ID)
-				k.outdone()
-			}
+		switch {
+		case err == nil && verdict == Fenced && refused == 0:
+			// Another order of this term may have overtaken it.
+			refused++
+			continue
+		case err == nil:
+			k.checkTerm(what, w, verdict)
 			return verdict, true
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return Unfit, false
 		}
 		k.opts.Logger.Debug("order not answered", "order", what, "worker", w.ID, "error", err)
@@ -337,6 +337,15 @@
 	return Unfit, false
 }
 
+// checkTerm ends the term if a worker refused an order for its fence.
+func (k *Keeper) checkTerm(what string, w *fleet.Worker, verdict Verdict) {
+	if verdict != Fenced {
+		return
+	}
+	k.opts.Logger.Warn("order refused: another leader has a higher term", "order", what, "worker", w.ID)
+	k.outdone()
+}
+
 // ask asks a worker for its state.
 func (k *Keeper) ask(ctx context.Context, w *fleet.Worker) (State, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
--- /dev/null
+++ b/formation/operate_test.go
@@ -0,0 +1,47 @@
+package formation
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// TestOrdersRefusedForTheirFence tells orders that another one of the same term
+// overtook from those of a leader that was replaced.
+func TestOrdersRefusedForTheirFence(t *testing.T) {
+	tests := map[string]struct {
+		verdicts []Verdict
+		want     Verdict
+		ends     bool
+	}{
+		"taken at once":                    {verdicts: []Verdict{Begun}, want: Begun},
+		"overtaken by another of the term": {verdicts: []Verdict{Fenced, Begun}, want: Begun},
+		"outdone by a later leader":        {verdicts: []Verdict{Fenced, Fenced}, want: Fenced, ends: true},
+		"does not fit":                     {verdicts: []Verdict{Unfit}, want: Unfit},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, 1, 1)
+				ended := false
+				k := NewKeeper(w.options(), Term{Epoch: 1}, func() { ended = true })
+				next := 0
+				last := Fence(0)
+				verdict, ok := k.order(context.Background(), "join", &fleet.Worker{ID: "w0-0"}, func(_ context.Context, f Fence) (Verdict, error) {
+					assert.Assert(t, f > last, "each try has a higher fence")
+					last = f
+					next++
+					return test.verdicts[next-1], nil
+				})
+				assert.Assert(t, ok)
+				assert.Equal(t, verdict, test.want)
+				assert.Equal(t, ended, test.ends)
+				assert.Equal(t, next, len(test.verdicts))
+			})
+		})
+	}
+}
