soak: Play random faults against real daemons

The soak starts daemons as processes, before a stand-in of the platform (platform/standin: store, workers, operator) in its own process, behind links of its own. Faults come from outside in series that overlap: links silent, one way, reset or slow; processes killed, stopped, frozen, the leader among them; a store that is silent, slow, loses answers, turns single daemons away, forgets; workers that crash, fall dark, leave, are cut off, reject, lose answers or carry orders out late; keys taken away, routes added. Callers keep using connections and addresses. What workers and callers see is checked for thirteen promises; a seed gives the same faults again.

Weighed: network namespaces, which need isolation tools; faults inside the daemons, which would not test what runs.

Simulations in virtual time are `make simulate` now.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 BIN := .bin
 MODULES := $(shell sed -n 's|^\t\./||p' go.work)
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
-PROGRAMS := quartzshelfd quartzshelf quartzshelf-standin quartzshelf-load
+PROGRAMS := quartzshelfd quartzshelf quartzshelf-standin quartzshelf-load quartzshelf-platform quartzshelf-soak
+SOAK := $(BIN)/quartzshelf-soak --program $(BIN)/quartzshelf-platform
 
-.PHONY: build test lint tools quickstart fleet faults soak measure bench generate clean
+.PHONY: build test lint tools quickstart fleet faults soak soak-short soak-again simulate measure bench generate clean
 
 build:
 	go build -o $(BIN)/ $(addprefix ./cmd/,$(PROGRAMS))
@@ -38,9 +39,21 @@
 faults: build
 	scripts/faults
 
-# soak draws new seeds and prints them; replay one with
-# SEED=n make soak.
-soak:
+# soak plays random faults against real daemons. It draws seeds and prints them;
+# replay one with SEEDS=n make soak.
+soak: build
+	$(SOAK) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
+
+# soak-short is the part of CI, soak-again plays what failed once.
+soak-short: build
+	$(SOAK) --seeds 1,2 --parallel 2 --duration 5s
+
+soak-again: build
+	$(SOAK) --parallel 4 --seeds $$(sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
+
+# simulate plays schedules in virtual time. It draws new seeds and prints them;
+# replay one with SEED=n make simulate.
+simulate:
 	seed=$${SEED:-$$RANDOM$$RANDOM}; echo "seed $$seed"; \
 	QUARTZSHELF_SOAK=1 go test ./proof ./gateway ./formation ./leadership ./fleet -timeout 60m -count=1 \
 		-run 'Partial|Key|Configuration|Answers|Twice|SameList|Forwards' -rapid.seed=$$seed -rapid.checks=$${CHECKS:-2000}
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/platform/standin"
+)
+
+// answerTo returns an answer with a body, signed by a worker.
+func answerTo(id string, status int, body string) *http.Response {
+	return &http.Response{
+		StatusCode: status, Body: io.NopCloser(strings.NewReader(body)),
+		Header: http.Header{standin.HeaderSignature: {standin.Signature("w", id)}},
+	}
+}
+
+func events(id string, numbers ...int) string {
+	const count = 3
+	var all strings.Builder
+	for _, n := range numbers {
+		all.WriteString(standin.Event(id, n, count))
+	}
+	return all.String()
+}
+
+// TestCallersSeeBrokenPromises gives a caller answers that break promises, and
+// some that do not.
+func TestCallersSeeBrokenPromises(t *testing.T) {
+	whole, stream := standin.Kind(standin.Safe), standin.Stream
+	tests := map[string]struct {
+		kind     standin.Kind
+		later    bool
+		response *http.Response
+		prepare  func(r *run)
+		want     string
+	}{
+		"a whole answer":            {kind: whole, response: answerTo("q", 200, standin.Body("q"))},
+		"another's answer":          {kind: whole, response: answerTo("q", 200, standin.Body("p")), want: "MIXED"},
+		"another's signature":       {kind: whole, response: answerTo("p", 200, standin.Body("q")), want: "MIXED"},
+		"a whole stream":            {kind: stream, response: answerTo("q", 200, events("q", 1, 2, 3))},
+		"a stream that ends early":  {kind: stream, response: answerTo("q", 200, events("q", 1, 2)), want: "ORDER"},
+		"an event twice":            {kind: stream, response: answerTo("q", 200, events("q", 1, 2, 2, 3)), want: "ORDER"},
+		"an event is missing":       {kind: stream, response: answerTo("q", 200, events("q", 1, 3)), want: "ORDER"},
+		"an event of another":       {kind: stream, response: answerTo("q", 200, events("q", 1)+events("p", 2, 3)), want: "ORDER"},
+		"refused and not run":       {kind: whole, response: answerTo("q", 503, "")},
+		"refused and run":           {kind: whole, response: answerTo("q", 503, ""), prepare: func(r *run) { r.ledger.Ran("q", "t", "w") }, want: "REFUSED"},
+		"no route though it is":     {kind: whole, response: answerTo("q", 404, ""), want: "DENIED"},
+		"a route not known yet":     {kind: whole, later: true, response: answerTo("q", 404, "")},
+		"a route no longer known":   {kind: whole, later: true, response: answerTo("q", 404, ""), prepare: knowRoute, want: "CONFIG"},
+		"no key though it is":       {kind: whole, response: answerTo("q", 401, ""), want: "DENIED"},
+		"a key that was taken away": {kind: whole, response: answerTo("q", 401, ""), prepare: func(r *run) { r.callers.revoked("key", time.Now()) }},
+		"a key taken away long ago": {
+			kind: whole, response: answerTo("q", 200, standin.Body("q")), want: "REVOKED",
+			prepare: func(r *run) { r.callers.revoked("key", time.Now().Add(-time.Minute)) },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &run{ledger: standin.NewLedger(), callers: newCallers(), daemons: []*daemon{{life: 1}}}
+			r.ledger.Sent("q", test.kind, "t")
+			if test.prepare != nil {
+				test.prepare(r)
+			}
+			c := &caller{run: r}
+			c.answered(&call{id: "q", kind: test.kind, later: test.later, events: 3, key: "key", daemon: r.daemons[0], life: 1, sentAt: time.Now()}, test.response)
+			r.end()
+			var got []string
+			for _, v := range r.ledger.Violations() {
+				got = append(got, v.Promise)
+			}
+			if test.want == "" {
+				assert.Equal(t, len(got), 0, "%v", r.ledger.Violations())
+				return
+			}
+			assert.Assert(t, slices.Contains(got, test.want), "%v", r.ledger.Violations())
+		})
+	}
+}
+
+func knowRoute(r *run) {
+	r.callers.knowsRoute(r.daemons[0], 1)
+	r.callers.routeKnown[lifeOf(r.daemons[0], 1)] = time.Now().Add(-time.Second)
+}
+
+func TestScheduleIsOfItsSeed(t *testing.T) {
+	first, again := schedule(7, 1, time.Minute), schedule(7, 1, time.Minute)
+	assert.Equal(t, len(first), len(again))
+	for i := range first {
+		assert.Equal(t, first[i], again[i])
+	}
+	drawn := make(map[string]bool)
+	for seed := range uint64(50) {
+		for _, s := range schedule(seed, 0, time.Minute) {
+			drawn[s.kind] = true
+		}
+	}
+	assert.Equal(t, len(drawn), len(faults), "every kind of fault is drawn")
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,387 @@
+// Package soak plays random faults against real daemons, each a process of its
+// own, before a stand-in of the platform in this process, and checks what must
+// always hold from what callers and workers see. The faults come from outside:
+// links of the soak's own that are cut or slowed, signals, and a store and
+// workers that misbehave, in series that overlap. A seed gives the same faults
+// again; how processes meet them differs from run to run.
+package soak
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+
+	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/platform/standin"
+)
+
+// Options configures a soak.
+type Options struct {
+	Seed uint64
+	// Program is the daemon's program, Dir where settings and logs go.
+	Program, Dir string
+	// Host is the part of the loopback addresses before the last number, which
+	// is of this soak alone.
+	Host             string
+	Daemons, Workers int
+	Callers, Series  int
+	// Duration is how long faults strike.
+	Duration time.Duration
+	Logger   hclog.Logger
+}
+
+// Result is what a soak found.
+type Result struct {
+	Seed       uint64
+	Violations []standin.Violation
+	// Totals counts how requests ended.
+	Totals map[string]int
+	// Faults counts the faults that struck.
+	Faults int
+}
+
+// Timing of a soak and its stand-ins.
+var timing = standin.Timing{
+	Heartbeat: 500 * time.Millisecond, Load: 2500 * time.Millisecond, Warm: 400 * time.Millisecond, Hot: 100 * time.Millisecond,
+	Form: 100 * time.Millisecond, Stall: 3 * time.Second, Drain: 2 * time.Second,
+	Event: 15 * time.Millisecond, Work: 10 * time.Millisecond,
+}
+
+var ceiling = standin.Ceiling{PerSecond: 5, Window: 5 * time.Second, Over: 1.1, Extra: 3}
+
+const (
+	slots          = 12
+	domainSize     = 8
+	plainWorkers   = 3
+	grace          = 8 * time.Second
+	startWithin    = 15 * time.Second
+	recoverWithin  = 20 * time.Second
+	recoverWindow  = 3 * time.Second
+	recoveredShare = 0.9
+	// settleFor is how long after a fault daemons may not have learnt yet what
+	// it kept from them.
+	settleFor = 4 * time.Second
+)
+
+// run is one soak.
+type run struct {
+	opts     Options
+	store    *standin.Store
+	ledger   *standin.Ledger
+	fabric   *standin.Fabric
+	operator *standin.Operator
+	callers  *callers
+	models   []standin.Model
+	daemons  []*daemon
+	byFront  map[string]*daemon
+	once     sync.Once
+	stores   []*httptest.Server
+
+	mu      sync.Mutex
+	links   map[string]*proxy
+	started int
+	// striking counts the faults that are under way, calmSince is since when
+	// there has been none.
+	striking  int
+	calmSince time.Time
+	struck    int
+	lastLed   *daemon
+	err       error
+}
+
+// Run plays one soak. An error says that it could not be played.
+func Run(ctx context.Context, opts Options) (Result, error) {
+	r := &run{
+		opts: opts, store: standin.NewStore(), ledger: standin.NewLedger(), callers: newCallers(),
+		models:  []standin.Model{{Name: "big", Size: 4, Share: 0.5}, {Name: "small", Size: 2, Share: 0.5}},
+		byFront: make(map[string]*daemon), links: make(map[string]*proxy), calmSince: time.Now(),
+	}
+	defer r.close()
+	if err := r.prepare(); err != nil {
+		return Result{}, err
+	}
+	background, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group conc.WaitGroup
+	group.Go(func() { r.fabric.Run(background) })
+	err := r.play(ctx, background, &group)
+	cancel()
+	group.Wait()
+	r.end()
+	return Result{Seed: opts.Seed, Violations: r.ledger.Violations(), Totals: r.callers.totals(), Faults: r.struck}, cmp.Or(err, r.err)
+}
+
+// prepare starts the stand-in and the daemons.
+func (r *run) prepare() error {
+	r.fabric = standin.NewFabric(standin.FabricOptions{
+		Store: r.store, Ledger: r.ledger, Timing: timing, Models: r.models, Ceiling: ceiling, Calm: r.calm,
+	})
+	r.operator = standin.NewOperator(standin.OperatorOptions{
+		Store: r.store, Models: r.models, Timing: timing, Ceiling: ceiling, Slots: slots, LoadsAtOnce: 4, Tenants: r.callers.tenants,
+	})
+	r.operator.Publish()
+	for i := range r.opts.Workers {
+		r.check(r.startWorker(standin.WorkerSpec{Service: standin.ModelService, Domain: fmt.Sprintf("domain-%d", i/domainSize), Slots: slots}))
+	}
+	for range plainWorkers {
+		r.check(r.startWorker(standin.WorkerSpec{Service: standin.PlainService, Slots: 2 * slots}))
+	}
+	for i := range r.opts.Daemons {
+		r.check(r.startDaemon(i))
+	}
+	return r.err
+}
+
+// check keeps the first error that kept the soak from being played.
+func (r *run) check(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.err = cmp.Or(r.err, err)
+}
+
+// startWorker starts a worker behind a link of its own.
+func (r *run) startWorker(spec standin.WorkerSpec) error {
+	r.mu.Lock()
+	r.started++
+	spec.ID = fmt.Sprintf("w%d", r.started)
+	spec.Zone = fmt.Sprintf("zone-%d", r.started%2)
+	r.mu.Unlock()
+	var link *proxy
+	var err error
+	_, startErr := r.fabric.StartWorker(r.opts.Host+".1", spec, func(own string) string {
+		if link, err = newProxy(r.opts.Host+".1", own); err != nil {
+			return own
+		}
+		r.mu.Lock()
+		r.links[spec.ID] = link
+		r.mu.Unlock()
+		return link.address()
+	})
+	if cause := cmp.Or(startErr, err); cause != nil {
+		return failure.At(failure.Unavailable, "start worker", spec.ID, cause)
+	}
+	return nil
+}
+
+// linkOf returns the link before a worker.
+func (r *run) linkOf(w *standin.Worker) *proxy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.links[w.ID()]
+}
+
+// replace starts an empty worker in a worker's place.
+func (r *run) replace(w *standin.Worker) {
+	spec := w.Spec()
+	spec.Address = ""
+	r.check(r.startWorker(spec))
+}
+
+// startDaemon starts a daemon with links of its own.
+func (r *run) startDaemon(i int) error {
+	const first = 2
+	ip := fmt.Sprintf("%s.%d", r.opts.Host, first+i)
+	ports, err := freePorts(ip, 4)
+	if err != nil {
+		return err
+	}
+	server := httptest.NewServer(r.store)
+	r.stores = append(r.stores, server)
+	link, err := newProxy(r.opts.Host+".1", server.Listener.Addr().String())
+	if err != nil {
+		return failure.At(failure.Unavailable, "open link to the store", ip, err)
+	}
+	d := &daemon{program: r.opts.Program, store: link, led: r.noteLeader, settings: standin.DaemonSettings{
+		Name: fmt.Sprintf("daemon-%d", i), Zone: fmt.Sprintf("zone-%d", i%2), IP: ip, Store: link.address(),
+		Front: ports[0], Ready: ports[1], Directory: ports[2], Peer: ports[3],
+		Timing: timing, Grace: grace, Revoke: revokeBound, Ceiling: ceiling,
+	}}
+	if d.front, err = newProxy(r.opts.Host+".1", d.frontAddress()); err == nil {
+		d.directory, err = newProxy(r.opts.Host+".1", fmt.Sprintf("%s:%d", ip, ports[2]))
+	}
+	if err != nil {
+		return failure.At(failure.Unavailable, "open links to a daemon", ip, err)
+	}
+	if err := d.prepare(r.opts.Dir); err != nil {
+		return err
+	}
+	r.daemons = append(r.daemons, d)
+	r.byFront[d.frontAddress()] = d
+	return d.start()
+}
+
+// frontAddress returns where the daemon says that callers reach it.
+func (d *daemon) frontAddress() string {
+	return fmt.Sprintf("%s:%d", d.settings.IP, d.settings.Front)
+}
+
+func (r *run) noteLeader(d *daemon) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastLed = d
+}
+
+// leader returns the daemon that led last.
+func (r *run) leader() *daemon {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lastLed == nil {
+		return r.daemons[0]
+	}
+	return r.lastLed
+}
+
+// calm returns since when daemons have had time to learn everything, and
+// false while something may keep them from it.
+func (r *run) calm() (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calmSince.Add(settleFor), r.striking == 0 && time.Since(r.calmSince) > settleFor
+}
+
+// play lets callers call while faults strike, then waits until all is well.
+func (r *run) play(ctx, background context.Context, group *conc.WaitGroup) error {
+	if !r.awaitServing(ctx) {
+		return failure.New(failure.Unavailable, "start", r.opts.Dir, "no replica serves within %s", startWithin)
+	}
+	for i := range r.opts.Callers {
+		c := newCaller(r, i)
+		group.Go(func() { c.loop(background) })
+	}
+	time.Sleep(time.Second)
+	var series conc.WaitGroup
+	for i := range r.opts.Series {
+		series.Go(func() { r.strike(ctx, i) })
+	}
+	series.Wait()
+	if !r.recovered(ctx) {
+		served, all := r.callers.served(time.Now().Add(-recoverWindow))
+		r.ledger.Broken("RECOVER", "%d of %d requests are served %s after the last fault", served, all, recoverWithin)
+	}
+	return ctx.Err()
+}
+
+func (r *run) awaitServing(ctx context.Context) bool {
+	const look = 50 * time.Millisecond
+	for until := time.Now().Add(startWithin); time.Now().Before(until) && ctx.Err() == nil; time.Sleep(look) {
+		if len(r.fabric.Serving()) == len(r.models) {
+			return true
+		}
+	}
+	return false
+}
+
+// strike plays one series of faults.
+func (r *run) strike(ctx context.Context, series int) {
+	for _, s := range schedule(r.opts.Seed, series, r.opts.Duration) {
+		if !sleep(ctx, s.after) {
+			return
+		}
+		r.opts.Logger.Debug("fault", "series", series, "kind", s.kind, "lasts", s.lasts.String())
+		r.mu.Lock()
+		r.striking++
+		r.struck++
+		r.mu.Unlock()
+		mend := faults[s.kind](r, rand.New(rand.NewPCG(s.pick, 0)))
+		sleep(ctx, s.lasts)
+		mend()
+		r.mu.Lock()
+		r.striking--
+		r.calmSince = time.Now()
+		r.mu.Unlock()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// recovered waits until most requests are served again.
+func (r *run) recovered(ctx context.Context) bool {
+	ended := time.Now()
+	for time.Since(ended) < recoverWithin && ctx.Err() == nil {
+		time.Sleep(recoverWindow / 4)
+		if time.Since(ended) < recoverWindow {
+			continue
+		}
+		served, all := r.callers.served(time.Now().Add(-recoverWindow))
+		if all > 0 && float64(served) >= recoveredShare*float64(all) {
+			return true
+		}
+	}
+	return false
+}
+
+// end checks what only shows at the end: that no request ran which somebody
+// was promised would not, and that no daemon ended by itself.
+func (r *run) end() {
+	for _, id := range r.callers.promises {
+		if r.ledger.Runs(id) > 0 {
+			r.ledger.Broken("REFUSED", "%s ran though its caller was told that it would not", id)
+		}
+	}
+	for _, d := range r.daemons {
+		if d.strangeEnds > 0 {
+			r.ledger.Broken("ENDS", "%s ended by itself %d times", d.settings.Name, d.strangeEnds)
+		}
+	}
+}
+
+// close ends all that was started.
+func (r *run) close() {
+	var group conc.WaitGroup
+	for _, d := range r.daemons {
+		group.Go(func() {
+			d.signal(syscall.SIGCONT)
+			d.mu.Lock()
+			d.held = true
+			d.mu.Unlock()
+			if !d.stop() && r.err == nil {
+				r.opts.Logger.Warn("a daemon did not stop in time", "daemon", d.settings.Name)
+			}
+			d.front.close()
+			d.directory.close()
+			d.store.close()
+		})
+	}
+	group.Wait()
+	if r.fabric != nil {
+		for _, service := range []string{standin.ModelService, standin.PlainService} {
+			for _, w := range r.fabric.Workers(service) {
+				w.Crash()
+			}
+		}
+	}
+	for _, link := range r.links {
+		link.close()
+	}
+	for _, server := range r.stores {
+		server.CloseClientConnections()
+		go server.Close()
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+// NewDir makes a directory for the logs of a soak.
+func NewDir(seed uint64) (string, error) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("quartzshelf-soak-%d-", seed))
+	if err != nil {
+		return "", failure.At(failure.Unavailable, "make directory", "soak", err)
+	}
+	return dir, nil
+}
