fleet, leadership: Call the store less often

Added lines showed where they come from: beliefs that the leader confirms by reads of half a second, told by beats five times a second, are up to 1.4 s old at peers, which read for themselves after 1.1 to 1.6 s (332 of 411 reads from 0 to 14.5 s); before the first configuration every daemon asked ten times a second (427); at the start 38 of 61 daemons tried to lead at once, since nobody counted as ready (76).

Ruled out: letting peers read later than 1.6 s, since a leader that is cut off in silence would then keep them from a configuration for longer than the bound.

Change: reads wait 300 ms; the first configuration is waited for; where nobody is ready yet, all that live take turns.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -14,8 +14,12 @@
 // Timing of a follower.
 const (
 	// newsWait is how long a read waits for news. A waiting read confirms only
-	// the time at which it was sent, so this decides how old beliefs get.
-	newsWait = 500 * time.Millisecond
+	// the time at which it was sent, so this decides how old beliefs get: with
+	// two beats on top, those of peers must stay younger than what makes them
+	// read for themselves.
+	newsWait = 300 * time.Millisecond
+	// firstWait is the same for the first configuration, which confirms nothing.
+	firstWait = 2 * time.Second
 	// answerSlack is how much longer than its wait a read may take.
 	answerSlack = 700 * time.Millisecond
 	// readTimeout bounds a read that does not wait.
@@ -115,18 +119,18 @@
 }
 
 func (f *Follower) readConfig(ctx context.Context, position int64) (ConfigNews, error) {
-	if position < 0 || f.opts.Beliefs.Config() == nil {
+	if position < 0 {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		news, err := f.opts.Source.ReadConfig(ctx)
-		if err == nil && news.Config == nil {
-			pause.For(ctx, retryFirst)
-		}
-		return news, err
+		return f.opts.Source.ReadConfig(ctx)
+	}
+	wait := newsWait
+	if f.opts.Beliefs.Config() == nil {
+		wait = firstWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, newsWait+answerSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	return f.opts.Source.NextConfig(ctx, position, newsWait)
+	return f.opts.Source.NextConfig(ctx, position, wait)
 }
 
 func (f *Follower) followWorkers(ctx context.Context) {
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -155,6 +155,9 @@
 	if s.down {
 		return ConfigNews{}, errDown
 	}
+	if s.version == 0 {
+		return ConfigNews{}, nil
+	}
 	return ConfigNews{Config: NewConfig(Parts{Version: s.version}), Next: s.version}, nil
 }
 
@@ -162,6 +165,7 @@
 	s.mu.Lock()
 	down, lost, version := s.down, s.lost, s.version
 	s.lost = false
+	s.calls++
 	s.mu.Unlock()
 	switch {
 	case lost:
@@ -218,6 +222,30 @@
 	})
 }
 
+// TestFollowerWaitsForTheFirstConfiguration starts before the operator has
+// published anything.
+func TestFollowerWaitsForTheFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{}
+		beliefs := NewBeliefs()
+		f := NewFollower(FollowerOptions{
+			Source: source, Beliefs: beliefs, Inventory: NewInventory(1200*time.Millisecond, 0),
+			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		time.Sleep(10 * time.Second)
+		source.set(func() {
+			assert.Assert(t, source.calls <= 10, "%d calls for nothing", source.calls)
+			source.version = 1
+		})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, beliefs.Version(), int64(1))
+		cancel()
+		<-f.Done()
+	})
+}
+
 // TestDoubtEndsWithinTheBoundOnLeaving lets a daemon alone lose the list for a
 // while, and a worker leave right after it is back.
 func TestDoubtEndsWithinTheBoundOnLeaving(t *testing.T) {
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -215,14 +215,23 @@
 
 // turn returns how many daemons are to try before this one: holders of the
 // grant first, in their order, then the others, those that run the longest
-// first, since they know the fleet best.
+// first, since they know the fleet best. Daemons that are not ready count only
+// where no other one is, as at the start of a fleet.
 func (e *Elector) turn(alive []*peers.Peer) int {
-	candidates := []peers.Holder{e.opts.Self}
+	candidates, unready := []peers.Holder{e.opts.Self}, []peers.Holder{}
 	for _, p := range alive {
-		if p.Ready && !p.Leaving {
-			candidates = append(candidates, peers.Holder{ID: p.ID, Incarnation: p.Incarnation})
+		holder := peers.Holder{ID: p.ID, Incarnation: p.Incarnation}
+		switch {
+		case p.Leaving:
+		case p.Ready:
+			candidates = append(candidates, holder)
+		default:
+			unready = append(unready, holder)
 		}
 	}
+	if len(candidates) == 1 {
+		candidates = append(candidates, unready...)
+	}
 	e.order(candidates)
 	return slices.Index(candidates, e.opts.Self)
 }
--- a/leadership/elector_test.go
+++ b/leadership/elector_test.go
@@ -33,6 +33,9 @@
 	daemons []*fakeDaemon
 	// claims holds every claim ever made, with its maker.
 	claims map[peers.Claim]string
+	// unready tells that nobody is ready yet, calls counts those to the registry.
+	unready bool
+	calls   int
 	// twice notes claims that two daemons made.
 	twice []string
 }
@@ -83,10 +86,16 @@
 	return !f.cut[a] && !f.cut[b] && !f.dead[a] && !f.dead[b]
 }
 
+func (f *fakeFleet) isUnready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unready
+}
+
 // beat tells all that can hear it of this daemon, five times a second.
 func (d *fakeDaemon) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		p := &peers.Peer{Beat: peers.Beat{Identity: peers.Identity{ID: d.self.ID, Incarnation: d.self.Incarnation}, Ready: true}, HeardAt: time.Now()}
+		p := &peers.Peer{Beat: peers.Beat{Identity: peers.Identity{ID: d.self.ID, Incarnation: d.self.Incarnation}, Ready: !d.fleet.isUnready()}, HeardAt: time.Now()}
 		p.Leads, p.Highest, p.Grant = d.elector.State()
 		d.fleet.mu.Lock()
 		all := slices.Clone(d.fleet.daemons)
@@ -149,6 +158,7 @@
 	}
 	d.fleet.mu.Lock()
 	defer d.fleet.mu.Unlock()
+	d.fleet.calls++
 	n := len(d.fleet.grants)
 	if n == 0 {
 		return peers.Grant{}, 0, nil
@@ -170,6 +180,23 @@
 	return epoch, true, nil
 }
 
+// TestStartOfAFleetIsCalm starts many daemons at once, before any is ready: not
+// all of them may try to lead.
+func TestStartOfAFleetIsCalm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(0)
+		f.unready = true
+		for i := range 40 {
+			f.start(fmt.Sprintf("d%02d", i), 1)
+		}
+		time.Sleep(5 * time.Second)
+		leaders := len(f.leaders())
+		f.end()
+		assert.Equal(t, leaders, 1)
+		assert.Assert(t, f.calls <= 6, "%d reads of the registry", f.calls)
+	})
+}
+
 // leaders returns the living daemons that lead.
 func (f *fakeFleet) leaders() []string {
 	f.mu.Lock()
