formation: Keep workers for a model that is short

Ruled out: loads that wait (none of the formations was held back), too few workers (17 to 33 idle all along).

Change: nothing is formed beyond what is wanted while a model is short.

--- a/formation/plan.go
+++ b/formation/plan.go
@@ -97,11 +97,12 @@
 // Plan returns the groups to form now, and what idle workers should bring to
 // their hosts so that they are warm when they are needed. Groups lie within
 // one domain. What needs no load is formed first, the shortest model first;
-// then what needs loads; then more than is wanted, as long as each domain keeps
-// idle workers by which a broken group is mended at once. A model that waits
-// for its loads is not overtaken by a less short one that needs fewer. Domains
-// are kept to one model as far as possible: the survivors of broken groups then
-// make whole ones.
+// then what needs loads; then, when no model is short, more than is wanted, as
+// long as each domain keeps idle workers by which a broken group is mended at
+// once. A model that waits for its loads is not overtaken by a less short one
+// that needs fewer, and workers that were given up for a model are not taken
+// back before they make a group of it. Domains are kept to one model as far as
+// possible: the survivors of broken groups then make whole ones.
 func Plan(in Input) ([]Formation, []Staging) {
 	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, sizes: in.Sizes, maxLoads: in.MaxLoads}
 	for _, f := range in.Free {
@@ -113,6 +114,9 @@
 		beyond bool
 	}{{limit: Staged}, {limit: ColdOther}, {limit: Staged, beyond: true}} {
 		p.beyond = step.beyond
+		if p.beyond && slices.ContainsFunc(p.needs, func(n Need) bool { return !n.met() }) {
+			break
+		}
 		for {
 			f, ok := p.next(step.limit)
 			if !ok {
--- a/formation/plan_test.go
+++ b/formation/plan_test.go
@@ -73,6 +73,10 @@
 			},
 			want: [][]string{{"a", "b"}},
 		},
+		"none beyond what is wanted while another model is short": {
+			needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 1, Have: 1}}, sizes: map[string]int{"d": 1},
+			free: []Free{worker("a", "d", "small"), worker("b", "d", "small"), worker("c", "d", "small")},
+		},
 		"no more than is wanted is formed": {
 			needs: []Need{{Model: small, Want: 1.5, Have: 1}}, maxLoads: 9,
 			free: []Free{worker("a", "d", "small"), worker("b", "d", "small"), worker("c", "d", "small"), worker("e", "d", "small")},
