gateway: Refuse completions that no engine could answer

Cause: a chat without messages, with messages of a wrong type or with a negative max_tokens was answered 200 by the stand-in's engines; a wrong method on a known path was 404; the quickstart printed its curl line seconds before a replica served, so that the first try was answered 503.

Tests: TestCompletionsAreChecked, TestWrongMethods; both fail without the change.

--- a/cmd/daemoncmd/run.go
+++ b/cmd/daemoncmd/run.go
@@ -24,8 +24,12 @@
 	exitSettings = 2
 )
 
-// applyTimeout bounds the publication of the first configuration.
-const applyTimeout = 20 * time.Second
+// applyTimeout bounds the publication of the first configuration,
+// replicaTimeout the wait for a replica after it.
+const (
+	applyTimeout   = 20 * time.Second
+	replicaTimeout = time.Minute
+)
 
 type commandLine struct {
 	Settings      string `help:"YAML file of settings." required:"" type:"existingfile" short:"s"`
@@ -73,7 +77,7 @@
 			d.Kill()
 			return exitFailed
 		}
-		greet(stdout, callers, operators)
+		go greetWhenServing(d, stdout, logger)
 	}
 	<-signals
 	go d.Stop()
@@ -96,6 +100,18 @@
 	return err
 }
 
+// greetWhenServing tells what to try once it would be answered.
+func greetWhenServing(d *daemon.Daemon, stdout io.Writer, logger hclog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), replicaTimeout)
+	defer cancel()
+	if err := d.AwaitReplica(ctx); err != nil {
+		logger.Warn("no replica serves yet", "error", err)
+		return
+	}
+	callers, operators := d.Addresses()
+	greet(stdout, callers, operators)
+}
+
 func greet(w io.Writer, callers, operators string) {
 	fmt.Fprintf(w, `Serving callers on %[1]s and operators on %[2]s. Try:
 
--- a/common/reason/reason.go
+++ b/common/reason/reason.go
@@ -13,6 +13,7 @@
 	UnknownService     Reason = "unknown_service"
 	NotFound           Reason = "not_found"
 	BadRequest         Reason = "bad_request"
+	WrongMethod        Reason = "method_not_allowed"
 	BodyTooLarge       Reason = "body_too_large"
 	NoReplica          Reason = "no_replica"
 	Overloaded         Reason = "overloaded"
@@ -47,7 +48,7 @@
 // Refusals returns every reason of a refusal.
 func Refusals() []Reason {
 	return []Reason{
-		Unauthorized, UnknownModel, UnknownService, NotFound, BadRequest, BodyTooLarge,
+		Unauthorized, UnknownModel, UnknownService, NotFound, BadRequest, WrongMethod, BodyTooLarge,
 		NoReplica, Overloaded, AccountLimit, FairShare, Starting, Stopping, Isolated,
 		IntentLog, KeyMismatch, KeyInvalid, KeyExpired, KeyPending, KeyHolderGone, RetryBudget,
 		EndpointRefused, EndpointUnreached, EndpointBroken, EndpointTimeout, EndpointCrossed,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -364,6 +364,23 @@
 	return nil
 }
 
+// AwaitReplica waits until some replica serves.
+func (d *Daemon) AwaitReplica(ctx context.Context) error {
+	const look = 100 * time.Millisecond
+	for {
+		for _, r := range d.replicaRows(time.Now()) {
+			if r.State == replicaServing {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return failure.At(failure.Unavailable, "wait for a replica", d.settings.Name, ctx.Err())
+		case <-time.After(look):
+		}
+	}
+}
+
 // publish appends a change set and returns what the fold decided.
 func (d *Daemon) publish(ctx context.Context, id string, set config.ChangeSet) (config.Verdict, error) {
 	data, err := set.Encode()
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -17,21 +17,28 @@
 // that the caller already has.
 const resumeField = "resume"
 
-// complete serves chat and text completions.
-func (g *Gateway) complete(c *fiber.Ctx) error {
+// completeChat serves chat completions, completeText text completions.
+func (g *Gateway) completeChat(c *fiber.Ctx) error { return g.complete(c, true) }
+
+func (g *Gateway) completeText(c *fiber.Ctx) error { return g.complete(c, false) }
+
+func (g *Gateway) complete(c *fiber.Ctx, chat bool) error {
 	r, bad := g.newRequest(c)
 	if bad != nil {
 		return g.refuse(c, bad)
 	}
 	c.Set(headerRequest, r.id)
-	var parsed completionRequest
-	if err := json.Unmarshal(r.body, &parsed); err != nil {
-		return g.refuse(c, refuse(reason.BadRequest, "the body is not valid JSON: %v", err))
+	parsed, bad := parseCompletion(r.body)
+	if bad != nil {
+		return g.refuse(c, bad)
 	}
 	deployment, ok := g.opts.Config().Deployment(parsed.Model)
 	if !ok || !deployment.Allows(r.account) {
 		return g.refuse(c, refuse(reason.UnknownModel, "the model %q does not exist or is not open to this account", parsed.Model))
 	}
+	if bad := parsed.check(chat); bad != nil {
+		return g.refuse(c, bad)
+	}
 	r.repeatable = r.key == "" && r.header.Get(headerRepeatable) != valueNo
 	if bad := g.admit(r, deployment); bad != nil {
 		return g.refuse(c, bad)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -134,10 +135,16 @@
 		}
 		return c.Next()
 	})
-	app.Post("/v1/chat/completions", g.complete)
-	app.Post("/v1/completions", g.complete)
+	app.Post("/v1/chat/completions", g.completeChat)
+	app.Post("/v1/completions", g.completeText)
 	app.Get("/v1/models", g.models)
 	app.Get("/v1/entries", g.entries)
+	for path, method := range map[string]string{
+		"/v1/chat/completions": http.MethodPost, "/v1/completions": http.MethodPost,
+		"/v1/models": http.MethodGet, "/v1/entries": http.MethodGet,
+	} {
+		app.All(path, func(c *fiber.Ctx) error { return g.wrongMethod(c, method) })
+	}
 	app.All("/services/:name", g.callService)
 	app.All("/services/:name/*", g.callService)
 	app.Use(func(c *fiber.Ctx) error {
@@ -146,6 +153,12 @@
 	return app
 }
 
+// wrongMethod refuses a request that has another method than its path takes.
+func (g *Gateway) wrongMethod(c *fiber.Ctx, method string) error {
+	c.Set(fiber.HeaderAllow, method)
+	return g.refuse(c, refuse(reason.WrongMethod, "%s takes %s, not %s", c.Path(), method, c.Method()))
+}
+
 // handleError answers errors of the HTTP library.
 func (g *Gateway) handleError(c *fiber.Ctx, err error) error {
 	var f *fiber.Error
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -449,6 +449,72 @@
 }
 
 // TestBadRequests checks the answers to input that is wrong.
+// TestCompletionsAreChecked sends completions that no engine could answer.
+func TestCompletionsAreChecked(t *testing.T) {
+	tests := map[string]struct {
+		chat bool
+		body string
+		want string
+	}{
+		"a chat":                    {chat: true, body: `{"model":"m","messages":[{"role":"user","content":"hello"}]}`},
+		"a chat of parts":           {chat: true, body: `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"hello"}]}]}`},
+		"a call of tools":           {chat: true, body: `{"model":"m","messages":[{"role":"assistant","content":null,"tool_calls":[]}]}`},
+		"a call without content":    {chat: true, body: `{"model":"m","messages":[{"role":"assistant","tool_calls":[]}]}`},
+		"a text":                    {body: `{"model":"m","prompt":"hello","max_tokens":1}`},
+		"texts":                     {body: `{"model":"m","prompt":["hello","you"]}`},
+		"no JSON":                   {chat: true, body: `{"model":`, want: "not valid"},
+		"no model":                  {chat: true, body: `{"messages":[{"role":"user","content":"x"}]}`, want: "model is missing"},
+		"no messages":               {chat: true, body: `{"model":"m"}`, want: "messages is missing"},
+		"null for messages":         {chat: true, body: `{"model":"m","messages":null}`, want: "messages is empty"},
+		"messages of a wrong type":  {chat: true, body: `{"model":"m","messages":"hello"}`, want: "not a list"},
+		"a message of a wrong type": {chat: true, body: `{"model":"m","messages":["hello"]}`, want: "not a list"},
+		"an empty list":             {chat: true, body: `{"model":"m","messages":[]}`, want: "messages is empty"},
+		"no role":                   {chat: true, body: `{"model":"m","messages":[{"content":"x"}]}`, want: "has no role"},
+		"a number for content":      {chat: true, body: `{"model":"m","messages":[{"role":"user","content":5}]}`, want: "content is neither"},
+		"no content":                {chat: true, body: `{"model":"m","messages":[{"role":"user"}]}`, want: "content is neither"},
+		"no tokens wanted":          {chat: true, body: `{"model":"m","max_tokens":0,"messages":[{"role":"user","content":"x"}]}`, want: "max_tokens is 0"},
+		"fewer than none wanted":    {body: `{"model":"m","prompt":"x","max_tokens":-3}`, want: "max_tokens is -3"},
+		"the same by its new name":  {body: `{"model":"m","prompt":"x","max_completion_tokens":-3}`, want: "max_completion_tokens is -3"},
+		"a text for tokens":         {body: `{"model":"m","prompt":"x","max_tokens":"many"}`, want: "not valid"},
+		"no prompt":                 {body: `{"model":"m"}`, want: "prompt is neither"},
+		"a number for a prompt":     {body: `{"model":"m","prompt":5}`, want: "prompt is neither"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, bad := parseCompletion([]byte(test.body))
+			if bad == nil {
+				bad = r.check(test.chat)
+			}
+			if test.want == "" {
+				assert.Assert(t, bad == nil, "%v", bad)
+				return
+			}
+			assert.Assert(t, bad != nil)
+			assert.Equal(t, bad.status(), http.StatusBadRequest)
+			assert.Equal(t, bad.ran, reason.RanNo)
+			assert.ErrorContains(t, bad, test.want)
+		})
+	}
+}
+
+func TestWrongMethods(t *testing.T) {
+	h := newHarness(t)
+	for path, allowed := range map[string]string{
+		"/v1/chat/completions": http.MethodPost, "/v1/completions": http.MethodPost,
+		"/v1/models": http.MethodGet, "/v1/entries": http.MethodGet,
+	} {
+		t.Run(path, func(t *testing.T) {
+			request, err := http.NewRequest(http.MethodDelete, "http://"+h.address+path, nil)
+			assert.NilError(t, err)
+			response, err := http.DefaultClient.Do(request)
+			assert.NilError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			assert.Equal(t, response.StatusCode, http.StatusMethodNotAllowed)
+			assert.Equal(t, response.Header.Get("Allow"), allowed)
+		})
+	}
+}
+
 func TestBadRequests(t *testing.T) {
 	h := newHarness(t)
 	cases := map[string]struct {
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -60,6 +60,7 @@
 	reason.UnknownService:     http.StatusNotFound,
 	reason.NotFound:           http.StatusNotFound,
 	reason.BadRequest:         http.StatusBadRequest,
+	reason.WrongMethod:        http.StatusMethodNotAllowed,
 	reason.BodyTooLarge:       http.StatusRequestEntityTooLarge,
 	reason.AccountLimit:       http.StatusTooManyRequests,
 	reason.FairShare:          http.StatusTooManyRequests,
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
@@ -58,22 +57,6 @@
 	return f
 }
 
-// completionRequest is the part of a completion request that is read here.
-type completionRequest struct {
-	Model    string          `json:"model"`
-	Stream   bool            `json:"stream"`
-	Prompt   json.RawMessage `json:"prompt"`
-	Messages json.RawMessage `json:"messages"`
-}
-
-// prompt returns the text by which shared prefixes are found.
-func (r completionRequest) prompt() string {
-	if len(r.Messages) > 0 {
-		return string(r.Messages)
-	}
-	return string(r.Prompt)
-}
-
 // newRequest copies a caller's request and checks who sent it.
 func (g *Gateway) newRequest(c *fiber.Ctx) (*request, *refusal) {
 	g.opts.Meter.Request()
