--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 
 	"quartzshelf.dev/common/reason"
 )
@@ -91,7 +92,7 @@
 
 // startsWith reports whether valid JSON begins with one of some characters,
 // which tell its type.
-func startsWith(raw json.RawMessage, any string) bool {
+func startsWith(raw json.RawMessage, characters string) bool {
 	trimmed := bytes.TrimSpace(raw)
-	return len(trimmed) > 0 && bytes.IndexByte([]byte(any), trimmed[0]) >= 0
+	return len(trimmed) > 0 && strings.IndexByte(characters, trimmed[0]) >= 0
 }
