leadership: Let larger machines lead

Change: daemons tell their machine's capacity; deputies and candidates are ordered by it, then by how long they run.

--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -52,7 +52,7 @@
 
 // Options configures an Elector.
 type Options struct {
-	Self     peers.Holder
+	Self     peers.Identity
 	Registry Registry
 	// Alive returns the daemons that are alive, this one left out.
 	Alive func(now time.Time) []*peers.Peer
@@ -213,41 +213,58 @@
 	})
 }
 
-// turn returns how many daemons are to try before this one: holders of the
-// grant first, in their order, then the others, those that run the longest
-// first, since they know the fleet best. Daemons that are not ready count only
-// where no other one is, as at the start of a fleet.
+// candidate is a daemon that may lead.
+type candidate struct {
+	peers.Holder
+	capacity int
+}
+
+func candidateOf(id peers.Identity) candidate {
+	return candidate{Holder: peers.Holder{ID: id.ID, Incarnation: id.Incarnation}, capacity: id.Capacity}
+}
+
+// turn returns how many daemons are to try before this one. Daemons that are
+// not ready count only where no other one is, as at the start of a fleet.
 func (e *Elector) turn(alive []*peers.Peer) int {
-	candidates, unready := []peers.Holder{e.opts.Self}, []peers.Holder{}
+	self := candidateOf(e.opts.Self)
+	candidates, unready := []candidate{self}, []candidate{}
 	for _, p := range alive {
-		holder := peers.Holder{ID: p.ID, Incarnation: p.Incarnation}
 		switch {
 		case p.Leaving:
 		case p.Ready:
-			candidates = append(candidates, holder)
+			candidates = append(candidates, candidateOf(p.Identity))
 		default:
-			unready = append(unready, holder)
+			unready = append(unready, candidateOf(p.Identity))
 		}
 	}
 	if len(candidates) == 1 {
 		candidates = append(candidates, unready...)
 	}
 	e.order(candidates)
-	return slices.Index(candidates, e.opts.Self)
+	return slices.Index(candidates, self)
 }
 
-func (e *Elector) order(candidates []peers.Holder) {
-	place := func(h peers.Holder) int {
-		if i := slices.Index(e.grant.Holders, h); i >= 0 {
+// order puts the holders of the grant first, in their order, then the others:
+// those on larger machines first, since a leader tells the whole fleet of every
+// change, and among equals those that run the longest, since they know the
+// fleet best.
+func (e *Elector) order(candidates []candidate) {
+	place := func(c candidate) int {
+		if i := slices.Index(e.grant.Holders, c.Holder); i >= 0 {
 			return i
 		}
 		return len(e.grant.Holders)
 	}
-	slices.SortFunc(candidates, func(a, b peers.Holder) int {
-		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.ID, b.ID))
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(place(a), place(b)), compareFitness(a, b))
 	})
 }
 
+// compareFitness orders candidates that no grant names.
+func compareFitness(a, b candidate) int {
+	return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.ID, b.ID))
+}
+
 // attempt tries to win a term: by a new grant, or by rank when the store
 // cannot be reached.
 func (e *Elector) attempt(ctx context.Context) {
@@ -281,7 +298,7 @@
 		e.grant = newest
 	}
 	holders := e.holders()
-	unused := len(newest.Holders) > 0 && newest.Holders[0] == e.opts.Self && e.highest.Epoch < newest.Epoch
+	unused := len(newest.Holders) > 0 && newest.Holders[0] == e.self() && e.highest.Epoch < newest.Epoch
 	e.mu.Unlock()
 	if unused {
 		// An earlier addition was made though its answer was lost.
@@ -338,7 +355,7 @@
 		e.grant = newest
 	}
 	e.mu.Unlock()
-	if outdone && (len(newest.Holders) == 0 || newest.Holders[0] != e.opts.Self) {
+	if outdone && (len(newest.Holders) == 0 || newest.Holders[0] != e.self()) {
 		e.Yield("another daemon holds a newer grant")
 		return
 	}
@@ -352,24 +369,32 @@
 	e.grant = peers.Grant{Epoch: epoch, Holders: holders}
 }
 
-// holders returns the holders that a new grant names: this daemon, then others
-// that are alive and stay.
+// holders returns the holders that a new grant names: this daemon, then the
+// fittest of the others that are alive and stay.
 func (e *Elector) holders() []peers.Holder {
-	holders := []peers.Holder{e.opts.Self}
+	var others []candidate
 	for _, p := range e.opts.Alive(time.Now()) {
-		if !p.Leaving && len(holders) <= deputies {
-			holders = append(holders, peers.Holder{ID: p.ID, Incarnation: p.Incarnation})
+		if !p.Leaving {
+			others = append(others, candidateOf(p.Identity))
 		}
 	}
+	slices.SortFunc(others, compareFitness)
+	holders := []peers.Holder{e.self()}
+	for _, c := range others[:min(len(others), deputies)] {
+		holders = append(holders, c.Holder)
+	}
 	return holders
 }
 
+// self returns this life of this daemon.
+func (e *Elector) self() peers.Holder { return candidateOf(e.opts.Self).Holder }
+
 // nextRank returns the next claim under the known grant that is this daemon's
 // to make. Holders take turns, so ranks are never used twice.
 func (e *Elector) nextRank() (peers.Claim, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	mine := slices.Index(e.grant.Holders, e.opts.Self)
+	mine := slices.Index(e.grant.Holders, e.self())
 	if mine < 0 || e.highest.Epoch > e.grant.Epoch {
 		return peers.Claim{}, false
 	}
--- a/leadership/elector_test.go
+++ b/leadership/elector_test.go
@@ -36,6 +36,8 @@
 	// unready tells that nobody is ready yet, calls counts those to the registry.
 	unready bool
 	calls   int
+	// capacity holds the daemons' capacities.
+	capacity map[string]int
 	// twice notes claims that two daemons made.
 	twice []string
 }
@@ -59,7 +61,7 @@
 func (f *fakeFleet) start(id string, incarnation int64) {
 	d := &fakeDaemon{fleet: f, self: peers.Holder{ID: id, Incarnation: incarnation}, heard: make(map[string]*peers.Peer)}
 	d.elector = NewElector(Options{
-		Self: d.self, Registry: d, Alive: d.alive, Known: d.known,
+		Self: d.identity(), Registry: d, Alive: d.alive, Known: d.known,
 		Patience: func() time.Duration { return 800 * time.Millisecond },
 		Settled:  func(time.Time) bool { return true }, Fit: func() bool { return true },
 		StoreSeen: d.storeSeen, Lead: d.lead, Logger: hclog.NewNullLogger(),
@@ -86,6 +88,10 @@
 	return !f.cut[a] && !f.cut[b] && !f.dead[a] && !f.dead[b]
 }
 
+func (d *fakeDaemon) identity() peers.Identity {
+	return peers.Identity{ID: d.self.ID, Incarnation: d.self.Incarnation, Capacity: d.fleet.capacity[d.self.ID]}
+}
+
 func (f *fakeFleet) isUnready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,7 +101,7 @@
 // beat tells all that can hear it of this daemon, five times a second.
 func (d *fakeDaemon) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		p := &peers.Peer{Beat: peers.Beat{Identity: peers.Identity{ID: d.self.ID, Incarnation: d.self.Incarnation}, Ready: !d.fleet.isUnready()}, HeardAt: time.Now()}
+		p := &peers.Peer{Beat: peers.Beat{Identity: d.identity(), Ready: !d.fleet.isUnready()}, HeardAt: time.Now()}
 		p.Leads, p.Highest, p.Grant = d.elector.State()
 		d.fleet.mu.Lock()
 		all := slices.Clone(d.fleet.daemons)
@@ -197,6 +203,26 @@
 	})
 }
 
+// TestLargerMachinesLead kills one leader after the other: those on the larger
+// machines lead first.
+func TestLargerMachinesLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(0)
+		f.capacity = map[string]int{"d3": 800, "d5": 400}
+		for i := range 7 {
+			f.start(fmt.Sprintf("d%d", i), 1)
+		}
+		var led []string
+		for range 2 {
+			time.Sleep(3 * time.Second)
+			led = append(led, f.leaders()...)
+			f.kill(led[len(led)-1])
+		}
+		f.end()
+		assert.DeepEqual(t, led, []string{"d3", "d5"})
+	})
+}
+
 // leaders returns the living daemons that lead.
 func (f *fakeFleet) leaders() []string {
 	f.mu.Lock()
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -56,6 +56,9 @@
 	Address string `json:"peer"`
 	// Front is where callers reach it.
 	Front string `json:"front"`
+	// Capacity is how much the daemon's machine can do, in thousandths of a
+	// processor core; 0 if it is not known.
+	Capacity int `json:"cap,omitempty"`
 }
 
 // Beat is what a daemon tells its peers. Ages count at the time of sending, in
--- a/serving/server.go
+++ b/serving/server.go
@@ -108,7 +108,7 @@
 func (s *Server) newElector() *leadership.Elector {
 	table := s.agent.Table()
 	return leadership.NewElector(leadership.Options{
-		Self:     peers.Holder{ID: s.opts.Self.ID, Incarnation: s.opts.Self.Incarnation},
+		Self:     s.opts.Self,
 		Registry: s.opts.Registry,
 		Alive:    table.Alive, Known: table.Known, Settled: table.Settled, Patience: table.Patience,
 		Fit:       s.fit,
