soak, formation: Find more broken promises, and count loads from the first request

Cause: builds of the daemon with one mechanism taken out passed the soak for TWO, REVOKED, DRAIN, CEILING and LOST. Keys were seldom taken away while no daemon could read; nothing was ever calm enough for the drain's check; the ceiling was too wide.

Change of the soak: a fault that takes a key away unseen and lasts; only faults that blind daemons suspend the drain's check; after the last fault workers and a daemon leave in peace; answers that come twice; a ceiling of one load a second.

Test: TestLoadsBeforeTheFirstRequestMayCount.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -233,9 +233,7 @@
 	})
 	counted := k.traffic()
 	for _, f := range formations {
-		if counted {
-			budget.take(f.Loads)
-		}
+		budget.take(f.Loads, counted, now)
 		k.beginForm(ctx, s, f)
 	}
 	if len(formations) == 0 && counted {
@@ -246,9 +244,7 @@
 	}
 	for _, stage := range stagings {
 		model, _ := s.Engine.Model(stage.Model)
-		if counted {
-			budget.take(1)
-		}
+		budget.take(1, counted, now)
 		k.beginStage(ctx, k.former[stage.Worker], model)
 	}
 	k.revive(ctx, view, now)
--- a/formation/loads.go
+++ b/formation/loads.go
@@ -7,6 +7,9 @@
 	ceilingSlack = 3
 	// ceilingSpare keeps the loads of a window a little under the bound.
 	ceilingSpare = 0.5
+	// noticeWithin is how long after the first request to the fleet a leader
+	// knows of it. Loads that begin in between count, though it thought not.
+	noticeWithin = time.Second
 )
 
 // Ceiling bounds the loads that may begin in any window of time.
@@ -25,6 +28,8 @@
 	burst     float64
 	tokens    float64
 	filledAt  time.Time
+	// free holds when loads began that did not count as far as was known.
+	free []time.Time
 }
 
 // limit sets the bounds for a service whose loads may begin at the given rate;
@@ -43,12 +48,26 @@
 	}
 }
 
-// available returns how many loads may begin now.
+// available returns how many loads may begin now that they count.
 func (l *loads) available(now time.Time) int {
+	for _, at := range l.free {
+		if now.Sub(at) < noticeWithin {
+			l.tokens--
+		}
+	}
+	l.free = nil
 	l.tokens = min(l.burst, l.tokens+now.Sub(l.filledAt).Seconds()*l.perSecond)
 	l.filledAt = now
 	return int(l.tokens)
 }
 
-// take notes that loads begin.
-func (l *loads) take(n int) { l.tokens -= float64(n) }
+// take notes that loads begin, and whether they count as far as is known.
+func (l *loads) take(n int, counted bool, now time.Time) {
+	if counted {
+		l.tokens -= float64(n)
+		return
+	}
+	for range n {
+		l.free = append(l.free, now)
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -12,39 +12,53 @@
 	"quartzshelf.dev/platform/standin"
 )
 
-// fault strikes the system until the returned function mends it.
-type fault func(r *run, random *rand.Rand) (mend func())
+// strike harms the system until the returned function mends it.
+type strike func(r *run, random *rand.Rand) (mend func())
+
+// fault is one kind of fault.
+type fault struct {
+	strike strike
+	// blinds tells that it may keep daemons from learning what the store knows.
+	blinds bool
+	// least is the least time that it lasts.
+	least time.Duration
+}
+
+// longAway is long enough for keys that were taken away to be void everywhere.
+const longAway = revokeBound + 3*time.Second
 
 // faults holds all kinds of faults by name.
 var faults = map[string]fault{
-	"daemon-kill":          func(r *run, random *rand.Rand) func() { return r.killDaemons(random, 1) },
-	"daemon-kill-many":     func(r *run, random *rand.Rand) func() { return r.killDaemons(random, len(r.daemons)) },
-	"daemon-freeze":        func(r *run, random *rand.Rand) func() { return r.freeze(r.anyDaemon(random)) },
-	"leader-kill":          func(r *run, _ *rand.Rand) func() { r.leader().kill(false); return nothing },
-	"leader-freeze":        func(r *run, _ *rand.Rand) func() { return r.freeze(r.leader()) },
-	"daemon-stop":          (*run).stopDaemon,
-	"store-silent":         storeFault(standin.Faults{Silent: true}),
-	"store-busy":           storeFault(standin.Faults{Status: http.StatusServiceUnavailable}),
-	"store-reset":          storeFault(standin.Faults{Reset: true}),
-	"store-slow":           storeFault(standin.Faults{Slow: 250 * time.Millisecond}),
-	"store-loses":          storeFault(standin.Faults{Lose: 0.4, LoseLate: 0.2}),
-	"store-lapse":          (*run).lapse,
-	"store-forgets":        (*run).forget,
-	"store-turns-away":     func(r *run, random *rand.Rand) func() { return r.harm(r.anyDaemon(random).store, random) },
-	"store-turns-leader":   func(r *run, random *rand.Rand) func() { return r.harm(r.leader().store, random) },
-	"worker-crash":         (*run).crashWorkers,
-	"worker-dark":          (*run).darkenWorkers,
-	"worker-cut":           (*run).cutWorkers,
-	"worker-leaves":        (*run).drainWorker,
-	"worker-link":          (*run).harmWorkers,
-	"workers-slow":         workerFault(standin.WorkerFaults{Slow: 6}),
-	"workers-reject":       workerFault(standin.WorkerFaults{Reject: 0.4}),
-	"workers-lose-answers": workerFault(standin.WorkerFaults{Lose: 0.2, Cut: 0.2}),
-	"orders-late":          workerFault(standin.WorkerFaults{Late: 0.5}),
-	"front-link":           func(r *run, random *rand.Rand) func() { return r.harm(r.anyDaemon(random).front, random) },
-	"operator-change":      func(r *run, _ *rand.Rand) func() { r.operator.Publish(); return nothing },
-	"operator-adds-route":  (*run).addRoute,
-	"operator-revokes":     (*run).revoke,
+	"daemon-kill":          {blinds: true, strike: func(r *run, random *rand.Rand) func() { return r.killDaemons(random, 1) }},
+	"daemon-kill-many":     {blinds: true, strike: func(r *run, random *rand.Rand) func() { return r.killDaemons(random, len(r.daemons)) }},
+	"daemon-freeze":        {blinds: true, strike: func(r *run, random *rand.Rand) func() { return r.freeze(r.anyDaemon(random)) }},
+	"leader-kill":          {blinds: true, strike: func(r *run, _ *rand.Rand) func() { r.leader().kill(false); return nothing }},
+	"leader-freeze":        {blinds: true, strike: func(r *run, _ *rand.Rand) func() { return r.freeze(r.leader()) }},
+	"daemon-stop":          {strike: (*run).stopDaemon},
+	"store-silent":         {blinds: true, strike: storeFault(standin.Faults{Silent: true})},
+	"store-busy":           {blinds: true, strike: storeFault(standin.Faults{Status: http.StatusServiceUnavailable})},
+	"store-reset":          {blinds: true, strike: storeFault(standin.Faults{Reset: true})},
+	"store-slow":           {blinds: true, strike: storeFault(standin.Faults{Slow: 250 * time.Millisecond})},
+	"store-loses":          {blinds: true, strike: storeFault(standin.Faults{Lose: 0.4, LoseLate: 0.2})},
+	"store-lapse":          {blinds: true, strike: (*run).lapse},
+	"store-revokes":        {blinds: true, strike: (*run).revokeUnseen, least: longAway},
+	"store-forgets":        {strike: (*run).forget},
+	"store-turns-away":     {blinds: true, strike: func(r *run, random *rand.Rand) func() { return r.harm(r.anyDaemon(random).store, random) }},
+	"store-turns-leader":   {blinds: true, strike: func(r *run, random *rand.Rand) func() { return r.harm(r.leader().store, random) }},
+	"worker-crash":         {strike: (*run).crashWorkers},
+	"worker-dark":          {strike: (*run).darkenWorkers},
+	"worker-cut":           {strike: (*run).cutWorkers},
+	"worker-leaves":        {strike: (*run).drainWorker},
+	"worker-link":          {strike: (*run).harmWorkers},
+	"workers-slow":         {strike: workerFault(standin.WorkerFaults{Slow: 6})},
+	"workers-reject":       {strike: workerFault(standin.WorkerFaults{Reject: 0.4})},
+	"workers-lose-answers": {strike: workerFault(standin.WorkerFaults{Lose: 0.2, Cut: 0.2})},
+	"workers-add-answers":  {strike: workerFault(standin.WorkerFaults{Surplus: 0.3})},
+	"orders-late":          {strike: workerFault(standin.WorkerFaults{Late: 0.5})},
+	"front-link":           {strike: func(r *run, random *rand.Rand) func() { return r.harm(r.anyDaemon(random).front, random) }},
+	"operator-change":      {strike: func(r *run, _ *rand.Rand) func() { r.operator.Publish(); return nothing }},
+	"operator-adds-route":  {strike: (*run).addRoute},
+	"operator-revokes":     {strike: (*run).revoke},
 }
 
 func faultNames() []string { return slices.Sorted(maps.Keys(faults)) }
@@ -97,7 +111,7 @@
 }
 
 // storeFault returns a fault of the whole store.
-func storeFault(f standin.Faults) fault {
+func storeFault(f standin.Faults) strike {
 	return func(r *run, _ *rand.Rand) func() {
 		r.store.SetFaults(f)
 		return func() { r.store.SetFaults(standin.Faults{}) }
@@ -111,6 +125,13 @@
 	return func() { r.store.SetFaults(standin.Faults{}) }
 }
 
+// revokeUnseen takes a key away while no daemon reaches the store.
+func (r *run) revokeUnseen(random *rand.Rand) func() {
+	r.store.SetFaults(standin.Faults{Silent: true})
+	r.revoke(random)
+	return func() { r.store.SetFaults(standin.Faults{}) }
+}
+
 func (r *run) forget(*rand.Rand) func() {
 	r.store.Forget(standin.TopicWorkers)
 	r.store.Forget(standin.TopicOperator)
@@ -125,7 +146,7 @@
 }
 
 // workerFault returns a fault of all workers.
-func workerFault(f standin.WorkerFaults) fault {
+func workerFault(f standin.WorkerFaults) strike {
 	return func(r *run, _ *rand.Rand) func() {
 		r.fabric.SetFaults(f)
 		return func() { r.fabric.SetFaults(standin.WorkerFaults{}) }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -57,7 +57,7 @@
 	Event: 15 * time.Millisecond, Work: 10 * time.Millisecond,
 }
 
-var ceiling = standin.Ceiling{PerSecond: 5, Window: 5 * time.Second, Over: 1.1, Extra: 3}
+var ceiling = standin.Ceiling{PerSecond: 1, Window: 5 * time.Second, Over: 1.1, Extra: 3}
 
 const (
 	slots          = 12
@@ -68,9 +68,9 @@
 	recoverWithin  = 20 * time.Second
 	recoverWindow  = 3 * time.Second
 	recoveredShare = 0.9
-	// settleFor is how long after a fault daemons may not have learnt yet what
-	// it kept from them.
-	settleFor = 4 * time.Second
+	// settleFor is how long after a fault that kept daemons from learning they
+	// may not know yet what they missed.
+	settleFor = 3 * time.Second
 )
 
 // run is one soak.
@@ -90,9 +90,9 @@
 	mu      sync.Mutex
 	links   map[string]*proxy
 	started int
-	// striking counts the faults that are under way, calmSince is since when
-	// there has been none.
-	striking  int
+	// blinding counts the faults under way that may keep daemons from learning,
+	// calmSince is since when there has been none.
+	blinding  int
 	calmSince time.Time
 	struck    int
 	lastLed   *daemon
@@ -246,7 +246,7 @@
 func (r *run) calm() (time.Time, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.calmSince.Add(settleFor), r.striking == 0 && time.Since(r.calmSince) > settleFor
+	return r.calmSince.Add(settleFor), r.blinding == 0 && time.Since(r.calmSince) > settleFor
 }
 
 // play lets callers call while faults strike, then waits until all is well.
@@ -254,6 +254,9 @@
 	if !r.awaitServing(ctx) {
 		return failure.New(failure.Unavailable, "start", r.opts.Dir, "no replica serves within %s", startWithin)
 	}
+	// Loads do not count before the first request, and no leader can know of it
+	// in the same moment; on the platform requests come seconds after the start.
+	sleep(ctx, settleFor)
 	for i := range r.opts.Callers {
 		c := newCaller(r, i)
 		group.Go(func() { c.loop(background) })
@@ -268,6 +271,7 @@
 		served, all := r.callers.served(time.Now().Add(-recoverWindow))
 		r.ledger.Broken("RECOVER", "%d of %d requests are served %s after the last fault", served, all, recoverWithin)
 	}
+	r.leaveInPeace(ctx)
 	return ctx.Err()
 }
 
@@ -288,20 +292,48 @@
 			return
 		}
 		r.opts.Logger.Debug("fault", "series", series, "kind", s.kind, "lasts", s.lasts.String())
-		r.mu.Lock()
-		r.striking++
-		r.struck++
-		r.mu.Unlock()
-		mend := faults[s.kind](r, rand.New(rand.NewPCG(s.pick, 0)))
-		sleep(ctx, s.lasts)
+		r.begins(s.kind)
+		mend := faults[s.kind].strike(r, rand.New(rand.NewPCG(s.pick, 0)))
+		sleep(ctx, max(s.lasts, faults[s.kind].least))
 		mend()
-		r.mu.Lock()
-		r.striking--
+		r.ended(s.kind)
+	}
+}
+
+// begins and ended keep count of the faults under way.
+func (r *run) begins(kind string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.struck++
+	if faults[kind].blinds {
+		r.blinding++
+	}
+}
+
+func (r *run) ended(kind string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if faults[kind].blinds {
+		r.blinding--
 		r.calmSince = time.Now()
-		r.mu.Unlock()
 	}
 }
 
+// leaveInPeace lets workers and a daemon leave as planned while nothing else is
+// wrong: those promises bind only then.
+func (r *run) leaveInPeace(ctx context.Context) {
+	sleep(ctx, settleFor)
+	random := rand.New(rand.NewPCG(r.opts.Seed, 0))
+	for _, service := range []string{standin.PlainService, standin.ModelService} {
+		if all := r.fabric.Workers(service); len(all) > 0 {
+			r.replace(all[0])
+			all[0].Drain()
+		}
+	}
+	r.stopDaemon(random)()
+	sleep(ctx, timing.Drain)
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
