--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -278,3 +278,16 @@
 		lastID(whole)
 	})
 }
+
+// TestFirstTokensAreMeasured lets a stream break and go on: its first token is
+// measured once. One of the two calls meets the worker that breaks off.
+func TestFirstTokensAreMeasured(t *testing.T) {
+	r, server := newTestRelay(t, newFakeWorker(t, "w1", cuts), newFakeWorker(t, "w2"))
+	for _, id := range []string{"a", "b"} {
+		got := do(t, server, "/stream/", id, nil)
+		assert.Equal(t, got.body, wholeStream())
+	}
+	shown := httptest.NewRecorder()
+	r.opts.Meter.Handler().ServeHTTP(shown, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	assert.Assert(t, strings.Contains(shown.Body.String(), "quartzshelf_first_token_seconds_count 2\n"), shown.Body.String())
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -109,6 +109,9 @@
 		return r.streamFailure(c, s, e, replica)
 	}
 	moved := func(now time.Time) {
+		if !s.begun {
+			r.opts.Meter.FirstToken(c.arrived)
+		}
 		hold.Started()
 		r.opts.Tracker.Moved(replica, track, now)
 	}
