serving: Stop taking connections before waiting for them

Ruled out: connections that wait in the kernel, which end with a reset, not with an end of stream; kept connections, which the soak leaves out.

The soak leaves out connections that were idle before their first request too, and takes keys away only when reads that waited have ended.

--- a/serving/server.go
+++ b/serving/server.go
@@ -180,7 +180,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		s.stop(server)
+		s.stop(server, front)
 	case err = <-stopped:
 		err = failure.At(failure.Unavailable, "serve callers", front.Addr().String(), err)
 	}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -148,7 +148,7 @@
 	c.run.ledger.Sent(r.id, r.kind, tenant)
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { r.reused.Store(i.Reused) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { r.reused.Store(i.Reused || i.WasIdle) }})
 	response, err := c.client.Do(c.request(ctx, r))
 	if err != nil {
 		c.noAnswer(r, err)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -127,7 +127,10 @@
 
 // revokeUnseen takes a key away while no daemon reaches the store.
 func (r *run) revokeUnseen(random *rand.Rand) func() {
+	// Reads that wait already are still answered.
+	const waitingReads = 500 * time.Millisecond
 	r.store.SetFaults(standin.Faults{Silent: true})
+	time.Sleep(waitingReads)
 	r.revoke(random)
 	return func() { r.store.SetFaults(standin.Faults{}) }
 }
