formation, peers: Keep order when numbers run out or clocks go back

Change: a term without further fences ends, and its last fence is repeated until it does; a life that has been silent for 2 s may be followed by a lower incarnation.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -435,7 +435,18 @@
 func (k *Keeper) fence() Fence {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.sequence++
+	return k.next()
+}
+
+// next returns the fence of the next order while the mutex is held. A term that
+// has no more of them ends, since a fence must never be lower than an earlier
+// one; the orders on their way repeat the last.
+func (k *Keeper) next() Fence {
+	if k.sequence == maxSequence {
+		go k.outdone()
+	} else {
+		k.sequence++
+	}
 	return NewFence(k.term.Epoch, k.term.Rank, k.sequence)
 }
 
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -12,8 +12,7 @@
 
 // beginForm begins the forming of a group. The keeper's mutex is held.
 func (k *Keeper) beginForm(ctx context.Context, s *fleet.Service, f Formation) {
-	k.sequence++
-	epoch := int64(NewFence(k.term.Epoch, k.term.Rank, k.sequence))
+	epoch := int64(k.next())
 	head := k.former[f.Members[0]]
 	g := Group{Name: fleet.GroupName(f.Model.Name, epoch, head), Epoch: epoch, Model: f.Model.Name, Members: f.Members}
 	var members []*fleet.Worker
--- a/formation/operate_test.go
+++ b/formation/operate_test.go
@@ -45,3 +45,21 @@
 		})
 	}
 }
+
+// TestFencesNeverFall uses up the fences of a term: it ends, and none is lower
+// than an earlier one.
+func TestFencesNeverFall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 1)
+		ended := make(chan struct{}, 10)
+		k := NewKeeper(w.options(), Term{Epoch: 1}, func() { ended <- struct{}{} })
+		k.sequence = maxSequence - 2
+		last := Fence(0)
+		for range 5 {
+			f := k.fence()
+			assert.Assert(t, f >= last, "%d after %d", f, last)
+			last = f
+		}
+		<-ended
+	})
+}
--- a/peers/table.go
+++ b/peers/table.go
@@ -13,6 +13,10 @@
 	// aliveTurn is added for each further turn.
 	aliveFor  = 800 * time.Millisecond
 	aliveTurn = 2 * beatEvery
+	// lifeAfter is how long a life must have been silent for one with a lower
+	// incarnation to follow it: the clock that incarnations come from may have
+	// been set back before a restart.
+	lifeAfter = 2 * time.Second
 	// forgetAfter is how long a silent daemon is still sent beats, so that it
 	// finds back after a partition.
 	forgetAfter = 90 * time.Second
@@ -63,7 +67,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held, ok := t.peers[b.ID]
-	if ok && held.Incarnation > b.Incarnation {
+	if ok && held.Incarnation > b.Incarnation && now.Sub(held.HeardAt) < lifeAfter {
 		return false
 	}
 	if ok && held.Incarnation == b.Incarnation && held.SentAfter.After(sentAfter) {
--- /dev/null
+++ b/peers/table_test.go
@@ -0,0 +1,37 @@
+package peers
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestLivesFollowOneAnother restarts a daemon, also after its clock was set
+// back, and lets old beats come late.
+func TestLivesFollowOneAnother(t *testing.T) {
+	beat := func(incarnation int64) Beat {
+		return Beat{Identity: Identity{ID: "b", Incarnation: incarnation, Address: "b:1"}}
+	}
+	tests := map[string]struct {
+		silence time.Duration
+		next    int64
+		heard   bool
+	}{
+		"a later life":                              {next: 11, heard: true},
+		"a late beat of an earlier life":            {next: 9},
+		"the same life":                             {next: 10, heard: true},
+		"a life begun after the clock was set back": {silence: lifeAfter, next: 9, heard: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := NewTable(Identity{ID: "a", Address: "a:1"})
+				assert.Assert(t, table.Hear(beat(10), time.Now(), time.Now()))
+				time.Sleep(test.silence)
+				assert.Equal(t, table.Hear(beat(test.next), time.Now(), time.Now()), test.heard)
+			})
+		})
+	}
+}
