formation: Ask a claimed worker whether it is still free

A later leader planned a group with an idle worker; before its claim was answered, the earlier leader, which did not know of it, took the worker into a group and opened that; the claim then held and the join took the worker away.

Ruled out: late joins (the join came after its claim), a head that was not asked.

Change: after its claim a worker is asked what it is in. No earlier leader can take it from then on.

--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -364,6 +364,26 @@
 	})
 }
 
+// TestWorkerThatAnEarlierLeaderTookIsLeftAlone lets a leader form a group with a
+// worker that, unseen by it, an earlier leader has just taken into an open one.
+func TestWorkerThatAnEarlierLeaderTookIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 4)
+		view := w.inventory.View()
+		w.mu.Lock()
+		w.serveWith("w0-0", "w0-1")
+		w.mu.Unlock()
+		k := NewKeeper(w.options(), Term{Epoch: 2}, func() {})
+		taken, _ := view.Worker("w0-1")
+		free, _ := view.Worker("w0-2")
+		members := []*fleet.Worker{taken, free}
+		g := Group{Name: "small-r2", Epoch: int64(NewFence(2, 0, 1)), Model: "small", Members: []string{taken.ID, free.ID}}
+		assert.Assert(t, !k.join(context.Background(), g, members))
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
 // TestYoungLeaderMendsWhatIsKnownToBeBroken lets a member die under a leader
 // whose process has not known the list for long.
 func TestYoungLeaderMendsWhatIsKnownToBeBroken(t *testing.T) {
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -86,10 +86,11 @@
 }
 
 // claim makes certain that a worker takes no more orders of earlier leaders,
-// and reports whether it does. A join that is carried out late could otherwise
-// take a worker out of a group that an earlier leader, which does not know of
-// its successor yet, formed in between. What is late then is only this order,
-// which names no group that there is.
+// and reports whether it does and is still free. A join that is carried out late
+// could otherwise take a worker out of a group that an earlier leader, which
+// does not know of its successor yet, formed in between. What is late then is
+// only this order, which names no group that there is. An earlier leader may
+// have taken the worker up to this moment, so it is asked afterwards.
 func (k *Keeper) claim(ctx context.Context, w *fleet.Worker) bool {
 	if k.hasClaimed(w.ID) {
 		return true
@@ -101,10 +102,15 @@
 	if !ok || !verdict.Accepted() {
 		return false
 	}
+	state, ok := k.ask(ctx, w)
+	if !ok {
+		return false
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.claimed[w.ID] = true
-	return true
+	m := state.Member
+	return m.Group == "" || k.retired[fleet.GroupKey(m)] != 0
 }
 
 // hasClaimed reports whether a worker is known to refuse earlier leaders. There
