--- a/soak/caller.go
+++ b/soak/caller.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -87,40 +86,20 @@
 	return c.at
 }
 
-type entriesMessage struct {
-	Addresses []string `json:"addresses"`
-	TTL       float64  `json:"ttl_s"`
-}
-
 // ask asks the daemons which addresses to use, in some order, until one tells.
 func (c *caller) ask(ctx context.Context) {
 	for _, i := range c.random.Perm(len(c.run.daemons)) {
-		m, err := c.resolve(ctx, c.run.daemons[i])
-		if err == nil && len(m.Addresses) > 0 {
-			c.known = m.Addresses
-			c.knownTo = time.Now().Add(time.Duration(m.TTL * float64(time.Second)))
+		d := c.run.daemons[i]
+		asking, cancel := context.WithTimeout(ctx, askTimeout)
+		addresses, keep, err := standin.Resolve(asking, d.directory.address(), d.settings.Zone)
+		cancel()
+		if err == nil && len(addresses) > 0 {
+			c.known, c.knownTo = addresses, time.Now().Add(keep)
 			return
 		}
 	}
 }
 
-func (c *caller) resolve(ctx context.Context, d *daemon) (entriesMessage, error) {
-	var m entriesMessage
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	url := "http://" + d.directory.address() + "/api/resolve?name=" + standin.Host + "&region=region&zone=" + d.settings.Zone
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return m, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return m, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	return m, json.NewDecoder(response.Body).Decode(&m)
-}
-
 // call is one request and what is known when it is sent.
 type call struct {
 	id     string
