--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// formed lets a first leader form a fleet and end, then lets requests come, and
+// returns a head of a big group.
+func formed(w *world) *simWorker {
+	_, stop := term(w, 1)
+	time.Sleep(8 * time.Second)
+	stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.traffic = true
+	return w.headOf("big")
+}
+
 func TestFleetIsFormedBeforeTheFirstRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 2, 10)
@@ -45,13 +57,7 @@
 		time.Sleep(8 * time.Second)
 		w.mu.Lock()
 		w.traffic = true
-		head := ""
-		for _, s := range w.workers {
-			if s.group.Model == "big" && s.rank == 0 {
-				head = s.id
-			}
-		}
-		g := w.workers[head].group
+		g := w.headOf("big").group
 		w.mu.Unlock()
 		w.kill(g.Members[2])
 		k.Suspect(g.Key())
@@ -188,13 +194,7 @@
 		time.Sleep(time.Second)
 		w.mu.Lock()
 		w.traffic = true
-		var head *simWorker
-		for _, s := range w.workers {
-			if s.group.Model == "big" && s.rank == 0 {
-				head = s
-			}
-		}
-		g := head.group
+		g := w.headOf("big").group
 		w.mu.Unlock()
 		for _, id := range g.Members {
 			w.unlist(id)
@@ -216,17 +216,11 @@
 func TestHeadThatWasGoneBeforeTheTermKeepsItsMembers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 2, 10)
-		_, stop := term(w, 1)
-		time.Sleep(8 * time.Second)
-		stop()
-		w.mu.Lock()
-		w.traffic = true
-		head := w.headOf("big")
-		w.mu.Unlock()
+		head := formed(w)
 		w.pending.Go(func() { w.readList(25 * time.Second) })
 		time.Sleep(4 * time.Second)
 		w.unlist(head.id)
-		_, stop = term(w, 2)
+		_, stop := term(w, 2)
 		time.Sleep(15 * time.Second)
 		stop()
 		w.pending.Wait()
@@ -389,18 +383,8 @@
 func TestYoungLeaderMendsWhatIsKnownToBeBroken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 2, 10)
-		_, stop := term(w, 1)
-		time.Sleep(8 * time.Second)
-		stop()
-		w.mu.Lock()
-		w.traffic, w.young = true, true
-		var g Group
-		for _, s := range w.workers {
-			if s.group.Model == "big" && s.rank == 0 {
-				g = s.group
-			}
-		}
-		w.mu.Unlock()
+		g := formed(w).group
+		w.young = true
 		k, stop := term(w, 2)
 		time.Sleep(200 * time.Millisecond)
 		w.kill(g.Members[2])
