soak: Name keys and tenants in one place

The forms of their names stood in three places, and a change of one would have let callers draw keys that nobody holds.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -36,12 +36,16 @@
 	routeKnown map[string]time.Time
 }
 
+func tenantName(number int) string { return fmt.Sprintf("tenant-%d", number) }
+
+func keyName(tenant, number int) string { return fmt.Sprintf("key-%d-%d", tenant, number) }
+
 func newCallers() *callers {
 	c := &callers{tenants: make(map[string][]string), taken: make(map[string]time.Time), routeKnown: make(map[string]time.Time)}
 	for t := range tenantCount {
-		name := fmt.Sprintf("tenant-%d", t)
+		name := tenantName(t)
 		for k := range keysPerTenant {
-			c.tenants[name] = append(c.tenants[name], fmt.Sprintf("key-%d-%d", t, k))
+			c.tenants[name] = append(c.tenants[name], keyName(t, k))
 		}
 	}
 	return c
@@ -50,7 +54,7 @@
 // key draws a key and returns its tenant. Keys that were taken away are drawn
 // too.
 func (c *callers) key(random *rand.Rand) (key, tenant string) {
-	tenant = fmt.Sprintf("tenant-%d", random.IntN(tenantCount))
+	tenant = tenantName(random.IntN(tenantCount))
 	return c.tenants[tenant][random.IntN(keysPerTenant)], tenant
 }
 
@@ -59,7 +63,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for t := range tenantCount {
-		key := fmt.Sprintf("key-%d-0", t)
+		key := keyName(t, 0)
 		if _, gone := c.taken[key]; !gone {
 			// From here on a refusal is right; the bound runs from revoked.
 			c.taken[key] = time.Time{}
