fleet: Remember the model of a worker that left its group

Cause: a worker in no group tells no model, though it takes up the model of its last group in 0.2 s. Ruled out: the worker's report after leaving; it tells no model either, and where a group of four joined out of such survivors it opened after 0.54 to 0.61 s, so nothing was loaded.

Which model the platform means by the last group of a worker that left before it was ready is not said; only a model that the worker once told is remembered.

--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -133,7 +133,7 @@
 	i.workers = make(map[string]*Worker, len(all))
 	for _, c := range all {
 		if c.Worker != nil {
-			i.workers[c.ID] = c.Worker
+			i.workers[c.ID] = c.Worker.following(held[c.ID])
 			delete(i.lapsed, c.ID)
 		}
 	}
@@ -167,7 +167,7 @@
 			continue
 		}
 		delete(i.lapsed, c.ID)
-		i.workers[c.ID] = c.Worker
+		i.workers[c.ID] = c.Worker.following(i.workers[c.ID])
 	}
 	i.advance(position, sent)
 	if i.endLapses() || len(changes) > 0 {
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -59,6 +59,42 @@
 	}
 }
 
+// TestModelIsRememberedAfterLeaving: a worker that left its group tells no
+// model, though it can take up the one it served without loading it again.
+func TestModelIsRememberedAfterLeaving(t *testing.T) {
+	member, left := head("h", "g", 5, Open), head("h", "", 0, "")
+	left.Loaded = ""
+	restarted := head("other life", "", 0, "")
+	restarted.Loaded = ""
+	list := func(workers ...*Worker) []Change {
+		var changes []Change
+		for _, w := range workers {
+			changes = append(changes, Change{ID: w.ID, Worker: w})
+		}
+		return changes
+	}
+	tests := map[string]func(i *Inventory){
+		"by a change":     func(i *Inventory) { i.Apply(list(left, restarted), 2, time.Now()) },
+		"by a whole list": func(i *Inventory) { i.Replace(list(left, restarted), 2, time.Now()) },
+		"by a peer's delta": func(i *Inventory) {
+			i.Follow(Delta{From: 1, To: 2, Changes: list(left, restarted)}, time.Now())
+		},
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			i := NewInventory(1200*time.Millisecond, 0)
+			i.Apply(list(member), 1, time.Now())
+			leave(i)
+			w, ok := i.View().Worker("h")
+			assert.Assert(t, ok)
+			assert.Equal(t, w.Loaded, "m")
+			assert.Equal(t, left.Loaded, "", "the entry itself was changed")
+			w, _ = i.View().Worker("other life")
+			assert.Equal(t, w.Loaded, "")
+		})
+	}
+}
+
 // TestPeersReachTheSameList draws changes and lets a second inventory follow
 // the first one by deltas, by what it lacks, or by the whole list.
 func TestPeersReachTheSameList(t *testing.T) {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -42,7 +42,8 @@
 	Domain   string `json:"domain,omitempty"`
 	Slots    int    `json:"slots"`
 	Draining bool   `json:"draining,omitempty"`
-	// Loaded is the model that the worker is set up for, empty for none.
+	// Loaded is the model of the worker's last group in this life, empty for
+	// none: it joins another group of that model without loading anything.
 	Loaded string `json:"loaded,omitempty"`
 	// Staged lists the models on the worker's host.
 	Staged []string   `json:"staged,omitempty"`
@@ -58,3 +59,15 @@
 	}
 	return false
 }
+
+// following returns the worker's newest entry with what only an earlier one
+// tells. A worker that has left its group tells no model, but still holds the
+// one it served.
+func (w *Worker) following(earlier *Worker) *Worker {
+	if w.Loaded != "" || earlier == nil || earlier.Loaded == "" {
+		return w
+	}
+	merged := *w
+	merged.Loaded = earlier.Loaded
+	return &merged
+}
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -229,7 +229,7 @@
 
 // loaded returns the model that a worker was set up for last.
 func (k *Keeper) loaded(w *fleet.Worker) string {
-	if o, ok := k.known[w.ID]; ok && o.at.After(k.opts.Inventory.Confirmed()) {
+	if o, ok := k.known[w.ID]; ok && o.state.Loaded != "" && o.at.After(k.opts.Inventory.Confirmed()) {
 		return o.state.Loaded
 	}
 	return w.Loaded
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -110,7 +110,11 @@
 	if !s.dead {
 		entry := &fleet.Worker{
 			ID: s.id, Service: "models", Address: s.id, Domain: s.domain, Slots: 10, Draining: s.draining,
-			Loaded: s.last, Member: fleet.Membership{Group: s.group.Name, Epoch: s.group.Epoch, Rank: s.rank, State: s.state},
+			Member: fleet.Membership{Group: s.group.Name, Epoch: s.group.Epoch, Rank: s.rank, State: s.state},
+		}
+		if s.group.Name != "" {
+			// Who is in no group tells no model.
+			entry.Loaded = s.last
 		}
 		if s.staged != "" {
 			entry.Staged = []string{s.staged}
