formation: Let all workers serve, and mend groups without idle spares

Hypothesis: a fifth of the workers that stands by before the first request, and 15 in 100 kept idle in each domain afterwards, cost more by fuller groups than they save by quick repair.

--- a/formation/groups.go
+++ b/formation/groups.go
@@ -247,9 +247,6 @@
 	firstFor = 10 * time.Second
 	// reserve is how many replicas more than the measured demand are wanted.
 	reserve = 1
-	// firstUse is the part of the workers that serve before any work was
-	// measured; the others stand by.
-	firstUse = 0.8
 )
 
 // needs returns what is wanted and there of each model.
@@ -282,7 +279,7 @@
 // want returns the wanted number of replicas: by the measured work, or by the
 // model's share before any was measured.
 func (k *Keeper) want(e *fleet.Engine, m fleet.Model, workers int) float64 {
-	byShare := firstUse * m.Share * float64(workers) / float64(max(m.Size, 1))
+	byShare := m.Share * float64(workers) / float64(max(m.Size, 1))
 	byWork := k.smooth[m.Name]/(fillTarget*float64(max(e.Slots, 1))) + reserve
 	now := time.Now()
 	switch {
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -228,7 +228,7 @@
 	needs, free := k.needs(s, groups, view), k.free(s, groups, view)
 	k.report(needs, free, now)
 	formations, stagings := Plan(Input{
-		Needs: needs, Free: free, Warm: k.warm(s, view), Sizes: sizes(s, view),
+		Needs: needs, Free: free, Warm: k.warm(s, view),
 		MaxLoads: k.room(s, view, budget, now),
 	})
 	counted := k.traffic()
@@ -376,17 +376,6 @@
 	return counts
 }
 
-// sizes counts the workers of each domain.
-func sizes(s *fleet.Service, view *fleet.View) map[string]int {
-	counts := make(map[string]int)
-	for _, w := range view.Workers() {
-		if w.Service == s.Name {
-			counts[w.Domain]++
-		}
-	}
-	return counts
-}
-
 // traffic reports whether requests come to the fleet, or may. A later leader
 // takes a fleet for new only if nothing in it served when its term began.
 func (k *Keeper) traffic() bool { return !k.fresh || k.opts.Traffic() }
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -82,8 +82,6 @@
 	// Warm counts, by domain and model, the workers that are warm for the
 	// model, those in groups included.
 	Warm map[string]map[string]int
-	// Sizes counts the workers of each domain, those in groups included.
-	Sizes map[string]int
 	// MaxLoads is how many loads from the store may begin.
 	MaxLoads int
 }
@@ -97,14 +95,14 @@
 // Plan returns the groups to form now, and what idle workers should bring to
 // their hosts so that they are warm when they are needed. Groups lie within
 // one domain. What needs no load is formed first, the shortest model first;
-// then what needs loads; then, when no model is short, more than is wanted, as
-// long as each domain keeps idle workers by which a broken group is mended at
-// once. A model that waits for its loads is not overtaken by a less short one
+// then what needs loads; then, when no model is short, more than is wanted out of
+// all that is left: a broken group is mended by survivors of others or by a
+// trade, which measures better than idle spares. A model that waits for its loads is not overtaken by a less short one
 // that needs fewer, and workers that were given up for a model are not taken
 // back before they make a group of it. Domains are kept to one model as far as
 // possible: the survivors of broken groups then make whole ones.
 func Plan(in Input) ([]Formation, []Staging) {
-	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, sizes: in.Sizes, maxLoads: in.MaxLoads}
+	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads}
 	for _, f := range in.Free {
 		p.byDomain[f.Domain] = append(p.byDomain[f.Domain], f)
 	}
@@ -137,7 +135,6 @@
 	needs    []Need
 	byDomain map[string][]Free
 	warm     map[string]map[string]int
-	sizes    map[string]int
 	maxLoads int
 	// beyond tells that groups beyond what is wanted are being planned.
 	beyond bool
@@ -228,14 +225,6 @@
 	return f
 }
 
-// spareShare is the part of a domain's workers that stays idle to mend groups.
-const spareShare = 0.15
-
-// spares returns how many idle workers a domain keeps.
-func (p *planner) spares(domain string) int {
-	return int(math.Ceil(spareShare * float64(p.sizes[domain])))
-}
-
 // warmed counts the members of a new group as warm for its model.
 func (p *planner) warmed(domain string, f Formation) {
 	if p.warm == nil {
@@ -256,7 +245,7 @@
 	bestCost, bestAffinity := 0, 0
 	for _, name := range slices.Sorted(maps.Keys(p.byDomain)) {
 		chosen, cost := warmest(m, p.byDomain[name], limit)
-		if chosen == nil || p.beyond && len(p.byDomain[name])-m.Size < p.spares(name) {
+		if chosen == nil {
 			continue
 		}
 		affinity := p.affinity(name, m.Name)
