formation: Begin no trade before the groups of the last are dissolved

Cause: a trade gives groups up, and their requests take 1.2 to 2.2 s to end; two seconds later the model was still short by the same group, and more were given up.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -132,8 +133,10 @@
 	idleSince map[string]time.Time
 	// reportNext is when what is wanted and there is logged again.
 	reportNext time.Time
-	// tradeNext is when groups may be given up for another model again.
+	// tradeNext is when groups may be given up for another model again, traded
+	// holds those that were given up last.
 	tradeNext time.Time
+	traded    []string
 }
 
 // load is a load of a model's weights that counts until its end is seen or its
@@ -268,9 +271,10 @@
 }
 
 // trade dissolves surplus groups of one model in favour of another that is
-// short, one trade at a time.
+// short. The next trade waits until the groups of the last are dissolved: what
+// they free is not counted before.
 func (k *Keeper) trade(ctx context.Context, needs []Need, free []Free, groups []*observed, now time.Time) {
-	if now.Before(k.tradeNext) {
+	if now.Before(k.tradeNext) || slices.ContainsFunc(k.traded, func(key string) bool { return k.operating[key] }) {
 		return
 	}
 	byKey := make(map[string]*observed)
@@ -281,7 +285,8 @@
 			standing = append(standing, Standing{Key: o.key, Domain: o.head.Domain, Model: o.model.Name, Members: len(o.members)})
 		}
 	}
-	for _, key := range Trade(needs, free, standing) {
+	k.traded = Trade(needs, free, standing)
+	for _, key := range k.traded {
 		o := byKey[key]
 		k.tradeNext = now.Add(tradeEvery)
 		k.opts.Logger.Info("replica given up for another model", "replica", key)
--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -109,6 +109,38 @@
 	})
 }
 
+// TestTradesFollowOneAnother makes the large model short by several groups while
+// the requests of a group take long to end.
+func TestTradesFollowOneAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 24)
+		w.demand, w.closing = map[string]float64{"big": 40}, 3*time.Second
+		_, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		w.mu.Lock()
+		w.traffic = true
+		w.mu.Unlock()
+		before, most := w.serving()["big"], 0
+		for range 400 {
+			time.Sleep(100 * time.Millisecond)
+			closing := 0
+			w.mu.Lock()
+			for _, s := range w.workers {
+				if s.state == fleet.Closing && s.rank == 0 {
+					closing++
+				}
+			}
+			w.mu.Unlock()
+			most = max(most, closing)
+		}
+		assert.Equal(t, most, 2, "two small groups make a large one")
+		assert.Assert(t, w.serving()["big"] > before)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
 func TestNewLeaderAdoptsWhatStandsAndWhatLoads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 2, 10)
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -44,6 +44,10 @@
 	// lateFrom is the epoch from which on all orders are late; 0 for none.
 	lateFrom int64
 	traffic  bool
+	// demand is the measured work by model, closing how long a group's requests
+	// take to end.
+	demand  map[string]float64
+	closing time.Duration
 	// cut holds the workers that leaders do not reach, though other daemons do.
 	cut map[string]bool
 	// young tells that leaders have not known the list for long.
@@ -73,6 +77,7 @@
 func newWorld(seed uint64, domains, perDomain int) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
+		demand: map[string]float64{"big": 5, "small": 5}, closing: time.Second,
 		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool),
 	}
 	for d := range domains {
@@ -89,7 +94,7 @@
 	config := simConfig()
 	return Options{
 		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w, Detour: detour{w},
-		Demand:  func() map[string]float64 { return map[string]float64{"big": 5, "small": 5} },
+		Demand:  func() map[string]float64 { return w.demand },
 		Traffic: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.traffic },
 		ListSince: func() time.Time {
 			if w.young {
@@ -231,7 +236,7 @@
 		}
 		s.state = fleet.Closing
 		w.list(s)
-		w.later(time.Second, s, g, func() { s.state = fleet.Ready })
+		w.later(w.closing, s, g, func() { s.state = fleet.Ready })
 		return Begun
 	})
 }
