peers: Leave out of heartbeats what their receiver holds

A heartbeat took 310 bytes, of which 67 were the grant with its holders and some 75 the identity, both of which hardly ever change.

Change: a receiver that has shown within two seconds that it heard this daemon since the grant changed gets a brief heartbeat; it fills in the rest from the last whole one of the same life. A brief one of a life that was not heard whole is passed over and not shown as heard.

--- a/peers/agent.go
+++ b/peers/agent.go
@@ -28,9 +28,13 @@
 	// A datagram begins with its format, the sender's clock, and the
 	// receiver's clock as it stood in the last datagram heard from it.
 	// The rest is JSON, deflated.
-	formatByte   = 2
+	formatByte   = 3
 	headerLength = 1 + 8 + 8
 	maxDatagram  = 60 << 10
+	// heldFor is how long a daemon counts as holding what it showed that it had
+	// heard: several turns of a fleet of a hundred daemons, so that one that was
+	// restarted soon gets whole beats.
+	heldFor = 2 * time.Second
 )
 
 // Options configures an Agent.
@@ -55,6 +59,13 @@
 	mu sync.Mutex
 	// clocks holds, by address, the newest clock heard from a daemon.
 	clocks map[string]int64
+	// held holds, by address, the newest clock of this daemon that the other one
+	// has heard.
+	held map[string]time.Duration
+	// grant is the epoch of the grant told last, changedAt the clock at which it
+	// was first told.
+	grant     int64
+	changedAt time.Duration
 }
 
 // NewAgent opens the port of self for datagrams.
@@ -69,7 +80,7 @@
 	}
 	return &Agent{
 		opts: opts, conn: conn, table: NewTable(opts.Self), start: time.Now(),
-		clocks: make(map[string]int64), done: make(chan struct{}),
+		clocks: make(map[string]int64), held: make(map[string]time.Duration), done: make(chan struct{}),
 	}, nil
 }
 
@@ -114,16 +125,17 @@
 func (a *Agent) Send(now time.Time) {
 	b := Beat{Identity: a.opts.Self}
 	a.opts.Compose(&b, now)
-	body, err := encodeBeat(&b)
-	if err != nil || len(body) > maxDatagram {
-		a.opts.Logger.Error("beat not sent", "bytes", len(body), "error", err)
-		return
-	}
-	datagram := make([]byte, headerLength, headerLength+len(body))
-	datagram[0] = formatByte
-	binary.BigEndian.PutUint64(datagram[1:], uint64(now.Sub(a.start)))
-	datagram = append(datagram, body...)
+	clock := now.Sub(a.start)
+	a.noteGrant(b.Grant.Epoch, clock)
+	whole, brief := a.datagram(&b, clock), a.datagram(b.brief(), clock)
 	for _, address := range a.turn(a.table.destinations(now), b.Leads != nil) {
+		datagram := whole
+		if a.holds(address, clock) {
+			datagram = brief
+		}
+		if datagram == nil {
+			continue
+		}
 		binary.BigEndian.PutUint64(datagram[9:], uint64(a.clockOf(address)))
 		if to, err := netip.ParseAddrPort(address); err == nil {
 			// A datagram may be lost anyway.
@@ -132,6 +144,37 @@
 	}
 }
 
+// datagram returns a beat as it is sent, but for the receiver's clock.
+func (a *Agent) datagram(b *Beat, clock time.Duration) []byte {
+	body, err := encodeBeat(b)
+	if err != nil || len(body) > maxDatagram {
+		a.opts.Logger.Error("beat not sent", "bytes", len(body), "error", err)
+		return nil
+	}
+	datagram := make([]byte, headerLength, headerLength+len(body))
+	datagram[0] = formatByte
+	binary.BigEndian.PutUint64(datagram[1:], uint64(clock))
+	return append(datagram, body...)
+}
+
+// noteGrant notes when the grant that is told changes.
+func (a *Agent) noteGrant(epoch int64, clock time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if epoch != a.grant {
+		a.grant, a.changedAt = epoch, clock
+	}
+}
+
+// holds reports whether a daemon has shown of late that it heard this one since
+// the grant changed: it then holds all that a brief beat leaves out.
+func (a *Agent) holds(address string, clock time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	heard, ok := a.held[address]
+	return ok && heard > 0 && heard >= a.changedAt && clock-heard < heldFor
+}
+
 // turn returns the daemons of this round. The leader is told in every one.
 func (a *Agent) turn(all []string, leads bool) []string {
 	most := fanout
@@ -178,14 +221,23 @@
 		return
 	}
 	b, err := decodeBeat(datagram[headerLength:])
-	if err != nil || b.ID == "" || b.Address == "" {
+	if err != nil || b.ID == "" {
 		return
 	}
+	if b.Brief && !a.table.complete(&b) || b.Address == "" {
+		// This daemon has yet to hear a whole beat of that one.
+		return
+	}
+	echo := time.Duration(binary.BigEndian.Uint64(datagram[9:]))
+	if echo < 0 || echo > now.Sub(a.start) {
+		echo = 0
+	}
 	a.mu.Lock()
 	a.clocks[b.Address] = int64(binary.BigEndian.Uint64(datagram[1:]))
+	a.held[b.Address] = echo
 	a.mu.Unlock()
 	var sentAfter time.Time
-	if echo := time.Duration(binary.BigEndian.Uint64(datagram[9:])); echo > 0 && echo <= now.Sub(a.start) {
+	if echo > 0 {
 		sentAfter = a.start.Add(echo)
 	}
 	if a.table.Hear(b, now, sentAfter) {
--- a/peers/agent_test.go
+++ b/peers/agent_test.go
@@ -119,6 +119,66 @@
 	assert.Assert(t, slices.Contains(a.turn(all, false), "leader"), "the leader is told in every turn")
 }
 
+// TestBriefBeatsGoToThoseThatHoldTheRest plays what two daemons tell each other.
+func TestBriefBeatsGoToThoseThatHoldTheRest(t *testing.T) {
+	second := func(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+	tests := map[string]struct {
+		// heard is this daemon's clock as the other one heard it last.
+		heard, changed, now time.Duration
+		brief               bool
+	}{
+		"never heard":                     {now: second(1)},
+		"heard of late":                   {heard: second(9), now: second(10), brief: true},
+		"heard long ago":                  {heard: second(7), now: second(10)},
+		"heard before the grant changed":  {heard: second(9), changed: second(9.5), now: second(10)},
+		"heard after the grant changed":   {heard: second(9.7), changed: second(9.5), now: second(10), brief: true},
+		"heard nothing since its restart": {heard: 0, now: second(1.5)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := &Agent{held: map[string]time.Duration{"b:1": test.heard}, changedAt: test.changed}
+			assert.Equal(t, a.holds("b:1", test.now), test.brief)
+			assert.Assert(t, !a.holds("c:1", test.now))
+		})
+	}
+}
+
+// TestBriefBeatsAreCompleted feeds a daemon with beats of two lives of another.
+func TestBriefBeatsAreCompleted(t *testing.T) {
+	var heard []*Peer
+	a := &Agent{
+		opts:  Options{Heard: func(p *Peer) { heard = append(heard, p) }, Logger: hclog.NewNullLogger()},
+		table: NewTable(Identity{ID: "a", Incarnation: 1}), start: time.Now(),
+		clocks: make(map[string]int64), held: make(map[string]time.Duration),
+	}
+	clock := time.Duration(0)
+	tell := func(b *Beat) {
+		clock += time.Millisecond
+		a.take(a.datagram(b, clock), time.Now())
+	}
+	whole := &Beat{
+		Identity: Identity{ID: "b", Incarnation: 1, Zone: "z", Address: "b:1", Front: "f"},
+		Grant:    Grant{Epoch: 7, Holders: []Holder{{ID: "b", Incarnation: 1}}}, ConfigVersion: 3,
+	}
+	tell(whole.brief())
+	assert.Equal(t, len(heard), 0, "nothing whole was heard before")
+	assert.Equal(t, a.clockOf("b:1"), int64(0), "what is not taken is not shown as heard")
+	tell(whole)
+	news := *whole
+	news.ConfigVersion = 4
+	tell(news.brief())
+	assert.Equal(t, len(heard), 2)
+	assert.Equal(t, heard[1].ConfigVersion, int64(4))
+	assert.DeepEqual(t, heard[1].Identity, whole.Identity)
+	assert.DeepEqual(t, heard[1].Grant, whole.Grant)
+	restarted := *whole
+	restarted.Incarnation = 2
+	tell(restarted.brief())
+	assert.Equal(t, len(heard), 2, "another life has to be heard whole")
+	tell(&restarted)
+	assert.Equal(t, len(heard), 3)
+}
+
 // FuzzDatagram checks that foreign and torn datagrams do no harm.
 func FuzzDatagram(f *testing.F) {
 	body, err := encodeBeat(&Beat{Identity: Identity{ID: "b", Incarnation: 2, Address: "b:1"}})
@@ -131,7 +191,8 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		a := &Agent{
 			opts:  Options{Heard: func(*Peer) {}, Logger: hclog.NewNullLogger()},
-			table: NewTable(Identity{ID: "a", Incarnation: 1}), start: time.Now(), clocks: make(map[string]int64),
+			table: NewTable(Identity{ID: "a", Incarnation: 1}), start: time.Now(),
+			clocks: make(map[string]int64), held: make(map[string]time.Duration),
 		}
 		a.take(data, time.Now())
 	})
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -51,11 +51,11 @@
 	ID string `json:"id"`
 	// Incarnation grows with each start of the daemon.
 	Incarnation int64  `json:"inc"`
-	Zone        string `json:"zone"`
+	Zone        string `json:"zone,omitempty"`
 	// Address is where peers reach the daemon, over UDP and TCP alike.
-	Address string `json:"peer"`
+	Address string `json:"peer,omitempty"`
 	// Front is where callers reach it.
-	Front string `json:"front"`
+	Front string `json:"front,omitempty"`
 	// Capacity is how much the daemon's machine can do, in thousandths of a
 	// processor core; 0 if it is not known.
 	Capacity int `json:"cap,omitempty"`
@@ -65,6 +65,10 @@
 // milliseconds.
 type Beat struct {
 	Identity
+	// Brief beats leave out what the receiver holds from a whole one: the
+	// identity but for id and incarnation, and the grant.
+	Brief bool `json:"brief,omitempty"`
+
 	Ready   bool `json:"ready,omitempty"`
 	Leaving bool `json:"leaving,omitempty"`
 
@@ -80,7 +84,7 @@
 	// that it knows of, and Grant the newest grant that it knows of.
 	Leads   *Claim `json:"leads,omitempty"`
 	Highest Claim  `json:"highest"`
-	Grant   Grant  `json:"grant"`
+	Grant   Grant  `json:"grant,omitzero"`
 	// LeaderAge is how long ago a leader was last heard, 0 if none was.
 	LeaderAge int64 `json:"la,omitempty"`
 
@@ -93,6 +97,15 @@
 	Traffic bool `json:"traffic,omitempty"`
 }
 
+// brief returns the beat without what its receiver holds already.
+func (b *Beat) brief() *Beat {
+	short := *b
+	short.Brief = true
+	short.Identity = Identity{ID: b.ID, Incarnation: b.Incarnation}
+	short.Grant = Grant{}
+	return &short
+}
+
 // Peer is what is known of another daemon.
 type Peer struct {
 	Beat
--- a/peers/table.go
+++ b/peers/table.go
@@ -80,6 +80,19 @@
 	return true
 }
 
+// complete fills in what a brief beat leaves out, and reports false if no whole
+// one of the same life was heard.
+func (t *Table) complete(b *Beat) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held, ok := t.peers[b.ID]
+	if !ok || held.Incarnation != b.Incarnation {
+		return false
+	}
+	b.Identity, b.Grant = held.Identity, held.Grant
+	return true
+}
+
 // Alive returns the daemons that were heard of late, sorted by id.
 func (t *Table) Alive(now time.Time) []*Peer {
 	t.mu.Lock()
