formation, serving: Split what has grown large, and order through peers by a function

The interface of one method for orders through peers becomes a function field, in the field's usual word, as the house rules ask. No change of behaviour; the log line says through in place of by way of.

--- a/formation/operate.go
+++ b/formation/operate.go
@@ -254,13 +254,13 @@
 	if ok || ctx.Err() != nil {
 		return verdict, ok
 	}
-	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
+	ctx, cancel := context.WithTimeout(ctx, indirectTimeout)
 	defer cancel()
-	verdict, err := k.opts.Detour.Leave(ctx, head, k.fence(), g)
+	verdict, err := k.opts.IndirectLeave(ctx, head, k.fence(), g)
 	if err != nil {
 		return Unfit, false
 	}
-	k.opts.Logger.Info("order given by way of another daemon", "order", "leave", "worker", head.ID)
+	k.opts.Logger.Info("order given through another daemon", "order", "leave", "worker", head.ID)
 	k.checkTerm("leave", head, verdict)
 	return verdict, true
 }
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -82,9 +82,6 @@
 	Ask(ctx context.Context, w *fleet.Worker) (State, error)
 }
 
-// Detour reaches workers by way of other daemons.
-type Detour interface {
-	// Leave gives the order through any daemon that reaches the worker. An error
-	// says that no answer came by any way.
-	Leave(ctx context.Context, w *fleet.Worker, fence Fence, g Group) (Verdict, error)
-}
+// IndirectLeave orders a worker to leave a group through any other daemon that
+// reaches it. An error says that no answer came by any of them.
+type IndirectLeave func(ctx context.Context, w *fleet.Worker, fence Fence, g Group) (Verdict, error)
--- /dev/null
+++ b/formation/staging.go
@@ -0,0 +1,114 @@
+package formation
+
+import (
+	"time"
+
+	"quartzshelf.dev/fleet"
+)
+
+// longIdle returns the stagings of workers that have been idle for a while: at
+// the start, most workers are about to be formed into a group.
+func (k *Keeper) longIdle(stagings []Staging, now time.Time) []Staging {
+	var all []Staging
+	idle := make(map[string]time.Time)
+	for _, s := range stagings {
+		since, ok := k.idleSince[s.Worker]
+		if !ok {
+			since = now
+		}
+		idle[s.Worker] = since
+		if now.Sub(since) > settleFor {
+			all = append(all, s)
+		}
+	}
+	k.idleSince = idle
+	return all
+}
+
+// seconds returns what workers that serve one model should bring to their hosts
+// while loads are not bounded: another model, so that they can turn to it fast.
+// What they serve they take up again without their host's help.
+func (k *Keeper) seconds(s *fleet.Service, view *fleet.View) []Staging {
+	var all []Staging
+	for id, w := range view.Workers() {
+		m := k.member(w)
+		_, loading := k.loading[id]
+		if w.Service != s.Name || w.Draining || loading || k.busy[id] || m.State != fleet.Open && m.State != fleet.Ready {
+			continue
+		}
+		own := fleet.ModelOf(m.Group)
+		if other := largestOther(s.Engine, own); other != "" && !w.HasStaged(other) {
+			all = append(all, Staging{Worker: id, Model: other})
+		}
+	}
+	return all
+}
+
+// largestOther returns the model with the largest share of the work but for one.
+func largestOther(e *fleet.Engine, own string) string {
+	best, share := "", -1.0
+	for _, m := range e.Models {
+		if m.Name != own && m.Share > share {
+			best, share = m.Name, m.Share
+		}
+	}
+	return best
+}
+
+// unbounded is how many loads may begin while they are not bounded.
+const unbounded = 1 << 20
+
+// room returns how many loads may begin now. Before the first request loads
+// are quick and not bounded; afterwards they slow each other beyond those that
+// run well side by side.
+func (k *Keeper) room(s *fleet.Service, view *fleet.View, budget *loads, now time.Time) int {
+	if !k.traffic() {
+		return unbounded
+	}
+	running := 0
+	for id, w := range view.Workers() {
+		l, loading := k.loading[id]
+		if loading && (now.After(l.until) || w.HasStaged(l.model)) {
+			delete(k.loading, id)
+			loading = false
+		}
+		if loading || w.Service == s.Name && k.member(w).State == fleet.Joining {
+			running++
+		}
+	}
+	return min(s.Engine.LoadsAtOnce-running, budget.available(now))
+}
+
+// warm counts the workers that are warm for models, by domain.
+func (k *Keeper) warm(s *fleet.Service, view *fleet.View) map[string]map[string]int {
+	counts := make(map[string]map[string]int)
+	for _, w := range view.Workers() {
+		if w.Service != s.Name || w.Draining {
+			continue
+		}
+		if counts[w.Domain] == nil {
+			counts[w.Domain] = make(map[string]int)
+		}
+		for _, m := range s.Engine.Models {
+			if k.freeOf(w).warmth(m.Name) <= Staged || fleet.ModelOf(k.member(w).Group) == m.Name {
+				counts[w.Domain][m.Name]++
+			}
+		}
+	}
+	return counts
+}
+
+// budget returns the bound on loads of a service.
+func (k *Keeper) budget(s *fleet.Service, now time.Time) *loads {
+	l, ok := k.loads[s.Name]
+	if !ok {
+		l = &loads{}
+		k.loads[s.Name] = l
+	}
+	burst := s.Engine.LoadsAtOnce
+	for _, m := range s.Engine.Models {
+		burst = max(burst, m.Size)
+	}
+	l.limit(k.opts.Ceiling, s.Engine.LoadsPerSecond, float64(burst), k.term.First, now)
+	return l
+}
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -93,7 +93,7 @@
 func (w *world) options() Options {
 	config := simConfig()
 	return Options{
-		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w, Detour: detour{w},
+		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w, IndirectLeave: w.indirectLeave,
 		Demand:  func() map[string]float64 { return w.demand },
 		Traffic: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.traffic },
 		ListSince: func() time.Time {
@@ -245,11 +245,8 @@
 	return w.run(ctx, worker.ID, fence, func(s *simWorker) Verdict { return w.leave(s, g) })
 }
 
-// detour reaches the workers that leaders do not.
-type detour struct{ world *world }
-
-func (d detour) Leave(ctx context.Context, worker *fleet.Worker, _ Fence, g Group) (Verdict, error) {
-	w := d.world
+// indirectLeave reaches the workers that leaders do not.
+func (w *world) indirectLeave(ctx context.Context, worker *fleet.Worker, _ Fence, g Group) (Verdict, error) {
 	w.mu.Lock()
 	s := w.workers[worker.ID]
 	if !s.dead {
--- a/serving/detour.go
+++ b/serving/indirect.go
@@ -17,22 +17,14 @@
 
 const (
 	pathLeave = "/leave"
-	// detourMost is how many daemons are asked to give an order.
-	detourMost = 6
-	// detourOrderTimeout bounds the order that a peer gives.
-	detourOrderTimeout = 200 * time.Millisecond
-	// maxDetour bounds a message about an order, in bytes.
-	maxDetour = 64 << 10
+	// indirectPeers is how many daemons are asked to give an order.
+	indirectPeers = 6
+	// indirectTimeout bounds the order that a peer gives.
+	indirectTimeout = 200 * time.Millisecond
+	// maxOrder bounds a message about an order, in bytes.
+	maxOrder = 64 << 10
 )
 
-// detour gives orders by way of peers. It implements formation.Detour.
-type detour struct {
-	server *Server
-	client *http.Client
-}
-
-var _ formation.Detour = detour{}
-
 // leaveMessage asks a peer to give an order.
 type leaveMessage struct {
 	Worker fleet.Worker    `json:"worker"`
@@ -46,19 +38,19 @@
 	Verdict formation.Verdict `json:"verdict"`
 }
 
-// Leave implements formation.Detour: several peers give the order at once, with
-// the same fence, and the first answer counts.
-func (d detour) Leave(ctx context.Context, w *fleet.Worker, fence formation.Fence, g formation.Group) (formation.Verdict, error) {
+// leaveThroughPeers is a formation.IndirectLeave: several peers give the order
+// at once, with the same fence, and the first answer counts.
+func (s *Server) leaveThroughPeers(ctx context.Context, w *fleet.Worker, fence formation.Fence, g formation.Group) (formation.Verdict, error) {
 	body, err := json.Marshal(leaveMessage{Worker: *w, Fence: fence, Group: g.Name, Epoch: g.Epoch})
 	if err != nil {
 		return formation.Malformed, failure.At(failure.Invalid, "encode order", w.ID, err)
 	}
-	ways := d.ways()
-	answers := make(chan verdictMessage, len(ways))
-	failures := make(chan error, len(ways))
-	for _, p := range ways {
+	chosen := s.somePeers()
+	answers := make(chan verdictMessage, len(chosen))
+	failures := make(chan error, len(chosen))
+	for _, p := range chosen {
 		go func() {
-			m, err := d.ask(ctx, p, body)
+			m, err := s.askToLeave(ctx, p, body)
 			if err != nil {
 				failures <- err
 				return
@@ -66,8 +58,8 @@
 			answers <- m
 		}()
 	}
-	err = failure.New(failure.Unavailable, "give order by way of peers", w.ID, "no peer is alive")
-	for range ways {
+	err = failure.New(failure.Unavailable, "give order through peers", w.ID, "no peer is alive")
+	for range chosen {
 		select {
 		case m := <-answers:
 			return m.Verdict, nil
@@ -77,20 +69,20 @@
 	return formation.Unfit, err
 }
 
-// ways returns the peers that are asked, chosen by chance.
-func (d detour) ways() []*peers.Peer {
-	alive := d.server.agent.Table().Alive(time.Now())
+// somePeers returns the peers that are asked, chosen by chance.
+func (s *Server) somePeers() []*peers.Peer {
+	alive := s.agent.Table().Alive(time.Now())
 	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	return alive[:min(len(alive), detourMost)]
+	return alive[:min(len(alive), indirectPeers)]
 }
 
-func (d detour) ask(ctx context.Context, p *peers.Peer, body []byte) (verdictMessage, error) {
+func (s *Server) askToLeave(ctx context.Context, p *peers.Peer, body []byte) (verdictMessage, error) {
 	var m verdictMessage
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Address+pathLeave, bytes.NewReader(body))
 	if err != nil {
 		return m, failure.At(failure.Invalid, "ask peer to order", p.ID, err)
 	}
-	response, err := d.client.Do(request)
+	response, err := s.fetcher.client.Do(request)
 	if err != nil {
 		return m, failure.At(failure.Unavailable, "ask peer to order", p.ID, err)
 	}
@@ -98,7 +90,7 @@
 	if response.StatusCode != http.StatusOK {
 		return m, failure.New(failure.Refused, "ask peer to order", p.ID, "status %d", response.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxDetour)).Decode(&m); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxOrder)).Decode(&m); err != nil {
 		return m, failure.At(failure.Remote, "decode verdict", p.ID, err)
 	}
 	return m, nil
@@ -107,11 +99,11 @@
 // giveLeave gives an order on a peer's behalf.
 func (s *Server) giveLeave(w http.ResponseWriter, r *http.Request) {
 	var m leaveMessage
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxDetour)).Decode(&m); err != nil {
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxOrder)).Decode(&m); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), detourOrderTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), indirectTimeout)
 	defer cancel()
 	verdict, err := s.opts.Orders.Leave(ctx, &m.Worker, m.Fence, formation.Group{Name: m.Group, Epoch: m.Epoch})
 	if err != nil {
--- a/serving/detour_test.go
+++ b/serving/indirect_test.go
@@ -50,7 +50,7 @@
 			if test.peer {
 				hearPeer(t, leader, servePeer(t, peer))
 			}
-			verdict, err := detour{leader, http.DefaultClient}.Leave(context.Background(), worker, 9, group)
+			verdict, err := leader.leaveThroughPeers(context.Background(), worker, 9, group)
 			assert.Equal(t, verdict, test.want)
 			assert.Equal(t, err != nil, test.failure)
 			if test.peer {
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -12,7 +12,7 @@
 // lead runs a term of leadership until ctx ends.
 func (s *Server) lead(ctx context.Context, claim peers.Claim, first bool) {
 	keeper := formation.NewKeeper(formation.Options{
-		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders, Detour: detour{s, s.fetcher.client},
+		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders, IndirectLeave: s.leaveThroughPeers,
 		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince, Announced: s.announce,
 		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
 		Logger: s.logger.Named("formation"),
