relay, formation: Hold four mechanisms by tests that fail without them

No test failed without the spread of choices by the age of loads, the cost of another data hall, the shorter idle time of connections for requests that run once, or the second model that serving workers bring to their hosts. Each now has one; with the mechanism off (first, second and fourth on a copy) its test failed. The choice of the idle time becomes a function of the message so that it can be held.

--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -52,6 +52,23 @@
 	})
 }
 
+// TestServingWorkersBringASecondModel: before the first request loads are quick,
+// so that workers can turn to the other model without a load later.
+func TestServingWorkersBringASecondModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		formed(w)
+		w.pending.Wait()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for id, s := range w.workers {
+			if s.group.Name != "" {
+				assert.Assert(t, s.staged != "" && s.staged != s.last, "%s serves %s and holds %q", id, s.last, s.staged)
+			}
+		}
+	})
+}
+
 func TestLostMemberIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 2, 10)
--- /dev/null
+++ b/relay/tracker_test.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+// testCosts are those of an engine with steps of 10 ms, five in a pass.
+var testCosts = costs{
+	slots: 20, perToken: 20 * time.Microsecond, pass: 50 * time.Millisecond,
+	perRequest: time.Millisecond, service: time.Second,
+}
+
+func testReplica(id, zone string) *fleet.Replica {
+	return &fleet.Replica{ID: id, Service: "s", Model: "m", Head: &fleet.Worker{ID: id, Zone: zone}}
+}
+
+// chosen chooses many times and counts the choices of each replica.
+func chosen(t *Tracker, replicas []*fleet.Replica, now time.Time, draws int) map[string]int {
+	counts := make(map[string]int)
+	for range draws {
+		if choice, ok := t.Choose(replicas, nil, testCosts, 1000, now); ok {
+			counts[choice.Replica.ID]++
+		}
+	}
+	return counts
+}
+
+// TestChoicesAreSpread: daemons that know the same loads, told late, must not
+// all choose the same replica, though one looks a little better.
+func TestChoicesAreSpread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker("z", func(*fleet.Replica) {})
+	tracker.SetRemote("peer", []peers.Load{{Replica: "b", InFlight: 1}}, now.Add(-200*time.Millisecond))
+	replicas := []*fleet.Replica{testReplica("a", "z"), testReplica("b", "z")}
+	counts := chosen(tracker, replicas, now, 400)
+	// The wait at b is 1 ms longer; the spread is 10 ms at the least.
+	assert.Assert(t, counts["b"] > 100, "%v", counts)
+	assert.Assert(t, counts["a"] > 100, "%v", counts)
+}
+
+// TestNearReplicasAreChosenFirst: among equals the one in the same data hall
+// takes more.
+func TestNearReplicasAreChosenFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	replicas := []*fleet.Replica{testReplica("a", "far"), testReplica("b", "near")}
+	// Half of the draws are expected without a cost of distance, with a standard
+	// deviation of 16 in a thousand. The cost of 4 ms against the spread of 10 ms
+	// that the first draw leaves makes it more than six in ten; the rate of these
+	// draws widens the spread, so few are drawn.
+	near := 0
+	for range 100 {
+		tracker := NewTracker("near", func(*fleet.Replica) {})
+		near += chosen(tracker, replicas, now, 10)["b"]
+	}
+	assert.Assert(t, near > 600, "%d of 1000", near)
+}
+
+// TestOnceRequestsGetFreshConnections: a connection that was idle for a while
+// may be closed by its worker just now, which a request that runs at most once
+// could not survive.
+func TestOnceRequestsGetFreshConnections(t *testing.T) {
+	tests := map[string]struct {
+		idle    time.Duration
+		idleFor time.Duration
+		reused  bool
+	}{
+		"just used, once":          {idle: -time.Minute, idleFor: freshIdle, reused: true},
+		"idle for a while, once":   {idle: 2 * freshIdle, idleFor: freshIdle},
+		"idle for a while, may be": {idle: 2 * freshIdle, idleFor: idleMost, reused: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			worker := newFakeWorker(t, "w")
+			raw, err := net.Dial("tcp", worker.listener.Addr().String())
+			assert.NilError(t, err)
+			u := newUpstream()
+			c := &connection{Conn: raw, worker: "w", reader: bufio.NewReader(raw)}
+			u.put(c, idleMost)
+			c.idleSince = time.Now().Add(-test.idle)
+			assert.Equal(t, u.reuse("w", test.idleFor) == c, test.reused)
+		})
+	}
+	// The relay asks for the shorter time for such requests alone.
+	assert.Equal(t, (&message{once: true}).idleFor(), freshIdle)
+	assert.Equal(t, (&message{}).idleFor(), idleMost)
+}
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -182,11 +182,7 @@
 // send passes a request on and returns once the head of its answer came. The
 // connection is closed as soon as ctx ends.
 func (u *upstream) send(ctx context.Context, w *fleet.Worker, m *message) (*exchange, error) {
-	idleFor := idleMost
-	if m.once {
-		idleFor = freshIdle
-	}
-	c, err := u.get(ctx, w, idleFor)
+	c, err := u.get(ctx, w, m.idleFor())
 	if err != nil {
 		return nil, err
 	}
@@ -289,6 +285,14 @@
 	once bool
 }
 
+// idleFor returns how long a connection may have been idle to carry the message.
+func (m *message) idleFor() time.Duration {
+	if m.once {
+		return freshIdle
+	}
+	return idleMost
+}
+
 // encode writes a request head and body into one buffer.
 func encode(method, target, host string, header http.Header, body []byte) []byte {
 	var b bytes.Buffer
