relay: Hold the cost of crowding by a test

It stays, since without it daemons take a last slot twice, and each of those requests is turned away by a worker; the test shows the choice.

--- a/relay/tracker_test.go
+++ b/relay/tracker_test.go
@@ -92,3 +92,15 @@
 	assert.Equal(t, (&message{once: true}).idleFor(), freshIdle)
 	assert.Equal(t, (&message{}).idleFor(), idleMost)
 }
+
+// TestNearlyFullReplicasAreLeftAlone: where one slot is left, two daemons that do
+// not know of each other's newest request both take it, and one is refused.
+func TestNearlyFullReplicasAreLeftAlone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker("z", func(*fleet.Replica) {})
+	// At a the wait for the first event is 21 ms shorter.
+	tracker.SetRemote("peer", []peers.Load{{Replica: "a", InFlight: 19}, {Replica: "b", InFlight: 10, Prefill: 1500}}, now)
+	replicas := []*fleet.Replica{testReplica("a", "z"), testReplica("b", "z")}
+	counts := chosen(tracker, replicas, now, 10)
+	assert.Equal(t, counts["b"], 10, "%v", counts)
+}
