formation: Ask workers what a stale list does not tell

Change: after 0.8 s without a confirmed list the leader asks the head, or the members, four times a second. Two tests failed before. An earlier form of the first held a mutex while it failed, which hung the run until its time-out; no assertion is made under the mutex now.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -42,6 +42,9 @@
 	// lostHead is how long a head must be unreachable, and unlisted, before
 	// its group is taken for gone.
 	lostHead = 1200 * time.Millisecond
+	// listStale is how old the list may be before workers are asked what it would
+	// tell. The leader reads it with waits of 0.3 s, so two reads have failed.
+	listStale = 800 * time.Millisecond
 	// listFresh is how old the list may be to prove that a worker is gone.
 	listFresh = 4 * time.Second
 	// reportEvery is the time between two lines about what is wanted and there.
--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -111,16 +111,64 @@
 			time.Sleep(100 * time.Millisecond)
 			assert.Assert(t, len(w.inventory.View().Replicas("models", "big")) >= 1, "no replica takes requests")
 		}
+		var still []string
 		w.mu.Lock()
 		for _, id := range left {
 			for _, s := range w.workers {
-				if s.state == fleet.Open && s.rank == 0 {
-					assert.Assert(t, !slices.Contains(s.group.Members, id), "%s still serves in %s", id, s.group.Name)
+				if s.state == fleet.Open && s.rank == 0 && slices.Contains(s.group.Members, id) {
+					still = append(still, id)
 				}
 			}
 		}
 		w.mu.Unlock()
 		stop()
+		assert.Equal(t, len(still), 0, "%v still serve", still)
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestGroupsAreMendedWhileTheListIsAway closes a group just before the list stops
+// showing anything, and looks when its workers serve again.
+func TestGroupsAreMendedWhileTheListIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 12)
+		_, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		w.mu.Lock()
+		w.traffic = true
+		old := w.headOf("big").group
+		leaving := w.workers[old.Members[1]]
+		leaving.draining = true
+		w.list(leaving)
+		w.away = true
+		w.mu.Unlock()
+		// Its requests take a second to end; joining again with an idle worker or
+		// one of a traded group takes three at the most.
+		time.Sleep(2500 * time.Millisecond)
+		w.mu.Lock()
+		now := w.workers[old.Members[0]].group.Name
+		w.mu.Unlock()
+		stop()
+		assert.Assert(t, now != old.Name, "the head still waits for the list")
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestReadyMembersAreAskedWhileTheListIsAway begins a term that knows the list
+// but sees nothing new of it.
+func TestReadyMembersAreAskedWhileTheListIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 12)
+		w.away = true
+		time.Sleep(time.Second)
+		_, stop := term(w, 1)
+		// Loads before the first request take 1.2 s, opening 0.3.
+		time.Sleep(3 * time.Second)
+		serving := w.serving()["big"]
+		stop()
+		assert.Assert(t, serving >= 1)
 		w.pending.Wait()
 		assert.DeepEqual(t, w.broken, []string(nil))
 	})
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -135,7 +135,7 @@
 		if len(seen) == len(members) {
 			return true
 		}
-		if now := time.Now(); now.After(nextAsk) && now.Sub(k.opts.Inventory.Confirmed()) > listFresh {
+		if now := time.Now(); now.After(nextAsk) && now.Sub(k.opts.Inventory.Confirmed()) > listStale {
 			nextAsk = now.Add(askEvery)
 			k.askReady(ctx, g, members, seen)
 		}
@@ -304,16 +304,30 @@
 	verdict, ok := k.order(ctx, "close", o.head, func(ctx context.Context, fence Fence) (Verdict, error) {
 		return k.opts.Orders.Close(ctx, o.head, fence, o.group)
 	})
-	for ok && verdict.Accepted() && ctx.Err() == nil && time.Now().Before(deadline) {
-		listed, there := k.opts.Inventory.View().Worker(o.head.ID)
-		if !there || listed.Member.Same(fleet.Membership{Group: o.group.Name, Epoch: o.group.Epoch}) && listed.Member.State == fleet.Ready {
-			break
-		}
+	nextAsk := time.Now().Add(askEvery)
+	for ok && verdict.Accepted() && ctx.Err() == nil && time.Now().Before(deadline) && !k.drained(ctx, o, &nextAsk) {
 		pause.For(ctx, tickEvery)
 	}
 	k.dissolve(ctx, o, o.head)
 }
 
+// drained reports whether a closed group's requests have ended, by the list or,
+// while that is stale, by the head itself.
+func (k *Keeper) drained(ctx context.Context, o *observed, nextAsk *time.Time) bool {
+	closed := fleet.Membership{Group: o.group.Name, Epoch: o.group.Epoch}
+	listed, there := k.opts.Inventory.View().Worker(o.head.ID)
+	if !there || listed.Member.Same(closed) && listed.Member.State == fleet.Ready {
+		return true
+	}
+	now := time.Now()
+	if now.Before(*nextAsk) || now.Sub(k.opts.Inventory.Confirmed()) <= listStale {
+		return false
+	}
+	*nextAsk = now.Add(askEvery)
+	state, ok := k.ask(ctx, o.head)
+	return ok && (!state.Member.Same(closed) || state.Member.State == fleet.Ready)
+}
+
 // order gives an order until it is answered, each time with a new fence so
 // that an earlier one that comes late is void. It reports whether an answer
 // came.
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -48,6 +48,8 @@
 	// take to end.
 	demand  map[string]float64
 	closing time.Duration
+	// away tells that the list shows nothing new.
+	away bool
 	// cut holds the workers that leaders do not reach, though other daemons do.
 	cut map[string]bool
 	// young tells that leaders have not known the list for long.
@@ -110,6 +112,9 @@
 
 // list writes a worker's entry into the list. The mutex is held.
 func (w *world) list(s *simWorker) {
+	if w.away {
+		return
+	}
 	w.position++
 	change := fleet.Change{ID: s.id}
 	if !s.dead {
