--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,32 +94,13 @@
 		w := newWorld(1, 2, 10)
 		_, stop := term(w, 1)
 		time.Sleep(8 * time.Second)
-		w.mu.Lock()
-		w.traffic = true
-		var left []string
-		for id, s := range w.workers {
-			if s.group.Model == "big" && s.rank == 1 {
-				s.draining = true
-				w.list(s)
-				left = append(left, id)
-			}
-		}
-		w.mu.Unlock()
+		left := w.leaveBig()
 		assert.Equal(t, len(left), 2)
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
 			assert.Assert(t, len(w.inventory.View().Replicas("models", "big")) >= 1, "no replica takes requests")
 		}
-		var still []string
-		w.mu.Lock()
-		for _, id := range left {
-			for _, s := range w.workers {
-				if s.state == fleet.Open && s.rank == 0 && slices.Contains(s.group.Members, id) {
-					still = append(still, id)
-				}
-			}
-		}
-		w.mu.Unlock()
+		still := w.servingWith(left)
 		stop()
 		assert.Equal(t, len(still), 0, "%v still serve", still)
 		w.pending.Wait()
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -134,6 +134,41 @@
 	w.inventory.Apply([]fleet.Change{change}, w.position, time.Now())
 }
 
+// leaveBig lets requests come and a member of each large group, not its head,
+// say that it leaves. It returns these members.
+func (w *world) leaveBig() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.traffic = true
+	var left []string
+	for id, s := range w.workers {
+		if s.group.Model == "big" && s.rank == 1 {
+			s.draining = true
+			w.list(s)
+			left = append(left, id)
+		}
+	}
+	return left
+}
+
+// servingWith returns which of the workers are members of open groups.
+func (w *world) servingWith(ids []string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []string
+	for _, s := range w.workers {
+		if s.state != fleet.Open || s.rank != 0 {
+			continue
+		}
+		for _, id := range ids {
+			if slices.Contains(s.group.Members, id) {
+				all = append(all, id)
+			}
+		}
+	}
+	return all
+}
+
 // kill ends a worker without a word; the list shows it later.
 func (w *world) kill(id string) {
 	w.mu.Lock()
