peers, formation: Encode a heartbeat only in the forms that are sent

Found on reading the change again: each round encoded and deflated the whole form as well as the brief one, though nearly all receivers get the brief one. Each is now made when first needed. A test for presence that the zero value made needless goes, and a comment is wrapped. What is sent is the same.

--- a/formation/plan.go
+++ b/formation/plan.go
@@ -97,10 +97,11 @@
 // one domain. What needs no load is formed first, the shortest model first;
 // then what needs loads; then, when no model is short, more than is wanted out of
 // all that is left: a broken group is mended by survivors of others or by a
-// trade, which measures better than idle spares. A model that waits for its loads is not overtaken by a less short one
-// that needs fewer, and workers that were given up for a model are not taken
-// back before they make a group of it. Domains are kept to one model as far as
-// possible: the survivors of broken groups then make whole ones.
+// trade, which measures better than idle spares. A model that waits for its
+// loads is not overtaken by a less short one that needs fewer, and workers that
+// were given up for a model are not taken back before they make a group of it.
+// Domains are kept to one model as far as possible: the survivors of broken
+// groups then make whole ones.
 func Plan(in Input) ([]Formation, []Staging) {
 	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads}
 	for _, f := range in.Free {
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -127,12 +127,15 @@
 	a.opts.Compose(&b, now)
 	clock := now.Sub(a.start)
 	a.noteGrant(b.Grant.Epoch, clock)
-	whole, brief := a.datagram(&b, clock), a.datagram(b.brief(), clock)
+	// Most rounds need the brief form alone.
+	whole := sync.OnceValue(func() []byte { return a.datagram(&b, clock) })
+	brief := sync.OnceValue(func() []byte { return a.datagram(b.brief(), clock) })
 	for _, address := range a.turn(a.table.destinations(now), b.Leads != nil) {
-		datagram := whole
+		form := whole
 		if a.holds(address, clock) {
-			datagram = brief
+			form = brief
 		}
+		datagram := form()
 		if datagram == nil {
 			continue
 		}
@@ -171,8 +174,8 @@
 func (a *Agent) holds(address string, clock time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	heard, ok := a.held[address]
-	return ok && heard > 0 && heard >= a.changedAt && clock-heard < heldFor
+	heard := a.held[address]
+	return heard > 0 && heard >= a.changedAt && clock-heard < heldFor
 }
 
 // turn returns the daemons of this round. The leader is told in every one.
