formation, telemetry: Tell how orders ended, and which groups come back

Now each try is counted (quartzshelf_orders by order and outcome), an answer after unanswered tries or with a refusal is logged, and so is each state that a head shows in a group which it left by its own word. No decision changes.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -73,7 +73,10 @@
 	// it is broken.
 	StallAfter time.Duration
 	Ceiling    Ceiling
-	Logger     hclog.Logger
+	// Counted is called with each order given to a worker and its outcome: the
+	// verdict's name, "unanswered", or "returned" for a leave that did not last.
+	Counted func(order, outcome string)
+	Logger  hclog.Logger
 }
 
 // Term is what a leader leads under.
@@ -108,6 +111,8 @@
 	// retired holds the groups whose head takes no more requests: by its own
 	// word, which is final, or since it must be gone.
 	retired map[string]retirement
+	// dissolved holds the groups whose head confirmed that it left.
+	dissolved map[string]dissolution
 	// heads holds, by group, the head that the list showed.
 	heads map[string]string
 	// formed holds the groups formed in this term, by key.
@@ -173,7 +178,7 @@
 		opts: opts, term: term, outdone: outdone,
 		done: make(chan struct{}), suspects: make(chan string, 64),
 		known: make(map[string]observation), busy: make(map[string]bool),
-		operating: make(map[string]bool), examining: make(map[string]bool), retired: make(map[string]retirement), heads: make(map[string]string), formed: make(map[string]Group),
+		operating: make(map[string]bool), examining: make(map[string]bool), retired: make(map[string]retirement), dissolved: make(map[string]dissolution), heads: make(map[string]string), formed: make(map[string]Group),
 		silent: make(map[string]time.Time), former: make(map[string]*fleet.Worker),
 		leaveBy: make(map[string]time.Time), leaveNext: make(map[string]time.Time),
 		headless: make(map[string]time.Time), loads: make(map[string]*loads), smooth: make(map[string]float64),
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -283,6 +283,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.retired[o.key] = how
+	if how == confirmed {
+		k.dissolved[o.key] = dissolution{at: time.Now(), shown: o.state}
+	}
 	delete(k.headless, o.key)
 }
 
@@ -333,10 +336,11 @@
 // came.
 func (k *Keeper) order(ctx context.Context, what string, w *fleet.Worker, give func(context.Context, Fence) (Verdict, error)) (Verdict, bool) {
 	refused := 0
-	for range orderTries {
+	for tries := range orderTries {
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 		verdict, err := give(bounded, k.fence())
 		cancel()
+		k.noteTry(what, w, tries+1, verdict, err)
 		switch {
 		case err == nil && verdict == Fenced && refused == 0:
 			// Another order of this term may have overtaken it.
@@ -348,8 +352,8 @@
 		case ctx.Err() != nil:
 			return Unfit, false
 		}
-		k.opts.Logger.Debug("order not answered", "order", what, "worker", w.ID, "error", err)
 	}
+	k.opts.Logger.Warn("order not answered", "order", what, "worker", w.ID, "tries", orderTries)
 	if _, lives := k.ask(ctx, w); !lives && ctx.Err() == nil {
 		k.fellSilent(w.ID)
 	}
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -44,6 +44,25 @@
 	Malformed
 )
 
+// String returns the verdict's name in logs and counters.
+func (v Verdict) String() string {
+	switch v {
+	case Begun:
+		return "begun"
+	case Holds:
+		return "holds"
+	case Unfit:
+		return "unfit"
+	case Fenced:
+		return "fenced"
+	case Elsewhere:
+		return "elsewhere"
+	case Malformed:
+		return "malformed"
+	}
+	return "unknown"
+}
+
 // Accepted reports whether the worker carries the order out or has done so.
 func (v Verdict) Accepted() bool { return v == Begun || v == Holds }
 
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -105,6 +105,7 @@
 			return time.Time{}
 		},
 		Announced:  func(fleet.Announcement) {},
+		Counted:    func(string, string) {},
 		StallAfter: 6 * time.Second, Ceiling: Ceiling{Window: 5 * time.Second, Over: 1.1},
 		Logger: hclog.NewNullLogger(),
 	}
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -15,7 +15,7 @@
 		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders, IndirectLeave: s.leaveThroughPeers,
 		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince, Announced: s.announce,
 		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
-		Logger: s.logger.Named("formation"),
+		Counted: s.meter.Order, Logger: s.logger.Named("formation"),
 	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first},
 		func() { s.elector.Yield("a worker knows a higher term") })
 	s.setKeeper(keeper)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -27,6 +27,7 @@
 	requests atomic.Int64
 	first    metric.Float64Histogram
 	between  metric.Float64Histogram
+	orders   metric.Int64Counter
 	handler  http.Handler
 
 	mu     sync.Mutex
@@ -84,6 +85,11 @@
 		return err
 	}
 	bounds := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.074, 0.1, 0.2, 0.36, 0.5, 1, 2, 5, 10)
+	m.orders, err = meter.Int64Counter("quartzshelf_orders",
+		metric.WithDescription("Orders given to workers, by order and outcome."))
+	if err != nil {
+		return err
+	}
 	m.first, err = meter.Float64Histogram("quartzshelf_first_token_seconds",
 		metric.WithDescription("Time from a request to the first token."), bounds)
 	if err != nil {
@@ -138,6 +144,12 @@
 	}
 }
 
+// Order counts an order given to a worker by its outcome.
+func (m *Meter) Order(order, outcome string) {
+	m.orders.Add(context.Background(), 1,
+		metric.WithAttributes(attribute.String("order", order), attribute.String("outcome", outcome)))
+}
+
 // FirstToken records the time from a request, begun at start, to its first token.
 func (m *Meter) FirstToken(start time.Time) {
 	m.first.Record(context.Background(), time.Since(start).Seconds())
