--- /dev/null
+++ b/formation/late_test.go
@@ -0,0 +1,84 @@
+package formation
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quartzshelf.dev/fleet"
+)
+
+// TestNothingTwiceWithoutFences plays the schedules of
+// TestNothingPartialAndNothingTwice with workers that do not look at fences:
+// what protects them from late orders and from earlier leaders must not rest on
+// fences alone.
+func TestNothingTwiceWithoutFences(outer *testing.T) {
+	rapid.Check(outer, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		late := rapid.SampledFrom([]float64{0, 0.1, 0.4, 0.8}).Draw(t, "late")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 4, 16).Draw(t, "steps")
+		var problems []string
+		synctest.Test(outer, func(*testing.T) {
+			w := newWorld(seed, 2, 10)
+			w.fenceless = true
+			problems = runSchedule(w, late, steps)
+		})
+		if len(problems) > 0 {
+			t.Fatalf("broken: %v", problems)
+		}
+	})
+}
+
+// TestLateOrdersBringNoGroupBack plays what the incident TWO showed. A head's
+// first orders to join and to open get no answer; later tries are taken, the
+// group serves, loses its other member and is dissolved, which the head
+// confirms. Then the first tries are carried out.
+func TestLateOrdersBringNoGroupBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 2)
+		w.fenceless = true
+		w.delays["join w0-0"] = []time.Duration{8 * time.Second}
+		w.delays["open w0-0"] = []time.Duration{8 * time.Second}
+		k, stop := term(w, 1)
+		time.Sleep(4 * time.Second)
+		w.mu.Lock()
+		w.traffic = true
+		w.mu.Unlock()
+		served := w.memberOf("w0-0")
+		w.kill("w0-1")
+		k.Suspect(fleet.GroupKey(served))
+		time.Sleep(2 * time.Second)
+		dissolved := w.memberOf("w0-0")
+		time.Sleep(5 * time.Second)
+		later := w.memberOf("w0-0")
+		w.add("w0-2", "d0")
+		time.Sleep(20 * time.Second)
+		serving := w.serving()
+		stop()
+		w.pending.Wait()
+		assert.Equal(t, served.State, fleet.Open)
+		assert.Equal(t, dissolved.Group, "", "the group is not dissolved")
+		assert.Equal(t, later.Group, "", "the head is in its dissolved group again")
+		assert.DeepEqual(t, w.broken, []string(nil))
+		assert.Equal(t, serving["small"], 1)
+	})
+}
+
+// memberOf returns the part that a worker has in a group.
+func (w *world) memberOf(id string) fleet.Membership {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[id].member()
+}
+
+// add brings an empty worker.
+func (w *world) add(id, domain string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &simWorker{id: id, domain: domain}
+	w.workers[id] = s
+	w.list(s)
+}
