formation: Do not open again what was just opened

Cause: the leader noted a head open when the order was answered, while the list shows it ready for another 0.3 s (form_ms) and more. Confirmed since, the list won, and the group was taken for one of an earlier leader that was never opened: an order too many for each group, and a group that serves was dissolved where six tries of it got no answer.

The note now counts until the list can show it. TestGroupIsOpenedOnce failed before (two orders for a group).

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -167,7 +167,9 @@
 // observation is what a worker told directly.
 type observation struct {
 	state State
-	at    time.Time
+	// at is the time it told of: what the list shows counts again once it was
+	// confirmed after that. It lies ahead for what the worker will do by then.
+	at time.Time
 }
 
 // NewKeeper returns a keeper for a term. It calls outdone when a worker shows
@@ -371,9 +373,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.silent, id)
-	k.reported(id, s, time.Now())
-	if held, ok := k.known[id]; ok && held.state.Member.Epoch > s.Member.Epoch {
+	now := time.Now()
+	k.reported(id, s, now)
+	held, ok := k.known[id]
+	outdated := held.state.Member.Epoch > s.Member.Epoch || held.at.After(now) && held.state.Member.Same(s.Member)
+	if ok && outdated {
 		return
 	}
-	k.known[id] = observation{state: s, at: time.Now()}
+	k.known[id] = observation{state: s, at: now}
 }
--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -368,7 +368,7 @@
 
 // readList confirms the list again and again for a while, as a reader does.
 func (w *world) readList(howLong time.Duration) {
-	const every = 500 * time.Millisecond
+	const every = 100 * time.Millisecond
 	for range howLong / every {
 		time.Sleep(every)
 		w.mu.Lock()
--- a/formation/late_test.go
+++ b/formation/late_test.go
@@ -67,6 +67,24 @@
 	})
 }
 
+// TestGroupIsOpenedOnce: the list shows a group open only some time after its
+// head took the order. A second order to open is needless, and a group for which
+// that one gets no answer was dissolved.
+func TestGroupIsOpenedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		_, stop := term(w, 1)
+		w.pending.Go(func() { w.readList(8 * time.Second) })
+		time.Sleep(8 * time.Second)
+		stop()
+		w.pending.Wait()
+		assert.Assert(t, len(w.opened) >= 7)
+		for group, orders := range w.opened {
+			assert.Equal(t, orders, 1, group)
+		}
+	})
+}
+
 // memberOf returns the part that a worker has in a group.
 func (w *world) memberOf(id string) fleet.Membership {
 	w.mu.Lock()
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -144,18 +144,25 @@
 		return false
 	}
 	k.began(head.ID, verdict)
-	k.mu.Lock()
-	k.known[head.ID] = observation{at: time.Now(), state: State{
-		Member: fleet.Membership{Group: g.Name, Epoch: g.Epoch, State: fleet.Open}, Loaded: g.Model, Staged: []string{g.Model},
-	}}
-	k.mu.Unlock()
-	pause.For(ctx, k.openingTime(service))
+	opening := k.openingTime(service)
+	k.noteOpened(head.ID, g, time.Now().Add(opening+settleFor))
+	pause.For(ctx, opening)
 	k.opts.Announced(fleet.Announcement{
 		Group: g.Name, Epoch: g.Epoch, Service: service, Model: g.Model, Members: g.Members, Open: true,
 	})
 	return true
 }
 
+// noteOpened notes that a head took the order to open. The list, and the head's
+// reports, show it ready for some time yet.
+func (k *Keeper) noteOpened(head string, g Group, listedBy time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.known[head] = observation{at: listedBy, state: State{
+		Member: fleet.Membership{Group: g.Name, Epoch: g.Epoch, State: fleet.Open}, Loaded: g.Model, Staged: []string{g.Model},
+	}}
+}
+
 // openingTime returns how long the opening of a group takes.
 func (k *Keeper) openingTime(service string) time.Duration {
 	if c := k.opts.Config(); c != nil {
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -67,6 +67,10 @@
 	// take to end.
 	demand  map[string]float64
 	closing time.Duration
+	// opening is how long until the list shows an opened group, opened counts the
+	// orders to open by group.
+	opening time.Duration
+	opened  map[string]int
 	// away tells that the list shows nothing new.
 	away bool
 	// cut holds the workers that leaders do not reach, though other daemons do.
@@ -83,6 +87,8 @@
 	simHot  = 200 * time.Millisecond
 	simForm = 300 * time.Millisecond
 	simLag  = 200 * time.Millisecond
+	// simDelivery is how long the list takes to show a change.
+	simDelivery = 30 * time.Millisecond
 )
 
 var simModels = []fleet.Model{
@@ -101,7 +107,7 @@
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
 		demand: map[string]float64{"big": 5, "small": 5}, closing: time.Second,
 		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool),
-		delays: make(map[string][]time.Duration),
+		delays: make(map[string][]time.Duration), opening: simForm + simDelivery, opened: make(map[string]int),
 	}
 	for d := range domains {
 		for i := range perDomain {
@@ -321,13 +327,18 @@
 }
 
 func (w *world) Open(ctx context.Context, worker *fleet.Worker, fence Fence, g Group) (Verdict, error) {
+	w.mu.Lock()
+	w.opened[g.Key()]++
+	w.mu.Unlock()
 	return w.run(ctx, "open", worker.ID, fence, func(s *simWorker) Verdict {
 		if s.group.Name != g.Name || s.rank != 0 || s.state != fleet.Ready && s.state != fleet.Open {
 			return Unfit
 		}
+		if s.state == fleet.Open {
+			return Holds
+		}
 		w.checkPartial(s)
-		s.state = fleet.Open
-		w.list(s)
+		w.later(w.opening, s, g, func() { s.state = fleet.Open })
 		return Begun
 	})
 }
