formation: Let stages name the count of orders too

A stage is given up to six times; tries without an answer are carried out late, and each may begin a load that nobody counted. TestLateLoadsStayWithinTheBound fails without the condition.

Besides, a worker whose stage was not taken counted as loading for up to 64 s and was left idle; it is free at once now.

--- a/formation/late_test.go
+++ b/formation/late_test.go
@@ -32,6 +32,32 @@
 	})
 }
 
+// TestLateLoadsStayWithinTheBound lets requests come to a new fleet while orders
+// given before, when loads did not count, have yet to be carried out.
+func TestLateLoadsStayWithinTheBound(outer *testing.T) {
+	rapid.Check(outer, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		quiet := time.Duration(rapid.IntRange(1, 8).Draw(t, "quiet")) * time.Second
+		var problems []string
+		synctest.Test(outer, func(*testing.T) {
+			w := newWorld(seed, 4, 10)
+			w.fenceless, w.late = true, 0.8
+			_, stop := term(w, 1)
+			time.Sleep(quiet)
+			w.mu.Lock()
+			w.traffic = true
+			w.mu.Unlock()
+			time.Sleep(30 * time.Second)
+			stop()
+			w.pending.Wait()
+			problems = w.broken
+		})
+		if len(problems) > 0 {
+			t.Fatalf("broken: %v", problems)
+		}
+	})
+}
+
 // TestLateOrdersBringNoGroupBack plays what the incident TWO showed. A head's
 // first orders to join and to open get no answer; later tries are taken, the
 // group serves, loses its other member and is dissolved, which the head
--- a/formation/operate.go
+++ b/formation/operate.go
@@ -374,13 +374,33 @@
 	k.noteLoad(w, m)
 	k.opts.Logger.Info("staging", "worker", w.ID, "model", m.Name)
 	k.group.Go(func() {
-		verdict, ok := k.order(ctx, "stage", w, func(ctx context.Context, fence Fence) (Verdict, error) {
-			return k.opts.Orders.Stage(ctx, w, fence, m.Name)
-		})
-		if !ok || !verdict.Accepted() {
-			k.opts.Logger.Warn("staging not taken", "worker", w.ID, "model", m.Name, "answered", ok)
+		if k.stage(ctx, w, m) {
 			return
 		}
-		k.began(w.ID, verdict)
+		k.loadsEnded([]string{w.ID})
+		if ctx.Err() == nil {
+			k.opts.Logger.Warn("staging not taken", "worker", w.ID, "model", m.Name)
+		}
 	})
 }
+
+// stage orders a worker to bring a model to its host, and reports whether it
+// took the order. It takes it once at most, so that no load begins that was not
+// counted.
+func (k *Keeper) stage(ctx context.Context, w *fleet.Worker, m fleet.Model) bool {
+	at, ok := k.positionOf(ctx, w)
+	if !ok {
+		return false
+	}
+	verdict, ok := k.order(ctx, "stage", w, func(ctx context.Context, fence Fence) (Verdict, error) {
+		return k.opts.Orders.Stage(ctx, w, fence, at.orders, m.Name)
+	})
+	switch {
+	case !ok:
+		return false
+	case verdict == Unfit:
+		k.forgetPosition(w.ID)
+	}
+	k.began(w.ID, verdict)
+	return verdict.Accepted()
+}
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -99,8 +99,9 @@
 	// Close lets the group's requests end and takes no new ones.
 	Close(ctx context.Context, w *fleet.Worker, fence Fence, g Group) (Verdict, error)
 	Leave(ctx context.Context, w *fleet.Worker, fence Fence, g Group) (Verdict, error)
-	// Stage brings a model's weights to the worker's host, beside its work.
-	Stage(ctx context.Context, w *fleet.Worker, fence Fence, model string) (Verdict, error)
+	// Stage brings a model's weights to the worker's host, beside its work. It is
+	// carried out under the same condition as Join.
+	Stage(ctx context.Context, w *fleet.Worker, fence Fence, orders int64, model string) (Verdict, error)
 	// Ask returns the worker's state, which may lag by some hundred milliseconds.
 	Ask(ctx context.Context, w *fleet.Worker) (State, error)
 }
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -76,9 +76,12 @@
 	// cut holds the workers that leaders do not reach, though other daemons do.
 	cut map[string]bool
 	// young tells that leaders have not known the list for long.
-	young   bool
-	broken  []string
-	pending sync.WaitGroup
+	young bool
+	// loadsPerSecond bounds the loads that may begin, loads holds when they did.
+	loadsPerSecond float64
+	loads          []time.Time
+	broken         []string
+	pending        sync.WaitGroup
 }
 
 const (
@@ -91,14 +94,16 @@
 	simDelivery = 30 * time.Millisecond
 )
 
+var simCeiling = Ceiling{Window: 5 * time.Second, Over: 1.1}
+
 var simModels = []fleet.Model{
 	{Name: "big", Size: 4, Share: 0.5, Pace: 1, Load: simLoad, Warm: simWarm},
 	{Name: "small", Size: 2, Share: 0.5, Pace: 1, Load: simLoad, Warm: simWarm},
 }
 
-func simConfig() *fleet.Config {
+func simConfig(loadsPerSecond float64) *fleet.Config {
 	return fleet.NewConfig(fleet.Parts{Version: 1, Services: []*fleet.Service{{Name: "models", Engine: &fleet.Engine{
-		Slots: 10, LoadsPerSecond: 5, LoadsAtOnce: 7, Form: simForm, Models: simModels,
+		Slots: 10, LoadsPerSecond: loadsPerSecond, LoadsAtOnce: 7, Form: simForm, Models: simModels,
 	}}}})
 }
 
@@ -107,7 +112,7 @@
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
 		demand: map[string]float64{"big": 5, "small": 5}, closing: time.Second,
 		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool),
-		delays: make(map[string][]time.Duration), opening: simForm + simDelivery, opened: make(map[string]int),
+		delays: make(map[string][]time.Duration), opening: simForm + simDelivery, opened: make(map[string]int), loadsPerSecond: 5,
 	}
 	for d := range domains {
 		for i := range perDomain {
@@ -120,7 +125,7 @@
 }
 
 func (w *world) options() Options {
-	config := simConfig()
+	config := simConfig(w.loadsPerSecond)
 	return Options{
 		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w, IndirectLeave: w.indirectLeave,
 		Demand:  func() map[string]float64 { return w.demand },
@@ -133,7 +138,7 @@
 		},
 		Announced:  func(fleet.Announcement) {},
 		Counted:    func(string, string) {},
-		StallAfter: 6 * time.Second, Ceiling: Ceiling{Window: 5 * time.Second, Over: 1.1},
+		StallAfter: 6 * time.Second, Ceiling: simCeiling,
 		Logger: hclog.NewNullLogger(),
 	}
 }
@@ -301,8 +306,8 @@
 		case s.staged:
 			wait = simWarm
 		}
-		if !w.traffic && wait == simLoad {
-			wait /= 10
+		if wait == simLoad {
+			wait = w.load()
 		}
 		w.list(s)
 		w.later(wait, s, g, func() {
@@ -313,6 +318,28 @@
 	})
 }
 
+// load returns how long a load from the weight store takes, and checks the bound
+// on those that begin. Before the first request loads are quick and do not count.
+// The mutex is held.
+func (w *world) load() time.Duration {
+	if !w.traffic {
+		return simLoad / 10
+	}
+	now := time.Now()
+	w.loads = append(w.loads, now)
+	within := 0
+	for _, at := range w.loads {
+		if now.Sub(at) < simCeiling.Window {
+			within++
+		}
+	}
+	most := w.loadsPerSecond*simCeiling.Window.Seconds()*simCeiling.Over + ceilingSlack
+	if float64(within) > most {
+		w.broken = append(w.broken, fmt.Sprintf("%d loads began within %s", within, simCeiling.Window))
+	}
+	return simLoad
+}
+
 // later changes a worker after a time if it is still in the group.
 func (w *world) later(wait time.Duration, s *simWorker, g Group, change func()) {
 	w.pending.Go(func() {
@@ -383,10 +410,17 @@
 	return Holds
 }
 
-func (w *world) Stage(ctx context.Context, worker *fleet.Worker, fence Fence, model string) (Verdict, error) {
+func (w *world) Stage(ctx context.Context, worker *fleet.Worker, fence Fence, orders int64, model string) (Verdict, error) {
 	return w.run(ctx, "stage", worker.ID, fence, func(s *simWorker) Verdict {
+		if orders != s.orders {
+			return Unfit
+		}
+		if s.staged == model {
+			return Holds
+		}
+		wait := w.load()
 		w.pending.Go(func() {
-			time.Sleep(simLoad / 10)
+			time.Sleep(wait)
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			s.staged = model
