soak: Crash workers while orders come late

Groups have to be dissolved and formed again while tries of their orders are still under way.

orders-late-crashes lets four in five orders come late for ten seconds and crashes a worker every 1.5 s.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -27,6 +27,15 @@
 // longAway is long enough for keys that were taken away to be void everywhere.
 const longAway = revokeBound + 3*time.Second
 
+const (
+	// longLate is long enough for orders to come late to groups that were formed,
+	// dissolved and formed again meanwhile.
+	longLate = 10 * time.Second
+	// crashEvery is the time between two crashes in it: groups are formed again
+	// in about a second while most orders get no answer.
+	crashEvery = 1500 * time.Millisecond
+)
+
 // faults holds all kinds of faults by name.
 var faults = map[string]fault{
 	"daemon-kill":          {blinds: true, strike: func(r *run, random *rand.Rand) func() { return r.killDaemons(random, 1) }},
@@ -56,6 +65,7 @@
 	"workers-lose-answers": {strike: workerFault(standin.WorkerFaults{Lose: 0.2, Cut: 0.2})},
 	"workers-add-answers":  {strike: workerFault(standin.WorkerFaults{Surplus: 0.3})},
 	"orders-late":          {strike: workerFault(standin.WorkerFaults{Late: 0.5})},
+	"orders-late-crashes":  {strike: (*run).lateAndCrash, least: longLate},
 	"front-link":           {strike: func(r *run, random *rand.Rand) func() { return r.harm(r.anyDaemon(random).front, random) }},
 	"operator-change":      {strike: func(r *run, _ *rand.Rand) func() { r.operator.Publish(); return nothing }},
 	"operator-adds-route":  {strike: (*run).addRoute},
@@ -179,6 +189,32 @@
 	}
 }
 
+// lateAndCrash lets most orders be carried out late and meanwhile crashes one
+// worker after the other, so that groups are dissolved and formed again.
+func (r *run) lateAndCrash(random *rand.Rand) func() {
+	late := workerFault(standin.WorkerFaults{Late: 0.8})(r, random)
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(crashEvery):
+			}
+			all := r.fabric.Workers(standin.ModelService)
+			w := all[random.IntN(len(all))]
+			w.Crash()
+			r.replace(w)
+		}
+	}()
+	return func() {
+		close(stop)
+		<-done
+		late()
+	}
+}
+
 // renewWorkers ends half of the workers and starts empty ones in their places,
 // which all have to load.
 func (r *run) renewWorkers(random *rand.Rand) func() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -149,7 +149,8 @@
 // fenceless draws whether the workers of a soak look at fences: not all of the
 // users' deployments have workers that do.
 func fenceless(seed uint64) bool {
-	const stream = 1
+	// Streams of lower numbers draw the series of faults.
+	const stream = 1 << 32
 	return rand.New(rand.NewPCG(seed, stream)).IntN(2) == 0
 }
 
