fleet: Remember closed groups while their heads are not listed

Cause: the announcement that a group is closed was forgotten when its head left the list.

A closed group is now remembered until its head shows another one, or for 30 s if nobody shows it. TestClosedGroupsStayClosed failed before.

--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -32,11 +32,18 @@
 	return a.Members[0]
 }
 
+// heldAnnouncement is an announcement that the list has not overtaken.
+type heldAnnouncement struct {
+	Announcement
+	// forgetAt is when a closed group that no worker shows is forgotten.
+	forgetAt time.Time
+}
+
 // Inventory holds the workers as they are listed. It is safe for concurrent use.
 type Inventory struct {
 	mu        sync.Mutex
 	workers   map[string]*Worker
-	announced map[string]Announcement
+	announced map[string]heldAnnouncement
 	position  int64
 	confirmed time.Time
 	view      atomic.Pointer[View]
@@ -65,6 +72,10 @@
 	leaveMargin = 300 * time.Millisecond
 )
 
+// closedFor is how long a closed group is remembered that no worker shows: longer
+// than the cuts seen on the standard days, which end within 10 s.
+const closedFor = 30 * time.Second
+
 // maxJournal is how many batches of changes are kept for peers.
 const maxJournal = 256
 
@@ -86,7 +97,7 @@
 	}
 	i := &Inventory{
 		doubtFor: doubtFor, lapsed: make(map[string]time.Time),
-		workers: make(map[string]*Worker), announced: make(map[string]Announcement),
+		workers: make(map[string]*Worker), announced: make(map[string]heldAnnouncement),
 		changed: make(chan struct{}, 1),
 	}
 	i.view.Store(newView(nil, nil))
@@ -263,7 +274,7 @@
 			// A group that was closed never opens again.
 			continue
 		}
-		i.announced[a.Group] = a
+		i.announced[a.Group] = heldAnnouncement{Announcement: a, forgetAt: time.Now().Add(closedFor)}
 		news = true
 	}
 	if news {
@@ -316,12 +327,28 @@
 	}
 }
 
+// isOvertaken reports whether an announcement tells nothing more than the list. A
+// closed group is remembered while its head is not listed: one that was cut off
+// from the list comes back with the entry it had before, for a moment.
+func (i *Inventory) isOvertaken(a heldAnnouncement, now time.Time) bool {
+	head, listed := i.workers[a.Head()]
+	switch {
+	case listed && head.Member.Epoch > a.Epoch:
+		return true
+	case a.Open:
+		return !listed
+	case listed && head.Member.Epoch == a.Epoch:
+		return false
+	}
+	return now.After(a.forgetAt)
+}
+
 // publish makes the view anew and forgets announcements that the list has
 // overtaken.
 func (i *Inventory) publish() {
+	now := time.Now()
 	for name, a := range i.announced {
-		head, ok := i.workers[a.Head()]
-		if !ok || head.Member.Epoch > a.Epoch {
+		if i.isOvertaken(a, now) {
 			delete(i.announced, name)
 		}
 	}
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -63,6 +63,36 @@
 	}
 }
 
+// TestClosedGroupsStayClosed: a worker that was cut off from the list comes back
+// with what it listed before, for a moment, though it has left that group since.
+func TestClosedGroupsStayClosed(t *testing.T) {
+	tests := map[string]struct {
+		back Membership
+		want int
+	}{
+		"as it was before the cut": {back: Membership{Group: "g", Epoch: 5, State: Open}},
+		"in a later group":         {back: Membership{Group: "later", Epoch: 6, State: Open}, want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := NewInventory(1200*time.Millisecond, 0)
+				i.Apply([]Change{{ID: "h", Worker: head("h", "g", 5, Open)}}, 1, time.Now())
+				i.Apply([]Change{{ID: "h"}}, 2, time.Now())
+				i.Announce([]Announcement{{Group: "g", Epoch: 5, Service: "s", Model: "m", Members: []string{"h"}}})
+				time.Sleep(closedFor - time.Second)
+				i.Apply([]Change{{ID: "h", Worker: head("h", test.back.Group, test.back.Epoch, test.back.State)}}, 3, time.Now())
+				assert.Equal(t, len(i.View().Replicas("s", "m")), test.want)
+				time.Sleep(closedFor)
+				i.Apply([]Change{{ID: "x", Worker: head("x", "", 0, "")}}, 4, time.Now())
+				assert.Equal(t, len(i.View().Replicas("s", "m")), test.want)
+				i.Apply([]Change{{ID: "h", Worker: head("h", "", 0, "")}}, 5, time.Now())
+				assert.Equal(t, len(i.announced), 0, "what is closed for long and not shown is forgotten")
+			})
+		})
+	}
+}
+
 // TestModelIsRememberedAfterLeaving: a worker that left its group tells no
 // model, though it can take up the one it served without loading it again.
 func TestModelIsRememberedAfterLeaving(t *testing.T) {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -27,7 +27,7 @@
 // replica whose head leaves takes no more requests. One whose other member
 // leaves does until its leader closes it: that member stays while the head has
 // work.
-func newView(workers map[string]*Worker, announced map[string]Announcement) *View {
+func newView(workers map[string]*Worker, announced map[string]heldAnnouncement) *View {
 	v := &View{workers: make(map[string]*Worker, len(workers)), replicas: make(map[string][]*Replica)}
 	for id, w := range workers {
 		v.workers[id] = w
@@ -35,7 +35,7 @@
 	byHead := make(map[string]Announcement, len(announced))
 	for _, a := range announced {
 		if held, ok := byHead[a.Head()]; !ok || held.Epoch < a.Epoch {
-			byHead[a.Head()] = a
+			byHead[a.Head()] = a.Announcement
 		}
 	}
 	for _, w := range workers {
