--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -52,15 +52,15 @@
 }
 
 // Source is where the configuration and the worker list are published.
-type Source interface {
+type Source struct {
 	// ReadConfig returns the newest configuration.
-	ReadConfig(ctx context.Context) (ConfigNews, error)
+	ReadConfig func(ctx context.Context) (ConfigNews, error)
 	// NextConfig waits for news after position.
-	NextConfig(ctx context.Context, position int64, wait time.Duration) (ConfigNews, error)
+	NextConfig func(ctx context.Context, position int64, wait time.Duration) (ConfigNews, error)
 	// ReadWorkers returns all workers as changes.
-	ReadWorkers(ctx context.Context) (WorkerNews, error)
+	ReadWorkers func(ctx context.Context) (WorkerNews, error)
 	// NextWorkers waits for news after position.
-	NextWorkers(ctx context.Context, position int64, wait time.Duration) (WorkerNews, error)
+	NextWorkers func(ctx context.Context, position int64, wait time.Duration) (WorkerNews, error)
 }
 
 // FollowerOptions configures a Follower.
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -218,7 +218,11 @@
 	change()
 }
 
-func (s *fakeSource) ReadConfig(context.Context) (ConfigNews, error) {
+func (s *fakeSource) source() Source {
+	return Source{ReadConfig: s.readConfig, NextConfig: s.nextConfig, ReadWorkers: s.readWorkers, NextWorkers: s.nextWorkers}
+}
+
+func (s *fakeSource) readConfig(context.Context) (ConfigNews, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -231,7 +235,7 @@
 	return ConfigNews{Config: NewConfig(Parts{Version: s.version}), Next: s.version}, nil
 }
 
-func (s *fakeSource) NextConfig(ctx context.Context, position int64, wait time.Duration) (ConfigNews, error) {
+func (s *fakeSource) nextConfig(ctx context.Context, position int64, wait time.Duration) (ConfigNews, error) {
 	s.mu.Lock()
 	down, lost, version := s.down, s.lost, s.version
 	s.lost = false
@@ -241,7 +245,7 @@
 	case lost:
 		return ConfigNews{Lost: true}, nil
 	case !down && version > position:
-		return s.ReadConfig(ctx)
+		return s.readConfig(ctx)
 	}
 	select {
 	case <-time.After(wait):
@@ -253,11 +257,11 @@
 	return ConfigNews{Next: position}, nil
 }
 
-func (s *fakeSource) ReadWorkers(context.Context) (WorkerNews, error) {
+func (s *fakeSource) readWorkers(context.Context) (WorkerNews, error) {
 	return WorkerNews{Next: 1, Changes: []Change{{ID: "w", Worker: head("w", "g", 1, Open)}}}, nil
 }
 
-func (s *fakeSource) NextWorkers(ctx context.Context, position int64, wait time.Duration) (WorkerNews, error) {
+func (s *fakeSource) nextWorkers(ctx context.Context, position int64, wait time.Duration) (WorkerNews, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
@@ -270,7 +274,7 @@
 		source := &fakeSource{version: 3}
 		beliefs, inventory := NewBeliefs(), NewInventory(1200*time.Millisecond, 0)
 		f := NewFollower(FollowerOptions{
-			Source: source, Beliefs: beliefs, Inventory: inventory,
+			Source: source.source(), Beliefs: beliefs, Inventory: inventory,
 			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
 		})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -299,7 +303,7 @@
 		source := &fakeSource{}
 		beliefs := NewBeliefs()
 		f := NewFollower(FollowerOptions{
-			Source: source, Beliefs: beliefs, Inventory: NewInventory(1200*time.Millisecond, 0),
+			Source: source.source(), Beliefs: beliefs, Inventory: NewInventory(1200*time.Millisecond, 0),
 			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
 		})
 		ctx, cancel := context.WithCancel(context.Background())
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -42,12 +42,12 @@
 )
 
 // Registry keeps grants. Each has an epoch that no other one shares.
-type Registry interface {
+type Registry struct {
 	// Newest returns the newest grant, the zero one before the first, and the
 	// position at which the next one has to be added.
-	Newest(ctx context.Context) (grant peers.Grant, position int64, err error)
+	Newest func(ctx context.Context) (grant peers.Grant, position int64, err error)
 	// Add adds a grant if the position still holds, and returns its epoch.
-	Add(ctx context.Context, holders []peers.Holder, position int64) (epoch int64, won bool, err error)
+	Add func(ctx context.Context, holders []peers.Holder, position int64) (epoch int64, won bool, err error)
 }
 
 // Options configures an Elector.
--- a/leadership/elector_test.go
+++ b/leadership/elector_test.go
@@ -61,7 +61,7 @@
 func (f *fakeFleet) start(id string, incarnation int64) {
 	d := &fakeDaemon{fleet: f, self: peers.Holder{ID: id, Incarnation: incarnation}, heard: make(map[string]*peers.Peer)}
 	d.elector = NewElector(Options{
-		Self: d.identity(), Registry: d, Alive: d.alive, Known: d.known,
+		Self: d.identity(), Registry: Registry{Newest: d.newest, Add: d.add}, Alive: d.alive, Known: d.known,
 		Patience: func() time.Duration { return 800 * time.Millisecond },
 		Settled:  func(time.Time) bool { return true }, Fit: func() bool { return true },
 		StoreSeen: d.storeSeen, Lead: d.lead, Logger: hclog.NewNullLogger(),
@@ -158,7 +158,7 @@
 	return d.fleet.storeUp && !d.fleet.cut[d.self.ID] && !d.fleet.dead[d.self.ID]
 }
 
-func (d *fakeDaemon) Newest(context.Context) (peers.Grant, int64, error) {
+func (d *fakeDaemon) newest(context.Context) (peers.Grant, int64, error) {
 	if !d.reachesStore() {
 		return peers.Grant{}, 0, errAway
 	}
@@ -172,7 +172,7 @@
 	return d.fleet.grants[n-1], int64(n), nil
 }
 
-func (d *fakeDaemon) Add(_ context.Context, holders []peers.Holder, position int64) (int64, bool, error) {
+func (d *fakeDaemon) add(_ context.Context, holders []peers.Holder, position int64) (int64, bool, error) {
 	if !d.reachesStore() {
 		return 0, false, errAway
 	}
--- a/serving/options.go
+++ b/serving/options.go
@@ -16,11 +16,11 @@
 )
 
 // Roster is where daemons find each other after a start.
-type Roster interface {
+type Roster struct {
 	// Register notes this daemon for others to find.
-	Register(ctx context.Context, self peers.Identity) error
+	Register func(ctx context.Context, self peers.Identity) error
 	// Read returns the daemons noted so far; some may be gone.
-	Read(ctx context.Context) ([]peers.Identity, error)
+	Read func(ctx context.Context) ([]peers.Identity, error)
 }
 
 // Bounds is what the operator promises callers, as far as it binds the daemon.
--- a/serving/server_test.go
+++ b/serving/server_test.go
@@ -22,25 +22,29 @@
 	away  bool
 }
 
-func (f *fakeStore) ReadConfig(context.Context) (fleet.ConfigNews, error) {
+func (f *fakeStore) source() fleet.Source {
+	return fleet.Source{ReadConfig: f.readConfig, NextConfig: f.nextConfig, ReadWorkers: f.readWorkers, NextWorkers: f.nextWorkers}
+}
+
+func (f *fakeStore) readConfig(context.Context) (fleet.ConfigNews, error) {
 	return fleet.ConfigNews{Config: fleet.NewConfig(fleet.Parts{Version: 1})}, nil
 }
 
-func (f *fakeStore) NextConfig(context.Context, int64, time.Duration) (fleet.ConfigNews, error) {
+func (f *fakeStore) nextConfig(context.Context, int64, time.Duration) (fleet.ConfigNews, error) {
 	return fleet.ConfigNews{}, errAway
 }
 
-func (f *fakeStore) ReadWorkers(context.Context) (fleet.WorkerNews, error) {
+func (f *fakeStore) readWorkers(context.Context) (fleet.WorkerNews, error) {
 	return fleet.WorkerNews{Next: 1}, nil
 }
 
-func (f *fakeStore) NextWorkers(context.Context, int64, time.Duration) (fleet.WorkerNews, error) {
+func (f *fakeStore) nextWorkers(context.Context, int64, time.Duration) (fleet.WorkerNews, error) {
 	return fleet.WorkerNews{}, errAway
 }
 
-func (f *fakeStore) Register(context.Context, peers.Identity) error { return nil }
+func (f *fakeStore) register(context.Context, peers.Identity) error { return nil }
 
-func (f *fakeStore) Read(context.Context) ([]peers.Identity, error) {
+func (f *fakeStore) read(context.Context) ([]peers.Identity, error) {
 	if f.away {
 		return nil, errAway
 	}
@@ -56,7 +60,7 @@
 	s, err := New(Options{
 		Self:   peers.Identity{ID: "a", Incarnation: 1, Zone: "z", Address: address, Front: "front-a"},
 		Bounds: Bounds{Heartbeat: time.Second, Revoke: 5 * time.Second, KeepEntries: time.Second},
-		Source: store, Roster: store, Logger: hclog.NewNullLogger(),
+		Source: store.source(), Roster: Roster{Register: store.register, Read: store.read}, Logger: hclog.NewNullLogger(),
 	})
 	assert.NilError(t, err)
 	return s
