platform, fleet: Say what is not understood, and go on

Cause: found in reading what turns errors into nothing. A configuration that could not be decoded ended the read without moving on, so that later good ones were never reached by it; entries of workers that could not be decoded were dropped without a word.

Both are logged now, with the error. A good configuration after a bad one comes into force. While the newest one is not understood, the one in force is not confirmed, since the newer may have taken keys away.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -42,6 +42,8 @@
 	Next int64
 	// Lost says that the position is gone; everything is to be read anew.
 	Lost bool
+	// Refused tells why the newest configuration was not understood, if it was not.
+	Refused error
 }
 
 // WorkerNews is what a read of the worker list brought.
@@ -49,6 +51,8 @@
 	Changes []Change
 	Next    int64
 	Lost    bool
+	// Refused tells which entries were not understood; they are left out.
+	Refused []error
 }
 
 // Source is where the configuration and the worker list are published.
@@ -99,6 +103,9 @@
 
 func (f *Follower) followConfig(ctx context.Context) {
 	position := int64(-1)
+	// behind tells that the newest configuration is not understood, so that the
+	// one in force is not confirmed: the newer one may have taken keys away.
+	behind := false
 	f.follow(ctx, "configuration", f.opts.Beliefs.Confirmed, func(ctx context.Context) error {
 		sent := time.Now()
 		news, err := f.readConfig(ctx, position)
@@ -109,9 +116,13 @@
 		switch {
 		case news.Lost:
 			position = -1
+		case news.Refused != nil:
+			f.opts.Logger.Error("configuration not understood: the last one stays in force", "error", news.Refused)
+			behind = true
 		case news.Config != nil:
 			f.opts.Beliefs.Offer(news.Config, sent)
-		default:
+			behind = false
+		case !behind:
 			f.opts.Beliefs.Confirm(f.opts.Beliefs.Version(), sent)
 		}
 		return nil
@@ -153,6 +164,7 @@
 			return nil
 		}
 		position = news.Next
+		f.logRefused(news.Refused)
 		f.opts.Inventory.Apply(news.Changes, position, sent)
 		pause.For(ctx, mergePause)
 		return nil
@@ -167,10 +179,17 @@
 		return err
 	}
 	*position = news.Next
+	f.logRefused(news.Refused)
 	f.opts.Inventory.Replace(news.Changes, news.Next, sent)
 	return nil
 }
 
+func (f *Follower) logRefused(all []error) {
+	for _, err := range all {
+		f.opts.Logger.Warn("entry of a worker not understood", "error", err)
+	}
+}
+
 // follow reads again and again while this daemon is to read, and pauses longer
 // and longer while reads fail. It logs each loss and return of the source once.
 func (f *Follower) follow(ctx context.Context, what string, confirmed func() time.Time, read func(context.Context) error) {
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -209,6 +209,8 @@
 	version int64
 	down    bool
 	lost    bool
+	// refused tells that the newest configuration is not understood.
+	refused error
 	calls   int
 }
 
@@ -232,6 +234,9 @@
 	if s.version == 0 {
 		return ConfigNews{}, nil
 	}
+	if s.refused != nil {
+		return ConfigNews{Refused: s.refused, Next: s.version}, nil
+	}
 	return ConfigNews{Config: NewConfig(Parts{Version: s.version}), Next: s.version}, nil
 }
 
@@ -296,6 +301,34 @@
 	})
 }
 
+// TestConfigurationThatIsNotUnderstood stays out of force and is not taken for
+// the one in force either: it may have taken keys away.
+func TestConfigurationThatIsNotUnderstood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{version: 3}
+		beliefs := NewBeliefs()
+		f := NewFollower(FollowerOptions{
+			Source: source.source(), Beliefs: beliefs, Inventory: NewInventory(1200*time.Millisecond, 0),
+			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		source.set(func() { source.version, source.refused = 4, errDown })
+		time.Sleep(10 * time.Second)
+		behind, version := time.Since(beliefs.Confirmed()), beliefs.Version()
+		source.set(func() { source.version, source.refused = 5, nil })
+		time.Sleep(2 * time.Second)
+		fresh := time.Since(beliefs.Confirmed())
+		cancel()
+		<-f.Done()
+		assert.Equal(t, version, int64(3))
+		assert.Assert(t, behind > 8*time.Second, "what is not understood confirms nothing")
+		assert.Equal(t, beliefs.Version(), int64(5))
+		assert.Assert(t, fresh < time.Second)
+	})
+}
+
 // TestFollowerWaitsForTheFirstConfiguration starts before the operator has
 // published anything.
 func TestFollowerWaitsForTheFirstConfiguration(t *testing.T) {
