formation: Free the members of a group whose head is dead

Cause: the leader waited for the word of the head as long as the list showed it, 3.6 s after its last heartbeat, since its members might be taken out of a group that serves. Since a worker now leaves a dissolved group before it joins another one, that wait protects nothing: daemons have been told to send the head nothing, and a group whose members left does not move.

A head that answers neither orders nor questions, nor by way of peers, no longer holds its members. TestMembersOfADeadHeadServeSoon failed before.

--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -9,7 +9,9 @@
 )
 
 // dissolve makes certain that the head takes no more requests for the group,
-// and by then frees its members.
+// and by then frees its members. A head that answers neither orders nor questions
+// may still live, but daemons have been told to send it nothing, and what its
+// members leave does not move: they are freed without its word.
 func (k *Keeper) dissolve(ctx context.Context, o *observed, head *fleet.Worker) {
 	k.announceClosed(o, head)
 	unreachableSince := time.Time{}
@@ -25,7 +27,7 @@
 		case unreachableSince.IsZero():
 			unreachableSince = now.Add(-orderTries * orderTimeout)
 		}
-		if k.gone(head, unreachableSince, now) {
+		if k.isSilent(head.ID) || k.gone(head, unreachableSince, now) {
 			k.retire(o, head, assumed)
 			return
 		}
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -111,7 +111,7 @@
 func (k *Keeper) mend(ctx context.Context, o *observed, now time.Time) {
 	age := now.Sub(k.seenSince(o, now))
 	k.noteReturn(o, now)
-	if o.head != nil && o.state != fleet.Broken && k.retired[o.key] == assumed {
+	if o.head != nil && o.state != fleet.Broken && !k.silentNow(o.head.ID) && k.retired[o.key] == assumed {
 		// The head is back after all.
 		delete(k.retired, o.key)
 	}
--- a/formation/late_test.go
+++ b/formation/late_test.go
@@ -111,6 +111,29 @@
 	})
 }
 
+// TestMembersOfADeadHeadServeSoon kills the head of a large group without a word.
+// The list shows it for another 3.6 s.
+func TestMembersOfADeadHeadServeSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 7)
+		w.demand = map[string]float64{"big": 5}
+		k, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		w.mu.Lock()
+		w.traffic = true
+		old := w.headOf("big").group
+		w.mu.Unlock()
+		w.kill(old.Members[0])
+		k.Suspect(old.Key())
+		time.Sleep(3400 * time.Millisecond)
+		survivor := w.memberOf(old.Members[1])
+		stop()
+		w.pending.Wait()
+		assert.Assert(t, survivor.Group != old.Name, "a survivor still waits for its dead head")
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
 // memberOf returns the part that a worker has in a group.
 func (w *world) memberOf(id string) fleet.Membership {
 	w.mu.Lock()
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -77,6 +77,19 @@
 	k.silent[id] = time.Now().Add(reviveEvery)
 }
 
+// isSilent reports whether a worker does not answer.
+func (k *Keeper) isSilent(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.silentNow(id)
+}
+
+// silentNow does the same while the keeper's mutex is held.
+func (k *Keeper) silentNow(id string) bool {
+	_, silent := k.silent[id]
+	return silent
+}
+
 // revive asks silent workers again now and then. The keeper's mutex is held.
 func (k *Keeper) revive(ctx context.Context, view *fleet.View, now time.Time) {
 	for id, at := range k.silent {
