formation: Order a silent worker twice, not six times

Hypothesis: a head that was already found silent need not be given six orders of 200 ms each before its members are freed.

--- a/formation/give.go
+++ b/formation/give.go
@@ -10,8 +10,11 @@
 // that an earlier one that comes late is void. It reports whether an answer
 // came.
 func (k *Keeper) order(ctx context.Context, what string, w *fleet.Worker, give func(context.Context, Fence) (Verdict, error)) (Verdict, bool) {
-	refused := 0
-	for tries := range orderTries {
+	refused, most := 0, orderTries
+	if k.isSilent(w.ID) {
+		most = silentTries
+	}
+	for tries := range most {
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 		verdict, err := give(bounded, k.fence())
 		cancel()
@@ -30,7 +33,7 @@
 			return Unfit, false
 		}
 	}
-	k.opts.Logger.Warn("order not answered", "order", what, "worker", w.ID, "tries", orderTries)
+	k.opts.Logger.Warn("order not answered", "order", what, "worker", w.ID, "tries", most)
 	if _, lives := k.ask(ctx, w); !lives && ctx.Err() == nil {
 		k.fellSilent(w.ID)
 	}
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -9,7 +9,8 @@
 	"quartzshelf.dev/fleet"
 )
 
-// silentTries is how often a worker must not answer to count as silent.
+// silentTries is how often a worker must not answer to count as silent, and how
+// often a silent one is given an order.
 const silentTries = 2
 
 // examine asks the members of a suspected replica whether they live. Those
