formation: Leave workers alone that refuse to stage

Cause: a worker that loads to its host refuses another stage (409).

It is left alone for two seconds now, and the load it did not begin is given back.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -137,6 +137,8 @@
 	leaveBy map[string]time.Time
 	// leaveNext holds, by model, when the next of these is dissolved.
 	leaveNext map[string]time.Time
+	// stageNext holds when workers that refused to stage may be asked again.
+	stageNext map[string]time.Time
 	// idleSince holds since when workers have had nothing to do at the start.
 	idleSince map[string]time.Time
 	// reportNext is when what is wanted and there is logged again.
@@ -196,6 +198,7 @@
 		smooth:    make(map[string]float64),
 		leaveBy:   make(map[string]time.Time),
 		leaveNext: make(map[string]time.Time),
+		stageNext: make(map[string]time.Time),
 	}
 	k.fresh = k.isFresh(opts.Inventory.View())
 	return k
@@ -272,7 +275,7 @@
 	if !counted {
 		stagings = append(k.longIdle(stagings, now), k.seconds(s, view)...)
 	}
-	for _, stage := range stagings {
+	for _, stage := range k.due(stagings, now) {
 		model, _ := s.Engine.Model(stage.Model)
 		budget.take(1, counted, now)
 		k.beginStage(ctx, k.former[stage.Worker], model)
--- a/formation/late_test.go
+++ b/formation/late_test.go
@@ -134,6 +134,30 @@
 	})
 }
 
+// TestWorkersThatLoadAreLeftAlone lets a leader come while idle workers bring a
+// model to their hosts, which the list does not tell.
+func TestWorkersThatLoadAreLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 5)
+		_, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		stop()
+		w.mu.Lock()
+		w.traffic = true
+		w.mu.Unlock()
+		w.add("new", "d0")
+		w.mu.Lock()
+		w.workers["new"].staging = true
+		w.mu.Unlock()
+		_, stop = term(w, 2)
+		time.Sleep(6 * time.Second)
+		stop()
+		w.pending.Wait()
+		assert.Assert(t, w.workers["new"].stages >= 1)
+		assert.Assert(t, w.workers["new"].stages <= 3, "%d orders in six seconds", w.workers["new"].stages)
+	})
+}
+
 // memberOf returns the part that a worker has in a group.
 func (w *world) memberOf(id string) fleet.Membership {
 	w.mu.Lock()
--- a/formation/staging.go
+++ b/formation/staging.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"quartzshelf.dev/fleet"
@@ -56,6 +57,11 @@
 	return best
 }
 
+// stagePause is how long a worker that refused to stage is left alone. It refuses
+// while it loads, for 12 to 16 s on the sites played, which a leader that came
+// later does not know of.
+const stagePause = 2 * time.Second
+
 // unbounded is how many loads may begin while they are not bounded.
 const unbounded = 1 << 20
 
@@ -163,7 +169,25 @@
 		return false
 	case verdict == Unfit:
 		k.forgetPosition(w.ID)
+		k.stageRefused(w)
 	}
 	k.began(w.ID, verdict)
 	return verdict.Accepted()
 }
+
+// stageRefused notes that a worker took no order to stage, as one that loads
+// already: it began no load, and is not asked again at once.
+func (k *Keeper) stageRefused(w *fleet.Worker) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stageNext[w.ID] = time.Now().Add(stagePause)
+	if l, ok := k.loads[w.Service]; ok {
+		l.giveBack(1)
+	}
+}
+
+// due returns the stagings whose workers did not refuse one of late. The keeper's
+// mutex is held.
+func (k *Keeper) due(stagings []Staging, now time.Time) []Staging {
+	return slices.DeleteFunc(stagings, func(s Staging) bool { return now.Before(k.stageNext[s.Worker]) })
+}
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -28,6 +28,9 @@
 	rank       int
 	last       string
 	staged     string
+	// staging tells that it loads to its host, stages counts orders to do so.
+	staging bool
+	stages  int
 	// orders counts the orders begun, states holds what reports told of when.
 	orders int64
 	states []timedState
@@ -420,15 +423,20 @@
 		if orders != s.orders {
 			return Unfit
 		}
-		if s.staged == model {
+		s.stages++
+		switch {
+		case s.staging:
+			return Unfit
+		case s.staged == model:
 			return Holds
 		}
+		s.staging = true
 		wait := w.load()
 		w.pending.Go(func() {
 			time.Sleep(wait)
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			s.staged = model
+			s.staged, s.staging = model, false
 			w.list(s)
 		})
 		return Begun
