formation: Dissolve what was announced closed

A group whose silent head came back with all members was taken for one that serves, though daemons had been told that it is closed and never use it again: its workers were lost to the fleet. A later leader took a group for well that its predecessor had closed and not yet dissolved, too.

What daemons hold as closed is dissolved now, whoever announced it; where all members are there its requests are let end first. TestHeadThatComesBackLeavesItsClosedGroup and TestLaterLeaderDissolvesWhatWasClosed failed before. Positions of workers are changed under one lock.

--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -282,6 +282,14 @@
 	}
 }
 
+// Closed reports whether a leader announced that a group is closed.
+func (i *Inventory) Closed(group string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	a, ok := i.announced[group]
+	return ok && !a.Open
+}
+
 // noteOutage notes the end of an outage if the list was not confirmed for long.
 func (i *Inventory) noteOutage(sent time.Time) {
 	if !i.confirmed.IsZero() && sent.Sub(i.confirmed) > outageAfter {
--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -58,9 +58,9 @@
 	return verdict, true
 }
 
-// gone reports whether a head that does not answer must be gone: it is not
-// listed although the list is fresh, or it had time to break while nobody could
-// read the list.
+// gone reports whether a head that does not answer is taken to have ended: it is
+// not listed although the list is fresh, or it had time to break while nobody
+// could read the list.
 func (k *Keeper) gone(head *fleet.Worker, since, now time.Time) bool {
 	_, listed := k.opts.Inventory.View().Worker(head.ID)
 	fresh := now.Sub(k.opts.Inventory.Confirmed()) < listFresh
@@ -92,6 +92,16 @@
 	})
 }
 
+// end dissolves a group that is closed already; one whose members are all there
+// may have requests to end.
+func (k *Keeper) end(ctx context.Context, o *observed) {
+	if o.whole() {
+		k.drain(ctx, o)
+		return
+	}
+	k.dissolve(ctx, o, o.head)
+}
+
 // drain lets a group's requests end before it is dissolved.
 func (k *Keeper) drain(ctx context.Context, o *observed) {
 	k.opts.Logger.Info("draining replica", "replica", o.key)
@@ -102,7 +112,9 @@
 	})
 	k.began(o.head.ID, verdict)
 	nextAsk := time.Now().Add(askEvery)
-	for ok && verdict.Accepted() && ctx.Err() == nil && time.Now().Before(deadline) && !k.drained(ctx, o, &nextAsk) {
+	// An earlier leader may have closed it.
+	closing := ok && (verdict.Accepted() || o.state == fleet.Closing)
+	for closing && ctx.Err() == nil && time.Now().Before(deadline) && !k.drained(ctx, o, &nextAsk) {
 		pause.For(ctx, tickEvery)
 	}
 	k.dissolve(ctx, o, o.head)
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -121,6 +121,10 @@
 	switch {
 	case o.head == nil:
 		k.mendHeadless(ctx, o, now)
+	case k.opts.Inventory.Closed(o.group.Name):
+		// Daemons were told so, by this leader or an earlier one, and never use it
+		// again, whatever its head shows. Requests may still be under way there.
+		k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.end(ctx, o) })
 	case o.state == fleet.Open && o.whole() && !o.draining:
 		// All is well.
 	case o.state == fleet.Open && o.whole():
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -39,8 +39,8 @@
 	drainMost = 8 * time.Second
 	// reviveEvery is how often a worker that was silent is asked again.
 	reviveEvery = 2 * time.Second
-	// lostHead is how long a head must be unreachable, and unlisted, before
-	// its group is taken for gone.
+	// lostHead is how long a head must be unreachable, and unlisted, before its
+	// members are freed without its answer.
 	lostHead = 1200 * time.Millisecond
 	// listStale is how old the list may be before workers are asked what it would
 	// tell. The leader reads it with waits of 0.3 s, so two reads have failed.
@@ -108,8 +108,8 @@
 	operating map[string]bool
 	// examining holds the replicas whose members are being asked.
 	examining map[string]bool
-	// retired holds the groups whose head takes no more requests: by its own
-	// word, which is final, or since it must be gone.
+	// retired holds the groups that no longer hold their members: the head
+	// confirmed that it left, or it answers nobody.
 	retired map[string]retirement
 	// dissolved holds the groups whose head confirmed that it left.
 	dissolved map[string]dissolution
--- a/formation/late_test.go
+++ b/formation/late_test.go
@@ -134,6 +134,54 @@
 	})
 }
 
+// TestHeadThatComesBackLeavesItsClosedGroup lets a head fall silent for some
+// seconds. Daemons are told that its group is closed and never use it again, so it
+// must not be taken for one that serves, even if its members are all there still.
+func TestHeadThatComesBackLeavesItsClosedGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 2)
+		k, stop := term(w, 1)
+		time.Sleep(8 * time.Second)
+		w.mu.Lock()
+		w.traffic = true
+		old := w.headOf("small").group
+		w.dark[old.Members[0]] = true
+		w.mu.Unlock()
+		k.Suspect(old.Key())
+		time.Sleep(3 * time.Second)
+		w.mu.Lock()
+		w.dark[old.Members[0]] = false
+		w.mu.Unlock()
+		time.Sleep(8 * time.Second)
+		head := w.memberOf(old.Members[0])
+		stop()
+		w.pending.Wait()
+		assert.Assert(t, head.Group != old.Name, "the closed group still holds its workers")
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestLaterLeaderDissolvesWhatWasClosed lets a leader end after it announced that
+// a group is closed, and before its head left it.
+func TestLaterLeaderDissolvesWhatWasClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		old := formed(w).group
+		w.inventory.Announce([]fleet.Announcement{{
+			Group: old.Name, Epoch: old.Epoch, Service: "models", Model: old.Model, Members: old.Members,
+		}})
+		_, stop := term(w, 2)
+		time.Sleep(3 * time.Second)
+		head := w.memberOf(old.Members[0])
+		serving := len(w.inventory.View().Replicas("models", "big"))
+		stop()
+		w.pending.Wait()
+		assert.Assert(t, head.Group != old.Name, "the closed group still holds its workers")
+		assert.Equal(t, serving, 2)
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
 // TestWorkersThatLoadAreLeftAlone lets a leader come while idle workers bring a
 // model to their hosts, which the list does not tell.
 func TestWorkersThatLoadAreLeftAlone(t *testing.T) {
--- a/formation/position.go
+++ b/formation/position.go
@@ -120,6 +120,11 @@
 func (k *Keeper) setPosition(id string, orders int64, m fleet.Membership) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.answered(id, orders, m)
+}
+
+// answered does the same while the keeper's mutex is held.
+func (k *Keeper) answered(id string, orders int64, m fleet.Membership) {
 	k.positions[id] = position{orders: orders, member: m, reportsFrom: time.Now().Add(reportSettle)}
 }
 
@@ -127,10 +132,9 @@
 // count only what they begin.
 func (k *Keeper) began(id string, verdict Verdict) {
 	k.mu.Lock()
-	held, ok := k.positions[id]
-	k.mu.Unlock()
-	if ok && verdict == Begun {
-		k.setPosition(id, held.orders+1, held.member)
+	defer k.mu.Unlock()
+	if held, ok := k.positions[id]; ok && verdict == Begun {
+		k.answered(id, held.orders+1, held.member)
 	}
 }
 
@@ -138,10 +142,10 @@
 // worker was in it.
 func (k *Keeper) left(id string, g Group, verdict Verdict) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	held, ok := k.positions[id]
-	k.mu.Unlock()
 	if ok && verdict.Accepted() && held.member.Same(fleet.Membership{Group: g.Name, Epoch: g.Epoch}) {
-		k.setPosition(id, held.orders+1, fleet.Membership{})
+		k.answered(id, held.orders+1, fleet.Membership{})
 	}
 }
 
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -78,6 +78,8 @@
 	away bool
 	// cut holds the workers that leaders do not reach, though other daemons do.
 	cut map[string]bool
+	// dark holds the workers that nobody reaches.
+	dark map[string]bool
 	// young tells that leaders have not known the list for long.
 	young bool
 	// loadsPerSecond bounds the loads that may begin, loads holds when they did.
@@ -114,7 +116,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
 		demand: map[string]float64{"big": 5, "small": 5}, closing: time.Second,
-		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool),
+		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool), dark: make(map[string]bool),
 		delays: make(map[string][]time.Duration), opening: simForm + simDelivery, opened: make(map[string]int), loadsPerSecond: 5,
 	}
 	for d := range domains {
@@ -139,7 +141,7 @@
 			}
 			return time.Time{}
 		},
-		Announced:  func(fleet.Announcement) {},
+		Announced:  func(a fleet.Announcement) { w.inventory.Announce([]fleet.Announcement{a}) },
 		Counted:    func(string, string) {},
 		StallAfter: 6 * time.Second, Ceiling: simCeiling,
 		Logger: hclog.NewNullLogger(),
@@ -255,7 +257,7 @@
 func (w *world) run(ctx context.Context, what, id string, fence Fence, do func(*simWorker) Verdict) (Verdict, error) {
 	w.mu.Lock()
 	s := w.workers[id]
-	dead := s.dead || w.cut[id]
+	dead := s.dead || w.cut[id] || w.dark[id]
 	delay, late := w.delay(what, id, fence)
 	w.mu.Unlock()
 	apply := func() Verdict {
@@ -398,7 +400,7 @@
 func (w *world) indirectLeave(ctx context.Context, worker *fleet.Worker, _ Fence, g Group) (Verdict, error) {
 	w.mu.Lock()
 	s := w.workers[worker.ID]
-	if !s.dead {
+	if !s.dead && !w.dark[s.id] {
 		defer w.mu.Unlock()
 		return w.leave(s, g), nil
 	}
@@ -447,7 +449,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.workers[worker.ID]
-	if s.dead || w.cut[worker.ID] {
+	if s.dead || w.cut[worker.ID] || w.dark[worker.ID] {
 		w.mu.Unlock()
 		<-ctx.Done()
 		w.mu.Lock()
