formation: Give no load back for a stage that was refused

It gave a load of the bound back for each refusal, also where none had been taken: before the first request loads do not count.

The load stays counted. TestRefusedStageGivesNothingBack failed before: 5.0 loads where none may begin.

--- a/formation/loads.go
+++ b/formation/loads.go
@@ -71,6 +71,3 @@
 		l.free = append(l.free, now)
 	}
 }
-
-// giveBack takes back loads that were counted and did not begin.
-func (l *loads) giveBack(n int) { l.tokens = min(l.burst, l.tokens+float64(n)) }
--- a/formation/loads_test.go
+++ b/formation/loads_test.go
@@ -1,7 +1,9 @@
 package formation
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -30,3 +32,24 @@
 		})
 	}
 }
+
+// TestRefusedStageGivesNothingBack: before the first request a load takes nothing
+// from the bound, so that a stage which is refused must not add to it. A leader of
+// a fleet that others led before begins with an empty bound.
+func TestRefusedStageGivesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 4)
+		k := NewKeeper(w.options(), Term{Epoch: 2}, func() {})
+		service, _ := simConfig(w.loadsPerSecond).Service("models")
+		now := time.Now()
+		worker, _ := w.inventory.View().Worker("w0-0")
+		w.workers["w0-0"].staging = true
+		budget := k.budget(service, now)
+		for range 5 {
+			budget.take(1, false, now)
+			assert.Assert(t, !k.stage(context.Background(), worker, simModels[0]))
+		}
+		w.pending.Wait()
+		assert.Assert(t, budget.tokens <= 0, "%.1f loads may begin", budget.tokens)
+	})
+}
--- a/formation/staging.go
+++ b/formation/staging.go
@@ -176,14 +176,12 @@
 }
 
 // stageRefused notes that a worker took no order to stage, as one that loads
-// already: it began no load, and is not asked again at once.
+// already, and is not asked again at once. The load stays counted though none
+// began: it may have been ordered while loads did not count.
 func (k *Keeper) stageRefused(w *fleet.Worker) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.stageNext[w.ID] = time.Now().Add(stagePause)
-	if l, ok := k.loads[w.Service]; ok {
-		l.giveBack(1)
-	}
 }
 
 // due returns the stagings whose workers did not refuse one of late. The keeper's
