platform, fleet: Keep the good configuration before one that is not understood

Where one read brought a good configuration and then one that cannot be decoded, the second took the first away, and 'the last one stays in force' meant the one before both.

The good one comes into force now, unconfirmed while a newer one is not understood.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -42,7 +42,8 @@
 	Next int64
 	// Lost says that the position is gone; everything is to be read anew.
 	Lost bool
-	// Refused tells why the newest configuration was not understood, if it was not.
+	// Refused tells why the newest configuration was not understood, if it was not;
+	// Config is then the newest one that was, if there is news of it.
 	Refused error
 }
 
@@ -119,6 +120,9 @@
 		case news.Refused != nil:
 			f.opts.Logger.Error("configuration not understood: the last one stays in force", "error", news.Refused)
 			behind = true
+			if news.Config != nil {
+				f.opts.Beliefs.Offer(news.Config, time.Time{})
+			}
 		case news.Config != nil:
 			f.opts.Beliefs.Offer(news.Config, sent)
 			behind = false
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -235,7 +235,8 @@
 		return ConfigNews{}, nil
 	}
 	if s.refused != nil {
-		return ConfigNews{Refused: s.refused, Next: s.version}, nil
+		// The version before the newest one is understood.
+		return ConfigNews{Config: NewConfig(Parts{Version: s.version - 1}), Refused: s.refused, Next: s.version}, nil
 	}
 	return ConfigNews{Config: NewConfig(Parts{Version: s.version}), Next: s.version}, nil
 }
@@ -314,17 +315,17 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		go f.Run(ctx)
 		time.Sleep(time.Second)
-		source.set(func() { source.version, source.refused = 4, errDown })
+		source.set(func() { source.version, source.refused = 5, errDown })
 		time.Sleep(10 * time.Second)
 		behind, version := time.Since(beliefs.Confirmed()), beliefs.Version()
-		source.set(func() { source.version, source.refused = 5, nil })
+		source.set(func() { source.version, source.refused = 6, nil })
 		time.Sleep(2 * time.Second)
 		fresh := time.Since(beliefs.Confirmed())
 		cancel()
 		<-f.Done()
-		assert.Equal(t, version, int64(3))
+		assert.Equal(t, version, int64(4), "the last good one")
 		assert.Assert(t, behind > 8*time.Second, "what is not understood confirms nothing")
-		assert.Equal(t, beliefs.Version(), int64(5))
+		assert.Equal(t, beliefs.Version(), int64(6))
 		assert.Assert(t, fresh < time.Second)
 	})
 }
