formation, fleet: Fold what the last reading found twice

One way to order a worker to leave and note it (leaveDirectly) for heads and members; one question whether a worker is silent (silentNow) where the map was read in four places. The tests share how a fleet comes to serve and how a follower is started and stopped; the assertions are the same.

--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -275,16 +275,25 @@
 	return WorkerNews{Next: position}, nil
 }
 
+// follow lets a follower read a source until the returned function is called.
+func follow(source *fakeSource, beliefs *Beliefs, inventory *Inventory) (stop func()) {
+	f := NewFollower(FollowerOptions{
+		Source: source.source(), Beliefs: beliefs, Inventory: inventory,
+		Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.Run(ctx)
+	return func() {
+		cancel()
+		<-f.Done()
+	}
+}
+
 func TestFollowerKeepsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &fakeSource{version: 3}
 		beliefs, inventory := NewBeliefs(), NewInventory(1200*time.Millisecond, 0)
-		f := NewFollower(FollowerOptions{
-			Source: source.source(), Beliefs: beliefs, Inventory: inventory,
-			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		go f.Run(ctx)
+		stop := follow(source, beliefs, inventory)
 		time.Sleep(time.Second)
 		assert.Equal(t, beliefs.Version(), int64(3))
 		assert.Equal(t, len(inventory.View().Workers()), 1)
@@ -297,8 +306,7 @@
 		source.set(func() { source.down, source.version, source.lost = false, 5, true })
 		time.Sleep(4 * time.Second)
 		assert.Equal(t, beliefs.Version(), int64(5))
-		cancel()
-		<-f.Done()
+		stop()
 	})
 }
 
@@ -308,12 +316,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		source := &fakeSource{version: 3}
 		beliefs := NewBeliefs()
-		f := NewFollower(FollowerOptions{
-			Source: source.source(), Beliefs: beliefs, Inventory: NewInventory(1200*time.Millisecond, 0),
-			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		go f.Run(ctx)
+		stop := follow(source, beliefs, NewInventory(1200*time.Millisecond, 0))
 		time.Sleep(time.Second)
 		source.set(func() { source.version, source.refused = 5, errDown })
 		time.Sleep(10 * time.Second)
@@ -321,8 +324,7 @@
 		source.set(func() { source.version, source.refused = 6, nil })
 		time.Sleep(2 * time.Second)
 		fresh := time.Since(beliefs.Confirmed())
-		cancel()
-		<-f.Done()
+		stop()
 		assert.Equal(t, version, int64(4), "the last good one")
 		assert.Assert(t, behind > 8*time.Second, "what is not understood confirms nothing")
 		assert.Equal(t, beliefs.Version(), int64(6))
@@ -336,12 +338,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		source := &fakeSource{}
 		beliefs := NewBeliefs()
-		f := NewFollower(FollowerOptions{
-			Source: source.source(), Beliefs: beliefs, Inventory: NewInventory(1200*time.Millisecond, 0),
-			Reads: func(time.Time) bool { return true }, Logger: hclog.NewNullLogger(),
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		go f.Run(ctx)
+		stop := follow(source, beliefs, NewInventory(1200*time.Millisecond, 0))
 		time.Sleep(10 * time.Second)
 		source.set(func() {
 			assert.Assert(t, source.calls <= 10, "%d calls for nothing", source.calls)
@@ -349,8 +346,7 @@
 		})
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, beliefs.Version(), int64(1))
-		cancel()
-		<-f.Done()
+		stop()
 	})
 }
 
--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -38,12 +38,7 @@
 // leave lets a head leave its group, and reports whether it answered. A head
 // that this daemon does not reach may still serve others, so they try too.
 func (k *Keeper) leave(ctx context.Context, g Group, head *fleet.Worker) (Verdict, bool) {
-	verdict, ok := k.order(ctx, "leave", head, func(ctx context.Context, fence Fence) (Verdict, error) {
-		return k.opts.Orders.Leave(ctx, head, fence, g)
-	})
-	if ok {
-		k.left(head.ID, g, verdict)
-	}
+	verdict, ok := k.leaveDirectly(ctx, g, head)
 	if ok || ctx.Err() != nil {
 		return verdict, ok
 	}
@@ -58,6 +53,17 @@
 	return verdict, true
 }
 
+// leaveDirectly orders a worker to leave a group, and reports whether it answered.
+func (k *Keeper) leaveDirectly(ctx context.Context, g Group, w *fleet.Worker) (Verdict, bool) {
+	verdict, ok := k.order(ctx, "leave", w, func(ctx context.Context, fence Fence) (Verdict, error) {
+		return k.opts.Orders.Leave(ctx, w, fence, g)
+	})
+	if ok {
+		k.left(w.ID, g, verdict)
+	}
+	return verdict, ok
+}
+
 // gone reports whether a head that does not answer is taken to have ended: it is
 // not listed although the list is fresh, or it had time to break while nobody
 // could read the list.
--- a/formation/form.go
+++ b/formation/form.go
@@ -128,7 +128,7 @@
 		if !ok || listed.Draining {
 			return true
 		}
-		if _, silent := k.silent[w.ID]; silent {
+		if k.silentNow(w.ID) {
 			return true
 		}
 	}
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -79,7 +79,7 @@
 }
 
 func (k *Keeper) addMember(o *observed, w *fleet.Worker, m fleet.Membership) {
-	if _, silent := k.silent[w.ID]; silent {
+	if k.silentNow(w.ID) {
 		o.lost = true
 	} else {
 		o.members = append(o.members, w)
@@ -214,8 +214,7 @@
 	}
 	var all []Free
 	for id, w := range view.Workers() {
-		_, silent := k.silent[id]
-		if w.Service != s.Name || w.Draining || k.busy[id] || silent || held[id] {
+		if w.Service != s.Name || w.Draining || k.busy[id] || k.silentNow(id) || held[id] {
 			continue
 		}
 		if _, loading := k.loading[id]; loading {
--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -36,6 +36,18 @@
 	return w.headOf("big")
 }
 
+// serving lets a first leader form a fleet, then requests come, and returns the
+// group of a head of a model. The leader goes on until the returned function is
+// called.
+func serving(w *world, model string) (k *Keeper, g Group, stop func()) {
+	k, stop = term(w, 1)
+	time.Sleep(8 * time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.traffic = true
+	return k, w.headOf(model).group, stop
+}
+
 func TestFleetIsFormedBeforeTheFirstRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 2, 10)
@@ -71,12 +83,7 @@
 func TestLostMemberIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 2, 10)
-		k, stop := term(w, 1)
-		time.Sleep(8 * time.Second)
-		w.mu.Lock()
-		w.traffic = true
-		g := w.headOf("big").group
-		w.mu.Unlock()
+		k, g, stop := serving(w, "big")
 		w.kill(g.Members[2])
 		k.Suspect(g.Key())
 		time.Sleep(4 * time.Second)
@@ -113,11 +120,8 @@
 func TestGroupsAreMendedWhileTheListIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 1, 12)
-		_, stop := term(w, 1)
-		time.Sleep(8 * time.Second)
+		_, old, stop := serving(w, "big")
 		w.mu.Lock()
-		w.traffic = true
-		old := w.headOf("big").group
 		leaving := w.workers[old.Members[1]]
 		leaving.draining = true
 		w.list(leaving)
--- a/formation/late_test.go
+++ b/formation/late_test.go
@@ -117,12 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 1, 7)
 		w.demand = map[string]float64{"big": 5}
-		k, stop := term(w, 1)
-		time.Sleep(8 * time.Second)
-		w.mu.Lock()
-		w.traffic = true
-		old := w.headOf("big").group
-		w.mu.Unlock()
+		k, old, stop := serving(w, "big")
 		w.kill(old.Members[0])
 		k.Suspect(old.Key())
 		time.Sleep(3400 * time.Millisecond)
@@ -140,18 +135,11 @@
 func TestHeadThatComesBackLeavesItsClosedGroup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 1, 2)
-		k, stop := term(w, 1)
-		time.Sleep(8 * time.Second)
-		w.mu.Lock()
-		w.traffic = true
-		old := w.headOf("small").group
-		w.dark[old.Members[0]] = true
-		w.mu.Unlock()
+		k, old, stop := serving(w, "small")
+		w.darken(old.Members[0], true)
 		k.Suspect(old.Key())
 		time.Sleep(3 * time.Second)
-		w.mu.Lock()
-		w.dark[old.Members[0]] = false
-		w.mu.Unlock()
+		w.darken(old.Members[0], false)
 		time.Sleep(8 * time.Second)
 		head := w.memberOf(old.Members[0])
 		stop()
@@ -213,6 +201,13 @@
 	return w.workers[id].member()
 }
 
+// darken keeps everybody from reaching a worker, or ends that.
+func (w *world) darken(id string, dark bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dark[id] = dark
+}
+
 // add brings an empty worker.
 func (w *world) add(id, domain string) {
 	w.mu.Lock()
--- a/formation/position.go
+++ b/formation/position.go
@@ -83,15 +83,8 @@
 		k.opts.Logger.Info("worker is taken", "worker", w.ID, "replica", fleet.GroupKey(m))
 		return false
 	}
-	g := Group{Name: m.Group, Epoch: m.Epoch}
-	verdict, ok := k.order(ctx, "leave", w, func(ctx context.Context, fence Fence) (Verdict, error) {
-		return k.opts.Orders.Leave(ctx, w, fence, g)
-	})
-	if !ok || !verdict.Accepted() {
-		return false
-	}
-	k.left(w.ID, g, verdict)
-	return true
+	verdict, ok := k.leaveDirectly(ctx, Group{Name: m.Group, Epoch: m.Epoch}, w)
+	return ok && verdict.Accepted()
 }
 
 // positionOf returns a worker's position, and asks for it if it is not known.
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -46,7 +46,7 @@
 		if m.Group == "" || fleet.GroupKey(m) != replica {
 			continue
 		}
-		if _, silent := k.silent[w.ID]; silent {
+		if k.silentNow(w.ID) {
 			// The group is known to be broken.
 			return nil
 		}
