--- /dev/null
+++ b/fleet/decisions_test.go
@@ -0,0 +1,94 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestDecisionsReachWhoMissedSome lets leaders of rising terms decide, and a
+// follower take some of what they pass on and now and then ask for the rest.
+func TestDecisionsReachWhoMissedSome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leader, follower := NewInventory(time.Second, 0), NewInventory(time.Second, 0)
+		term, count := int64(1), 0
+		leader.BeginTerm(term)
+		passed := leader.Decided()
+		follower.FollowDecisions(leader.DecisionsSince(follower.Decided()))
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 6), 1, 60).Draw(t, "steps") {
+			switch step {
+			case 0:
+				term++
+				leader.BeginTerm(term)
+			case 1:
+				follower.FollowDecisions(leader.DecisionsSince(follower.Decided()))
+			case 2:
+				passOnSome(t, leader.DecisionsSince(passed), follower)
+				passed = leader.Decided()
+			default:
+				count++
+				leader.Decide(term, Announcement{Group: fmt.Sprint("g", count), Epoch: int64(count), Head: "h"})
+			}
+			checkClosed(t, leader, follower, term)
+		}
+	})
+}
+
+// passOnSome lets a follower take some of the decisions that a leader passes on.
+func passOnSome(t *rapid.T, d Decisions, follower *Inventory) {
+	if d.Whole {
+		return
+	}
+	for _, part := range d.Split(2) {
+		if rapid.Bool().Draw(t, "arrives") {
+			follower.FollowDecisions(part)
+		}
+	}
+}
+
+// checkClosed checks that a follower which knows all of a term's decisions by its
+// position holds them.
+func checkClosed(t *rapid.T, leader, follower *Inventory, term int64) {
+	if leader.Decided().Before(follower.Decided()) {
+		t.Fatalf("the follower knows %v, the leader %v", follower.Decided(), leader.Decided())
+	}
+	if follower.Decided() != leader.Decided() {
+		return
+	}
+	for _, a := range leader.DecisionsSince(DecisionPosition{Term: term}).All {
+		if leader.Closed(a.Group) && !follower.Closed(a.Group) {
+			t.Fatalf("at %v the follower lacks %s", follower.Decided(), a.Group)
+		}
+	}
+}
+
+// TestWhoJustStartedGetsAllThatMatters asks for decisions from several positions.
+func TestWhoJustStartedGetsAllThatMatters(t *testing.T) {
+	i := NewInventory(time.Second, 0)
+	i.BeginTerm(3)
+	i.Decide(3, Announcement{Group: "a", Epoch: 1, Head: "h"})
+	i.BeginTerm(4)
+	i.Decide(4, Announcement{Group: "b", Epoch: 2, Head: "i"})
+	tests := map[string]struct {
+		from  DecisionPosition
+		whole bool
+		count int
+	}{
+		"a new process":           {whole: true, count: 2},
+		"one that knows all":      {from: DecisionPosition{Term: 4, Seq: 1}},
+		"one that knows the term": {from: DecisionPosition{Term: 4}, count: 1},
+		"one of the term before":  {from: DecisionPosition{Term: 3, Seq: 1}, count: 1},
+		"one of a later term":     {from: DecisionPosition{Term: 5}, whole: true, count: 2},
+		"one that knows too much": {from: DecisionPosition{Term: 4, Seq: 9}, whole: true, count: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := i.DecisionsSince(test.from)
+			assert.Equal(t, d.Whole, test.whole)
+			assert.Equal(t, len(d.All), test.count)
+		})
+	}
+}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -54,3 +54,23 @@
 func GroupKey(m Membership) string {
 	return shortName(m.Group) + "@" + strconv.FormatInt(m.Epoch, 10)
 }
+
+// KeyOf returns the key of a group of a model, as GroupKey does.
+func KeyOf(model string, epoch int64) string {
+	return GroupKey(Membership{Group: GroupName(model, epoch, nil), Epoch: epoch})
+}
+
+// SplitKey returns the model and the epoch that a group's key tells, and false for
+// one that KeyOf did not make.
+func SplitKey(key string) (model string, epoch int64, ok bool) {
+	name, digits, found := strings.Cut(key, "@")
+	if !found {
+		return "", 0, false
+	}
+	epoch, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil {
+		return "", 0, false
+	}
+	model = ModelOf(name)
+	return model, epoch, model != "" && KeyOf(model, epoch) == key
+}
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,23 +16,16 @@
 
 // Announcement is a leader's word about a group that the list may not show yet.
 type Announcement struct {
-	Group   string   `json:"group"`
-	Epoch   int64    `json:"epoch"`
-	Service string   `json:"service"`
-	Model   string   `json:"model"`
-	Members []string `json:"members"`
+	Group   string `json:"group"`
+	Epoch   int64  `json:"epoch"`
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	// Head is the member that takes the group's requests.
+	Head string `json:"head"`
 	// Open tells that the head takes requests; otherwise it must not get any.
 	Open bool `json:"open"`
 }
 
-// Head returns the member that takes the group's requests.
-func (a Announcement) Head() string {
-	if len(a.Members) == 0 {
-		return ""
-	}
-	return a.Members[0]
-}
-
 // heldAnnouncement is an announcement that the list has not overtaken.
 type heldAnnouncement struct {
 	Announcement
@@ -48,7 +42,10 @@
 	confirmed time.Time
 	view      atomic.Pointer[View]
 	journal   []batch
+	decided   decisions
 	changed   chan struct{}
+	// news receives when there is something new to pass on to peers.
+	news chan struct{}
 	// doubtFor is how long an entry that went right after an outage is doubted.
 	doubtFor time.Duration
 	// knownSince is when the first list was taken.
@@ -83,7 +80,6 @@
 type batch struct {
 	from, to int64
 	changes  []Change
-	at       time.Time
 }
 
 // NewInventory returns an inventory without workers, which write to the list
@@ -98,7 +94,7 @@
 	i := &Inventory{
 		doubtFor: doubtFor, lapsed: make(map[string]time.Time),
 		workers: make(map[string]*Worker), announced: make(map[string]heldAnnouncement),
-		changed: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), news: make(chan struct{}, 1),
 	}
 	i.view.Store(newView(nil, nil))
 	return i
@@ -110,6 +106,10 @@
 // Changed receives after changes; several may be joined into one.
 func (i *Inventory) Changed() <-chan struct{} { return i.changed }
 
+// News receives after changes and decisions that peers may lack; several may be
+// joined into one.
+func (i *Inventory) News() <-chan struct{} { return i.news }
+
 // Position returns one past the offset of the newest change applied.
 func (i *Inventory) Position() int64 {
 	i.mu.Lock()
@@ -167,7 +167,7 @@
 	}
 	i.noteOutage(sent)
 	if len(changes) > 0 {
-		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes, at: time.Now()})
+		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes})
 		i.journal = i.journal[max(len(i.journal)-maxJournal, 0):]
 	}
 	for _, c := range changes {
@@ -187,52 +187,25 @@
 }
 
 // Since returns the changes that lead from a position to the current one, for
-// a peer. Whole tells that they are the whole list instead.
-func (i *Inventory) Since(from int64) (changes []Change, position int64, whole bool) {
+// a peer. They may begin earlier, which does no harm: all of them are taken in
+// their order. Whole tells that they are the whole list instead.
+func (i *Inventory) Since(from int64) (d Delta, whole bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	d = Delta{From: from, To: i.position}
 	if from == i.position {
-		return nil, i.position, false
+		return d, false
 	}
-	found := false
-	for _, b := range i.journal {
-		found = found || b.from == from
-		if found {
-			changes = append(changes, b.changes...)
+	first := slices.IndexFunc(i.journal, func(b batch) bool { return b.from <= from && from < b.to })
+	if first >= 0 {
+		d.From = i.journal[first].from
+		for _, b := range i.journal[first:] {
+			d.Changes = append(d.Changes, b.changes...)
 		}
-	}
-	if found {
-		return changes, i.position, false
+		return d, false
 	}
 	for id, w := range i.workers {
-		changes = append(changes, Change{ID: id, Worker: w})
-	}
-	return changes, i.position, true
-}
-
-// Delta is the changes that lead from one position of the list to another.
-type Delta struct {
-	From    int64    `json:"from"`
-	To      int64    `json:"to"`
-	Changes []Change `json:"changes"`
-}
-
-// Recent returns the changes taken since a time, the newest ones if they are
-// more than the given number.
-func (i *Inventory) Recent(since time.Time, most int) (Delta, bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	first, count := len(i.journal), 0
-	for first > 0 && i.journal[first-1].at.After(since) && count+len(i.journal[first-1].changes) <= most {
-		first--
-		count += len(i.journal[first].changes)
-	}
-	if first == len(i.journal) {
-		return Delta{}, false
-	}
-	d := Delta{From: i.journal[first].from, To: i.position}
-	for _, b := range i.journal[first:] {
-		d.Changes = append(d.Changes, b.changes...)
+		d.Changes = append(d.Changes, Change{ID: id, Worker: w})
 	}
 	return d, true
 }
@@ -267,6 +240,10 @@
 func (i *Inventory) Announce(all []Announcement) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.announce(all, time.Now())
+}
+
+func (i *Inventory) announce(all []Announcement, now time.Time) {
 	news := false
 	for _, a := range all {
 		held, ok := i.announced[a.Group]
@@ -274,7 +251,7 @@
 			// A group that was closed never opens again.
 			continue
 		}
-		i.announced[a.Group] = heldAnnouncement{Announcement: a, forgetAt: time.Now().Add(closedFor)}
+		i.announced[a.Group] = heldAnnouncement{Announcement: a, forgetAt: now.Add(closedFor)}
 		news = true
 	}
 	if news {
@@ -339,7 +316,7 @@
 // closed group is remembered while its head is not listed: one that was cut off
 // from the list comes back with the entry it had before, for a moment.
 func (i *Inventory) isOvertaken(a heldAnnouncement, now time.Time) bool {
-	head, listed := i.workers[a.Head()]
+	head, listed := i.workers[a.Head]
 	switch {
 	case listed && head.Member.Epoch > a.Epoch:
 		return true
@@ -361,8 +338,14 @@
 		}
 	}
 	i.view.Store(newView(i.workers, i.announced))
+	notify(i.changed)
+	notify(i.news)
+}
+
+// notify makes a channel receive, unless it is about to anyway.
+func notify(c chan<- struct{}) {
 	select {
-	case i.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -34,8 +34,8 @@
 	}
 	byHead := make(map[string]Announcement, len(announced))
 	for _, a := range announced {
-		if held, ok := byHead[a.Head()]; !ok || held.Epoch < a.Epoch {
-			byHead[a.Head()] = a.Announcement
+		if held, ok := byHead[a.Head]; !ok || held.Epoch < a.Epoch {
+			byHead[a.Head] = a.Announcement
 		}
 	}
 	for _, w := range workers {
--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -89,12 +89,8 @@
 }
 
 func (k *Keeper) announceClosed(o *observed, head *fleet.Worker) {
-	members := o.group.Members
-	if len(members) == 0 {
-		members = []string{head.ID}
-	}
 	k.opts.Announced(fleet.Announcement{
-		Group: o.group.Name, Epoch: o.group.Epoch, Service: head.Service, Model: o.group.Model, Members: members,
+		Group: o.group.Name, Epoch: o.group.Epoch, Service: head.Service, Model: o.group.Model, Head: head.ID,
 	})
 }
 
--- a/formation/form.go
+++ b/formation/form.go
@@ -148,7 +148,7 @@
 	k.noteOpened(head.ID, g, time.Now().Add(opening+settleFor))
 	pause.For(ctx, opening)
 	k.opts.Announced(fleet.Announcement{
-		Group: g.Name, Epoch: g.Epoch, Service: service, Model: g.Model, Members: g.Members, Open: true,
+		Group: g.Name, Epoch: g.Epoch, Service: service, Model: g.Model, Head: head.ID, Open: true,
 	})
 	return true
 }
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -213,56 +213,45 @@
 	})
 }
 
-// candidate is a daemon that may lead.
-type candidate struct {
-	peers.Holder
-	capacity int
-}
-
-func candidateOf(id peers.Identity) candidate {
-	return candidate{Holder: peers.Holder{ID: id.ID, Incarnation: id.Incarnation}, capacity: id.Capacity}
-}
-
 // turn returns how many daemons are to try before this one. Daemons that are
-// not ready count only where no other one is, as at the start of a fleet.
+// not ready count only where no other one is, and in a fleet that nobody led yet
+// as far as is known: the fittest then waits for its first list too, and one that
+// has it sooner would lead for a moment only.
 func (e *Elector) turn(alive []*peers.Peer) int {
-	self := candidateOf(e.opts.Self)
-	candidates, unready := []candidate{self}, []candidate{}
+	candidates, unready := []peers.Identity{e.opts.Self}, []peers.Identity{}
 	for _, p := range alive {
 		switch {
 		case p.Leaving:
-		case p.Ready:
-			candidates = append(candidates, candidateOf(p.Identity))
+		case p.Ready || e.grant.Epoch == 0:
+			candidates = append(candidates, p.Identity)
 		default:
-			unready = append(unready, candidateOf(p.Identity))
+			unready = append(unready, p.Identity)
 		}
 	}
 	if len(candidates) == 1 {
 		candidates = append(candidates, unready...)
 	}
 	e.order(candidates)
-	return slices.Index(candidates, self)
+	return slices.Index(candidates, e.opts.Self)
 }
 
-// order puts the holders of the grant first, in their order, then the others:
-// those on larger machines first, since a leader tells the whole fleet of every
-// change, and among equals those that run the longest, since they know the
-// fleet best.
-func (e *Elector) order(candidates []candidate) {
-	place := func(c candidate) int {
-		if i := slices.Index(e.grant.Holders, c.Holder); i >= 0 {
+// order puts the holders of the grant first, in their order, then the others, the
+// fittest first.
+func (e *Elector) order(candidates []peers.Identity) {
+	place := func(c peers.Identity) int {
+		if i := slices.Index(e.grant.Holders, holderOf(c)); i >= 0 {
 			return i
 		}
 		return len(e.grant.Holders)
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(place(a), place(b)), compareFitness(a, b))
+	slices.SortFunc(candidates, func(a, b peers.Identity) int {
+		return cmp.Or(cmp.Compare(place(a), place(b)), peers.CompareFitness(a, b))
 	})
 }
 
-// compareFitness orders candidates that no grant names.
-func compareFitness(a, b candidate) int {
-	return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.ID, b.ID))
+// holderOf returns the life of a daemon as grants name it.
+func holderOf(id peers.Identity) peers.Holder {
+	return peers.Holder{ID: id.ID, Incarnation: id.Incarnation}
 }
 
 // attempt tries to win a term: by a new grant, or by rank when the store
@@ -333,7 +322,7 @@
 			continue
 		}
 		able++
-		if slices.Contains(e.grant.Holders, peers.Holder{ID: p.ID, Incarnation: p.Incarnation}) {
+		if slices.Contains(e.grant.Holders, holderOf(p.Identity)) {
 			named++
 		}
 	}
@@ -372,22 +361,22 @@
 // holders returns the holders that a new grant names: this daemon, then the
 // fittest of the others that are alive and stay.
 func (e *Elector) holders() []peers.Holder {
-	var others []candidate
+	var others []peers.Identity
 	for _, p := range e.opts.Alive(time.Now()) {
 		if !p.Leaving {
-			others = append(others, candidateOf(p.Identity))
+			others = append(others, p.Identity)
 		}
 	}
-	slices.SortFunc(others, compareFitness)
+	slices.SortFunc(others, peers.CompareFitness)
 	holders := []peers.Holder{e.self()}
 	for _, c := range others[:min(len(others), deputies)] {
-		holders = append(holders, c.Holder)
+		holders = append(holders, holderOf(c))
 	}
 	return holders
 }
 
 // self returns this life of this daemon.
-func (e *Elector) self() peers.Holder { return candidateOf(e.opts.Self).Holder }
+func (e *Elector) self() peers.Holder { return holderOf(e.opts.Self) }
 
 // nextRank returns the next claim under the known grant that is this daemon's
 // to make. Holders take turns, so ranks are never used twice.
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/binary"
-	"net"
-	"net/netip"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,77 +14,83 @@
 )
 
 const (
-	// beatEvery is the time between two beats to the same daemon.
-	beatEvery = 200 * time.Millisecond
-	// heldUpAfter is how late a beat must be for this process to have stood still.
-	heldUpAfter = 3 * beatEvery
-	// fanout bounds the datagrams of one round; in larger fleets each daemon
-	// is told in every second round, or every third, and so on.
-	fanout = 24
-	// leaderFanout is the same for a leader, on whose word the others rest.
-	leaderFanout = 96
+	// heartbeatEvery is the time between two heartbeats to the same daemon.
+	heartbeatEvery = 200 * time.Millisecond
+	// heldUpAfter is how late a heartbeat must be for this process to have stood still.
+	heldUpAfter = 3 * heartbeatEvery
 	// A datagram begins with its format, the sender's clock, and the
-	// receiver's clock as it stood in the last datagram heard from it.
-	// The rest is JSON, deflated.
-	formatByte   = 3
+	// receiver's clock as it stood in the last heartbeat heard from it.
+	// The rest is a message.
+	formatByte   = 4
 	headerLength = 1 + 8 + 8
-	maxDatagram  = 60 << 10
-	// heldFor is how long a daemon counts as holding what it showed that it had
-	// heard: several turns of a fleet of a hundred daemons, so that one that was
-	// restarted soon gets whole beats.
-	heldFor = 2 * time.Second
+	// maxDatagram bounds a datagram, in bytes; the transport takes no larger one.
+	maxDatagram = 60 << 10
+)
+
+// The kinds of datagrams, as they are counted.
+const (
+	kindHeartbeat = "heartbeat"
+	kindReports   = "reports"
+	kindNews      = "news"
 )
 
 // Options configures an Agent.
 type Options struct {
 	Self Identity
-	// Compose fills in what this daemon tells now.
-	Compose func(b *Beat, now time.Time)
-	// Heard is called with each new beat.
-	Heard  func(p *Peer)
-	Logger hclog.Logger
+	// Transport carries the datagrams; without one the agent opens UDP at the
+	// address of self.
+	Transport Transport
+	// Compose fills in what this daemon reports of itself now.
+	Compose func(h *Heartbeat, now time.Time)
+	// Heard is called with each new heartbeat.
+	Heard func(p *Peer)
+	// News is called with what a peer passes on.
+	News func(p *Peer, n *News)
+	// Summed is called with each summary that counts for this daemon, and its hall;
+	// the hall is empty where it sums up all daemons, this one included.
+	Summed func(hall string, s Summary, now time.Time)
+	// Counted is called with each datagram that is sent, by its kind and bytes.
+	Counted func(kind string, bytes int)
+	Logger  hclog.Logger
 }
 
-// Agent sends and receives beats.
+// Agent sends and receives reports.
 type Agent struct {
-	opts  Options
-	conn  *net.UDPConn
-	table *Table
-	start time.Time
-	done  chan struct{}
-	round int
+	opts   Options
+	table  *Table
+	clocks *clocks
+	sums   *summaries
+	start  time.Time
+	done   chan struct{}
+	role   atomic.Int32
 
-	mu sync.Mutex
-	// clocks holds, by address, the newest clock heard from a daemon.
-	clocks map[string]int64
-	// held holds, by address, the newest clock of this daemon that the other one
-	// has heard.
-	held map[string]time.Duration
-	// grant is the epoch of the grant told last, changedAt the clock at which it
-	// was first told.
-	grant     int64
-	changedAt time.Duration
+	mu    sync.Mutex
+	round int
+	// layout is that of the newest round.
+	layout layout
 }
 
-// NewAgent opens the port of self for datagrams.
+// NewAgent returns an agent; Run makes it work.
 func NewAgent(opts Options) (*Agent, error) {
-	address, err := net.ResolveUDPAddr("udp4", opts.Self.Address)
-	if err != nil {
-		return nil, failure.At(failure.Invalid, "open peers' port", opts.Self.Address, err)
-	}
-	conn, err := net.ListenUDP("udp4", address)
-	if err != nil {
-		return nil, failure.At(failure.Unavailable, "open peers' port", opts.Self.Address, err)
+	if opts.Transport.Send == nil {
+		transport, err := ListenUDP(opts.Self.Address)
+		if err != nil {
+			return nil, err
+		}
+		opts.Transport = transport
 	}
 	return &Agent{
-		opts: opts, conn: conn, table: NewTable(opts.Self), start: time.Now(),
-		clocks: make(map[string]int64), held: make(map[string]time.Duration), done: make(chan struct{}),
+		opts: opts, table: NewTable(opts.Self), clocks: newClocks(), sums: newSummaries(),
+		start: time.Now(), done: make(chan struct{}),
 	}, nil
 }
 
 // Table returns what is known of the other daemons.
 func (a *Agent) Table() *Table { return a.table }
 
+// Role returns the daemon's part in passing reports on.
+func (a *Agent) Role() Role { return Role(a.role.Load()) }
+
 // Done is closed when Run has returned.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
@@ -97,13 +101,13 @@
 	group.Go(a.receive)
 	group.Go(func() { a.sendAll(ctx) })
 	<-ctx.Done()
-	// Closing the port ends receive; nothing can be done about an error.
-	_ = a.conn.Close()
+	// Closing the transport ends receive; nothing can be done about an error.
+	_ = a.opts.Transport.Close()
 	group.Wait()
 }
 
 func (a *Agent) sendAll(ctx context.Context) {
-	ticker := time.NewTicker(beatEvery)
+	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
 	last := time.Now()
 	for ctx.Err() == nil {
@@ -112,7 +116,7 @@
 			a.table.HeldUp(now, gap)
 		}
 		last = now
-		a.Send(now)
+		a.sendRound(now)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -120,97 +124,125 @@
 	}
 }
 
-// Send tells this round's daemons what this one believes. It is also called
-// out of turn, with news that cannot wait.
-func (a *Agent) Send(now time.Time) {
-	b := Beat{Identity: a.opts.Self}
-	a.opts.Compose(&b, now)
-	clock := now.Sub(a.start)
-	a.noteGrant(b.Grant.Epoch, clock)
-	// Most rounds need the brief form alone.
-	whole := sync.OnceValue(func() []byte { return a.datagram(&b, clock) })
-	brief := sync.OnceValue(func() []byte { return a.datagram(b.brief(), clock) })
-	for _, address := range a.turn(a.table.destinations(now), b.Leads != nil) {
-		form := whole
-		if a.holds(address, clock) {
-			form = brief
-		}
-		datagram := form()
-		if datagram == nil {
-			continue
-		}
-		binary.BigEndian.PutUint64(datagram[9:], uint64(a.clockOf(address)))
-		if to, err := netip.ParseAddrPort(address); err == nil {
-			// A datagram may be lost anyway.
-			_, _ = a.conn.WriteToUDPAddrPort(datagram, to)
-		}
+// sendRound sends this round's heartbeats and, as a relay, reports on others.
+func (a *Agent) sendRound(now time.Time) {
+	own := a.compose(now)
+	l, round := a.arrange(own, now)
+	if l.role != Relay {
+		a.deliver(kindHeartbeat, l.reached(own.Leads != nil), now, a.message(own))
+		return
 	}
+	a.deliver(kindReports, l.hall, now, a.hallMessages(own, now, round)...)
+	a.deliver(kindReports, l.across, now, a.acrossMessages(own, now, round)...)
 }
 
-// datagram returns a beat as it is sent, but for the receiver's clock.
-func (a *Agent) datagram(b *Beat, clock time.Duration) []byte {
-	body, err := encodeBeat(b)
-	if err != nil || len(body) > maxDatagram {
-		a.opts.Logger.Error("beat not sent", "bytes", len(body), "error", err)
-		return nil
-	}
-	datagram := make([]byte, headerLength, headerLength+len(body))
-	datagram[0] = formatByte
-	binary.BigEndian.PutUint64(datagram[1:], uint64(clock))
-	return append(datagram, body...)
+// compose returns what this daemon reports of itself now.
+func (a *Agent) compose(now time.Time) *Heartbeat {
+	own := &Heartbeat{Identity: a.opts.Self}
+	a.opts.Compose(own, now)
+	a.clocks.noteGrant(own.Grant.Epoch, now.Sub(a.start))
+	return own
 }
 
-// noteGrant notes when the grant that is told changes.
-func (a *Agent) noteGrant(epoch int64, clock time.Duration) {
+// arrange decides whom to report to in a new round.
+func (a *Agent) arrange(own *Heartbeat, now time.Time) (layout, int) {
+	size := a.size(own, now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if epoch != a.grant {
-		a.grant, a.changedAt = epoch, clock
-	}
+	a.round++
+	a.layout = a.table.layout(now, a.Role(), size, a.round)
+	a.role.Store(int32(a.layout.role))
+	return a.layout, a.round
 }
 
-// holds reports whether a daemon has shown of late that it heard this one since
-// the grant changed: it then holds all that a brief beat leaves out.
-func (a *Agent) holds(address string, clock time.Duration) bool {
+// current returns the layout of the newest round.
+func (a *Agent) current() layout {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	heard := a.held[address]
-	return heard > 0 && heard >= a.changedAt && clock-heard < heldFor
+	return a.layout
 }
 
-// turn returns the daemons of this round. The leader is told in every one.
-func (a *Agent) turn(all []string, leads bool) []string {
-	most := fanout
+// Send reports out of turn what cannot wait for the next round.
+func (a *Agent) Send(now time.Time) {
+	own := a.compose(now)
+	a.deliver(kindHeartbeat, a.current().reached(own.Leads != nil), now, a.message(own))
+}
+
+// SendNews passes on what has just become known: a leader to all it reports to, a
+// relay within its hall.
+func (a *Agent) SendNews(all []News, leads bool, now time.Time) {
+	l := a.current()
+	to := l.hall
 	if leads {
-		most = leaderFanout
+		to = l.reached(true)
 	}
-	if len(all) <= most {
-		return all
+	for i := range all {
+		m := a.message(nil)
+		m.News = &all[i]
+		a.deliver(kindNews, to, now, m)
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.round++
-	first := a.round * most % len(all)
-	chosen := make([]string, 0, most+1)
-	for i := range most {
-		chosen = append(chosen, all[(first+i)%len(all)])
+}
+
+// deliver sends messages to daemons. Each gets heartbeats in the form that
+// completes what it holds.
+func (a *Agent) deliver(kind string, addresses []string, now time.Time, all ...*message) {
+	clock := now.Sub(a.start)
+	for _, m := range all {
+		whole := sync.OnceValue(func() []byte { return a.datagram(m, clock) })
+		brief := sync.OnceValue(func() []byte { return a.datagram(m.brief(), clock) })
+		for _, address := range addresses {
+			form := whole
+			if a.clocks.holds(address, clock) {
+				form = brief
+			}
+			a.send(kind, address, form())
+		}
 	}
-	if leader := a.table.leaderAddress(); leader != "" && !slices.Contains(chosen, leader) {
-		chosen = append(chosen, leader)
+}
+
+// brief returns the message with the brief form of its heartbeat.
+func (m *message) brief() *message {
+	if m.Heartbeat == nil {
+		return m
 	}
-	return chosen
+	short := *m
+	short.Heartbeat = m.Heartbeat.brief()
+	return &short
 }
 
-func (a *Agent) clockOf(address string) int64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.clocks[address]
+func (a *Agent) send(kind, address string, datagram []byte) {
+	if datagram == nil {
+		return
+	}
+	binary.BigEndian.PutUint64(datagram[9:], uint64(a.clocks.of(address)))
+	if err := a.opts.Transport.Send(address, datagram); err != nil {
+		// A datagram may be lost anyway; the next round sends another.
+		a.opts.Logger.Debug("datagram not sent", "to", address, "error", err)
+		return
+	}
+	a.opts.Counted(kind, len(datagram))
+}
+
+// datagram returns a message as it is sent, but for the receiver's clock.
+func (a *Agent) datagram(m *message, clock time.Duration) []byte {
+	body, err := encode(m)
+	if err == nil && len(body) > maxDatagram {
+		err = failure.New(failure.Invalid, "encode message", m.ID, "%d bytes are too many", len(body))
+	}
+	if err != nil {
+		a.opts.Logger.Error("message not sent", "error", err)
+		return nil
+	}
+	datagram := make([]byte, headerLength, headerLength+len(body))
+	datagram[0] = formatByte
+	binary.BigEndian.PutUint64(datagram[1:], uint64(clock))
+	return append(datagram, body...)
 }
 
 func (a *Agent) receive() {
 	buffer := make([]byte, maxDatagram+headerLength)
 	for {
-		n, _, err := a.conn.ReadFromUDPAddrPort(buffer)
+		n, err := a.opts.Transport.Receive(buffer)
 		if err != nil {
 			return
 		}
@@ -223,27 +255,65 @@
 	if len(datagram) < headerLength || datagram[0] != formatByte {
 		return
 	}
-	b, err := decodeBeat(datagram[headerLength:])
-	if err != nil || b.ID == "" {
+	m, err := decode(datagram[headerLength:])
+	if err != nil || m.ID == "" {
 		return
 	}
-	if b.Brief && !a.table.complete(&b) || b.Address == "" {
-		// This daemon has yet to hear a whole beat of that one.
+	if m.Heartbeat != nil && !a.takeHeartbeat(m.Heartbeat, datagram, now) {
 		return
 	}
+	p, ok := a.table.heard(m.ID, m.Incarnation)
+	if !ok {
+		// Nothing whole was heard of this life yet.
+		return
+	}
+	for _, identity := range m.Known {
+		a.table.Learn(identity, now)
+	}
+	for _, s := range m.Statuses {
+		a.table.Report(s, now)
+	}
+	a.takeSummaries(p, &m, now)
+	if m.News != nil {
+		a.opts.News(p, m.News)
+	}
+}
+
+// takeHeartbeat takes a heartbeat, and reports false if it cannot be understood yet.
+func (a *Agent) takeHeartbeat(h *Heartbeat, datagram []byte, now time.Time) bool {
+	if h.Brief && !a.table.complete(h) || h.Address == "" {
+		// This daemon has yet to hear a whole heartbeat of that one.
+		return false
+	}
 	echo := time.Duration(binary.BigEndian.Uint64(datagram[9:]))
 	if echo < 0 || echo > now.Sub(a.start) {
 		echo = 0
 	}
-	a.mu.Lock()
-	a.clocks[b.Address] = int64(binary.BigEndian.Uint64(datagram[1:]))
-	a.held[b.Address] = echo
-	a.mu.Unlock()
+	a.clocks.heard(h.Address, int64(binary.BigEndian.Uint64(datagram[1:])), echo)
 	var sentAfter time.Time
 	if echo > 0 {
 		sentAfter = a.start.Add(echo)
 	}
-	if a.table.Hear(b, now, sentAfter) {
-		a.opts.Heard(&Peer{Beat: b, HeardAt: now, SentAfter: sentAfter})
+	if a.table.Hear(*h, now, sentAfter) {
+		a.opts.Heard(&Peer{Heartbeat: *h, HeardAt: now, SentAfter: sentAfter})
+	}
+	return true
+}
+
+// takeSummaries takes the summaries that count in this daemon's role: relays add
+// up those of other halls, members take the sum from a relay.
+func (a *Agent) takeSummaries(p *Peer, m *message, now time.Time) {
+	role := a.Role()
+	if m.Hall != nil && p.Zone != a.opts.Self.Zone {
+		a.sums.set(p.Zone, *m.Hall, now)
+		if role == Relay {
+			a.opts.Summed(p.Zone, *m.Hall, now)
+		}
+	}
+	if m.Fleet != nil {
+		a.sums.set(wholeFleet, *m.Fleet, now)
+		if role == Member {
+			a.opts.Summed(wholeFleet, *m.Fleet, now)
+		}
 	}
 }
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -10,8 +10,8 @@
 	"quartzshelf.dev/common/failure"
 )
 
-// maxBeat bounds an inflated beat, in bytes.
-const maxBeat = 1 << 20
+// maxMessage bounds an inflated message, in bytes.
+const maxMessage = 1 << 20
 
 // deflaters holds writers for reuse: each takes several hundred kilobytes.
 var deflaters = sync.Pool{New: func() any {
@@ -23,39 +23,39 @@
 // inflaters holds readers for reuse.
 var inflaters = sync.Pool{New: func() any { return flate.NewReader(bytes.NewReader(nil)) }}
 
-// encodeBeat returns a beat as deflated JSON.
-func encodeBeat(b *Beat) ([]byte, error) {
-	body, err := json.Marshal(b)
+// encode returns a message as deflated JSON.
+func encode(m *message) ([]byte, error) {
+	body, err := json.Marshal(m)
 	if err != nil {
-		return nil, failure.At(failure.Invalid, "encode beat", b.ID, err)
+		return nil, failure.At(failure.Invalid, "encode message", m.ID, err)
 	}
 	var out bytes.Buffer
 	w := deflaters.Get().(*flate.Writer)
 	defer deflaters.Put(w)
 	w.Reset(&out)
 	if _, err := w.Write(body); err != nil {
-		return nil, failure.At(failure.Invalid, "deflate beat", b.ID, err)
+		return nil, failure.At(failure.Invalid, "deflate message", m.ID, err)
 	}
 	if err := w.Close(); err != nil {
-		return nil, failure.At(failure.Invalid, "deflate beat", b.ID, err)
+		return nil, failure.At(failure.Invalid, "deflate message", m.ID, err)
 	}
 	return out.Bytes(), nil
 }
 
-// decodeBeat reads a beat from deflated JSON.
-func decodeBeat(data []byte) (Beat, error) {
-	var b Beat
+// decode reads a message from deflated JSON.
+func decode(data []byte) (message, error) {
+	var m message
 	r := inflaters.Get().(io.ReadCloser)
 	defer inflaters.Put(r)
 	if err := r.(flate.Resetter).Reset(bytes.NewReader(data), nil); err != nil {
-		return b, failure.At(failure.Remote, "inflate beat", "", err)
+		return m, failure.At(failure.Remote, "inflate message", "", err)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, maxBeat))
+	body, err := io.ReadAll(io.LimitReader(r, maxMessage))
 	if err != nil {
-		return b, failure.At(failure.Remote, "inflate beat", "", err)
+		return m, failure.At(failure.Remote, "inflate message", "", err)
 	}
-	if err := json.Unmarshal(body, &b); err != nil {
-		return b, failure.At(failure.Remote, "decode beat", "", err)
+	if err := json.Unmarshal(body, &m); err != nil {
+		return m, failure.At(failure.Remote, "decode message", "", err)
 	}
-	return b, nil
+	return m, nil
 }
--- a/peers/beat.go
+++ b/peers/heartbeat.go
@@ -1,5 +1,7 @@
-// Package peers lets daemons tell each other, several times a second and
-// without the store, that they live and what they believe.
+// Package peers lets daemons report to each other, several times a second and
+// without the store, that they live and what they know. Small fleets report all
+// to all. In larger ones a few daemons of each data hall, its relays, pass
+// reports on: docs/DESIGN.md has the bounds.
 package peers
 
 import (
@@ -20,6 +22,12 @@
 	return c.Epoch > other.Epoch || c.Epoch == other.Epoch && c.Rank > other.Rank
 }
 
+// rankBits is the room for a rank in the number of a term; ranks end at 200.
+const rankBits = 8
+
+// Term returns the claim as one number; higher claims have higher ones.
+func (c Claim) Term() int64 { return c.Epoch<<rankBits | int64(c.Rank) }
+
 // Holder is one life of a daemon that may lead under a grant.
 type Holder struct {
 	ID          string `json:"id"`
@@ -32,26 +40,21 @@
 	Holders []Holder `json:"holders,omitempty"`
 }
 
-// Load is a daemon's own work at a replica.
-type Load struct {
-	Replica  string `json:"r"`
-	InFlight int    `json:"n"`
-	// Prefill is the number of prompt tokens of requests not yet begun.
-	Prefill int `json:"p,omitempty"`
-}
-
 // Stall says that all of a daemon's streams from a replica fell silent.
 type Stall struct {
 	Replica string `json:"r"`
 	Head    string `json:"h"`
+	// Age is how long ago that was, in milliseconds.
+	Age int64 `json:"a,omitempty"`
 }
 
 // Identity is what does not change in a daemon's life.
 type Identity struct {
 	ID string `json:"id"`
 	// Incarnation grows with each start of the daemon.
-	Incarnation int64  `json:"inc"`
-	Zone        string `json:"zone,omitempty"`
+	Incarnation int64 `json:"inc"`
+	// Zone is the data hall that the daemon is in.
+	Zone string `json:"zone,omitempty"`
 	// Address is where peers reach the daemon, over UDP and TCP alike.
 	Address string `json:"peer,omitempty"`
 	// Front is where callers reach it.
@@ -61,11 +64,11 @@
 	Capacity int `json:"cap,omitempty"`
 }
 
-// Beat is what a daemon tells its peers. Ages count at the time of sending, in
-// milliseconds.
-type Beat struct {
+// Heartbeat is what a daemon reports of itself. Ages count at the time of
+// sending, in milliseconds.
+type Heartbeat struct {
 	Identity
-	// Brief beats leave out what the receiver holds from a whole one: the
+	// Brief heartbeats leave out what the receiver holds from a whole one: the
 	// identity but for id and incarnation, and the grant.
 	Brief bool `json:"brief,omitempty"`
 
@@ -76,9 +79,8 @@
 	ConfigAge       int64 `json:"ca"`
 	WorkersPosition int64 `json:"wp,omitempty"`
 	WorkersAge      int64 `json:"wa"`
-
-	// Delta is the newest changes of the worker list.
-	Delta *fleet.Delta `json:"delta,omitempty"`
+	// Decided is how far the daemon knows the leader's decisions.
+	Decided fleet.DecisionPosition `json:"d,omitzero"`
 
 	// Leads is the daemon's own claim while it leads, Highest the highest one
 	// that it knows of, and Grant the newest grant that it knows of.
@@ -88,32 +90,44 @@
 	// LeaderAge is how long ago a leader was last heard, 0 if none was.
 	LeaderAge int64 `json:"la,omitempty"`
 
-	Loads         []Load               `json:"loads,omitempty"`
-	Stalls        []Stall              `json:"stalls,omitempty"`
-	Announcements []fleet.Announcement `json:"groups,omitempty"`
+	Loads  Loads   `json:"loads,omitempty"`
+	Stalls []Stall `json:"stalls,omitempty"`
 	// Demand is the measured work of each model, in slots busy.
 	Demand map[string]float64 `json:"demand,omitempty"`
 	// Traffic tells that requests came to the fleet.
 	Traffic bool `json:"traffic,omitempty"`
 }
 
-// brief returns the beat without what its receiver holds already.
-func (b *Beat) brief() *Beat {
-	short := *b
+// brief returns the heartbeat without what its receiver holds already.
+func (h *Heartbeat) brief() *Heartbeat {
+	short := *h
 	short.Brief = true
-	short.Identity = Identity{ID: b.ID, Incarnation: b.Incarnation}
+	short.Identity = Identity{ID: h.ID, Incarnation: h.Incarnation}
 	short.Grant = Grant{}
 	return &short
 }
 
 // Peer is what is known of another daemon.
 type Peer struct {
-	Beat
-	// HeardAt is when its last beat came.
+	Heartbeat
+	// HeardAt is when its last heartbeat came; the zero time if none did.
 	HeardAt time.Time
-	// SentAfter is a time, by this daemon's clock, after which the last beat
+	// SentAfter is a time, by this daemon's clock, after which the last heartbeat
 	// was sent for certain. Ages in it count from here.
 	SentAfter time.Time
+	// reportedAt is when a relay last heard the daemon, as far as relays told.
+	reportedAt time.Time
+	// addedAt is when this life of the daemon became known.
+	addedAt time.Time
+}
+
+// lastSign returns when the peer was last known to live; the zero time if it
+// never was.
+func (p *Peer) lastSign() time.Time {
+	if p.reportedAt.After(p.HeardAt) {
+		return p.reportedAt
+	}
+	return p.HeardAt
 }
 
 // ConfigConfirmed returns when the peer's version of the configuration is
--- /dev/null
+++ b/peers/network_test.go
@@ -0,0 +1,211 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+var errOff = errors.New("the daemon is off")
+
+const (
+	// smallLink and largeLink are links of machines, in bytes a second: 20 and 200
+	// Mbit/s.
+	smallLink = 20e6 / 8
+	largeLink = 200e6 / 8
+	// linkQueue is how long a datagram waits for a link at most, linkDelay how long
+	// it then travels.
+	linkQueue = 100 * time.Millisecond
+	linkDelay = 1400 * time.Microsecond
+)
+
+// network joins simulated daemons by links of bounded rate, in virtual time.
+type network struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	loss    float64
+	daemons map[string]*simDaemon
+	ctx     context.Context
+}
+
+// simDaemon is an agent and its link.
+type simDaemon struct {
+	net   *network
+	agent *Agent
+	rate  float64
+	inbox chan []byte
+	stop  context.CancelFunc
+	// off daemons neither send nor receive; freeAt is when the link is free again.
+	off    bool
+	freeAt time.Time
+	bytes  int
+	// lost counts datagrams that found the link full, largest is the longest one.
+	lost, largest int
+	leads         *Claim
+	leaving       bool
+	ready         bool
+	demand        float64
+	news          []News
+}
+
+func newNetwork(ctx context.Context, seed uint64) *network {
+	return &network{random: rand.New(rand.NewPCG(seed, seed)), daemons: make(map[string]*simDaemon), ctx: ctx}
+}
+
+// add starts a daemon in a hall on a machine of some capacity.
+func (n *network) add(t *testing.T, hall string, number, capacity int) *simDaemon {
+	t.Helper()
+	id := fmt.Sprintf("front-%s-%d", hall, number)
+	d := &simDaemon{net: n, rate: smallLink, inbox: make(chan []byte, 1<<14), ready: true, demand: 1}
+	if capacity > 200 {
+		d.rate = largeLink
+	}
+	self := Identity{ID: id, Incarnation: time.Now().UnixMilli(), Zone: hall, Address: id + ":1", Front: id + ":2", Capacity: capacity}
+	agent, err := NewAgent(Options{
+		Self: self, Transport: Transport{Send: d.send, Receive: d.receive, Close: func() error { return nil }},
+		Compose: d.compose, Heard: func(*Peer) {}, News: func(_ *Peer, m *News) { d.take(m) },
+		Summed: func(string, Summary, time.Time) {}, Counted: func(string, int) {}, Logger: hclog.NewNullLogger(),
+	})
+	assert.NilError(t, err)
+	d.agent = agent
+	ctx, stop := context.WithCancel(n.ctx)
+	d.stop = stop
+	n.mu.Lock()
+	n.daemons[self.Address] = d
+	n.mu.Unlock()
+	go agent.Run(ctx)
+	return d
+}
+
+// fleet starts daemons in halls, the first few of each on larger machines, and lets
+// each know of all, as the store does.
+func (n *network) fleet(t *testing.T, halls, perHall, large int) []*simDaemon {
+	t.Helper()
+	var all []*simDaemon
+	for hall := range halls {
+		for i := range perHall {
+			capacity := 192
+			if i >= perHall-large {
+				capacity = 800
+			}
+			all = append(all, n.add(t, fmt.Sprintf("hall%d", hall), i, capacity))
+		}
+	}
+	for _, d := range all {
+		for _, other := range all {
+			d.agent.Table().Learn(other.agent.opts.Self, time.Now())
+		}
+	}
+	return all
+}
+
+func (d *simDaemon) compose(h *Heartbeat, _ time.Time) {
+	d.net.mu.Lock()
+	defer d.net.mu.Unlock()
+	h.Ready, h.Leaving, h.Leads, h.ConfigAge, h.WorkersAge = d.ready, d.leaving, d.leads, 100, 100
+	h.Demand = map[string]float64{"m": d.demand}
+	h.Loads = Loads{{Replica: "m-r5@5", InFlight: 1, Prefill: 700}}
+}
+
+// take takes decisions, which a relay passes on if they are new to it.
+func (d *simDaemon) take(m *News) {
+	d.net.mu.Lock()
+	known := d.leads != nil || slices.ContainsFunc(d.news, func(n News) bool { return n.Decisions.To == m.Decisions.To })
+	if !known {
+		d.news = append(d.news, *m)
+	}
+	d.net.mu.Unlock()
+	if !known && d.agent.Role() == Relay {
+		d.agent.SendNews([]News{*m}, false, time.Now())
+	}
+}
+
+func (d *simDaemon) send(to string, datagram []byte) error {
+	n := d.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if d.freeAt.Before(now) {
+		d.freeAt = now
+	}
+	if d.freeAt.Sub(now) > linkQueue {
+		d.lost++
+		return nil
+	}
+	d.freeAt = d.freeAt.Add(time.Duration(float64(len(datagram)) / d.rate * float64(time.Second)))
+	d.bytes += len(datagram)
+	d.largest = max(d.largest, len(datagram))
+	other, ok := n.daemons[to]
+	if d.off || !ok || n.random.Float64() < n.loss {
+		return nil
+	}
+	held := slices.Clone(datagram)
+	time.AfterFunc(d.freeAt.Sub(now)+linkDelay, func() { other.arrive(held) })
+	return nil
+}
+
+func (d *simDaemon) arrive(datagram []byte) {
+	d.net.mu.Lock()
+	defer d.net.mu.Unlock()
+	if !d.off {
+		select {
+		case d.inbox <- datagram:
+		default:
+		}
+	}
+}
+
+func (d *simDaemon) receive(buffer []byte) (int, error) {
+	select {
+	case datagram := <-d.inbox:
+		return copy(buffer, datagram), nil
+	case <-d.net.ctx.Done():
+		return 0, errOff
+	}
+}
+
+// set changes what a daemon does.
+func (n *network) set(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
+// sent returns how many bytes each daemon sends a second, over a while.
+func (n *network) sent(all []*simDaemon, while time.Duration) map[*simDaemon]float64 {
+	before := make(map[*simDaemon]int)
+	n.set(func() {
+		for _, d := range all {
+			before[d] = d.bytes
+		}
+	})
+	time.Sleep(while)
+	rates := make(map[*simDaemon]float64)
+	n.set(func() {
+		for _, d := range all {
+			rates[d] = float64(d.bytes-before[d]) / while.Seconds()
+		}
+	})
+	return rates
+}
+
+// names returns the ids of the daemons that one takes for alive.
+func (d *simDaemon) names() []string {
+	var names []string
+	for _, p := range d.agent.Table().Alive(time.Now()) {
+		names = append(names, p.ID)
+	}
+	return names
+}
+
+func (d *simDaemon) id() string { return d.agent.opts.Self.ID }
+
+func (d *simDaemon) hall() string { return d.agent.opts.Self.Zone }
--- /dev/null
+++ b/peers/relay_test.go
@@ -0,0 +1,309 @@
+package peers
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// inVirtualTime plays a test on a network of its own.
+func inVirtualTime(t *testing.T, seed uint64, test func(t *testing.T, n *network)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			synctest.Wait()
+		}()
+		test(t, newNetwork(ctx, seed))
+	})
+}
+
+// roles counts daemons by hall and role.
+func roles(all []*simDaemon) map[string]map[Role]int {
+	counts := make(map[string]map[Role]int)
+	for _, d := range all {
+		if counts[d.hall()] == nil {
+			counts[d.hall()] = make(map[Role]int)
+		}
+		counts[d.hall()][d.agent.Role()]++
+	}
+	return counts
+}
+
+// checkKnown checks that a daemon knows all living daemons of its hall, and at
+// least some of each other hall.
+func checkKnown(t *testing.T, d *simDaemon, all []*simDaemon, least int) {
+	t.Helper()
+	names, halls := d.names(), make(map[string]int)
+	for _, other := range all {
+		known := slices.Contains(names, other.id())
+		if other.off && known {
+			t.Errorf("%s takes %s for alive", d.id(), other.id())
+		}
+		if !other.off && other != d && other.hall() == d.hall() && !known {
+			t.Errorf("%s does not know %s of its hall", d.id(), other.id())
+		}
+		if known {
+			halls[other.hall()]++
+		}
+	}
+	for _, other := range all {
+		if halls[other.hall()] < least {
+			t.Errorf("%s knows %d daemons of %s", d.id(), halls[other.hall()], other.hall())
+			return
+		}
+	}
+}
+
+// TestControlFitsSmallLinks bounds what each daemon of a large fleet sends, also
+// where relays are on small machines.
+func TestControlFitsSmallLinks(t *testing.T) {
+	tests := map[string]struct {
+		large int
+	}{
+		"larger machines relay": {large: 3},
+		"small machines relay":  {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, 1, func(t *testing.T, n *network) {
+				all := n.fleet(t, 5, 59, test.large)
+				time.Sleep(4 * time.Second)
+				checkRoles(t, all)
+				checkBounds(t, all, n.sent(all, 2*time.Second))
+				for _, d := range []*simDaemon{all[0], all[58], all[200]} {
+					checkKnown(t, d, all, relaysPerHall)
+				}
+			})
+		})
+	}
+}
+
+// checkRoles checks that each hall has its relays, and that all others are members.
+func checkRoles(t *testing.T, all []*simDaemon) {
+	t.Helper()
+	for hall, counts := range roles(all) {
+		assert.Equal(t, counts[Relay], relaysPerHall, "in %s", hall)
+		assert.Equal(t, counts[Direct], 0, "in %s", hall)
+	}
+}
+
+// checkBounds checks what daemons send a second, and what they know of the fleet.
+func checkBounds(t *testing.T, all []*simDaemon, rates map[*simDaemon]float64) {
+	t.Helper()
+	most := map[Role]float64{Member: 24e3, Relay: smallLink / 10}
+	for _, d := range all {
+		role := d.agent.Role()
+		assert.Assert(t, rates[d] < most[role], "%s, a %s, sends %.0f bytes a second", d.id(), role, rates[d])
+		assert.Assert(t, d.largest < 1400, "%s sends %d bytes at once", d.id(), d.largest)
+		assert.Equal(t, d.lost, 0)
+		assert.Equal(t, d.agent.Fleet(time.Now()).Daemons, len(all))
+		assert.Equal(t, d.agent.Fleet(time.Now()).Demand["m"], float64(len(all)))
+	}
+}
+
+// relayOf returns a relay of a hall, the first or the second by its fitness.
+func relayOf(all []*simDaemon, hall string, which int) *simDaemon {
+	var relays []*simDaemon
+	for _, d := range all {
+		if d.hall() == hall && d.agent.Role() == Relay && !d.off {
+			relays = append(relays, d)
+		}
+	}
+	slices.SortFunc(relays, func(a, b *simDaemon) int { return CompareFitness(a.agent.opts.Self, b.agent.opts.Self) })
+	return relays[which]
+}
+
+// TestFleetBearsTheLossOfRelays takes daemons away and checks that soon all others
+// know so, know each other, and are reached by news.
+func TestFleetBearsTheLossOfRelays(t *testing.T) {
+	// soon is the time in which a silent daemon is known to be; later that in which
+	// others take over from all relays of a hall, and are met by the other halls.
+	const soon, later = 1300 * time.Millisecond, 2 * time.Second
+	tests := map[string]struct {
+		loss   float64
+		within time.Duration
+		lose   func(all []*simDaemon) []*simDaemon
+	}{
+		"nobody":                           {within: soon, lose: func([]*simDaemon) []*simDaemon { return nil }},
+		"nobody, but every tenth datagram": {within: soon, loss: 0.1, lose: func([]*simDaemon) []*simDaemon { return nil }},
+		"a member":                         {within: soon, lose: func(all []*simDaemon) []*simDaemon { return all[:1] }},
+		"one relay":                        {within: soon, lose: func(all []*simDaemon) []*simDaemon { return []*simDaemon{relayOf(all, "hall1", 0)} }},
+		"all relays of a hall": {within: later, lose: func(all []*simDaemon) []*simDaemon {
+			return []*simDaemon{relayOf(all, "hall1", 0), relayOf(all, "hall1", 1)}
+		}},
+		"a relay of each hall": {within: soon, lose: func(all []*simDaemon) []*simDaemon {
+			return []*simDaemon{relayOf(all, "hall0", 0), relayOf(all, "hall1", 1), relayOf(all, "hall2", 0)}
+		}},
+		"most of a hall": {within: later, lose: func(all []*simDaemon) []*simDaemon { return all[2:14] }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, 2, func(t *testing.T, n *network) {
+				n.loss = test.loss
+				all := n.fleet(t, 3, 15, 3)
+				time.Sleep(3 * time.Second)
+				leader := relayOf(all, "hall2", 1)
+				lost := test.lose(all)
+				n.set(func() {
+					leader.leads = &Claim{Epoch: 1}
+					for _, d := range lost {
+						d.off = true
+					}
+				})
+				time.Sleep(test.within)
+				news := News{Decisions: &fleet.Decisions{Term: 1, To: 1, All: []fleet.Announcement{{Group: "g"}}}}
+				leader.agent.SendNews([]News{news}, true, time.Now())
+				time.Sleep(20 * time.Millisecond)
+				checkReached(t, all, leader)
+			})
+		})
+	}
+}
+
+// checkReached checks that all living daemons know the others, and were reached by
+// a leader's news.
+func checkReached(t *testing.T, all []*simDaemon, leader *simDaemon) {
+	t.Helper()
+	for _, d := range all {
+		if d.off || d == leader {
+			continue
+		}
+		checkKnown(t, d, all, 1)
+		assert.Assert(t, len(d.news) > 0, "%s was not reached", d.id())
+	}
+}
+
+// TestDecisionsFitTheLeadersLink lets a small machine that leads decide as often as
+// in the forming of all replicas of 760 workers.
+func TestDecisionsFitTheLeadersLink(t *testing.T) {
+	leaders := map[string]func(all []*simDaemon) *simDaemon{
+		"a relay leads":  func(all []*simDaemon) *simDaemon { return relayOf(all, "hall3", 0) },
+		"a member leads": func(all []*simDaemon) *simDaemon { return all[30] },
+	}
+	for name, choose := range leaders {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, 6, func(t *testing.T, n *network) {
+				const decisions, every = 132, 30 * time.Millisecond
+				all := n.fleet(t, 5, 59, 0)
+				time.Sleep(3 * time.Second)
+				leader := choose(all)
+				n.set(func() { leader.leads = &Claim{Epoch: 1} })
+				// Others know a new leader by its heartbeat before they take news of it.
+				time.Sleep(2 * heartbeatEvery)
+				start := leader.bytes
+				decide(leader, decisions, every)
+				rate := float64(leader.bytes-start) / (decisions * every).Seconds()
+				time.Sleep(linkQueue)
+				assert.Assert(t, rate < 1e6, "the leader sends %.0f bytes a second", rate)
+				assert.Equal(t, leader.lost, 0)
+				for _, d := range all {
+					assert.Assert(t, d == leader || len(d.news) == decisions, "%s heard %d decisions", d.id(), len(d.news))
+				}
+			})
+		})
+	}
+}
+
+// decide lets a leader pass on decisions, one after the other.
+func decide(leader *simDaemon, count int, every time.Duration) {
+	for i := range count {
+		group := fleet.GroupName("model", int64(i), &fleet.Worker{ID: "i-5b1fe61aea", Address: "10.2.64.162:8460"})
+		d := fleet.Decisions{Term: 1, From: int64(i), To: int64(i + 1), All: []fleet.Announcement{{Group: group}}}
+		leader.agent.SendNews([]News{{Decisions: &d}}, true, time.Now())
+		time.Sleep(every)
+	}
+}
+
+// TestLeavingIsKnownSoon lets a member and a relay announce that they leave.
+func TestLeavingIsKnownSoon(t *testing.T) {
+	inVirtualTime(t, 3, func(t *testing.T, n *network) {
+		all := n.fleet(t, 3, 12, 2)
+		time.Sleep(3 * time.Second)
+		leaving := []*simDaemon{all[0], relayOf(all, "hall1", 0)}
+		n.set(func() {
+			for _, d := range leaving {
+				d.leaving = true
+			}
+		})
+		for _, d := range leaving {
+			d.agent.Send(time.Now())
+		}
+		time.Sleep(2*heartbeatEvery + 50*time.Millisecond)
+		for _, d := range all {
+			checkLeaving(t, d, leaving[0].id())
+			checkLeaving(t, d, leaving[1].id())
+		}
+	})
+}
+
+// checkLeaving checks that a daemon knows of one of its hall that it leaves.
+func checkLeaving(t *testing.T, d *simDaemon, id string) {
+	t.Helper()
+	for _, p := range d.agent.Table().Alive(time.Now()) {
+		if p.ID == id && p.Zone == d.hall() {
+			assert.Assert(t, p.Leaving, "%s does not know that %s leaves", d.id(), id)
+		}
+	}
+}
+
+// TestFleetFindsBackTogether cuts a hall off from the others for a while.
+func TestFleetFindsBackTogether(t *testing.T) {
+	inVirtualTime(t, 4, func(t *testing.T, n *network) {
+		all := n.fleet(t, 3, 12, 2)
+		time.Sleep(3 * time.Second)
+		n.set(func() {
+			for _, d := range all[:12] {
+				d.off = true
+			}
+		})
+		time.Sleep(5 * time.Second)
+		n.set(func() {
+			for _, d := range all[:12] {
+				d.off = false
+			}
+		})
+		time.Sleep(3 * time.Second)
+		for _, d := range all {
+			checkKnown(t, d, all, relaysPerHall)
+			assert.Equal(t, d.agent.Fleet(time.Now()).Daemons, len(all))
+		}
+	})
+}
+
+// TestNewDaemonsAreFound starts daemons that read the store before others knew them.
+func TestNewDaemonsAreFound(t *testing.T) {
+	inVirtualTime(t, 5, func(t *testing.T, n *network) {
+		all := n.fleet(t, 3, 12, 2)
+		time.Sleep(3 * time.Second)
+		late := n.add(t, "hall2", 90, 192)
+		for _, d := range all {
+			late.agent.Table().Learn(d.agent.opts.Self, time.Now())
+		}
+		time.Sleep(2 * time.Second)
+		all = append(all, late)
+		for _, d := range all {
+			checkKnown(t, d, all, relaysPerHall)
+			assert.Equal(t, d.agent.Fleet(time.Now()).Daemons, len(all))
+		}
+	})
+}
+
+// TestPackedLoads checks that loads survive being packed.
+func TestPackedLoads(t *testing.T) {
+	loads := Loads{
+		{Replica: fleet.KeyOf("a-b", 268435645), InFlight: 3, Prefill: 1420}, {Replica: fleet.KeyOf("a-b", 9), InFlight: 1},
+		{Replica: fleet.KeyOf("c", 10), InFlight: 2}, {Replica: "i-worker", InFlight: 4}, {Replica: "odd@x", InFlight: 1},
+	}
+	data, err := loads.MarshalJSON()
+	assert.NilError(t, err)
+	var back Loads
+	assert.NilError(t, back.UnmarshalJSON(data))
+	assert.DeepEqual(t, sumLoads(back), sumLoads(loads))
+}
--- a/peers/table.go
+++ b/peers/table.go
@@ -8,18 +8,23 @@
 )
 
 const (
-	// aliveFor is how long a daemon counts as alive after a beat. It spans
-	// several beats, since datagrams get lost. Where daemons are told in turns,
-	// aliveTurn is added for each further turn.
-	aliveFor  = 800 * time.Millisecond
-	aliveTurn = 2 * beatEvery
+	// aliveFor is how long a daemon counts as alive after a heartbeat. It spans
+	// several heartbeats, since datagrams get lost.
+	aliveFor = 800 * time.Millisecond
+	// reportedFor is how long a daemon counts as alive after a relay heard it: a
+	// relay reports a daemon until it was silent for aliveFor, at every second
+	// heartbeat, and one of its reports may be lost.
+	reportedFor = aliveFor + 2*heartbeatEvery
 	// lifeAfter is how long a life must have been silent for one with a lower
 	// incarnation to follow it: the clock that incarnations come from may have
 	// been set back before a restart.
 	lifeAfter = 2 * time.Second
-	// forgetAfter is how long a silent daemon is still sent beats, so that it
-	// finds back after a partition.
+	// forgetAfter is how long a silent daemon is still sent heartbeats, so that
+	// it finds back after a partition.
 	forgetAfter = 90 * time.Second
+	// expectFor is how long a daemon that was never heard is expected to be alive
+	// after it became known: daemons start within 0.3 s of each other.
+	expectFor = time.Second
 )
 
 // Table holds what is known of the other daemons. It is safe for concurrent use.
@@ -28,28 +33,38 @@
 
 	mu    sync.Mutex
 	peers map[string]*Peer
-	// seeds holds the addresses of daemons that were not heard yet, with the
-	// time until which they are tried.
-	seeds map[string]time.Time
 	// pausedUntil is until when silence counts less: after this process stood
-	// still for pausedFor, beats that waited for it have yet to be read.
+	// still for pausedFor, heartbeats that waited for it have yet to be read.
 	pausedUntil time.Time
 	pausedFor   time.Duration
 }
 
 // NewTable returns a table that knows nobody.
 func NewTable(self Identity) *Table {
-	return &Table{self: self, peers: make(map[string]*Peer), seeds: make(map[string]time.Time)}
+	return &Table{self: self, peers: make(map[string]*Peer)}
 }
 
-// AddSeed notes an address at which a daemon may be.
-func (t *Table) AddSeed(address string, now time.Time) {
-	if address == t.self.Address {
-		return
-	}
+// Learn notes that a life of a daemon exists. It need not be alive.
+func (t *Table) Learn(identity Identity, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.seeds[address] = now.Add(forgetAfter)
+	if identity.Address == "" || t.outlived(identity, now) {
+		return
+	}
+	if held, ok := t.peers[identity.ID]; ok && held.Incarnation == identity.Incarnation {
+		return
+	}
+	t.peers[identity.ID] = &Peer{Heartbeat: Heartbeat{Identity: identity}, addedAt: now}
+}
+
+// outlived reports whether a life is this daemon's own, or an earlier one of it
+// or of another daemon.
+func (t *Table) outlived(identity Identity, now time.Time) bool {
+	if identity.Address != "" && identity.Address == t.self.Address || identity.ID == t.self.ID && identity.Incarnation <= t.self.Incarnation {
+		return true
+	}
+	held, ok := t.peers[identity.ID]
+	return ok && held.Incarnation > identity.Incarnation && now.Sub(held.lastSign()) < lifeAfter
 }
 
 // HeldUp notes that this process stood still for a while up to now.
@@ -59,51 +74,80 @@
 	t.pausedUntil, t.pausedFor = now.Add(aliveFor), gap
 }
 
-// Hear takes a beat. It reports false for one that is out of date.
-func (t *Table) Hear(b Beat, now, sentAfter time.Time) bool {
-	if b.ID == t.self.ID && b.Incarnation <= t.self.Incarnation {
-		return false
-	}
+// Hear takes a heartbeat. It reports false for one that is out of date.
+func (t *Table) Hear(h Heartbeat, now, sentAfter time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	held, ok := t.peers[b.ID]
-	if ok && held.Incarnation > b.Incarnation && now.Sub(held.HeardAt) < lifeAfter {
+	if t.outlived(h.Identity, now) {
 		return false
 	}
-	if ok && held.Incarnation == b.Incarnation && held.SentAfter.After(sentAfter) {
-		// Datagrams may overtake each other.
-		held.HeardAt = now
-		return false
+	next := &Peer{Heartbeat: h, HeardAt: now, SentAfter: sentAfter, addedAt: now}
+	if held, ok := t.peers[h.ID]; ok && held.Incarnation == h.Incarnation {
+		if held.SentAfter.After(sentAfter) {
+			// Datagrams may overtake each other.
+			held.HeardAt = now
+			return false
+		}
+		next.reportedAt, next.addedAt = held.reportedAt, held.addedAt
 	}
-	t.peers[b.ID] = &Peer{Beat: b, HeardAt: now, SentAfter: sentAfter}
-	delete(t.seeds, b.Address)
+	t.peers[h.ID] = next
 	return true
 }
 
-// complete fills in what a brief beat leaves out, and reports false if no whole
-// one of the same life was heard.
-func (t *Table) complete(b *Beat) bool {
+// Report takes a relay's word about a daemon whose identity is known.
+func (t *Table) Report(s Status, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	held, ok := t.peers[b.ID]
-	if !ok || held.Incarnation != b.Incarnation {
+	held, ok := t.peers[s.ID]
+	if !ok || lifeOf(held.Incarnation) != s.Life {
+		return
+	}
+	at := now.Add(-time.Duration(s.Age) * time.Millisecond)
+	if !at.After(held.reportedAt) {
+		return
+	}
+	next := *held
+	next.reportedAt = at
+	if at.Sub(held.HeardAt) > aliveFor {
+		// What the daemon itself reported is out of date.
+		next.Heartbeat = Heartbeat{Identity: held.Identity, Ready: s.Ready, Leaving: s.Leaving}
+	}
+	t.peers[s.ID] = &next
+}
+
+// complete fills in what a brief heartbeat leaves out, and reports false if no
+// whole one of the same life was heard.
+func (t *Table) complete(h *Heartbeat) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held, ok := t.peers[h.ID]
+	if !ok || held.Incarnation != h.Incarnation || held.HeardAt.IsZero() {
 		return false
 	}
-	b.Identity, b.Grant = held.Identity, held.Grant
+	h.Identity, h.Grant = held.Identity, held.Grant
 	return true
 }
 
-// Alive returns the daemons that were heard of late, sorted by id.
+// heard returns the peer that a life of a daemon is, and false if it was never heard.
+func (t *Table) heard(id string, incarnation int64) (*Peer, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[id]
+	return p, ok && p.Incarnation == incarnation && !p.HeardAt.IsZero()
+}
+
+// Alive returns the daemons that are known to live, sorted by id: those heard of
+// late, and those that a relay heard.
 func (t *Table) Alive(now time.Time) []*Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	limit := now.Add(-t.patience())
-	if now.Before(t.pausedUntil) {
-		limit = limit.Add(-t.pausedFor)
-	}
+	return t.alive(now)
+}
+
+func (t *Table) alive(now time.Time) []*Peer {
 	var all []*Peer
 	for _, p := range t.peers {
-		if p.HeardAt.After(limit) {
+		if t.isHeard(p, now) || t.since(p.reportedAt, now) < reportedFor {
 			all = append(all, p)
 		}
 	}
@@ -111,10 +155,17 @@
 	return all
 }
 
-// patience returns how long a daemon counts as alive after a beat.
-func (t *Table) patience() time.Duration {
-	further := (len(t.peers) - 1) / fanout
-	return aliveFor + time.Duration(max(further, 0))*aliveTurn
+// isHeard reports whether a daemon was itself heard of late.
+func (t *Table) isHeard(p *Peer, now time.Time) bool { return t.since(p.HeardAt, now) < aliveFor }
+
+// since returns how long ago a time was, less what this process may not have
+// noticed while it stood still.
+func (t *Table) since(at, now time.Time) time.Duration {
+	span := now.Sub(at)
+	if now.Before(t.pausedUntil) {
+		span -= t.pausedFor
+	}
+	return span
 }
 
 // LeaderAge returns how long ago a leader that stays was last heard, in
@@ -134,44 +185,24 @@
 	return age
 }
 
-// leaderAddress returns the address of the leader heard last, or an empty string.
-func (t *Table) leaderAddress() string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var leader *Peer
-	for _, p := range t.peers {
-		if p.Leads != nil && (leader == nil || p.HeardAt.After(leader.HeardAt)) {
-			leader = p
-		}
-	}
-	if leader == nil {
-		return ""
-	}
-	return leader.Address
-}
-
-// Patience returns how long a daemon counts as alive after a beat.
-func (t *Table) Patience() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.patience()
-}
+// Patience returns how long a daemon counts as alive after a heartbeat.
+func (t *Table) Patience() time.Duration { return aliveFor }
 
-// Known returns how many daemons were heard within the given time and were not
-// leaving, whether they are alive or not.
+// Known returns how many daemons were known to live since the given time and
+// were not leaving, whether they are alive or not.
 func (t *Table) Known(since time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := 0
 	for _, p := range t.peers {
-		if p.HeardAt.After(since) && !p.Leaving {
+		if p.lastSign().After(since) && !p.Leaving {
 			known++
 		}
 	}
 	return known
 }
 
-// Settled reports whether beats that waited while this process stood still
+// Settled reports whether heartbeats that waited while this process stood still
 // have had time to be read.
 func (t *Table) Settled(now time.Time) bool {
 	t.mu.Lock()
@@ -179,26 +210,11 @@
 	return !now.Before(t.pausedUntil)
 }
 
-// destinations returns the addresses to send beats to, and forgets those that
-// were silent for long.
-func (t *Table) destinations(now time.Time) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var all []string
+// forget drops daemons that were silent for long.
+func (t *Table) forget(now time.Time) {
 	for id, p := range t.peers {
-		if now.Sub(p.HeardAt) > forgetAfter {
+		if now.Sub(p.addedAt) > forgetAfter && now.Sub(p.lastSign()) > forgetAfter {
 			delete(t.peers, id)
-			continue
-		}
-		all = append(all, p.Address)
-	}
-	for address, until := range t.seeds {
-		if now.After(until) {
-			delete(t.seeds, address)
-			continue
 		}
-		all = append(all, address)
 	}
-	slices.Sort(all)
-	return slices.Compact(all)
 }
--- /dev/null
+++ b/peers/topology.go
@@ -0,0 +1,205 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// directMost is how many daemons a fleet has at most in which all report to
+	// all; directAgain is at how many a larger one returns to that. With 24 daemons a
+	// round of heartbeats is as many datagrams as a relay sends for a hall of 24.
+	directMost  = 24
+	directAgain = 16
+	// relaysPerHall is how many daemons of a data hall pass reports on, so that
+	// one may fail at any moment.
+	relaysPerHall = 2
+	// uplinks is how many daemons of their hall others report to: the relays, and
+	// the one that takes over when one of them fails.
+	uplinks = relaysPerHall + 1
+	// probes is how many silent daemons a relay tries in each round.
+	probes = 2
+)
+
+// Role is a daemon's part in passing reports on.
+type Role int
+
+// The roles.
+const (
+	// Direct daemons report to all others.
+	Direct Role = iota
+	// Member daemons report to the relays of their data hall.
+	Member
+	// Relay daemons pass reports on within their data hall and between halls.
+	Relay
+)
+
+// String returns the role's name in logs and counters.
+func (r Role) String() string {
+	switch r {
+	case Direct:
+		return "direct"
+	case Member:
+		return "member"
+	case Relay:
+		return "relay"
+	}
+	return "unknown"
+}
+
+// CompareFitness orders daemons by how fit they are to relay or lead: those on
+// larger machines come first, since they send the most, and among equals those
+// that run the longest, since they know the fleet best.
+func CompareFitness(a, b Identity) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.ID, b.ID))
+}
+
+// layout is whom a daemon reports to in one round, by address.
+type layout struct {
+	role Role
+	// peers get what this daemon reports of itself: all others of a small fleet,
+	// the relays of the own hall in a larger one.
+	peers []string
+	// hall gets what a relay passes on within its own hall.
+	hall []string
+	// across holds the relays of other halls, and a leader that is none: relays and
+	// leaders report to them.
+	across []string
+}
+
+// reached returns all whom a daemon reports to itself.
+func (l layout) reached(leads bool) []string {
+	all := slices.Clone(l.hall)
+	if l.role != Relay {
+		// The peers of a relay are in its hall.
+		all = append(all, l.peers...)
+	}
+	if leads || l.role == Relay {
+		all = append(all, l.across...)
+	}
+	return all
+}
+
+// layout returns whom to report to.
+func (t *Table) layout(now time.Time, before Role, size, round int) layout {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	limit := directAgain
+	if before == Direct {
+		limit = directMost
+	}
+	expected := t.expected(now)
+	if max(size, len(expected)+1) <= limit {
+		return layout{role: Direct, peers: inTurn(t.addresses(), 2*directMost, round)}
+	}
+	fittest := append(inHall(expected, t.self.Zone), &Peer{Heartbeat: Heartbeat{Identity: t.self}})
+	slices.SortFunc(fittest, func(a, b *Peer) int { return CompareFitness(a.Identity, b.Identity) })
+	l := layout{role: Member, across: t.acrossAddresses(expected, round)}
+	for i, p := range fittest {
+		switch {
+		case p.ID == t.self.ID && i < relaysPerHall:
+			l.role = Relay
+		case p.ID != t.self.ID && i < uplinks:
+			l.peers = append(l.peers, p.Address)
+		}
+	}
+	if l.role == Relay {
+		l.hall = t.hallAddresses(now, round)
+	}
+	return l
+}
+
+// expected returns the daemons that stay and are alive, or may be though they
+// were not heard yet.
+func (t *Table) expected(now time.Time) []*Peer {
+	all := t.alive(now)
+	for _, p := range t.peers {
+		if p.lastSign().IsZero() && now.Sub(p.addedAt) < expectFor {
+			all = append(all, p)
+		}
+	}
+	return slices.DeleteFunc(all, func(p *Peer) bool { return p.Leaving })
+}
+
+// inHall returns the daemons of a data hall.
+func inHall(all []*Peer, hall string) []*Peer {
+	var in []*Peer
+	for _, p := range all {
+		if p.Zone == hall {
+			in = append(in, p)
+		}
+	}
+	return in
+}
+
+// addresses returns the addresses of all daemons that are known.
+func (t *Table) addresses() []string {
+	all := make([]string, 0, len(t.peers))
+	for _, p := range t.peers {
+		all = append(all, p.Address)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// hallAddresses returns the daemons of the own hall that a relay passes reports
+// on to: those that live or may, and in turns those that fell silent.
+func (t *Table) hallAddresses(now time.Time, round int) []string {
+	var living, silent []string
+	for _, p := range t.peers {
+		switch {
+		case p.Zone != t.self.Zone:
+		case now.Sub(p.lastSign()) < reportedFor || now.Sub(p.addedAt) < expectFor:
+			living = append(living, p.Address)
+		default:
+			silent = append(silent, p.Address)
+		}
+	}
+	return append(living, inTurn(silent, probes, round)...)
+}
+
+// acrossAddresses returns the fittest daemons of each other hall. Where none is
+// expected to live, those that are known are tried in turns.
+func (t *Table) acrossAddresses(expected []*Peer, round int) []string {
+	living := make(map[string][]*Peer)
+	known := make(map[string][]string)
+	for _, p := range t.peers {
+		if p.Zone != t.self.Zone {
+			known[p.Zone] = append(known[p.Zone], p.Address)
+		}
+	}
+	var all []string
+	for _, p := range expected {
+		living[p.Zone] = append(living[p.Zone], p)
+		if p.Leads != nil && p.Zone != t.self.Zone {
+			all = append(all, p.Address)
+		}
+	}
+	for hall, addresses := range known {
+		fittest := living[hall]
+		slices.SortFunc(fittest, func(a, b *Peer) int { return CompareFitness(a.Identity, b.Identity) })
+		for _, p := range fittest[:min(len(fittest), relaysPerHall)] {
+			all = append(all, p.Address)
+		}
+		if len(fittest) < relaysPerHall {
+			all = append(all, inTurn(addresses, relaysPerHall, round)...)
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// inTurn returns a few of the addresses, others in each round.
+func inTurn(all []string, most, round int) []string {
+	if len(all) <= most {
+		return all
+	}
+	slices.Sort(all)
+	chosen := make([]string, 0, most)
+	for i := range most {
+		chosen = append(chosen, all[(round*most+i)%len(all)])
+	}
+	return chosen
+}
--- /dev/null
+++ b/peers/transport.go
@@ -0,0 +1,44 @@
+package peers
+
+import (
+	"net"
+	"net/netip"
+
+	"quartzshelf.dev/common/failure"
+)
+
+// Transport carries datagrams, any of which may be lost.
+type Transport struct {
+	Send func(to string, datagram []byte) error
+	// Receive waits for a datagram and returns its length. It fails once the
+	// transport is closed.
+	Receive func(buffer []byte) (int, error)
+	Close   func() error
+}
+
+// ListenUDP opens an address for datagrams.
+func ListenUDP(address string) (Transport, error) {
+	resolved, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return Transport{}, failure.At(failure.Invalid, "open peers' port", address, err)
+	}
+	conn, err := net.ListenUDP("udp4", resolved)
+	if err != nil {
+		return Transport{}, failure.At(failure.Unavailable, "open peers' port", address, err)
+	}
+	return Transport{
+		Send: func(to string, datagram []byte) error {
+			destination, err := netip.ParseAddrPort(to)
+			if err != nil {
+				return failure.At(failure.Invalid, "send datagram", to, err)
+			}
+			_, err = conn.WriteToUDPAddrPort(datagram, destination)
+			return err
+		},
+		Receive: func(buffer []byte) (int, error) {
+			n, _, err := conn.ReadFromUDPAddrPort(buffer)
+			return n, err
+		},
+		Close: conn.Close,
+	}, nil
+}
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -21,7 +21,7 @@
 	// failureFor is how long a replica that failed a request is passed over if
 	// others are there.
 	failureFor = time.Second
-	// remoteFor is how long a peer's word about its load counts.
+	// remoteFor is how long a report of the load at other daemons counts.
 	remoteFor = time.Second
 	// suspectCost and failureCost are added to the waits at suspected replicas
 	// and, at the least, at those that failed a request of late.
@@ -67,10 +67,11 @@
 	stalled func(r *fleet.Replica)
 }
 
-// remoteLoads is a peer's word about its work.
+// remoteLoads is the work of other daemons, as a source reported it.
 type remoteLoads struct {
-	at    time.Time
-	loads map[string]peers.Load
+	at      time.Time
+	daemons int
+	loads   map[string]peers.Load
 }
 
 // NewTracker returns a tracker for a daemon in a zone. It calls stalled with
@@ -92,15 +93,15 @@
 	return s
 }
 
-// SetRemote takes a peer's word about its work.
-func (t *Tracker) SetRemote(peer string, loads []peers.Load, now time.Time) {
-	byReplica := make(map[string]peers.Load, len(loads))
-	for _, l := range loads {
+// SetRemote takes what a source reports of the work of other daemons at a time.
+func (t *Tracker) SetRemote(source string, work peers.Summary, at time.Time) {
+	byReplica := make(map[string]peers.Load, len(work.Loads))
+	for _, l := range work.Loads {
 		byReplica[l.Replica] = l
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remote[peer] = remoteLoads{at: now, loads: byReplica}
+	t.remote[source] = remoteLoads{at: at, daemons: work.Daemons, loads: byReplica}
 }
 
 // Traffic reports whether a request to a model came yet, here or at a peer.
@@ -118,10 +119,10 @@
 }
 
 // Loads returns this daemon's own work.
-func (t *Tracker) Loads() []peers.Load {
+func (t *Tracker) Loads() peers.Loads {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var all []peers.Load
+	var all peers.Loads
 	for id, s := range t.stations {
 		if s.inFlight > 0 {
 			all = append(all, peers.Load{Replica: id, InFlight: s.inFlight, Prefill: s.prefill})
@@ -181,10 +182,10 @@
 		return 0
 	}
 	late, count := time.Duration(0), 0
-	for _, peer := range t.remote {
-		if age := now.Sub(peer.at); age < remoteFor {
-			late += age
-			count++
+	for _, remote := range t.remote {
+		if age := now.Sub(remote.at); age < remoteFor {
+			late += age * time.Duration(remote.daemons)
+			count += remote.daemons
 		}
 	}
 	key := replicas[0].Service + "/" + replicas[0].Model
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -19,8 +20,9 @@
 )
 
 const (
-	pathConfig  = "/configuration"
-	pathWorkers = "/workers"
+	pathConfig    = "/configuration"
+	pathWorkers   = "/workers"
+	pathDecisions = "/decisions"
 	// fetchDelay leaves this daemon's own reading the first chance.
 	fetchDelay = 150 * time.Millisecond
 	// fetchTimeout bounds a call to a peer, maxFetched its answer, in bytes.
@@ -77,6 +79,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathConfig, f.giveConfig)
 	mux.HandleFunc("GET "+pathWorkers, f.giveWorkers)
+	mux.HandleFunc("GET "+pathDecisions, f.giveDecisions)
 	mux.HandleFunc("POST "+pathLeave, f.server.giveLeave)
 	return mux
 }
@@ -90,6 +93,9 @@
 	if p.WorkersPosition > f.server.inventory.Position() {
 		f.report(p, f.fetchWorkers(ctx, p))
 	}
+	if f.server.inventory.Decided().Before(p.Decided) {
+		f.report(p, f.fetchDecisions(ctx, p))
+	}
 }
 
 func (f *fetcher) report(p *peers.Peer, err error) {
@@ -131,6 +137,20 @@
 	return nil
 }
 
+func (f *fetcher) fetchDecisions(ctx context.Context, p *peers.Peer) error {
+	known := f.server.inventory.Decided()
+	data, err := f.get(ctx, p, fmt.Sprintf("%s?term=%d&from=%d", pathDecisions, known.Term, known.Seq))
+	if err != nil {
+		return err
+	}
+	var d fleet.Decisions
+	if err := json.Unmarshal(data, &d); err != nil {
+		return failure.At(failure.Remote, "decode decisions", p.ID, err)
+	}
+	f.server.inventory.FollowDecisions(d)
+	return nil
+}
+
 func (f *fetcher) get(ctx context.Context, p *peers.Peer, path string) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+path, nil)
 	if err != nil {
@@ -157,19 +177,51 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	data := config.Encoded()
+	f.answer(w, r, config.Encoded(), func() ([]byte, error) { return f.packed.of(config) })
+}
+
+// answer answers a peer with data, packed if it takes that.
+func (f *fetcher) answer(w http.ResponseWriter, r *http.Request, data []byte, pack func() ([]byte, error)) {
 	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-		if packed, err := f.packed.of(config); err == nil {
+		packed, err := pack()
+		if err == nil {
 			w.Header().Set("Content-Encoding", "gzip")
 			data = packed
 		} else {
-			f.server.logger.Warn("configuration sent unpacked", "version", config.Version(), "error", err)
+			f.server.logger.Warn("answer to a peer sent unpacked", "path", r.URL.Path, "error", err)
 		}
 	}
 	// A peer that has gone does not get it; it asks again.
 	_, _ = w.Write(data)
 }
 
+// answerJSON answers a peer with a message.
+func (f *fetcher) answerJSON(w http.ResponseWriter, r *http.Request, m any) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		f.server.logger.Error("answer to a peer not encoded", "path", r.URL.Path, "error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	f.answer(w, r, data, func() ([]byte, error) { return pack(data) })
+}
+
+// pack returns data as gzip.
+func pack(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, failure.At(failure.Invalid, "pack answer", "", err)
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, failure.At(failure.Invalid, "pack answer", "", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, failure.At(failure.Invalid, "pack answer", "", err)
+	}
+	return out.Bytes(), nil
+}
+
 // packedConfig keeps the newest configuration compressed: after each change all
 // peers ask for it within a second. It is safe for concurrent use.
 type packedConfig struct {
@@ -185,19 +237,12 @@
 	if p.config == config {
 		return p.data, nil
 	}
-	var out bytes.Buffer
-	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	data, err := pack(config.Encoded())
 	if err != nil {
-		return nil, failure.At(failure.Invalid, "pack configuration", "", err)
-	}
-	if _, err := w.Write(config.Encoded()); err != nil {
-		return nil, failure.At(failure.Invalid, "pack configuration", "", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, failure.At(failure.Invalid, "pack configuration", "", err)
+		return nil, err
 	}
-	p.config, p.data = config, out.Bytes()
-	return p.data, nil
+	p.config, p.data = config, data
+	return data, nil
 }
 
 func (f *fetcher) giveWorkers(w http.ResponseWriter, r *http.Request) {
@@ -206,12 +251,16 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	var m changesMessage
-	m.Changes, m.Position, m.Whole = f.server.inventory.Since(from)
-	data, err := json.Marshal(m)
-	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
+	d, whole := f.server.inventory.Since(from)
+	f.answerJSON(w, r, changesMessage{Changes: d.Changes, Position: d.To, Whole: whole})
+}
+
+func (f *fetcher) giveDecisions(w http.ResponseWriter, r *http.Request) {
+	term, errTerm := strconv.ParseInt(r.URL.Query().Get("term"), 10, 64)
+	seq, errSeq := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if errTerm != nil || errSeq != nil {
+		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	_, _ = w.Write(data)
+	f.answerJSON(w, r, f.server.inventory.DecisionsSince(fleet.DecisionPosition{Term: term, Seq: seq}))
 }
--- /dev/null
+++ b/serving/heartbeat.go
@@ -0,0 +1,95 @@
+package serving
+
+import (
+	"fmt"
+	"time"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+// compose fills in what this daemon reports of itself to its peers.
+func (s *Server) compose(h *peers.Heartbeat, now time.Time) {
+	h.Ready, h.Leaving = s.Ready(), s.leaving.Load()
+	h.ConfigVersion, h.ConfigAge = s.beliefs.Version(), age(s.beliefs.Confirmed(), now)
+	h.WorkersPosition, h.WorkersAge = s.inventory.Position(), age(s.inventory.Confirmed(), now)
+	h.Decided = s.inventory.Decided()
+	h.Leads, h.Highest, h.Grant = s.elector.State()
+	h.LeaderAge = s.agent.Table().LeaderAge(now)
+	h.Loads, h.Demand, h.Traffic = s.tracker.Loads(), s.tracker.Demand(), s.tracker.Traffic()
+	h.Stalls = s.suspicions.current(now)
+}
+
+// age returns how long ago a time was, in milliseconds.
+func age(t, now time.Time) int64 {
+	if t.IsZero() {
+		const never = 1 << 40
+		return never
+	}
+	return now.Sub(t).Milliseconds() + 1
+}
+
+// heard takes what a peer reported of itself.
+func (s *Server) heard(p *peers.Peer) {
+	s.elector.Hear(p)
+	if s.countsLoads(p) {
+		s.tracker.SetRemote(p.ID, peers.Summary{Daemons: 1, Loads: p.Loads}, p.HeardAt)
+	}
+	if p.Traffic {
+		s.tracker.SetTraffic()
+	}
+	s.beliefs.Confirm(p.ConfigVersion, p.ConfigConfirmed())
+	s.inventory.Confirm(p.WorkersPosition, p.WorkersConfirmed())
+	s.suspected(p)
+	if p.ConfigVersion > s.beliefs.Version() || p.WorkersPosition > s.inventory.Position() || s.inventory.Decided().Before(p.Decided) {
+		s.fetcher.want(p)
+	}
+}
+
+// countsLoads reports whether a peer's own loads count here, rather than as a part
+// of a summary.
+func (s *Server) countsLoads(p *peers.Peer) bool {
+	switch s.agent.Role() {
+	case peers.Relay:
+		return p.Zone == s.opts.Self.Zone
+	case peers.Member:
+		return false
+	}
+	return true
+}
+
+// suspected takes a peer's suspicions. A relay passes new ones on at once.
+func (s *Server) suspected(p *peers.Peer) {
+	news := false
+	for _, stall := range p.Stalls {
+		at := p.HeardAt.Add(-time.Duration(stall.Age) * time.Millisecond)
+		if s.suspicions.add(stall, at) {
+			news = true
+			s.tracker.Suspect(stall.Replica, p.HeardAt)
+			s.suspect(stall.Replica)
+		}
+	}
+	if news && s.agent.Role() == peers.Relay {
+		s.agent.Send(time.Now())
+	}
+}
+
+// summed takes a summary of the work of other daemons.
+func (s *Server) summed(hall string, summary peers.Summary, now time.Time) {
+	if summary.Traffic {
+		s.tracker.SetTraffic()
+	}
+	if hall == "" {
+		summary.Loads = summary.Loads.Without(s.tracker.Loads())
+	}
+	source := fmt.Sprintf("hall %s/%d", hall, summary.Part)
+	s.tracker.SetRemote(source, summary, now.Add(-time.Duration(summary.Age)*time.Millisecond))
+}
+
+// changesMessage is what a daemon answers a peer that asks for the worker list.
+type changesMessage struct {
+	Changes  []fleet.Change `json:"changes"`
+	Position int64          `json:"position"`
+	// Whole tells that the changes are the whole list.
+	Whole bool `json:"whole"`
+}
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -11,9 +11,11 @@
 
 // lead runs a term of leadership until ctx ends.
 func (s *Server) lead(ctx context.Context, claim peers.Claim, first bool) {
+	s.inventory.BeginTerm(claim.Term())
 	keeper := formation.NewKeeper(formation.Options{
 		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders, IndirectLeave: s.leaveThroughPeers,
-		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince, Announced: s.announce,
+		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince,
+		Announced:  func(a fleet.Announcement) { s.inventory.Decide(claim.Term(), a) },
 		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
 		Counted: s.meter.Order, Logger: s.logger.Named("formation"),
 	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first},
@@ -35,31 +37,14 @@
 
 // demand returns the work of each model over all daemons, in busy slots.
 func (s *Server) demand() map[string]float64 {
-	total := s.tracker.Demand()
-	for _, p := range s.agent.Table().Alive(time.Now()) {
-		for model, d := range p.Demand {
-			total[model] += d
-		}
-	}
-	return total
-}
-
-// announce takes a decision of this daemon's own keeper and tells peers.
-func (s *Server) announce(a fleet.Announcement) {
-	s.inventory.Announce([]fleet.Announcement{a})
-	s.mu.Lock()
-	s.announced = append(s.announced, timedAnnouncement{Announcement: a, until: time.Now().Add(announcedFor)})
-	s.mu.Unlock()
-	s.agent.Send(time.Now())
+	return s.agent.Fleet(time.Now()).Demand
 }
 
 // stalled takes a suspicion of this daemon's own.
 func (s *Server) stalled(r *fleet.Replica) {
 	now := time.Now()
 	s.logger.Warn("replica fell silent", "replica", r.ID, "head", r.Head.ID)
-	s.mu.Lock()
-	s.stalls[r.ID] = timedStall{Stall: peers.Stall{Replica: r.ID, Head: r.Head.ID}, until: now.Add(stallFor)}
-	s.mu.Unlock()
+	s.suspicions.add(peers.Stall{Replica: r.ID, Head: r.Head.ID}, now)
 	s.suspect(r.ID)
 	s.agent.Send(now)
 }
--- /dev/null
+++ b/serving/news.go
@@ -0,0 +1,77 @@
+package serving
+
+import (
+	"context"
+	"time"
+
+	"quartzshelf.dev/common/pause"
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+const (
+	// newsPause joins what becomes known close upon one another: what comes within
+	// it waits and goes together.
+	newsPause = 40 * time.Millisecond
+	// changesPerNews and decisionsPerNews are how many changes of the worker list
+	// and decisions go into one datagram, so that it fits one frame of the network:
+	// deflated, a change takes about 70 bytes and a decision about 60.
+	changesPerNews   = 14
+	decisionsPerNews = 16
+)
+
+// passNews passes on what becomes known, once, while this daemon leads or relays.
+// Who misses some of it sees so by the positions in heartbeats and asks for it.
+func (s *Server) passNews(ctx context.Context) {
+	var passed newsPosition
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.inventory.News():
+		}
+		var all []peers.News
+		all, passed = s.newsSince(passed)
+		leads := s.isReader()
+		if leads || s.agent.Role() == peers.Relay {
+			s.agent.SendNews(all, leads, time.Now())
+		}
+		pause.For(ctx, newsPause)
+	}
+}
+
+// newsPosition is how far the worker list and the decisions were passed on.
+type newsPosition struct {
+	workers int64
+	decided fleet.DecisionPosition
+}
+
+// newsSince returns what has become known since a position, in parts that fit a
+// datagram each, and the new position. Where everything was read anew there is no news:
+// peers ask for what they lack.
+func (s *Server) newsSince(from newsPosition) ([]peers.News, newsPosition) {
+	var all []peers.News
+	decisions := s.inventory.DecisionsSince(from.decided)
+	if !decisions.Whole {
+		for _, part := range decisions.Split(decisionsPerNews) {
+			all = append(all, peers.News{Decisions: &part})
+		}
+	}
+	workers, whole := s.inventory.Since(from.workers)
+	if !whole {
+		for _, part := range workers.Split(changesPerNews) {
+			all = append(all, peers.News{Workers: &part})
+		}
+	}
+	return all, newsPosition{workers: workers.To, decided: fleet.DecisionPosition{Term: decisions.Term, Seq: decisions.To}}
+}
+
+// taken takes what a peer passed on.
+func (s *Server) taken(p *peers.Peer, n *peers.News) {
+	if n.Decisions != nil {
+		s.inventory.FollowDecisions(*n.Decisions)
+	}
+	if n.Workers != nil {
+		s.inventory.Follow(*n.Workers, p.WorkersConfirmed())
+	}
+}
--- a/serving/options.go
+++ b/serving/options.go
@@ -55,6 +55,8 @@
 	Roster   Roster
 	Orders   formation.Orders
 
+	// Transport carries datagrams between daemons; without one they go by UDP.
+	Transport peers.Transport
 	// Metrics is the address for metrics; empty for none.
 	Metrics string
 	Logger  hclog.Logger
--- a/serving/reader.go
+++ b/serving/reader.go
@@ -1,11 +1,10 @@
 package serving
 
 import (
-	"context"
 	"hash/fnv"
 	"time"
 
-	"quartzshelf.dev/common/pause"
+	"quartzshelf.dev/peers"
 )
 
 const (
@@ -14,9 +13,9 @@
 	// that one comes first and tells the others.
 	readAfter  = 1100 * time.Millisecond
 	readSpread = 500 * time.Millisecond
-	// pushPause joins changes of the worker list that come close upon one
-	// another into one beat.
-	pushPause = 40 * time.Millisecond
+	// relayedLater is how much older beliefs are that come by way of a relay: a
+	// further heartbeat, and the one by which the relay knows its age.
+	relayedLater = 800 * time.Millisecond
 )
 
 // isReader reports whether this daemon reads the store for all: the leader does.
@@ -30,7 +29,11 @@
 // tell is too old. Terms often follow one another within a second; if all read
 // in between, a large fleet would call the store hundreds of times.
 func (s *Server) reads(confirmed time.Time) bool {
-	return s.isReader() || time.Since(confirmed) > readAfter+s.readDelay
+	patience := readAfter + s.readDelay
+	if s.agent.Role() != peers.Direct {
+		patience += relayedLater
+	}
+	return s.isReader() || time.Since(confirmed) > patience
 }
 
 // readDelayOf returns a daemon's own part of readSpread.
@@ -41,18 +44,3 @@
 	const steps = 16
 	return time.Duration(h.Sum32()%steps) * readSpread / steps
 }
-
-// push tells peers of changes of the worker list at once while this daemon
-// reads for all.
-func (s *Server) push(ctx context.Context) {
-	position := int64(0)
-	for ctx.Err() == nil {
-		pause.For(ctx, pushPause)
-		if now := s.inventory.Position(); now != position {
-			position = now
-			if s.isReader() {
-				s.agent.Send(time.Now())
-			}
-		}
-	}
-}
--- a/serving/server.go
+++ b/serving/server.go
@@ -35,10 +35,6 @@
 	// hearFor is how long after it first read the roster a daemon listens for
 	// others before it may lead.
 	hearFor = 700 * time.Millisecond
-	// announcedFor is how long a decision about a group is told to peers.
-	announcedFor = 4 * time.Second
-	// stallFor is how long a suspicion of a replica is told to peers.
-	stallFor = time.Second
 )
 
 // Server is one daemon.
@@ -54,7 +50,9 @@
 	tracker   *relay.Tracker
 	relay     *relay.Relay
 	fetcher   *fetcher
-	leaving   atomic.Bool
+	// suspicions holds the replicas that fell silent of late.
+	suspicions *suspicions
+	leaving    atomic.Bool
 	// metAt is when the roster of daemons was first read.
 	metAt     atomic.Pointer[time.Time]
 	readDelay time.Duration
@@ -62,19 +60,7 @@
 
 	mu sync.Mutex
 	// keeper is nil while this daemon does not lead.
-	keeper    *formation.Keeper
-	announced []timedAnnouncement
-	stalls    map[string]timedStall
-}
-
-type timedAnnouncement struct {
-	fleet.Announcement
-	until time.Time
-}
-
-type timedStall struct {
-	peers.Stall
-	until time.Time
+	keeper *formation.Keeper
 }
 
 // New builds a daemon and opens its peers' port. Nothing runs before Run.
@@ -85,7 +71,7 @@
 	}
 	s := &Server{
 		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(),
-		inventory: fleet.NewInventory(opts.Bounds.Heartbeat, opts.Bounds.Leave), stalls: make(map[string]timedStall),
+		inventory: fleet.NewInventory(opts.Bounds.Heartbeat, opts.Bounds.Leave), suspicions: newSuspicions(),
 		readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
 	}
 	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
@@ -95,7 +81,8 @@
 		Reads: s.reads, Logger: opts.Logger.Named("follower"),
 	})
 	s.agent, err = peers.NewAgent(peers.Options{
-		Self: opts.Self, Compose: s.compose, Heard: s.heard, Logger: opts.Logger.Named("peers"),
+		Self: opts.Self, Transport: opts.Transport, Compose: s.compose, Heard: s.heard, News: s.taken, Summed: s.summed,
+		Counted: s.meter.Datagram, Logger: opts.Logger.Named("peers"),
 	})
 	if err != nil {
 		return nil, err
@@ -119,7 +106,7 @@
 
 func (s *Server) newRelay() *relay.Relay {
 	budget := s.opts.Bounds.Budget
-	budget.Daemons = func() int { return len(s.agent.Table().Alive(time.Now())) + 1 }
+	budget.Daemons = func() int { return max(s.agent.Fleet(time.Now()).Daemons, 1) }
 	return relay.New(relay.Options{
 		Names: s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
 		View: s.inventory.View, Tracker: s.tracker, Budget: budget,
@@ -172,7 +159,7 @@
 	duties.Go(func() { s.elector.Run(running) })
 	duties.Go(func() { s.relay.Run(running) })
 	duties.Go(func() { s.fetcher.run(running) })
-	duties.Go(func() { s.push(running) })
+	duties.Go(func() { s.passNews(running) })
 	duties.Go(func() { s.meet(running) })
 	duties.Go(func() { s.serveMetrics(running) })
 	stopped := make(chan error, 1)
@@ -224,7 +211,7 @@
 // meet registers this daemon and looks for others, often at first.
 func (s *Server) meet(ctx context.Context) {
 	registered := false
-	for _, before := range []time.Duration{0, 400 * time.Millisecond, 2 * time.Second} {
+	for _, before := range []time.Duration{0, 400 * time.Millisecond} {
 		pause.For(ctx, before)
 		registered = registered || s.register(ctx)
 		s.readRoster(ctx)
@@ -260,7 +247,7 @@
 	now := time.Now()
 	s.metAt.CompareAndSwap(nil, &now)
 	for _, other := range all {
-		s.agent.Table().AddSeed(other.Address, now)
+		s.agent.Table().Learn(other, now)
 	}
 }
 
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -28,7 +28,10 @@
 	first    metric.Float64Histogram
 	between  metric.Float64Histogram
 	orders   metric.Int64Counter
-	handler  http.Handler
+	// datagrams and datagramBytes count what was sent to peers.
+	datagrams     metric.Int64Counter
+	datagramBytes metric.Int64Counter
+	handler       http.Handler
 
 	mu     sync.Mutex
 	gauges map[string]func() float64
@@ -90,6 +93,9 @@
 	if err != nil {
 		return err
 	}
+	if err := m.registerDatagrams(meter); err != nil {
+		return err
+	}
 	m.first, err = meter.Float64Histogram("quartzshelf_first_token_seconds",
 		metric.WithDescription("Time from a request to the first token."), bounds)
 	if err != nil {
@@ -150,6 +156,25 @@
 		metric.WithAttributes(attribute.String("order", order), attribute.String("outcome", outcome)))
 }
 
+func (m *Meter) registerDatagrams(meter metric.Meter) error {
+	var err error
+	m.datagrams, err = meter.Int64Counter("quartzshelf_datagrams",
+		metric.WithDescription("Datagrams sent to peers, by kind."))
+	if err != nil {
+		return err
+	}
+	m.datagramBytes, err = meter.Int64Counter("quartzshelf_datagram_bytes",
+		metric.WithDescription("Bytes of datagrams sent to peers, by kind."))
+	return err
+}
+
+// Datagram counts a datagram sent to a peer.
+func (m *Meter) Datagram(kind string, bytes int) {
+	kinds := metric.WithAttributes(attribute.String("kind", kind))
+	m.datagrams.Add(context.Background(), 1, kinds)
+	m.datagramBytes.Add(context.Background(), int64(bytes), kinds)
+}
+
 // FirstToken records the time from a request, begun at start, to its first token.
 func (m *Meter) FirstToken(start time.Time) {
 	m.first.Record(context.Background(), time.Since(start).Seconds())
