soak: Let links be narrow, and connections go silent for good

A link may now carry 25 kB a second on each connection, and the open connections to the store or to a few workers may be silenced.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -66,6 +66,8 @@
 	"workers-add-answers":  {strike: workerFault(standin.WorkerFaults{Surplus: 0.3})},
 	"orders-late":          {strike: workerFault(standin.WorkerFaults{Late: 0.5})},
 	"orders-late-crashes":  {strike: (*run).lateAndCrash, least: longLate},
+	"store-conns-silent":   {blinds: true, strike: (*run).silenceStore},
+	"worker-conns-silent":  {strike: (*run).silenceWorkers},
 	"front-link":           {strike: func(r *run, random *rand.Rand) func() { return r.harm(r.anyDaemon(random).front, random) }},
 	"operator-change":      {strike: func(r *run, _ *rand.Rand) func() { r.operator.Publish(); return nothing }},
 	"operator-adds-route":  {strike: (*run).addRoute},
@@ -154,7 +156,7 @@
 
 // harm harms a link in some way.
 func (r *run) harm(p *proxy, random *rand.Rand) func() {
-	kinds := []linkFault{linkSilent, linkOneWay, linkReset, linkSlow}
+	kinds := []linkFault{linkSilent, linkOneWay, linkReset, linkSlow, linkNarrow}
 	p.set(kinds[random.IntN(len(kinds))])
 	return func() { p.set(linkSound) }
 }
@@ -277,6 +279,22 @@
 	}
 }
 
+// silenceStore lets the connections of all daemons to the store go silent for good.
+func (r *run) silenceStore(*rand.Rand) func() {
+	for _, d := range r.daemons {
+		d.store.silence()
+	}
+	return nothing
+}
+
+// silenceWorkers does the same to the connections to a few workers.
+func (r *run) silenceWorkers(random *rand.Rand) func() {
+	for _, w := range r.someWorkers(random) {
+		r.linkOf(w).silence()
+	}
+	return nothing
+}
+
 func (r *run) addRoute(*rand.Rand) func() {
 	r.once.Do(func() {
 		r.operator.AddRoute()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -20,12 +20,17 @@
 	linkReset
 	// linkSlow delays every piece of bytes.
 	linkSlow
+	// linkNarrow carries linkRate bytes a second on each connection.
+	linkNarrow
 )
 
 const (
 	linkDelay  = 60 * time.Millisecond
 	linkLook   = 5 * time.Millisecond
 	linkBuffer = 16 << 10
+	// linkRate is the rate of a narrow link, in bytes a second: a hundredth of a link
+	// of 20 Mbit/s.
+	linkRate   = 25 << 10
 	dialWithin = time.Second
 )
 
@@ -37,6 +42,8 @@
 	target string
 	fault  linkFault
 	open   map[*net.TCPConn]bool
+	// silenced holds the connections that carry nothing more, whatever the link does.
+	silenced map[*net.TCPConn]bool
 	// harmedAt is when the link was last harmed or mended, refusedAt when the
 	// far side last did not take a connection.
 	harmedAt, refusedAt time.Time
@@ -48,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, open: make(map[*net.TCPConn]bool)}
+	p := &proxy{listener: listener, target: target, open: make(map[*net.TCPConn]bool), silenced: make(map[*net.TCPConn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -77,6 +84,24 @@
 	}
 }
 
+// silence lets the open connections go silent for good, without a reset. New ones
+// work.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.harmedAt = time.Now()
+	for c := range p.open {
+		p.silenced[c] = true
+	}
+}
+
+// isSilenced reports whether a connection carries nothing more.
+func (p *proxy) isSilenced(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silenced[c]
+}
+
 func (p *proxy) current() linkFault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -148,6 +173,7 @@
 	defer p.mu.Unlock()
 	for _, c := range all {
 		delete(p.open, c)
+		delete(p.silenced, c)
 		_ = c.Close()
 	}
 }
@@ -157,7 +183,14 @@
 	buffer := make([]byte, linkBuffer)
 	for {
 		n, err := from.Read(buffer)
-		p.await(back)
+		p.await(back, n)
+		if p.isSilenced(from) {
+			if err != nil {
+				// Only this side learns that its end was closed.
+				return
+			}
+			continue
+		}
 		if n > 0 {
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				reset(from)
@@ -171,13 +204,17 @@
 	}
 }
 
-// await holds bytes back for as long as the link is harmed that way.
-func (p *proxy) await(back bool) {
+// await holds bytes back for as long as the link is harmed that way, or takes to
+// carry them.
+func (p *proxy) await(back bool, bytes int) {
 	for {
 		switch p.current() {
 		case linkSlow:
 			time.Sleep(linkDelay)
 			return
+		case linkNarrow:
+			time.Sleep(time.Duration(bytes) * time.Second / linkRate)
+			return
 		case linkSilent:
 		case linkOneWay:
 			if !back {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -41,6 +41,7 @@
 	}{
 		"sound":   {fault: linkSound},
 		"slow":    {fault: linkSlow},
+		"narrow":  {fault: linkNarrow},
 		"silent":  {fault: linkSilent, want: os.ErrDeadlineExceeded},
 		"one way": {fault: linkOneWay, want: os.ErrDeadlineExceeded},
 		"reset":   {fault: linkReset, want: syscall.ECONNRESET},
@@ -72,6 +73,26 @@
 	}
 }
 
+// TestSilencedConnections checks that open connections stay silent, though new ones
+// work, and that their ends can still be closed.
+func TestSilencedConnections(t *testing.T) {
+	p, err := newProxy("127.0.0.1", echo(t))
+	assert.NilError(t, err)
+	defer p.close()
+	old, err := net.Dial("tcp", p.address())
+	assert.NilError(t, err)
+	reader := bufio.NewReader(old)
+	assert.NilError(t, ask(old, reader))
+	p.silence()
+	assert.NilError(t, old.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+	assert.Assert(t, errors.Is(ask(old, reader), os.ErrDeadlineExceeded))
+	fresh, err := net.Dial("tcp", p.address())
+	assert.NilError(t, err)
+	defer func() { _ = fresh.Close() }()
+	assert.NilError(t, ask(fresh, bufio.NewReader(fresh)))
+	assert.NilError(t, old.Close())
+}
+
 // ask sends a line and reads it back.
 func ask(c net.Conn, reader *bufio.Reader) error {
 	if _, err := io.WriteString(c, "line\n"); err != nil {
