serving: Look for other daemons only while none is heard

The second read served daemons that started before others had registered; those report to it anyway, since whoever registers later reads of it. It stays for who hears nobody.

--- a/serving/server.go
+++ b/serving/server.go
@@ -30,6 +30,10 @@
 	// idleWait is how long a caller's connection may be idle. Closing sooner
 	// than callers expect would cross their next request.
 	idleWait = time.Minute
+	// meetAgain and whileAlone are the pauses between looks for other daemons: after
+	// the first one, and later. Daemons start within 0.3 s of each other.
+	meetAgain  = 400 * time.Millisecond
+	whileAlone = time.Second
 	// rosterTimeout bounds a call to the roster.
 	rosterTimeout = time.Second
 	// hearFor is how long after it first read the roster a daemon listens for
@@ -208,21 +212,17 @@
 // KeepEntries returns for how long callers keep an answer of Entries.
 func (s *Server) KeepEntries() time.Duration { return s.opts.Bounds.KeepEntries }
 
-// meet registers this daemon and looks for others, often at first.
+// meet registers this daemon and looks for others while it hears none, soon again
+// after the start. Whoever registers later reads of this daemon and reports to it.
 func (s *Server) meet(ctx context.Context) {
-	registered := false
-	for _, before := range []time.Duration{0, 400 * time.Millisecond} {
-		pause.For(ctx, before)
-		registered = registered || s.register(ctx)
-		s.readRoster(ctx)
-	}
-	const whileAlone = time.Second
+	registered, next := false, meetAgain
 	for ctx.Err() == nil {
-		pause.For(ctx, whileAlone)
 		registered = registered || s.register(ctx)
 		if s.metAt.Load() == nil || len(s.agent.Table().Alive(time.Now())) == 0 {
 			s.readRoster(ctx)
 		}
+		pause.For(ctx, next)
+		next = whileAlone
 	}
 }
 
