formation: Give domains to models while a new fleet's list fills

Cause: replicas were formed out of whoever was listed. With 760 workers listed over 4.5 s the smallest model found its four in every domain before the largest had eight in any: 32 and 95 replicas at the first request where the shares ask for equal workers. Turning replicas over took one trade in 2 s, whatever the fleet's size.

Ruled out by a trial: waiting for the whole list. 640 loads begun at once are still under way when requests come; formed as workers are listed they are done 2 s after the last.

--- /dev/null
+++ b/formation/fresh_test.go
@@ -0,0 +1,91 @@
+package formation
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestNewFleetIsFormedOfAllItsWorkers lists workers one after the other: what they
+// form must be what they form when all are listed at once.
+func TestNewFleetIsFormedOfAllItsWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const domains, perDomain, every = 8, 11, 40 * time.Millisecond
+		atOnce := newWorld(3, domains, perDomain)
+		_, stop := term(atOnce, 1)
+		time.Sleep(8 * time.Second)
+		stop()
+		atOnce.pending.Wait()
+		want := atOnce.serving()
+
+		w := unlistedWorld(3, domains, perDomain)
+		_, stop = term(w, 1)
+		ids := slices.Sorted(maps.Keys(w.workers))
+		w.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+		for _, id := range ids {
+			w.mu.Lock()
+			w.list(w.workers[id])
+			w.mu.Unlock()
+			time.Sleep(every)
+		}
+		time.Sleep(5 * time.Second)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.serving(), want)
+	})
+}
+
+// TestGrowingListIsNotAwaitedForLong lists further workers all the time, and lets
+// requests come while the list grows.
+func TestGrowingListIsNotAwaitedForLong(t *testing.T) {
+	tests := map[string]struct {
+		traffic bool
+		within  time.Duration
+	}{
+		"before the first request": {within: listMost + 3*time.Second},
+		"requests come":            {traffic: true, within: 3 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := unlistedWorld(4, 4, 60)
+				w.loadsPerSecond = 100
+				_, stop := term(w, 1)
+				w.mu.Lock()
+				w.traffic = test.traffic
+				w.mu.Unlock()
+				start := time.Now()
+				for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+					w.mu.Lock()
+					w.list(w.workers[id])
+					w.mu.Unlock()
+					time.Sleep(50 * time.Millisecond)
+					if time.Since(start) > test.within {
+						break
+					}
+				}
+				formed := w.forming()
+				stop()
+				w.pending.Wait()
+				assert.Assert(t, formed > 0, "nothing was formed within %s", test.within)
+			})
+		})
+	}
+}
+
+// forming counts the workers that are in a group.
+func (w *world) forming() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for _, s := range w.workers {
+		if s.group.Name != "" {
+			count++
+		}
+	}
+	return count
+}
--- a/formation/give.go
+++ b/formation/give.go
@@ -15,9 +15,7 @@
 		most = silentTries
 	}
 	for tries := range most {
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-		verdict, err := give(bounded, k.fence())
-		cancel()
+		verdict, err := k.tryOrder(ctx, give)
 		k.noteTry(what, w, tries+1, verdict, err)
 		switch {
 		case err == nil && verdict == Fenced && refused == 0:
@@ -40,6 +38,15 @@
 	return Unfit, false
 }
 
+// tryOrder gives an order once, as soon as few enough calls are under way.
+func (k *Keeper) tryOrder(ctx context.Context, give func(context.Context, Fence) (Verdict, error)) (Verdict, error) {
+	k.calls <- struct{}{}
+	defer func() { <-k.calls }()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return give(ctx, k.fence())
+}
+
 // checkTerm ends the term if a worker refused an order for its fence.
 func (k *Keeper) checkTerm(what string, w *fleet.Worker, verdict Verdict) {
 	if verdict != Fenced {
@@ -51,6 +58,8 @@
 
 // ask asks a worker for its state.
 func (k *Keeper) ask(ctx context.Context, w *fleet.Worker) (State, bool) {
+	k.calls <- struct{}{}
+	defer func() { <-k.calls }()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	state, err := k.opts.Orders.Ask(ctx, w)
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +14,9 @@
 // Timing of a keeper.
 const (
 	tickEvery = 100 * time.Millisecond
+	// callsAtOnce bounds the calls to workers that are under way: at 2 ms each they
+	// order 760 workers within 30 ms, over as many connections.
+	callsAtOnce = 64
 	// orderTimeout bounds an order, askTimeout a question to a worker.
 	orderTimeout = 200 * time.Millisecond
 	askTimeout   = 200 * time.Millisecond
@@ -49,8 +51,6 @@
 	listFresh = 4 * time.Second
 	// reportEvery is the time between two lines about what is wanted and there.
 	reportEvery = 3 * time.Second
-	// tradeEvery is the time between two trades of replicas between models.
-	tradeEvery = 2 * time.Second
 )
 
 // Options configures a Keeper.
@@ -139,14 +139,18 @@
 	leaveNext map[string]time.Time
 	// stageNext holds when workers that refused to stage may be asked again.
 	stageNext map[string]time.Time
+	// growths holds how the list of a new fleet grows, by service.
+	growths map[string]*growth
+	// calls bounds the calls to workers that are under way.
+	calls chan struct{}
 	// idleSince holds since when workers have had nothing to do at the start.
 	idleSince map[string]time.Time
 	// reportNext is when what is wanted and there is logged again.
 	reportNext time.Time
-	// tradeNext is when groups may be given up for another model again, traded
-	// holds those that were given up last.
+	// tradeNext is when groups may be given up for another model again, trades
+	// holds those whose groups may yet serve.
 	tradeNext time.Time
-	traded    []string
+	trades    []Exchange
 }
 
 // load is a load of a model's weights that counts until its end is seen or its
@@ -199,6 +203,8 @@
 		leaveBy:   make(map[string]time.Time),
 		leaveNext: make(map[string]time.Time),
 		stageNext: make(map[string]time.Time),
+		growths:   make(map[string]*growth),
+		calls:     make(chan struct{}, callsAtOnce),
 	}
 	k.fresh = k.isFresh(opts.Inventory.View())
 	return k
@@ -260,11 +266,16 @@
 	budget := k.budget(s, now)
 	needs, free := k.needs(s, groups, view), k.free(s, groups, view)
 	k.report(needs, free, now)
+	counted := k.traffic()
+	var homes map[string]string
+	if !counted {
+		homes = k.homes(s, view, now)
+	}
 	formations, stagings := Plan(Input{
+		Homes: homes,
 		Needs: needs, Free: free, Warm: k.warm(s, view),
 		MaxLoads: k.room(s, view, budget, now),
 	})
-	counted := k.traffic()
 	for _, f := range formations {
 		budget.take(f.Loads, counted, now)
 		k.beginForm(ctx, s, f)
@@ -295,30 +306,6 @@
 	}
 }
 
-// trade dissolves surplus groups of one model in favour of another that is
-// short. The next trade waits until the groups of the last are dissolved: what
-// they free is not counted before.
-func (k *Keeper) trade(ctx context.Context, needs []Need, free []Free, groups []*observed, now time.Time) {
-	if now.Before(k.tradeNext) || slices.ContainsFunc(k.traded, func(key string) bool { return k.operating[key] }) {
-		return
-	}
-	byKey := make(map[string]*observed)
-	var standing []Standing
-	for _, o := range groups {
-		if o.whole() && o.state == fleet.Open && !k.operating[o.key] && k.retired[o.key] == 0 {
-			byKey[o.key] = o
-			standing = append(standing, Standing{Key: o.key, Domain: o.head.Domain, Model: o.model.Name, Members: len(o.members)})
-		}
-	}
-	k.traded = Trade(needs, free, standing)
-	for _, key := range k.traded {
-		o := byKey[key]
-		k.tradeNext = now.Add(tradeEvery)
-		k.opts.Logger.Info("replica given up for another model", "replica", key)
-		k.begin(ctx, key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
-	}
-}
-
 // traffic reports whether requests come to the fleet, or may. A later leader
 // takes a fleet for new only if nothing in it served when its term began.
 func (k *Keeper) traffic() bool { return !k.fresh || k.opts.Traffic() }
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -84,6 +84,8 @@
 	Warm map[string]map[string]int
 	// MaxLoads is how many loads from the store may begin.
 	MaxLoads int
+	// Homes holds, by domain, the model that alone is formed there; nil for any.
+	Homes map[string]string
 }
 
 // Staging is a model to bring to the host of an idle worker.
@@ -103,7 +105,7 @@
 // Domains are kept to one model as far as possible: the survivors of broken
 // groups then make whole ones.
 func Plan(in Input) ([]Formation, []Staging) {
-	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads}
+	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads, homes: in.Homes}
 	for _, f := range in.Free {
 		p.byDomain[f.Domain] = append(p.byDomain[f.Domain], f)
 	}
@@ -137,6 +139,7 @@
 	byDomain map[string][]Free
 	warm     map[string]map[string]int
 	maxLoads int
+	homes    map[string]string
 	// beyond tells that groups beyond what is wanted are being planned.
 	beyond bool
 	// waiting tells that a wanted group waits for its loads.
@@ -246,7 +249,7 @@
 	bestCost, bestAffinity := 0, 0
 	for _, name := range slices.Sorted(maps.Keys(p.byDomain)) {
 		chosen, cost := warmest(m, p.byDomain[name], limit)
-		if chosen == nil {
+		if chosen == nil || p.homes != nil && p.homes[name] != m.Name {
 			continue
 		}
 		affinity := p.affinity(name, m.Name)
--- a/formation/trade.go
+++ b/formation/trade.go
@@ -17,26 +17,46 @@
 // than the one that gets, lest replicas go back and forth.
 const tradeMargin = 1.1
 
+// Exchange is groups of one domain to give up so that a group of a model that is
+// short can be formed.
+type Exchange struct {
+	Model  string
+	Domain string
+	Keys   []string
+	// Given counts the groups by their models.
+	Given map[string]int
+}
+
+// apply counts in needs what the exchange gives and gets.
+func (x Exchange) apply(needs []Need) {
+	for i, n := range needs {
+		needs[i].Have -= x.Given[n.Model.Name]
+		if n.Model.Name == x.Model {
+			needs[i].Have++
+		}
+	}
+}
+
 // Trade returns the groups to dissolve so that a model that is short can be
 // formed: groups, within one domain, of models that stay better off than it. It
-// returns none when nothing is short or nothing can be done.
-func Trade(needs []Need, free []Free, standing []Standing) []string {
+// returns false when nothing is short or nothing can be done.
+func Trade(needs []Need, free []Free, standing []Standing) (Exchange, bool) {
 	short := slices.Clone(needs)
 	slices.SortStableFunc(short, func(a, b Need) int { return cmp.Compare(b.short(), a.short()) })
 	for _, n := range short {
 		if n.met() {
 			continue
 		}
-		if given := cheapestTrade(n, needs, free, standing); given != nil {
-			return given
+		if x, ok := cheapestTrade(n, needs, free, standing); ok {
+			return x, true
 		}
 	}
-	return nil
+	return Exchange{}, false
 }
 
 // cheapestTrade returns the fewest groups of one domain whose members, with the
 // idle workers there, make a group of the wanted model.
-func cheapestTrade(n Need, needs []Need, free []Free, standing []Standing) []string {
+func cheapestTrade(n Need, needs []Need, free []Free, standing []Standing) (Exchange, bool) {
 	idle := make(map[string]int)
 	for _, f := range free {
 		idle[f.Domain]++
@@ -45,18 +65,22 @@
 	for _, s := range standing {
 		domains[s.Domain] = append(domains[s.Domain], s)
 	}
-	var best []string
+	best, found := Exchange{}, false
 	for domain, groups := range domains {
-		given := trade(n, n.Model.Size-idle[domain], needs, groups)
-		if given != nil && (best == nil || len(given) < len(best) || len(given) == len(best) && given[0] < best[0]) {
-			best = given
+		keys, given := trade(n, n.Model.Size-idle[domain], needs, groups)
+		if keys == nil {
+			continue
+		}
+		if !found || len(keys) < len(best.Keys) || len(keys) == len(best.Keys) && keys[0] < best.Keys[0] {
+			best, found = Exchange{Model: n.Model.Name, Domain: domain, Keys: keys, Given: given}, true
 		}
 	}
-	return best
+	return best, found
 }
 
-// trade returns groups, of models that can spare them, that have enough members.
-func trade(n Need, missing int, needs []Need, groups []Standing) []string {
+// trade returns groups, of models that can spare them, that have enough members, and
+// how many there are of each model.
+func trade(n Need, missing int, needs []Need, groups []Standing) ([]string, map[string]int) {
 	enough := tradeMargin * n.share(1)
 	given := make(map[string]int)
 	spares := func(model string) bool {
@@ -76,7 +100,7 @@
 		}
 	}
 	if missing > 0 {
-		return nil
+		return nil, nil
 	}
-	return keys
+	return keys, given
 }
--- a/formation/trade_test.go
+++ b/formation/trade_test.go
@@ -56,7 +56,9 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			assert.DeepEqual(t, Trade(test.needs, test.free, test.standing), test.want)
+			x, ok := Trade(test.needs, test.free, test.standing)
+			assert.Equal(t, ok, test.want != nil)
+			assert.DeepEqual(t, x.Keys, test.want)
 		})
 	}
 }
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -112,7 +113,17 @@
 	}}}})
 }
 
+// newWorld returns a world whose workers are all listed.
 func newWorld(seed uint64, domains, perDomain int) *world {
+	w := unlistedWorld(seed, domains, perDomain)
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		w.list(w.workers[id])
+	}
+	return w
+}
+
+// unlistedWorld returns a world whose workers have yet to be listed.
+func unlistedWorld(seed uint64, domains, perDomain int) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
 		demand: map[string]float64{"big": 5, "small": 5}, closing: time.Second,
@@ -123,7 +134,6 @@
 		for i := range perDomain {
 			s := &simWorker{id: fmt.Sprintf("w%d-%d", d, i), domain: fmt.Sprintf("d%d", d)}
 			w.workers[s.id] = s
-			w.list(s)
 		}
 	}
 	return w
