--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -15,7 +15,7 @@
 const (
 	// newsWait is how long a read waits for news. A waiting read confirms only
 	// the time at which it was sent, so this decides how old beliefs get: with
-	// two beats on top, those of peers must stay younger than what makes them
+	// two heartbeats on top, those of peers must stay younger than what makes them
 	// read for themselves.
 	newsWait = 300 * time.Millisecond
 	// firstWait is the same for the first configuration, which confirms nothing.
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -365,8 +365,8 @@
 // while, and a worker leave right after it is back.
 func TestDoubtEndsWithinTheBoundOnLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const beat, bound = 1200 * time.Millisecond, 2 * time.Second
-		i := NewInventory(beat, bound)
+		const heartbeat, bound = 1200 * time.Millisecond, 2 * time.Second
+		i := NewInventory(heartbeat, bound)
 		i.Apply([]Change{{ID: "a", Worker: head("a", "g", 1, Open)}}, 1, time.Now())
 		time.Sleep(6 * time.Second)
 		i.Confirm(1, time.Now())
@@ -383,16 +383,16 @@
 
 func TestEntriesThatLapseInAnOutageAreDoubted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const beat = time.Second
-		i := NewInventory(beat, 0)
+		const heartbeat = time.Second
+		i := NewInventory(heartbeat, 0)
 		i.Apply([]Change{{ID: "a", Worker: head("a", "g", 1, Open)}, {ID: "b", Worker: head("b", "h", 2, Open)}}, 2, time.Now())
 		time.Sleep(5 * time.Second)
 		i.Apply([]Change{{ID: "a"}, {ID: "b"}}, 4, time.Now())
 		assert.Equal(t, len(i.View().Replicas("s", "m")), 2, "right after an outage nobody is given up")
-		time.Sleep(beat)
+		time.Sleep(heartbeat)
 		i.Apply([]Change{{ID: "a", Worker: head("a", "g", 1, Open)}}, 5, time.Now())
 		for range lapseBeats {
-			time.Sleep(beat)
+			time.Sleep(heartbeat)
 			i.Confirm(5, time.Now())
 		}
 		_, listed := i.View().Worker("b")
--- a/leadership/elector_test.go
+++ b/leadership/elector_test.go
@@ -22,7 +22,7 @@
 
 var errAway = errors.New("the store is away")
 
-// fakeFleet joins electors by beats and a registry, both of which can fail.
+// fakeFleet joins electors by heartbeats and a registry, both of which can fail.
 type fakeFleet struct {
 	mu      sync.Mutex
 	grants  []peers.Grant
@@ -72,7 +72,7 @@
 	f.daemons = append(f.daemons, d)
 	f.mu.Unlock()
 	go d.elector.Run(ctx)
-	go d.beat(ctx)
+	go d.report(ctx)
 }
 
 func (d *fakeDaemon) lead(_ context.Context, claim peers.Claim, _ bool) {
@@ -98,8 +98,8 @@
 	return f.unready
 }
 
-// beat tells all that can hear it of this daemon, five times a second.
-func (d *fakeDaemon) beat(ctx context.Context) {
+// report tells all that can hear it of this daemon, five times a second.
+func (d *fakeDaemon) report(ctx context.Context) {
 	for ctx.Err() == nil {
 		p := &peers.Peer{Heartbeat: peers.Heartbeat{Identity: d.identity(), Ready: !d.fleet.isUnready()}, HeardAt: time.Now()}
 		p.Leads, p.Highest, p.Grant = d.elector.State()
--- a/peers/agent_test.go
+++ b/peers/agent_test.go
@@ -69,7 +69,7 @@
 	assert.Equal(t, len(table.Alive(now.Add(2*aliveFor))), 0)
 	held := now.Add(5 * time.Second)
 	table.HeldUp(held, 5*time.Second)
-	assert.Equal(t, len(table.Alive(held)), 1, "beats wait to be read")
+	assert.Equal(t, len(table.Alive(held)), 1, "heartbeats wait to be read")
 	assert.Assert(t, !table.Settled(held))
 	assert.Assert(t, table.Settled(held.Add(aliveFor)))
 	told := func(at time.Time) int { return len(table.layout(at, Direct, 1, 1).peers) }
@@ -123,7 +123,7 @@
 	}
 }
 
-// TestBriefHeartbeatsAreCompleted feeds a daemon with beats of two lives of another.
+// TestBriefHeartbeatsAreCompleted feeds a daemon with heartbeats of two lives of another.
 func TestBriefHeartbeatsAreCompleted(t *testing.T) {
 	var heard []*Peer
 	a := deafAgent(func(p *Peer) { heard = append(heard, p) })
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -85,7 +85,7 @@
 }
 
 // fetch brings what is still missing. What cannot be had now is asked for again
-// after the next beat.
+// after the next heartbeat.
 func (f *fetcher) fetch(ctx context.Context, p *peers.Peer) {
 	if p.ConfigVersion > f.server.beliefs.Version() {
 		f.report(p, f.fetchConfig(ctx, p))
--- a/serving/options.go
+++ b/serving/options.go
@@ -15,8 +15,8 @@
 	"quartzshelf.dev/relay"
 )
 
-// Roster is where daemons find each other after a start.
-type Roster struct {
+// MemberList is where daemons find each other after a start.
+type MemberList struct {
 	// Register notes this daemon for others to find.
 	Register func(ctx context.Context, self peers.Identity) error
 	// Read returns the daemons noted so far; some may be gone.
@@ -49,11 +49,11 @@
 	Bounds Bounds
 	Names  relay.Names
 
-	Source   fleet.Source
-	Decode   func(data []byte) (*fleet.Config, error)
-	Registry leadership.Registry
-	Roster   Roster
-	Orders   formation.Orders
+	Source     fleet.Source
+	Decode     func(data []byte) (*fleet.Config, error)
+	Registry   leadership.Registry
+	MemberList MemberList
+	Orders     formation.Orders
 
 	// Transport carries datagrams between daemons; without one they go by UDP.
 	Transport peers.Transport
--- a/serving/server.go
+++ b/serving/server.go
@@ -34,9 +34,9 @@
 	// the first one, and later. Daemons start within 0.3 s of each other.
 	meetAgain  = 400 * time.Millisecond
 	whileAlone = time.Second
-	// rosterTimeout bounds a call to the roster.
-	rosterTimeout = time.Second
-	// hearFor is how long after it first read the roster a daemon listens for
+	// memberListTimeout bounds a call to the member list.
+	memberListTimeout = time.Second
+	// hearFor is how long after it first read the member list a daemon listens for
 	// others before it may lead.
 	hearFor = 700 * time.Millisecond
 )
@@ -57,7 +57,7 @@
 	// suspicions holds the replicas that fell silent of late.
 	suspicions *suspicions
 	leaving    atomic.Bool
-	// metAt is when the roster of daemons was first read.
+	// metAt is when the member list was first read.
 	metAt     atomic.Pointer[time.Time]
 	readDelay time.Duration
 	done      chan struct{}
@@ -219,7 +219,7 @@
 	for ctx.Err() == nil {
 		registered = registered || s.register(ctx)
 		if s.metAt.Load() == nil || len(s.agent.Table().Alive(time.Now())) == 0 {
-			s.readRoster(ctx)
+			s.readMembers(ctx)
 		}
 		pause.For(ctx, next)
 		next = whileAlone
@@ -227,21 +227,21 @@
 }
 
 func (s *Server) register(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	ctx, cancel := context.WithTimeout(ctx, memberListTimeout)
 	defer cancel()
-	err := s.opts.Roster.Register(ctx, s.opts.Self)
+	err := s.opts.MemberList.Register(ctx, s.opts.Self)
 	if err != nil {
 		s.logger.Debug("not registered", "error", err)
 	}
 	return err == nil
 }
 
-func (s *Server) readRoster(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+func (s *Server) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, memberListTimeout)
 	defer cancel()
-	all, err := s.opts.Roster.Read(ctx)
+	all, err := s.opts.MemberList.Read(ctx)
 	if err != nil {
-		s.logger.Debug("roster not read", "error", err)
+		s.logger.Debug("member list not read", "error", err)
 		return
 	}
 	now := time.Now()
--- a/serving/server_test.go
+++ b/serving/server_test.go
@@ -16,7 +16,7 @@
 
 var errAway = errors.New("away")
 
-// fakeStore is a source and a roster whose answers a test sets.
+// fakeStore is a source and a member list whose answers a test sets.
 type fakeStore struct {
 	known []peers.Identity
 	away  bool
@@ -60,7 +60,7 @@
 	s, err := New(Options{
 		Self:   peers.Identity{ID: "a", Incarnation: 1, Zone: "z", Address: address, Front: "front-a"},
 		Bounds: Bounds{Heartbeat: time.Second, Revoke: 5 * time.Second, KeepEntries: time.Second},
-		Source: store.source(), Roster: Roster{Register: store.register, Read: store.read}, Logger: hclog.NewNullLogger(),
+		Source: store.source(), MemberList: MemberList{Register: store.register, Read: store.read}, Logger: hclog.NewNullLogger(),
 	})
 	assert.NilError(t, err)
 	return s
@@ -76,10 +76,10 @@
 	store := &fakeStore{away: true}
 	s := newServer(t, store)
 	learn(s, time.Now())
-	s.readRoster(context.Background())
-	assert.Assert(t, !s.fit(), "the roster was not read")
+	s.readMembers(context.Background())
+	assert.Assert(t, !s.fit(), "the member list was not read")
 	store.away = false
-	s.readRoster(context.Background())
+	s.readMembers(context.Background())
 	assert.Assert(t, !s.fit(), "nobody had time to be heard")
 	long := time.Now().Add(-2 * hearFor)
 	s.metAt.Store(&long)
