fleet, serving: Confirm lists that change all the time, pass configurations on at once

Cause: a daemon took a peer's report as proof that its list was the newest only if both were at the same position. Whoever holds later changes held the newest list of that time too.

Also found on reading: a suspicion was looked at once, when it was new; a stream that had moved a moment before was not suspected any more. It is looked at with every report again. The fleet's size for the budget is that of the last round in place of a sum for each repeat. A relay tells of a new configuration at once.

--- a/fleet/beliefs.go
+++ b/fleet/beliefs.go
@@ -10,13 +10,18 @@
 // for concurrent use.
 type Beliefs struct {
 	current atomic.Pointer[Config]
+	changed chan struct{}
 
 	mu        sync.Mutex
 	confirmed time.Time
 }
 
 // NewBeliefs returns beliefs without a configuration.
-func NewBeliefs() *Beliefs { return &Beliefs{} }
+func NewBeliefs() *Beliefs { return &Beliefs{changed: make(chan struct{}, 1)} }
+
+// Changed receives after a newer configuration came into force; several may be
+// joined into one.
+func (b *Beliefs) Changed() <-chan struct{} { return b.changed }
 
 // Config returns the configuration in force, or nil before the first.
 func (b *Beliefs) Config() *Config { return b.current.Load() }
@@ -44,6 +49,7 @@
 	defer b.mu.Unlock()
 	if held := b.current.Load(); held == nil || c.Version() > held.Version() {
 		b.current.Store(c)
+		notify(b.changed)
 	}
 	if c.Version() >= b.current.Load().Version() {
 		b.confirm(sent)
--- /dev/null
+++ b/fleet/confirm_test.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestChangingListIsConfirmed lets the list change all the time, so that a follower
+// holds more than each report of its peer tells. The list counts as confirmed all the
+// same, and entries that go then are not doubted as after an outage.
+func TestChangingListIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := NewInventory(time.Second, 4*time.Second)
+		i.Replace([]Change{{ID: "w", Worker: head("w", "g", 1, Open)}}, 1, time.Now())
+		position := int64(1)
+		for range 30 {
+			reported, at := position, time.Now()
+			time.Sleep(100 * time.Millisecond)
+			position++
+			change := Change{ID: fmt.Sprint(position), Worker: head(fmt.Sprint(position), "g", 1, Joining)}
+			i.Follow(Delta{From: position - 1, To: position, Changes: []Change{change}}, time.Time{})
+			i.Confirm(reported, at)
+			assert.Assert(t, time.Since(i.Confirmed()) < time.Second, "not confirmed for %s", time.Since(i.Confirmed()))
+		}
+		i.Follow(Delta{From: position, To: position + 1, Changes: []Change{{ID: "w"}}}, time.Now())
+		_, listed := i.View().Worker("w")
+		assert.Assert(t, !listed, "an entry that went is doubted")
+	})
+}
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -222,12 +222,14 @@
 	}
 }
 
-// Confirm notes that the list up to position is known, on a peer's word, to
-// have been the newest at the given time.
+// Confirm notes that the list up to position is known, by a peer's report, to
+// have been the newest at the given time. Whoever holds later changes too held the
+// newest list of that time as well: while the list changes all the time, the position
+// of a heartbeat is seldom the one held.
 func (i *Inventory) Confirm(position int64, at time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if position == i.position && at.After(i.confirmed) {
+	if position <= i.position && i.position > 0 && at.After(i.confirmed) {
 		i.noteOutage(at)
 		i.confirmed = at
 	}
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -63,6 +63,7 @@
 	start  time.Time
 	done   chan struct{}
 	role   atomic.Int32
+	count  atomic.Int32
 
 	mu    sync.Mutex
 	round int
@@ -91,6 +92,9 @@
 // Role returns the daemon's part in passing reports on.
 func (a *Agent) Role() Role { return Role(a.role.Load()) }
 
+// Daemons returns how many daemons there are, this one included, as it last knew.
+func (a *Agent) Daemons() int { return max(int(a.count.Load()), 1) }
+
 // Done is closed when Run has returned.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
@@ -147,6 +151,7 @@
 // arrange decides whom to report to in a new round.
 func (a *Agent) arrange(own *Heartbeat, now time.Time) (layout, int) {
 	size := a.size(own, now)
+	a.count.Store(int32(size))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.round++
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -63,13 +63,12 @@
 	news := false
 	for _, stall := range p.Stalls {
 		at := p.HeardAt.Add(-time.Duration(stall.Age) * time.Millisecond)
-		if s.suspicions.add(stall, at) {
-			news = true
-			s.tracker.Suspect(stall.Replica, p.HeardAt)
-			s.suspect(stall.Replica)
-		}
+		news = s.suspicions.add(stall, at) || news
+		// Streams that moved a moment ago may have stopped by the next report.
+		s.tracker.Suspect(stall.Replica, p.HeardAt)
+		s.suspect(stall.Replica)
 	}
-	if news && s.agent.Role() == peers.Relay {
+	if news && s.passesOn() {
 		s.agent.Send(time.Now())
 	}
 }
--- a/serving/news.go
+++ b/serving/news.go
@@ -28,18 +28,26 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-s.beliefs.Changed():
+			// Peers fetch the configuration when they hear of its version.
+			if s.passesOn() {
+				s.agent.Send(time.Now())
+			}
+			continue
 		case <-s.inventory.News():
 		}
 		var all []peers.News
 		all, passed = s.newsSince(passed)
-		leads := s.isReader()
-		if leads || s.agent.Role() == peers.Relay {
-			s.agent.SendNews(all, leads, time.Now())
+		if s.passesOn() {
+			s.agent.SendNews(all, s.isReader(), time.Now())
 		}
 		pause.For(ctx, newsPause)
 	}
 }
 
+// passesOn reports whether this daemon passes on what it learns.
+func (s *Server) passesOn() bool { return s.isReader() || s.agent.Role() == peers.Relay }
+
 // newsPosition is how far the worker list and the decisions were passed on.
 type newsPosition struct {
 	workers int64
--- a/serving/server.go
+++ b/serving/server.go
@@ -1,9 +1,11 @@
 package serving
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,7 +112,7 @@
 
 func (s *Server) newRelay() *relay.Relay {
 	budget := s.opts.Bounds.Budget
-	budget.Daemons = func() int { return max(s.agent.Fleet(time.Now()).Daemons, 1) }
+	budget.Daemons = s.agent.Daemons
 	return relay.New(relay.Options{
 		Names: s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
 		View: s.inventory.View, Tracker: s.tracker, Budget: budget,
@@ -187,6 +189,9 @@
 
 // Entries returns the addresses that callers should use: those of daemons that
 // are alive, ready and stay; those that are not ready only if no other is left.
+// Callers take a part of them from the start, so the few that are known of other
+// halls come before the many of this one: who keeps an answer while a whole hall
+// goes finds some that live.
 func (s *Server) Entries() []string {
 	var ready, others []string
 	if s.Ready() {
@@ -194,7 +199,9 @@
 	} else if !s.leaving.Load() {
 		others = append(others, s.opts.Self.Front)
 	}
-	for _, p := range s.agent.Table().Alive(time.Now()) {
+	alive := s.agent.Table().Alive(time.Now())
+	slices.SortStableFunc(alive, func(a, b *peers.Peer) int { return cmp.Compare(s.nearness(a), s.nearness(b)) })
+	for _, p := range alive {
 		switch {
 		case p.Leaving:
 		case p.Ready:
@@ -209,6 +216,14 @@
 	return others
 }
 
+// nearness is 1 for a daemon of the own hall, and 0 for another one.
+func (s *Server) nearness(p *peers.Peer) int {
+	if p.Zone == s.opts.Self.Zone {
+		return 1
+	}
+	return 0
+}
+
 // KeepEntries returns for how long callers keep an answer of Entries.
 func (s *Server) KeepEntries() time.Duration { return s.opts.Bounds.KeepEntries }
 
