--- a/leadership/elector_test.go
+++ b/leadership/elector_test.go
@@ -38,6 +38,8 @@
 	calls   int
 	// capacity holds the daemons' capacities.
 	capacity map[string]int
+	// fitAt holds from when on daemons are ready and may lead, if not from the start.
+	fitAt map[string]time.Time
 	// twice notes claims that two daemons made.
 	twice []string
 }
@@ -63,7 +65,7 @@
 	d.elector = NewElector(Options{
 		Self: d.identity(), Registry: Registry{Newest: d.newest, Add: d.add}, Alive: d.alive, Known: d.known,
 		Patience: func() time.Duration { return 800 * time.Millisecond },
-		Settled:  func(time.Time) bool { return true }, Fit: func() bool { return true },
+		Settled:  func(time.Time) bool { return true }, Fit: d.fit,
 		StoreSeen: d.storeSeen, Lead: d.lead, Logger: hclog.NewNullLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -75,6 +77,8 @@
 	go d.report(ctx)
 }
 
+func (d *fakeDaemon) fit() bool { return !time.Now().Before(d.fleet.fitAt[d.self.ID]) }
+
 func (d *fakeDaemon) lead(_ context.Context, claim peers.Claim, _ bool) {
 	d.fleet.mu.Lock()
 	defer d.fleet.mu.Unlock()
@@ -101,7 +105,7 @@
 // report tells all that can hear it of this daemon, five times a second.
 func (d *fakeDaemon) report(ctx context.Context) {
 	for ctx.Err() == nil {
-		p := &peers.Peer{Heartbeat: peers.Heartbeat{Identity: d.identity(), Ready: !d.fleet.isUnready()}, HeardAt: time.Now()}
+		p := &peers.Peer{Heartbeat: peers.Heartbeat{Identity: d.identity(), Ready: !d.fleet.isUnready() && d.fit()}, HeardAt: time.Now()}
 		p.Leads, p.Highest, p.Grant = d.elector.State()
 		d.fleet.mu.Lock()
 		all := slices.Clone(d.fleet.daemons)
@@ -205,6 +209,25 @@
 
 // TestLargerMachinesLead kills one leader after the other: those on the larger
 // machines lead first.
+// TestNewFleetHasOneElection lets the daemons of a new fleet know enough to lead one
+// after the other, the largest last.
+func TestNewFleetHasOneElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(0)
+		f.capacity = map[string]int{"d3": 800, "d7": 800}
+		f.fitAt = map[string]time.Time{"d3": time.Now().Add(firstPatience + 3*tickEvery), "d7": time.Now().Add(firstPatience + 4*tickEvery)}
+		for i := range 10 {
+			f.start(fmt.Sprintf("d%d", i), 1)
+		}
+		time.Sleep(5 * time.Second)
+		leaders := f.leaders()
+		f.end()
+		assert.Equal(t, len(f.grants), 1, "one election")
+		assert.DeepEqual(t, f.claims, map[peers.Claim]string{{Epoch: 1}: "d3"})
+		assert.Equal(t, len(leaders), 1)
+	})
+}
+
 func TestLargerMachinesLead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeFleet(0)
