--- a/serving/lead.go
+++ b/serving/lead.go
@@ -54,7 +54,7 @@
 	s.mu.Lock()
 	keeper := s.keeper
 	s.mu.Unlock()
-	if keeper != nil {
+	if keeper != nil && s.suspicions.due(replica, time.Now()) {
 		keeper.Suspect(replica)
 	}
 }
--- a/serving/suspicions.go
+++ b/serving/suspicions.go
@@ -7,8 +7,13 @@
 	"quartzshelf.dev/peers"
 )
 
-// stallFor is how long a suspicion of a replica is passed on to peers.
-const stallFor = time.Second
+const (
+	// stallFor is how long a suspicion of a replica is passed on to peers.
+	stallFor = time.Second
+	// lookEvery is the least time between two looks of a leader at the members of a
+	// suspected replica: as long as it waits for the answers of silent ones.
+	lookEvery = 400 * time.Millisecond
+)
 
 // suspicions holds the replicas that fell silent of late, here or at peers. It is
 // safe for concurrent use.
@@ -20,6 +25,8 @@
 type suspicion struct {
 	peers.Stall
 	since time.Time
+	// lookAt is from when the leader looks at the replica again.
+	lookAt time.Time
 }
 
 func newSuspicions() *suspicions { return &suspicions{held: make(map[string]suspicion)} }
@@ -32,10 +39,24 @@
 	if known && !since.After(held.since) {
 		return false
 	}
-	s.held[stall.Replica] = suspicion{Stall: stall, since: since}
+	s.held[stall.Replica] = suspicion{Stall: stall, since: since, lookAt: held.lookAt}
 	return !known || since.Sub(held.since) > stallFor
 }
 
+// due reports whether a leader is to look at a suspected replica now, and notes that
+// it does.
+func (s *suspicions) due(replica string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, known := s.held[replica]
+	if !known || now.Before(held.lookAt) {
+		return false
+	}
+	held.lookAt = now.Add(lookEvery)
+	s.held[replica] = held
+	return true
+}
+
 // current returns the suspicions of late, and forgets older ones.
 func (s *suspicions) current(now time.Time) []peers.Stall {
 	s.mu.Lock()
