formation: Let models wait for their turn while a new fleet's list fills

Now no domain is given to anything: while the list fills, the shortest model waits until some domain has enough workers, and the others wait for it.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -267,14 +267,10 @@
 	needs, free := k.needs(s, groups, view), k.free(s, groups, view)
 	k.report(needs, free, now)
 	counted := k.traffic()
-	var homes map[string]string
-	if !counted {
-		homes = k.homes(s, view, now)
-	}
 	formations, stagings := Plan(Input{
-		Homes: homes,
 		Needs: needs, Free: free, Warm: k.warm(s, view),
 		MaxLoads: k.room(s, view, budget, now),
+		Growing:  !counted && k.listGrows(s, view, now),
 	})
 	for _, f := range formations {
 		budget.take(f.Loads, counted, now)
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -84,8 +84,9 @@
 	Warm map[string]map[string]int
 	// MaxLoads is how many loads from the store may begin.
 	MaxLoads int
-	// Homes holds, by domain, the model that alone is formed there; nil for any.
-	Homes map[string]string
+	// Growing tells that further workers are about to be listed: the shortest model
+	// then waits for enough of them in one domain, and the others wait for it.
+	Growing bool
 }
 
 // Staging is a model to bring to the host of an idle worker.
@@ -105,7 +106,7 @@
 // Domains are kept to one model as far as possible: the survivors of broken
 // groups then make whole ones.
 func Plan(in Input) ([]Formation, []Staging) {
-	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads, homes: in.Homes}
+	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads, growing: in.Growing}
 	for _, f := range in.Free {
 		p.byDomain[f.Domain] = append(p.byDomain[f.Domain], f)
 	}
@@ -139,7 +140,7 @@
 	byDomain map[string][]Free
 	warm     map[string]map[string]int
 	maxLoads int
-	homes    map[string]string
+	growing  bool
 	// beyond tells that groups beyond what is wanted are being planned.
 	beyond bool
 	// waiting tells that a wanted group waits for its loads.
@@ -202,6 +203,9 @@
 			continue
 		}
 		domain, chosen := p.bestDomain(needs[i].Model, limit)
+		if chosen == nil && p.growing && limit == ColdOther {
+			return Formation{}, false
+		}
 		if chosen == nil {
 			continue
 		}
@@ -249,7 +253,7 @@
 	bestCost, bestAffinity := 0, 0
 	for _, name := range slices.Sorted(maps.Keys(p.byDomain)) {
 		chosen, cost := warmest(m, p.byDomain[name], limit)
-		if chosen == nil || p.homes != nil && p.homes[name] != m.Name {
+		if chosen == nil {
 			continue
 		}
 		affinity := p.affinity(name, m.Name)
