--- /dev/null
+++ b/serving/news_test.go
@@ -0,0 +1,99 @@
+package serving
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+// listed returns changes that list some workers.
+func listed(from, count int) []fleet.Change {
+	var all []fleet.Change
+	for i := from; i < from+count; i++ {
+		id := fmt.Sprintf("w%d", i)
+		all = append(all, fleet.Change{ID: id, Worker: &fleet.Worker{ID: id, Service: "s"}})
+	}
+	return all
+}
+
+// leading returns a daemon that knows some workers and leads a term.
+func leading(t *testing.T, workers int) *Server {
+	t.Helper()
+	s := newServer(t, &fakeStore{})
+	s.inventory.Replace(listed(0, workers), int64(workers), time.Now())
+	s.inventory.BeginTerm(1)
+	return s
+}
+
+// TestNewsIsPassedOnOnce follows what a leader passes on: each change and decision
+// once, in parts of a bounded size, and nothing of what was known before.
+func TestNewsIsPassedOnOnce(t *testing.T) {
+	leader, follower := leading(t, 3), newServer(t, &fakeStore{})
+	follower.inventory.Replace(listed(0, 3), 3, time.Now())
+	follower.inventory.FollowDecisions(leader.inventory.DecisionsSince(fleet.DecisionPosition{}))
+	all, passed := leader.newsSince(newsPosition{})
+	assert.Equal(t, len(all), 0, "what was there at the start is fetched by those that lack it")
+	const count = 40
+	leader.inventory.Apply(listed(3, count), 3+count, time.Now())
+	for i := range count {
+		leader.inventory.Decide(1, fleet.Announcement{Group: fmt.Sprint("g", i), Epoch: int64(i + 1), Head: "h"})
+	}
+	all, passed = leader.newsSince(passed)
+	changes, decisions := 0, 0
+	for _, n := range all {
+		if n.Workers != nil {
+			assert.Assert(t, len(n.Workers.Changes) <= changesPerNews)
+			changes += len(n.Workers.Changes)
+		}
+		if n.Decisions != nil {
+			assert.Assert(t, len(n.Decisions.All) <= decisionsPerNews)
+			decisions += len(n.Decisions.All)
+		}
+		follower.taken(&peers.Peer{}, &n)
+	}
+	assert.Equal(t, changes, count)
+	assert.Equal(t, decisions, count)
+	assert.Equal(t, follower.inventory.Position(), leader.inventory.Position())
+	assert.Equal(t, follower.inventory.Decided(), leader.inventory.Decided())
+	all, _ = leader.newsSince(passed)
+	assert.Equal(t, len(all), 0)
+}
+
+// TestWhatWasMissedIsFetched lets a daemon miss news in several ways and ask a peer.
+func TestWhatWasMissedIsFetched(t *testing.T) {
+	tests := map[string]func(leader, follower *Server){
+		"all of it": func(*Server, *Server) {},
+		"decisions of the term, but not the first": func(leader, follower *Server) {
+			follower.inventory.FollowDecisions(leader.inventory.DecisionsSince(fleet.DecisionPosition{}))
+			leader.inventory.Decide(1, fleet.Announcement{Group: "missed", Epoch: 9, Head: "h"})
+		},
+		"a whole term": func(leader, follower *Server) {
+			follower.inventory.FollowDecisions(leader.inventory.DecisionsSince(fleet.DecisionPosition{}))
+			leader.inventory.BeginTerm(2)
+			leader.inventory.Decide(2, fleet.Announcement{Group: "missed", Epoch: 9, Head: "h"})
+		},
+	}
+	for name, miss := range tests {
+		t.Run(name, func(t *testing.T) {
+			leader, follower := leading(t, 3), newServer(t, &fakeStore{})
+			leader.inventory.Decide(1, fleet.Announcement{Group: "closed", Epoch: 1, Head: "h"})
+			miss(leader, follower)
+			p := &peers.Peer{Heartbeat: peers.Heartbeat{
+				Identity:        peers.Identity{ID: "leader", Address: servePeer(t, leader)},
+				WorkersPosition: leader.inventory.Position(), Decided: leader.inventory.Decided(),
+			}}
+			follower.fetcher.fetch(context.Background(), p)
+			assert.Equal(t, follower.inventory.Position(), leader.inventory.Position())
+			assert.Equal(t, follower.inventory.Decided(), leader.inventory.Decided())
+			for _, group := range []string{"closed", "missed"} {
+				assert.Equal(t, follower.inventory.Closed(group), leader.inventory.Closed(group), "%s", group)
+			}
+		})
+	}
+}
