fleet, serving: Never tell of a position beyond what was passed on

Deltas now tell whether each position is one change, batches keep it, what a daemon holds is cut off, and what cannot be split exactly is fetched.

--- /dev/null
+++ b/fleet/delta_test.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestPartsNeverTellOfMoreThanTheyHold lets a daemon lose the last part of a batch, ask
+// for what it lacks, and pass the answer on in parts, of which the last is lost again.
+func TestPartsNeverTellOfMoreThanTheyHold(t *testing.T) {
+	source := NewInventory(time.Second, 0)
+	relay, follower := NewInventory(time.Second, 0), NewInventory(time.Second, 0)
+	var batch []Change
+	for i := range 10 {
+		id := fmt.Sprint(i)
+		batch = append(batch, Change{ID: id, Worker: head(id, "g", 1, Open)})
+	}
+	source.Apply(batch, 10, time.Now())
+	d, _ := source.Since(0)
+	parts, ok := d.Split(3)
+	assert.Assert(t, ok)
+	for _, part := range parts[:2] {
+		relay.Follow(part, time.Now())
+		follower.Follow(part, time.Now())
+	}
+	rest, _ := source.Since(relay.Position())
+	relay.Follow(rest, time.Now())
+	assert.Equal(t, relay.Position(), int64(10))
+	d, _ = relay.Since(6)
+	parts, _ = d.Split(3)
+	for _, part := range parts {
+		assert.Assert(t, part.To <= 10, "a part leads to position %d", part.To)
+	}
+	follower.Follow(parts[0], time.Now())
+	catchUp(relay, follower, time.Now())
+	assert.Equal(t, len(follower.View().Workers()), 10)
+}
+
+// TestPositionsThatAreNotKnownAreNotTold splits changes among which entries were not
+// understood.
+func TestPositionsThatAreNotKnownAreNotTold(t *testing.T) {
+	d := Delta{From: 3, To: 9, Changes: make([]Change, 4)}.counted()
+	_, ok := d.Split(3)
+	assert.Assert(t, !ok)
+	parts, ok := d.Split(4)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(parts), 1)
+	assert.Equal(t, len(d.after(5).Changes), 4, "which of them are held is not known")
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -167,9 +167,9 @@
 			position = -1
 			return nil
 		}
-		position = news.Next
 		f.logRefused(news.Refused)
-		f.opts.Inventory.Apply(news.Changes, position, sent)
+		f.opts.Inventory.Take(Delta{From: position, To: news.Next, Changes: news.Changes}, sent)
+		position = news.Next
 		pause.For(ctx, mergePause)
 		return nil
 	})
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -80,6 +80,7 @@
 type batch struct {
 	from, to int64
 	changes  []Change
+	exact    bool
 }
 
 // NewInventory returns an inventory without workers, which write to the list
@@ -158,16 +159,31 @@
 	i.publish()
 }
 
-// Apply takes changes up to position that were asked for at sent.
+// Take takes what a read that was sent at a time brought. A read that brought nothing
+// confirms what is held.
+func (i *Inventory) Take(d Delta, sent time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.take(d.counted(), sent)
+}
+
+// Apply takes changes that lead from what is held to a position, by a read that was
+// sent at a time.
 func (i *Inventory) Apply(changes []Change, position int64, sent time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if position < i.position {
+	i.take(Delta{From: i.position, To: position, Changes: changes}.counted(), sent)
+}
+
+func (i *Inventory) take(d Delta, sent time.Time) {
+	if d.To < i.position {
 		return
 	}
+	d = d.after(i.position)
+	changes, position := d.Changes, d.To
 	i.noteOutage(sent)
 	if len(changes) > 0 {
-		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes})
+		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes, exact: d.Exact})
 		i.journal = i.journal[max(len(i.journal)-maxJournal, 0):]
 	}
 	for _, c := range changes {
@@ -198,9 +214,10 @@
 	}
 	first := slices.IndexFunc(i.journal, func(b batch) bool { return b.from <= from && from < b.to })
 	if first >= 0 {
-		d.From = i.journal[first].from
+		d.From, d.Exact = i.journal[first].from, true
 		for _, b := range i.journal[first:] {
 			d.Changes = append(d.Changes, b.changes...)
+			d.Exact = d.Exact && b.exact
 		}
 		return d, false
 	}
@@ -215,10 +232,9 @@
 // already do no harm, since all of them are taken in their order.
 func (i *Inventory) Follow(d Delta, at time.Time) {
 	i.mu.Lock()
-	joins := d.From <= i.position && i.position < d.To && i.position > 0
-	i.mu.Unlock()
-	if joins {
-		i.Apply(d.Changes, d.To, at)
+	defer i.mu.Unlock()
+	if d.From <= i.position && i.position < d.To {
+		i.take(d, at)
 	}
 }
 
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -130,28 +130,46 @@
 }
 
 // TestPeersReachTheSameList draws changes and lets a second inventory follow
-// the first one by deltas, by what it lacks, or by the whole list.
+// the first one, and a third one the second, by parts of what they lack, by all of it,
+// or by the whole list. No position may ever be beyond that of the first.
 func TestPeersReachTheSameList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		source, follower := NewInventory(1200*time.Millisecond, 0), NewInventory(1200*time.Millisecond, 0)
+		source, relay := NewInventory(1200*time.Millisecond, 0), NewInventory(1200*time.Millisecond, 0)
+		follower := NewInventory(1200*time.Millisecond, 0)
 		position := int64(0)
-		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 60).Draw(t, "steps")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 60).Draw(t, "steps")
 		for n, step := range steps {
 			now := time.Now()
 			switch step {
 			case 0, 1, 2:
-				position += int64(step + 1)
-				source.Apply([]Change{{ID: fmt.Sprint(n % 7), Worker: head(fmt.Sprint(n%7), "g", int64(n), Open)}}, position, now)
+				// One read may bring several changes; entries that are not understood take
+				// positions without a change.
+				var changes []Change
+				for i := range rapid.IntRange(1, 6).Draw(t, "changes") {
+					id := fmt.Sprint((n + i) % 7)
+					changes = append(changes, Change{ID: id, Worker: head(id, "g", int64(10*n+i), Open)})
+				}
+				position += int64(len(changes) + max(step-1, 0))
+				source.Apply(changes, position, now)
 			case 3:
 				position++
 				source.Apply([]Change{{ID: fmt.Sprint(n % 7)}}, position, now)
-			case 4:
-				followSome(t, source, follower, now)
+			case 4, 5:
+				followSome(t, source, relay, now)
+			case 6, 7:
+				followSome(t, relay, follower, now)
+			case 8:
+				catchUp(source, relay, now)
 			default:
-				catchUp(source, follower, now)
+				catchUp(relay, follower, now)
+			}
+			if relay.Position() > position || follower.Position() > position {
+				t.Fatalf("positions %d and %d after %d", relay.Position(), follower.Position(), position)
 			}
 		}
-		catchUp(source, follower, time.Now())
+		catchUp(source, relay, time.Now())
+		catchUp(relay, follower, time.Now())
+		checkSame(t, source.View(), relay.View())
 		checkSame(t, source.View(), follower.View())
 	})
 }
@@ -162,7 +180,8 @@
 	if whole {
 		return
 	}
-	for _, part := range d.Split(rapid.IntRange(1, 3).Draw(t, "most")) {
+	parts, _ := d.Split(rapid.IntRange(1, 3).Draw(t, "most"))
+	for _, part := range parts {
 		if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
 			follower.Follow(part, now)
 		}
@@ -186,7 +205,7 @@
 		follower.Replace(d.Changes, d.To, now)
 		return
 	}
-	follower.Apply(d.Changes, d.To, now)
+	follower.Follow(d, now)
 }
 
 func TestBeliefsOnlyMoveForwards(t *testing.T) {
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -128,12 +128,10 @@
 		return failure.At(failure.Remote, "decode workers", p.ID, err)
 	}
 	if m.Whole {
-		f.server.inventory.Replace(m.Changes, m.Position, p.WorkersConfirmed())
+		f.server.inventory.Replace(m.Changes, m.To, p.WorkersConfirmed())
 		return nil
 	}
-	if strconv.FormatInt(f.server.inventory.Position(), 10) == from {
-		f.server.inventory.Apply(m.Changes, m.Position, p.WorkersConfirmed())
-	}
+	f.server.inventory.Follow(m.Delta, p.WorkersConfirmed())
 	return nil
 }
 
@@ -252,7 +250,7 @@
 		return
 	}
 	d, whole := f.server.inventory.Since(from)
-	f.answerJSON(w, r, changesMessage{Changes: d.Changes, Position: d.To, Whole: whole})
+	f.answerJSON(w, r, changesMessage{Delta: d, Whole: whole})
 }
 
 func (f *fetcher) giveDecisions(w http.ResponseWriter, r *http.Request) {
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -87,8 +87,7 @@
 
 // changesMessage is what a daemon answers a peer that asks for the worker list.
 type changesMessage struct {
-	Changes  []fleet.Change `json:"changes"`
-	Position int64          `json:"position"`
+	fleet.Delta
 	// Whole tells that the changes are the whole list.
 	Whole bool `json:"whole"`
 }
--- a/serving/news.go
+++ b/serving/news.go
@@ -67,7 +67,9 @@
 	}
 	workers, whole := s.inventory.Since(from.workers)
 	if !whole {
-		for _, part := range workers.Split(changesPerNews) {
+		// What cannot be split is fetched too.
+		parts, _ := workers.Split(changesPerNews)
+		for _, part := range parts {
 			all = append(all, peers.News{Workers: &part})
 		}
 	}
