serving: Let relays read the store before members do

The store turned the leader away from 18.3 s on; all others waited 1.9 to 2.4 s until they read for themselves, relays too, and two hops followed. Without relays it was 1.1 to 1.6 s.

Relays hear the leader as daemons of a small fleet do, and wait no longer than these. The test is red without (1.9 s against 1.9 s). Small fleets are not touched.

--- a/serving/reader.go
+++ b/serving/reader.go
@@ -29,11 +29,17 @@
 // tell is too old. Terms often follow one another within a second; if all read
 // in between, a large fleet would call the store hundreds of times.
 func (s *Server) reads(confirmed time.Time) bool {
-	patience := readAfter + s.readDelay
-	if s.agent.Role() != peers.Direct {
-		patience += relayedLater
+	return s.isReader() || time.Since(confirmed) > readPatience(s.agent.Role(), s.readDelay)
+}
+
+// readPatience returns how old a belief gets before a daemon reads for itself. Relays
+// hear the leader as daemons of a small fleet do: where it no longer reaches the store
+// they are the first to read, and pass on what they learn.
+func readPatience(role peers.Role, delay time.Duration) time.Duration {
+	if role == peers.Member {
+		return readAfter + delay + relayedLater
 	}
-	return s.isReader() || time.Since(confirmed) > patience
+	return readAfter + delay
 }
 
 // readDelayOf returns a daemon's own part of readSpread.
--- a/serving/server_test.go
+++ b/serving/server_test.go
@@ -137,3 +137,12 @@
 	assert.Assert(t, !s.reads(now), "the leader reads")
 	assert.Assert(t, s.reads(now.Add(-readAfter-readSpread)), "what the leader tells is too old")
 }
+
+// TestRelaysReadBeforeMembers: where the leader is turned away by the store, all relays
+// read before any member does, so that a change is known within the bounds by one hop.
+func TestRelaysReadBeforeMembers(t *testing.T) {
+	for _, role := range []peers.Role{peers.Direct, peers.Relay} {
+		assert.Assert(t, readPatience(role, readSpread) < readPatience(peers.Member, 0), "%s", role)
+		assert.Equal(t, readPatience(role, 0), readAfter)
+	}
+}
