--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -254,13 +254,7 @@
 	}
 }
 
-// Announce takes a leader's word about groups.
-func (i *Inventory) Announce(all []Announcement) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.announce(all, time.Now())
-}
-
+// announce takes a leader's decisions about groups. The mutex is held.
 func (i *Inventory) announce(all []Announcement, now time.Time) {
 	news := false
 	for _, a := range all {
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -56,7 +56,7 @@
 			}
 			i.Apply(changes, 1, time.Now())
 			for _, a := range test.announced {
-				i.Announce([]Announcement{a})
+				i.Decide(0, a)
 			}
 			assert.Equal(t, len(i.View().Replicas("s", "m")), test.want)
 		})
@@ -79,7 +79,7 @@
 				i := NewInventory(1200*time.Millisecond, 0)
 				i.Apply([]Change{{ID: "h", Worker: head("h", "g", 5, Open)}}, 1, time.Now())
 				i.Apply([]Change{{ID: "h"}}, 2, time.Now())
-				i.Announce([]Announcement{{Group: "g", Epoch: 5, Service: "s", Model: "m", Head: "h"}})
+				i.Decide(0, Announcement{Group: "g", Epoch: 5, Service: "s", Model: "m", Head: "h"})
 				time.Sleep(closedFor - time.Second)
 				i.Apply([]Change{{ID: "h", Worker: head("h", test.back.Group, test.back.Epoch, test.back.State)}}, 3, time.Now())
 				assert.Equal(t, len(i.View().Replicas("s", "m")), test.want)
--- a/formation/demand.go
+++ b/formation/demand.go
@@ -23,12 +23,7 @@
 
 // needs returns what is wanted and there of each model.
 func (k *Keeper) needs(s *fleet.Service, groups []*observed, view *fleet.View) []Need {
-	workers := 0
-	for _, w := range view.Workers() {
-		if w.Service == s.Name {
-			workers++
-		}
-	}
+	workers := workersOf(s, view)
 	have := make(map[string]int)
 	for _, o := range groups {
 		if o.whole() && k.retired[o.key] == 0 {
@@ -48,6 +43,17 @@
 	return all
 }
 
+// workersOf returns how many workers of a service are listed.
+func workersOf(s *fleet.Service, view *fleet.View) int {
+	workers := 0
+	for _, w := range view.Workers() {
+		if w.Service == s.Name {
+			workers++
+		}
+	}
+	return workers
+}
+
 // want returns the wanted number of replicas: by the measured work, or by the
 // model's share before any was measured.
 func (k *Keeper) want(e *fleet.Engine, m fleet.Model, workers int) float64 {
--- a/formation/fresh.go
+++ b/formation/fresh.go
@@ -27,12 +27,7 @@
 // for a larger one, so that models then wait for their turn. Waiting for the whole list
 // lets all loads begin at once, which takes longer than the wait saves.
 func (k *Keeper) listGrows(s *fleet.Service, view *fleet.View, now time.Time) bool {
-	workers := 0
-	for _, w := range view.Workers() {
-		if w.Service == s.Name {
-			workers++
-		}
-	}
+	workers := workersOf(s, view)
 	g, ok := k.growths[s.Name]
 	if !ok {
 		g = &growth{endBy: now.Add(listMost)}
--- a/formation/late_test.go
+++ b/formation/late_test.go
@@ -155,9 +155,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 2, 10)
 		old := formed(w).group
-		w.inventory.Announce([]fleet.Announcement{{
+		w.inventory.Decide(0, fleet.Announcement{
 			Group: old.Name, Epoch: old.Epoch, Service: "models", Model: old.Model, Head: old.Members[0],
-		}})
+		})
 		_, stop := term(w, 2)
 		time.Sleep(3 * time.Second)
 		head := w.memberOf(old.Members[0])
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -151,7 +151,7 @@
 			}
 			return time.Time{}
 		},
-		Announced:  func(a fleet.Announcement) { w.inventory.Announce([]fleet.Announcement{a}) },
+		Announced:  func(a fleet.Announcement) { w.inventory.Decide(0, a) },
 		Counted:    func(string, string) {},
 		StallAfter: 6 * time.Second, Ceiling: simCeiling,
 		Logger: hclog.NewNullLogger(),
--- a/serving/news.go
+++ b/serving/news.go
@@ -36,10 +36,12 @@
 			continue
 		case <-s.inventory.News():
 		}
-		var all []peers.News
-		all, passed = s.newsSince(passed)
 		if s.passesOn() {
+			var all []peers.News
+			all, passed = s.newsSince(passed)
 			s.agent.SendNews(all, s.isReader(), time.Now())
+		} else {
+			passed = newsPosition{workers: s.inventory.Position(), decided: s.inventory.Decided()}
 		}
 		pause.For(ctx, newsPause)
 	}
