formation: Let groups serve on while members that left the list answer

Cause: whoever was not listed counted as lost, and an open group that lacked a listed member was dissolved without draining. 26 of 236 workers that lost the store for five seconds, while callers still reached them, ended some twenty replicas within half a second; 244 streams broke off and 125 of 808 bill-explain were refused.

The list doesn't tell a crash from a cut or a silent end. A head off the list gets no new requests, as before, but what is under way there ends first.

--- /dev/null
+++ b/formation/absent.go
@@ -0,0 +1,136 @@
+package formation
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"quartzshelf.dev/fleet"
+)
+
+const (
+	// absentAskEvery is how often a worker that left the list while its group serves
+	// is asked whether it lives. One that has ended keeps its group standing still for
+	// that long and its two unanswered questions, unless callers report it sooner.
+	absentAskEvery = 500 * time.Millisecond
+	// absentMost bounds how long such a worker is asked. One that is only cut off
+	// from the store is listed again within this time on the deployments played.
+	absentMost = 30 * time.Second
+)
+
+// absence is what is known of a worker that left the list while it belonged to a
+// group that may serve. The list does not tell whether such a worker crashed, is about
+// to end, or merely does not reach the store; its own answers do.
+type absence struct {
+	worker *fleet.Worker
+	since  time.Time
+	// askAt is when it is asked next, endAt until when it is.
+	askAt time.Time
+	endAt time.Time
+	// answered tells that it answered since it left the list.
+	answered bool
+	// ended tells that it does not answer: it counts as gone.
+	ended bool
+}
+
+// refreshAbsent notes who left the list while in a group that may serve, and who came
+// back. The keeper's mutex is held.
+func (k *Keeper) refreshAbsent(view *fleet.View, now time.Time) {
+	if view == k.seenView {
+		return
+	}
+	for id := range k.absent {
+		if _, listed := view.Worker(id); listed {
+			delete(k.absent, id)
+		}
+	}
+	for id, w := range k.seenView.Workers() {
+		if _, listed := view.Worker(id); !listed {
+			k.noteAbsent(w, now)
+		}
+	}
+	k.seenView = view
+}
+
+func (k *Keeper) noteAbsent(w *fleet.Worker, now time.Time) {
+	m := k.member(w)
+	if m.Group == "" || k.retired[fleet.GroupKey(m)] != 0 || k.silentNow(w.ID) {
+		return
+	}
+	k.absent[w.ID] = &absence{worker: w, since: now, askAt: now, endAt: now.Add(absentMost)}
+}
+
+// isAbsent reports whether a worker that the list does not show counts as a member of
+// its group all the same. The keeper's mutex is held.
+func (k *Keeper) isAbsent(id string) bool {
+	a, ok := k.absent[id]
+	return ok && !a.ended
+}
+
+// mayLive does the same for callers that do not hold the mutex.
+func (k *Keeper) mayLive(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.isAbsent(id)
+}
+
+// present returns the workers that are listed, and those that left the list but count
+// as members of their groups. The keeper's mutex is held.
+func (k *Keeper) present(view *fleet.View) []*fleet.Worker {
+	all := slices.Collect(maps.Values(view.Workers()))
+	for id, a := range k.absent {
+		if k.isAbsent(id) {
+			all = append(all, a.worker)
+		}
+	}
+	return all
+}
+
+// mendAbsentHead ends a group whose head left the list but may live: callers send it
+// nothing more, and what is under way there may end first. Until the head has answered
+// once, nothing is done. The keeper's mutex is held.
+func (k *Keeper) mendAbsentHead(ctx context.Context, o *observed) {
+	if !k.absent[o.head.ID].answered {
+		return
+	}
+	k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.end(ctx, o) })
+}
+
+// askAbsent asks the workers that left the list whether they live. The keeper's mutex
+// is held.
+func (k *Keeper) askAbsent(ctx context.Context, now time.Time) {
+	for _, a := range k.absent {
+		if a.ended || now.Before(a.askAt) {
+			continue
+		}
+		if now.After(a.endAt) {
+			a.ended = true
+			continue
+		}
+		a.askAt = now.Add(absentAskEvery + silentTries*askTimeout)
+		k.group.Go(func() { k.checkAbsent(ctx, a) })
+	}
+}
+
+// checkAbsent asks one worker that left the list, and notes that it ended if it does
+// not answer.
+func (k *Keeper) checkAbsent(ctx context.Context, a *absence) {
+	answers := false
+	for tries := 0; tries < silentTries && !answers; tries++ {
+		_, answers = k.ask(ctx, a.worker)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if answers {
+		a.answered = true
+		a.askAt = time.Now().Add(absentAskEvery)
+		return
+	}
+	a.ended = true
+	k.opts.Logger.Info("worker that left the list does not answer", "worker", a.worker.ID,
+		"ms", time.Since(a.since).Milliseconds())
+}
--- /dev/null
+++ b/formation/absent_test.go
@@ -0,0 +1,137 @@
+package formation
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// membersOfAll returns a member that is not the head of each group of a model.
+func (w *world) membersOfAll(model string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []string
+	for id, s := range w.workers {
+		if s.group.Model == model && s.rank == 1 {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+// TestMembersOffTheListServeOn: a cut between some workers and the store takes a member
+// of each group off the list, while all of them serve. Callers must find every replica
+// all the time.
+func TestMembersOffTheListServeOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		w.pending.Go(func() { w.readList(20 * time.Second) })
+		_, _, stop := serving(w, "big")
+		cut := append(w.membersOfAll("big"), w.membersOfAll("small")...)
+		assert.Equal(t, len(cut), 7)
+		for _, id := range cut {
+			w.unlist(id)
+		}
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			view := w.inventory.View()
+			assert.Equal(t, len(view.Replicas("models", "big")), 2)
+			assert.Equal(t, len(view.Replicas("models", "small")), 5)
+		}
+		for _, id := range cut {
+			w.relist(id)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.serving()["big"], 2)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestMemberThatEndsOffTheListIsReplaced: a member leaves the list without a word,
+// serves on, and ends two seconds later, which nobody reports.
+func TestMemberThatEndsOffTheListIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		w.pending.Go(func() { w.readList(20 * time.Second) })
+		_, g, stop := serving(w, "big")
+		w.unlist(g.Members[1])
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.memberOf(g.Members[0]).Group, g.Name, "it serves on")
+		w.mu.Lock()
+		w.workers[g.Members[1]].dead = true
+		w.mu.Unlock()
+		// It is asked within half a second, twice for 0.2 s each.
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, w.memberOf(g.Members[0]).Group != g.Name, "the group stands still")
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestHeadOffTheListEndsItsRequests: callers send nothing to a head that left the list,
+// but what is under way there ends before its members go elsewhere.
+func TestHeadOffTheListEndsItsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		w.closing = 1500 * time.Millisecond
+		w.pending.Go(func() { w.readList(20 * time.Second) })
+		_, g, stop := serving(w, "big")
+		w.unlist(g.Members[0])
+		time.Sleep(w.closing)
+		assert.Equal(t, w.memberOf(g.Members[0]).Group, g.Name, "its requests are cut off")
+		assert.Equal(t, len(w.inventory.View().Replicas("models", "big")), 1)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, w.memberOf(g.Members[1]).Group != g.Name, "its members are held")
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestDeadHeadOffTheListFreesItsMembers: one that does not answer is gone.
+func TestDeadHeadOffTheListFreesItsMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		w.pending.Go(func() { w.readList(20 * time.Second) })
+		_, g, stop := serving(w, "big")
+		w.mu.Lock()
+		w.workers[g.Members[0]].dead = true
+		w.mu.Unlock()
+		w.unlist(g.Members[0])
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, w.memberOf(g.Members[1]).Group != g.Name, "its members are held")
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestFormingGoesOnWithAMemberOffTheList: the members of a group that is being formed
+// are asked where the list does not tell of them.
+func TestFormingGoesOnWithAMemberOffTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 4)
+		w.pending.Go(func() { w.readList(20 * time.Second) })
+		_, stop := term(w, 1)
+		time.Sleep(800 * time.Millisecond)
+		w.mu.Lock()
+		forming, state := w.workers["w0-0"].group, w.workers["w0-0"].state
+		w.mu.Unlock()
+		assert.Equal(t, state, fleet.Joining)
+		w.unlist(forming.Members[1])
+		time.Sleep(3 * time.Second)
+		head := w.memberOf(forming.Members[0])
+		assert.Equal(t, head.Group, forming.Name, "it was given up")
+		assert.Equal(t, head.State, fleet.Open)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -123,15 +123,19 @@
 }
 
 // drained reports whether a closed group's requests have ended, by the list or,
-// while that is stale, by the head itself.
+// while that is stale or does not show the head, by the head itself.
 func (k *Keeper) drained(ctx context.Context, o *observed, nextAsk *time.Time) bool {
 	closed := fleet.Membership{Group: o.group.Name, Epoch: o.group.Epoch}
 	listed, there := k.opts.Inventory.View().Worker(o.head.ID)
-	if !there || listed.Member.Same(closed) && listed.Member.State == fleet.Ready {
+	if there && listed.Member.Same(closed) && listed.Member.State == fleet.Ready {
+		return true
+	}
+	if !there && !k.mayLive(o.head.ID) {
 		return true
 	}
 	now := time.Now()
-	if now.Before(*nextAsk) || now.Sub(k.opts.Inventory.Confirmed()) <= listStale {
+	told := there && now.Sub(k.opts.Inventory.Confirmed()) <= listStale
+	if told || now.Before(*nextAsk) {
 		return false
 	}
 	*nextAsk = now.Add(askEvery)
--- a/formation/form.go
+++ b/formation/form.go
@@ -91,9 +91,9 @@
 		if len(seen) == len(members) {
 			return true
 		}
-		if now := time.Now(); now.After(nextAsk) && now.Sub(k.opts.Inventory.Confirmed()) > listStale {
+		if now := time.Now(); now.After(nextAsk) {
 			nextAsk = now.Add(askEvery)
-			k.askReady(ctx, g, members, seen)
+			k.askReady(ctx, g, k.untold(members, view, now), seen)
 		}
 		if k.lost(members, view) {
 			return false
@@ -107,7 +107,22 @@
 	return m.Group == g.Name && m.Epoch == g.Epoch && m.State == fleet.Ready
 }
 
-// askReady asks the members that were not seen ready, while the list is old.
+// untold returns the members of which the list does not tell now: all while it is old,
+// else those that left it.
+func (k *Keeper) untold(members []*fleet.Worker, view *fleet.View, now time.Time) []*fleet.Worker {
+	if now.Sub(k.opts.Inventory.Confirmed()) > listStale {
+		return members
+	}
+	var left []*fleet.Worker
+	for _, w := range members {
+		if _, listed := view.Worker(w.ID); !listed {
+			left = append(left, w)
+		}
+	}
+	return left
+}
+
+// askReady asks the members that were not seen ready.
 func (k *Keeper) askReady(ctx context.Context, g Group, members []*fleet.Worker, seen map[string]bool) {
 	for _, w := range members {
 		if seen[w.ID] {
@@ -119,16 +134,17 @@
 	}
 }
 
-// lost reports whether a member left the list or is leaving.
+// lost reports whether a member is gone or leaving. One that left the list but answers
+// is not.
 func (k *Keeper) lost(members []*fleet.Worker, view *fleet.View) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, w := range members {
 		listed, ok := view.Worker(w.ID)
-		if !ok || listed.Draining {
+		switch {
+		case !ok && !k.isAbsent(w.ID):
 			return true
-		}
-		if k.silentNow(w.ID) {
+		case ok && listed.Draining, k.silentNow(w.ID):
 			return true
 		}
 	}
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -24,6 +24,8 @@
 	draining bool
 	// lost tells that a listed member does not answer.
 	lost bool
+	// absent counts the members that left the list but still answer.
+	absent int
 }
 
 // whole reports whether every member is there.
@@ -56,7 +58,7 @@
 // groups returns the groups of a service as its workers show them, sorted by key.
 func (k *Keeper) groups(s *fleet.Service, view *fleet.View) []*observed {
 	byKey := make(map[string]*observed)
-	for _, w := range view.Workers() {
+	for _, w := range k.present(view) {
 		m := k.member(w)
 		if w.Service != s.Name || m.Group == "" {
 			continue
@@ -84,6 +86,9 @@
 	} else {
 		o.members = append(o.members, w)
 	}
+	if k.isAbsent(w.ID) {
+		o.absent++
+	}
 	o.draining = o.draining || w.Draining
 	if m.State != fleet.Joining {
 		o.ready++
@@ -125,8 +130,12 @@
 		// Daemons were told so, by this leader or an earlier one, and never use it
 		// again, whatever its head shows. Requests may still be under way there.
 		k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.end(ctx, o) })
+	case k.isAbsent(o.head.ID):
+		k.mendAbsentHead(ctx, o)
 	case o.state == fleet.Open && o.whole() && !o.draining:
-		// All is well.
+		// All is well, also if a member left the list: what it does for the group does
+		// not pass through the list. Dissolving all such groups when a tenth of the
+		// workers lost the store took half of the replicas out for two seconds.
 	case o.state == fleet.Open && o.whole():
 		k.mendLeaving(ctx, o, now)
 	case age < k.settle(now) && !o.lost:
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -121,8 +121,12 @@
 	silent map[string]time.Time
 	// positions holds, by worker, how many orders it has begun and its group.
 	positions map[string]position
-	// former holds workers that left the list.
+	// former holds all workers that were ever listed.
 	former map[string]*fleet.Worker
+	// seenView is the list as the last look found it, absent holds the workers that
+	// left it while in a group.
+	seenView *fleet.View
+	absent   map[string]*absence
 	// headless holds since when groups have had no listed head.
 	headless map[string]time.Time
 	// loading holds the loads that workers make, by worker.
@@ -195,6 +199,8 @@
 		formed:    make(map[string]Group),
 		silent:    make(map[string]time.Time),
 		former:    make(map[string]*fleet.Worker),
+		seenView:  opts.Inventory.View(),
+		absent:    make(map[string]*absence),
 		headless:  make(map[string]time.Time),
 		loading:   make(map[string]load),
 		seen:      make(map[string]time.Time),
@@ -251,6 +257,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.refresh(view)
+	k.refreshAbsent(view, now)
+	k.askAbsent(ctx, now)
 	for _, s := range config.Services() {
 		if s.Engine != nil {
 			k.tickService(ctx, s, view, now)
@@ -357,6 +365,9 @@
 	if !ok || o.state.Member.Epoch < w.Member.Epoch {
 		return w.Member
 	}
+	if a, absent := k.absent[w.ID]; absent && o.at.After(a.since) {
+		return o.state.Member
+	}
 	if o.state.Member.Same(w.Member) && k.opts.Inventory.Confirmed().After(o.at) {
 		return w.Member
 	}
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -41,7 +41,7 @@
 		return nil
 	}
 	var members []*fleet.Worker
-	for _, w := range view.Workers() {
+	for _, w := range k.present(view) {
 		m := k.member(w)
 		if m.Group == "" || fleet.GroupKey(m) != replica {
 			continue
@@ -76,6 +76,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.silent[id] = time.Now().Add(reviveEvery)
+	if a, ok := k.absent[id]; ok {
+		a.ended = true
+	}
 }
 
 // isSilent reports whether a worker does not answer.
@@ -88,7 +91,8 @@
 // silentNow does the same while the keeper's mutex is held.
 func (k *Keeper) silentNow(id string) bool {
 	_, silent := k.silent[id]
-	return silent
+	a, absent := k.absent[id]
+	return silent || absent && a.ended
 }
 
 // revive asks silent workers again now and then. The keeper's mutex is held.
--- a/formation/trading.go
+++ b/formation/trading.go
@@ -56,7 +56,7 @@
 	byKey := make(map[string]*observed)
 	var all []Standing
 	for _, o := range groups {
-		if o.whole() && o.state == fleet.Open && !k.operating[o.key] && k.retired[o.key] == 0 {
+		if o.whole() && o.absent == 0 && o.state == fleet.Open && !k.operating[o.key] && k.retired[o.key] == 0 {
 			byKey[o.key] = o
 			all = append(all, Standing{Key: o.key, Domain: o.head.Domain, Model: o.model.Name, Members: len(o.members)})
 		}
