--- a/common/reason/reason.go
+++ b/common/reason/reason.go
@@ -45,6 +45,25 @@
 	RetryResumed   Reason = "retry_resumed"
 )
 
+// Reasons for which a stream was late, though its caller got all of it.
+const (
+	// LateRetried: attempts failed before the first event.
+	LateRetried Reason = "late_retried"
+	// LateFull: the first event was late at a replica whose slots were nearly all taken.
+	LateFull Reason = "late_full"
+	// LateFirst: it was late at another one, behind prompts or a slow worker.
+	LateFirst Reason = "late_first"
+	// LateResumed: the stream broke or stood still, and went on elsewhere.
+	LateResumed Reason = "late_resumed"
+	// LatePause: there was a pause at one replica.
+	LatePause Reason = "late_pause"
+)
+
+// Lateness returns every reason for which a stream was late.
+func Lateness() []Reason {
+	return []Reason{LateRetried, LateFull, LateFirst, LateResumed, LatePause}
+}
+
 // Refusals returns every reason of a refusal.
 func Refusals() []Reason {
 	return []Reason{
--- /dev/null
+++ b/relay/lateness_test.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/fleet"
+)
+
+// lateStep is something that happens to a stream, at a time since it arrived.
+type lateStep struct {
+	at time.Duration
+	// event tells that an event was passed on, failed that an attempt failed.
+	event, failed bool
+}
+
+func TestWhyStreamsAreLate(t *testing.T) {
+	const ms = time.Millisecond
+	event := func(at time.Duration) lateStep { return lateStep{at: at, event: true} }
+	failed := func(at time.Duration) lateStep { return lateStep{at: at, failed: true} }
+	tests := map[string]struct {
+		steps []lateStep
+		busy  float64
+		want  reason.Reason
+	}{
+		"in time":                       {steps: []lateStep{event(290 * ms), event(480 * ms)}},
+		"late behind prompts":           {steps: []lateStep{event(310 * ms)}, want: reason.LateFirst},
+		"late at a full replica":        {steps: []lateStep{event(310 * ms)}, busy: 9, want: reason.LateFull},
+		"late after a failure":          {steps: []lateStep{failed(200 * ms), event(310 * ms)}, busy: 9, want: reason.LateRetried},
+		"a pause":                       {steps: []lateStep{event(100 * ms), event(301 * ms)}, want: reason.LatePause},
+		"moved in time":                 {steps: []lateStep{event(100 * ms), failed(150 * ms), event(290 * ms)}},
+		"moved too late":                {steps: []lateStep{event(100 * ms), failed(250 * ms), event(310 * ms)}, want: reason.LateResumed},
+		"a pause after a move in time":  {steps: []lateStep{event(100 * ms), failed(150 * ms), event(200 * ms), event(500 * ms)}, want: reason.LatePause},
+		"the first reason is the cause": {steps: []lateStep{event(310 * ms), event(600 * ms)}, want: reason.LateFirst},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			c := &request{
+				arrived: start, chosenBusy: test.busy, engine: &fleet.Engine{Slots: 10},
+				route: &fleet.Route{Objective: 300 * ms, GapTarget: 200 * ms},
+			}
+			var l lateness
+			begun, last := false, start
+			for _, step := range test.steps {
+				now := start.Add(step.at)
+				switch {
+				case step.failed:
+					c.sends++
+					l.moving = true
+					continue
+				case begun:
+					l.noteNext(c, "r", now.Sub(last))
+				default:
+					l.noteFirst(c, "r", now)
+				}
+				begun, last = true, now
+			}
+			assert.Equal(t, l.why, test.want)
+		})
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -141,6 +141,7 @@
 	if !ok {
 		return nil, unavailable(reason.NoReplica, "no replica serves at present", retryBusy)
 	}
+	c.chosenBusy = choice.Busy
 	if choice.Busy >= r.room(c, choice.Replica) {
 		return nil, unavailable(reason.Overloaded, "all replicas are busy", retryBusy)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -37,6 +37,7 @@
 	movedAt time.Time
 	// clientGone tells that the caller does not read any more.
 	clientGone bool
+	late       lateness
 }
 
 // serveStream relays a stream, and goes on at another replica when one breaks.
@@ -49,8 +50,10 @@
 		}
 		err := r.tryStream(c, s, replica)
 		if err == nil {
+			r.tellLate(c, &s.late)
 			return nil
 		}
+		s.late.moving = true
 		ran := r.note(c, replica, err)
 		if c.gaveUp() || s.clientGone || !r.mayRepeat(c, ran) {
 			return r.endStream(c, s, r.failed(c))
@@ -109,8 +112,11 @@
 		return r.streamFailure(c, s, e, replica)
 	}
 	moved := func(now time.Time) {
-		if !s.begun {
+		if s.begun {
+			s.late.noteNext(c, replica.ID, now.Sub(s.movedAt))
+		} else {
 			r.opts.Meter.FirstToken(c.arrived)
+			s.late.noteFirst(c, replica.ID, now)
 		}
 		hold.Started()
 		r.opts.Tracker.Moved(replica, track, now)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -24,6 +24,7 @@
 type Meter struct {
 	refusals map[reason.Reason]*atomic.Int64
 	retries  map[reason.Reason]*atomic.Int64
+	late     map[reason.Reason]*atomic.Int64
 	requests atomic.Int64
 	first    metric.Float64Histogram
 	between  metric.Float64Histogram
@@ -47,6 +48,7 @@
 	m := &Meter{
 		refusals: zeroes(reason.Refusals()),
 		retries:  zeroes(reason.Retries()),
+		late:     zeroes(reason.Lateness()),
 		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		gauges:   make(map[string]func() float64),
 	}
@@ -72,6 +74,9 @@
 	if err := observe(meter, "quartzshelf_retries", "Requests sent again, by reason.", m.retries); err != nil {
 		return err
 	}
+	if err := observe(meter, "quartzshelf_late", "Streams that were late, by reason.", m.late); err != nil {
+		return err
+	}
 	_, err := meter.Int64ObservableCounter("quartzshelf_requests",
 		metric.WithDescription("Requests received from callers."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
@@ -144,6 +149,9 @@
 // Retry counts a retry; reasons outside reason.Retries are not counted.
 func (m *Meter) Retry(r reason.Reason) { add(m.retries, r) }
 
+// Late counts a stream that was late; reasons outside reason.Lateness are not counted.
+func (m *Meter) Late(r reason.Reason) { add(m.late, r) }
+
 func add(counters map[reason.Reason]*atomic.Int64, r reason.Reason) {
 	if counter, ok := counters[r]; ok {
 		counter.Add(1)
@@ -191,6 +199,9 @@
 // Retries returns the counters of retries that are not zero.
 func (m *Meter) Retries() map[reason.Reason]int64 { return nonZero(m.retries) }
 
+// Lates returns the counters of late streams that are not zero.
+func (m *Meter) Lates() map[reason.Reason]int64 { return nonZero(m.late) }
+
 // Requests returns how many requests were received.
 func (m *Meter) Requests() int64 { return m.requests.Load() }
 
