formation: Leave room among loads for those that groups lack

Ten idle workers had begun to bring a model to their hosts at one moment, which took all 27 loads that run well side by side for 12 to 16 s; and members that joined warm counted as loads, so that forming one replica of 16 left no room either. A group that lacked one load began six seconds later.

Loads for groups may now go beyond what runs without slowing, half as much again, within the bound on those that begin; idle workers keep to half of it; only members that load count.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -275,10 +275,11 @@
 	needs, free := k.needs(s, groups, view), k.free(s, groups, view)
 	k.report(needs, free, now)
 	counted := k.traffic()
+	forGroups, forIdle := k.room(s, view, budget, now)
 	formations, stagings := Plan(Input{
 		Needs: needs, Free: free, Warm: k.warm(s, view),
-		MaxLoads: k.room(s, view, budget, now),
-		Growing:  !counted && k.listGrows(s, view, now),
+		MaxLoads: forGroups, MaxStagings: forIdle,
+		Growing: !counted && k.listGrows(s, view, now),
 	})
 	for _, f := range formations {
 		budget.take(f.Loads, counted, now)
--- a/formation/loads_test.go
+++ b/formation/loads_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
 )
 
 // TestLoadsBeforeTheFirstRequestMayCount lets loads begin shortly before the
@@ -53,3 +56,62 @@
 		assert.Assert(t, budget.tokens <= 0, "%.1f loads may begin", budget.tokens)
 	})
 }
+
+// TestRoomForLoads: what joins warm loads nothing, and idle workers leave room for the
+// loads that groups lack.
+func TestRoomForLoads(t *testing.T) {
+	joining := func(id, loaded, staged string) *fleet.Worker {
+		w := &fleet.Worker{
+			ID: id, Service: "models", Domain: "d", Loaded: loaded,
+			Member: fleet.Membership{Group: fleet.GroupName("big", 9, nil), Epoch: 9, State: fleet.Joining},
+		}
+		if staged != "" {
+			w.Staged = []string{staged}
+		}
+		return w
+	}
+	tests := map[string]struct {
+		workers []*fleet.Worker
+		// staging is how many workers bring a model to their hosts.
+		staging         int
+		groups, forIdle int
+	}{
+		"nothing loads": {groups: 10, forIdle: 3},
+		"members that join warm": {
+			workers: []*fleet.Worker{joining("a", "big", ""), joining("b", "small", "big"), joining("c", "", "big")},
+			groups:  10, forIdle: 3,
+		},
+		"members that an earlier leader made load": {
+			workers: []*fleet.Worker{joining("a", "", ""), joining("b", "small", "small")},
+			groups:  8, forIdle: 1,
+		},
+		"as many as run well side by side": {staging: 7, groups: 3, forIdle: -3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, 1, 0)
+			w.traffic = true
+			var changes []fleet.Change
+			for _, worker := range test.workers {
+				changes = append(changes, fleet.Change{ID: worker.ID, Worker: worker})
+			}
+			for i := range test.staging {
+				id := fmt.Sprintf("s%d", i)
+				changes = append(changes, fleet.Change{ID: id, Worker: &fleet.Worker{ID: id, Service: "models", Domain: "d"}})
+			}
+			w.inventory.Apply(changes, 1, time.Now())
+			options := w.options()
+			k := NewKeeper(options, Term{Epoch: 1, First: true}, func() {})
+			k.fresh = false
+			for i := range test.staging {
+				k.loading[fmt.Sprintf("s%d", i)] = load{model: "big", until: time.Now().Add(time.Hour)}
+			}
+			service, _ := options.Config().Service("models")
+			now := time.Now()
+			bound := &loads{burst: 100, tokens: 100, filledAt: now}
+			groups, idle := k.room(service, w.inventory.View(), bound, now)
+			assert.Equal(t, groups, test.groups)
+			assert.Equal(t, idle, test.forIdle)
+		})
+	}
+}
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -82,8 +82,9 @@
 	// Warm counts, by domain and model, the workers that are warm for the
 	// model, those in groups included.
 	Warm map[string]map[string]int
-	// MaxLoads is how many loads from the store may begin.
-	MaxLoads int
+	// MaxLoads is how many loads from the store may begin, MaxStagings how many of
+	// them for idle workers.
+	MaxLoads, MaxStagings int
 	// Growing tells that further workers are about to be listed: the shortest model
 	// then waits for enough of them in one domain, and the others wait for it.
 	Growing bool
@@ -106,7 +107,7 @@
 // Domains are kept to one model as far as possible: the survivors of broken
 // groups then make whole ones.
 func Plan(in Input) ([]Formation, []Staging) {
-	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads, growing: in.Growing}
+	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads, maxStagings: in.MaxStagings, growing: in.Growing}
 	for _, f := range in.Free {
 		p.byDomain[f.Domain] = append(p.byDomain[f.Domain], f)
 	}
@@ -125,6 +126,7 @@
 				break
 			}
 			p.maxLoads -= f.Loads
+			p.maxStagings -= f.Loads
 			all = append(all, f)
 		}
 	}
@@ -140,7 +142,9 @@
 	byDomain map[string][]Free
 	warm     map[string]map[string]int
 	maxLoads int
-	growing  bool
+	// maxStagings is how many of the loads may be for idle workers.
+	maxStagings int
+	growing     bool
 	// beyond tells that groups beyond what is wanted are being planned.
 	beyond bool
 	// waiting tells that a wanted group waits for its loads.
@@ -154,7 +158,7 @@
 	for _, domain := range slices.Sorted(maps.Keys(p.byDomain)) {
 		model := p.mainModel(domain)
 		for _, f := range p.byDomain[domain] {
-			if model == "" || len(all) >= p.maxLoads {
+			if model == "" || len(all) >= min(p.maxLoads, p.maxStagings) {
 				break
 			}
 			if f.warmth(model) > Staged {
--- a/formation/plan_test.go
+++ b/formation/plan_test.go
@@ -23,6 +23,8 @@
 		free     []Free
 		warm     map[string]map[string]int
 		maxLoads int
+		// keptBack is how many of the loads are not for idle workers.
+		keptBack int
 		want     [][]string
 		staged   []Staging
 	}{
@@ -87,6 +89,12 @@
 			free:   []Free{worker("a", "d", ""), worker("b", "d", "")},
 			staged: []Staging{{Worker: "a", Model: "big"}},
 		},
+		"idle workers leave loads for groups to come": {
+			needs: []Need{{Model: big, Want: 1, Have: 1}}, maxLoads: 2, keptBack: 1,
+			warm:   map[string]map[string]int{"d": {"big": 3}},
+			free:   []Free{worker("a", "d", ""), worker("b", "d", "")},
+			staged: []Staging{{Worker: "a", Model: "big"}},
+		},
 		"blank workers are taken before those of another model": {
 			needs: []Need{{Model: small, Want: 9}, {Model: big, Want: 1, Have: 1}}, maxLoads: 9,
 			free:   []Free{worker("a", "d", "big"), worker("b", "d", ""), worker("c", "d", "")},
@@ -98,7 +106,7 @@
 		t.Run(name, func(t *testing.T) {
 			var got [][]string
 			formations, stagings := Plan(Input{
-				Needs: test.needs, Free: test.free, Warm: test.warm, MaxLoads: test.maxLoads,
+				Needs: test.needs, Free: test.free, Warm: test.warm, MaxLoads: test.maxLoads, MaxStagings: test.maxLoads - test.keptBack,
 			})
 			for _, f := range formations {
 				got = append(got, f.Members)
--- a/formation/staging.go
+++ b/formation/staging.go
@@ -65,25 +65,49 @@
 // unbounded is how many loads may begin while they are not bounded.
 const unbounded = 1 << 20
 
-// room returns how many loads may begin now. Before the first request loads
-// are quick and not bounded; afterwards they slow each other beyond those that
-// run well side by side.
-func (k *Keeper) room(s *fleet.Service, view *fleet.View, budget *loads, now time.Time) int {
+// loadsOver is how many loads for groups may run side by side, and stagingPart how many
+// loads in all may run when an idle worker begins one for no group yet, in multiples of
+// those that run without slowing each other. Loads beyond that share the same bandwidth:
+// a group that waits for the loads of others to end serves later than one that slows
+// them. Stagings of all idle workers at once kept groups that lacked one load waiting for
+// six seconds.
+const (
+	loadsOver   = 1.5
+	stagingPart = 0.5
+)
+
+// room returns how many loads may begin now for groups, and how many for idle workers.
+// Before the first request loads are quick and not bounded.
+func (k *Keeper) room(s *fleet.Service, view *fleet.View, budget *loads, now time.Time) (forGroups, forIdle int) {
 	if !k.traffic() {
-		return unbounded
+		return unbounded, unbounded
 	}
-	running := 0
+	running, available := float64(k.running(s, view, now)), budget.available(now)
+	atOnce := float64(s.Engine.LoadsAtOnce)
+	return min(int(loadsOver*atOnce-running), available), min(int(stagingPart*atOnce-running), available)
+}
+
+// running returns how many workers of a service load weights from the store.
+func (k *Keeper) running(s *fleet.Service, view *fleet.View, now time.Time) int {
+	count := 0
 	for id, w := range view.Workers() {
 		l, loading := k.loading[id]
 		if loading && (now.After(l.until) || w.HasStaged(l.model)) {
 			delete(k.loading, id)
 			loading = false
 		}
-		if loading || w.Service == s.Name && k.member(w).State == fleet.Joining {
-			running++
+		if loading || w.Service == s.Name && k.joinLoads(w) {
+			count++
 		}
 	}
-	return min(s.Engine.LoadsAtOnce-running, budget.available(now))
+	return count
+}
+
+// joinLoads reports whether a worker that joins a group loads weights for it, also one
+// that an earlier leader ordered to.
+func (k *Keeper) joinLoads(w *fleet.Worker) bool {
+	m := k.member(w)
+	return m.State == fleet.Joining && k.freeOf(w).warmth(fleet.ModelOf(m.Group)) > Staged
 }
 
 // warm counts the workers that are warm for models, by domain.
