formation: Want as many replicas as a loss of one needs

Cause: the model of 16 had 4 or 5 replicas wanted by busy slots. Whenever one lost a member, its streams came to the others at one moment: 20 prompts of 1,500 tokens at four replicas, in passes of 337 to 341 ms, held up all streams there beyond the 300 ms that callers bear. Besides, each new leader counted the models' shares for ten seconds, so that 6.8, 4.9 and 6.75 were wanted within 19 s.

Daemons now tell the prompt tokens in flight beside the busy slots, and the leader wants so many replicas that the others read a lost one's prompts within a quarter of what a pause leaves beside two passes. A leader that comes later goes by what is measured.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -122,6 +122,30 @@
 	return Model{}, false
 }
 
+// pace returns the factor of a model on all times of its replicas.
+func (e *Engine) pace(model string) float64 {
+	if m, ok := e.Model(model); ok && m.Pace > 0 {
+		return m.Pace
+	}
+	return 1
+}
+
+// PerToken returns the time in which a replica of a model reads a prompt token; zero if
+// it is not known.
+func (e *Engine) PerToken(model string) time.Duration {
+	if e.PrefillPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(e.pace(model) * float64(time.Second) / e.PrefillPerSecond)
+}
+
+// Pass returns the time of a pass of a replica of a model without requests, and what
+// each request in it adds.
+func (e *Engine) Pass(model string) (alone, each time.Duration) {
+	factor := e.pace(model) * float64(max(e.Stride, 1))
+	return time.Duration(factor * float64(e.Step)), time.Duration(factor * float64(e.StepPerRequest))
+}
+
 // Service is a set of workers that requests are sent to.
 type Service struct {
 	Name string
--- a/formation/demand.go
+++ b/formation/demand.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -14,13 +15,42 @@
 	// smoothed one, at each tick, when it is higher and when it is lower.
 	demandRise = 0.04
 	demandFall = 0.01
-	// firstFor is how long after the first request the models' shares count
-	// beside the measured work.
+	// firstFor is how long after the first request to a new fleet the models' shares
+	// count beside the measured work. A later leader goes by what is measured: where
+	// each one counted the shares anew, terms of ten seconds made replicas turn from
+	// one model to the other and back.
 	firstFor = 10 * time.Second
 	// reserve is how many replicas more than the measured demand are wanted.
 	reserve = 1
+	// lossPart is the part of what a pause leaves beside two passes in which the others
+	// read the prompts of a replica that is lost. Callers choose at random, so that some
+	// replica gets twice the mean, and new prompts come meanwhile.
+	lossPart = 0.25
 )
 
+// Work is the measured work of a model over all daemons.
+type Work struct {
+	// Busy is how many slots are taken, Prompts how many prompt tokens the requests
+	// there have.
+	Busy, Prompts float64
+	// Pause is the longest pause that all its callers bear; zero if none is known.
+	Pause time.Duration
+}
+
+// afterLoss returns how many replicas a model needs so that the requests of one that is
+// lost can go on at the others, which then read their prompts, without a pause that
+// callers there don't bear.
+func afterLoss(e *fleet.Engine, model string, w Work) float64 {
+	pass, each := e.Pass(model)
+	allowed := lossPart * (w.Pause - 2*(pass+time.Duration(fillTarget*float64(e.Slots))*each)).Seconds()
+	if allowed <= 0 {
+		return 0
+	}
+	reading := w.Prompts * e.PerToken(model).Seconds()
+	// The prompts of one of n replicas are read by n-1 others.
+	return (1 + math.Sqrt(1+4*reading/allowed)) / 2
+}
+
 // needs returns what is wanted and there of each model.
 func (k *Keeper) needs(s *fleet.Service, groups []*observed, view *fleet.View) []Need {
 	workers := workersOf(s, view)
@@ -58,7 +88,9 @@
 // model's share before any was measured.
 func (k *Keeper) want(e *fleet.Engine, m fleet.Model, workers int) float64 {
 	byShare := m.Share * float64(workers) / float64(max(m.Size, 1))
-	byWork := k.smooth[m.Name]/(fillTarget*float64(max(e.Slots, 1))) + reserve
+	work := k.smooth[m.Name]
+	byWork := work.Busy/(fillTarget*float64(max(e.Slots, 1))) + reserve
+	byWork = max(byWork, afterLoss(e, m.Name, work))
 	now := time.Now()
 	switch {
 	case !k.traffic():
@@ -66,22 +98,28 @@
 	case k.trafficSince.IsZero():
 		k.trafficSince = now
 	}
-	if now.Sub(k.trafficSince) < firstFor {
+	if k.fresh && now.Sub(k.trafficSince) < firstFor {
 		return max(byShare, byWork)
 	}
 	return byWork
 }
 
 func (k *Keeper) smoothDemand() {
-	for model, demand := range k.opts.Demand() {
+	for model, measured := range k.opts.Demand() {
 		held, ok := k.smooth[model]
 		if !ok {
-			held = demand
+			held = measured
 		}
-		weight := demandFall
-		if demand > held {
-			weight = demandRise
+		k.smooth[model] = Work{
+			Busy: smoothed(held.Busy, measured.Busy), Prompts: smoothed(held.Prompts, measured.Prompts), Pause: measured.Pause,
 		}
-		k.smooth[model] = held + weight*(demand-held)
 	}
 }
+
+func smoothed(held, measured float64) float64 {
+	weight := demandFall
+	if measured > held {
+		weight = demandRise
+	}
+	return held + weight*(measured-held)
+}
--- /dev/null
+++ b/formation/demand_test.go
@@ -0,0 +1,66 @@
+package formation
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// TestReplicasAfterALoss: so many replicas are wanted that the others read the prompts of
+// a lost one within a pause that callers bear.
+func TestReplicasAfterALoss(t *testing.T) {
+	const ms = time.Millisecond
+	e := &fleet.Engine{
+		Slots: 30, Stride: 7, PrefillPerSecond: 50000, Step: 6 * ms, StepPerRequest: 45 * time.Microsecond,
+		Models: []fleet.Model{{Name: "big", Size: 16, Pace: 1}, {Name: "small", Size: 4, Pace: 0.5}},
+	}
+	tests := map[string]struct {
+		model       string
+		work        Work
+		least, most float64
+	}{
+		// 60 streams of 1,500 tokens are read in 1.8 s; a pause of 300 ms leaves some
+		// 200 ms beside two passes, a quarter of which n-1 replicas have for an n-th.
+		"large prompts":       {model: "big", work: Work{Busy: 60, Prompts: 90000, Pause: 300 * ms}, least: 6, most: 7},
+		"twice the work":      {model: "big", work: Work{Busy: 120, Prompts: 180000, Pause: 300 * ms}, least: 8.5, most: 9.5},
+		"a faster model":      {model: "small", work: Work{Busy: 60, Prompts: 90000, Pause: 300 * ms}, least: 4, most: 5},
+		"pauses do not count": {model: "big", work: Work{Busy: 60, Prompts: 90000}},
+		"no pause is enough":  {model: "big", work: Work{Busy: 60, Prompts: 90000, Pause: 80 * ms}},
+		"nothing to read":     {model: "big", work: Work{Pause: 300 * ms}, least: 1, most: 1},
+		"an unknown model":    {model: "other", work: Work{Busy: 60, Prompts: 90000, Pause: 300 * ms}, least: 6, most: 7},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := afterLoss(e, test.model, test.work)
+			assert.Assert(t, test.least <= got && got <= test.most, "%.2f", got)
+		})
+	}
+	assert.Equal(t, afterLoss(&fleet.Engine{}, "big", Work{Prompts: 1e6, Pause: time.Second}), 1.0, "times of zero")
+}
+
+// TestLaterLeaderGoesByWhatIsMeasured: leaders that follow one another must not each turn
+// replicas to what the models' shares say, and then back.
+func TestLaterLeaderGoesByWhatIsMeasured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 12)
+		w.pending.Go(func() { w.readList(60 * time.Second) })
+		formed(w)
+		w.mu.Lock()
+		w.demand = map[string]Work{"big": {Busy: 40}, "small": {Busy: 2}}
+		w.mu.Unlock()
+		_, stop := term(w, 2)
+		time.Sleep(20 * time.Second)
+		stop()
+		settled := w.serving()
+		_, stop = term(w, 3)
+		time.Sleep(8 * time.Second)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.serving(), settled)
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -60,8 +60,8 @@
 	Orders    Orders
 	// IndirectLeave is used for heads that this daemon does not reach.
 	IndirectLeave IndirectLeave
-	// Demand returns the measured work of each model in busy slots.
-	Demand func() map[string]float64
+	// Demand returns the measured work of each model.
+	Demand func() map[string]Work
 	// ListSince returns since when this process has known the worker list.
 	ListSince func() time.Time
 	// Traffic reports whether any request has come to the fleet yet. A leader of
@@ -134,7 +134,7 @@
 	// seen holds since when groups have been known.
 	seen   map[string]time.Time
 	loads  map[string]*loads
-	smooth map[string]float64
+	smooth map[string]Work
 	// trafficSince is when this leader first knew of requests.
 	trafficSince time.Time
 	// leaveBy holds, by group, until when one with a leaving member may serve.
@@ -205,7 +205,7 @@
 		loading:   make(map[string]load),
 		seen:      make(map[string]time.Time),
 		loads:     make(map[string]*loads),
-		smooth:    make(map[string]float64),
+		smooth:    make(map[string]Work),
 		leaveBy:   make(map[string]time.Time),
 		leaveNext: make(map[string]time.Time),
 		stageNext: make(map[string]time.Time),
@@ -307,7 +307,7 @@
 	k.reportNext = now.Add(reportEvery)
 	for _, n := range needs {
 		k.opts.Logger.Info("replicas", "model", n.Model.Name, "want", n.Want, "have", n.Have,
-			"work", k.smooth[n.Model.Name], "idle_workers", len(free))
+			"work", k.smooth[n.Model.Name].Busy, "prompts", int(k.smooth[n.Model.Name].Prompts), "idle_workers", len(free))
 	}
 }
 
--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -163,7 +163,7 @@
 func TestTradesFollowOneAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 1, 24)
-		w.demand, w.closing = map[string]float64{"big": 40}, 3*time.Second
+		w.demand, w.closing = map[string]Work{"big": {Busy: 40}}, 3*time.Second
 		_, stop := term(w, 1)
 		time.Sleep(8 * time.Second)
 		w.mu.Lock()
--- a/formation/late_test.go
+++ b/formation/late_test.go
@@ -116,7 +116,7 @@
 func TestMembersOfADeadHeadServeSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 1, 7)
-		w.demand = map[string]float64{"big": 5}
+		w.demand = map[string]Work{"big": {Busy: 5}}
 		k, old, stop := serving(w, "big")
 		w.kill(old.Members[0])
 		k.Suspect(old.Key())
--- a/formation/trading_test.go
+++ b/formation/trading_test.go
@@ -18,7 +18,7 @@
 		before := w.serving()["big"]
 		w.mu.Lock()
 		w.traffic = true
-		w.demand = map[string]float64{"big": 100 * float64(domains), "small": 1}
+		w.demand = map[string]Work{"big": {Busy: 100 * float64(domains)}, "small": {Busy: 1}}
 		w.mu.Unlock()
 		// The shares of the models count for a while beside the measured work.
 		time.Sleep(firstFor + 10*time.Second)
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -69,7 +69,7 @@
 	traffic  bool
 	// demand is the measured work by model, closing how long a group's requests
 	// take to end.
-	demand  map[string]float64
+	demand  map[string]Work
 	closing time.Duration
 	// opening is how long until the list shows an opened group, opened counts the
 	// orders to open by group.
@@ -126,7 +126,7 @@
 func unlistedWorld(seed uint64, domains, perDomain int) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
-		demand: map[string]float64{"big": 5, "small": 5}, closing: time.Second,
+		demand: map[string]Work{"big": {Busy: 5}, "small": {Busy: 5}}, closing: time.Second,
 		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool), dark: make(map[string]bool),
 		delays: make(map[string][]time.Duration), opening: simForm + simDelivery, opened: make(map[string]int), loadsPerSecond: 5,
 	}
@@ -143,7 +143,7 @@
 	config := simConfig(w.loadsPerSecond)
 	return Options{
 		Config: func() *fleet.Config { return config }, Inventory: w.inventory, Orders: w.orders(), IndirectLeave: w.indirectLeave,
-		Demand:  func() map[string]float64 { return w.demand },
+		Demand:  func() map[string]Work { return w.demand },
 		Traffic: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.traffic },
 		ListSince: func() time.Time {
 			if w.young {
--- a/peers/heartbeat.go
+++ b/peers/heartbeat.go
@@ -94,6 +94,8 @@
 	Stalls []Stall `json:"stalls,omitempty"`
 	// Demand is the measured work of each model, in slots busy.
 	Demand map[string]float64 `json:"demand,omitempty"`
+	// Prompts is how many prompt tokens its requests there have.
+	Prompts map[string]float64 `json:"prompts,omitempty"`
 	// Traffic tells that requests came to the fleet.
 	Traffic bool `json:"traffic,omitempty"`
 }
--- a/peers/message.go
+++ b/peers/message.go
@@ -33,6 +33,7 @@
 	Daemons int                `json:"n"`
 	Traffic bool               `json:"traffic,omitempty"`
 	Demand  map[string]float64 `json:"demand,omitempty"`
+	Prompts map[string]float64 `json:"prompts,omitempty"`
 	Loads   Loads              `json:"loads,omitempty"`
 	// Age is how old the loads are on average, in milliseconds.
 	Age int64 `json:"a,omitempty"`
@@ -66,6 +67,7 @@
 	s.Daemons = total
 	s.Traffic = s.Traffic || other.Traffic
 	s.Demand = sumDemand(s.Demand, other.Demand)
+	s.Prompts = sumDemand(s.Prompts, other.Prompts)
 	s.Loads = sumLoads(s.Loads, other.Loads)
 }
 
@@ -89,7 +91,7 @@
 func (s Summary) parts() []Summary {
 	count := max((len(s.Loads)+loadsPerPart-1)/loadsPerPart, 1)
 	all := make([]Summary, count)
-	all[0] = Summary{Daemons: s.Daemons, Traffic: s.Traffic, Demand: s.Demand}
+	all[0] = Summary{Daemons: s.Daemons, Traffic: s.Traffic, Demand: s.Demand, Prompts: s.Prompts}
 	for _, l := range s.Loads {
 		h := fnv.New32a()
 		// Writing to a hash does not fail.
@@ -105,5 +107,5 @@
 
 // summaryOf returns the work of one daemon.
 func summaryOf(h *Heartbeat) Summary {
-	return Summary{Daemons: 1, Traffic: h.Traffic, Demand: h.Demand, Loads: h.Loads}
+	return Summary{Daemons: 1, Traffic: h.Traffic, Demand: h.Demand, Prompts: h.Prompts, Loads: h.Loads}
 }
--- a/relay/cost.go
+++ b/relay/cost.go
@@ -40,23 +40,14 @@
 	if e == nil {
 		return costs{slots: float64(max(slots, 1)), pass: serviceTime, service: serviceTime}
 	}
-	pace := 1.0
-	if m, ok := e.Model(model); ok && m.Pace > 0 {
-		pace = m.Pace
-	}
-	stride := float64(max(e.Stride, 1))
-	c := costs{slots: float64(max(e.Slots, 1))}
-	c.pass = time.Duration(pace * stride * float64(e.Step))
-	c.perRequest = time.Duration(pace * stride * float64(e.StepPerRequest))
-	if e.PrefillPerSecond > 0 {
-		c.perToken = time.Duration(pace * float64(time.Second) / e.PrefillPerSecond)
-	}
+	c := costs{slots: float64(max(e.Slots, 1)), perToken: e.PerToken(model)}
+	c.pass, c.perRequest = e.Pass(model)
 	tokens := e.UsualAnswer
 	if tokens <= 0 {
 		tokens = usualAnswer
 	}
-	step := float64(e.Step) + c.slots*float64(e.StepPerRequest)
-	c.service = time.Duration(pace * float64(tokens) * step)
+	pass := float64(c.pass) + c.slots*float64(c.perRequest)
+	c.service = time.Duration(float64(tokens) * pass / float64(max(e.Stride, 1)))
 	return c
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -43,6 +43,7 @@
 // serveStream relays a stream, and goes on at another replica when one breaks.
 func (r *Relay) serveStream(w http.ResponseWriter, c *request) *refusal {
 	s := &relayed{w: w, last: c.header.Get(r.opts.Names.LastEvent), movedAt: c.arrived}
+	r.opts.Tracker.NotePause(c.model, c.route.GapTarget, c.arrived)
 	for {
 		replica, none := r.chooseOrWait(c, s)
 		if none != nil {
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -35,9 +35,11 @@
 
 // station is a replica as this daemon's requests see it.
 type station struct {
-	replica   *fleet.Replica
-	inFlight  int
-	prefill   int
+	replica  *fleet.Replica
+	inFlight int
+	prefill  int
+	// prompts counts the prompt tokens of all requests in flight.
+	prompts   int
 	streams   map[*Watch]struct{}
 	lastMove  time.Time
 	suspect   time.Time
@@ -61,6 +63,7 @@
 	stations map[string]*station
 	remote   map[string]remoteLoads
 	rates    *rates
+	pauses   pauses
 	// traffic tells that a request came, here or at a peer.
 	traffic bool
 	// stalled is called, without the lock, with a replica that fell silent.
@@ -79,7 +82,7 @@
 func NewTracker(zone string, stalled func(r *fleet.Replica)) *Tracker {
 	return &Tracker{
 		zone: zone, stations: make(map[string]*station),
-		remote: make(map[string]remoteLoads), rates: newRates(), stalled: stalled,
+		remote: make(map[string]remoteLoads), rates: newRates(), pauses: make(pauses), stalled: stalled,
 	}
 }
 
@@ -131,17 +134,19 @@
 	return all
 }
 
-// Demand returns this daemon's own work by model, in busy slots.
-func (t *Tracker) Demand() map[string]float64 {
+// Demand returns this daemon's own work by model: the slots that are busy, and the prompt
+// tokens of the requests there.
+func (t *Tracker) Demand() (busy, prompts map[string]float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	demand := make(map[string]float64)
+	busy, prompts = make(map[string]float64), make(map[string]float64)
 	for _, s := range t.stations {
 		if s.replica.Model != "" {
-			demand[s.replica.Model] += float64(s.inFlight)
+			busy[s.replica.Model] += float64(s.inFlight)
+			prompts[s.replica.Model] += float64(s.prompts)
 		}
 	}
-	return demand
+	return busy, prompts
 }
 
 // Choice is a replica chosen for a request.
@@ -240,19 +245,22 @@
 type Hold struct {
 	tracker *Tracker
 	station *station
+	// prompt is the number of prompt tokens, prefill how many of them are to be read.
+	prompt  int
 	prefill int
 	ended   bool
 }
 
 // Begin counts a request with a number of prompt tokens to be read.
-func (t *Tracker) Begin(r *fleet.Replica, prefill int) *Hold {
+func (t *Tracker) Begin(r *fleet.Replica, prompt int) *Hold {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.station(r)
 	s.inFlight++
-	s.prefill += prefill
-	t.traffic = t.traffic || prefill > 0
-	return &Hold{tracker: t, station: s, prefill: prefill}
+	s.prefill += prompt
+	s.prompts += prompt
+	t.traffic = t.traffic || prompt > 0
+	return &Hold{tracker: t, station: s, prompt: prompt, prefill: prompt}
 }
 
 // Started notes that the prompt was read.
@@ -273,6 +281,7 @@
 	h.ended = true
 	h.station.inFlight--
 	h.station.prefill -= h.prefill
+	h.station.prompts -= h.prompt
 }
 
 // Fail notes that a replica failed a request.
--- a/relay/tracker_test.go
+++ b/relay/tracker_test.go
@@ -104,3 +104,29 @@
 	counts := chosen(tracker, replicas, now, 10)
 	assert.Equal(t, counts["b"], 10, "%v", counts)
 }
+
+// TestWorkIsMeasured: the leader sizes models by what is in flight and by the pauses that
+// their callers bear.
+func TestWorkIsMeasured(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker("z", func(*fleet.Replica) {})
+	first := tracker.Begin(testReplica("a", "z"), 1500)
+	tracker.Begin(testReplica("b", "z"), 500)
+	first.Started()
+	busy, prompts := tracker.Demand()
+	assert.DeepEqual(t, busy, map[string]float64{"m": 2})
+	// What was read would be read again elsewhere.
+	assert.DeepEqual(t, prompts, map[string]float64{"m": 2000})
+	first.End()
+	_, prompts = tracker.Demand()
+	assert.DeepEqual(t, prompts, map[string]float64{"m": 500})
+
+	assert.Equal(t, tracker.Pause("m", now), time.Duration(0))
+	tracker.NotePause("m", 300*time.Millisecond, now)
+	tracker.NotePause("m", 200*time.Millisecond, now)
+	tracker.NotePause("m", 0, now)
+	assert.Equal(t, tracker.Pause("m", now), 200*time.Millisecond)
+	tracker.NotePause("m", 300*time.Millisecond, now.Add(pausesFor))
+	assert.Equal(t, tracker.Pause("m", now.Add(pausesFor+time.Second)), 300*time.Millisecond, "a route that is gone")
+	assert.Equal(t, tracker.Pause("other", now), time.Duration(0))
+}
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -16,7 +16,8 @@
 	h.Decided = s.inventory.Decided()
 	h.Leads, h.Highest, h.Grant = s.elector.State()
 	h.LeaderAge = s.agent.Table().LeaderAge(now)
-	h.Loads, h.Demand, h.Traffic = s.tracker.Loads(), s.tracker.Demand(), s.tracker.Traffic()
+	h.Loads, h.Traffic = s.tracker.Loads(), s.tracker.Traffic()
+	h.Demand, h.Prompts = s.tracker.Demand()
 	h.Stalls = s.suspicions.current(now)
 }
 
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -35,9 +35,15 @@
 	s.keeper = k
 }
 
-// demand returns the work of each model over all daemons, in busy slots.
-func (s *Server) demand() map[string]float64 {
-	return s.agent.Fleet(time.Now()).Demand
+// demand returns the work of each model over all daemons.
+func (s *Server) demand() map[string]formation.Work {
+	now := time.Now()
+	measured := s.agent.Fleet(now)
+	all := make(map[string]formation.Work, len(measured.Demand))
+	for model, busy := range measured.Demand {
+		all[model] = formation.Work{Busy: busy, Prompts: measured.Prompts[model], Pause: s.tracker.Pause(model, now)}
+	}
+	return all
 }
 
 // stalled takes a suspicion of this daemon's own.
