relay: Spread streams that are late already when they go on elsewhere

Cause: all streams of a replica that stands still are noticed in the same moment, 0.45 s after their last events, and came to the other replicas together: passes full of prompts made streams late there that had been in time. They are late whatever is done, and their callers wait for two seconds, so each now waits for up to 0.6 s, drawn at random.

Tried before and dropped: letting streams go on elsewhere while they could still be in time, at the last moment from which the predicted next event would be (2.5 predicted events). A pass full of prompts and a dead replica can't be told apart by callers' streams alone.

--- /dev/null
+++ b/relay/spread_test.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// TestLateStreamsDoNotComeTogether plays the loss of a replica with 200 streams, noticed
+// half a second after their last events: what comes to the others within one pass must
+// leave the streams there in time, and nobody may wait until callers leave.
+func TestLateStreamsDoNotComeTogether(t *testing.T) {
+	const (
+		streams = 200
+		pass    = 50 * time.Millisecond
+		noticed = 500 * time.Millisecond
+		leave   = 2 * time.Second
+	)
+	now := time.Unix(1000, 0)
+	route := &fleet.Route{Objective: 300 * time.Millisecond, GapTarget: 300 * time.Millisecond}
+	r := &Relay{}
+	perPass := make(map[time.Duration]int)
+	for range streams {
+		s := &relayed{begun: true, movedAt: now.Add(-noticed)}
+		wait := r.spread(&request{route: route, arrived: now.Add(-3 * time.Second)}, s, now)
+		perPass[wait/pass]++
+		assert.Assert(t, noticed+wait < leave, "%s", wait)
+	}
+	for at, count := range perPass {
+		// 17 are expected in each pass; all 200 would come in one without the spread.
+		assert.Assert(t, count < streams/4, "%d within pass %d", count, at)
+	}
+}
+
+// TestStreamsInTimeGoOnAtOnce: a stream that broke off a moment after its last event can
+// be in time elsewhere.
+func TestStreamsInTimeGoOnAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	timed := &fleet.Route{Objective: 300 * time.Millisecond, GapTarget: 200 * time.Millisecond}
+	tests := map[string]struct {
+		route *fleet.Route
+		// age is how old the request is, pause how long ago its last event came.
+		age, pause time.Duration
+		begun      bool
+	}{
+		"before the first event":   {route: timed, age: 250 * time.Millisecond},
+		"between two events":       {route: timed, age: time.Second, pause: 150 * time.Millisecond, begun: true},
+		"a route without times":    {route: &fleet.Route{}, age: time.Second, pause: time.Second, begun: true},
+		"the first, without times": {route: &fleet.Route{}, age: time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &relayed{begun: test.begun, movedAt: now.Add(-test.pause)}
+			c := &request{route: test.route, arrived: now.Add(-test.age)}
+			assert.Equal(t, (&Relay{}).spread(c, s, now), time.Duration(0))
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -59,6 +59,7 @@
 		if c.gaveUp() || s.clientGone || !r.mayRepeat(c, ran) {
 			return r.endStream(c, s, r.failed(c))
 		}
+		pause.For(c.ctx, r.spread(c, s, time.Now()))
 		if s.begun {
 			r.opts.Logger.Info("stream resumes", "request", c.id, "from", replica.ID, "after_event", s.last, "error", err)
 			r.opts.Meter.Retry(reason.RetryResumed)
