--- a/serving/suspicions.go
+++ b/serving/suspicions.go
@@ -31,16 +31,19 @@
 
 func newSuspicions() *suspicions { return &suspicions{held: make(map[string]suspicion)} }
 
-// add takes a suspicion since a time, and reports whether it is a new one.
+// add takes a suspicion since a time, and reports whether it is a new one. That a replica
+// is slow does not take the place of its silence.
 func (s *suspicions) add(stall peers.Stall, since time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held, known := s.held[stall.Replica]
-	if known && !since.After(held.since) {
+	current := known && since.Sub(held.since) <= stallFor
+	graver := known && held.Slow && !stall.Slow
+	if known && !since.After(held.since) && !graver || current && stall.Slow && !held.Slow {
 		return false
 	}
 	s.held[stall.Replica] = suspicion{Stall: stall, since: since, lookAt: held.lookAt}
-	return !known || since.Sub(held.since) > stallFor
+	return !current || graver
 }
 
 // due reports whether a leader is to look at a suspected replica now, and notes that
