cmd: Sum up from logs what was refused and late, and why

quartzshelf report LOG... counts by model and reason what was refused, late, moved and broken off, what leaders decided, and what they wanted and had, as text or JSON; lines that a cut left are counted.

--- a/cmd/operatorcmd/run.go
+++ b/cmd/operatorcmd/run.go
@@ -37,6 +37,7 @@
 	History  historyCommand  `cmd:"" help:"Show the newest changes and the verdicts on them."`
 	Status   statusCommand   `cmd:"" help:"Show replicas, domains, daemons and refusals."`
 	Explain  explainCommand  `cmd:"" help:"Say why a replica or node is as it is, or why a request went where it did."`
+	Report   reportCommand   `cmd:"" help:"Sum up from the logs of daemons what was refused and late, why, and what leaders did."`
 	Trace    traceCommand    `cmd:"" help:"Tell the story of a request, worker or replica from the logs of daemons."`
 	HashKey  hashKeyCommand  `cmd:"" help:"Print the hash of a bearer key, as a ClientAccount needs it."`
 
--- a/cmd/operatorcmd/trace.go
+++ b/cmd/operatorcmd/trace.go
@@ -48,7 +48,8 @@
 func (c *traceCommand) Run(env *environment) error {
 	var lines []logLine
 	for _, file := range c.Logs {
-		read, err := readLog(file)
+		// What is not understood leaves gaps in a story, but no wrong lines.
+		read, _, err := readLog(file)
 		if err != nil {
 			return &usageError{cause: err}
 		}
@@ -67,15 +68,14 @@
 	return nil
 }
 
-// readLog reads a log. What stands before a line's first brace, and lines that
-// are not JSON, are passed over.
-func readLog(file string) ([]logLine, error) {
+// readLog reads a log. What stands before a line's first brace is passed over, as are
+// lines without one. It counts the others that are not understood.
+func readLog(file string) (lines []logLine, unread int, err error) {
 	f, err := os.Open(file)
 	if err != nil {
-		return nil, fmt.Errorf("read log: %w", err)
+		return nil, 0, fmt.Errorf("read log: %w", err)
 	}
 	defer func() { _ = f.Close() }()
-	var lines []logLine
 	scanner := bufio.NewScanner(f)
 	scanner.Buffer(nil, maxLogLine)
 	for scanner.Scan() {
@@ -84,14 +84,16 @@
 			continue
 		}
 		l := logLine{daemon: filepath.Base(file), raw: bytes.Clone(scanner.Bytes()[start:])}
-		if json.Unmarshal(l.raw, &l) == nil && l.Message != "" {
-			lines = append(lines, l)
+		if json.Unmarshal(l.raw, &l) != nil || l.Message == "" {
+			unread++
+			continue
 		}
+		lines = append(lines, l)
 	}
 	if err := scanner.Err(); err != nil {
-		return nil, fmt.Errorf("read log %s: %w", file, err)
+		return nil, 0, fmt.Errorf("read log %s: %w", file, err)
 	}
-	return lines, nil
+	return lines, unread, nil
 }
 
 // peerInError finds the worker that an error names.
