--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -98,17 +98,17 @@
 // may have requests to end.
 func (k *Keeper) end(ctx context.Context, o *observed) {
 	if o.whole() {
-		k.drain(ctx, o, drainMost)
+		k.drain(ctx, o)
 		return
 	}
 	k.dissolve(ctx, o, o.head)
 }
 
-// drain lets a group's requests end within a time before it is dissolved.
-func (k *Keeper) drain(ctx context.Context, o *observed, within time.Duration) {
+// drain lets a group's requests end before it is dissolved.
+func (k *Keeper) drain(ctx context.Context, o *observed) {
 	k.opts.Logger.Info("draining replica", "replica", o.key)
 	k.announceClosed(o, o.head)
-	deadline := time.Now().Add(within)
+	deadline := time.Now().Add(drainMost)
 	verdict, ok := k.order(ctx, "close", o.head, func(ctx context.Context, fence Fence) (Verdict, error) {
 		return k.opts.Orders.Close(ctx, o.head, fence, o.group)
 	})
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -127,11 +127,6 @@
 	// left it while in a group.
 	seenView *fleet.View
 	absent   map[string]*absence
-	// slow holds the workers that told that they are slow, with when to ask again.
-	slow map[string]time.Time
-	// slowTurns holds, by model, until when groups given up for slow members may not
-	// serve again.
-	slowTurns map[string][]time.Time
 	// headless holds since when groups have had no listed head.
 	headless map[string]time.Time
 	// loading holds the loads that workers make, by worker.
@@ -206,8 +201,6 @@
 		former:    make(map[string]*fleet.Worker),
 		seenView:  opts.Inventory.View(),
 		absent:    make(map[string]*absence),
-		slow:      make(map[string]time.Time),
-		slowTurns: make(map[string][]time.Time),
 		headless:  make(map[string]time.Time),
 		loading:   make(map[string]load),
 		seen:      make(map[string]time.Time),
@@ -266,7 +259,6 @@
 	k.refresh(view)
 	k.refreshAbsent(view, now)
 	k.askAbsent(ctx, now)
-	k.askSlow(ctx, view, now)
 	for _, s := range config.Services() {
 		if s.Engine != nil {
 			k.tickService(ctx, s, view, now)
@@ -281,7 +273,6 @@
 	}
 	budget := k.budget(s, now)
 	needs, free := k.needs(s, groups, view), k.free(s, groups, view)
-	k.mendSlow(ctx, s.Engine, groups, free, now)
 	k.report(needs, free, now)
 	counted := k.traffic()
 	forGroups, forIdle := k.room(s, view, budget, now)
@@ -394,7 +385,6 @@
 	delete(k.silent, id)
 	now := time.Now()
 	k.reported(id, s, now)
-	k.notePace(id, s.Pace, now)
 	held, ok := k.known[id]
 	outdated := held.state.Member.Epoch > s.Member.Epoch || held.at.After(now) && held.state.Member.Same(s.Member)
 	if ok && outdated {
--- a/formation/leaving.go
+++ b/formation/leaving.go
@@ -30,5 +30,5 @@
 		return
 	}
 	k.leaveNext[o.model.Name] = now.Add(leaveEvery)
-	k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.drain(ctx, o, drainMost) })
+	k.begin(ctx, o.key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
 }
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -87,8 +87,6 @@
 	Staged []string
 	// Orders is how many orders the worker has begun in its life.
 	Orders int64
-	// Pace is a factor on all times of the worker: above 1 it is slow. 0 if it tells none.
-	Pace float64
 }
 
 // Orders reaches workers. An error of a function says that no answer came: the
--- a/formation/trading.go
+++ b/formation/trading.go
@@ -45,7 +45,7 @@
 		for _, key := range x.Keys {
 			o := byKey[key]
 			k.opts.Logger.Info("replica given up for another model", "replica", key, "for", x.Model)
-			k.begin(ctx, key, o.members, func(ctx context.Context) { k.drain(ctx, o, drainMost) })
+			k.begin(ctx, key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
 		}
 	}
 }
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -32,8 +32,6 @@
 	// staging tells that it loads to its host, stages counts orders to do so.
 	staging bool
 	stages  int
-	// pace is what the worker tells of its pace.
-	pace float64
 	// orders counts the orders begun, states holds what reports told of when.
 	orders int64
 	states []timedState
@@ -467,9 +465,7 @@
 		w.mu.Lock()
 		return State{}, errSilent
 	}
-	told := s.report(time.Now())
-	told.Pace = s.pace
-	return told, nil
+	return s.report(time.Now()), nil
 }
 
 // checkPartial notes a group that is opened although a member was never ready.
--- a/peers/heartbeat.go
+++ b/peers/heartbeat.go
@@ -44,8 +44,6 @@
 type Stall struct {
 	Replica string `json:"r"`
 	Head    string `json:"h"`
-	// Slow says less: its events come slowly, and the leader is asked to look.
-	Slow bool `json:"s,omitempty"`
 	// Age is how long ago that was, in milliseconds.
 	Age int64 `json:"a,omitempty"`
 }
--- a/relay/cost.go
+++ b/relay/cost.go
@@ -51,11 +51,6 @@
 	return c
 }
 
-// between returns the predicted time between two events with work in flight.
-func (c costs) between(busy float64) time.Duration {
-	return c.pass + time.Duration(min(busy, c.slots)*float64(c.perRequest))
-}
-
 // wait returns the predicted wait at a replica with work in flight and prompt
 // tokens to be read before.
 func (c costs) wait(busy float64, prefill int) time.Duration {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -31,7 +31,7 @@
 	r.Relay = New(Options{
 		Names: testNames, Config: func() *fleet.Config { return config },
 		Confirmed: func() time.Time { return r.confirmed }, BeliefFor: time.Minute,
-		View: r.inventory.View, Tracker: NewTracker("", ignored, ignored),
+		View: r.inventory.View, Tracker: NewTracker("", func(*fleet.Replica) {}),
 		Budget:  BudgetOptions{Ratio: 0.2, Window: 10 * time.Second, Extra: 1000, Daemons: func() int { return 1 }},
 		Leaving: func() bool { return r.leaving }, Meter: meter, Logger: hclog.NewNullLogger(),
 	})
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -113,16 +113,9 @@
 	if e.response.StatusCode != http.StatusOK || e.response.Header.Get(r.opts.Names.Signature) == "" {
 		return r.streamFailure(c, s, e, replica)
 	}
-	var pace paceWatch
-	if c.engine != nil {
-		pace.expected = costsOf(c.engine, c.model, replica.Head.Slots).between(c.chosenBusy)
-	}
 	moved := func(now time.Time) {
 		if s.begun {
 			s.late.noteNext(c, replica.ID, now.Sub(s.movedAt))
-			if pace.moved(now.Sub(s.movedAt)) {
-				r.opts.Tracker.slow(replica)
-			}
 		} else {
 			r.opts.Meter.FirstToken(c.arrived)
 			s.late.noteFirst(c, replica.ID, now)
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -66,9 +66,8 @@
 	pauses   pauses
 	// traffic tells that a request came, here or at a peer.
 	traffic bool
-	// stalled is called, without the lock, with a replica that fell silent, slow with
-	// one whose events come slowly.
-	stalled, slow func(r *fleet.Replica)
+	// stalled is called, without the lock, with a replica that fell silent.
+	stalled func(r *fleet.Replica)
 }
 
 // remoteLoads is the work of other daemons, as a source reported it.
@@ -79,12 +78,11 @@
 }
 
 // NewTracker returns a tracker for a daemon in a zone. It calls stalled with
-// each replica whose streams all fell silent, and slow with each one of whose streams
-// the events come slowly.
-func NewTracker(zone string, stalled, slow func(r *fleet.Replica)) *Tracker {
+// each replica whose streams all fell silent.
+func NewTracker(zone string, stalled func(r *fleet.Replica)) *Tracker {
 	return &Tracker{
 		zone: zone, stations: make(map[string]*station),
-		remote: make(map[string]remoteLoads), rates: newRates(), pauses: make(pauses), stalled: stalled, slow: slow,
+		remote: make(map[string]remoteLoads), rates: newRates(), pauses: make(pauses), stalled: stalled,
 	}
 }
 
--- a/relay/tracker_test.go
+++ b/relay/tracker_test.go
@@ -18,9 +18,6 @@
 	perRequest: time.Millisecond, service: time.Second,
 }
 
-// ignored takes what a tracker tells of a replica.
-func ignored(*fleet.Replica) {}
-
 func testReplica(id, zone string) *fleet.Replica {
 	return &fleet.Replica{ID: id, Service: "s", Model: "m", Head: &fleet.Worker{ID: id, Zone: zone}}
 }
@@ -40,7 +37,7 @@
 // all choose the same replica, though one looks a little better.
 func TestChoicesAreSpread(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tracker := NewTracker("z", ignored, ignored)
+	tracker := NewTracker("z", func(*fleet.Replica) {})
 	tracker.SetRemote("peer", peers.Summary{Daemons: 1, Loads: peers.Loads{{Replica: "b", InFlight: 1}}}, now.Add(-200*time.Millisecond))
 	replicas := []*fleet.Replica{testReplica("a", "z"), testReplica("b", "z")}
 	counts := chosen(tracker, replicas, now, 400)
@@ -60,7 +57,7 @@
 	// draws widens the spread, so few are drawn.
 	near := 0
 	for range 100 {
-		tracker := NewTracker("near", ignored, ignored)
+		tracker := NewTracker("near", func(*fleet.Replica) {})
 		near += chosen(tracker, replicas, now, 10)["b"]
 	}
 	assert.Assert(t, near > 600, "%d of 1000", near)
@@ -100,7 +97,7 @@
 // not know of each other's newest request both take it, and one is refused.
 func TestNearlyFullReplicasAreLeftAlone(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tracker := NewTracker("z", ignored, ignored)
+	tracker := NewTracker("z", func(*fleet.Replica) {})
 	// At a the wait for the first event is 21 ms shorter.
 	tracker.SetRemote("peer", peers.Summary{Daemons: 1, Loads: peers.Loads{{Replica: "a", InFlight: 19}, {Replica: "b", InFlight: 10, Prefill: 1500}}}, now)
 	replicas := []*fleet.Replica{testReplica("a", "z"), testReplica("b", "z")}
@@ -112,7 +109,7 @@
 // their callers bear.
 func TestWorkIsMeasured(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tracker := NewTracker("z", ignored, ignored)
+	tracker := NewTracker("z", func(*fleet.Replica) {})
 	first := tracker.Begin(testReplica("a", "z"), 1500)
 	tracker.Begin(testReplica("b", "z"), 500)
 	first.Started()
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -65,10 +65,8 @@
 	for _, stall := range p.Stalls {
 		at := p.HeardAt.Add(-time.Duration(stall.Age) * time.Millisecond)
 		news = s.suspicions.add(stall, at) || news
-		if !stall.Slow {
-			// Streams that moved a moment ago may have stopped by the next report.
-			s.tracker.Suspect(stall.Replica, p.HeardAt)
-		}
+		// Streams that moved a moment ago may have stopped by the next report.
+		s.tracker.Suspect(stall.Replica, p.HeardAt)
 		s.suspect(stall.Replica)
 	}
 	if news && s.passesOn() {
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -55,16 +55,6 @@
 	s.agent.Send(now)
 }
 
-// slow asks the leader to look at a replica whose events come slowly.
-func (s *Server) slow(r *fleet.Replica) {
-	now := time.Now()
-	news := s.suspicions.add(peers.Stall{Replica: r.ID, Head: r.Head.ID, Slow: true}, now)
-	s.suspect(r.ID)
-	if news {
-		s.agent.Send(now)
-	}
-}
-
 // suspect tells the keeper of a suspicion if this daemon leads.
 func (s *Server) suspect(replica string) {
 	s.mu.Lock()
--- a/serving/server.go
+++ b/serving/server.go
@@ -80,7 +80,7 @@
 		inventory: fleet.NewInventory(opts.Bounds.Heartbeat, opts.Bounds.Leave), suspicions: newSuspicions(),
 		readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
 	}
-	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled, s.slow)
+	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
 	s.fetcher = newFetcher(s)
 	s.follower = fleet.NewFollower(fleet.FollowerOptions{
 		Source: opts.Source, Beliefs: s.beliefs, Inventory: s.inventory,
--- a/serving/suspicions.go
+++ b/serving/suspicions.go
@@ -31,19 +31,16 @@
 
 func newSuspicions() *suspicions { return &suspicions{held: make(map[string]suspicion)} }
 
-// add takes a suspicion since a time, and reports whether it is a new one. That a replica
-// is slow does not take the place of its silence.
+// add takes a suspicion since a time, and reports whether it is a new one.
 func (s *suspicions) add(stall peers.Stall, since time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held, known := s.held[stall.Replica]
-	current := known && since.Sub(held.since) <= stallFor
-	graver := known && held.Slow && !stall.Slow
-	if known && !since.After(held.since) && !graver || current && stall.Slow && !held.Slow {
+	if known && !since.After(held.since) {
 		return false
 	}
 	s.held[stall.Replica] = suspicion{Stall: stall, since: since, lookAt: held.lookAt}
-	return !current || graver
+	return !known || since.Sub(held.since) > stallFor
 }
 
 // due reports whether a leader is to look at a suspected replica now, and notes that
