--- a/formation/demand.go
+++ b/formation/demand.go
@@ -90,7 +90,9 @@
 	byShare := m.Share * float64(workers) / float64(max(m.Size, 1))
 	work := k.smooth[m.Name]
 	byWork := work.Busy/(fillTarget*float64(max(e.Slots, 1))) + reserve
-	byWork = max(byWork, afterLoss(e, m.Name, work))
+	// Where replicas run slowly, requests stay longer and their prompts add up: the
+	// plan for the whole fleet bounds what is wanted for a loss, or the other models pay.
+	byWork = max(byWork, min(afterLoss(e, m.Name, work), byShare))
 	now := time.Now()
 	switch {
 	case !k.traffic():
