--- a/relay/stream.go
+++ b/relay/stream.go
@@ -98,10 +98,10 @@
 func (r *Relay) tryStream(c *request, s *relayed, replica *fleet.Replica) error {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
-	hold := r.opts.Tracker.Begin(replica, c.prompt)
-	defer hold.End()
-	track := r.opts.Tracker.Follow(replica, cancel)
-	defer r.opts.Tracker.Unfollow(replica, track)
+	reserved := r.opts.Tracker.Begin(replica, c.prompt)
+	defer reserved.End()
+	watch := r.opts.Tracker.Follow(replica, cancel)
+	defer r.opts.Tracker.Unfollow(replica, watch)
 	e, err := r.upstream.send(ctx, replica.Head, r.messageFor(c, replica.Head, s.last))
 	if err != nil {
 		return err
@@ -120,8 +120,8 @@
 			r.opts.Meter.FirstToken(c.arrived)
 			s.late.noteFirst(c, replica.ID, now)
 		}
-		hold.Started()
-		r.opts.Tracker.Moved(replica, track, now)
+		reserved.Started()
+		r.opts.Tracker.Moved(replica, watch, now)
 	}
 	if err := s.copy(e, moved); err != nil {
 		e.abort()
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,13 +10,6 @@
 )
 
 const (
-	// beginSilence and goSilence are how long all streams from a replica may be
-	// silent before it is suspected: while none has begun, and after.
-	beginSilence = 900 * time.Millisecond
-	goSilence    = 450 * time.Millisecond
-	// suspectFor is how long a suspected replica gets no requests unless it
-	// shows progress.
-	suspectFor = 2 * time.Second
 	// failureFor is how long a replica that failed a request is passed over if
 	// others are there.
 	failureFor = time.Second
@@ -33,37 +25,30 @@
 	noisePasses = 5
 )
 
-// station is a replica as this daemon's requests see it.
-type station struct {
+// replicaLoad is a replica as this daemon's requests see it.
+type replicaLoad struct {
 	replica  *fleet.Replica
 	inFlight int
 	prefill  int
 	// prompts counts the prompt tokens of all requests in flight.
 	prompts   int
-	streams   map[*Watch]struct{}
+	streams   map[*StreamWatch]struct{}
 	lastMove  time.Time
 	suspect   time.Time
 	failedAt  time.Time
 	lastKnown time.Time
 }
 
-// Watch is a stream in flight.
-type Watch struct {
-	begun  bool
-	since  time.Time
-	cancel context.CancelCauseFunc
-}
-
 // Tracker counts the work in flight at each replica and notices when one falls
 // silent. It is safe for concurrent use.
 type Tracker struct {
 	zone string
 
-	mu       sync.Mutex
-	stations map[string]*station
-	remote   map[string]remoteLoads
-	rates    *rates
-	pauses   pauses
+	mu     sync.Mutex
+	held   map[string]*replicaLoad
+	remote map[string]remoteLoads
+	rates  *rates
+	pauses pauses
 	// traffic tells that a request came, here or at a peer.
 	traffic bool
 	// stalled is called, without the lock, with a replica that fell silent.
@@ -81,16 +66,16 @@
 // each replica whose streams all fell silent.
 func NewTracker(zone string, stalled func(r *fleet.Replica)) *Tracker {
 	return &Tracker{
-		zone: zone, stations: make(map[string]*station),
+		zone: zone, held: make(map[string]*replicaLoad),
 		remote: make(map[string]remoteLoads), rates: newRates(), pauses: make(pauses), stalled: stalled,
 	}
 }
 
-func (t *Tracker) station(r *fleet.Replica) *station {
-	s, ok := t.stations[r.ID]
+func (t *Tracker) loadOf(r *fleet.Replica) *replicaLoad {
+	s, ok := t.held[r.ID]
 	if !ok {
-		s = &station{replica: r, streams: make(map[*Watch]struct{})}
-		t.stations[r.ID] = s
+		s = &replicaLoad{replica: r, streams: make(map[*StreamWatch]struct{})}
+		t.held[r.ID] = s
 	}
 	s.lastKnown = time.Now()
 	return s
@@ -126,7 +111,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all peers.Loads
-	for id, s := range t.stations {
+	for id, s := range t.held {
 		if s.inFlight > 0 {
 			all = append(all, peers.Load{Replica: id, InFlight: s.inFlight, Prefill: s.prefill})
 		}
@@ -140,7 +125,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	busy, prompts = make(map[string]float64), make(map[string]float64)
-	for _, s := range t.stations {
+	for _, s := range t.held {
 		if s.replica.Model != "" {
 			busy[s.replica.Model] += float64(s.inFlight)
 			prompts[s.replica.Model] += float64(s.prompts)
@@ -207,7 +192,7 @@
 // cost returns the work in flight at a replica, and the predicted wait there.
 func (t *Tracker) cost(r *fleet.Replica, c costs, now time.Time) (busy float64, wait time.Duration) {
 	inFlight, prefill := 0, 0
-	s, ok := t.stations[r.ID]
+	s, ok := t.held[r.ID]
 	if ok {
 		inFlight, prefill = s.inFlight, s.prefill
 	}
@@ -230,7 +215,7 @@
 }
 
 // penalty returns what is added to the wait at a replica that gave cause.
-func (t *Tracker) penalty(s *station, c costs, now time.Time) time.Duration {
+func (t *Tracker) penalty(s *replicaLoad, c costs, now time.Time) time.Duration {
 	penalty := time.Duration(0)
 	if now.Before(s.suspect) {
 		penalty += suspectCost
@@ -241,154 +226,9 @@
 	return penalty
 }
 
-// Hold is a request counted at a replica.
-type Hold struct {
-	tracker *Tracker
-	station *station
-	// prompt is the number of prompt tokens, prefill how many of them are to be read.
-	prompt  int
-	prefill int
-	ended   bool
-}
-
-// Begin counts a request with a number of prompt tokens to be read.
-func (t *Tracker) Begin(r *fleet.Replica, prompt int) *Hold {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.station(r)
-	s.inFlight++
-	s.prefill += prompt
-	s.prompts += prompt
-	t.traffic = t.traffic || prompt > 0
-	return &Hold{tracker: t, station: s, prompt: prompt, prefill: prompt}
-}
-
-// Started notes that the prompt was read.
-func (h *Hold) Started() {
-	h.tracker.mu.Lock()
-	defer h.tracker.mu.Unlock()
-	h.station.prefill -= h.prefill
-	h.prefill = 0
-}
-
-// End ends the count; further calls do nothing.
-func (h *Hold) End() {
-	h.tracker.mu.Lock()
-	defer h.tracker.mu.Unlock()
-	if h.ended {
-		return
-	}
-	h.ended = true
-	h.station.inFlight--
-	h.station.prefill -= h.prefill
-	h.station.prompts -= h.prompt
-}
-
 // Fail notes that a replica failed a request.
 func (t *Tracker) Fail(r *fleet.Replica, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.station(r).failedAt = now
-}
-
-// Follow follows a stream: cancel is called when its replica falls silent.
-func (t *Tracker) Follow(r *fleet.Replica, cancel context.CancelCauseFunc) *Watch {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	track := &Watch{since: time.Now(), cancel: cancel}
-	t.station(r).streams[track] = struct{}{}
-	return track
-}
-
-// Moved notes that an event of a stream came.
-func (t *Tracker) Moved(r *fleet.Replica, track *Watch, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.station(r)
-	track.begun = true
-	s.lastMove = now
-	s.suspect = time.Time{}
-}
-
-// Unfollow ends the following of a stream.
-func (t *Tracker) Unfollow(r *fleet.Replica, track *Watch) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.station(r).streams, track)
-}
-
-// Suspect passes a replica over for a while, on a peer's word.
-func (t *Tracker) Suspect(replica string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s, ok := t.stations[replica]; ok && now.Sub(s.lastMove) > goSilence {
-		s.suspect = now.Add(suspectFor)
-	}
-}
-
-// Sweep looks for replicas that fell silent, cuts their streams off so that
-// they go on elsewhere, and forgets replicas that are gone. A gap since the
-// last sweep that shows this process stood still excuses all silence.
-func (t *Tracker) Sweep(now time.Time, gap time.Duration) {
-	if gap > goSilence/2 {
-		t.excuse(now)
-		return
-	}
-	for _, r := range t.silent(now) {
-		t.stalled(r)
-	}
-}
-
-func (t *Tracker) excuse(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, s := range t.stations {
-		s.lastMove = now
-	}
-}
-
-func (t *Tracker) silent(now time.Time) []*fleet.Replica {
-	const forgetAfter = time.Minute
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var all []*fleet.Replica
-	for id, s := range t.stations {
-		if s.inFlight == 0 && len(s.streams) == 0 && now.Sub(s.lastKnown) > forgetAfter {
-			delete(t.stations, id)
-			continue
-		}
-		if !s.isSilent(now) {
-			continue
-		}
-		s.suspect = now.Add(suspectFor)
-		all = append(all, s.replica)
-		for track := range s.streams {
-			track.cancel(errStalled)
-		}
-	}
-	return all
-}
-
-// isSilent reports whether none of the replica's streams moved for so long
-// that it must have stopped.
-func (s *station) isSilent(now time.Time) bool {
-	if len(s.streams) == 0 {
-		return false
-	}
-	limit, since := beginSilence, s.lastMove
-	for track := range s.streams {
-		if track.begun {
-			limit = goSilence
-		}
-	}
-	first := now
-	for track := range s.streams {
-		if track.since.Before(first) {
-			first = track.since
-		}
-	}
-	if first.After(since) {
-		since = first
-	}
-	return now.Sub(since) > limit
+	t.loadOf(r).failedAt = now
 }
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -69,8 +69,8 @@
 
 // tryWhole sends the request to one worker and reads the whole answer.
 func (r *Relay) tryWhole(c *request, replica *fleet.Replica) (*answer, error) {
-	hold := r.opts.Tracker.Begin(replica, c.prompt)
-	defer hold.End()
+	reserved := r.opts.Tracker.Begin(replica, c.prompt)
+	defer reserved.End()
 	e, err := r.upstream.send(c.ctx, replica.Head, r.messageFor(c, replica.Head, ""))
 	if err != nil {
 		return nil, err
