--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -25,7 +25,7 @@
 	perPass := make(map[time.Duration]int)
 	for range streams {
 		s := &relayed{begun: true, movedAt: now.Add(-noticed)}
-		wait := r.spread(&request{route: route, arrived: now.Add(-3 * time.Second)}, s, now)
+		wait := r.spread(&request{route: route, arrived: now.Add(-3 * time.Second), deadline: now.Add(5 * time.Second)}, s, now)
 		perPass[wait/pass]++
 		assert.Assert(t, noticed+wait < leave, "%s", wait)
 	}
@@ -35,6 +35,31 @@
 	}
 }
 
+// TestSpreadEndsBeforeCallersLeave: a stream that has little time left, or whose caller has
+// waited for long, goes on soon.
+func TestSpreadEndsBeforeCallersLeave(t *testing.T) {
+	now := time.Unix(1000, 0)
+	route := &fleet.Route{Objective: 300 * time.Millisecond, GapTarget: 300 * time.Millisecond}
+	tests := map[string]struct {
+		// left is the time to the deadline, pause how long ago the last event came.
+		left, pause, most time.Duration
+	}{
+		"little time left":     {left: 400 * time.Millisecond, pause: 500 * time.Millisecond, most: 100 * time.Millisecond},
+		"a long pause":         {left: 5 * time.Second, pause: 1500 * time.Millisecond, most: 100 * time.Millisecond},
+		"too long a pause":     {left: 5 * time.Second, pause: 3 * time.Second},
+		"the deadline is past": {left: -time.Second, pause: 500 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &request{route: route, arrived: now.Add(-5 * time.Second), deadline: now.Add(test.left)}
+			for range 100 {
+				wait := (&Relay{}).spread(c, &relayed{begun: true, movedAt: now.Add(-test.pause)}, now)
+				assert.Assert(t, wait >= 0 && wait <= test.most, "%s", wait)
+			}
+		})
+	}
+}
+
 // TestStreamsInTimeGoOnAtOnce: a stream that broke off a moment after its last event can
 // be in time elsewhere.
 func TestStreamsInTimeGoOnAtOnce(t *testing.T) {
