formation: Remember workers that have ended while the list shows them

Workers that crash come back as new ones at the old address. While the store is away the list shows their former lives, which answer that another worker is there; the leader gave the group up and formed the next one of the same workers at once, up to 450 in a second. Live members were to join for either model by turns, so that what the leader took for staged was displaced, and their loads were not counted.

A worker at whose address another one answered, to an order or a question, now counts as gone. Besides, what members of a group that was given up hold is not taken for certain until the list was confirmed after it.

Ruled out: loads for groups beyond those that run well side by side; the bound on those that begin holds for them too, and the groups begun there needed no load as far as the leader knew.

--- /dev/null
+++ b/formation/ended_test.go
@@ -0,0 +1,71 @@
+package formation
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// TestEndedWorkersAreLeftAlone: four idle workers were started anew, and the list shows
+// their former lives. No group may be formed of these again and again.
+func TestEndedWorkersAreLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 10)
+		_, stop := term(w, 1)
+		time.Sleep(4 * time.Second)
+		for _, id := range []string{"w0-10", "w0-11", "w0-12", "w0-13"} {
+			w.mu.Lock()
+			w.elsewhere[id] = true
+			w.mu.Unlock()
+			w.add(id, "d0")
+		}
+		time.Sleep(5 * time.Second)
+		stop()
+		// A join and a leave each, before that is known.
+		w.mu.Lock()
+		assert.Assert(t, w.answered > 0 && w.answered <= 4, "%d orders", w.answered)
+		w.mu.Unlock()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestInterruptedJoinsAreNotTakenForWarm: what a worker holds after a join that was cut off
+// is not certain until the list was confirmed after it.
+func TestInterruptedJoinsAreNotTakenForWarm(t *testing.T) {
+	tests := map[string]struct {
+		loaded, staged string
+		// big and small are how warm it is then for these models.
+		big, small Warmth
+	}{
+		"it served the model last":    {loaded: "big", staged: "small", big: Hot, small: Staged},
+		"it had the model staged":     {loaded: "small", staged: "big", big: Staged, small: ColdOther},
+		"it had to load it":           {loaded: "small", staged: "small", big: Cold, small: Cold},
+		"it had to load it, as a new": {big: Cold, small: Cold},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, 1, 0)
+				entry := &fleet.Worker{ID: "a", Service: "models", Domain: "d", Loaded: test.loaded}
+				if test.staged != "" {
+					entry.Staged = []string{test.staged}
+				}
+				w.inventory.Apply([]fleet.Change{{ID: "a", Worker: entry}}, 1, time.Now())
+				k := NewKeeper(w.options(), Term{Epoch: 1}, func() {})
+				k.former["a"] = entry
+				before := k.freeOf(entry)
+				k.noteInterrupted(Group{Model: "big", Members: []string{"a", "unknown"}}, time.Now())
+				assert.Equal(t, k.freeOf(entry).warmth("big"), test.big)
+				assert.Equal(t, k.freeOf(entry).warmth("small"), test.small)
+				time.Sleep(2 * settleFor)
+				w.inventory.Confirm(1, time.Now())
+				assert.DeepEqual(t, k.freeOf(entry), before)
+			})
+		})
+	}
+}
--- a/formation/form.go
+++ b/formation/form.go
@@ -59,6 +59,9 @@
 		return
 	}
 	k.opts.Logger.Warn("forming given up", "replica", g.Key(), "model", g.Model, "reason", why)
+	k.mu.Lock()
+	k.noteInterrupted(g, time.Now())
+	k.mu.Unlock()
 	k.dissolve(term, &observed{key: g.Key(), group: g}, head)
 }
 
--- a/formation/give.go
+++ b/formation/give.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"quartzshelf.dev/fleet"
 )
@@ -24,6 +25,9 @@
 			continue
 		case err == nil:
 			k.checkTerm(what, w, verdict)
+			if verdict == Elsewhere {
+				k.noteEnded(w)
+			}
 			return verdict, true
 		}
 		k.forgetPosition(w.ID)
@@ -63,6 +67,9 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	state, err := k.opts.Orders.Ask(ctx, w)
+	if errors.Is(err, ErrElsewhere) {
+		k.noteEnded(w)
+	}
 	if err != nil {
 		return State{}, false
 	}
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -235,8 +235,15 @@
 	return all
 }
 
-// freeOf returns a worker as the planner sees it.
+// freeOf returns a worker as the planner sees it: by the list, once that was confirmed
+// after what the keeper knows better.
 func (k *Keeper) freeOf(w *fleet.Worker) Free {
+	if i, ok := k.interrupted[w.ID]; ok {
+		if !k.opts.Inventory.Confirmed().After(i.at.Add(settleFor)) {
+			return Free{ID: w.ID, Domain: w.Domain, Staged: i.staged}
+		}
+		delete(k.interrupted, w.ID)
+	}
 	return Free{ID: w.ID, Domain: w.Domain, Loaded: k.loaded(w), Staged: w.Staged}
 }
 
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -127,6 +127,10 @@
 	// left it while in a group.
 	seenView *fleet.View
 	absent   map[string]*absence
+	// ended holds the workers at whose address another one answered.
+	ended map[string]bool
+	// interrupted holds the workers that may have been cut off while they joined a group.
+	interrupted map[string]interruption
 	// headless holds since when groups have had no listed head.
 	headless map[string]time.Time
 	// loading holds the loads that workers make, by worker.
@@ -188,29 +192,31 @@
 	k := &Keeper{
 		opts: opts, term: term, outdone: outdone,
 		done: make(chan struct{}), suspects: make(chan string, 64),
-		known:     make(map[string]observation),
-		positions: make(map[string]position),
-		busy:      make(map[string]bool),
-		operating: make(map[string]bool),
-		examining: make(map[string]bool),
-		retired:   make(map[string]retirement),
-		dissolved: make(map[string]dissolution),
-		heads:     make(map[string]string),
-		formed:    make(map[string]Group),
-		silent:    make(map[string]time.Time),
-		former:    make(map[string]*fleet.Worker),
-		seenView:  opts.Inventory.View(),
-		absent:    make(map[string]*absence),
-		headless:  make(map[string]time.Time),
-		loading:   make(map[string]load),
-		seen:      make(map[string]time.Time),
-		loads:     make(map[string]*loads),
-		smooth:    make(map[string]Work),
-		leaveBy:   make(map[string]time.Time),
-		leaveNext: make(map[string]time.Time),
-		stageNext: make(map[string]time.Time),
-		growths:   make(map[string]*growth),
-		calls:     make(chan struct{}, callsAtOnce),
+		known:       make(map[string]observation),
+		positions:   make(map[string]position),
+		busy:        make(map[string]bool),
+		operating:   make(map[string]bool),
+		examining:   make(map[string]bool),
+		retired:     make(map[string]retirement),
+		dissolved:   make(map[string]dissolution),
+		heads:       make(map[string]string),
+		formed:      make(map[string]Group),
+		silent:      make(map[string]time.Time),
+		former:      make(map[string]*fleet.Worker),
+		seenView:    opts.Inventory.View(),
+		absent:      make(map[string]*absence),
+		ended:       make(map[string]bool),
+		interrupted: make(map[string]interruption),
+		headless:    make(map[string]time.Time),
+		loading:     make(map[string]load),
+		seen:        make(map[string]time.Time),
+		loads:       make(map[string]*loads),
+		smooth:      make(map[string]Work),
+		leaveBy:     make(map[string]time.Time),
+		leaveNext:   make(map[string]time.Time),
+		stageNext:   make(map[string]time.Time),
+		growths:     make(map[string]*growth),
+		calls:       make(chan struct{}, callsAtOnce),
 	}
 	k.fresh = k.isFresh(opts.Inventory.View())
 	return k
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -101,7 +101,8 @@
 	// Close lets the group's requests end and takes no new ones.
 	Close func(ctx context.Context, w *fleet.Worker, fence Fence, g Group) (Verdict, error)
 	Leave func(ctx context.Context, w *fleet.Worker, fence Fence, g Group) (Verdict, error)
-	// Ask returns the worker's state, which may lag by some hundred milliseconds.
+	// Ask returns the worker's state, which may lag by some hundred milliseconds. The
+	// error is ErrElsewhere if another worker answered.
 	Ask func(ctx context.Context, w *fleet.Worker) (State, error)
 }
 
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -92,7 +92,7 @@
 func (k *Keeper) silentNow(id string) bool {
 	_, silent := k.silent[id]
 	a, absent := k.absent[id]
-	return silent || absent && a.ended
+	return silent || absent && a.ended || k.ended[id]
 }
 
 // revive asks silent workers again now and then. The keeper's mutex is held.
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -81,6 +81,10 @@
 	cut map[string]bool
 	// dark holds the workers that nobody reaches.
 	dark map[string]bool
+	// elsewhere holds the workers at whose address another one answers, answered counts
+	// the orders that it was given.
+	elsewhere map[string]bool
+	answered  int
 	// young tells that leaders have not known the list for long.
 	young bool
 	// loadsPerSecond bounds the loads that may begin, loads holds when they did.
@@ -127,7 +131,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
 		demand: map[string]Work{"big": {Busy: 5}, "small": {Busy: 5}}, closing: time.Second,
-		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool), dark: make(map[string]bool),
+		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool), dark: make(map[string]bool), elsewhere: make(map[string]bool),
 		delays: make(map[string][]time.Duration), opening: simForm + simDelivery, opened: make(map[string]int), loadsPerSecond: 5,
 	}
 	for d := range domains {
@@ -267,6 +271,11 @@
 func (w *world) run(ctx context.Context, what, id string, fence Fence, do func(*simWorker) Verdict) (Verdict, error) {
 	w.mu.Lock()
 	s := w.workers[id]
+	if w.elsewhere[id] {
+		w.answered++
+		w.mu.Unlock()
+		return Elsewhere, nil
+	}
 	dead := s.dead || w.cut[id] || w.dark[id]
 	delay, late := w.delay(what, id, fence)
 	w.mu.Unlock()
@@ -459,6 +468,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.workers[worker.ID]
+	if w.elsewhere[worker.ID] {
+		return State{}, ErrElsewhere
+	}
 	if s.dead || w.cut[worker.ID] || w.dark[worker.ID] {
 		w.mu.Unlock()
 		<-ctx.Done()
