--- a/cmd/operatorcmd/report.go
+++ b/cmd/operatorcmd/report.go
@@ -10,6 +10,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"quartzshelf.dev/fleet"
 )
 
 // reportCommand sums up what logs tell of a span of time.
@@ -48,20 +50,14 @@
 	Idle  int       `json:"idle_workers"`
 }
 
-// reportFields are the fields of a line that a report counts by.
-type reportFields struct {
-	Model  string `json:"model"`
-	Reason string `json:"reason"`
-}
-
 // noModel stands for the model of requests to services without one.
 const noModel = "-"
 
 // decisionLines are the messages that tell what a leader did or found.
 var decisionLines = []string{
 	"forming replica", "replica opened", "forming given up", "draining replica", "replica dissolved",
-	"replica given up for another model", "replica given up for slow members", "staging", "staging not taken",
-	"worker does not answer", "worker that left the list does not answer", "worker is slow", "leading",
+	"replica given up for another model", "staging", "staging not taken",
+	"worker does not answer", "worker that left the list does not answer", "leading",
 }
 
 // Run implements the command.
@@ -80,7 +76,7 @@
 		return &usageError{cause: fmt.Errorf("no line of a daemon in %s", strings.Join(c.Logs, ", "))}
 	}
 	r := reportOf(lines)
-	r.Unread = unread
+	r.Unread += unread
 	if c.JSON {
 		encoder := json.NewEncoder(env.stdout)
 		encoder.SetIndent("", "  ")
@@ -111,30 +107,26 @@
 }
 
 func (r *report) take(l logLine) {
-	var f reportFields
-	// A line that was decoded before decodes again; one with other fields has none of these.
-	if err := json.Unmarshal(l.raw, &f); err != nil {
-		r.Unread++
-		return
-	}
-	switch {
-	case l.Message == "request refused":
-		count(r.Refused, f.Model, f.Reason)
-	case l.Message == "stream late":
-		count(r.Late, f.Model, f.Reason)
-	case l.Message == "stream broken off":
-		count(r.Broken, f.Model, f.Reason)
-	case l.Message == "stream resumes":
-		count(r.Moved, modelOfReplica(l.From), causeOf(l.Error))
-	case l.Message == "replicas":
+	switch l.Message {
+	case "request refused":
+		count(r.Refused, l.Model, l.Reason)
+	case "stream late":
+		count(r.Late, l.Model, l.Reason)
+	case "stream broken off":
+		count(r.Broken, l.Model, l.Reason)
+	case "stream resumes":
+		count(r.Moved, fleet.ModelOf(l.From), causeOf(l.Error))
+	case "replicas":
 		var told replicasLine
 		if err := json.Unmarshal(l.raw, &told); err != nil {
 			r.Unread++
 			return
 		}
 		r.Replicas = append(r.Replicas, told)
-	case slices.Contains(decisionLines, l.Message):
-		r.Decisions[l.Message]++
+	default:
+		if slices.Contains(decisionLines, l.Message) {
+			r.Decisions[l.Message]++
+		}
 	}
 }
 
@@ -148,15 +140,6 @@
 	all[model][reason]++
 }
 
-// modelOfReplica returns the model that a replica's identity begins with.
-func modelOfReplica(id string) string {
-	i := strings.LastIndex(id, "-r")
-	if i < 0 {
-		return noModel
-	}
-	return id[:i]
-}
-
 // causeOf returns what an error says last, without the addresses in it.
 func causeOf(text string) string {
 	parts := strings.Split(text, ": ")
--- a/cmd/operatorcmd/trace.go
+++ b/cmd/operatorcmd/trace.go
@@ -39,6 +39,8 @@
 	Worker  string    `json:"worker"`
 	Error   string    `json:"error"`
 	From    string    `json:"from"`
+	Model   string    `json:"model"`
+	Reason  string    `json:"reason"`
 	// daemon is the log's file, raw the line as it stands.
 	daemon string
 	raw    []byte
--- a/formation/absent.go
+++ b/formation/absent.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
+	"iter"
 	"time"
 
 	"quartzshelf.dev/fleet"
@@ -75,16 +74,21 @@
 	return k.isAbsent(id)
 }
 
-// present returns the workers that are listed, and those that left the list but count
+// present iterates over the workers that are listed, and those that left the list but count
 // as members of their groups. The keeper's mutex is held.
-func (k *Keeper) present(view *fleet.View) []*fleet.Worker {
-	all := slices.Collect(maps.Values(view.Workers()))
-	for id, a := range k.absent {
-		if k.isAbsent(id) {
-			all = append(all, a.worker)
+func (k *Keeper) present(view *fleet.View) iter.Seq[*fleet.Worker] {
+	return func(yield func(*fleet.Worker) bool) {
+		for _, w := range view.Workers() {
+			if !yield(w) {
+				return
+			}
+		}
+		for id, a := range k.absent {
+			if k.isAbsent(id) && !yield(a.worker) {
+				return
+			}
 		}
 	}
-	return all
 }
 
 // mendAbsentHead ends a group whose head left the list but may live: callers send it
@@ -116,10 +120,7 @@
 // checkAbsent asks one worker that left the list, and notes that it ended if it does
 // not answer.
 func (k *Keeper) checkAbsent(ctx context.Context, a *absence) {
-	answers := false
-	for tries := 0; tries < silentTries && !answers; tries++ {
-		_, answers = k.ask(ctx, a.worker)
-	}
+	answers := k.answers(ctx, a.worker)
 	if ctx.Err() != nil {
 		return
 	}
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -58,7 +58,7 @@
 // groups returns the groups of a service as its workers show them, sorted by key.
 func (k *Keeper) groups(s *fleet.Service, view *fleet.View) []*observed {
 	byKey := make(map[string]*observed)
-	for _, w := range k.present(view) {
+	for w := range k.present(view) {
 		m := k.member(w)
 		if w.Service != s.Name || m.Group == "" {
 			continue
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -189,6 +189,7 @@
 // NewKeeper returns a keeper for a term. It calls outdone when a worker shows
 // that another leader has a higher term.
 func NewKeeper(opts Options, term Term, outdone func()) *Keeper {
+	view := opts.Inventory.View()
 	k := &Keeper{
 		opts: opts, term: term, outdone: outdone,
 		done: make(chan struct{}), suspects: make(chan string, 64),
@@ -203,7 +204,7 @@
 		formed:      make(map[string]Group),
 		silent:      make(map[string]time.Time),
 		former:      make(map[string]*fleet.Worker),
-		seenView:    opts.Inventory.View(),
+		seenView:    view,
 		absent:      make(map[string]*absence),
 		ended:       make(map[string]bool),
 		interrupted: make(map[string]interruption),
@@ -218,7 +219,7 @@
 		growths:     make(map[string]*growth),
 		calls:       make(chan struct{}, callsAtOnce),
 	}
-	k.fresh = k.isFresh(opts.Inventory.View())
+	k.fresh = k.isFresh(view)
 	return k
 }
 
--- a/formation/suspect.go
+++ b/formation/suspect.go
@@ -41,7 +41,7 @@
 		return nil
 	}
 	var members []*fleet.Worker
-	for _, w := range k.present(view) {
+	for w := range k.present(view) {
 		m := k.member(w)
 		if m.Group == "" || fleet.GroupKey(m) != replica {
 			continue
@@ -59,18 +59,24 @@
 }
 
 func (k *Keeper) check(ctx context.Context, w *fleet.Worker, replica string) {
-	for range silentTries {
-		if _, ok := k.ask(ctx, w); ok {
-			return
-		}
-	}
-	if ctx.Err() != nil {
+	if k.answers(ctx, w) || ctx.Err() != nil {
 		return
 	}
 	k.opts.Logger.Warn("worker does not answer", "worker", w.ID, "replica", replica)
 	k.fellSilent(w.ID)
 }
 
+// answers reports whether a worker answers one of as many questions as it may leave
+// unanswered.
+func (k *Keeper) answers(ctx context.Context, w *fleet.Worker) bool {
+	for range silentTries {
+		if _, ok := k.ask(ctx, w); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // fellSilent notes that a worker does not answer.
 func (k *Keeper) fellSilent(id string) {
 	k.mu.Lock()
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -199,9 +199,6 @@
 // Retries returns the counters of retries that are not zero.
 func (m *Meter) Retries() map[reason.Reason]int64 { return nonZero(m.retries) }
 
-// Lates returns the counters of late streams that are not zero.
-func (m *Meter) Lates() map[reason.Reason]int64 { return nonZero(m.late) }
-
 // Requests returns how many requests were received.
 func (m *Meter) Requests() int64 { return m.requests.Load() }
 
