--- a/common/reason/reason.go
+++ b/common/reason/reason.go
@@ -35,6 +35,16 @@
 	EndpointTimeout    Reason = "endpoint_timeout"
 	EndpointCrossed    Reason = "endpoint_answer_mismatch"
 	ConfigurationClash Reason = "configuration_clash"
+	HallClosed         Reason = "hall_closed"
+	RegionNotAllowed   Reason = "region_not_allowed"
+	WarmUp             Reason = "warm_up"
+)
+
+// Reasons for which a replica is passed over that refuse no request by themselves.
+const (
+	Tried     Reason = "tried"
+	Suspected Reason = "suspected"
+	Leaving   Reason = "leaving"
 )
 
 // Reasons of retries: the request was sent again to another replica.
@@ -71,10 +81,15 @@
 		NoReplica, Overloaded, AccountLimit, FairShare, Starting, Stopping, Isolated,
 		IntentLog, KeyMismatch, KeyInvalid, KeyExpired, KeyPending, KeyHolderGone, RetryBudget,
 		EndpointRefused, EndpointUnreached, EndpointBroken, EndpointTimeout, EndpointCrossed,
-		ConfigurationClash,
+		ConfigurationClash, HallClosed, RegionNotAllowed, WarmUp,
 	}
 }
 
+// PassedOver returns every reason for which replicas are passed over in a choice.
+func PassedOver() []Reason {
+	return []Reason{Tried, RegionNotAllowed, HallClosed, WarmUp, Suspected, Leaving}
+}
+
 // Retries returns every reason of a retry.
 func Retries() []Reason {
 	return []Reason{RetryUnreached, RetryRefused, RetryBroken, RetryResumed}
--- /dev/null
+++ b/eligibility/eligibility_test.go
@@ -0,0 +1,135 @@
+package eligibility
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quartzshelf.dev/common/proptest"
+	"quartzshelf.dev/fleet"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+func replicaIn(id, hall string) *fleet.Replica {
+	return &fleet.Replica{ID: id, Head: &fleet.Worker{ID: id, Zone: hall}}
+}
+
+// testRules: hall "shut" is closed, "soon" closing, "far" in another region; the replica
+// named "cold" bears nothing more, "silent" is suspected.
+func testRules() *Rules {
+	return &Rules{
+		Hall: func(hall string) fleet.HallState {
+			return map[string]fleet.HallState{"shut": fleet.HallClosed, "soon": fleet.HallClosing}[hall]
+		},
+		Region: func(hall string) string {
+			if hall == "far" {
+				return "abroad"
+			}
+			return "home"
+		},
+		WarmUp:    func(r *fleet.Replica) bool { return r.ID != "cold" },
+		Suspected: func(r *fleet.Replica) bool { return r.ID == "silent" },
+	}
+}
+
+func TestJudge(t *testing.T) {
+	tests := map[string]struct {
+		request Request
+		replica *fleet.Replica
+		class   Class
+		cause   Cause
+	}{
+		"nothing is wrong":                      {replica: replicaIn("a", "near"), class: Eligible},
+		"the hall is closed":                    {replica: replicaIn("a", "shut"), class: Excluded, cause: Hall},
+		"the hall is closing":                   {replica: replicaIn("a", "soon"), class: Reserve, cause: Hall},
+		"closing and silent":                    {replica: replicaIn("silent", "soon"), class: Doubtful, cause: Suspected},
+		"closed and cold":                       {replica: replicaIn("cold", "shut"), class: Excluded, cause: Hall},
+		"it bears no more":                      {replica: replicaIn("cold", "near"), class: Excluded, cause: WarmUp},
+		"it fell silent":                        {replica: replicaIn("silent", "near"), class: Doubtful, cause: Suspected},
+		"it failed the request":                 {request: Request{Tried: map[string]bool{"a": true}}, replica: replicaIn("a", "near"), class: Excluded, cause: Tried},
+		"the route allows the region":           {request: Request{Route: fleet.Regions{"home"}}, replica: replicaIn("a", "near"), class: Eligible},
+		"the route does not allow it":           {request: Request{Route: fleet.Regions{"home"}}, replica: replicaIn("a", "far"), class: Excluded, cause: Region},
+		"the account does not allow it":         {request: Request{Account: fleet.Regions{"home"}}, replica: replicaIn("a", "far"), class: Excluded, cause: Region},
+		"the route does, the account does not":  {request: Request{Route: fleet.Regions{"abroad", "home"}, Account: fleet.Regions{"home"}}, replica: replicaIn("a", "far"), class: Excluded, cause: Region},
+		"both allow it":                         {request: Request{Route: fleet.Regions{"abroad", "home"}, Account: fleet.Regions{"abroad"}}, replica: replicaIn("a", "far"), class: Eligible},
+		"a request that may run anywhere, far":  {replica: replicaIn("a", "far"), class: Eligible},
+		"a region that no setting names, bound": {request: Request{Route: fleet.Regions{"elsewhere"}}, replica: replicaIn("a", "near"), class: Excluded, cause: Region},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			class, cause := testRules().Judge(&test.request, test.replica)
+			assert.Equal(t, class, test.class)
+			assert.Equal(t, cause, test.cause)
+		})
+	}
+}
+
+func TestNoRulesKeepNothingOut(t *testing.T) {
+	class, cause := (&Rules{}).Judge(&Request{Route: fleet.Regions{"home"}}, replicaIn("a", "far"))
+	assert.Equal(t, class, Eligible)
+	assert.Equal(t, cause, None)
+}
+
+// TestSelectionHoldsEachReplicaOnce: every replica is in the class that it was judged to
+// be in, in its order, or left out; and each cause is counted as often as it was found.
+func TestSelectionHoldsEachReplicaOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "cold", "silent"}), 0, 12).Draw(t, "ids")
+		halls := rapid.SampledFrom([]string{"near", "shut", "soon", "far"})
+		request := &Request{Route: rapid.SampledFrom([]fleet.Regions{nil, {"home"}}).Draw(t, "regions")}
+		var replicas []*fleet.Replica
+		for _, id := range ids {
+			replicas = append(replicas, replicaIn(id, halls.Draw(t, "hall")))
+		}
+		rules := testRules()
+		got := rules.Select(request, replicas)
+		var want Selection
+		for _, r := range replicas {
+			class, cause := rules.Judge(request, r)
+			if cause != None {
+				want.counts[cause]++
+			}
+			if class != Excluded {
+				want.byClass[class] = append(want.byClass[class], r)
+			}
+		}
+		for class := Eligible; class < Excluded; class++ {
+			assert.Equal(t, len(got.Of(class)), len(want.Of(class)))
+			for i, r := range got.Of(class) {
+				assert.Equal(t, r, want.Of(class)[i])
+			}
+		}
+		for cause := Tried; cause < causes; cause++ {
+			assert.Equal(t, got.Counts()[cause], want.counts[cause])
+		}
+		assert.Equal(t, got.Empty(), want.Empty())
+	})
+}
+
+func TestCounts(t *testing.T) {
+	counts := Counts{Hall: 3, WarmUp: 1}
+	assert.Equal(t, counts.String(), "hall_closed=3 warm_up=1")
+	assert.Equal(t, counts.Most(), Hall)
+	assert.Equal(t, Counts{}.Most(), None)
+	assert.Equal(t, Counts{}.String(), "")
+}
+
+func BenchmarkSelect(b *testing.B) {
+	var replicas []*fleet.Replica
+	for range 400 {
+		replicas = append(replicas, replicaIn("a", "near"))
+	}
+	for name, rules := range map[string]*Rules{"none": {}, "all": testRules()} {
+		b.Run(name, func(b *testing.B) {
+			request := &Request{Route: fleet.Regions{"home"}}
+			for b.Loop() {
+				s := rules.Select(request, replicas)
+				if s.Empty() {
+					b.Fatal("nothing is eligible")
+				}
+			}
+		})
+	}
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -48,7 +48,9 @@
 	Public bool
 	// Resumable streams may go on at another worker.
 	Resumable bool
-	Targets   []Target
+	// Regions are those in which the route's requests may run.
+	Regions Regions
+	Targets []Target
 }
 
 // Repeatable reports whether requests of the route may run more than once.
@@ -151,13 +153,26 @@
 	Name string
 	// MaxConns is the number of connections that one worker accepts from all callers.
 	MaxConns int
+	// WarmUp bounds what workers take that have just started.
+	WarmUp WarmUp
 	// Engine is nil for services whose workers serve alone.
 	Engine *Engine
 }
 
+// WarmUp bounds the requests to a worker that is cold, as it is for some time after its
+// start. A worker that gets many more than it bears fails.
+type WarmUp struct {
+	// PerSecond is how many requests a second a cold worker bears; zero for any number.
+	PerSecond float64
+	// For is how long workers stay cold after a start.
+	For time.Duration
+}
+
 // Tenant owns keys.
 type Tenant struct {
 	Name string
+	// Regions are those in which the tenant's requests may run.
+	Regions Regions
 	// Priority takes precedence over the route's when Ranked is set.
 	Priority int
 	Ranked   bool
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -45,6 +45,8 @@
 	// Refused tells why the newest configuration was not understood, if it was not;
 	// Config is then the newest one that was, if there is news of it.
 	Refused error
+	// Halls is what was read of closed data halls, which are published beside it.
+	Halls HallNews
 }
 
 // WorkerNews is what a read of the worker list brought.
@@ -70,8 +72,10 @@
 
 // FollowerOptions configures a Follower.
 type FollowerOptions struct {
-	Source    Source
-	Beliefs   *Beliefs
+	Source  Source
+	Beliefs *Beliefs
+	// Halls takes the closed data halls; nil where none are published.
+	Halls     *Halls
 	Inventory *Inventory
 	// Reads reports whether this daemon is to read now what it last knew to be
 	// the newest at the given time, rather than to be told by a peer.
@@ -114,6 +118,9 @@
 			return err
 		}
 		position = news.Next
+		if !news.Lost {
+			f.takeHalls(news, sent)
+		}
 		switch {
 		case news.Lost:
 			position = -1
@@ -133,6 +140,17 @@
 	})
 }
 
+// takeHalls takes what a read brought of closed data halls.
+func (f *Follower) takeHalls(news ConfigNews, sent time.Time) {
+	if f.opts.Halls == nil {
+		return
+	}
+	for _, err := range news.Halls.Refused {
+		f.opts.Logger.Error("entry of a data hall not understood: its last state stays", "error", err)
+	}
+	f.opts.Halls.Take(news.Halls, news.Next, sent)
+}
+
 func (f *Follower) readConfig(ctx context.Context, position int64) (ConfigNews, error) {
 	if position < 0 {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -21,6 +21,8 @@
 type View struct {
 	workers  map[string]*Worker
 	replicas map[string][]*Replica
+	// leaving counts the replicas whose head leaves.
+	leaving map[string]int
 }
 
 // newView derives the replicas from copies of what is listed and announced. A
@@ -28,7 +30,7 @@
 // leaves does until its leader closes it: that member stays while the head has
 // work.
 func newView(workers map[string]*Worker, announced map[string]heldAnnouncement) *View {
-	v := &View{workers: make(map[string]*Worker, len(workers)), replicas: make(map[string][]*Replica)}
+	v := &View{workers: make(map[string]*Worker, len(workers)), replicas: make(map[string][]*Replica), leaving: make(map[string]int)}
 	for id, w := range workers {
 		v.workers[id] = w
 	}
@@ -39,10 +41,16 @@
 		}
 	}
 	for _, w := range workers {
-		if r := replicaAt(w, byHead[w.ID]); r != nil && !w.Draining {
-			key := replicaKey(r.Service, r.Model)
-			v.replicas[key] = append(v.replicas[key], r)
+		r := replicaAt(w, byHead[w.ID])
+		if r == nil {
+			continue
 		}
+		key := replicaKey(r.Service, r.Model)
+		if w.Draining {
+			v.leaving[key]++
+			continue
+		}
+		v.replicas[key] = append(v.replicas[key], r)
 	}
 	for _, all := range v.replicas {
 		slices.SortFunc(all, func(a, b *Replica) int { return cmp.Compare(a.ID, b.ID) })
@@ -86,3 +94,7 @@
 func (v *View) Replicas(service, model string) []*Replica {
 	return v.replicas[replicaKey(service, model)]
 }
+
+// Leaving returns how many replicas of a service and model take nothing more because
+// their head leaves.
+func (v *View) Leaving(service, model string) int { return v.leaving[replicaKey(service, model)] }
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // GroupState is how far a worker is in its group.
 type GroupState string
 
@@ -42,6 +44,11 @@
 	Domain   string `json:"domain,omitempty"`
 	Slots    int    `json:"slots"`
 	Draining bool   `json:"draining,omitempty"`
+	// ColdLeft is for how much longer the worker said that it is cold, in milliseconds.
+	ColdLeft int64 `json:"cold,omitempty"`
+	// ColdUntil is when that ends, counted from when this daemon took the entry: late
+	// rather than early.
+	ColdUntil time.Time `json:"-"`
 	// Loaded is the model of the worker's last group in this life, empty for
 	// none: it joins another group of that model without loading anything.
 	Loaded string `json:"loaded,omitempty"`
@@ -64,10 +71,16 @@
 // tells. A worker that has left its group tells no model, but still holds the
 // one it served.
 func (w *Worker) following(earlier *Worker) *Worker {
-	if w.Loaded != "" || earlier == nil || earlier.Loaded == "" {
+	keepsLoaded := w.Loaded == "" && earlier != nil && earlier.Loaded != ""
+	if !keepsLoaded && w.ColdLeft <= 0 {
 		return w
 	}
 	merged := *w
-	merged.Loaded = earlier.Loaded
+	if keepsLoaded {
+		merged.Loaded = earlier.Loaded
+	}
+	if w.ColdLeft > 0 {
+		merged.ColdUntil = time.Now().Add(time.Duration(w.ColdLeft) * time.Millisecond)
+	}
 	return &merged
 }
--- a/peers/heartbeat.go
+++ b/peers/heartbeat.go
@@ -79,6 +79,8 @@
 	ConfigAge       int64 `json:"ca"`
 	WorkersPosition int64 `json:"wp,omitempty"`
 	WorkersAge      int64 `json:"wa"`
+	// Halls is what the daemon knows of closed data halls.
+	Halls fleet.HallReport `json:"hl,omitzero"`
 	// Decided is how far the daemon knows the leader's decisions.
 	Decided fleet.DecisionPosition `json:"d,omitzero"`
 
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -16,6 +16,9 @@
 	retrySoon    = 50 * time.Millisecond
 	retryBusy    = 300 * time.Millisecond
 	retryRevived = 500 * time.Millisecond
+	// retryClosed is the same when an operator's word keeps all replicas out: it seldom
+	// changes within a second.
+	retryClosed = time.Second
 )
 
 // refusal is an answer of the system's own.
@@ -28,6 +31,8 @@
 	after time.Duration
 	// cause is the error that led here, if there was one.
 	cause error
+	// passedOver tells which reasons kept how many replicas out.
+	passedOver string
 }
 
 // promises reports whether the refusal says that the request did not run.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/eligibility"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/telemetry"
 )
@@ -39,8 +40,15 @@
 	Confirmed func() time.Time
 	BeliefFor time.Duration
 	View      func() *fleet.View
-	Tracker   *Tracker
-	Budget    BudgetOptions
+	// Halls returns the state of the data halls; nil for none that close.
+	Halls func() *fleet.HallView
+	// RegionOf returns the region of a data hall; nil for one region.
+	RegionOf func(hall string) string
+	// WarmUp returns what is known at a time of replicas that warm up, as the check of
+	// eligibility.Rules; nil, or a nil result, if none does.
+	WarmUp  func(now time.Time) func(r *fleet.Replica) bool
+	Tracker *Tracker
+	Budget  BudgetOptions
 	// Leaving reports whether this daemon is to stop.
 	Leaving func() bool
 	Meter   *telemetry.Meter
@@ -114,7 +122,7 @@
 		service, sends, rejections := c.service, c.sends, c.rejections
 		r.opts.Logger.Info("request refused", "request", c.id, "status", f.status, "reason", string(f.reason),
 			"service", service, "model", c.model, "sends", sends, "rejections", rejections,
-			"ms", time.Since(c.arrived).Milliseconds(), "config", r.version(), "error", f.cause)
+			"ms", time.Since(c.arrived).Milliseconds(), "config", r.version(), "passed_over", f.passedOver, "error", f.cause)
 	}
 	f.write(w)
 }
@@ -132,20 +140,36 @@
 	if c.tenant != nil && r.BeliefTooOld(now) {
 		return nil, unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
 	}
-	replicas := r.opts.View().Replicas(c.service, c.model)
-	slots := 0
-	if len(replicas) > 0 {
-		slots = replicas[0].Head.Slots
+	selection := r.eligible(c, now)
+	if selection.Empty() {
+		return nil, noneEligible(selection.Counts())
 	}
-	choice, ok := r.opts.Tracker.Choose(replicas, c.tried, costsOf(c.engine, c.model, slots), c.prompt, now)
-	if !ok {
-		return nil, unavailable(reason.NoReplica, "no replica serves at present", retryBusy)
-	}
-	c.chosenBusy = choice.Busy
-	if choice.Busy >= r.room(c, choice.Replica) {
-		return nil, unavailable(reason.Overloaded, "all replicas are busy", retryBusy)
+	return r.chooseAmong(c, &selection, now)
+}
+
+// chooseAmong chooses among the replicas of the best class that has room. Doubtful ones
+// count only if there are no others.
+func (r *Relay) chooseAmong(c *request, s *eligibility.Selection, now time.Time) (*fleet.Replica, *refusal) {
+	full := false
+	for class := eligibility.Eligible; class < eligibility.Excluded; class++ {
+		replicas := s.Of(class)
+		if len(replicas) == 0 || full && class == eligibility.Doubtful {
+			continue
+		}
+		costs := costsOf(c.engine, c.model, replicas[0].Head.Slots)
+		choice, ok := r.opts.Tracker.Choose(replicas, nil, costs, c.prompt, now)
+		if !ok {
+			continue
+		}
+		c.chosenBusy = choice.Busy
+		if choice.Busy < r.room(c, choice.Replica) {
+			return choice.Replica, nil
+		}
+		full = true
 	}
-	return choice.Replica, nil
+	f := unavailable(reason.Overloaded, "all replicas are busy", retryBusy)
+	f.passedOver = c.passedOver
+	return nil, f
 }
 
 // room returns how much work a replica may have in flight.
--- a/relay/request.go
+++ b/relay/request.go
@@ -41,6 +41,8 @@
 	tried      map[string]bool
 	// chosenBusy is the work in flight at the replica chosen last, as far as known.
 	chosenBusy float64
+	// passedOver tells which reasons kept how many replicas out of the last choice.
+	passedOver string
 	// lastCause is the error of the newest failed attempt.
 	lastCause error
 }
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -15,9 +15,8 @@
 	failureFor = time.Second
 	// remoteFor is how long a report of the load at other daemons counts.
 	remoteFor = time.Second
-	// suspectCost and failureCost are added to the waits at suspected replicas
-	// and, at the least, at those that failed a request of late.
-	suspectCost = time.Minute
+	// failureCost is added, at the least, to the waits at replicas that failed a request
+	// of late.
 	failureCost = 100 * time.Millisecond
 	// leastLate is the least time that loads of peers are late by.
 	leastLate = 50 * time.Millisecond
@@ -214,16 +213,32 @@
 	return busy, wait
 }
 
-// penalty returns what is added to the wait at a replica that gave cause.
+// penalty returns the extra wait charged to a replica that failed a request recently.
 func (t *Tracker) penalty(s *replicaLoad, c costs, now time.Time) time.Duration {
-	penalty := time.Duration(0)
-	if now.Before(s.suspect) {
-		penalty += suspectCost
-	}
 	if now.Sub(s.failedAt) < failureFor {
-		penalty += max(c.service/2, failureCost)
+		return max(c.service/2, failureCost)
+	}
+	return 0
+}
+
+// suspects returns a check for replicas that may have stopped, or nil if there are none.
+func (t *Tracker) suspects(now time.Time) func(r *fleet.Replica) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all map[string]bool
+	for id, s := range t.held {
+		if !now.Before(s.suspect) {
+			continue
+		}
+		if all == nil {
+			all = make(map[string]bool)
+		}
+		all[id] = true
+	}
+	if all == nil {
+		return nil
 	}
-	return penalty
+	return func(r *fleet.Replica) bool { return all[r.ID] }
 }
 
 // Fail notes that a replica failed a request.
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/reason"
@@ -61,7 +62,7 @@
 	}
 	c.sends++
 	c.tried[replica.ID] = true
-	if len(r.opts.View().Replicas(c.service, c.model)) <= len(c.tried) {
+	if left := r.eligible(c, time.Now()); left.Empty() {
 		return false
 	}
 	return r.mayRepeat(c, true)
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -13,6 +13,7 @@
 	h.Ready, h.Leaving = s.Ready(), s.leaving.Load()
 	h.ConfigVersion, h.ConfigAge = s.beliefs.Version(), age(s.beliefs.Confirmed(), now)
 	h.WorkersPosition, h.WorkersAge = s.inventory.Position(), age(s.inventory.Confirmed(), now)
+	h.Halls = s.halls.Report(now)
 	h.Decided = s.inventory.Decided()
 	h.Leads, h.Highest, h.Grant = s.elector.State()
 	h.LeaderAge = s.agent.Table().LeaderAge(now)
@@ -39,6 +40,7 @@
 	if p.Traffic {
 		s.tracker.SetTraffic()
 	}
+	s.halls.Follow(p.Halls, p.SentAfter)
 	s.beliefs.Confirm(p.ConfigVersion, p.ConfigConfirmed())
 	s.inventory.Confirm(p.WorkersPosition, p.WorkersConfirmed())
 	s.suspected(p)
--- a/serving/options.go
+++ b/serving/options.go
@@ -39,15 +39,29 @@
 	Stall   time.Duration
 	Ceiling formation.Ceiling
 	Budget  relay.BudgetOptions
+	// Empty is the time after the operator's word within which a closed data hall gets
+	// no more requests.
+	Empty time.Duration
+	// BearHalls is how many data halls may be lost at once.
+	BearHalls int
+	WarmUp    WarmUpBound
 	// KeepEntries is for how long callers keep an answer of Entries.
 	KeepEntries time.Duration
 }
 
+// WarmUpBound bounds the requests that a cold worker gets in any one second from all
+// daemons together: Burst times what its service says that it bears, and Slack more.
+type WarmUpBound struct {
+	Burst, Slack float64
+}
+
 // Options configures a Server.
 type Options struct {
-	Self   peers.Identity
-	Bounds Bounds
-	Names  relay.Names
+	Self peers.Identity
+	// Regions holds the region of each data hall.
+	Regions map[string]string
+	Bounds  Bounds
+	Names   relay.Names
 
 	Source     fleet.Source
 	Decode     func(data []byte) (*fleet.Config, error)
--- a/serving/server.go
+++ b/serving/server.go
@@ -49,6 +49,7 @@
 	logger    hclog.Logger
 	meter     *telemetry.Meter
 	beliefs   *fleet.Beliefs
+	halls     *fleet.Halls
 	inventory *fleet.Inventory
 	follower  *fleet.Follower
 	agent     *peers.Agent
@@ -76,14 +77,14 @@
 		return nil, failure.At(failure.Unavailable, "start metrics", opts.Metrics, err)
 	}
 	s := &Server{
-		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(),
+		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(), halls: fleet.NewHalls(opts.Bounds.Empty),
 		inventory: fleet.NewInventory(opts.Bounds.Heartbeat, opts.Bounds.Leave), suspicions: newSuspicions(),
 		readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
 	}
 	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
 	s.fetcher = newFetcher(s)
 	s.follower = fleet.NewFollower(fleet.FollowerOptions{
-		Source: opts.Source, Beliefs: s.beliefs, Inventory: s.inventory,
+		Source: opts.Source, Beliefs: s.beliefs, Halls: s.halls, Inventory: s.inventory,
 		Reads: s.reads, Logger: opts.Logger.Named("follower"),
 	})
 	s.agent, err = peers.NewAgent(peers.Options{
@@ -115,11 +116,14 @@
 	budget.Daemons = s.agent.Daemons
 	return relay.New(relay.Options{
 		Names: s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
-		View: s.inventory.View, Tracker: s.tracker, Budget: budget,
+		View: s.inventory.View, Halls: s.halls.View, RegionOf: s.regionOf, Tracker: s.tracker, Budget: budget,
 		Leaving: s.leaving.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
 	})
 }
 
+// regionOf returns the region of a data hall; empty if the settings tell none.
+func (s *Server) regionOf(hall string) string { return s.opts.Regions[hall] }
+
 func (s *Server) beliefFor() time.Duration {
 	if s.opts.Bounds.Revoke <= 0 {
 		return 0
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -25,10 +25,12 @@
 	refusals map[reason.Reason]*atomic.Int64
 	retries  map[reason.Reason]*atomic.Int64
 	late     map[reason.Reason]*atomic.Int64
-	requests atomic.Int64
-	first    metric.Float64Histogram
-	between  metric.Float64Histogram
-	orders   metric.Int64Counter
+	// passedOver counts choices in which replicas were passed over.
+	passedOver map[reason.Reason]*atomic.Int64
+	requests   atomic.Int64
+	first      metric.Float64Histogram
+	between    metric.Float64Histogram
+	orders     metric.Int64Counter
 	// datagrams and datagramBytes count what was sent to peers.
 	datagrams     metric.Int64Counter
 	datagramBytes metric.Int64Counter
@@ -46,11 +48,12 @@
 		return nil, fmt.Errorf("start metrics exporter: %w", err)
 	}
 	m := &Meter{
-		refusals: zeroes(reason.Refusals()),
-		retries:  zeroes(reason.Retries()),
-		late:     zeroes(reason.Lateness()),
-		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		gauges:   make(map[string]func() float64),
+		refusals:   zeroes(reason.Refusals()),
+		retries:    zeroes(reason.Retries()),
+		late:       zeroes(reason.Lateness()),
+		passedOver: zeroes(reason.PassedOver()),
+		handler:    promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		gauges:     make(map[string]func() float64),
 	}
 	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("quartzshelf")
 	if err := m.register(meter); err != nil {
@@ -77,6 +80,9 @@
 	if err := observe(meter, "quartzshelf_late", "Streams that were late, by reason.", m.late); err != nil {
 		return err
 	}
+	if err := observe(meter, "quartzshelf_passed_over", "Choices of a replica in which some were passed over, by reason.", m.passedOver); err != nil {
+		return err
+	}
 	_, err := meter.Int64ObservableCounter("quartzshelf_requests",
 		metric.WithDescription("Requests received from callers."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
@@ -152,6 +158,10 @@
 // Late counts a stream that was late; reasons outside reason.Lateness are not counted.
 func (m *Meter) Late(r reason.Reason) { add(m.late, r) }
 
+// PassOver counts a choice in which replicas were passed over; reasons outside
+// reason.PassedOver are not counted.
+func (m *Meter) PassOver(r reason.Reason) { add(m.passedOver, r) }
+
 func add(counters map[reason.Reason]*atomic.Int64, r reason.Reason) {
 	if counter, ok := counters[r]; ok {
 		counter.Add(1)
