--- a/fleet/config.go
+++ b/fleet/config.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -238,10 +239,7 @@
 
 // Route returns the route with the longest prefix of path among those of host.
 func (c *Config) Route(host, path string) (*Route, bool) {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
-		host = host[:i]
-	}
-	for _, r := range c.routes[strings.ToLower(host)] {
+	for _, r := range c.routes[hostOf(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
@@ -249,6 +247,31 @@
 	return nil, false
 }
 
+// hostOf returns a host as routes are held by it: without a port, in lower case.
+func hostOf(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// RegionsOf returns the regions in which all bound routes of a host may run; empty where
+// none is bound, or where they have none in common.
+func (c *Config) RegionsOf(host string) Regions {
+	var common Regions
+	bound := false
+	for _, r := range c.routes[hostOf(host)] {
+		switch {
+		case len(r.Regions) == 0:
+		case !bound:
+			common, bound = slices.Clone(r.Regions), true
+		default:
+			common = slices.DeleteFunc(common, func(region string) bool { return !r.Regions.Allows(region) })
+		}
+	}
+	return common
+}
+
 // Service returns the service with the given name.
 func (c *Config) Service(name string) (*Service, bool) {
 	s, ok := c.services[name]
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -118,6 +118,19 @@
 	return all
 }
 
+// InFlightIn returns how many of this daemon's requests are in flight in a data hall.
+func (t *Tracker) InFlightIn(hall string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, s := range t.held {
+		if s.replica.Head.Zone == hall {
+			count += s.inFlight
+		}
+	}
+	return count
+}
+
 // Demand returns this daemon's own work by model: the slots that are busy, and the prompt
 // tokens of the requests there.
 func (t *Tracker) Demand() (busy, prompts map[string]float64) {
--- a/serving/news.go
+++ b/serving/news.go
@@ -28,12 +28,6 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.halls.Changed():
-			s.logHalls()
-			if s.passesOn() {
-				s.agent.Send(time.Now())
-			}
-			continue
 		case <-s.beliefs.Changed():
 			// Peers fetch the configuration when they hear of its version.
 			if s.passesOn() {
@@ -93,8 +87,3 @@
 		s.inventory.Follow(*n.Workers, p.WorkersConfirmed())
 	}
 }
-
-// logHalls tells which data halls are closed, after a change.
-func (s *Server) logHalls() {
-	s.logger.Info("data halls changed", "closed", s.halls.View().Closed())
-}
--- a/serving/server.go
+++ b/serving/server.go
@@ -1,11 +1,9 @@
 package serving
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,6 +94,8 @@
 	}
 	s.elector = s.newElector()
 	s.relay = s.newRelay()
+	meter.Gauge("halls_closing", s.hallsIn(fleet.HallClosing))
+	meter.Gauge("halls_closed", s.hallsIn(fleet.HallClosed))
 	return s, nil
 }
 
@@ -170,6 +170,7 @@
 	duties.Go(func() { s.relay.Run(running) })
 	duties.Go(func() { s.fetcher.run(running) })
 	duties.Go(func() { s.passNews(running) })
+	duties.Go(func() { s.watchHalls(running) })
 	duties.Go(func() { s.meet(running) })
 	duties.Go(func() { s.serveMetrics(running) })
 	stopped := make(chan error, 1)
@@ -191,43 +192,6 @@
 	return s.knows() && !s.leaving.Load() && !s.relay.BeliefTooOld(time.Now())
 }
 
-// Entries returns the addresses that callers should use: those of daemons that
-// are alive, ready and stay; those that are not ready only if no other is left.
-// Callers take a part of them from the start, so the few that are known of other
-// halls come before the many of this one: who keeps an answer while a whole hall
-// goes finds some that live.
-func (s *Server) Entries() []string {
-	var ready, others []string
-	if s.Ready() {
-		ready = append(ready, s.opts.Self.Front)
-	} else if !s.leaving.Load() {
-		others = append(others, s.opts.Self.Front)
-	}
-	alive := s.agent.Table().Alive(time.Now())
-	slices.SortStableFunc(alive, func(a, b *peers.Peer) int { return cmp.Compare(s.nearness(a), s.nearness(b)) })
-	for _, p := range alive {
-		switch {
-		case p.Leaving:
-		case p.Ready:
-			ready = append(ready, p.Front)
-		default:
-			others = append(others, p.Front)
-		}
-	}
-	if len(ready) > 0 {
-		return ready
-	}
-	return others
-}
-
-// nearness is 1 for a daemon of the own hall, and 0 for another one.
-func (s *Server) nearness(p *peers.Peer) int {
-	if p.Zone == s.opts.Self.Zone {
-		return 1
-	}
-	return 0
-}
-
 // KeepEntries returns for how long callers keep an answer of Entries.
 func (s *Server) KeepEntries() time.Duration { return s.opts.Bounds.KeepEntries }
 
--- a/serving/server_test.go
+++ b/serving/server_test.go
@@ -122,7 +122,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newServer(t, &fakeStore{})
 			test.prepare(s)
-			assert.DeepEqual(t, s.Entries(), test.want)
+			assert.DeepEqual(t, s.Entries(Caller{}), test.want)
 		})
 	}
 }
