--- a/cmd/soakcmd/run.go
+++ b/cmd/soakcmd/run.go
@@ -48,6 +48,7 @@
 	Callers  int           `help:"Callers that send at the same time." default:"16"`
 	Series   int           `help:"Series of faults that overlap." default:"3"`
 	Duration time.Duration `help:"How long faults strike." default:"15s"`
+	Halls    bool          `help:"Also close, lose and warm up data halls, in two regions."`
 	Verbose  bool          `help:"Tell every fault."`
 }
 
@@ -108,7 +109,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Seed: seed, Program: program, Dir: dir, Host: host(number), Daemons: line.Daemons, Workers: line.Workers,
-		Callers: line.Callers, Series: line.Series, Duration: line.Duration,
+		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: stderr, Level: level}),
 	})
 	result.Seed = seed
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -91,7 +91,7 @@
 	for _, i := range c.random.Perm(len(c.run.daemons)) {
 		d := c.run.daemons[i]
 		asking, cancel := context.WithTimeout(ctx, askTimeout)
-		addresses, keep, err := standin.Resolve(asking, d.directory.address(), d.settings.Zone)
+		addresses, keep, err := standin.Resolve(asking, d.directory.address(), d.settings.Region(), d.settings.Zone)
 		cancel()
 		if err == nil && len(addresses) > 0 {
 			c.known, c.knownTo = addresses, time.Now().Add(keep)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -22,8 +22,18 @@
 // schedule returns the faults of one series up to a total time. The same seed
 // gives the same faults.
 func schedule(seed uint64, series int, total time.Duration) []step {
-	random := rand.New(rand.NewPCG(seed, uint64(series)))
-	kinds := faultNames()
+	return draw(rand.New(rand.NewPCG(seed, uint64(series))), faultNames(), total)
+}
+
+// hallSchedule returns the faults of data halls, which are drawn apart from the others, so
+// that these stay as they are.
+func hallSchedule(seed uint64, total time.Duration) []step {
+	const stream = 1 << 33
+	return draw(rand.New(rand.NewPCG(seed, stream)), hallFaultNames(), total)
+}
+
+// draw draws faults of some kinds up to a total time.
+func draw(random *rand.Rand, kinds []string, total time.Duration) []step {
 	var steps []step
 	for sum := time.Duration(0); sum < total; {
 		s := step{
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,7 +37,9 @@
 	Callers, Series  int
 	// Duration is how long faults strike.
 	Duration time.Duration
-	Logger   hclog.Logger
+	// Halls adds data halls that are closed, lost and cold, and a second region.
+	Halls  bool
+	Logger hclog.Logger
 }
 
 // Result is what a soak found.
@@ -128,17 +130,17 @@
 func (r *run) prepare() error {
 	r.fabric = standin.NewFabric(standin.FabricOptions{
 		Store: r.store, Ledger: r.ledger, Timing: timing, Models: r.models, Ceiling: ceiling, Calm: r.calm,
-		Fenceless: fenceless(r.opts.Seed),
+		Fenceless: fenceless(r.opts.Seed), Halls: r.halls(),
 	})
 	r.operator = standin.NewOperator(standin.OperatorOptions{
-		Store: r.store, Models: r.models, Timing: timing, Ceiling: ceiling, Slots: slots, LoadsAtOnce: 4, Tenants: r.callers.tenants,
+		Store: r.store, Models: r.models, Timing: timing, Ceiling: ceiling, Slots: slots, LoadsAtOnce: 4, Tenants: r.callers.tenants, Halls: r.halls(),
 	})
 	r.operator.Publish()
 	for i := range r.opts.Workers {
-		r.check(r.startWorker(standin.WorkerSpec{Service: standin.ModelService, Domain: fmt.Sprintf("domain-%d", i/domainSize), Slots: slots}))
+		r.check(r.startWorker(standin.WorkerSpec{Service: standin.ModelService, Domain: fmt.Sprintf("domain-%d", i/domainSize), Zone: r.hallOf(i / domainSize), Slots: slots}))
 	}
-	for range plainWorkers {
-		r.check(r.startWorker(standin.WorkerSpec{Service: standin.PlainService, Slots: 2 * slots}))
+	for i := range plainWorkers {
+		r.check(r.startWorker(standin.WorkerSpec{Service: standin.PlainService, Zone: r.hallOf(i), Slots: 2 * slots}))
 	}
 	for i := range r.opts.Daemons {
 		r.check(r.startDaemon(i))
@@ -166,7 +168,9 @@
 	r.mu.Lock()
 	r.started++
 	spec.ID = fmt.Sprintf("w%d", r.started)
-	spec.Zone = fmt.Sprintf("zone-%d", r.started%2)
+	if spec.Zone == "" {
+		spec.Zone = zoneName(r.started % 2)
+	}
 	r.mu.Unlock()
 	var link *proxy
 	var err error
@@ -214,9 +218,9 @@
 		return failure.At(failure.Unavailable, "open link to the store", ip, err)
 	}
 	d := &daemon{program: r.opts.Program, store: link, led: r.noteLeader, settings: standin.DaemonSettings{
-		Name: fmt.Sprintf("daemon-%d", i), Zone: fmt.Sprintf("zone-%d", i%2), IP: ip, Store: link.address(),
+		Name: fmt.Sprintf("daemon-%d", i), Zone: r.zoneOfDaemon(i), IP: ip, Store: link.address(),
 		Front: ports[0], Ready: ports[1], Directory: ports[2], Peer: ports[3],
-		Timing: timing, Grace: grace, Revoke: revokeBound, Ceiling: ceiling,
+		Timing: timing, Grace: grace, Revoke: revokeBound, Ceiling: ceiling, Halls: r.halls(),
 	}}
 	if d.front, err = newProxy(r.opts.Host+".1", d.frontAddress()); err == nil {
 		d.directory, err = newProxy(r.opts.Host+".1", fmt.Sprintf("%s:%d", ip, ports[2]))
@@ -278,6 +282,9 @@
 	for i := range r.opts.Series {
 		series.Go(func() { r.strike(ctx, i) })
 	}
+	if r.opts.Halls {
+		series.Go(func() { r.strikeAll(ctx, hallSchedule(r.opts.Seed, r.opts.Duration), hallFaults) })
+	}
 	series.Wait()
 	if !r.recovered(ctx) {
 		served, all := r.callers.served(time.Now().Add(-recoverWindow))
@@ -299,33 +306,39 @@
 
 // strike plays one series of faults.
 func (r *run) strike(ctx context.Context, series int) {
-	for _, s := range schedule(r.opts.Seed, series, r.opts.Duration) {
+	r.strikeAll(ctx, schedule(r.opts.Seed, series, r.opts.Duration), faults)
+}
+
+// strikeAll plays faults one after the other.
+func (r *run) strikeAll(ctx context.Context, steps []step, kinds map[string]fault) {
+	for _, s := range steps {
 		if !sleep(ctx, s.after) {
 			return
 		}
-		r.opts.Logger.Debug("fault", "series", series, "kind", s.kind, "lasts", s.lasts.String())
-		r.begins(s.kind)
-		mend := faults[s.kind].strike(r, rand.New(rand.NewPCG(s.pick, 0)))
-		sleep(ctx, max(s.lasts, faults[s.kind].least))
+		f := kinds[s.kind]
+		r.opts.Logger.Debug("fault", "kind", s.kind, "lasts", s.lasts.String())
+		r.begins(f)
+		mend := f.strike(r, rand.New(rand.NewPCG(s.pick, 0)))
+		sleep(ctx, max(s.lasts, f.least))
 		mend()
-		r.ended(s.kind)
+		r.ended(f)
 	}
 }
 
 // begins and ended keep count of the faults under way.
-func (r *run) begins(kind string) {
+func (r *run) begins(f fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.struck++
-	if faults[kind].blinds {
+	if f.blinds {
 		r.blinding++
 	}
 }
 
-func (r *run) ended(kind string) {
+func (r *run) ended(f fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if faults[kind].blinds {
+	if f.blinds {
 		r.blinding--
 		r.calmSince = time.Now()
 	}
