--- /dev/null
+++ b/relay/eligible_test.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// closedHalls returns halls in which some are closed, or closing, since now.
+func closedHalls(closing bool, names ...string) *fleet.Halls {
+	h := fleet.NewHalls(time.Hour)
+	if closing {
+		h.Take(fleet.HallNews{Whole: true}, 1, time.Now())
+	}
+	var news fleet.HallNews
+	for _, name := range names {
+		news.Changes = append(news.Changes, fleet.HallChange{Hall: name, Closed: true})
+	}
+	h.Take(news, 2, time.Now())
+	return h
+}
+
+// placed lists the workers in halls: the first in "a", the second in "b", and so on.
+func placed(r *testRelay, workers ...*fakeWorker) {
+	var changes []fleet.Change
+	for i, w := range workers {
+		hall := string(rune('a' + i))
+		plain, model := w.entry(), w.modelEntry()
+		plain.Zone, model.Zone = hall, hall
+		changes = append(changes, fleet.Change{ID: w.id, Worker: plain}, fleet.Change{ID: w.id + "-model", Worker: model})
+	}
+	r.inventory.Apply(changes, 2, time.Now())
+}
+
+func TestClosedHall(t *testing.T) {
+	tests := map[string]struct {
+		halls *fleet.Halls
+		// script is what the worker in the open hall does first.
+		script []behaviour
+		path   string
+		status int
+		// inClosed is how often the request runs in the closed hall, or may.
+		inClosed int
+	}{
+		"a plain request goes elsewhere":             {halls: closedHalls(false, "b"), path: "/safe/", status: 200},
+		"a stream goes elsewhere":                    {halls: closedHalls(false, "b"), path: "/stream/", status: 200},
+		"a second attempt does not go there":         {halls: closedHalls(false, "b"), script: []behaviour{loses}, path: "/safe/", status: 502},
+		"a broken stream does not go on there":       {halls: closedHalls(false, "b"), script: []behaviour{cuts}, path: "/stream/", status: 200},
+		"all halls are closed":                       {halls: closedHalls(false, "a", "b"), path: "/safe/", status: 503},
+		"a hall that is closing serves as a reserve": {halls: closedHalls(true, "b"), script: []behaviour{loses}, path: "/safe/", status: 200, inClosed: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			open, closed := newFakeWorker(t, "open", test.script...), newFakeWorker(t, "closed")
+			r, server := newTestRelay(t, open, closed)
+			r.opts.Halls = test.halls.View
+			placed(r, open, closed)
+			got := do(t, server, test.path, "id", nil)
+			assert.Equal(t, got.status, test.status)
+			assert.Equal(t, closed.runs("id"), test.inClosed)
+			if test.status == http.StatusServiceUnavailable {
+				assert.Equal(t, got.header.Get("Retry-After"), "1.000")
+				assert.Equal(t, open.runs("id"), 0, "503 promises that nothing ran")
+			}
+		})
+	}
+}
+
+func TestRegions(t *testing.T) {
+	regions := map[string]string{"a": "east", "b": "west"}
+	tests := map[string]struct {
+		account fleet.Regions
+		script  []behaviour
+		status  int
+		inWest  int
+	}{
+		"it must stay":                        {account: fleet.Regions{"east"}, status: 200},
+		"it must stay, also when sent again":  {account: fleet.Regions{"east"}, script: []behaviour{loses}, status: 502},
+		"it must go to the other region":      {account: fleet.Regions{"west"}, status: 200, inWest: 1},
+		"it must not run where anything runs": {account: fleet.Regions{"north"}, status: 503},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			east, west := newFakeWorker(t, "east", test.script...), newFakeWorker(t, "west")
+			r, server := newTestRelay(t, east, west)
+			tenant, _ := r.opts.Config().Tenant("key")
+			tenant.Regions = test.account
+			r.opts.RegionOf = func(hall string) string { return regions[hall] }
+			placed(r, east, west)
+			got := do(t, server, "/safe/", "id", nil)
+			assert.Equal(t, got.status, test.status)
+			assert.Equal(t, west.runs("id"), test.inWest)
+		})
+	}
+}
