--- /dev/null
+++ b/allowance/allowance_test.go
@@ -0,0 +1,191 @@
+package allowance
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+func configOf(perSecond float64) *fleet.Config {
+	return fleet.NewConfig(fleet.Parts{Version: 1, Services: []*fleet.Service{
+		{Name: "models", WarmUp: fleet.WarmUp{PerSecond: perSecond, For: 3 * time.Second}},
+	}})
+}
+
+// viewOf returns a view with one worker.
+func viewOf(w *fleet.Worker, at time.Time) *fleet.View {
+	i := fleet.NewInventory(time.Second, 0)
+	i.Apply([]fleet.Change{{ID: w.ID, Worker: w}}, 1, at)
+	return i.View()
+}
+
+// fixture is an allowance of the only daemon, and what it goes by.
+type fixture struct {
+	*Allowance
+	inventory *fleet.Inventory
+	halls     *fleet.Halls
+	config    *fleet.Config
+	position  int64
+	// changes lists what was reported of workers.
+	changes []string
+}
+
+func newFixture(perSecond float64) *fixture {
+	f := &fixture{inventory: fleet.NewInventory(time.Second, 0), halls: fleet.NewHalls(time.Second), config: configOf(perSecond)}
+	f.Allowance = New(Options{
+		Self: "a", Members: func() []string { return []string{"a"} }, Bound: Bound{Burst: 1.5, Slack: 5}, Settle: time.Second,
+		View: f.inventory.View, Halls: f.halls.View, Config: func() *fleet.Config { return f.config },
+		Changed: func(w *fleet.Worker, warming bool) { f.changes = append(f.changes, fmt.Sprint(w.ID, warming)) },
+	})
+	return f
+}
+
+// list brings a worker's entry.
+func (f *fixture) list(id string, coldLeft int64) {
+	f.position++
+	f.inventory.Apply([]fleet.Change{{ID: id, Worker: &fleet.Worker{ID: id, Service: "models", Zone: "hall", ColdLeft: coldLeft}}}, f.position, time.Now())
+}
+
+// hall closes or opens the worker's data hall.
+func (f *fixture) hall(closed bool) {
+	f.position++
+	f.halls.Take(fleet.HallNews{Changes: []fleet.HallChange{{Hall: "hall", Closed: closed}}}, f.position, time.Now())
+}
+
+// sends returns how many requests are sent in some time by who tries all the time.
+func (f *fixture) sends(during time.Duration) int {
+	count := 0
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(step) {
+		if _, ok := f.Take(cold, time.Now()); ok {
+			count++
+		}
+	}
+	return count
+}
+
+func TestWhatWarmsUp(t *testing.T) {
+	// A holder alone sends 10.5 requests a second, after one that it had a token for.
+	const all = int(time.Second / step)
+	tests := map[string]struct {
+		perSecond float64
+		prepare   func(f *fixture)
+		least     int
+		most      int
+	}{
+		"a worker that is not cold":            {bears, func(f *fixture) { f.list("w", 0) }, all, all},
+		"a cold one":                           {bears, func(f *fixture) { f.list("w", 3000) }, 9, 12},
+		"a cold one, later":                    {bears, func(f *fixture) { f.list("w", 3000); time.Sleep(time.Second) }, 9, 12},
+		"one that was cold":                    {bears, func(f *fixture) { f.list("w", 3000); time.Sleep(3 * time.Second) }, all, all},
+		"another one is cold":                  {bears, func(f *fixture) { f.list("w", 0); f.list("v", 3000) }, all, all},
+		"a service that tells no figure":       {0, func(f *fixture) { f.list("w", 3000) }, all, all},
+		"a service that bears next to nothing": {0.1, func(f *fixture) { f.list("w", 3000) }, 0, 1},
+		"it turns cold between two entries": {bears, func(f *fixture) {
+			f.list("w", 0)
+			f.Look(time.Now())
+			f.list("w", 3000)
+		}, 9, 12},
+		"its hall is opened again": {bears, func(f *fixture) {
+			f.list("w", 0)
+			f.hall(true)
+			f.hall(false)
+		}, 9, 12},
+		"its hall was opened a while ago": {bears, func(f *fixture) {
+			f.list("w", 0)
+			f.hall(true)
+			f.hall(false)
+			time.Sleep(4 * time.Second)
+		}, all, all},
+		"its hall is opened a second time": {bears, func(f *fixture) {
+			f.list("w", 0)
+			for range 2 {
+				f.hall(true)
+				f.hall(false)
+				time.Sleep(4 * time.Second)
+			}
+			f.hall(true)
+			f.hall(false)
+		}, 9, 12},
+		"nothing is known": {bears, func(f *fixture) { f.config = nil; f.list("w", 3000) }, all, all},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(test.perSecond)
+				test.prepare(f)
+				got := f.sends(time.Second)
+				assert.Assert(t, got >= test.least && got <= test.most, "%d sent", got)
+			})
+		})
+	}
+}
+
+// TestCheckAndTakeAgree: what is judged to have room is taken once, and the next token is
+// there when it was said to be.
+func TestCheckAndTakeAgree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(bears)
+		assert.Assert(t, f.Check(time.Now()) == nil, "no worker is cold")
+		f.list("w", 3000)
+		for range 5 {
+			next := f.Next(cold, time.Now())
+			time.Sleep(time.Until(next) - 1)
+			assert.Assert(t, !f.Check(time.Now())(cold))
+			time.Sleep(1)
+			assert.Assert(t, f.Check(time.Now())(cold))
+			sendBy, ok := f.Take(cold, time.Now())
+			assert.Assert(t, ok)
+			assert.Equal(t, sendBy, time.Now().Add(SendWithin))
+			_, ok = f.Take(cold, time.Now())
+			assert.Assert(t, !ok, "the bucket holds one token")
+		}
+	})
+}
+
+func TestChangesAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(bears)
+		f.list("w", 0)
+		f.Look(time.Now())
+		f.list("w", 2000)
+		f.Look(time.Now())
+		f.list("w", 1500)
+		f.Look(time.Now())
+		assert.Equal(t, f.Warming(), 1)
+		time.Sleep(2 * time.Second)
+		f.Look(time.Now())
+		assert.Equal(t, f.Warming(), 0)
+		assert.DeepEqual(t, f.changes, []string{"wtrue", "wfalse"})
+	})
+}
+
+func BenchmarkCheck(b *testing.B) {
+	for _, warming := range []int{0, 100} {
+		b.Run(fmt.Sprint(warming), func(b *testing.B) {
+			f := newFixture(bears)
+			var replicas []*fleet.Replica
+			for i := range 400 {
+				id, coldLeft := fmt.Sprint("w", i), int64(0)
+				if i < warming {
+					coldLeft = time.Hour.Milliseconds()
+				}
+				f.list(id, coldLeft)
+				w, _ := f.inventory.View().Worker(id)
+				replicas = append(replicas, &fleet.Replica{ID: id, Head: w})
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				check := f.Check(time.Now())
+				for _, r := range replicas {
+					if check != nil {
+						check(r)
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/allowance/share_test.go
@@ -0,0 +1,110 @@
+package allowance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestDivide(t *testing.T) {
+	tests := map[string]struct {
+		bound     Bound
+		perSecond float64
+		members   int
+		holders   int
+		least     float64
+		most      float64
+	}{
+		"a large fleet":             {Bound{1.5, 5}, 14, 90, holdersMost, 1, 14.0 / holdersMost},
+		"one daemon":                {Bound{1.5, 5}, 14, 1, 1, 10, 11},
+		"no daemon is known":        {Bound{1.5, 5}, 14, 0, 1, 10, 11},
+		"workers that bear little":  {Bound{1.5, 2}, 2, 90, 1, 0.5, 1},
+		"one view is counted on":    {Bound{1, 0}, 2.5, 90, 1, 0.2, 0.5},
+		"nothing may be sent":       {Bound{1, 0}, 1, 90, 1, 0, 0},
+		"no burst is named":         {Bound{}, 14, 90, 3, 1, 2},
+		"slack that is no slack":    {Bound{1.5, -5}, 14, 90, holdersMost, 1, 2},
+		"never more than it bears":  {Bound{1.5, 500}, 14, 90, holdersMost, 14.0 / holdersMost, 14.0 / holdersMost},
+		"few daemons send the most": {Bound{1.5, 5}, 14, 2, 2, 4, 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := test.bound.Divide(test.perSecond, test.members)
+			assert.Equal(t, got.Holders, test.holders)
+			assert.Assert(t, got.Rate >= test.least && got.Rate <= test.most, "rate %.2f", got.Rate)
+		})
+	}
+}
+
+// TestHolders: among any daemons a worker has as many holders as it should, and one that
+// is added takes the place of one at most.
+func TestHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,3}-[0-9]{1,2}`), 1, 30, rapid.ID[string]).Draw(t, "members")
+		worker := rapid.StringMatching(`i-[0-9a-f]{4}`).Draw(t, "worker")
+		holders := rapid.IntRange(1, 5).Draw(t, "holders")
+		of := func(members []string) map[string]bool {
+			all := make(map[string]bool)
+			for _, id := range members {
+				if IsHolder(id, worker, members, holders) {
+					all[id] = true
+				}
+			}
+			return all
+		}
+		before := of(members[1:])
+		after := of(members)
+		assert.Equal(t, len(after), min(holders, len(members)))
+		gone := 0
+		for id := range before {
+			if !after[id] {
+				gone++
+			}
+		}
+		assert.Assert(t, gone <= 1)
+		assert.Assert(t, !IsHolder("unknown", worker, members, holders), "who is not listed holds nothing")
+	})
+}
+
+// TestHoldersAreSpread: where 25 workers warm up, no daemon of 90 is holder of many.
+func TestHoldersAreSpread(t *testing.T) {
+	var members []string
+	for i := range 90 {
+		members = append(members, fmt.Sprintf("front-%d", i))
+	}
+	for _, self := range members {
+		count := 0
+		for w := range 25 {
+			if IsHolder(self, fmt.Sprintf("i-%04x", w), members, holdersMost) {
+				count++
+			}
+		}
+		assert.Assert(t, count <= 6, "%s holds %d", self, count)
+	}
+}
+
+func TestBucket(t *testing.T) {
+	ms := func(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+	tests := map[string]struct {
+		rate  float64
+		takes []int
+		want  []bool
+	}{
+		"it is empty at the start":    {2, []int{0, 499, 500}, []bool{false, false, true}},
+		"it holds one token":          {2, []int{5000, 5000, 5499, 5500}, []bool{true, false, false, true}},
+		"the clock seems to go back":  {2, []int{500, 300, 999, 1000}, []bool{true, false, false, true}},
+		"no token ever comes":         {0, []int{0, 100000}, []bool{false, false}},
+		"a token in a fraction of ms": {3, []int{333, 334}, []bool{false, true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBucket(test.rate, start)
+			for i, at := range test.takes {
+				assert.Equal(t, b.has(ms(at)), test.want[i], "%d ms", at)
+				assert.Equal(t, b.take(ms(at)), test.want[i], "%d ms", at)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/allowance/sum_test.go
@@ -0,0 +1,178 @@
+package allowance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quartzshelf.dev/common/proptest"
+	"quartzshelf.dev/fleet"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+// cold is the worker that warms up in these tests, of a service that bears 14 requests a
+// second.
+var cold = &fleet.Replica{ID: "g", Head: &fleet.Worker{ID: "w", Service: "models", Zone: "hall"}}
+
+const (
+	bears = 14.0
+	// step is how often each daemon tries to send.
+	step = 20 * time.Millisecond
+)
+
+var start = time.Unix(1000, 0)
+
+// daemon sends to the cold worker whatever its allowance lets it.
+type daemon struct {
+	id        string
+	members   []string
+	allowance *Allowance
+	// frozen is while the process stands still, slow while its connections do not open;
+	// restarts is when it is killed and started again.
+	frozen, slow span
+	restarts     []time.Duration
+	// held are the requests that have a token and wait for their connection.
+	held []time.Time
+	sent []time.Time
+}
+
+// span is a time, from the start of the test.
+type span struct{ from, to time.Duration }
+
+func (s span) covers(at time.Duration) bool { return s.from <= at && at < s.to }
+
+func (d *daemon) begin(bound Bound, now time.Time) {
+	view := viewOf(&fleet.Worker{ID: "w", Service: "models", Zone: "hall", ColdLeft: 1 << 30}, now)
+	config := configOf(bears)
+	d.held = nil
+	d.allowance = New(Options{
+		Self: d.id, Members: func() []string { return d.members }, Bound: bound,
+		View: func() *fleet.View { return view }, Halls: func() *fleet.HallView { return nil },
+		Config: func() *fleet.Config { return config }, Changed: func(*fleet.Worker, bool) {},
+	})
+	d.allowance.Look(now)
+}
+
+// act is one step of the daemon.
+func (d *daemon) act(bound Bound, at time.Duration) {
+	now := start.Add(at)
+	if slices.Contains(d.restarts, at) {
+		d.begin(bound, now)
+	}
+	if d.frozen.covers(at) {
+		return
+	}
+	if sendBy, ok := d.allowance.Take(cold, now); ok {
+		d.held = append(d.held, sendBy)
+	}
+	if d.slow.covers(at) {
+		return
+	}
+	for _, sendBy := range d.held {
+		if !now.After(sendBy) {
+			d.sent = append(d.sent, now)
+		}
+	}
+	d.held = nil
+}
+
+// most returns how many requests were sent in the busiest second.
+func most(all []*daemon) int {
+	var sent []time.Time
+	for _, d := range all {
+		sent = append(sent, d.sent...)
+	}
+	slices.SortFunc(sent, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range sent {
+		for at.Sub(sent[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// drawSpan draws a span of whole steps.
+func drawSpan(t *rapid.T, name string) span {
+	from := rapid.IntRange(0, 100).Draw(t, name+" from")
+	return span{from: time.Duration(from) * step, to: time.Duration(from+rapid.IntRange(0, 100).Draw(t, name+" for")) * step}
+}
+
+// TestSumStaysBelowBound lets daemons that hold one of two views of the registered ones
+// send all they may, with freezes, restarts and connections that open late: in no second
+// are more requests sent than the operator allows.
+func TestSumStaysBelowBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := Bound{Burst: rapid.Float64Range(1, 2).Draw(t, "burst"), Slack: float64(rapid.IntRange(0, 12).Draw(t, "slack"))}
+		count := rapid.IntRange(1, 16).Draw(t, "daemons")
+		var members [2][]string
+		var all []*daemon
+		disjoint := rapid.Bool().Draw(t, "disjoint")
+		sameFreeze, sameSlow := drawSpan(t, "all frozen"), drawSpan(t, "all slow")
+		together := rapid.Bool().Draw(t, "together")
+		for i := range count {
+			d := &daemon{id: fmt.Sprintf("daemon-%d", i), frozen: sameFreeze, slow: sameSlow}
+			if !together {
+				d.frozen, d.slow = drawSpan(t, "frozen"), drawSpan(t, "slow")
+			}
+			for range rapid.IntRange(0, 6).Draw(t, "restarts") {
+				d.restarts = append(d.restarts, time.Duration(rapid.IntRange(1, 199).Draw(t, "restart"))*step)
+			}
+			side := rapid.IntRange(0, 1).Draw(t, "side")
+			members[side] = append(members[side], d.id)
+			if !disjoint && rapid.Bool().Draw(t, "known to the other side") {
+				members[1-side] = append(members[1-side], d.id)
+			}
+			d.members = []string{fmt.Sprint(side)}
+			all = append(all, d)
+		}
+		for _, d := range all {
+			d.members = members[int(d.members[0][0]-'0')]
+			d.begin(bound, start)
+		}
+		for at := time.Duration(0); at < 4*time.Second; at += step {
+			for _, d := range all {
+				d.act(bound, at)
+			}
+		}
+		allowed := bears*bound.Burst + bound.Slack
+		assert.Assert(t, float64(most(all)) <= allowed, "%d sent in a second, %.1f allowed", most(all), allowed)
+	})
+}
+
+// TestIntake tells what the allowance lets a worker have, where daemons send all they may.
+func TestIntake(t *testing.T) {
+	var members []string
+	for i := range 90 {
+		members = append(members, fmt.Sprintf("daemon-%d", i))
+	}
+	var all []*daemon
+	bound := Bound{Burst: 1.5, Slack: 5}
+	sent := 0
+	for _, id := range members {
+		d := &daemon{id: id, members: members}
+		d.begin(bound, start)
+		for at := time.Duration(0); at < 10*time.Second; at += step {
+			d.act(bound, at)
+		}
+		sent += len(d.sent)
+		all = append(all, d)
+	}
+	assert.Assert(t, sent >= 70 && float64(sent) <= 10*bears, "%d requests in 10 s", sent)
+	assert.Assert(t, most(all) <= 13, "half of the bound, since another view may use the other half")
+}
+
+func TestWhoKnowsNobodySendsNothing(t *testing.T) {
+	d := &daemon{id: "a"}
+	d.begin(Bound{Burst: 1.5, Slack: 5}, start)
+	for at := time.Duration(0); at < 4*time.Second; at += step {
+		d.act(Bound{Burst: 1.5, Slack: 5}, at)
+	}
+	assert.Equal(t, len(d.sent), 0)
+}
--- a/peers/table.go
+++ b/peers/table.go
@@ -33,6 +33,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*Peer
+	// registered holds all daemons that were ever known, this one too.
+	registered registered
 	// pausedUntil is until when silence counts less: after this process stood
 	// still for pausedFor, heartbeats that waited for it have yet to be read.
 	pausedUntil time.Time
@@ -41,14 +43,18 @@
 
 // NewTable returns a table that knows nobody.
 func NewTable(self Identity) *Table {
-	return &Table{self: self, peers: make(map[string]*Peer)}
+	return &Table{self: self, peers: make(map[string]*Peer), registered: registered{ids: []string{self.ID}}}
 }
 
 // Learn notes that a life of a daemon exists. It need not be alive.
 func (t *Table) Learn(identity Identity, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if identity.Address == "" || t.outlived(identity, now) {
+	if identity.Address == "" {
+		return
+	}
+	t.registered.add(identity.ID)
+	if t.outlived(identity, now) {
 		return
 	}
 	if held, ok := t.peers[identity.ID]; ok && held.Incarnation == identity.Incarnation {
@@ -78,6 +84,7 @@
 func (t *Table) Hear(h Heartbeat, now, sentAfter time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.registered.add(h.ID)
 	if t.outlived(h.Identity, now) {
 		return false
 	}
--- a/relay/eligible.go
+++ b/relay/eligible.go
@@ -43,7 +43,7 @@
 
 // noneEligible returns the refusal of a request that no replica may take, by what kept
 // the most of them out.
-func noneEligible(counts eligibility.Counts) *refusal {
+func (r *Relay) noneEligible(c *request, counts eligibility.Counts, now time.Time) *refusal {
 	f := unavailable(reason.NoReplica, "no replica serves at present", retryBusy)
 	switch counts.Most() {
 	case eligibility.Hall:
@@ -51,7 +51,7 @@
 	case eligibility.Region:
 		f = unavailable(reason.RegionNotAllowed, "no replica serves in the regions that are allowed", retryClosed)
 	case eligibility.WarmUp:
-		f = unavailable(reason.WarmUp, "the replicas are warming up", retryBusy)
+		f = unavailable(reason.WarmUp, "the replicas are warming up", r.warmUpWait(c, now))
 	}
 	f.passedOver = counts.String()
 	return f
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,7 +46,14 @@
 	RegionOf func(hall string) string
 	// WarmUp returns what is known at a time of replicas that warm up, as the check of
 	// eligibility.Rules; nil, or a nil result, if none does.
-	WarmUp  func(now time.Time) func(r *fleet.Replica) bool
+	WarmUp func(now time.Time) func(r *fleet.Replica) bool
+	// TakeWarmUp takes what a request needs to go to a replica that warms up, and returns
+	// until when it may be sent; the zero time for any time. It reports false if there is
+	// nothing to take. NextWarmUp returns when there is expected to be something. Both
+	// are given where WarmUp is.
+	TakeWarmUp func(r *fleet.Replica, now time.Time) (sendBy time.Time, ok bool)
+	NextWarmUp func(r *fleet.Replica, now time.Time) time.Time
+
 	Tracker *Tracker
 	Budget  BudgetOptions
 	// Leaving reports whether this daemon is to stop.
@@ -140,11 +147,18 @@
 	if c.tenant != nil && r.BeliefTooOld(now) {
 		return nil, unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
 	}
-	selection := r.eligible(c, now)
-	if selection.Empty() {
-		return nil, noneEligible(selection.Counts())
+	for {
+		selection := r.eligible(c, now)
+		if selection.Empty() {
+			return nil, r.noneEligible(c, selection.Counts(), now)
+		}
+		replica, none := r.chooseAmong(c, &selection, now)
+		if none != nil || r.takeWarmUp(c, replica, now) {
+			return replica, none
+		}
+		// Another request was faster.
+		now = time.Now()
 	}
-	return r.chooseAmong(c, &selection, now)
 }
 
 // chooseAmong chooses among the replicas of the best class that has room. Doubtful ones
--- a/relay/request.go
+++ b/relay/request.go
@@ -43,6 +43,8 @@
 	chosenBusy float64
 	// passedOver tells which reasons kept how many replicas out of the last choice.
 	passedOver string
+	// sendBy is until when the attempt may be sent; the zero time for any time.
+	sendBy time.Time
 	// lastCause is the error of the newest failed attempt.
 	lastCause error
 }
@@ -213,7 +215,7 @@
 	}
 	return &message{
 		method: c.method, encoded: encode(c.method, c.target, c.host, header, c.body),
-		attempt: c.id, attemptName: names.Attempt, once: !c.route.Repeatable(),
+		sendBy: c.sendBy, attempt: c.id, attemptName: names.Attempt, once: !c.route.Repeatable(),
 	}
 }
 
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -208,6 +208,9 @@
 // roundTrip writes the request and reads the head of its answer. Answers to
 // earlier requests that come late are passed over.
 func (c *connection) roundTrip(m *message) (*http.Response, error) {
+	if err := m.inTime(time.Now()); err != nil {
+		return nil, err
+	}
 	n, err := c.Write(m.encoded)
 	if err != nil {
 		return nil, &sendError{sent: n > 0, cause: err}
@@ -281,6 +284,8 @@
 	// attempt is the request's identity, attemptName its header.
 	attempt     string
 	attemptName string
+	// sendBy is until when it may be sent; the zero time for any time.
+	sendBy time.Time
 	// once tells that the request must not be repeated.
 	once bool
 }
--- a/serving/server.go
+++ b/serving/server.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
 
+	"quartzshelf.dev/allowance"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/fleet"
@@ -38,6 +39,12 @@
 	whileAlone = time.Second
 	// memberListTimeout bounds a call to the member list.
 	memberListTimeout = time.Second
+	// readMembersSoon is how long after its first read the member list is read again, by
+	// when daemons have registered that started with this one, within 0.3 s, and that the
+	// store turned away at first. readMembersEvery is how often later: daemons that are
+	// added meanwhile are heard in their own data hall at once.
+	readMembersSoon  = 4 * time.Second
+	readMembersEvery = time.Minute
 	// hearFor is how long after it first read the member list a daemon listens for
 	// others before it may lead.
 	hearFor = 700 * time.Millisecond
@@ -57,11 +64,15 @@
 	tracker   *relay.Tracker
 	relay     *relay.Relay
 	fetcher   *fetcher
+	// warmUp bounds what workers get that warm up.
+	warmUp *allowance.Allowance
 	// suspicions holds the replicas that fell silent of late.
 	suspicions *suspicions
 	leaving    atomic.Bool
 	// metAt is when the member list was first read.
 	metAt     atomic.Pointer[time.Time]
+	// readAgain is when the member list is to be read again.
+	readAgain time.Time
 	readDelay time.Duration
 	done      chan struct{}
 
@@ -95,6 +106,7 @@
 		return nil, err
 	}
 	s.elector = s.newElector()
+	s.warmUp = s.newWarmUp()
 	s.relay = s.newRelay()
 	return s, nil
 }
@@ -116,7 +128,8 @@
 	budget.Daemons = s.agent.Daemons
 	return relay.New(relay.Options{
 		Names: s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
-		View: s.inventory.View, Halls: s.halls.View, RegionOf: s.regionOf, Tracker: s.tracker, Budget: budget,
+		View: s.inventory.View, Halls: s.halls.View, RegionOf: s.regionOf,
+		WarmUp: s.warmUp.Check, TakeWarmUp: s.takeWarmUp, NextWarmUp: s.warmUp.Next, Tracker: s.tracker, Budget: budget,
 		Leaving: s.leaving.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
 	})
 }
@@ -171,6 +184,7 @@
 	duties.Go(func() { s.fetcher.run(running) })
 	duties.Go(func() { s.passNews(running) })
 	duties.Go(func() { s.meet(running) })
+	duties.Go(func() { s.watchWarmUp(running) })
 	duties.Go(func() { s.serveMetrics(running) })
 	stopped := make(chan error, 1)
 	duties.Go(func() { stopped <- server.Serve(front) })
@@ -237,7 +251,8 @@
 	registered, next := false, meetAgain
 	for ctx.Err() == nil {
 		registered = registered || s.register(ctx)
-		if s.metAt.Load() == nil || len(s.agent.Table().Alive(time.Now())) == 0 {
+		now := time.Now()
+		if s.metAt.Load() == nil || len(s.agent.Table().Alive(now)) == 0 || !now.Before(s.readAgain) {
 			s.readMembers(ctx)
 		}
 		pause.For(ctx, next)
@@ -259,11 +274,17 @@
 	ctx, cancel := context.WithTimeout(ctx, memberListTimeout)
 	defer cancel()
 	all, err := s.opts.MemberList.Read(ctx)
+	now := time.Now()
+	first := s.metAt.Load() == nil
+	s.readAgain = now.Add(readMembersEvery)
 	if err != nil {
 		s.logger.Debug("member list not read", "error", err)
 		return
 	}
-	now := time.Now()
+	if first {
+		// Others were still about to register.
+		s.readAgain = now.Add(readMembersSoon)
+	}
 	s.metAt.CompareAndSwap(nil, &now)
 	for _, other := range all {
 		s.agent.Table().Learn(other, now)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -31,6 +31,8 @@
 	first      metric.Float64Histogram
 	between    metric.Float64Histogram
 	orders     metric.Int64Counter
+	// warmUp counts tokens of the warm-up allowance, by outcome.
+	warmUp metric.Int64Counter
 	// datagrams and datagramBytes count what was sent to peers.
 	datagrams     metric.Int64Counter
 	datagramBytes metric.Int64Counter
@@ -104,6 +106,11 @@
 	if err != nil {
 		return err
 	}
+	m.warmUp, err = meter.Int64Counter("quartzshelf_warm_up",
+		metric.WithDescription("Requests to workers that warm up, by whether the allowance had room."))
+	if err != nil {
+		return err
+	}
 	if err := m.registerDatagrams(meter); err != nil {
 		return err
 	}
@@ -174,6 +181,11 @@
 		metric.WithAttributes(attribute.String("order", order), attribute.String("outcome", outcome)))
 }
 
+// WarmUp counts a request to a worker that warms up, by whether it got a token.
+func (m *Meter) WarmUp(outcome string) {
+	m.warmUp.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 func (m *Meter) registerDatagrams(meter metric.Meter) error {
 	var err error
 	m.datagrams, err = meter.Int64Counter("quartzshelf_datagrams",
