--- /dev/null
+++ b/relay/warmup_test.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// fakeTokens bounds what a replica gets: one request a token.
+type fakeTokens struct {
+	mu sync.Mutex
+	// left holds the tokens by worker; workers that are not named are not bounded.
+	left map[string]int
+	// stale tells that requests are sent too late for their token.
+	stale bool
+}
+
+func (f *fakeTokens) check(time.Time) func(r *fleet.Replica) bool {
+	return func(r *fleet.Replica) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		left, bounded := f.left[r.Head.ID]
+		return !bounded || left > 0
+	}
+}
+
+func (f *fakeTokens) take(r *fleet.Replica, now time.Time) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left, bounded := f.left[r.Head.ID]
+	switch {
+	case !bounded:
+		return time.Time{}, true
+	case left == 0:
+		return time.Time{}, false
+	}
+	f.left[r.Head.ID]--
+	if f.stale {
+		return now.Add(-time.Millisecond), true
+	}
+	return now.Add(time.Minute), true
+}
+
+func (f *fakeTokens) next(_ *fleet.Replica, now time.Time) time.Time {
+	return now.Add(120 * time.Millisecond)
+}
+
+// bound lets the relay go by the tokens.
+func (f *fakeTokens) bound(r *testRelay) {
+	r.opts.WarmUp, r.opts.TakeWarmUp, r.opts.NextWarmUp = f.check, f.take, f.next
+}
+
+// allRuns counts the runs of all requests at a worker.
+func (w *fakeWorker) allRuns() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := 0
+	for _, n := range w.ran {
+		sum += n
+	}
+	return sum
+}
+
+// TestNoMoreThanTokens lets many requests come at once, so that what was judged to have
+// room often has none when it is chosen.
+func TestNoMoreThanTokens(t *testing.T) {
+	cold, warm := newFakeWorker(t, "cold"), newFakeWorker(t, "warm")
+	r, server := newTestRelay(t, cold, warm)
+	tokens := &fakeTokens{left: map[string]int{"cold": 5}}
+	tokens.bound(r)
+	const requests = 40
+	results := make([]call, requests)
+	var all sync.WaitGroup
+	for i := range requests {
+		all.Go(func() { results[i] = do(t, server, "/safe/", fmt.Sprint("r", i), nil) })
+	}
+	all.Wait()
+	served := 0
+	for _, result := range results {
+		if result.status == http.StatusOK {
+			served++
+		}
+	}
+	assert.Assert(t, cold.allRuns() <= 5)
+	assert.Equal(t, cold.allRuns()+warm.allRuns(), served)
+	assert.Assert(t, served > 5)
+}
+
+// TestRetriesAndResumptionsTakeTokens counts what comes after a failure like the rest.
+func TestRetriesAndResumptionsTakeTokens(t *testing.T) {
+	tests := map[string]struct {
+		path  string
+		first behaviour
+		left  map[string]int
+		want  int
+	}{
+		"a stream that breaks has no token left":  {"/stream/", cuts, map[string]int{"a": 1, "b": 0}, 1},
+		"a stream goes on with a token":           {"/stream/", cuts, map[string]int{"a": 1, "b": 1}, 2},
+		"a retry has no token left":               {"/safe/", loses, map[string]int{"a": 1, "b": 0}, 1},
+		"a retry takes a token":                   {"/safe/", loses, map[string]int{"a": 1, "b": 1}, 2},
+		"a request that may run once has a token": {"/once/", answers, map[string]int{"a": 1, "b": 0}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, b := newFakeWorker(t, "a", test.first), newFakeWorker(t, "b", test.first)
+			r, server := newTestRelay(t, a, b)
+			(&fakeTokens{left: test.left}).bound(r)
+			do(t, server, test.path, "x", nil)
+			assert.Equal(t, a.allRuns()+b.allRuns(), test.want)
+		})
+	}
+}
+
+func TestNoTokenIsRefusedTruthfully(t *testing.T) {
+	cold := newFakeWorker(t, "cold")
+	r, server := newTestRelay(t, cold)
+	(&fakeTokens{left: map[string]int{"cold": 0}}).bound(r)
+	got := do(t, server, "/once/", "x", nil)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.header.Get("Retry-After"), "0.120")
+	assert.Assert(t, cold.allRuns() == 0)
+}
+
+// TestLateSendIsVoid: a token that is too old at the write sends nothing, and the request
+// goes elsewhere.
+func TestLateSendIsVoid(t *testing.T) {
+	for _, path := range []string{"/once/", "/safe/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			cold, warm := newFakeWorker(t, "cold"), newFakeWorker(t, "warm")
+			r, server := newTestRelay(t, cold, warm)
+			(&fakeTokens{left: map[string]int{"cold": 100}, stale: true}).bound(r)
+			for i := range 10 {
+				got := do(t, server, path, fmt.Sprint("r", i), nil)
+				assert.Equal(t, got.status, http.StatusOK)
+			}
+			assert.Equal(t, cold.allRuns(), 0)
+			assert.Equal(t, warm.allRuns(), 10)
+		})
+	}
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -70,7 +70,7 @@
 	suspicions *suspicions
 	leaving    atomic.Bool
 	// metAt is when the member list was first read.
-	metAt     atomic.Pointer[time.Time]
+	metAt atomic.Pointer[time.Time]
 	// readAgain is when the member list is to be read again.
 	readAgain time.Time
 	readDelay time.Duration
