--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -56,6 +56,9 @@
 	// until is when the first of the workers has warmed up.
 	until   time.Time
 	warming map[string]*warming
+	// hallOpened tells that some warm up for longer than their entry tells, because their
+	// hall was opened.
+	hallOpened bool
 }
 
 // warming is a worker that warms up.
@@ -75,13 +78,17 @@
 }
 
 // Check returns a check for whether this daemon may send a request to a replica now, or
-// nil if no worker warms up.
+// nil if no worker warms up. It is a hint: Take decides.
 func (a *Allowance) Check(now time.Time) func(r *fleet.Replica) bool {
 	s := a.refresh(now)
 	if len(s.warming) == 0 {
 		return nil
 	}
 	return func(r *fleet.Replica) bool {
+		if !s.hallOpened && !now.Before(r.Head.ColdUntil) {
+			// Most are not cold, and need no search.
+			return true
+		}
 		w := s.warming[r.Head.ID]
 		return w == nil || !now.Before(w.until) || w.bucket != nil && w.bucket.has(now)
 	}
@@ -154,6 +161,7 @@
 		if next.warming == nil {
 			next.warming = make(map[string]*warming)
 		}
+		next.hallOpened = next.hallOpened || until.After(w.ColdUntil)
 		next.warming[id] = a.warmingOf(held, w, bound, members, until, now)
 		if next.until.IsZero() {
 			next.until = until
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -51,6 +51,12 @@
 	f.inventory.Apply([]fleet.Change{{ID: id, Worker: &fleet.Worker{ID: id, Service: "models", Zone: "hall", ColdLeft: coldLeft}}}, f.position, time.Now())
 }
 
+// cold returns the replica of the worker "w" as it is listed.
+func (f *fixture) cold() *fleet.Replica {
+	w, _ := f.inventory.View().Worker("w")
+	return &fleet.Replica{ID: "g", Head: w}
+}
+
 // hall closes or opens the worker's data hall.
 func (f *fixture) hall(closed bool) {
 	f.position++
@@ -61,7 +67,7 @@
 func (f *fixture) sends(during time.Duration) int {
 	count := 0
 	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(step) {
-		if _, ok := f.Take(cold, time.Now()); ok {
+		if _, ok := f.Take(f.cold(), time.Now()); ok {
 			count++
 		}
 	}
@@ -132,15 +138,15 @@
 		assert.Assert(t, f.Check(time.Now()) == nil, "no worker is cold")
 		f.list("w", 3000)
 		for range 5 {
-			next := f.Next(cold, time.Now())
+			next := f.Next(f.cold(), time.Now())
 			time.Sleep(time.Until(next) - 1)
-			assert.Assert(t, !f.Check(time.Now())(cold))
+			assert.Assert(t, !f.Check(time.Now())(f.cold()))
 			time.Sleep(1)
-			assert.Assert(t, f.Check(time.Now())(cold))
-			sendBy, ok := f.Take(cold, time.Now())
+			assert.Assert(t, f.Check(time.Now())(f.cold()))
+			sendBy, ok := f.Take(f.cold(), time.Now())
 			assert.Assert(t, ok)
 			assert.Equal(t, sendBy, time.Now().Add(SendWithin))
-			_, ok = f.Take(cold, time.Now())
+			_, ok = f.Take(f.cold(), time.Now())
 			assert.Assert(t, !ok, "the bucket holds one token")
 		}
 	})
--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -124,12 +124,14 @@
 // holds the slice given.
 func (r *Rules) Select(q *Request, replicas []*fleet.Replica) Selection {
 	var s Selection
+	copied := false
 	for i, replica := range replicas {
 		class, cause := r.Judge(q, replica)
-		if class == Eligible && !s.counts.Any() {
+		if class == Eligible && !copied {
 			continue
 		}
-		if !s.counts.Any() {
+		if !copied {
+			copied = true
 			s.byClass[Eligible] = append(make([]*fleet.Replica, 0, len(replicas)), replicas[:i]...)
 		}
 		s.counts[cause]++
@@ -137,7 +139,7 @@
 			s.byClass[class] = append(s.byClass[class], replica)
 		}
 	}
-	if !s.counts.Any() {
+	if !copied {
 		s.byClass[Eligible] = replicas
 	}
 	return s
--- a/relay/eligible.go
+++ b/relay/eligible.go
@@ -51,7 +51,7 @@
 	case eligibility.Region:
 		f = unavailable(reason.RegionNotAllowed, "no replica serves in the regions that are allowed", retryClosed)
 	case eligibility.WarmUp:
-		f = unavailable(reason.WarmUp, "the replicas are warming up", r.warmUpWait(c, now))
+		f = r.warmingUp(c, now)
 	}
 	f.passedOver = counts.String()
 	return f
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -147,23 +147,27 @@
 	if c.tenant != nil && r.BeliefTooOld(now) {
 		return nil, unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
 	}
+	selection := r.eligible(c, now)
+	// without holds replicas whose last token another request took since they were judged.
+	var without map[string]bool
 	for {
-		selection := r.eligible(c, now)
 		if selection.Empty() {
 			return nil, r.noneEligible(c, selection.Counts(), now)
 		}
-		replica, none := r.chooseAmong(c, &selection, now)
+		replica, none := r.chooseAmong(c, &selection, without, now)
 		if none != nil || r.takeWarmUp(c, replica, now) {
 			return replica, none
 		}
-		// Another request was faster.
-		now = time.Now()
+		if without == nil {
+			without = make(map[string]bool)
+		}
+		without[replica.ID] = true
 	}
 }
 
 // chooseAmong chooses among the replicas of the best class that has room. Doubtful ones
 // count only if there are no others.
-func (r *Relay) chooseAmong(c *request, s *eligibility.Selection, now time.Time) (*fleet.Replica, *refusal) {
+func (r *Relay) chooseAmong(c *request, s *eligibility.Selection, without map[string]bool, now time.Time) (*fleet.Replica, *refusal) {
 	full := false
 	for class := eligibility.Eligible; class < eligibility.Excluded; class++ {
 		replicas := s.Of(class)
@@ -171,7 +175,7 @@
 			continue
 		}
 		costs := costsOf(c.engine, c.model, replicas[0].Head.Slots)
-		choice, ok := r.opts.Tracker.Choose(replicas, nil, costs, c.prompt, now)
+		choice, ok := r.opts.Tracker.Choose(replicas, without, costs, c.prompt, now)
 		if !ok {
 			continue
 		}
@@ -182,6 +186,9 @@
 		full = true
 	}
 	f := unavailable(reason.Overloaded, "all replicas are busy", retryBusy)
+	if !full {
+		f = r.warmingUp(c, now)
+	}
 	f.passedOver = c.passedOver
 	return nil, f
 }
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -208,7 +208,7 @@
 // roundTrip writes the request and reads the head of its answer. Answers to
 // earlier requests that come late are passed over.
 func (c *connection) roundTrip(m *message) (*http.Response, error) {
-	if err := m.inTime(time.Now()); err != nil {
+	if err := m.inTime(c.worker, time.Now()); err != nil {
 		return nil, err
 	}
 	n, err := c.Write(m.encoded)
--- a/relay/warmup.go
+++ b/relay/warmup.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/fleet"
 )
 
@@ -19,6 +20,11 @@
 	return ok
 }
 
+// warmingUp returns the refusal of a request that no replica bears yet.
+func (r *Relay) warmingUp(c *request, now time.Time) *refusal {
+	return unavailable(reason.WarmUp, "the replicas are warming up", r.warmUpWait(c, now))
+}
+
 // warmUpWait returns when a caller is to come back whose request no replica bears yet.
 func (r *Relay) warmUpWait(c *request, now time.Time) time.Duration {
 	wait := retryClosed
@@ -35,9 +41,9 @@
 
 // inTime returns an error if a message is about to be sent later than it may be, after the
 // opening of its connection took long or the process stood still.
-func (m *message) inTime(now time.Time) error {
+func (m *message) inTime(worker string, now time.Time) error {
 	if m.sendBy.IsZero() || !now.After(m.sendBy) {
 		return nil
 	}
-	return &sendError{cause: failure.New(failure.Refused, "send to worker", "", "%s too late for a replica that warms up", now.Sub(m.sendBy))}
+	return &sendError{cause: failure.New(failure.Refused, "send to worker", worker, "%s too late for a replica that warms up", now.Sub(m.sendBy))}
 }
