--- a/serving/server.go
+++ b/serving/server.go
@@ -252,7 +252,7 @@
 	for ctx.Err() == nil {
 		registered = registered || s.register(ctx)
 		now := time.Now()
-		if s.metAt.Load() == nil || len(s.agent.Table().Alive(now)) == 0 || !now.Before(s.readAgain) {
+		if s.metAt.Load() == nil || len(s.agent.Table().Alive(now)) == 0 || s.membersDue(now) {
 			s.readMembers(ctx)
 		}
 		pause.For(ctx, next)
--- a/serving/warmup.go
+++ b/serving/warmup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"quartzshelf.dev/allowance"
@@ -39,6 +40,14 @@
 	return all
 }
 
+// membersDue reports whether the member list is to be read again though others are heard:
+// who holds a worker that warms up is found among all that are registered.
+func (s *Server) membersDue(now time.Time) bool {
+	config := s.beliefs.Config()
+	bounded := func(v *fleet.Service) bool { return v.WarmUp.PerSecond > 0 }
+	return !now.Before(s.readAgain) && config != nil && slices.ContainsFunc(config.Services(), bounded)
+}
+
 // takeWarmUp takes a token for a request to a replica that warms up, and counts it.
 func (s *Server) takeWarmUp(r *fleet.Replica, now time.Time) (sendBy time.Time, ok bool) {
 	sendBy, ok = s.warmUp.Take(r, now)
--- a/serving/warmup_test.go
+++ b/serving/warmup_test.go
@@ -81,6 +81,12 @@
 	s := newServer(t, store)
 	s.readMembers(context.Background())
 	assert.Assert(t, time.Until(s.readAgain) <= readMembersSoon)
+	learn(s, time.Now())
+	soon := time.Now().Add(readMembersSoon)
+	assert.Assert(t, !s.membersDue(soon), "no service bounds what cold workers get")
+	warmUpFleet(s)
+	assert.Assert(t, !s.membersDue(time.Now()))
+	assert.Assert(t, s.membersDue(soon))
 	store.known = []peers.Identity{{ID: "b", Incarnation: 1, Address: "b:1"}}
 	s.readMembers(context.Background())
 	assert.DeepEqual(t, s.registered(), []string{"a", "b"})
