--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,7 +46,14 @@
 	RegionOf func(hall string) string
 	// WarmUp returns what is known at a time of replicas that warm up, as the check of
 	// eligibility.Rules; nil, or a nil result, if none does.
-	WarmUp  func(now time.Time) func(r *fleet.Replica) bool
+	WarmUp func(now time.Time) func(r *fleet.Replica) bool
+	// TakeWarmUp takes what a request needs to go to a replica that warms up, and returns
+	// until when it may be sent; the zero time for any time. It reports false if there is
+	// nothing to take. NextWarmUp returns when there is expected to be something. Both
+	// are given where WarmUp is.
+	TakeWarmUp func(r *fleet.Replica, now time.Time) (sendBy time.Time, ok bool)
+	NextWarmUp func(r *fleet.Replica, now time.Time) time.Time
+
 	Tracker *Tracker
 	Budget  BudgetOptions
 	// Leaving reports whether this daemon is to stop.
@@ -141,15 +148,26 @@
 		return nil, unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
 	}
 	selection := r.eligible(c, now)
-	if selection.Empty() {
-		return nil, noneEligible(selection.Counts())
+	// without holds replicas whose last token another request took since they were judged.
+	var without map[string]bool
+	for {
+		if selection.Empty() {
+			return nil, r.noneEligible(c, selection.Counts(), now)
+		}
+		replica, none := r.chooseAmong(c, &selection, without, now)
+		if none != nil || r.takeWarmUp(c, replica, now) {
+			return replica, none
+		}
+		if without == nil {
+			without = make(map[string]bool)
+		}
+		without[replica.ID] = true
 	}
-	return r.chooseAmong(c, &selection, now)
 }
 
 // chooseAmong chooses among the replicas of the best class that has room. Doubtful ones
 // count only if there are no others.
-func (r *Relay) chooseAmong(c *request, s *eligibility.Selection, now time.Time) (*fleet.Replica, *refusal) {
+func (r *Relay) chooseAmong(c *request, s *eligibility.Selection, without map[string]bool, now time.Time) (*fleet.Replica, *refusal) {
 	full := false
 	for class := eligibility.Eligible; class < eligibility.Excluded; class++ {
 		replicas := s.Of(class)
@@ -157,7 +175,7 @@
 			continue
 		}
 		costs := costsOf(c.engine, c.model, replicas[0].Head.Slots)
-		choice, ok := r.opts.Tracker.Choose(replicas, nil, costs, c.prompt, now)
+		choice, ok := r.opts.Tracker.Choose(replicas, without, costs, c.prompt, now)
 		if !ok {
 			continue
 		}
@@ -168,6 +186,9 @@
 		full = true
 	}
 	f := unavailable(reason.Overloaded, "all replicas are busy", retryBusy)
+	if !full {
+		f = r.warmingUp(c, now)
+	}
 	f.passedOver = c.passedOver
 	return nil, f
 }
