--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -29,6 +29,8 @@
 	first    metric.Float64Histogram
 	between  metric.Float64Histogram
 	orders   metric.Int64Counter
+	// connections counts what carried requests to workers.
+	connections metric.Int64Counter
 	// datagrams and datagramBytes count what was sent to peers.
 	datagrams     metric.Int64Counter
 	datagramBytes metric.Int64Counter
@@ -98,6 +100,11 @@
 	if err != nil {
 		return err
 	}
+	m.connections, err = meter.Int64Counter("quartzshelf_connections",
+		metric.WithDescription("Connections that carried requests to workers, by service, opened or reused."))
+	if err != nil {
+		return err
+	}
 	if err := m.registerDatagrams(meter); err != nil {
 		return err
 	}
@@ -164,6 +171,17 @@
 		metric.WithAttributes(attribute.String("order", order), attribute.String("outcome", outcome)))
 }
 
+// Connection counts a connection to a worker of a service that is to carry a
+// request, either opened for it or reused.
+func (m *Meter) Connection(service string, reused bool) {
+	use := "opened"
+	if reused {
+		use = "reused"
+	}
+	m.connections.Add(context.Background(), 1,
+		metric.WithAttributes(attribute.String("service", service), attribute.String("use", use)))
+}
+
 func (m *Meter) registerDatagrams(meter metric.Meter) error {
 	var err error
 	m.datagrams, err = meter.Int64Counter("quartzshelf_datagrams",
