--- /dev/null
+++ b/relay/connections_test.go
@@ -0,0 +1,199 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+func (w *fakeWorker) connections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.accepted
+}
+
+// withHeader makes the worker add a header to each answer.
+func (w *fakeWorker) withHeader(header string) *fakeWorker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if header != "" {
+		w.header = header + "\r\n"
+	}
+	return w
+}
+
+// TestServiceOfOneWorkerIsServed: whatever a worker says of its connections, each request
+// is answered, and a connection is used again exactly if the worker keeps it.
+func TestServiceOfOneWorkerIsServed(t *testing.T) {
+	const requests = 8
+	tests := map[string]struct {
+		header string
+		opened int
+	}{
+		"says nothing":                        {opened: 1},
+		"keeps for some seconds":              {header: "Keep-Alive: timeout=5", opened: 1},
+		"keeps for a year":                    {header: "Keep-Alive: timeout=31536000", opened: 1},
+		"keeps for longer than a clock tells": {header: "Keep-Alive: timeout=99999999999999999999", opened: 1},
+		"keeps for no time":                   {header: "Keep-Alive: timeout=0", opened: requests},
+		"keeps for less than no time":         {header: "Keep-Alive: timeout=-9999999999", opened: requests},
+		"says what is no number":              {header: "Keep-Alive: timeout=NaN", opened: 1},
+		"closes each connection":              {header: "Connection: close", opened: requests},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			worker := newFakeWorker(t, "w").withHeader(test.header)
+			_, server := newTestRelay(t, worker)
+			for i := range requests {
+				for _, path := range []string{"/safe/", "/stream/"} {
+					got := do(t, server, path, strconv.Itoa(i)+path, nil)
+					assert.Equal(t, got.status, 200, path)
+					assert.Assert(t, got.whole, path)
+				}
+			}
+			opened := test.opened
+			if opened == requests {
+				opened *= 2
+			}
+			assert.Equal(t, worker.connections(), opened)
+		})
+	}
+}
+
+func TestKeepFor(t *testing.T) {
+	tests := map[string]struct {
+		header string
+		want   time.Duration
+	}{
+		"none":            {"", idleUnstated},
+		"seconds":         {"timeout=9", 8 * time.Second},
+		"with a count":    {"max=100, timeout=9", 8 * time.Second},
+		"the margin":      {"timeout=1", 0},
+		"zero":            {"timeout=0", -idleMargin},
+		"a year":          {"timeout=31536000", idleMost},
+		"beyond a clock":  {"timeout=99999999999999999999", idleMost},
+		"not a number":    {"timeout=NaN", idleUnstated},
+		"negative beyond": {"timeout=-99999999999999999999", -idleMargin},
+		"words":           {"timeout=long", idleUnstated},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, keepFor(test.header), test.want)
+		})
+	}
+}
+
+// testConnection is a connection to a worker that is idle until closeAt.
+func testConnection(t *testing.T, worker *fakeWorker, service string) *connection {
+	t.Helper()
+	raw, err := net.Dial("tcp", worker.listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = raw.Close() })
+	return &connection{Conn: raw, worker: worker.id, service: service, reader: bufio.NewReader(raw)}
+}
+
+// TestShareOfConnectionsFalls: as daemons come, each keeps fewer connections, so that
+// all of them together leave the worker room.
+func TestShareOfConnectionsFalls(t *testing.T) {
+	worker := newFakeWorker(t, "w")
+	u := newUpstream()
+	share := 3
+	u.share = func(string) int { return share }
+	for range 5 {
+		u.put(testConnection(t, worker, "s"), time.Minute)
+	}
+	assert.Equal(t, len(u.idle["w"]), 3)
+	share = 1
+	u.sweep(time.Now())
+	assert.Equal(t, len(u.idle["w"]), 1)
+	share = 0
+	u.sweep(time.Now())
+	assert.Equal(t, u.total, 0)
+	u.put(testConnection(t, worker, "s"), time.Minute)
+	assert.Equal(t, u.total, 0)
+	assert.Equal(t, len(u.idle), 0)
+}
+
+// TestIdleShare: what all daemons keep is at most half of what a worker accepts.
+func TestIdleShare(t *testing.T) {
+	tests := map[string]struct {
+		maxConns, daemons, want int
+	}{
+		"a small fleet":                    {maxConns: 400, daemons: 3, want: idlePerWorker},
+		"a large fleet":                    {maxConns: 400, daemons: 100, want: 2},
+		"more daemons than connections":    {maxConns: 100, daemons: 300, want: 0},
+		"the worker's bound is not known":  {daemons: 300, want: idlePerWorker},
+		"the number of daemons is unknown": {maxConns: 100, want: idlePerWorker},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			config := fleet.NewConfig(fleet.Parts{Services: []*fleet.Service{{Name: "s", MaxConns: test.maxConns}}})
+			r := &Relay{opts: Options{
+				Config: func() *fleet.Config { return config },
+				Budget: BudgetOptions{Daemons: func() int { return test.daemons }},
+			}}
+			assert.Equal(t, r.idleShare("s"), test.want)
+		})
+	}
+}
+
+// TestSilenceOfOneConnectionEndsTheOthers: connections that went silent without a reset
+// must not take one request after the other.
+func TestSilenceOfOneConnectionEndsTheOthers(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = silent.Close() }()
+	worker := &fakeWorker{id: "w", listener: silent}
+	u := newUpstream()
+	for range 3 {
+		u.put(testConnection(t, worker, "s"), time.Minute)
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	time.AfterFunc(10*time.Millisecond, func() { cancel(errStalled) })
+	_, err = u.send(ctx, &fleet.Worker{ID: "w", Service: "s", Address: silent.Addr().String()}, &message{encoded: []byte("GET / HTTP/1.1\r\n\r\n")})
+	assert.ErrorContains(t, err, errStalled.Error())
+	assert.Equal(t, u.total, 0)
+}
+
+// TestCallersThatLeaveEndNoConnections: a caller that goes says nothing of the worker.
+func TestCallersThatLeaveEndNoConnections(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = silent.Close() }()
+	worker := &fakeWorker{id: "w", listener: silent}
+	u := newUpstream()
+	for range 3 {
+		u.put(testConnection(t, worker, "s"), time.Minute)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, err = u.send(ctx, &fleet.Worker{ID: "w", Service: "s", Address: silent.Addr().String()}, &message{encoded: []byte("GET / HTTP/1.1\r\n\r\n")})
+	assert.ErrorContains(t, err, context.Canceled.Error())
+	assert.Equal(t, u.total, 2)
+}
+
+// TestForgetfulServices: two workers that reset connections which were idle show that
+// their service drops them early; one may have been started anew.
+func TestForgetfulServices(t *testing.T) {
+	now := time.Now()
+	second := time.Second
+	u := newUpstream()
+	u.noteReset(&connection{worker: "a", service: "s", idled: 2 * second}, now)
+	u.noteReset(&connection{worker: "a", service: "s", idled: 2 * second}, now)
+	assert.Assert(t, !u.forgets("s", 2*second, now), "one worker")
+	u.noteReset(&connection{worker: "b", service: "s", idled: 3 * second}, now)
+	assert.Assert(t, u.forgets("s", second, now))
+	assert.Assert(t, !u.forgets("s", second-1, now))
+	assert.Assert(t, !u.forgets("other", 3*second, now))
+	u.noteReset(&connection{worker: "b", service: "s", idled: second / 2}, now.Add(second))
+	assert.Assert(t, u.forgets("s", second, now.Add(forgetFor)), "it is known for longer")
+	assert.Assert(t, !u.forgets("s", 3*second, now.Add(forgetFor+second)), "it is tried again")
+	assert.Assert(t, isReset(&sendError{cause: syscall.ECONNRESET}))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,7 +59,9 @@
 
 // New returns a relay; Run does its housekeeping.
 func New(opts Options) *Relay {
-	return &Relay{opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), done: make(chan struct{})}
+	r := &Relay{opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), done: make(chan struct{})}
+	r.upstream.share, r.upstream.count = r.idleShare, opts.Meter.Connection
+	return r
 }
 
 // Done is closed when Run has returned.
--- a/relay/tracker_test.go
+++ b/relay/tracker_test.go
@@ -89,8 +89,8 @@
 		})
 	}
 	// The relay asks for the shorter time for such requests alone.
-	assert.Equal(t, (&message{once: true}).idleFor(), freshIdle)
-	assert.Equal(t, (&message{}).idleFor(), idleMost)
+	assert.Equal(t, idleFor(true), freshIdle)
+	assert.Equal(t, idleFor(false), idleMost)
 }
 
 // TestNearlyFullReplicasAreLeftAlone: where one slot is left, two daemons that do
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -1,17 +1,12 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"quartzshelf.dev/common/failure"
@@ -19,22 +14,10 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection to a worker.
-	dialTimeout = 500 * time.Millisecond
-	// idleMost is how long a connection without a request is kept, idleMargin
-	// how much before the worker's own limit it is given up.
-	idleMost   = 4 * time.Second
-	idleMargin = time.Second
-	// freshIdle is how long a connection may have been idle to carry a request
-	// that runs at most once: the worker may have closed it meanwhile.
-	freshIdle = 700 * time.Millisecond
-	// idlePerWorker bounds the connections kept without a request.
-	idlePerWorker = 16
 	// surplusMost is how many answers to earlier requests are passed over.
 	surplusMost = 2
 	// surplusBody bounds the body of such an answer, in bytes.
 	surplusBody = 1 << 20
-	readBuffer  = 4 << 10
 	// lingerMost bounds what is read to free a connection after an answer.
 	lingerMost = 1 << 10
 )
@@ -60,118 +43,9 @@
 	return !errors.As(err, &s) || s.sent
 }
 
-// upstream keeps connections to workers.
-type upstream struct {
-	dialer net.Dialer
-
-	mu   sync.Mutex
-	idle map[string][]*connection
-}
-
-// connection is a connection to a worker.
-type connection struct {
-	net.Conn
-	worker string
-	reader *bufio.Reader
-	// idleSince is when it was last used, closeAt until when it may be used.
-	idleSince time.Time
-	closeAt   time.Time
-}
-
-func newUpstream() *upstream {
-	return &upstream{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, idle: make(map[string][]*connection)}
-}
-
-// get returns a connection to a worker: one that has been idle for less than
-// idleFor, or a new one.
-func (u *upstream) get(ctx context.Context, w *fleet.Worker, idleFor time.Duration) (*connection, error) {
-	if c := u.reuse(w.ID, idleFor); c != nil {
-		return c, nil
-	}
-	raw, err := u.dialer.DialContext(ctx, "tcp", w.Address)
-	if err != nil {
-		return nil, &sendError{cause: failure.At(failure.Refused, "connect to worker", w.ID, err)}
-	}
-	return &connection{Conn: raw, worker: w.ID, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
-}
-
-func (u *upstream) reuse(worker string, idleFor time.Duration) *connection {
-	now := time.Now()
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for {
-		all := u.idle[worker]
-		if len(all) == 0 {
-			return nil
-		}
-		c := all[len(all)-1]
-		u.idle[worker] = all[:len(all)-1]
-		if now.Sub(c.idleSince) < idleFor && now.Before(c.closeAt) && c.quiet() {
-			return c
-		}
-		_ = c.Close()
-	}
-}
-
-// quiet reports whether the worker neither closed the connection nor sent
-// anything on it since its last answer.
-func (c *connection) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	socket, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = socket.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
-}
-
-// put keeps a connection whose answer was read to its end.
-func (u *upstream) put(c *connection, keep time.Duration) {
-	now := time.Now()
-	c.idleSince, c.closeAt = now, now.Add(keep)
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if keep <= 0 || len(u.idle[c.worker]) >= idlePerWorker {
-		_ = c.Close()
-		return
-	}
-	u.idle[c.worker] = append(u.idle[c.worker], c)
-}
-
-// sweep closes connections that were idle for too long.
-func (u *upstream) sweep(now time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for worker, all := range u.idle {
-		kept := all[:0]
-		for _, c := range all {
-			if now.Before(c.closeAt) {
-				kept = append(kept, c)
-				continue
-			}
-			_ = c.Close()
-		}
-		if len(kept) == 0 {
-			delete(u.idle, worker)
-			continue
-		}
-		u.idle[worker] = kept
-	}
-}
-
 // exchange is a request on its way and the answer that began.
 type exchange struct {
+	ctx      context.Context
 	conn     *connection
 	upstream *upstream
 	response *http.Response
@@ -182,7 +56,7 @@
 // send passes a request on and returns once the head of its answer came. The
 // connection is closed as soon as ctx ends.
 func (u *upstream) send(ctx context.Context, w *fleet.Worker, m *message) (*exchange, error) {
-	c, err := u.get(ctx, w, m.idleFor())
+	c, err := u.get(ctx, w, idleFor(m.once))
 	if err != nil {
 		return nil, err
 	}
@@ -191,9 +65,26 @@
 	if err != nil {
 		release()
 		_ = c.Close()
+		u.noteUnanswered(ctx, c, err)
 		return nil, withCause(ctx, w.ID, err)
 	}
-	return &exchange{conn: c, upstream: u, response: response, release: release}, nil
+	return &exchange{ctx: ctx, conn: c, upstream: u, response: response, release: release}, nil
+}
+
+// noteUnanswered notes that a request got no answer. On a new connection only
+// silence says something of the others, and a caller that left says nothing.
+func (u *upstream) noteUnanswered(ctx context.Context, c *connection, err error) {
+	kept := c.idled > 0
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.Canceled):
+	case errors.Is(cause, errStalled):
+		u.distrust(c.worker)
+	case kept:
+		u.distrust(c.worker)
+		if cause == nil && isReset(err) {
+			u.noteReset(c, time.Now())
+		}
+	}
 }
 
 // withCause adds why the context ended to an error that this brought about.
@@ -244,6 +135,9 @@
 func (e *exchange) abort() {
 	e.release()
 	_ = e.conn.Close()
+	if errors.Is(context.Cause(e.ctx), errStalled) {
+		e.upstream.distrust(e.conn.worker)
+	}
 }
 
 // discard reads the rest of a short answer, so that its connection can be kept.
@@ -260,20 +154,6 @@
 	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
-// keepFor returns for how long a connection may be kept by a Keep-Alive header.
-func keepFor(header string) time.Duration {
-	for _, part := range strings.Split(header, ",") {
-		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		if !ok {
-			continue
-		}
-		if s, err := strconv.Atoi(value); err == nil {
-			return min(idleMost, time.Duration(s)*time.Second-idleMargin)
-		}
-	}
-	return idleMost
-}
-
 // message is a request as it goes to a worker.
 type message struct {
 	method  string
@@ -285,14 +165,6 @@
 	once bool
 }
 
-// idleFor returns how long a connection may have been idle to carry the message.
-func (m *message) idleFor() time.Duration {
-	if m.once {
-		return freshIdle
-	}
-	return idleMost
-}
-
 // encode writes a request head and body into one buffer.
 func encode(method, target, host string, header http.Header, body []byte) []byte {
 	var b bytes.Buffer
--- a/relay/worker_test.go
+++ b/relay/worker_test.go
@@ -59,6 +59,9 @@
 	// ran counts the runs by request, heads holds what came.
 	ran   map[string]int
 	heads []http.Header
+	// accepted counts the connections, header is added to each answer.
+	accepted int
+	header   string
 }
 
 func newFakeWorker(t *testing.T, id string, script ...behaviour) *fakeWorker {
@@ -79,6 +82,9 @@
 		if err != nil {
 			return
 		}
+		w.mu.Lock()
+		w.accepted++
+		w.mu.Unlock()
 		go w.serve(c)
 	}
 }
@@ -127,7 +133,7 @@
 		w.ran[id]++
 	}
 	w.mu.Unlock()
-	signed := "X-Attempt: " + id + "\r\nX-Signature: " + w.id + "\r\n"
+	signed := "X-Attempt: " + id + "\r\nX-Signature: " + w.id + "\r\n" + w.header
 	switch b {
 	case rejects:
 		write(c, "HTTP/1.1 503 Full\r\nX-Attempt: "+id+"\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
