--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
 )
 
 // eventReader yields one event at each read.
@@ -36,3 +40,39 @@
 		b.Fatal(err)
 	}
 }
+
+// BenchmarkChoose measures one choice among 400 replicas, of which this daemon keeps
+// connections to 16, with loads that the relays of three data halls report.
+func BenchmarkChoose(b *testing.B) {
+	const replicas, halls, connected = 400, 3, 16
+	now := time.Unix(1000, 0)
+	tracker := NewTracker("z", func(*fleet.Replica) {})
+	u := newUpstream()
+	var all []*fleet.Replica
+	var loads peers.Loads
+	for i := range replicas {
+		r := testReplica(fmt.Sprintf("r%d", i), "z")
+		all = append(all, r)
+		loads = append(loads, peers.Load{Replica: r.ID, InFlight: i % 9})
+		if i%(replicas/connected) == 0 {
+			u.idle[r.Head.ID] = []*connection{{worker: r.Head.ID, idleSince: time.Now(), closeAt: time.Now().Add(time.Hour)}}
+		}
+	}
+	for i := range halls {
+		tracker.SetRemote(fmt.Sprintf("hall%d", i), peers.Summary{Daemons: 40, Loads: loads}, now)
+	}
+	tests := map[string]func() map[string]bool{
+		"without connections": func() map[string]bool { return nil },
+		"with connections":    func() map[string]bool { return u.kept(time.Hour) },
+	}
+	for name, kept := range tests {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				c := testCosts
+				c.kept = kept()
+				tracker.Choose(all, nil, c, 1000, now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/relay/choices_test.go
@@ -0,0 +1,277 @@
+package relay
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+// choiceLoad is a load that is played in virtual time, without a network.
+type choiceLoad struct {
+	daemons, replicas int
+	// perSecond is the rate of requests over all daemons.
+	perSecond float64
+	// idle is how long connections are kept.
+	idle time.Duration
+	// forget makes daemons choose as though they kept no connections.
+	forget bool
+}
+
+// choiceResult is what came of it.
+type choiceResult struct {
+	// opened is the part of the requests that took a new connection, first the 95th
+	// percentile of the waits for the first event, full the part of the requests that
+	// found no slot.
+	opened, full float64
+	first        time.Duration
+}
+
+func (r choiceResult) String() string {
+	return fmt.Sprintf("%.3f opened, first event %s at the 95th percentile, %.4f without a slot", r.opened, r.first, r.full)
+}
+
+// played is one play of a load.
+type played struct {
+	load     choiceLoad
+	costs    costs
+	rand     *rand.Rand
+	replicas []*fleet.Replica
+	daemons  []*playedDaemon
+	// busy holds the requests under way by replica, readAt when it has read its prompts.
+	busy   map[string]int
+	readAt map[string]time.Time
+	ends   playedEnds
+}
+
+// playedDaemon is a daemon with the times since when its kept connections are idle.
+type playedDaemon struct {
+	tracker *Tracker
+	idle    map[string][]time.Time
+}
+
+// playedEnd is the end of a request.
+type playedEnd struct {
+	at          time.Time
+	daemon      *playedDaemon
+	replica     string
+	reservation *Reservation
+}
+
+type playedEnds []playedEnd
+
+func (e playedEnds) Len() int           { return len(e) }
+func (e playedEnds) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e playedEnds) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *playedEnds) Push(x any)        { *e = append(*e, x.(playedEnd)) }
+func (e *playedEnds) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+const (
+	playedPrompt = 700
+	playedEvents = 28
+	// playedReports is how often daemons are told of the loads at others.
+	playedReports = 250 * time.Millisecond
+)
+
+// playChoices plays a load for a while; the first part, in which nothing is kept yet,
+// doesn't count.
+func playChoices(load choiceLoad) choiceResult {
+	const start, counted = 6 * time.Second, 10 * time.Second
+	p := &played{
+		load: load, rand: rand.New(rand.NewPCG(7, 11)), busy: make(map[string]int), readAt: make(map[string]time.Time),
+		costs: costs{slots: 20, perToken: 13 * time.Microsecond, pass: 28 * time.Millisecond, perRequest: 340 * time.Microsecond, service: time.Second},
+	}
+	for i := range load.replicas {
+		p.replicas = append(p.replicas, testReplica(fmt.Sprintf("r%d", i), "z"))
+	}
+	for range load.daemons {
+		p.daemons = append(p.daemons, &playedDaemon{tracker: NewTracker("z", func(*fleet.Replica) {}), idle: make(map[string][]time.Time)})
+	}
+	began := time.Unix(1000, 0)
+	now, reported := began, began
+	var waits []time.Duration
+	opened, full := 0, 0
+	for now.Sub(began) < start+counted {
+		now = now.Add(time.Duration(p.rand.ExpFloat64() / load.perSecond * float64(time.Second)))
+		p.end(now)
+		if now.Sub(reported) > playedReports {
+			p.report(now)
+			reported = now
+		}
+		wait, isNew, isFull := p.request(now)
+		if now.Sub(began) < start {
+			continue
+		}
+		waits = append(waits, wait)
+		opened += boolToInt(isNew)
+		full += boolToInt(isFull)
+	}
+	slices.Sort(waits)
+	count := float64(len(waits))
+	return choiceResult{opened: float64(opened) / count, full: float64(full) / count, first: waits[len(waits)*95/100]}
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// end ends the requests that are done and keeps their connections.
+func (p *played) end(now time.Time) {
+	for len(p.ends) > 0 && p.ends[0].at.Before(now) {
+		e := heap.Pop(&p.ends).(playedEnd)
+		e.reservation.End()
+		p.busy[e.replica]--
+		e.daemon.idle[e.replica] = append(e.daemon.idle[e.replica], e.at)
+	}
+}
+
+// report tells each daemon what the others have under way.
+func (p *played) report(now time.Time) {
+	for _, d := range p.daemons {
+		own := make(map[string]int)
+		for _, l := range d.tracker.Loads() {
+			own[l.Replica] = l.InFlight
+		}
+		work := peers.Summary{Daemons: len(p.daemons) - 1}
+		for id, busy := range p.busy {
+			work.Loads = append(work.Loads, peers.Load{Replica: id, InFlight: busy - own[id]})
+		}
+		d.tracker.SetRemote("others", work, now.Add(-50*time.Millisecond))
+	}
+}
+
+// request plays one request at a random daemon.
+func (p *played) request(now time.Time) (wait time.Duration, opened, full bool) {
+	d := p.daemons[p.rand.IntN(len(p.daemons))]
+	c := p.costs
+	if !p.load.forget {
+		c.kept = d.kept(now, p.load.idle)
+	}
+	choice, ok := d.tracker.Choose(p.replicas, nil, c, playedPrompt, now)
+	if !ok {
+		return math.MaxInt64, false, true
+	}
+	id := choice.Replica.ID
+	opened = !d.take(id, now, p.load.idle)
+	reservation := d.tracker.Begin(choice.Replica, playedPrompt)
+	reservation.Started()
+	full = float64(p.busy[id]) >= c.slots
+	p.busy[id]++
+	pass := c.pass + time.Duration(p.busy[id])*c.perRequest
+	began := now
+	if p.readAt[id].After(now) {
+		began = p.readAt[id]
+	}
+	p.readAt[id] = began.Add(playedPrompt * c.perToken)
+	wait = p.readAt[id].Sub(now) + pass
+	heap.Push(&p.ends, playedEnd{at: now.Add(wait + playedEvents*pass), daemon: d, replica: id, reservation: reservation})
+	return wait, opened, full
+}
+
+func (d *playedDaemon) kept(now time.Time, idle time.Duration) map[string]bool {
+	all := make(map[string]bool)
+	for id, since := range d.idle {
+		if len(since) > 0 && now.Sub(since[len(since)-1]) < idle {
+			all[id] = true
+		}
+	}
+	return all
+}
+
+// take uses the connection that was used last, and reports whether there was one.
+func (d *playedDaemon) take(id string, now time.Time, idle time.Duration) bool {
+	since := d.idle[id]
+	if len(since) == 0 {
+		return false
+	}
+	last := since[len(since)-1]
+	d.idle[id] = since[:len(since)-1]
+	return now.Sub(last) < idle
+}
+
+// TestKeptConnectionsAreUsed plays fleets in which each daemon has few requests, against
+// choices that know of no connections: connections are used again, nobody waits longer, and
+// no more requests come to replicas without a slot. Choices draw on a source without a seed;
+// the bounds leave a third and more of what twenty plays of each load came to.
+func TestKeptConnectionsAreUsed(t *testing.T) {
+	const usual = 4 * time.Second
+	tests := map[string]struct {
+		load choiceLoad
+		// opened is the part of the requests that may take new connections.
+		opened float64
+	}{
+		"many daemons with few requests": {choiceLoad{daemons: 123, replicas: 45, perSecond: 414, idle: usual}, 0.12},
+		"kept for longer":                {choiceLoad{daemons: 123, replicas: 45, perSecond: 414, idle: 2 * usual}, 0.12},
+		"nearly full":                    {choiceLoad{daemons: 123, replicas: 45, perSecond: 720, idle: usual}, 0.12},
+		"more daemons than replicas":     {choiceLoad{daemons: 123, replicas: 9, perSecond: 69, idle: usual}, 0.4},
+		"fewer daemons than replicas":    {choiceLoad{daemons: 3, replicas: 45, perSecond: 414, idle: usual}, 0.1},
+		"one replica":                    {choiceLoad{daemons: 5, replicas: 1, perSecond: 10, idle: usual}, 0.25},
+		"kept for no time":               {choiceLoad{daemons: 20, replicas: 9, perSecond: 69}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := playChoices(test.load)
+			unaware := test.load
+			unaware.forget = true
+			without := playChoices(unaware)
+			t.Logf("%s; without %s", got, without)
+			assert.Assert(t, got.opened <= test.opened, "%s", got)
+			assert.Assert(t, got.first <= without.first*11/10, "%s; without %s", got, without)
+			assert.Assert(t, got.full <= without.full+0.005, "%s; without %s", got, without)
+		})
+	}
+}
+
+// TestPreferenceEndsWithTheSlots: a kept connection is no reason to take the last slot.
+func TestPreferenceEndsWithTheSlots(t *testing.T) {
+	const noise = 20 * time.Millisecond
+	tests := map[string]struct {
+		worker string
+		busy   float64
+		want   time.Duration
+	}{
+		"kept and idle":          {"kept", 0, 0},
+		"kept, two slots left":   {"kept", 18, 0},
+		"kept, one slot left":    {"kept", 19, connectionCost + noise},
+		"kept, with a queue":     {"kept", 25, connectionCost + noise},
+		"not kept":               {"other", 0, connectionCost + noise},
+		"not kept, with a queue": {"other", 25, connectionCost + noise},
+	}
+	c := testCosts
+	c.kept = map[string]bool{"kept": true}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, c.connecting(test.worker, test.busy, noise), test.want)
+		})
+	}
+}
+
+// TestMuchFreerReplicasAreChosen: a kept connection does not hide a replica that is shown to
+// be freer by more than predictions may be off.
+func TestMuchFreerReplicasAreChosen(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker("z", func(*fleet.Replica) {})
+	tracker.SetRemote("peer", peers.Summary{Daemons: 1, Loads: peers.Loads{{Replica: "kept", InFlight: 10, Prefill: 3000}}}, now)
+	c := testCosts
+	c.kept = map[string]bool{"kept": true}
+	for range 10 {
+		choice, ok := tracker.Choose([]*fleet.Replica{testReplica("kept", "z"), testReplica("free", "z")}, nil, c, 100, now)
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Replica.ID, "free")
+	}
+}
--- a/relay/connections.go
+++ b/relay/connections.go
@@ -114,6 +114,21 @@
 	return idled < idleFor && now.Before(c.closeAt) && !u.forgets(c.service, idled, now)
 }
 
+// kept returns the workers to which there is a connection that has been idle
+// for less than idleFor.
+func (u *upstream) kept(idleFor time.Duration) map[string]bool {
+	now := time.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	workers := make(map[string]bool, len(u.idle))
+	for worker, all := range u.idle {
+		if len(all) > 0 && u.usable(all[len(all)-1], idleFor, now) {
+			workers[worker] = true
+		}
+	}
+	return workers
+}
+
 // quiet reports whether the worker neither closed the connection nor sent
 // anything on it since its last answer.
 func (c *connection) quiet() bool {
--- a/relay/cost.go
+++ b/relay/cost.go
@@ -32,6 +32,8 @@
 	perRequest time.Duration
 	// service is how long a request holds its slot.
 	service time.Duration
+	// kept holds the workers to which a connection is kept.
+	kept map[string]bool
 }
 
 // costsOf returns the costs of a service and model; slots counts for services
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -139,7 +139,9 @@
 	if len(replicas) > 0 {
 		slots = replicas[0].Head.Slots
 	}
-	choice, ok := r.opts.Tracker.Choose(replicas, c.tried, costsOf(c.engine, c.model, slots), c.prompt, now)
+	predicted := costsOf(c.engine, c.model, slots)
+	predicted.kept = r.upstream.kept(idleFor(!c.route.Repeatable()))
+	choice, ok := r.opts.Tracker.Choose(replicas, c.tried, predicted, c.prompt, now)
 	if !ok {
 		return nil, unavailable(reason.NoReplica, "no replica serves at present", retryBusy)
 	}
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -155,6 +155,7 @@
 			continue
 		}
 		busy, cost := t.cost(r, c, now)
+		cost += c.connecting(r.Head.ID, busy, noise)
 		cost += time.Duration(rand.Float64() * float64(noise))
 		if !found || cost < bestCost {
 			best, bestCost, found = Choice{Replica: r, Busy: busy}, cost, true
