--- a/relay/relay.go
+++ b/relay/relay.go
@@ -74,7 +74,9 @@
 
 // New returns a relay; Run does its housekeeping.
 func New(opts Options) *Relay {
-	return &Relay{opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), done: make(chan struct{})}
+	r := &Relay{opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), done: make(chan struct{})}
+	r.upstream.share, r.upstream.count = r.idleShare, opts.Meter.Connection
+	return r
 }
 
 // Done is closed when Run has returned.
@@ -174,8 +176,9 @@
 		if len(replicas) == 0 || full && class == eligibility.Doubtful {
 			continue
 		}
-		costs := costsOf(c.engine, c.model, replicas[0].Head.Slots)
-		choice, ok := r.opts.Tracker.Choose(replicas, without, costs, c.prompt, now)
+		predicted := costsOf(c.engine, c.model, replicas[0].Head.Slots)
+		predicted.kept = r.upstream.kept(idleFor(!c.route.Repeatable()))
+		choice, ok := r.opts.Tracker.Choose(replicas, without, predicted, c.prompt, now)
 		if !ok {
 			continue
 		}
