--- a/common/failure/failure.go
+++ b/common/failure/failure.go
@@ -3,6 +3,8 @@
 package failure
 
 import (
+	"errors"
+
 	"github.com/joomcode/errorx"
 )
 
@@ -22,13 +24,37 @@
 	propertyPeer = errorx.RegisterPrintableProperty("peer")
 )
 
+// located is an error of a type, with its step and peer, that lets errors.Is and
+// errors.As see its cause, which an errorx.Error hides.
+type located struct {
+	at    *errorx.Error
+	cause error
+}
+
+func (l *located) Error() string { return l.at.Error() }
+
+// Unwrap returns the error's own type first, since that decides what it is.
+func (l *located) Unwrap() []error { return []error{l.at, l.cause} }
+
 // At wraps cause as an error of type t that arose in step while dealing with
 // peer. It returns nil when cause is nil.
 func At(t *errorx.Type, step, peer string, cause error) error {
 	if cause == nil {
 		return nil
 	}
-	return t.WrapWithNoMessage(cause).WithProperty(propertyStep, step).WithProperty(propertyPeer, peer)
+	wrapped := cause
+	if l, ok := cause.(*located); ok {
+		// The stack trace of an errorx.Error is taken over; another one costs its taking.
+		wrapped = l.at
+	}
+	at := t.WrapWithNoMessage(wrapped).WithProperty(propertyStep, step).WithProperty(propertyPeer, peer)
+	return &located{at: at, cause: cause}
+}
+
+// Is reports whether err is of type t: the outermost type that it carries counts.
+func Is(err error, t *errorx.Type) bool {
+	var typed *errorx.Error
+	return errors.As(err, &typed) && typed.IsOfType(t)
 }
 
 // New returns an error of type t that arose in step while dealing with peer.
@@ -47,7 +73,11 @@
 }
 
 func property(err error, key errorx.Property) string {
-	if value, ok := errorx.ExtractProperty(err, key); ok {
+	var typed *errorx.Error
+	if !errors.As(err, &typed) {
+		return ""
+	}
+	if value, ok := typed.Property(key); ok {
 		if s, ok := value.(string); ok {
 			return s
 		}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -9,7 +9,6 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
-	"github.com/joomcode/errorx"
 	"k8s.io/apimachinery/pkg/labels"
 
 	"quartzshelf.dev/common/failure"
@@ -69,11 +68,11 @@
 	switch {
 	case errors.As(err, &f):
 		code, settled = f.Code, true
-	case errorx.IsOfType(err, failure.Refused):
+	case failure.Is(err, failure.Refused):
 		code, settled = http.StatusServiceUnavailable, true
-	case errorx.IsOfType(err, failure.Invalid):
+	case failure.Is(err, failure.Invalid):
 		code, settled = http.StatusUnprocessableEntity, true
-	case errorx.IsOfType(err, failure.Unavailable):
+	case failure.Is(err, failure.Unavailable):
 		code = http.StatusServiceUnavailable
 	}
 	return c.Status(code).JSON(problem{
--- a/eventlog/follower.go
+++ b/eventlog/follower.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/pause"
@@ -233,7 +231,7 @@
 	seen := f.fold.Watch(last)
 	defer f.fold.Unwatch(last)
 	_, err := f.opts.Log.Append(ctx, f.opts.Stream, records)
-	if errorx.IsOfType(err, failure.Refused) {
+	if failure.Is(err, failure.Refused) {
 		return err
 	}
 	select {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/conc"
 
 	"quartzshelf.dev/cluster"
@@ -127,7 +126,7 @@
 		ReadBufferSize: 16 << 10,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			code := fiber.StatusInternalServerError
-			if errorx.IsOfType(err, failure.Refused) {
+			if failure.Is(err, failure.Refused) {
 				code = fiber.StatusServiceUnavailable
 			}
 			return c.Status(code).JSON(fiber.Map{"error": err.Error()})
