--- a/peers/loads.go
+++ b/peers/loads.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/fleet"
@@ -15,6 +16,50 @@
 	InFlight int    `json:"n"`
 	// Prefill is the number of prompt tokens of requests not yet begun.
 	Prefill int `json:"p,omitempty"`
+	// Moved is how long ago the replica's newest event came, in milliseconds; zero if
+	// that is not known.
+	Moved int64 `json:"m,omitempty"`
+}
+
+const (
+	// movedUnit is the unit in which messages tell Moved, in milliseconds.
+	movedUnit = 10
+	// movedMost is the longest time that is told, in milliseconds: what has been silent
+	// for longer is suspected.
+	movedMost = 1500
+)
+
+// MovedAgo returns what Load.Moved tells of the newest event of a replica.
+func MovedAgo(moved, now time.Time) int64 {
+	return toldMove(now.Sub(moved).Milliseconds() + 1)
+}
+
+// toldMove returns a time as Load.Moved tells it: rounded up, so that silence is never
+// hidden, and zero if it is too long ago.
+func toldMove(ms int64) int64 {
+	if ms <= 0 || ms > movedMost {
+		return 0
+	}
+	return (ms + movedUnit - 1) / movedUnit * movedUnit
+}
+
+// newerMove returns the newer of two times that Load.Moved tells.
+func newerMove(a, b int64) int64 {
+	if a == 0 || b == 0 {
+		return a + b
+	}
+	return min(a, b)
+}
+
+// aged returns loads that were reported a time ago.
+func (l Loads) aged(age time.Duration) Loads {
+	older := slices.Clone(l)
+	for i := range older {
+		if older[i].Moved > 0 {
+			older[i].Moved = toldMove(older[i].Moved + age.Milliseconds())
+		}
+	}
+	return older
 }
 
 // Loads is work at several replicas. In messages it is packed: the names of
@@ -26,6 +71,9 @@
 	// Groups holds three numbers for each group of a model, by rising epoch: how
 	// much higher the epoch is than the one before, requests in flight, prompt tokens.
 	Groups map[string][]int64 `json:"g,omitempty"`
+	// Moved holds Load.Moved of each group in the same order, in units of movedUnit.
+	// It is a list of its own since daemons of earlier versions read Groups by threes.
+	Moved map[string][]int64 `json:"m,omitempty"`
 	// Others holds the replicas that are not groups.
 	Others []Load `json:"o,omitempty"`
 }
@@ -55,9 +103,10 @@
 	last := make(map[string]int64)
 	for _, g := range groups {
 		if packed.Groups == nil {
-			packed.Groups = make(map[string][]int64)
+			packed.Groups, packed.Moved = make(map[string][]int64), make(map[string][]int64)
 		}
 		packed.Groups[g.model] = append(packed.Groups[g.model], g.epoch-last[g.model], int64(g.InFlight), int64(g.Prefill))
+		packed.Moved[g.model] = append(packed.Moved[g.model], g.Moved/movedUnit)
 		last[g.model] = g.epoch
 	}
 	return json.Marshal(packed)
@@ -71,10 +120,14 @@
 	}
 	all := packed.Others
 	for model, numbers := range packed.Groups {
-		epoch := int64(0)
-		for len(numbers) >= perGroup {
+		epoch, moved := int64(0), packed.Moved[model]
+		for i := 0; len(numbers) >= perGroup; i++ {
 			epoch += numbers[0]
-			all = append(all, Load{Replica: fleet.KeyOf(model, epoch), InFlight: int(numbers[1]), Prefill: int(numbers[2])})
+			load := Load{Replica: fleet.KeyOf(model, epoch), InFlight: int(numbers[1]), Prefill: int(numbers[2])}
+			if i < len(moved) {
+				load.Moved = toldMove(moved[i] * movedUnit)
+			}
+			all = append(all, load)
 			numbers = numbers[perGroup:]
 		}
 	}
@@ -88,7 +141,10 @@
 	for _, loads := range all {
 		for _, l := range loads {
 			held := byReplica[l.Replica]
-			byReplica[l.Replica] = Load{Replica: l.Replica, InFlight: held.InFlight + l.InFlight, Prefill: held.Prefill + l.Prefill}
+			byReplica[l.Replica] = Load{
+				Replica: l.Replica, InFlight: held.InFlight + l.InFlight, Prefill: held.Prefill + l.Prefill,
+				Moved: newerMove(held.Moved, l.Moved),
+			}
 		}
 	}
 	sum := make(Loads, 0, len(byReplica))
--- a/peers/loads_test.go
+++ b/peers/loads_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -12,7 +13,7 @@
 // TestPackedLoads checks that loads survive being packed.
 func TestPackedLoads(t *testing.T) {
 	loads := Loads{
-		{Replica: fleet.KeyOf("a-b", 268435645), InFlight: 3, Prefill: 1420}, {Replica: fleet.KeyOf("a-b", 9), InFlight: 1},
+		{Replica: fleet.KeyOf("a-b", 268435645), InFlight: 3, Prefill: 1420, Moved: 40}, {Replica: fleet.KeyOf("a-b", 9), InFlight: 1, Moved: 1500},
 		{Replica: fleet.KeyOf("c", 10), InFlight: 2}, {Replica: "i-worker", InFlight: 4}, {Replica: "odd@x", InFlight: 1},
 	}
 	data, err := loads.MarshalJSON()
@@ -30,6 +31,43 @@
 	assert.DeepEqual(t, sum.Without(own), Loads{{Replica: "a", InFlight: 2, Prefill: 200}, {Replica: "c", InFlight: 2}})
 }
 
+// TestMovesGrowOld: what is passed on tells how long ago the newest event of a replica
+// came, over all daemons that know one, and never makes it look newer than it was.
+func TestMovesGrowOld(t *testing.T) {
+	tests := map[string]struct {
+		own, other int64
+		age        time.Duration
+		want       int64
+	}{
+		"the newer one counts":   {own: 300, other: 40, age: 200 * time.Millisecond, want: 240},
+		"the own one is newer":   {own: 100, other: 40, age: 200 * time.Millisecond, want: 100},
+		"one is not known":       {other: 40, age: 200 * time.Millisecond, want: 240},
+		"the other is not known": {own: 100, age: 200 * time.Millisecond, want: 100},
+		"rounded up":             {other: 40, age: 201 * time.Millisecond, want: 250},
+		"too long ago":           {other: 1400, age: 200 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := Summary{Daemons: 1, Loads: Loads{{Replica: "a", InFlight: 1, Moved: test.own}}}
+			s.add(Summary{Daemons: 1, Loads: Loads{{Replica: "a", InFlight: 1, Moved: test.other}}}, test.age)
+			assert.DeepEqual(t, s.Loads, Loads{{Replica: "a", InFlight: 2, Moved: test.want}})
+		})
+	}
+	now := time.Unix(1000, 0)
+	assert.Equal(t, MovedAgo(time.Time{}, now), int64(0))
+	assert.Equal(t, MovedAgo(now, now), int64(10))
+	assert.Equal(t, MovedAgo(now.Add(-time.Hour), now), int64(0))
+}
+
+// TestLoadsOfOlderDaemons reads what a daemon sends that tells no moves.
+func TestLoadsOfOlderDaemons(t *testing.T) {
+	var got Loads
+	assert.NilError(t, got.UnmarshalJSON([]byte(`{"g":{"a":[5,2,100,1,3,0]}}`)))
+	assert.DeepEqual(t, got, Loads{
+		{Replica: fleet.KeyOf("a", 5), InFlight: 2, Prefill: 100}, {Replica: fleet.KeyOf("a", 6), InFlight: 3},
+	})
+}
+
 // TestSummariesAreSplit checks that the parts of a summary hold its loads once, each
 // replica in the same part while their number stays, and add up to it.
 func TestSummariesAreSplit(t *testing.T) {
--- a/peers/message.go
+++ b/peers/message.go
@@ -68,7 +68,7 @@
 	s.Traffic = s.Traffic || other.Traffic
 	s.Demand = sumDemand(s.Demand, other.Demand)
 	s.Prompts = sumDemand(s.Prompts, other.Prompts)
-	s.Loads = sumLoads(s.Loads, other.Loads)
+	s.Loads = sumLoads(s.Loads, other.Loads.aged(age))
 }
 
 // sumDemand adds up work by model.
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -8,27 +8,40 @@
 )
 
 const (
-	// beginSilence and goSilence are how long all streams from a replica may be
-	// silent before it is suspected: while none has begun, and after.
+	// beginSilence and goSilence are how long all streams from a replica, here and at
+	// peers, may be silent before it is suspected: while none here has begun, and
+	// after. A pass full of prompts takes up to 0.34 s.
 	beginSilence = 900 * time.Millisecond
 	goSilence    = 450 * time.Millisecond
 	// suspectFor is how long a suspected replica gets no requests unless it
 	// shows progress.
 	suspectFor = 2 * time.Second
+	// reportedWithin is how soon work at peers is known here: a heartbeat each 0.2 s, a
+	// summary of a relay each 0.4 s.
+	reportedWithin = 600 * time.Millisecond
 )
 
 // StreamWatch is a stream in flight.
 type StreamWatch struct {
-	begun  bool
-	since  time.Time
-	cancel context.CancelCauseFunc
+	begun bool
+	// sentAt is when it was sent, movedAt that or when its last event came.
+	sentAt  time.Time
+	movedAt time.Time
+	// dueBy is when its first event is expected by the work that is known there.
+	dueBy time.Time
+	// excused tells that a pause of this process restarted its clock since it last moved.
+	excused bool
+	costs   costs
+	cancel  context.CancelCauseFunc
 }
 
-// Follow follows a stream: cancel is called when its replica falls silent.
-func (t *Tracker) Follow(r *fleet.Replica, cancel context.CancelCauseFunc) *StreamWatch {
+// Follow follows a stream: cancel is called when its replica falls silent, or it alone
+// does. The costs predict how long it waits for its events.
+func (t *Tracker) Follow(r *fleet.Replica, c costs, cancel context.CancelCauseFunc) *StreamWatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	watch := &StreamWatch{since: time.Now(), cancel: cancel}
+	now := time.Now()
+	watch := &StreamWatch{sentAt: now, movedAt: now, costs: c, cancel: cancel}
 	t.loadOf(r).streams[watch] = struct{}{}
 	return watch
 }
@@ -38,7 +51,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.loadOf(r)
-	watch.begun = true
+	watch.begun, watch.movedAt, watch.excused = true, now, false
 	s.lastMove = now
 	s.suspect = time.Time{}
 }
@@ -50,22 +63,24 @@
 	delete(t.loadOf(r).streams, watch)
 }
 
-// Suspect passes a replica over for a while, on a peer's word.
+// Suspect passes a replica over for a while, on a peer's word, unless a stream moved
+// there a moment ago.
 func (t *Tracker) Suspect(replica string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.held[replica]; ok && now.Sub(s.lastMove) > goSilence {
+	if s, ok := t.held[replica]; ok && now.Sub(t.moveOf(s)) > goSilence {
 		s.suspect = now.Add(suspectFor)
 	}
 }
 
-// Sweep looks for replicas that fell silent, cuts their streams off so that
-// they go on elsewhere, and forgets replicas that are gone. A gap since the
-// last sweep that shows this process stood still excuses all silence.
+// Sweep looks for replicas that fell silent, and for streams that did while their
+// replica goes on; it cuts these streams off so that they go on elsewhere. It forgets
+// replicas that are gone. A gap since the last sweep that shows this process stood still
+// excuses silence, once until the stream moves: a process that often stands still would
+// notice nothing otherwise.
 func (t *Tracker) Sweep(now time.Time, gap time.Duration) {
 	if gap > goSilence/2 {
 		t.excuse(now)
-		return
 	}
 	for _, r := range t.silent(now) {
 		t.stalled(r)
@@ -76,7 +91,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.held {
-		s.lastMove = now
+		for watch := range s.streams {
+			if !watch.excused {
+				watch.movedAt, watch.excused = now, true
+			}
+		}
 	}
 }
 
@@ -90,38 +109,74 @@
 			delete(t.held, id)
 			continue
 		}
-		if !s.isSilent(now) {
+		if s.isSilent(t.moveOf(s), now) {
+			s.suspect = now.Add(suspectFor)
+			all = append(all, s.replica)
+			s.cut(errStalled, func(*StreamWatch) bool { return true })
 			continue
 		}
-		s.suspect = now.Add(suspectFor)
-		all = append(all, s.replica)
-		for watch := range s.streams {
-			watch.cancel(errStalled)
-		}
+		s.cut(errQuiet, func(w *StreamWatch) bool { return t.isQuiet(s, w, now) })
 	}
 	return all
 }
 
-// isSilent reports whether none of the replica's streams moved for so long
-// that it must have stopped.
-func (s *replicaLoad) isSilent(now time.Time) bool {
+// moveOf returns when a stream last moved at a replica, here or at a peer, as far as known.
+func (t *Tracker) moveOf(s *replicaLoad) time.Time {
+	moved := s.lastMove
+	for _, remote := range t.remote {
+		if l, ok := remote.loads[s.replica.ID]; ok && l.Moved > 0 {
+			if at := remote.heard.Add(-time.Duration(l.Moved) * time.Millisecond); at.After(moved) {
+				moved = at
+			}
+		}
+	}
+	return moved
+}
+
+// isQuiet reports whether a stream has been silent for too long though others of its
+// replica move. One that has begun gets an event with each pass. One that waits for its
+// first event may be in a queue: it is due once the work that was sent before it is done,
+// as far as that is known when peers have reported it.
+func (t *Tracker) isQuiet(s *replicaLoad, w *StreamWatch, now time.Time) bool {
+	if w.begun {
+		pass := w.costs.pass + time.Duration(w.costs.slots*float64(w.costs.perRequest))
+		return now.Sub(w.movedAt) > goSilence+pass
+	}
+	if now.Sub(w.sentAt) <= reportedWithin {
+		busy, prefill := t.work(s.replica.ID, now)
+		if due := now.Add(w.costs.wait(float64(busy), prefill)); due.After(w.dueBy) {
+			w.dueBy = due
+		}
+	}
+	return now.Sub(w.movedAt) > beginSilence && now.Sub(w.dueBy) > goSilence
+}
+
+// isSilent reports whether none of the replica's streams moved for so long that it must
+// have stopped, if one moved last at the given time.
+func (s *replicaLoad) isSilent(moved, now time.Time) bool {
 	if len(s.streams) == 0 {
 		return false
 	}
-	limit, since := beginSilence, s.lastMove
+	limit, first := beginSilence, now
 	for watch := range s.streams {
 		if watch.begun {
 			limit = goSilence
 		}
+		if watch.movedAt.Before(first) {
+			first = watch.movedAt
+		}
 	}
-	first := now
+	if first.After(moved) {
+		moved = first
+	}
+	return now.Sub(moved) > limit
+}
+
+// cut ends the streams that are chosen, so that they go on elsewhere.
+func (s *replicaLoad) cut(cause error, chosen func(*StreamWatch) bool) {
 	for watch := range s.streams {
-		if watch.since.Before(first) {
-			first = watch.since
+		if chosen(watch) {
+			watch.cancel(cause)
 		}
 	}
-	if first.After(since) {
-		since = first
-	}
-	return now.Sub(since) > limit
 }
--- /dev/null
+++ b/relay/silence_test.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+const patient = 5 * time.Second
+
+// TestQueuedPromptIsNotLost: a request waits 1.4 s behind other prompts at a head whose
+// streams move for another daemon. It is served there, from one send.
+func TestQueuedPromptIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 2, &playedHead{id: "a"})
+		// Streams of the other daemon move all the time.
+		for range 30 {
+			p.call(1, "moving", 0, patient)
+			time.Sleep(100 * time.Millisecond)
+			if p.sends("moving") == 5 {
+				p.call(1, "before", 14_000, patient)
+				time.Sleep(time.Millisecond)
+				p.call(0, "queued", 1000, patient)
+			}
+		}
+		p.calls.Wait()
+		assert.Assert(t, p.served("queued"), "%+v", p.results["queued"])
+		assert.Equal(t, p.sends("queued"), 1)
+		assert.Assert(t, p.results["queued"].first > beginSilence, "it waited for %s only", p.results["queued"].first)
+	})
+}
+
+// TestStandingReplicaIsNoticed: nobody's streams move at a replica that stands still. A
+// stream that has begun goes on elsewhere after goSilence, one that waits after
+// beginSilence, as without the word of peers.
+func TestStandingReplicaIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var stopped bool
+		p := newPlay(t, 2, &playedHead{id: "a", still: func() bool { return stopped }})
+		p.call(0, "begun", 0, patient)
+		p.call(1, "other", 0, patient)
+		time.Sleep(100 * time.Millisecond)
+		stopped = true
+		began := time.Now()
+		p.call(1, "waits", 0, patient)
+		for i, r := range p.daemons {
+			for !r.opts.Tracker.suspected("a@1", time.Now()) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			assert.Assert(t, time.Since(began) <= goSilence+2*sweepEvery, "daemon %d after %s", i, time.Since(began))
+		}
+		stopped = false
+		p.calls.Wait()
+	})
+}
+
+// TestSilenceIsNamed: a caller is told that the replicas fell silent, not that an answer
+// was lost.
+func TestSilenceIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		still := func() bool { return true }
+		p := newPlay(t, 1, &playedHead{id: "a", still: still}, &playedHead{id: "b", still: still})
+		p.call(0, "waits", 0, patient)
+		p.calls.Wait()
+		got := p.results["waits"]
+		assert.Equal(t, got.status, http.StatusBadGateway)
+		assert.Assert(t, strings.Contains(got.body, string(reason.EndpointTimeout)), got.body)
+	})
+}
+
+// TestDeadConnectionIsNoticed: one stream gets nothing more though its replica's other
+// streams move, of this daemon too. It goes on elsewhere before its caller leaves, two
+// seconds after its last event, and the replica is not suspected.
+func TestDeadConnectionIsNoticed(t *testing.T) {
+	for name, prompt := range map[string]int{"after events": 0, "before the first event": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var silent bool
+				dead := &playedHead{id: "a", mute: func(id string) bool { return id == "dead" && silent }}
+				p := newPlay(t, 1, dead)
+				silent = prompt > 0
+				p.call(0, "dead", prompt, patient)
+				time.Sleep(100 * time.Millisecond)
+				silent = true
+				p.join(&playedHead{id: "b"})
+				for range 35 {
+					// So many that both heads get some.
+					for range 3 {
+						p.call(0, "moving", 0, patient)
+					}
+					time.Sleep(60 * time.Millisecond)
+				}
+				assert.Assert(t, !p.daemons[0].opts.Tracker.suspected("a@1", time.Now()))
+				p.calls.Wait()
+				got := p.results["dead"]
+				assert.Assert(t, p.served("dead"), "%+v", got)
+				assert.Assert(t, got.end < 2*time.Second, "%s", got.end)
+			})
+		})
+	}
+}
+
+// TestStarvedProcessNoticesSilence: a process that gets no processor for 0.3 s again and
+// again still sees that a replica stands still.
+func TestStarvedProcessNoticesSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := NewTracker("", func(*fleet.Replica) {})
+		replica := testReplica("a", "")
+		ctx, cancel := context.WithCancelCause(context.Background())
+		defer cancel(nil)
+		tracker.Moved(replica, tracker.Follow(replica, testCosts, cancel), time.Now())
+		const gap = 300 * time.Millisecond
+		for range 5 {
+			time.Sleep(gap)
+			tracker.Sweep(time.Now(), gap)
+		}
+		assert.ErrorIs(t, context.Cause(ctx), errStalled)
+	})
+}
+
+// TestOnePauseExcusesSilence: events that came while this process stood still have not been
+// read yet.
+func TestOnePauseExcusesSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := NewTracker("", func(*fleet.Replica) {})
+		replica := testReplica("a", "")
+		ctx, cancel := context.WithCancelCause(context.Background())
+		defer cancel(nil)
+		watch := tracker.Follow(replica, testCosts, cancel)
+		for range 5 {
+			tracker.Moved(replica, watch, time.Now())
+			time.Sleep(2 * goSilence)
+			tracker.Sweep(time.Now(), 2*goSilence)
+			assert.NilError(t, ctx.Err())
+		}
+	})
+}
+
+// TestSuspicionOfPeersNeedsSilence: a peer's word does not count while streams move.
+func TestSuspicionOfPeersNeedsSilence(t *testing.T) {
+	tests := map[string]struct {
+		moved int64
+		want  bool
+	}{
+		"moved a moment ago at another peer": {moved: 100},
+		"moved there long ago":               {moved: 600, want: true},
+		"nobody tells":                       {want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			tracker := NewTracker("", func(*fleet.Replica) {})
+			tracker.Begin(testReplica("a", ""), 0)
+			tracker.SetRemote("peer", peers.Summary{Daemons: 1, Loads: peers.Loads{{Replica: "a", InFlight: 1, Moved: test.moved}}}, now)
+			tracker.Suspect("a", now)
+			assert.Equal(t, tracker.suspected("a", now), test.want)
+		})
+	}
+}
+
+// suspected reports whether a replica is passed over.
+func (t *Tracker) suspected(replica string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.held[replica]
+	return ok && now.Before(s.suspect)
+}
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -57,9 +57,10 @@
 
 // remoteLoads is the work of other daemons, as a source reported it.
 type remoteLoads struct {
-	at      time.Time
-	daemons int
-	loads   map[string]peers.Load
+	// at is of when the loads are on average, heard when they were reported.
+	at, heard time.Time
+	daemons   int
+	loads     map[string]peers.Load
 }
 
 // NewTracker returns a tracker for a daemon in a zone. It calls stalled with
@@ -81,15 +82,16 @@
 	return s
 }
 
-// SetRemote takes what a source reports of the work of other daemons at a time.
-func (t *Tracker) SetRemote(source string, work peers.Summary, at time.Time) {
+// SetRemote takes what a source reported of the work of other daemons.
+func (t *Tracker) SetRemote(source string, work peers.Summary, heard time.Time) {
 	byReplica := make(map[string]peers.Load, len(work.Loads))
 	for _, l := range work.Loads {
 		byReplica[l.Replica] = l
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remote[source] = remoteLoads{at: at, daemons: work.Daemons, loads: byReplica}
+	at := heard.Add(-time.Duration(work.Age) * time.Millisecond)
+	t.remote[source] = remoteLoads{at: at, heard: heard, daemons: work.Daemons, loads: byReplica}
 }
 
 // Traffic reports whether a request to a model came yet, here or at a peer.
@@ -110,10 +112,11 @@
 func (t *Tracker) Loads() peers.Loads {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	var all peers.Loads
 	for id, s := range t.held {
 		if s.inFlight > 0 {
-			all = append(all, peers.Load{Replica: id, InFlight: s.inFlight, Prefill: s.prefill})
+			all = append(all, peers.Load{Replica: id, InFlight: s.inFlight, Prefill: s.prefill, Moved: peers.MovedAgo(s.lastMove, now)})
 		}
 	}
 	return all
@@ -191,29 +194,34 @@
 
 // cost returns the work in flight at a replica, and the predicted wait there.
 func (t *Tracker) cost(r *fleet.Replica, c costs, now time.Time) (busy float64, wait time.Duration) {
-	inFlight, prefill := 0, 0
-	s, ok := t.held[r.ID]
-	if ok {
-		inFlight, prefill = s.inFlight, s.prefill
-	}
-	for _, peer := range t.remote {
-		if now.Sub(peer.at) < remoteFor {
-			l := peer.loads[r.ID]
-			inFlight += l.InFlight
-			prefill += l.Prefill
-		}
-	}
+	inFlight, prefill := t.work(r.ID, now)
 	busy = float64(inFlight)
 	wait = c.wait(busy, prefill)
 	if r.Head.Zone != t.zone {
 		wait += crossZone
 	}
-	if ok {
+	if s, ok := t.held[r.ID]; ok {
 		wait += t.penalty(s, c, now)
 	}
 	return busy, wait
 }
 
+// work returns the requests in flight at a replica over all daemons, and their prompt
+// tokens not yet read, as far as known.
+func (t *Tracker) work(replica string, now time.Time) (inFlight, prefill int) {
+	if s, ok := t.held[replica]; ok {
+		inFlight, prefill = s.inFlight, s.prefill
+	}
+	for _, peer := range t.remote {
+		if now.Sub(peer.at) < remoteFor {
+			l := peer.loads[replica]
+			inFlight += l.InFlight
+			prefill += l.Prefill
+		}
+	}
+	return inFlight, prefill
+}
+
 // penalty returns what is added to the wait at a replica that gave cause.
 func (t *Tracker) penalty(s *replicaLoad, c costs, now time.Time) time.Duration {
 	penalty := time.Duration(0)
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -41,6 +42,7 @@
 
 var (
 	errStalled = errors.New("the replica fell silent")
+	errQuiet   = fmt.Errorf("its stream alone: %w", errStalled)
 	errSurplus = errors.New("the answer belongs to another request")
 )
 
@@ -62,7 +64,8 @@
 
 // upstream keeps connections to workers.
 type upstream struct {
-	dialer net.Dialer
+	// dial opens a connection to a worker's address.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -79,7 +82,8 @@
 }
 
 func newUpstream() *upstream {
-	return &upstream{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, idle: make(map[string][]*connection)}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &upstream{dial: dialer.DialContext, idle: make(map[string][]*connection)}
 }
 
 // get returns a connection to a worker: one that has been idle for less than
@@ -88,7 +92,7 @@
 	if c := u.reuse(w.ID, idleFor); c != nil {
 		return c, nil
 	}
-	raw, err := u.dialer.DialContext(ctx, "tcp", w.Address)
+	raw, err := u.dial(ctx, "tcp", w.Address)
 	if err != nil {
 		return nil, &sendError{cause: failure.At(failure.Refused, "connect to worker", w.ID, err)}
 	}
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -83,7 +83,7 @@
 		summary.Loads = summary.Loads.Without(s.tracker.Loads())
 	}
 	source := fmt.Sprintf("hall %s/%d", hall, summary.Part)
-	s.tracker.SetRemote(source, summary, now.Add(-time.Duration(summary.Age)*time.Millisecond))
+	s.tracker.SetRemote(source, summary, now)
 }
 
 // changesMessage is what a daemon answers a peer that asks for the worker list.
