--- /dev/null
+++ b/relay/apart.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"quartzshelf.dev/fleet"
+)
+
+// noteFailed notes what a failed attempt tells of a replica beyond the request. A worker
+// that turned the request away, or a stream whose connection alone fell silent, tells
+// nothing of others.
+func (r *Relay) noteFailed(c *request, replica *fleet.Replica, err error) {
+	if errors.Is(err, errTurnedAway) || errors.Is(err, errQuiet) {
+		return
+	}
+	c.failed = append(c.failed, replica.Head)
+	if errors.Is(err, syscall.ECONNREFUSED) && r.opts.Tracker.Refused(replica, time.Now()) {
+		r.opts.Logger.Info("head takes no connections", "replica", replica.ID, "head", replica.Head.ID)
+	}
+}
+
+// Refused notes that nobody listens at the address of a replica's head, which is certain
+// at once, and reports whether that is news. It gets no new requests for suspectFor, and
+// peers are told; streams in flight may still end there if it leaves as planned.
+func (t *Tracker) Refused(r *fleet.Replica, now time.Time) bool {
+	t.mu.Lock()
+	s := t.loadOf(r)
+	news := now.After(s.refusedUntil)
+	s.refusedUntil = now.Add(suspectFor)
+	t.mu.Unlock()
+	if news {
+		t.stalled(r)
+	}
+	return news
+}
+
+// chooseApart chooses a replica for the next attempt, at first among those that are least
+// likely to share the failure of the attempts before.
+func (r *Relay) chooseApart(c *request, replicas []*fleet.Replica, costs costs, now time.Time) (Choice, bool) {
+	if others := apart(replicas, c.failed); len(c.failed) > 0 && len(others) > 0 {
+		choice, ok := r.opts.Tracker.Choose(others, c.tried, costs, c.prompt, now)
+		if ok && choice.Busy < r.room(c, choice.Replica) && !r.opts.Tracker.Doubted(choice.Replica, now) {
+			return choice, true
+		}
+	}
+	return r.opts.Tracker.Choose(replicas, c.tried, costs, c.prompt, now)
+}
+
+// apart returns the replicas that share neither data hall nor fabric domain with any of
+// the heads that failed; if there are none, those that share no domain.
+func apart(replicas []*fleet.Replica, failed []*fleet.Worker) []*fleet.Replica {
+	var otherHall, otherDomain []*fleet.Replica
+	for _, r := range replicas {
+		hall, domain := true, true
+		for _, f := range failed {
+			hall = hall && r.Head.Zone != f.Zone
+			domain = domain && (r.Head.Domain == "" || r.Head.Domain != f.Domain)
+		}
+		if domain {
+			otherDomain = append(otherDomain, r)
+		}
+		if hall && domain {
+			otherHall = append(otherHall, r)
+		}
+	}
+	if len(otherHall) > 0 {
+		return otherHall
+	}
+	return otherDomain
+}
+
+// Doubted reports whether a replica is passed over: it fell silent or takes no
+// connections, here or by a peer's word.
+func (t *Tracker) Doubted(r *fleet.Replica, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.doubted(r.ID, now)
+}
+
+func (t *Tracker) doubted(replica string, now time.Time) bool {
+	if s, ok := t.held[replica]; ok {
+		return now.Before(s.suspect) || now.Before(s.refusedUntil)
+	}
+	return now.Before(t.rumours[replica])
+}
--- /dev/null
+++ b/relay/apart_test.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+func placed(id, zone, domain string) *fleet.Replica {
+	return &fleet.Replica{ID: id, Head: &fleet.Worker{ID: id, Zone: zone, Domain: domain}}
+}
+
+func TestApart(t *testing.T) {
+	x1, x2, y1 := placed("x1", "x", "d1"), placed("x2", "x", "d2"), placed("y1", "y", "d3")
+	plain := placed("p", "x", "")
+	tests := map[string]struct {
+		all    []*fleet.Replica
+		failed []*fleet.Replica
+		want   []*fleet.Replica
+	}{
+		"another hall comes first":  {all: []*fleet.Replica{x1, x2, y1}, failed: []*fleet.Replica{x1}, want: []*fleet.Replica{y1}},
+		"another domain of a hall":  {all: []*fleet.Replica{x1, x2}, failed: []*fleet.Replica{x1}, want: []*fleet.Replica{x2}},
+		"each hall had a failure":   {all: []*fleet.Replica{x1, x2, y1}, failed: []*fleet.Replica{x1, y1}, want: []*fleet.Replica{x2}},
+		"nothing else is there":     {all: []*fleet.Replica{x1}, failed: []*fleet.Replica{x1}},
+		"a worker without a domain": {all: []*fleet.Replica{plain}, failed: []*fleet.Replica{plain}, want: []*fleet.Replica{plain}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var failed []*fleet.Worker
+			for _, f := range test.failed {
+				failed = append(failed, f.Head)
+			}
+			got := apart(test.all, failed)
+			assert.Equal(t, len(got), len(test.want))
+			for i := range got {
+				assert.Equal(t, got[i].ID, test.want[i].ID)
+			}
+		})
+	}
+}
+
+// TestSecondTriesLeaveTheHall plays the loss of all replicas of a hall: each of forty
+// callers has its answer after two sends, since no second one goes to that hall.
+func TestSecondTriesLeaveTheHall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dark := func() bool { return true }
+		var heads []*playedHead
+		for i := range 4 {
+			heads = append(heads, &playedHead{id: fmt.Sprint("dark", i), zone: "x", still: dark}, &playedHead{id: fmt.Sprint("lit", i), zone: "y"})
+		}
+		p := newPlay(t, 8, heads...)
+		for i := range 40 {
+			p.call(i%8, fmt.Sprint(i), 0, patient)
+		}
+		p.calls.Wait()
+		for i := range 40 {
+			assert.Assert(t, p.served(fmt.Sprint(i)), "%d: %+v", i, p.results[fmt.Sprint(i)])
+		}
+	})
+}
+
+// TestRefusedHeadsArePassedOver: a head that takes no connections is a fact for this daemon
+// and its peers at once, though a stream that moves there may still end.
+func TestRefusedHeadsArePassedOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	told := 0
+	tracker := NewTracker("", func(*fleet.Replica) { told++ })
+	gone, there := testReplica("gone", ""), testReplica("there", "")
+	assert.Assert(t, tracker.Refused(gone, now))
+	tracker.Moved(gone, &StreamWatch{}, now)
+	assert.Equal(t, chosen(tracker, []*fleet.Replica{gone, there}, now, 50)["gone"], 0)
+	assert.Assert(t, !tracker.Refused(gone, now.Add(time.Second)))
+	assert.Equal(t, told, 1, "peers are told once")
+	assert.Assert(t, !tracker.Doubted(gone, now.Add(time.Minute)))
+}
+
+// TestPeersWordCountsForUnusedReplicas: a daemon that never used a replica does not try
+// what just failed others.
+func TestPeersWordCountsForUnusedReplicas(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker("", func(*fleet.Replica) {})
+	silent, other := testReplica("silent", ""), testReplica("other", "")
+	tracker.Suspect("silent", now)
+	assert.Equal(t, chosen(tracker, []*fleet.Replica{silent, other}, now, 50)["silent"], 0)
+	tracker.Begin(silent, 0)
+	assert.Assert(t, tracker.Doubted(silent, now.Add(time.Second)), "once it is used, too")
+	assert.Assert(t, !tracker.Doubted(silent, now.Add(suspectFor)))
+}
--- a/relay/engine_test.go
+++ b/relay/engine_test.go
@@ -68,7 +68,7 @@
 
 func (h *playedHead) entry() *fleet.Worker {
 	return &fleet.Worker{
-		ID: h.id, Service: "models", Address: h.id, Zone: h.zone, Domain: "d", Slots: playedEngine.Slots, Loaded: "m",
+		ID: h.id, Service: "models", Address: h.id, Zone: h.zone, Domain: "d" + h.zone, Slots: playedEngine.Slots, Loaded: "m",
 		Member: fleet.Membership{Group: h.id, Epoch: 1, State: fleet.Open},
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -137,7 +137,7 @@
 	if len(replicas) > 0 {
 		slots = replicas[0].Head.Slots
 	}
-	choice, ok := r.opts.Tracker.Choose(replicas, c.tried, costsOf(c.engine, c.model, slots), c.prompt, now)
+	choice, ok := r.chooseApart(c, replicas, costsOf(c.engine, c.model, slots), now)
 	if !ok {
 		return nil, unavailable(reason.NoReplica, "no replica serves at present", retryBusy)
 	}
@@ -186,6 +186,7 @@
 	}
 	if !c.gaveUp() {
 		r.opts.Tracker.Fail(replica, time.Now())
+		r.noteFailed(c, replica, err)
 	}
 	return ran
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -39,6 +39,8 @@
 	sends      int
 	rejections int
 	tried      map[string]bool
+	// failed holds the heads whose failure others may share.
+	failed []*fleet.Worker
 	// chosenBusy is the work in flight at the replica chosen last, as far as known.
 	chosenBusy float64
 	// lastCause is the error of the newest failed attempt.
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -68,7 +68,11 @@
 func (t *Tracker) Suspect(replica string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.held[replica]; ok && now.Sub(t.moveOf(s)) > goSilence {
+	s, ok := t.held[replica]
+	switch {
+	case !ok:
+		t.rumours[replica] = now.Add(suspectFor)
+	case now.Sub(t.moveOf(s)) > goSilence:
 		s.suspect = now.Add(suspectFor)
 	}
 }
@@ -103,6 +107,11 @@
 	const forgetAfter = time.Minute
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for id, until := range t.rumours {
+		if now.After(until) {
+			delete(t.rumours, id)
+		}
+	}
 	var all []*fleet.Replica
 	for id, s := range t.held {
 		if s.inFlight == 0 && len(s.streams) == 0 && now.Sub(s.lastKnown) > forgetAfter {
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -171,6 +171,5 @@
 func (t *Tracker) suspected(replica string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.held[replica]
-	return ok && now.Before(s.suspect)
+	return t.doubted(replica, now)
 }
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -31,12 +31,14 @@
 	inFlight int
 	prefill  int
 	// prompts counts the prompt tokens of all requests in flight.
-	prompts   int
-	streams   map[*StreamWatch]struct{}
-	lastMove  time.Time
-	suspect   time.Time
-	failedAt  time.Time
-	lastKnown time.Time
+	prompts  int
+	streams  map[*StreamWatch]struct{}
+	lastMove time.Time
+	suspect  time.Time
+	// refusedUntil is until when it gets no requests since its head took no connection.
+	refusedUntil time.Time
+	failedAt     time.Time
+	lastKnown    time.Time
 }
 
 // Tracker counts the work in flight at each replica and notices when one falls
@@ -49,6 +51,9 @@
 	remote map[string]remoteLoads
 	rates  *rates
 	pauses pauses
+	// rumours holds until when replicas that this daemon never used are suspected, by the
+	// word of peers.
+	rumours map[string]time.Time
 	// traffic tells that a request came, here or at a peer.
 	traffic bool
 	// stalled is called, without the lock, with a replica that fell silent.
@@ -68,14 +73,15 @@
 func NewTracker(zone string, stalled func(r *fleet.Replica)) *Tracker {
 	return &Tracker{
 		zone: zone, held: make(map[string]*replicaLoad),
-		remote: make(map[string]remoteLoads), rates: newRates(), pauses: make(pauses), stalled: stalled,
+		remote: make(map[string]remoteLoads), rates: newRates(), pauses: make(pauses),
+		rumours: make(map[string]time.Time), stalled: stalled,
 	}
 }
 
 func (t *Tracker) loadOf(r *fleet.Replica) *replicaLoad {
 	s, ok := t.held[r.ID]
 	if !ok {
-		s = &replicaLoad{replica: r, streams: make(map[*StreamWatch]struct{})}
+		s = &replicaLoad{replica: r, streams: make(map[*StreamWatch]struct{}), suspect: t.rumours[r.ID]}
 		t.held[r.ID] = s
 	}
 	s.lastKnown = time.Now()
@@ -200,6 +206,9 @@
 	if r.Head.Zone != t.zone {
 		wait += crossZone
 	}
+	if t.doubted(r.ID, now) {
+		wait += suspectCost
+	}
 	if s, ok := t.held[r.ID]; ok {
 		wait += t.penalty(s, c, now)
 	}
@@ -222,16 +231,12 @@
 	return inFlight, prefill
 }
 
-// penalty returns what is added to the wait at a replica that gave cause.
+// penalty returns the extra wait charged to a replica that failed a request recently.
 func (t *Tracker) penalty(s *replicaLoad, c costs, now time.Time) time.Duration {
-	penalty := time.Duration(0)
-	if now.Before(s.suspect) {
-		penalty += suspectCost
-	}
 	if now.Sub(s.failedAt) < failureFor {
-		penalty += max(c.service/2, failureCost)
+		return max(c.service/2, failureCost)
 	}
-	return penalty
+	return 0
 }
 
 // Fail notes that a replica failed a request.
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,8 @@
 // maxAnswer bounds the body of an answer that is relayed whole, in bytes.
 const maxAnswer = 32 << 20
 
+var errTurnedAway = errors.New("turned away")
+
 // answer is a worker's answer, read whole.
 type answer struct {
 	status int
@@ -107,7 +110,7 @@
 	if e.response.Header.Get(r.opts.Names.NotRun) == "" && status != http.StatusMisdirectedRequest {
 		return nil
 	}
-	return &sendError{cause: failure.New(failure.Refused, "exchange with worker", worker, "turned away with status %d", status)}
+	return &sendError{cause: failure.At(failure.Refused, "exchange with worker", worker, fmt.Errorf("%w with status %d", errTurnedAway, status))}
 }
 
 // writeAnswer passes a whole answer on.
