--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -52,6 +53,8 @@
 	opts     Options
 	upstream *upstream
 	budget   *budget
+	// answered tells that some answer was not a refusal.
+	answered atomic.Bool
 	done     chan struct{}
 }
 
@@ -104,9 +107,14 @@
 	}
 	if refused != nil {
 		r.refuse(w, c, refused)
+		return
 	}
+	r.answered.Store(true)
 }
 
+// Answered reports whether a caller got an answer of a worker yet.
+func (r *Relay) Answered() bool { return r.answered.Load() }
+
 // refuse answers with a refusal, counts it, and logs why.
 func (r *Relay) refuse(w http.ResponseWriter, c *request, f *refusal) {
 	r.opts.Meter.Refuse(f.reason)
--- a/serving/server.go
+++ b/serving/server.go
@@ -168,6 +168,7 @@
 	duties.Go(func() { s.passNews(running) })
 	duties.Go(func() { s.meet(running) })
 	duties.Go(func() { s.serveMetrics(running) })
+	duties.Go(func() { s.tellStart(running) })
 	stopped := make(chan error, 1)
 	duties.Go(func() { stopped <- server.Serve(front) })
 	var err error
