--- /dev/null
+++ b/relay/comeback.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"errors"
+	"time"
+
+	"quartzshelf.dev/common/reason"
+)
+
+const (
+	// returnPart is the part of the time left to a caller within which it comes back when
+	// told; it ignores a later time.
+	returnPart = 1.0 / 3
+	// returnMargin keeps what is told within that part, since the answer takes a while.
+	returnMargin = 20 * time.Millisecond
+)
+
+// wantsRoom reports whether the request was refused for want of replicas, or of room at
+// them, and may come back.
+func (f *refusal) wantsRoom() bool {
+	if !f.promises() || f.after <= 0 {
+		return false
+	}
+	return f.reason == reason.Overloaded || f.reason == reason.NoReplica || errors.Is(f.cause, errTurnedAway)
+}
+
+// comeBack returns after how long a caller that found no room is to come back. It comes
+// once, and all that are refused in one moment would meet again if told the same time. How
+// much work waits is known late, since loads of peers are, so the times are spread over the
+// later half of those that it heeds: in the test's bursts that lost the fewest, fewer than
+// 0.3 s for all, than all of that time, and than a queue of promised places.
+func (r *Relay) comeBack(c *request, now time.Time) time.Duration {
+	latest := time.Duration(returnPart*float64(c.deadline.Sub(now))) - returnMargin
+	if latest <= retryBusy {
+		return max(latest, retrySoon)
+	}
+	half := float64(latest-retryBusy) / 2
+	return latest - time.Duration(r.random()*half)
+}
--- /dev/null
+++ b/relay/comeback_test.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestComeBack: callers heed no time after a third of what is left to them.
+func TestComeBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]struct{ left, least, most time.Duration }{
+		"much time left": {left: 6 * time.Second, least: 1140 * time.Millisecond, most: 1980 * time.Millisecond},
+		"little":         {left: 1500 * time.Millisecond, least: 390 * time.Millisecond, most: 480 * time.Millisecond},
+		"hardly any":     {left: 600 * time.Millisecond, least: 180 * time.Millisecond, most: 180 * time.Millisecond},
+		"too little":     {left: 100 * time.Millisecond, least: retrySoon, most: retrySoon},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for range 100 {
+				got := (&Relay{}).comeBack(&request{deadline: now.Add(test.left)}, now)
+				assert.Assert(t, got >= test.least && got <= test.most, "%s", got)
+			}
+		})
+	}
+}
+
+// TestRefusedCallersComeBackToAPlace plays bursts of two and a half times what the replicas
+// hold at once, as their daemons meet them that know no loads yet. Callers who are refused
+// come back once, when told. Told 300 ms, a fifth of all are never served.
+func TestRefusedCallersComeBackToAPlace(t *testing.T) {
+	for name, daemons := range map[string]int{"two daemons": 2, "eight daemons": 8} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlay(t, daemons, &playedHead{id: "a"}, &playedHead{id: "b"})
+				const callers = 100
+				for i := range callers {
+					p.calls.Go(func() { p.callTwice(i%daemons, fmt.Sprint(i), patient) })
+					time.Sleep(time.Millisecond)
+				}
+				p.calls.Wait()
+				lost := 0
+				for i := range callers {
+					if !p.served(fmt.Sprint(i)) && !p.served(fmt.Sprint(i, " again")) {
+						lost++
+					}
+				}
+				assert.Assert(t, lost <= callers/20, "%d of %d are never served", lost, callers)
+			})
+		})
+	}
+}
+
+// callTwice is a caller that comes back once, when told, if that is within a third of the
+// time it has left.
+func (p *play) callTwice(daemon int, id string, patience time.Duration) {
+	began := time.Now()
+	p.send(daemon, id, 100, patience)
+	p.mu.Lock()
+	got := p.results[id]
+	p.mu.Unlock()
+	if got.status != 503 {
+		return
+	}
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	left := patience - time.Since(began)
+	wanted := time.Duration(after * float64(time.Second))
+	if err != nil || wanted > left/3 {
+		return
+	}
+	time.Sleep(wanted)
+	p.send(daemon, id+" again", 100, patience-time.Since(began))
+}
--- a/relay/engine_test.go
+++ b/relay/engine_test.go
@@ -140,6 +140,10 @@
 			if h.left(run) {
 				continue
 			}
+			if len(kept) >= playedEngine.Slots {
+				kept = append(kept, run)
+				continue
+			}
 			piece := min(run.toRead, reading)
 			run.toRead, reading = run.toRead-piece, reading-piece
 			if run.toRead > 0 || h.mute != nil && h.mute(run.id) || run.step(h.id) {
@@ -291,31 +295,35 @@
 // call sends a stream request by a daemon, with a prompt, from a caller that waits for a
 // time.
 func (p *play) call(daemon int, id string, prompt int, patience time.Duration) {
-	p.calls.Go(func() {
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(p.ctx, patience)
-		defer cancel()
-		request := httptest.NewRequest(http.MethodPost, "/stream/", strings.NewReader("body")).WithContext(ctx)
-		request.Host = "h"
-		request.Header.Set(testNames.Attempt, id)
-		request.Header.Set(testNames.Model, "m")
-		request.Header.Set(testNames.Usage, strconv.Itoa(prompt)+",40")
-		w := &playedWriter{ResponseRecorder: httptest.NewRecorder()}
-		got := playedCall{call: call{whole: true}}
-		func() {
-			defer func() {
-				if recover() != nil {
-					got.whole = false
-				}
-			}()
-			p.daemons[daemon].ServeHTTP(w, request)
+	p.calls.Go(func() { p.send(daemon, id, prompt, patience) })
+}
+
+// send is call, and returns once the answer is over.
+func (p *play) send(daemon int, id string, prompt int, patience time.Duration) {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(p.ctx, patience)
+	defer cancel()
+	request := httptest.NewRequest(http.MethodPost, "/stream/", strings.NewReader("body")).WithContext(ctx)
+	request.Host = "h"
+	request.Header.Set(testNames.Attempt, id)
+	request.Header.Set(testNames.Model, "m")
+	request.Header.Set(testNames.Deadline, strconv.FormatInt(patience.Milliseconds(), 10))
+	request.Header.Set(testNames.Usage, strconv.Itoa(prompt)+",40")
+	w := &playedWriter{ResponseRecorder: httptest.NewRecorder()}
+	got := playedCall{call: call{whole: true}}
+	func() {
+		defer func() {
+			if recover() != nil {
+				got.whole = false
+			}
 		}()
-		got.status, got.header, got.body = w.Code, w.Header(), w.Body.String()
-		got.first, got.end = w.first.Sub(sent), time.Since(sent)
-		p.mu.Lock()
-		p.results[id] = got
-		p.mu.Unlock()
-	})
+		p.daemons[daemon].ServeHTTP(w, request)
+	}()
+	got.status, got.header, got.body = w.Code, w.Header(), w.Body.String()
+	got.first, got.end = w.first.Sub(sent), time.Since(sent)
+	p.mu.Lock()
+	p.results[id] = got
+	p.mu.Unlock()
 }
 
 // served reports whether a caller has the whole of its stream.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -118,6 +118,9 @@
 // refuse answers with a refusal, counts it, and logs why.
 func (r *Relay) refuse(w http.ResponseWriter, c *request, f *refusal) {
 	r.opts.Meter.Refuse(f.reason)
+	if f.wantsRoom() {
+		f.after = r.comeBack(c, time.Now())
+	}
 	if c != nil {
 		service, sends, rejections := c.service, c.sends, c.rejections
 		r.opts.Logger.Info("request refused", "request", c.id, "status", f.status, "reason", string(f.reason),
