--- a/relay/connections.go
+++ b/relay/connections.go
@@ -28,7 +28,8 @@
 
 // upstream keeps connections to workers. It is safe for concurrent use.
 type upstream struct {
-	dialer net.Dialer
+	// dial opens a connection to a worker's address.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// share returns how many idle connections this daemon may keep to a worker
 	// of a service; count notes each connection that is opened or reused.
 	share func(service string) int
@@ -55,11 +56,12 @@
 }
 
 func newUpstream() *upstream {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &upstream{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
-		share:  func(string) int { return idlePerWorker },
-		count:  func(string, bool) {},
-		idle:   make(map[string][]*connection), forgetful: make(map[string]forgetting),
+		dial:  dialer.DialContext,
+		share: func(string) int { return idlePerWorker },
+		count: func(string, bool) {},
+		idle:  make(map[string][]*connection), forgetful: make(map[string]forgetting),
 	}
 }
 
@@ -71,7 +73,7 @@
 		return c, nil
 	}
 	u.count(w.Service, false)
-	raw, err := u.dialer.DialContext(ctx, "tcp", w.Address)
+	raw, err := u.dial(ctx, "tcp", w.Address)
 	if err != nil {
 		return nil, &sendError{cause: failure.At(failure.Refused, "connect to worker", w.ID, err)}
 	}
--- a/relay/eligible_test.go
+++ b/relay/eligible_test.go
@@ -24,8 +24,8 @@
 	return h
 }
 
-// placed lists the workers in halls: the first in "a", the second in "b", and so on.
-func placed(r *testRelay, workers ...*fakeWorker) {
+// listIn lists the workers in halls: the first in "a", the second in "b", and so on.
+func listIn(r *testRelay, workers ...*fakeWorker) {
 	var changes []fleet.Change
 	for i, w := range workers {
 		hall := string(rune('a' + i))
@@ -58,7 +58,7 @@
 			open, closed := newFakeWorker(t, "open", test.script...), newFakeWorker(t, "closed")
 			r, server := newTestRelay(t, open, closed)
 			r.opts.Halls = test.halls.View
-			placed(r, open, closed)
+			listIn(r, open, closed)
 			got := do(t, server, test.path, "id", nil)
 			assert.Equal(t, got.status, test.status)
 			assert.Equal(t, closed.runs("id"), test.inClosed)
@@ -90,7 +90,7 @@
 			tenant, _ := r.opts.Config().Tenant("key")
 			tenant.Regions = test.account
 			r.opts.RegionOf = func(hall string) string { return regions[hall] }
-			placed(r, east, west)
+			listIn(r, east, west)
 			got := do(t, server, "/safe/", "id", nil)
 			assert.Equal(t, got.status, test.status)
 			assert.Equal(t, west.runs("id"), test.inWest)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -67,6 +68,8 @@
 	opts     Options
 	upstream *upstream
 	budget   *budget
+	// answered tells that some answer was not a refusal.
+	answered atomic.Bool
 	done     chan struct{}
 }
 
@@ -121,12 +124,20 @@
 	}
 	if refused != nil {
 		r.refuse(w, c, refused)
+		return
 	}
+	r.answered.Store(true)
 }
 
+// Answered reports whether a caller got an answer of a worker yet.
+func (r *Relay) Answered() bool { return r.answered.Load() }
+
 // refuse answers with a refusal, counts it, and logs why.
 func (r *Relay) refuse(w http.ResponseWriter, c *request, f *refusal) {
 	r.opts.Meter.Refuse(f.reason)
+	if f.wantsRoom() {
+		f.after = r.comeBack(c, time.Now())
+	}
 	if c != nil {
 		service, sends, rejections := c.service, c.sends, c.rejections
 		r.opts.Logger.Info("request refused", "request", c.id, "status", f.status, "reason", string(f.reason),
@@ -178,7 +189,7 @@
 		}
 		predicted := costsOf(c.engine, c.model, replicas[0].Head.Slots)
 		predicted.kept = r.upstream.kept(idleFor(!c.route.Repeatable()))
-		choice, ok := r.opts.Tracker.Choose(replicas, without, predicted, c.prompt, now)
+		choice, ok := r.chooseApart(c, replicas, without, predicted, now)
 		if !ok {
 			continue
 		}
@@ -234,6 +245,7 @@
 	}
 	if !c.gaveUp() {
 		r.opts.Tracker.Fail(replica, time.Now())
+		r.noteFailed(c, replica, err)
 	}
 	return ran
 }
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -30,12 +30,14 @@
 	inFlight int
 	prefill  int
 	// prompts counts the prompt tokens of all requests in flight.
-	prompts   int
-	streams   map[*StreamWatch]struct{}
-	lastMove  time.Time
-	suspect   time.Time
-	failedAt  time.Time
-	lastKnown time.Time
+	prompts  int
+	streams  map[*StreamWatch]struct{}
+	lastMove time.Time
+	suspect  time.Time
+	// refusedUntil is until when it gets no requests since its head took no connection.
+	refusedUntil time.Time
+	failedAt     time.Time
+	lastKnown    time.Time
 }
 
 // Tracker counts the work in flight at each replica and notices when one falls
@@ -48,6 +50,9 @@
 	remote map[string]remoteLoads
 	rates  *rates
 	pauses pauses
+	// rumours holds until when replicas that this daemon never used are suspected, by the
+	// word of peers.
+	rumours map[string]time.Time
 	// traffic tells that a request came, here or at a peer.
 	traffic bool
 	// stalled is called, without the lock, with a replica that fell silent.
@@ -56,9 +61,10 @@
 
 // remoteLoads is the work of other daemons, as a source reported it.
 type remoteLoads struct {
-	at      time.Time
-	daemons int
-	loads   map[string]peers.Load
+	// at is of when the loads are on average, heard when they were reported.
+	at, heard time.Time
+	daemons   int
+	loads     map[string]peers.Load
 }
 
 // NewTracker returns a tracker for a daemon in a zone. It calls stalled with
@@ -66,29 +72,31 @@
 func NewTracker(zone string, stalled func(r *fleet.Replica)) *Tracker {
 	return &Tracker{
 		zone: zone, held: make(map[string]*replicaLoad),
-		remote: make(map[string]remoteLoads), rates: newRates(), pauses: make(pauses), stalled: stalled,
+		remote: make(map[string]remoteLoads), rates: newRates(), pauses: make(pauses),
+		rumours: make(map[string]time.Time), stalled: stalled,
 	}
 }
 
 func (t *Tracker) loadOf(r *fleet.Replica) *replicaLoad {
 	s, ok := t.held[r.ID]
 	if !ok {
-		s = &replicaLoad{replica: r, streams: make(map[*StreamWatch]struct{})}
+		s = &replicaLoad{replica: r, streams: make(map[*StreamWatch]struct{}), suspect: t.rumours[r.ID]}
 		t.held[r.ID] = s
 	}
 	s.lastKnown = time.Now()
 	return s
 }
 
-// SetRemote takes what a source reports of the work of other daemons at a time.
-func (t *Tracker) SetRemote(source string, work peers.Summary, at time.Time) {
+// SetRemote takes what a source reported of the work of other daemons.
+func (t *Tracker) SetRemote(source string, work peers.Summary, heard time.Time) {
 	byReplica := make(map[string]peers.Load, len(work.Loads))
 	for _, l := range work.Loads {
 		byReplica[l.Replica] = l
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remote[source] = remoteLoads{at: at, daemons: work.Daemons, loads: byReplica}
+	at := heard.Add(-time.Duration(work.Age) * time.Millisecond)
+	t.remote[source] = remoteLoads{at: at, heard: heard, daemons: work.Daemons, loads: byReplica}
 }
 
 // Traffic reports whether a request to a model came yet, here or at a peer.
@@ -109,10 +117,11 @@
 func (t *Tracker) Loads() peers.Loads {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	var all peers.Loads
 	for id, s := range t.held {
 		if s.inFlight > 0 {
-			all = append(all, peers.Load{Replica: id, InFlight: s.inFlight, Prefill: s.prefill})
+			all = append(all, peers.Load{Replica: id, InFlight: s.inFlight, Prefill: s.prefill, Moved: peers.MovedAgo(s.lastMove, now)})
 		}
 	}
 	return all
@@ -204,29 +213,34 @@
 
 // cost returns the work in flight at a replica, and the predicted wait there.
 func (t *Tracker) cost(r *fleet.Replica, c costs, now time.Time) (busy float64, wait time.Duration) {
-	inFlight, prefill := 0, 0
-	s, ok := t.held[r.ID]
-	if ok {
-		inFlight, prefill = s.inFlight, s.prefill
-	}
-	for _, peer := range t.remote {
-		if now.Sub(peer.at) < remoteFor {
-			l := peer.loads[r.ID]
-			inFlight += l.InFlight
-			prefill += l.Prefill
-		}
-	}
+	inFlight, prefill := t.work(r.ID, now)
 	busy = float64(inFlight)
 	wait = c.wait(busy, prefill)
 	if r.Head.Zone != t.zone {
 		wait += crossZone
 	}
-	if ok {
+	if s, ok := t.held[r.ID]; ok {
 		wait += t.penalty(s, c, now)
 	}
 	return busy, wait
 }
 
+// work returns the requests in flight at a replica over all daemons, and their prompt
+// tokens not yet read, as far as known.
+func (t *Tracker) work(replica string, now time.Time) (inFlight, prefill int) {
+	if s, ok := t.held[replica]; ok {
+		inFlight, prefill = s.inFlight, s.prefill
+	}
+	for _, peer := range t.remote {
+		if now.Sub(peer.at) < remoteFor {
+			l := peer.loads[replica]
+			inFlight += l.InFlight
+			prefill += l.Prefill
+		}
+	}
+	return inFlight, prefill
+}
+
 // penalty returns the extra wait charged to a replica that failed a request recently.
 func (t *Tracker) penalty(s *replicaLoad, c costs, now time.Time) time.Duration {
 	if now.Sub(s.failedAt) < failureFor {
@@ -239,17 +253,18 @@
 func (t *Tracker) suspects(now time.Time) func(r *fleet.Replica) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var all map[string]bool
-	for id, s := range t.held {
-		if !now.Before(s.suspect) {
-			continue
+	all := make(map[string]bool)
+	for id := range t.held {
+		if t.doubted(id, now) {
+			all[id] = true
 		}
-		if all == nil {
-			all = make(map[string]bool)
+	}
+	for id := range t.rumours {
+		if t.doubted(id, now) {
+			all[id] = true
 		}
-		all[id] = true
 	}
-	if all == nil {
+	if len(all) == 0 {
 		return nil
 	}
 	return func(r *fleet.Replica) bool { return all[r.ID] }
--- a/relay/tracker_test.go
+++ b/relay/tracker_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quartzshelf.dev/eligibility"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/peers"
 )
@@ -22,9 +23,14 @@
 	return &fleet.Replica{ID: id, Service: "s", Model: "m", Head: &fleet.Worker{ID: id, Zone: zone}}
 }
 
-// chosen chooses many times and counts the choices of each replica.
+// chosen chooses many times, as a relay does, and counts the choices of each replica.
 func chosen(t *Tracker, replicas []*fleet.Replica, now time.Time, draws int) map[string]int {
 	counts := make(map[string]int)
+	rules := eligibility.Rules{Suspected: t.suspects(now)}
+	selection := rules.Select(&eligibility.Request{}, replicas)
+	if replicas = selection.Of(eligibility.Eligible); len(replicas) == 0 {
+		replicas = selection.Of(eligibility.Doubtful)
+	}
 	for range draws {
 		if choice, ok := t.Choose(replicas, nil, testCosts, 1000, now); ok {
 			counts[choice.Replica.ID]++
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -24,6 +25,7 @@
 
 var (
 	errStalled = errors.New("the replica fell silent")
+	errQuiet   = fmt.Errorf("its stream alone: %w", errStalled)
 	errSurplus = errors.New("the answer belongs to another request")
 )
 
