--- a/formation/demand.go
+++ b/formation/demand.go
@@ -1,8 +1,8 @@
 package formation
 
 import (
+	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"quartzshelf.dev/fleet"
@@ -51,18 +51,31 @@
 	return (1 + math.Sqrt(1+4*reading/allowed)) / 2
 }
 
-// needs returns what is wanted and there of each model.
-func (k *Keeper) needs(s *fleet.Service, groups []*observed, view *fleet.View) []Need {
+// needs returns what is wanted and there of each model, and where that is: by model and
+// data hall. Groups in closed halls don't count.
+func (k *Keeper) needs(s *fleet.Service, groups []*observed, view *fleet.View) ([]Need, map[string]map[string]int) {
 	workers := workersOf(s, view)
-	have := make(map[string]int)
+	have, serving := make(map[string]int), make(map[string]map[string]int)
+	count := func(model, hall string) {
+		if !k.halls.usable(hall) {
+			return
+		}
+		if serving[model] == nil {
+			serving[model] = make(map[string]int)
+		}
+		serving[model][hall]++
+		have[model]++
+	}
+	whole := make(map[string]bool)
 	for _, o := range groups {
+		whole[o.key] = o.whole()
 		if o.whole() && k.retired[o.key] == 0 {
-			have[o.model.Name]++
+			count(o.model.Name, o.head.Zone)
 		}
 	}
 	for key, g := range k.formed {
-		if k.operating[key] && !slices.ContainsFunc(groups, func(o *observed) bool { return o.key == key && o.whole() }) {
-			have[g.Model]++
+		if k.operating[key] && !whole[key] {
+			count(g.Model, k.former[g.Members[0]].Zone)
 		}
 	}
 	k.smoothDemand()
@@ -70,7 +83,7 @@
 	for _, m := range s.Engine.Models {
 		all = append(all, Need{Model: m, Want: k.want(s.Engine, m, workers), Have: have[m.Name]})
 	}
-	return all
+	return all, serving
 }
 
 // workersOf returns how many workers of a service are listed.
@@ -106,6 +119,14 @@
 	return byWork
 }
 
+// inheritDemand takes over the smoothed work that this daemon knew before the term, so
+// that what is wanted does not jump with each leader.
+func (k *Keeper) inheritDemand() {
+	if k.opts.Smoothed != nil {
+		maps.Copy(k.smooth, k.opts.Smoothed())
+	}
+}
+
 func (k *Keeper) smoothDemand() {
 	for model, measured := range k.opts.Demand() {
 		held, ok := k.smooth[model]
--- /dev/null
+++ b/formation/doubt.go
@@ -0,0 +1,52 @@
+package formation
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"quartzshelf.dev/fleet"
+)
+
+// doubtFor is how long a worker that kept a group from being formed is used only where
+// others are too few. A forming that is given up took joinSlack and a warm join, some
+// 4.5 s on the deployments played; twice that spares the second try, and a worker that
+// has to load is through with it.
+const doubtFor = 9 * time.Second
+
+// doubt notes the workers because of which a group was not formed. A term that ends,
+// which cancels the context, proves nothing about them.
+func (k *Keeper) doubt(ctx context.Context, g Group, workers ...*fleet.Worker) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	until := time.Now().Add(doubtFor)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, w := range workers {
+		k.doubts[w.ID] = until
+		k.opts.Logger.Warn("member did not become ready", "worker", w.ID, "domain", w.Domain, "replica", g.Key())
+	}
+}
+
+// trust forgets the doubts about workers that became ready.
+func (k *Keeper) trust(workers []*fleet.Worker) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, w := range workers {
+		delete(k.doubts, w.ID)
+	}
+}
+
+// doubted reports whether others are preferred to a worker. The keeper's mutex is held.
+func (k *Keeper) doubted(id string) bool {
+	until, ok := k.doubts[id]
+	if !ok {
+		return false
+	}
+	if time.Now().After(until) {
+		delete(k.doubts, id)
+		return false
+	}
+	return true
+}
--- a/formation/form.go
+++ b/formation/form.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -43,6 +44,7 @@
 		k.giveUp(term, g, members[0], "a member did not become ready")
 		return
 	}
+	k.trust(members)
 	if !k.open(ctx, s.Name, g, members[0]) {
 		k.giveUp(term, g, members[0], "the head was not opened")
 		return
@@ -70,17 +72,19 @@
 func (k *Keeper) join(ctx context.Context, g Group, members []*fleet.Worker) bool {
 	p := pool.NewWithResults[bool]()
 	for _, w := range members {
-		p.Go(func() bool { return k.joinMember(ctx, g, w) })
-	}
-	for _, ok := range p.Wait() {
-		if !ok {
-			return false
-		}
+		p.Go(func() bool {
+			joined := k.joinMember(ctx, g, w)
+			if !joined {
+				k.doubt(ctx, g, w)
+			}
+			return joined
+		})
 	}
-	return true
+	return !slices.Contains(p.Wait(), false)
 }
 
-// awaitReady waits until every member was seen ready in the group.
+// awaitReady waits until every member was seen ready in the group. If it gives up, it
+// doubts those that are gone, or else all that were not seen ready in time.
 func (k *Keeper) awaitReady(ctx context.Context, g Group, members []*fleet.Worker) bool {
 	seen := make(map[string]bool)
 	nextAsk := time.Now().Add(askEvery)
@@ -98,11 +102,17 @@
 			nextAsk = now.Add(askEvery)
 			k.askReady(ctx, g, k.untold(members, view, now), seen)
 		}
-		if k.lost(members, view) {
+		if lost := k.lost(members, view); len(lost) > 0 {
+			k.doubt(ctx, g, lost...)
 			return false
 		}
 		pause.For(ctx, tickEvery/4)
 	}
+	for _, w := range members {
+		if !seen[w.ID] {
+			k.doubt(ctx, g, w)
+		}
+	}
 	return false
 }
 
@@ -137,21 +147,20 @@
 	}
 }
 
-// lost reports whether a member is gone or leaving. One that left the list but answers
-// is not.
-func (k *Keeper) lost(members []*fleet.Worker, view *fleet.View) bool {
+// lost returns the members that are gone or leaving. One that left the list but answers
+// is neither.
+func (k *Keeper) lost(members []*fleet.Worker, view *fleet.View) []*fleet.Worker {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	var all []*fleet.Worker
 	for _, w := range members {
 		listed, ok := view.Worker(w.ID)
 		switch {
-		case !ok && !k.isAbsent(w.ID):
-			return true
-		case ok && listed.Draining, k.silentNow(w.ID):
-			return true
+		case !ok && !k.isAbsent(w.ID), ok && listed.Draining, k.silentNow(w.ID):
+			all = append(all, w)
 		}
 	}
-	return false
+	return all
 }
 
 // open opens a group whose members are all ready, and announces it.
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -223,7 +223,7 @@
 	}
 	var all []Free
 	for id, w := range view.Workers() {
-		if w.Service != s.Name || w.Draining || k.busy[id] || k.silentNow(id) || held[id] {
+		if w.Service != s.Name || w.Draining || k.busy[id] || k.silentNow(id) || held[id] || !k.halls.usable(w.Zone) {
 			continue
 		}
 		if _, loading := k.loading[id]; loading {
@@ -240,11 +240,11 @@
 func (k *Keeper) freeOf(w *fleet.Worker) Free {
 	if i, ok := k.interrupted[w.ID]; ok {
 		if !k.opts.Inventory.Confirmed().After(i.at.Add(settleFor)) {
-			return Free{ID: w.ID, Domain: w.Domain, Staged: i.staged}
+			return Free{ID: w.ID, Domain: w.Domain, Staged: i.staged, Hall: w.Zone, Doubted: k.doubted(w.ID)}
 		}
 		delete(k.interrupted, w.ID)
 	}
-	return Free{ID: w.ID, Domain: w.Domain, Loaded: k.loaded(w), Staged: w.Staged}
+	return Free{ID: w.ID, Domain: w.Domain, Loaded: k.loaded(w), Staged: w.Staged, Hall: w.Zone, Doubted: k.doubted(w.ID)}
 }
 
 // loaded returns the model that a worker was set up for last.
--- /dev/null
+++ b/formation/halls_test.go
@@ -0,0 +1,163 @@
+package formation
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// hallWorld returns a world of listed domains, which lie in turn in the halls "h0" and
+// "h1". The second is closed while the returned flag is set.
+func hallWorld(domains, perDomain int) (*world, *atomic.Bool) {
+	w := unlistedWorld(1, domains, perDomain)
+	closed := new(atomic.Bool)
+	w.hallOpen = func(hall string) bool { return hall != "h1" || !closed.Load() }
+	for _, s := range w.workers {
+		var domain int
+		if _, err := fmt.Sscanf(s.domain, "d%d", &domain); err != nil {
+			panic(err)
+		}
+		s.zone = fmt.Sprintf("h%d", domain%2)
+		w.list(s)
+	}
+	return w, closed
+}
+
+// groupsByHall returns the names of the groups that are not dissolved, by hall and model.
+func (w *world) groupsByHall() map[string]map[string]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := make(map[string]map[string]bool)
+	for _, s := range w.workers {
+		if s.dead || s.group.Name == "" || s.rank != 0 {
+			continue
+		}
+		at := s.zone + " " + s.group.Model
+		if all[at] == nil {
+			all[at] = make(map[string]bool)
+		}
+		all[at][s.group.Name] = true
+	}
+	return all
+}
+
+// TestClosedHall closes a data hall: its groups stay formed and what is wanted is formed
+// in the other one.
+func TestClosedHall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, closed := hallWorld(4, 8)
+		w.demand = map[string]Work{"big": {Busy: 14}, "small": {Busy: 3}}
+		_, _, stop := serving(w, "big")
+		w.pending.Go(func() { w.readList(80 * time.Second) })
+		time.Sleep(firstFor + 20*time.Second)
+		before := w.groupsByHall()
+		assert.Assert(t, len(before["h0 big"]) < 3, "%v", before)
+		closed.Store(true)
+		time.Sleep(20 * time.Second)
+		after := w.groupsByHall()
+		assert.Equal(t, len(after["h0 big"]), 3)
+		assert.Assert(t, len(after["h0 small"]) >= 1)
+		assert.DeepEqual(t, after["h1 big"], before["h1 big"])
+		assert.DeepEqual(t, after["h1 small"], before["h1 small"])
+		closed.Store(false)
+		time.Sleep(10 * time.Second)
+		stop()
+		assert.DeepEqual(t, w.groupsByHall(), after)
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestHallClosedForAMomentCostsNothing closes a hall and opens it again within a second.
+func TestHallClosedForAMomentCostsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, closed := hallWorld(4, 8)
+		w.demand = map[string]Work{"big": {Busy: 14}, "small": {Busy: 3}}
+		_, _, stop := serving(w, "big")
+		w.pending.Go(func() { w.readList(60 * time.Second) })
+		time.Sleep(firstFor + 20*time.Second)
+		before := w.groupsByHall()
+		for range 3 {
+			closed.Store(true)
+			time.Sleep(700 * time.Millisecond)
+			closed.Store(false)
+			time.Sleep(700 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		stop()
+		assert.DeepEqual(t, w.groupsByHall(), before)
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// TestAllHallsClosed: where no hall is open, what is there is mended as ever.
+func TestAllHallsClosed(t *testing.T) {
+	mended := func(open func(string) bool) map[string]int {
+		w, _ := hallWorld(2, 10)
+		w.hallOpen = open
+		_, g, stop := serving(w, "big")
+		w.kill(g.Members[2])
+		time.Sleep(8 * time.Second)
+		stop()
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+		return w.serving()
+	}
+	synctest.Test(t, func(t *testing.T) {
+		assert.DeepEqual(t, mended(func(string) bool { return false }), mended(nil))
+	})
+}
+
+// blank returns workers that hold nothing in domains that lie in turn in two halls.
+func blank(domains, perDomain int) []Free {
+	var all []Free
+	for d := range domains {
+		for i := range perDomain {
+			all = append(all, Free{ID: fmt.Sprintf("w%d-%02d", d, i), Domain: fmt.Sprint("d", d), Hall: fmt.Sprint("h", d%2)})
+		}
+	}
+	return all
+}
+
+// TestReplicasLieOverTheHalls forms a fleet anew: with a hall's loss to bear, no hall
+// holds all replicas of a model.
+func TestReplicasLieOverTheHalls(t *testing.T) {
+	big, small := fleet.Model{Name: "big", Size: 16}, fleet.Model{Name: "small", Size: 4}
+	tests := map[string]struct {
+		bear int
+		// most is how many of the two large groups one hall holds.
+		most int
+	}{
+		"no loss to bear":    {most: 2},
+		"the loss of a hall": {bear: 1, most: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			in := Input{
+				Needs: []Need{{Model: big, Want: 2}, {Model: small, Want: 9}}, Free: blank(2, 37),
+				MaxLoads: unbounded, MaxStagings: unbounded, Halls: Halls{Bear: test.bear, Weight: hallWeight},
+			}
+			formations, _ := Plan(in)
+			halls := make(map[string]string)
+			for _, f := range in.Free {
+				halls[f.ID] = f.Hall
+			}
+			counts := make(map[string]map[string]int)
+			for _, f := range formations {
+				if counts[f.Model.Name] == nil {
+					counts[f.Model.Name] = make(map[string]int)
+				}
+				counts[f.Model.Name][halls[f.Members[0]]]++
+			}
+			assert.Equal(t, counts["big"]["h0"]+counts["big"]["h1"], 2)
+			assert.Equal(t, max(counts["big"]["h0"], counts["big"]["h1"]), test.most, "%v", counts)
+		})
+	}
+}
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
 
 	"quartzshelf.dev/fleet"
@@ -53,32 +52,6 @@
 	reportEvery = 3 * time.Second
 )
 
-// Options configures a Keeper.
-type Options struct {
-	Config    func() *fleet.Config
-	Inventory *fleet.Inventory
-	Orders    Orders
-	// IndirectLeave is used for heads that this daemon does not reach.
-	IndirectLeave IndirectLeave
-	// Demand returns the measured work of each model.
-	Demand func() map[string]Work
-	// ListSince returns since when this process has known the worker list.
-	ListSince func() time.Time
-	// Traffic reports whether any request has come to the fleet yet. A leader of
-	// a fleet that serves takes it for granted.
-	Traffic func() bool
-	// Announced is called with each decision about a group.
-	Announced func(a fleet.Announcement)
-	// StallAfter is how long a group whose member is gone stands still before
-	// it is broken.
-	StallAfter time.Duration
-	Ceiling    Ceiling
-	// Counted is called with each order given to a worker and its outcome: the
-	// verdict's name, "unanswered", or "returned" for a leave that did not last.
-	Counted func(order, outcome string)
-	Logger  hclog.Logger
-}
-
 // Term is what a leader leads under.
 type Term struct {
 	Epoch int64
@@ -159,6 +132,18 @@
 	// holds those whose groups may yet serve.
 	tradeNext time.Time
 	trades    []Exchange
+	// doubts holds, by worker that kept a group from being formed, until when others are
+	// preferred.
+	doubts map[string]time.Time
+	// releaseAt holds, by domain, when idle workers that can't make a group of a model
+	// that is short serve another one.
+	releaseAt map[string]time.Time
+	halls     hallStates
+	// settledAt is when groups may be given up for another model: not before reports of
+	// all daemons came to a new leader, nor just after a data hall was closed or opened.
+	settledAt time.Time
+	// oversized holds the models that are known to be larger than any domain.
+	oversized map[string]bool
 }
 
 // load is a load of a model's weights that counts until its end is seen or its
@@ -218,6 +203,13 @@
 		stageNext:   make(map[string]time.Time),
 		growths:     make(map[string]*growth),
 		calls:       make(chan struct{}, callsAtOnce),
+		doubts:      make(map[string]time.Time),
+		releaseAt:   make(map[string]time.Time),
+		oversized:   make(map[string]bool),
+	}
+	k.inheritDemand()
+	if !term.First {
+		k.settledAt = time.Now().Add(settleFor)
 	}
 	k.fresh = k.isFresh(view)
 	return k
@@ -278,22 +270,29 @@
 	for _, g := range groups {
 		k.mend(ctx, g, now)
 	}
+	k.refreshHalls(s, view, now)
 	budget := k.budget(s, now)
-	needs, free := k.needs(s, groups, view), k.free(s, groups, view)
-	k.report(needs, free, now)
+	needs, serving := k.needs(s, groups, view)
+	free := k.free(s, groups, view)
+	if !now.Before(k.reportNext) {
+		k.reportNext = now.Add(reportEvery)
+		k.report(needs, free)
+		k.noteOversized(s, view, now)
+	}
 	counted := k.traffic()
 	forGroups, forIdle := k.room(s, view, budget, now)
 	formations, stagings := Plan(Input{
 		Needs: needs, Free: free, Warm: k.warm(s, view),
 		MaxLoads: forGroups, MaxStagings: forIdle,
 		Growing: !counted && k.listGrows(s, view, now),
+		Halls:   k.reserve(), Serving: serving, Released: k.released(needs, free, now),
 	})
 	for _, f := range formations {
 		budget.take(f.Loads, counted, now)
 		k.beginForm(ctx, s, f)
 	}
 	if len(formations) == 0 && counted {
-		k.trade(ctx, needs, free, groups, now)
+		k.trade(ctx, needs, free, groups, forGroups, now)
 	}
 	if !counted {
 		stagings = append(k.longIdle(stagings, now), k.seconds(s, view)...)
@@ -306,12 +305,8 @@
 	k.revive(ctx, view, now)
 }
 
-// report logs now and then what is wanted and there.
-func (k *Keeper) report(needs []Need, free []Free, now time.Time) {
-	if now.Before(k.reportNext) {
-		return
-	}
-	k.reportNext = now.Add(reportEvery)
+// report logs what is wanted and there.
+func (k *Keeper) report(needs []Need, free []Free) {
 	for _, n := range needs {
 		k.opts.Logger.Info("replicas", "model", n.Model.Name, "want", n.Want, "have", n.Have,
 			"work", k.smooth[n.Model.Name].Busy, "prompts", int(k.smooth[n.Model.Name].Prompts), "idle_workers", len(free))
--- /dev/null
+++ b/formation/oversized.go
@@ -0,0 +1,27 @@
+package formation
+
+import (
+	"time"
+
+	"quartzshelf.dev/fleet"
+)
+
+// noteOversized says once of each model that no domain has enough workers for it.
+func (k *Keeper) noteOversized(s *fleet.Service, view *fleet.View, now time.Time) {
+	if now.Sub(k.opts.ListSince()) < youngFor {
+		return
+	}
+	workers, largest := make(map[string]int), 0
+	for _, w := range view.Workers() {
+		if w.Service == s.Name {
+			workers[w.Domain]++
+			largest = max(largest, workers[w.Domain])
+		}
+	}
+	for _, m := range s.Engine.Models {
+		if m.Size > largest && largest > 0 && !k.oversized[m.Name] {
+			k.oversized[m.Name] = true
+			k.opts.Logger.Warn("model is larger than any fabric domain", "model", m.Name, "size", m.Size, "largest_domain", largest)
+		}
+	}
+}
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -9,21 +9,6 @@
 	"quartzshelf.dev/fleet"
 )
 
-// Warmth says how much a worker has to do to serve a model.
-type Warmth int
-
-// The warmths, from the quickest to the slowest.
-const (
-	// Hot workers were set up for the model last.
-	Hot Warmth = iota
-	// Staged workers have it on their host.
-	Staged
-	// Cold workers load it and were set up for none.
-	Cold
-	// ColdOther workers load it and lose another.
-	ColdOther
-)
-
 // Need is how much of a model is wanted and there.
 type Need struct {
 	Model fleet.Model
@@ -46,31 +31,6 @@
 // short returns how short the model is; higher is shorter.
 func (n Need) short() float64 { return n.Want / float64(n.Have+1) }
 
-// Free is a worker that can be ordered into a new group.
-type Free struct {
-	ID     string
-	Domain string
-	Loaded string
-	Staged []string
-	// Hall is its data hall.
-	Hall string
-	// Doubted tells that it did not become ready in a group of late: it is taken only
-	// where others are too few.
-	Doubted bool
-}
-
-func (f Free) warmth(model string) Warmth {
-	switch {
-	case f.Loaded == model:
-		return Hot
-	case slices.Contains(f.Staged, model):
-		return Staged
-	case f.Loaded == "" && len(f.Staged) == 0:
-		return Cold
-	}
-	return ColdOther
-}
-
 // Formation is a group to form.
 type Formation struct {
 	Model   fleet.Model
@@ -102,12 +62,6 @@
 	Released map[string]bool
 }
 
-// Staging is a model to bring to the host of an idle worker.
-type Staging struct {
-	Worker string
-	Model  string
-}
-
 // Plan returns the groups to form now, and what idle workers should bring to
 // their hosts so that they are warm when they are needed. Groups lie within
 // one domain. What needs no load is formed first, the shortest model first;
@@ -221,35 +175,6 @@
 	inHall map[string]map[string]int
 }
 
-// stagings returns what the workers that are left should bring to their hosts:
-// the model that most of their domain is warm for.
-func (p *planner) stagings() []Staging {
-	var all []Staging
-	for _, domain := range slices.Sorted(maps.Keys(p.byDomain)) {
-		model := p.mainModel(domain)
-		for _, f := range p.byDomain[domain] {
-			if model == "" || len(all) >= min(p.maxLoads, p.maxStagings) {
-				break
-			}
-			if f.warmth(model) > Staged {
-				all = append(all, Staging{Worker: f.ID, Model: model})
-			}
-		}
-	}
-	return all
-}
-
-// mainModel returns the model that most workers of a domain are warm for.
-func (p *planner) mainModel(domain string) string {
-	best, most := "", 0
-	for _, n := range p.needs {
-		if count := p.warm[domain][n.Model.Name]; count > most {
-			best, most = n.Model.Name, count
-		}
-	}
-	return best
-}
-
 // affinity returns how much better a domain suits a model than others.
 func (p *planner) affinity(domain, model string) int {
 	total := 0
@@ -368,40 +293,3 @@
 	}
 	return bestName, best
 }
-
-// ranked is a worker with what it costs in a group of one model.
-type ranked struct {
-	id    string
-	index int
-	cost  int
-}
-
-// warmest returns the warmest workers for a group of the model and a cost by
-// which domains compare; nil when there are too few.
-func warmest(m fleet.Model, workers []Free, limit Warmth) ([]Free, int) {
-	if m.Size <= 0 || len(workers) < m.Size {
-		return nil, 0
-	}
-	all := make([]ranked, len(workers))
-	for i, w := range workers {
-		all[i] = ranked{id: w.ID, index: i, cost: w.cost(m.Name)}
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.id, b.id))
-	})
-	cost := 0
-	chosen := make([]Free, 0, m.Size)
-	for _, r := range all[:m.Size] {
-		w := workers[r.index]
-		warmth := w.warmth(m.Name)
-		if warmth > limit {
-			return nil, 0
-		}
-		cost += int(warmth)
-		if w.Doubted {
-			cost += doubtCost
-		}
-		chosen = append(chosen, w)
-	}
-	return chosen, cost
-}
--- a/formation/supply.go
+++ b/formation/supply.go
@@ -7,13 +7,6 @@
 	"quartzshelf.dev/fleet"
 )
 
-// Costs of giving a worker to a group. A load outweighs any number of quicker joins,
-// and a worker that did not become ready of late outweighs any number of loads.
-const (
-	loadCost  = 1 << 8
-	doubtCost = 1 << 16
-)
-
 // supply is the workers of a domain in classes, given to models: workers that are alike
 // for every model are counted and not told apart.
 type supply struct {
@@ -52,18 +45,6 @@
 	return s
 }
 
-// cost returns what a worker costs in a group of the model.
-func (f Free) cost(model string) int {
-	cost := int(f.warmth(model))
-	if f.warmth(model) > Staged {
-		cost += loadCost
-	}
-	if f.Doubted {
-		cost += doubtCost
-	}
-	return cost
-}
-
 // total returns how many workers no model has.
 func (s *supply) total() int {
 	total := 0
--- /dev/null
+++ b/formation/survivors.go
@@ -0,0 +1,53 @@
+package formation
+
+import "time"
+
+// survivorsWait is how long idle workers of a domain wait for what they lack of a group
+// of a model that is short. Members of a group that ends are freed one after the other
+// within 0.2 s, and a trade that completes them is found in the next look; what is left then joins
+// groups of another model within half a second.
+const survivorsWait = 300 * time.Millisecond
+
+// released returns the domains whose idle workers are too few for a group of any model
+// that is short, and have been for a while: they may form groups beyond what is wanted
+// of another model. The way back is a trade, once the missing member is there and warm.
+// The keeper's mutex is held.
+func (k *Keeper) released(needs []Need, free []Free, now time.Time) map[string]bool {
+	released, waiting := make(map[string]bool), make(map[string]bool)
+	for domain, workers := range byDomain(free) {
+		if !lacksMembers(needs, len(workers)) {
+			continue
+		}
+		waiting[domain] = true
+		at, ok := k.releaseAt[domain]
+		if !ok {
+			at = now.Add(survivorsWait)
+			k.releaseAt[domain] = at
+		}
+		released[domain] = !now.Before(at)
+	}
+	for domain := range k.releaseAt {
+		if !waiting[domain] {
+			delete(k.releaseAt, domain)
+		}
+	}
+	return released
+}
+
+// lacksMembers reports whether some model is short, and workers are too few for a group
+// of any that is, but enough for one of another model.
+func lacksMembers(needs []Need, workers int) bool {
+	short, other := false, false
+	for _, n := range needs {
+		fits := n.Model.Size > 0 && n.Model.Size <= workers
+		switch {
+		case n.met():
+			other = other || fits
+		case fits:
+			return false
+		default:
+			short = true
+		}
+	}
+	return short && other
+}
--- /dev/null
+++ b/formation/survivors_test.go
@@ -0,0 +1,116 @@
+package formation
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// groupsIn counts the groups of a domain that are not dissolved, by model.
+func (w *world) groupsIn(domain string) map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := make(map[string]int)
+	for _, s := range w.workers {
+		if s.domain == domain && !s.dead && s.group.Name != "" && s.rank == 0 {
+			counts[s.group.Model]++
+		}
+	}
+	return counts
+}
+
+// TestSurvivorsServeAnotherModel lets a member of a large group end in a domain that has
+// nobody to take its place: the others serve the small model until one comes.
+func TestSurvivorsServeAnotherModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 3, 4)
+		w.demand = map[string]Work{"big": {Busy: 7}, "small": {Busy: 1}}
+		_, big, stop := serving(w, "big")
+		w.pending.Go(func() { w.readList(50 * time.Second) })
+		time.Sleep(firstFor + 8*time.Second)
+		w.mu.Lock()
+		domain := w.workers[big.Members[0]].domain
+		w.mu.Unlock()
+		before := w.serving()["small"]
+		w.kill(big.Members[2])
+		// The list shows the loss after 3.6 s; the head confirms that it left at once.
+		time.Sleep(3600*time.Millisecond + time.Second)
+		assert.DeepEqual(t, w.groupsIn(domain), map[string]int{"small": 1})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.serving()["small"], before+1)
+
+		w.arrive(domain, "big")
+		time.Sleep(6 * time.Second)
+		stop()
+		assert.DeepEqual(t, w.groupsIn(domain), map[string]int{"big": 1})
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
+
+// arrive lists a new worker that has a model on its host.
+func (w *world) arrive(domain, model string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &simWorker{id: "new-" + domain, domain: domain, staged: model}
+	w.workers[s.id] = s
+	w.list(s)
+}
+
+// TestLacksMembers tells which idle workers wait for others.
+func TestLacksMembers(t *testing.T) {
+	big, small := fleet.Model{Name: "big", Size: 16}, fleet.Model{Name: "small", Size: 4}
+	tests := map[string]struct {
+		needs   []Need
+		workers int
+		want    bool
+	}{
+		"survivors of a large group":        {needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 1, Have: 2}}, workers: 15, want: true},
+		"enough for the large one":          {needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 1, Have: 2}}, workers: 16},
+		"too few for any":                   {needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 1, Have: 2}}, workers: 3},
+		"nothing is short":                  {needs: []Need{{Model: big, Want: 1, Have: 1}, {Model: small, Want: 1, Have: 2}}, workers: 15},
+		"the other model is short also":     {needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 3, Have: 2}}, workers: 15},
+		"one model, larger than its domain": {needs: []Need{{Model: big, Want: 2}}, workers: 15},
+		"a model without a size":            {needs: []Need{{Model: fleet.Model{}, Want: 2}, {Model: big, Want: 2}}, workers: 15},
+		"no model":                          {workers: 15},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, lacksMembers(test.needs, test.workers), test.want)
+		})
+	}
+}
+
+// TestMemberThatNeverBecomesReadyIsNotTakenAgain: a worker that takes its orders and does
+// not become ready holds one forming up, not each that follows.
+func TestMemberThatNeverBecomesReadyIsNotTakenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 6)
+		w.demand = map[string]Work{"big": {Busy: 5}, "small": {}}
+		_, big, stop := serving(w, "big")
+		w.mu.Lock()
+		w.workers[big.Members[0]].mute = true
+		w.mu.Unlock()
+		w.kill(big.Members[3])
+		tried := 0
+		seen := make(map[string]bool)
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			w.mu.Lock()
+			if g := w.workers[big.Members[0]].group; g.Name != big.Name && g.Name != "" && !seen[g.Name] {
+				seen[g.Name] = true
+				tried++
+			}
+			w.mu.Unlock()
+		}
+		stop()
+		assert.Assert(t, tried <= 2, "%d groups were begun with it: %s", tried, fmt.Sprint(seen))
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
--- a/formation/trading.go
+++ b/formation/trading.go
@@ -18,35 +18,49 @@
 )
 
 // trade dissolves surplus groups of one model in favour of another that is
-// short. What trades under way give and get is counted already.
-func (k *Keeper) trade(ctx context.Context, needs []Need, free []Free, groups []*observed, now time.Time) {
+// short. What trades under way give and get is counted already. Those that complete
+// the survivors of a group with one other group don't wait for their turn. It may begin
+// maxLoads loads.
+func (k *Keeper) trade(ctx context.Context, needs []Need, free []Free, groups []*observed, maxLoads int, now time.Time) {
 	k.trades = slices.DeleteFunc(k.trades, func(x Exchange) bool {
 		return !slices.ContainsFunc(x.Keys, func(key string) bool { return k.operating[key] })
 	})
-	if now.Before(k.tradeNext) {
+	if now.Before(k.settledAt) {
 		return
 	}
 	byKey, standing := k.standing(groups)
 	most := max(len(standing)/groupsPerTrade, 1)
 	needs = slices.Clone(needs)
+	down, next := make(map[string]int), k.tradeNext
+	defer func() { k.tradeNext = next }()
 	for _, x := range k.trades {
 		x.apply(needs)
+		x.hold(down)
 	}
-	for len(k.trades) < most {
-		x, ok := Trade(needs, free, standing)
-		if !ok {
+	for {
+		t := newTrader(needs, free, standing)
+		t.down, t.maxLoads = down, maxLoads
+		x, ok := t.best()
+		paced := now.Before(k.tradeNext) || len(k.trades) >= most
+		if !ok || paced && !t.completes(x) {
 			return
 		}
-		k.tradeNext = now.Add(tradeEvery)
 		k.trades = append(k.trades, x)
+		next = now.Add(tradeEvery)
 		x.apply(needs)
+		x.hold(down)
 		free = slices.DeleteFunc(slices.Clone(free), func(f Free) bool { return f.Domain == x.Domain })
 		standing = slices.DeleteFunc(standing, func(s Standing) bool { return s.Domain == x.Domain })
-		for _, key := range x.Keys {
-			o := byKey[key]
-			k.opts.Logger.Info("replica given up for another model", "replica", key, "for", x.Model)
-			k.begin(ctx, key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
-		}
+		k.giveGroups(ctx, x, byKey)
+	}
+}
+
+// giveGroups dissolves the groups of an exchange.
+func (k *Keeper) giveGroups(ctx context.Context, x Exchange, byKey map[string]*observed) {
+	for _, key := range x.Keys {
+		o := byKey[key]
+		k.opts.Logger.Info("replica given up for another model", "replica", key, "for", x.Model, "domain", x.Domain, "gets", x.Gets)
+		k.begin(ctx, key, o.members, func(ctx context.Context) { k.drain(ctx, o) })
 	}
 }
 
@@ -56,10 +70,30 @@
 	byKey := make(map[string]*observed)
 	var all []Standing
 	for _, o := range groups {
-		if o.whole() && o.absent == 0 && o.state == fleet.Open && !k.operating[o.key] && k.retired[o.key] == 0 {
+		if o.whole() && o.absent == 0 && o.state == fleet.Open && !k.operating[o.key] && k.retired[o.key] == 0 && k.halls.usable(o.head.Zone) {
 			byKey[o.key] = o
-			all = append(all, Standing{Key: o.key, Domain: o.head.Domain, Model: o.model.Name, Members: len(o.members)})
+			all = append(all, Standing{
+				Key: o.key, Domain: o.head.Domain, Model: o.model.Name, Members: len(o.members), Cold: k.cold(o),
+			})
 		}
 	}
 	return byKey, all
 }
+
+// cold counts, by model, the members of a group that would have to load it.
+func (k *Keeper) cold(o *observed) map[string]int {
+	counts := make(map[string]int)
+	for _, s := range k.opts.Config().Services() {
+		if s.Name != o.head.Service || s.Engine == nil {
+			continue
+		}
+		for _, m := range s.Engine.Models {
+			for _, w := range o.members {
+				if k.freeOf(w).warmth(m.Name) > Staged {
+					counts[m.Name]++
+				}
+			}
+		}
+	}
+	return counts
+}
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -20,15 +20,18 @@
 // simWorker is a worker as the rules describe it, in virtual time.
 type simWorker struct {
 	id, domain string
-	dead       bool
-	draining   bool
-	fence      Fence
-	epoch      int64
-	group      Group
-	state      fleet.GroupState
-	rank       int
-	last       string
-	staged     string
+	// zone is its data hall; mute tells that it takes orders and becomes ready in no group.
+	zone     string
+	mute     bool
+	dead     bool
+	draining bool
+	fence    Fence
+	epoch    int64
+	group    Group
+	state    fleet.GroupState
+	rank     int
+	last     string
+	staged   string
 	// staging tells that it loads to its host, stages counts orders to do so.
 	staging bool
 	stages  int
@@ -90,8 +93,11 @@
 	// loadsPerSecond bounds the loads that may begin, loads holds when they did.
 	loadsPerSecond float64
 	loads          []time.Time
-	broken         []string
-	pending        sync.WaitGroup
+	// smoothed is the work that daemons knew before a term, hallOpen which halls are open.
+	smoothed func() map[string]Work
+	hallOpen func(hall string) bool
+	broken   []string
+	pending  sync.WaitGroup
 }
 
 const (
@@ -158,6 +164,7 @@
 		Announced:  func(a fleet.Announcement) { w.inventory.Decide(0, a) },
 		Counted:    func(string, string) {},
 		StallAfter: 6 * time.Second, Ceiling: simCeiling,
+		Smoothed: w.smoothed, HallOpen: w.hallOpen,
 		Logger: hclog.NewNullLogger(),
 	}
 }
@@ -191,7 +198,7 @@
 	change := fleet.Change{ID: s.id}
 	if !s.dead {
 		entry := &fleet.Worker{
-			ID: s.id, Service: "models", Address: s.id, Domain: s.domain, Slots: 10, Draining: s.draining,
+			ID: s.id, Service: "models", Address: s.id, Domain: s.domain, Zone: s.zone, Slots: 10, Draining: s.draining,
 			Member: s.member(),
 		}
 		if s.group.Name != "" {
@@ -339,6 +346,9 @@
 			wait = w.load()
 		}
 		w.list(s)
+		if s.mute {
+			return Begun
+		}
 		w.later(wait, s, g, func() {
 			s.state, s.last, s.staged = fleet.Ready, g.Model, g.Model
 			w.wasReady[g.Key()+s.id] = true
