--- a/formation/plan.go
+++ b/formation/plan.go
@@ -9,21 +9,6 @@
 	"quartzshelf.dev/fleet"
 )
 
-// Warmth says how much a worker has to do to serve a model.
-type Warmth int
-
-// The warmths, from the quickest to the slowest.
-const (
-	// Hot workers were set up for the model last.
-	Hot Warmth = iota
-	// Staged workers have it on their host.
-	Staged
-	// Cold workers load it and were set up for none.
-	Cold
-	// ColdOther workers load it and lose another.
-	ColdOther
-)
-
 // Need is how much of a model is wanted and there.
 type Need struct {
 	Model fleet.Model
@@ -46,26 +31,6 @@
 // short returns how short the model is; higher is shorter.
 func (n Need) short() float64 { return n.Want / float64(n.Have+1) }
 
-// Free is a worker that can be ordered into a new group.
-type Free struct {
-	ID     string
-	Domain string
-	Loaded string
-	Staged []string
-}
-
-func (f Free) warmth(model string) Warmth {
-	switch {
-	case f.Loaded == model:
-		return Hot
-	case slices.Contains(f.Staged, model):
-		return Staged
-	case f.Loaded == "" && len(f.Staged) == 0:
-		return Cold
-	}
-	return ColdOther
-}
-
 // Formation is a group to form.
 type Formation struct {
 	Model   fleet.Model
@@ -88,12 +53,13 @@
 	// Growing tells that further workers are about to be listed: the shortest model
 	// then waits for enough of them in one domain, and the others wait for it.
 	Growing bool
-}
-
-// Staging is a model to bring to the host of an idle worker.
-type Staging struct {
-	Worker string
-	Model  string
+	// Halls is what the plan weighs for the loss of data halls, Serving counts by model
+	// and hall the replicas that Needs tells of.
+	Halls   Halls
+	Serving map[string]map[string]int
+	// Released tells the domains whose idle workers can't complete a group of a model
+	// that is short, and serve another one meanwhile.
+	Released map[string]bool
 }
 
 // Plan returns the groups to form now, and what idle workers should bring to
@@ -105,21 +71,78 @@
 // loads is not overtaken by a less short one that needs fewer, and workers that
 // were given up for a model are not taken back before they make a group of it.
 // Domains are kept to one model as far as possible: the survivors of broken
-// groups then make whole ones.
+// groups then make whole ones. What comes of this is then improved domain by domain.
 func Plan(in Input) ([]Formation, []Staging) {
-	p := planner{needs: slices.Clone(in.Needs), byDomain: make(map[string][]Free), warm: in.Warm, maxLoads: in.MaxLoads, maxStagings: in.MaxStagings, growing: in.Growing}
-	for _, f := range in.Free {
-		p.byDomain[f.Domain] = append(p.byDomain[f.Domain], f)
+	p := newPlanner(in)
+	all := p.formations()
+	if !in.Growing && len(all) > 0 {
+		all = p.improved(in, all)
+	}
+	if p.waiting {
+		return all, nil
+	}
+	return all, p.stagings()
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{
+		needs: slices.Clone(in.Needs), byDomain: byDomain(in.Free), warm: in.Warm,
+		maxLoads: in.MaxLoads, maxStagings: in.MaxStagings, growing: in.Growing,
+		released: in.Released, halls: in.Halls, inHall: make(map[string]map[string]int),
+	}
+	for model, halls := range in.Serving {
+		p.inHall[model] = maps.Clone(halls)
 	}
+	return p
+}
+
+func byDomain(free []Free) map[string][]Free {
+	all := make(map[string][]Free)
+	for _, f := range free {
+		all[f.Domain] = append(all[f.Domain], f)
+	}
+	return all
+}
+
+// improved returns groups that earn at least as much as the planned ones, and takes
+// their members out of those that are left.
+func (p *planner) improved(in Input, planned []Formation) []Formation {
+	part := newPartition(in.Needs, in)
+	part.beyond = func(domain string) bool { return p.beyond && p.mayExceed(domain) }
+	if p.waiting {
+		// Loads are kept for the group that waits for them.
+		part.maxLoads = 0
+	}
+	free := byDomain(in.Free)
+	all := part.improve(planned, free)
+	p.maxStagings -= part.loads - (in.MaxLoads - p.maxLoads)
+	p.maxLoads = in.MaxLoads - part.loads
+	taken := make(map[string]bool)
+	for _, f := range all {
+		for _, id := range f.Members {
+			taken[id] = true
+		}
+	}
+	for domain, workers := range free {
+		p.byDomain[domain] = slices.DeleteFunc(workers, func(w Free) bool { return taken[w.ID] })
+	}
+	return all
+}
+
+// mayExceed reports whether a domain may form more than is wanted.
+func (p *planner) mayExceed(domain string) bool {
+	short := slices.ContainsFunc(p.needs, func(n Need) bool { return !n.met() })
+	return !short || p.released[domain]
+}
+
+// formations forms groups one after the other, each out of the best domain.
+func (p *planner) formations() []Formation {
 	var all []Formation
 	for _, step := range []struct {
 		limit  Warmth
 		beyond bool
 	}{{limit: Staged}, {limit: ColdOther}, {limit: Staged, beyond: true}} {
 		p.beyond = step.beyond
-		if p.beyond && slices.ContainsFunc(p.needs, func(n Need) bool { return !n.met() }) {
-			break
-		}
 		for {
 			f, ok := p.next(step.limit)
 			if !ok {
@@ -130,10 +153,7 @@
 			all = append(all, f)
 		}
 	}
-	if p.waiting {
-		return all, nil
-	}
-	return all, p.stagings()
+	return all
 }
 
 // planner holds what is left while a plan is made.
@@ -148,36 +168,11 @@
 	// beyond tells that groups beyond what is wanted are being planned.
 	beyond bool
 	// waiting tells that a wanted group waits for its loads.
-	waiting bool
-}
-
-// stagings returns what the workers that are left should bring to their hosts:
-// the model that most of their domain is warm for.
-func (p *planner) stagings() []Staging {
-	var all []Staging
-	for _, domain := range slices.Sorted(maps.Keys(p.byDomain)) {
-		model := p.mainModel(domain)
-		for _, f := range p.byDomain[domain] {
-			if model == "" || len(all) >= min(p.maxLoads, p.maxStagings) {
-				break
-			}
-			if f.warmth(model) > Staged {
-				all = append(all, Staging{Worker: f.ID, Model: model})
-			}
-		}
-	}
-	return all
-}
-
-// mainModel returns the model that most workers of a domain are warm for.
-func (p *planner) mainModel(domain string) string {
-	best, most := "", 0
-	for _, n := range p.needs {
-		if count := p.warm[domain][n.Model.Name]; count > most {
-			best, most = n.Model.Name, count
-		}
-	}
-	return best
+	waiting  bool
+	released map[string]bool
+	halls    Halls
+	// inHall counts by model and data hall the groups that stand or are planned.
+	inHall map[string]map[string]int
 }
 
 // affinity returns how much better a domain suits a model than others.
@@ -220,6 +215,7 @@
 		}
 		needs[i].Have++
 		p.warmed(domain, f)
+		p.placed(f.Model.Name, chosen[0].Hall)
 		byDomain[domain] = slices.DeleteFunc(byDomain[domain], func(w Free) bool { return slices.Contains(f.Members, w.ID) })
 		return f, true
 	}
@@ -237,6 +233,14 @@
 	return f
 }
 
+// placed counts a new group in the hall of its head.
+func (p *planner) placed(model, hall string) {
+	if p.inHall[model] == nil {
+		p.inHall[model] = make(map[string]int)
+	}
+	p.inHall[model][hall]++
+}
+
 // warmed counts the members of a new group as warm for its model.
 func (p *planner) warmed(domain string, f Formation) {
 	if p.warm == nil {
@@ -248,44 +252,44 @@
 	p.warm[domain][f.Model.Name] += f.Loads
 }
 
+// fit says how well a domain suits a new group.
+type fit struct {
+	// cost is what its members do to serve the model, crowd how many groups of it the
+	// domain's hall holds already.
+	cost, crowd, affinity int
+}
+
+func (f fit) better(o fit) bool {
+	return cmp.Or(cmp.Compare(f.cost, o.cost), cmp.Compare(f.crowd, o.crowd), cmp.Compare(o.affinity, f.affinity)) < 0
+}
+
+// crowd returns how many groups of a model a hall holds, if the loss of halls counts.
+func (p *planner) crowd(model, hall string) int {
+	if p.halls.Bear <= 0 {
+		return 0
+	}
+	return p.inHall[model][hall]
+}
+
 // bestDomain returns the warmest workers for a group of the model, and their
 // domain; nil when no domain has enough. Among equals the domain that suits the
 // model best is taken.
 func (p *planner) bestDomain(m fleet.Model, limit Warmth) (string, []Free) {
 	var best []Free
 	var bestName string
-	bestCost, bestAffinity := 0, 0
+	var bestFit fit
 	for _, name := range slices.Sorted(maps.Keys(p.byDomain)) {
+		if p.beyond && !p.mayExceed(name) {
+			continue
+		}
 		chosen, cost := warmest(m, p.byDomain[name], limit)
 		if chosen == nil {
 			continue
 		}
-		affinity := p.affinity(name, m.Name)
-		if best == nil || cost < bestCost || cost == bestCost && affinity > bestAffinity {
-			best, bestName, bestCost, bestAffinity = chosen, name, cost, affinity
+		fit := fit{cost: cost, crowd: p.crowd(m.Name, chosen[0].Hall), affinity: p.affinity(name, m.Name)}
+		if best == nil || fit.better(bestFit) {
+			best, bestName, bestFit = chosen, name, fit
 		}
 	}
 	return bestName, best
 }
-
-// warmest returns the warmest workers for a group of the model and a cost by
-// which domains compare; nil when there are too few.
-func warmest(m fleet.Model, workers []Free, limit Warmth) ([]Free, int) {
-	if m.Size <= 0 || len(workers) < m.Size {
-		return nil, 0
-	}
-	sorted := slices.Clone(workers)
-	slices.SortFunc(sorted, func(a, b Free) int {
-		return cmp.Or(cmp.Compare(a.warmth(m.Name), b.warmth(m.Name)), cmp.Compare(a.ID, b.ID))
-	})
-	chosen := sorted[:m.Size]
-	cost := 0
-	for _, w := range chosen {
-		warmth := w.warmth(m.Name)
-		if warmth > limit {
-			return nil, 0
-		}
-		cost += int(warmth)
-	}
-	return chosen, cost
-}
