--- a/config/document.go
+++ b/config/document.go
@@ -22,11 +22,12 @@
 	KindAccount    Kind = "ClientAccount"
 	KindService    Kind = "Service"
 	KindNode       Kind = "Node"
+	KindDataHall   Kind = "DataHall"
 )
 
 // Kinds returns every kind.
 func Kinds() []Kind {
-	return []Kind{KindModel, KindAdapter, KindDeployment, KindAccount, KindService, KindNode}
+	return []Kind{KindModel, KindAdapter, KindDeployment, KindAccount, KindService, KindNode, KindDataHall}
 }
 
 // ParseKind returns the kind with the given name.
@@ -100,6 +101,8 @@
 	// Priority decides who gives up nodes to whom; higher is kept longer.
 	Priority  int           `json:"priority,omitempty" yaml:"priority,omitempty"`
 	Objective ObjectiveSpec `json:"objective,omitempty" yaml:"objective,omitempty"`
+	// AllowedRegions are the regions in which its requests may run; all without it.
+	AllowedRegions Regions `json:"allowedRegions,omitempty" yaml:"allowedRegions,omitempty"`
 }
 
 // AccountSpec describes a client account.
@@ -110,6 +113,8 @@
 	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty" yaml:"requestsPerSecond,omitempty"`
 	// Priority of its requests; lower is refused first under overload.
 	Priority int `json:"priority,omitempty" yaml:"priority,omitempty"`
+	// AllowedRegions are the regions in which its requests may run; all without it.
+	AllowedRegions Regions `json:"allowedRegions,omitempty" yaml:"allowedRegions,omitempty"`
 }
 
 // ServiceSpec describes a plain service.
@@ -118,6 +123,8 @@
 	AccountSelector string `json:"accountSelector,omitempty" yaml:"accountSelector,omitempty"`
 	// NotRepeatable lists calls that run at most once, as "METHOD /path/prefix".
 	NotRepeatable []string `json:"notRepeatable,omitempty" yaml:"notRepeatable,omitempty"`
+	// AllowedRegions are the regions in which its calls may run; all without it.
+	AllowedRegions Regions `json:"allowedRegions,omitempty" yaml:"allowedRegions,omitempty"`
 }
 
 // NodeSpec is empty: a node is described by its labels alone.
--- /dev/null
+++ b/config/hall.go
@@ -0,0 +1,179 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"quartzshelf.dev/common/reason"
+)
+
+// DataHallSpec describes a data hall. A hall without a document is open and in no
+// region.
+type DataHallSpec struct {
+	// Region is where the hall lies.
+	Region string `json:"region,omitempty" yaml:"region,omitempty"`
+	// Closed halls get no new requests; their replicas stay formed.
+	Closed bool `json:"closed,omitempty" yaml:"closed,omitempty"`
+}
+
+// Hall is a compiled DataHall document.
+type Hall struct {
+	name string
+	spec DataHallSpec
+}
+
+// Name returns the name of the hall.
+func (h Hall) Name() string { return h.name }
+
+// Region returns the region of the hall, empty for none.
+func (h Hall) Region() string { return h.spec.Region }
+
+// Closed reports whether an operator closed the hall.
+func (h Hall) Closed() bool { return h.spec.Closed }
+
+func newHall(d Document) Hall {
+	spec, _ := decodeSpec[DataHallSpec](d)
+	return Hall{name: d.Name, spec: spec}
+}
+
+// Regions are the regions in which a request may run; none allows all of them.
+type Regions []string
+
+// Allow reports whether a request may run in the region.
+func (r Regions) Allow(region string) bool {
+	return len(r) == 0 || slices.Contains(r, region)
+}
+
+// Halls returns the data halls that have a document, sorted by name.
+func (v *View) Halls() []Hall { return v.halls }
+
+// Hall returns the data hall with the given name, open and in no region if it has
+// no document.
+func (v *View) Hall(name string) Hall {
+	i, ok := slices.BinarySearchFunc(v.halls, name, func(h Hall, name string) int {
+		return strings.Compare(h.name, name)
+	})
+	if !ok {
+		return Hall{name: name}
+	}
+	return v.halls[i]
+}
+
+// KeptOut returns why a request must not go to a node in the data hall, or an empty
+// reason. All of the allowed regions bind.
+func (v *View) KeptOut(hall string, allowed ...Regions) reason.Reason {
+	h := v.Hall(hall)
+	for _, regions := range allowed {
+		if !regions.Allow(h.Region()) {
+			return reason.RegionNotAllowed
+		}
+	}
+	if h.Closed() {
+		return reason.HallClosed
+	}
+	return ""
+}
+
+// hallWarnings returns what is probably not meant of the halls and regions.
+func (v *View) hallWarnings() []string {
+	var warnings []string
+	for _, d := range v.deployments {
+		var apart []string
+		for _, a := range v.accounts {
+			if d.Allows(a) && !d.AllowedRegions().overlap(a.AllowedRegions()) {
+				apart = append(apart, a.name)
+			}
+		}
+		if len(apart) > 0 {
+			warnings = append(warnings, fmt.Sprintf(
+				"Deployment/%s: no data hall lies in a region that it and client account %s both allow (%d such accounts)",
+				d.name, apart[0], len(apart)))
+		}
+	}
+	return warnings
+}
+
+// overlap reports whether some region is allowed by both.
+func (r Regions) overlap(other Regions) bool {
+	if len(r) == 0 || len(other) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(r, func(region string) bool { return slices.Contains(other, region) })
+}
+
+// checkRegions refuses allowed regions in which no data hall lies: no request could
+// ever run there. Of several problems it returns that of the first object by name, so
+// that every daemon reports the same one.
+func checkRegions(objects map[Key]Object) error {
+	known := make(map[string]bool)
+	bound := make(map[Key]Regions)
+	for key, object := range objects {
+		switch key.Kind {
+		case KindDataHall:
+			if region := newHall(object.document).Region(); region != "" {
+				known[region] = true
+			}
+		case KindDeployment, KindAccount, KindService:
+			if regions := allowedRegions(object.document); len(regions) > 0 {
+				bound[key] = regions
+			}
+		}
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(bound), compareKeys) {
+		for i, region := range bound[key] {
+			if !known[region] {
+				return &FieldError{
+					object: key, field: fmt.Sprintf("spec.allowedRegions[%d]", i),
+					problem: fmt.Sprintf("no DataHall document names the region %q, known regions are %s",
+						region, listed(slices.Sorted(maps.Keys(known)))),
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// allowedRegions returns the field of that name of a deployment, service or account.
+func allowedRegions(d Document) Regions {
+	spec, _ := decodeSpec[struct {
+		AllowedRegions Regions `json:"allowedRegions"`
+	}](d)
+	return spec.AllowedRegions
+}
+
+// listed returns names for a message.
+func listed(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
+func (c *checker) dataHall(s DataHallSpec) {
+	if s.Region != "" {
+		c.region("spec.region", s.Region)
+	}
+}
+
+func (c *checker) region(field, region string) {
+	if len(region) > maxName || !namePattern.MatchString(region) {
+		c.fail(field, "%q must be at most %d lower-case letters, digits, dots and dashes", region, maxName)
+	}
+}
+
+// regions checks allowed regions. An empty list could be meant as all or as none, so
+// it is refused.
+func (c *checker) regions(regions []string) {
+	const field = "spec.allowedRegions"
+	if regions != nil && len(regions) == 0 {
+		c.fail(field, "must name a region, or be left out to allow all")
+	}
+	for i, region := range regions {
+		c.region(fmt.Sprintf("%s[%d]", field, i), region)
+		if slices.Index(regions, region) != i {
+			c.fail(fmt.Sprintf("%s[%d]", field, i), "%q is named twice", region)
+		}
+	}
+}
--- a/config/object.go
+++ b/config/object.go
@@ -43,6 +43,9 @@
 // Spec returns the deployment as written.
 func (d Deployment) Spec() DeploymentSpec { return d.spec }
 
+// AllowedRegions returns the regions in which its requests may run.
+func (d Deployment) AllowedRegions() Regions { return d.spec.AllowedRegions }
+
 // Draining reports whether the deployment's label asks for it to stop.
 func (d Deployment) Draining() bool { return d.labels[LabelDrain] == LabelTrue }
 
@@ -70,6 +73,9 @@
 // Priority returns the priority of the account's requests.
 func (a *Account) Priority() int { return a.spec.Priority }
 
+// AllowedRegions returns the regions in which the account's requests may run.
+func (a *Account) AllowedRegions() Regions { return a.spec.AllowedRegions }
+
 // Service is a compiled Service document.
 type Service struct {
 	name     string
@@ -81,6 +87,9 @@
 // Name returns the name of the service.
 func (s Service) Name() string { return s.name }
 
+// AllowedRegions returns the regions in which calls of the service may run.
+func (s Service) AllowedRegions() Regions { return s.spec.AllowedRegions }
+
 // Allows reports whether the client account may use the service.
 func (s Service) Allows(a *Account) bool { return s.accounts.Matches(labels.Set(a.labels)) }
 
--- a/config/validate.go
+++ b/config/validate.go
@@ -123,6 +123,8 @@
 		check(c, d, c.service)
 	case KindNode:
 		check(c, d, func(NodeSpec) {})
+	case KindDataHall:
+		check(c, d, c.dataHall)
 	}
 }
 
@@ -155,6 +157,7 @@
 	c.between("spec.replicas", s.Replicas, 0, maxReplicas)
 	c.notNegative("spec.objective.downtime", s.Objective.Downtime)
 	c.notNegative("spec.objective.stranded", s.Objective.Stranded)
+	c.regions(s.AllowedRegions)
 }
 
 func (c *checker) account(s AccountSpec) {
@@ -168,12 +171,14 @@
 		}
 	}
 	c.notNegative("spec.requestsPerSecond", s.RequestsPerSecond)
+	c.regions(s.AllowedRegions)
 }
 
 func (c *checker) service(s ServiceSpec) {
 	c.required("spec.nodeSelector", s.NodeSelector)
 	c.selector("spec.nodeSelector", s.NodeSelector)
 	c.selector("spec.accountSelector", s.AccountSelector)
+	c.regions(s.AllowedRegions)
 	for i, call := range s.NotRepeatable {
 		method, path, ok := strings.Cut(call, " ")
 		if !ok || method == "" || !strings.HasPrefix(path, "/") {
--- a/config/view.go
+++ b/config/view.go
@@ -36,6 +36,7 @@
 	services    []Service
 	accountKeys map[string]*Account
 	nodeLabels  map[string]map[string]string
+	halls       []Hall
 }
 
 // newView compiles objects, all of which are valid, into a view.
@@ -64,6 +65,8 @@
 		v.services = append(v.services, newService(d))
 	case KindNode:
 		v.nodeLabels[d.Name] = d.Labels
+	case KindDataHall:
+		v.halls = append(v.halls, newHall(d))
 	case KindAccount:
 		account := newAccount(d)
 		v.accounts = append(v.accounts, account)
@@ -75,9 +78,12 @@
 
 // keys returns the names of all objects in a fixed order.
 func (v *View) keys() []Key {
-	return slices.SortedFunc(maps.Keys(v.objects), func(a, b Key) int {
-		return cmp.Or(strings.Compare(string(a.Kind), string(b.Kind)), strings.Compare(a.Name, b.Name))
-	})
+	return slices.SortedFunc(maps.Keys(v.objects), compareKeys)
+}
+
+// compareKeys orders names by kind, then by name.
+func compareKeys(a, b Key) int {
+	return cmp.Or(strings.Compare(string(a.Kind), string(b.Kind)), strings.Compare(a.Name, b.Name))
 }
 
 // Revision returns the revision of the last accepted change set.
@@ -192,7 +198,7 @@
 				d.name, d.spec.AccountSelector))
 		}
 	}
-	return warnings
+	return append(warnings, v.hallWarnings()...)
 }
 
 // with returns the objects after set, or why set is refused.
@@ -210,6 +216,9 @@
 	if err := checkKeys(objects); err != nil {
 		return nil, err
 	}
+	if err := checkRegions(objects); err != nil {
+		return nil, err
+	}
 	return objects, nil
 }
 
