--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -60,6 +60,7 @@
 // Replica is one replica as its owner reported it.
 type Replica struct {
 	domain   string
+	dataHall string
 	deadline time.Time
 	report   *rpc.ReplicaReport
 	load     Load
@@ -94,6 +95,9 @@
 // Domain returns the fabric domain of the replica.
 func (r Replica) Domain() string { return r.domain }
 
+// DataHall returns the data hall of the replica's nodes.
+func (r Replica) DataHall() string { return r.dataHall }
+
 // Deployment returns the deployment of the replica.
 func (r Replica) Deployment() string { return r.report.Deployment }
 
@@ -149,6 +153,14 @@
 	return serving
 }
 
+// Of returns the deployment's replicas, whether they may serve or not, sorted by name.
+// The slice is shared and must not be changed.
+func (c *Catalog) Of(deployment string) []Replica {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.replicas[deployment]
+}
+
 // Replicas returns every replica of every deployment, sorted by name.
 func (c *Catalog) Replicas() []Replica {
 	c.mu.RLock()
@@ -161,50 +173,6 @@
 	return all
 }
 
-// Endpoint is a node that runs a plain service.
-type Endpoint struct {
-	id       string
-	address  string
-	domain   string
-	dataHall string
-	deadline time.Time
-}
-
-// ID returns the node's name.
-func (e Endpoint) ID() string { return e.id }
-
-// Address returns the node's IP:port.
-func (e Endpoint) Address() string { return e.address }
-
-// Domain returns the node's fabric domain.
-func (e Endpoint) Domain() string { return e.domain }
-
-// DataHall returns the node's data hall.
-func (e Endpoint) DataHall() string { return e.dataHall }
-
-// MayServe reports whether the endpoint may be given new work at now.
-func (e Endpoint) MayServe(now time.Time) bool { return now.Before(e.deadline) }
-
-// Endpoints returns the service nodes that their owners found answering and
-// staying, sorted by name.
-func (c *Catalog) Endpoints() []Endpoint {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	var all []Endpoint
-	for domain, h := range c.domains {
-		for _, n := range h.report.Nodes {
-			if n.State == rpc.NodeState_SERVICE {
-				all = append(all, Endpoint{
-					id: n.Id, address: n.Address, domain: domain,
-					dataHall: h.report.DataHall, deadline: h.deadline,
-				})
-			}
-		}
-	}
-	slices.SortFunc(all, func(a, b Endpoint) int { return strings.Compare(a.id, b.id) })
-	return all
-}
-
 // Replica returns the replica with the given name.
 func (c *Catalog) Replica(id string) (Replica, bool) {
 	for _, r := range c.Replicas() {
@@ -356,7 +324,7 @@
 		}
 		for i, r := range h.report.Replicas {
 			c.replicas[r.Deployment] = append(c.replicas[r.Deployment],
-				Replica{domain: domain, deadline: h.deadline, report: r, load: loadOf(h.loads, i)})
+				Replica{domain: domain, dataHall: h.report.DataHall, deadline: h.deadline, report: r, load: loadOf(h.loads, i)})
 		}
 	}
 	for _, replicas := range c.replicas {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -44,31 +44,41 @@
 func (g *Gateway) chooseReplica(r *request, d config.Deployment, prompt string) chooser {
 	prefix := routing.Prefix(r.account.Name(), prompt)
 	return func(tried map[string]bool) (*target, *refusal) {
-		replicas, candidates := g.candidates(d.Name(), tried)
+		allowed := r.allowed(d.AllowedRegions())
+		replicas, candidates, passed := g.candidates(d.Name(), allowed, tried)
+		g.countPassed(passed)
 		i := routing.Pick(candidates, prefix, random)
 		if i < 0 {
-			return nil, g.noReplica(d, tried)
+			return nil, g.noReplica(r, d, passed)
 		}
 		chosen := replicas[i]
-		g.decisions.Add(r.id, newDecision(r, d.Name(), candidates, i))
+		g.decisions.Add(r.id, newDecision(r, d.Name(), candidates, i, passed))
 		return &target{
 			id:         chosen.ID(),
 			address:    chosen.Address(),
 			assignment: cluster.Assignment{Replica: chosen.AssignedName(), Generation: chosen.Generation()}.Name(),
-			mayServe:   chosen.MayServe,
-			finish:     g.inflight.Start(chosen.ID(), r.account.Name()),
+			mayServe: func(now time.Time) bool {
+				return chosen.MayServe(now) && g.opts.Config().KeptOut(chosen.DataHall(), allowed...) == ""
+			},
+			finish: g.inflight.Start(chosen.ID(), r.account.Name()),
 		}, nil
 	}
 }
 
-// candidates returns the replicas that may serve now, and the same as the
-// picker sees them.
-func (g *Gateway) candidates(deployment string, tried map[string]bool) ([]catalog.Replica, []routing.Candidate) {
-	serving := g.opts.Catalog.Serving(deployment, time.Now())
-	replicas := serving[:0]
-	candidates := make([]routing.Candidate, 0, len(serving))
-	for _, replica := range serving {
-		if tried[replica.ID()] {
+// candidates returns the replicas that may take the request now, the same as the
+// picker sees them, and what kept the others out.
+func (g *Gateway) candidates(deployment string, allowed []config.Regions, tried map[string]bool) ([]catalog.Replica, []routing.Candidate, PassedOver) {
+	view, now := g.opts.Config(), time.Now()
+	all := g.opts.Catalog.Of(deployment)
+	replicas := make([]catalog.Replica, 0, len(all))
+	candidates := make([]routing.Candidate, 0, len(all))
+	var passed PassedOver
+	for _, replica := range all {
+		if !replica.Listed() {
+			continue
+		}
+		if why := keptOut(view, replica, allowed, tried, now); why != "" {
+			passed = passed.add(why)
 			continue
 		}
 		own, atReport := g.inflight.Observe(replica.ID(), replica.Deadline())
@@ -79,14 +89,7 @@
 			Reported: load.Active() + load.Queue(), Slots: load.Slots(),
 		})
 	}
-	return replicas, candidates
-}
-
-func (g *Gateway) noReplica(d config.Deployment, tried map[string]bool) *refusal {
-	if len(tried) > 0 {
-		return refuse(reason.NoReplica, "no further replica of %q serves", d.Name()).after(retrySoon)
-	}
-	return refuse(reason.NoReplica, "no replica of %q serves at present", d.Name()).after(retryLater)
+	return replicas, candidates, passed
 }
 
 // admit decides early whether a request to a deployment is taken.
@@ -95,9 +98,10 @@
 		return refuse(reason.AccountLimit, "client account %q is over its limit of %g requests a second",
 			r.account.Name(), r.account.RequestsPerSecond()).after(wait)
 	}
-	_, candidates := g.candidates(d.Name(), nil)
+	_, candidates, passed := g.candidates(d.Name(), r.allowed(d.AllowedRegions()), nil)
 	if len(candidates) == 0 {
-		return g.noReplica(d, nil)
+		g.countPassed(passed)
+		return g.noReplica(r, d, passed)
 	}
 	own, active := g.inflight.Account(r.account.Name())
 	refused := admission.Decide(admission.Situation{
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -55,9 +55,11 @@
 type fakeEndpoint struct {
 	mu     sync.Mutex
 	script []behaviour
-	runs   int
-	server *http.Server
-	addr   string
+	// arrived is called with each request, before anything else.
+	arrived func()
+	runs    int
+	server  *http.Server
+	addr    string
 }
 
 func newEndpoint(t testing.TB) *fakeEndpoint {
@@ -104,6 +106,9 @@
 		Resume []string `json:"resume"`
 	}
 	_ = json.NewDecoder(r.Body).Decode(&body)
+	if e.arrived != nil {
+		e.arrived()
+	}
 	id, b := r.Header.Get(cluster.HeaderRequest), e.next()
 	switch b {
 	case refuses:
@@ -171,6 +176,7 @@
 type harness struct {
 	endpoints []*fakeEndpoint
 	catalog   *catalog.Catalog
+	state     *config.State
 	log       *standin.Log
 	gateway   *Gateway
 	address   string
@@ -189,6 +195,7 @@
 	meter, err := telemetry.NewMeter()
 	assert.NilError(t, err)
 	state := config.NewState()
+	h.state = state
 	applyDocuments(t, state)
 	h.gateway = New(Options{
 		Config: state.View, Catalog: h.catalog, Ledger: h.ledger(t), Meter: meter,
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -56,16 +57,22 @@
 // with the fewest of this daemon's requests of two random ones.
 func (g *Gateway) chooseEndpoint(r *request, s config.Service) chooser {
 	return func(tried map[string]bool) (*target, *refusal) {
-		endpoints := g.endpointsOf(s, tried)
+		allowed := r.allowed(s.AllowedRegions())
+		endpoints, passed := g.endpointsOf(s, allowed, tried)
+		g.countPassed(passed)
 		if len(endpoints) == 0 {
-			return nil, refuse(reason.NoReplica, "no endpoint of service %q serves at present", s.Name()).after(retryLater)
+			refused := g.refuseWithout(fmt.Sprintf("endpoint of service %q", s.Name()), allowed, passed)
+			g.decisions.Add(r.id, refusedDecision(r, s.Name(), refused, passed))
+			return nil, refused
 		}
 		chosen := g.lessBusy(endpoints)
 		return &target{
-			id:       chosen.ID(),
-			address:  chosen.Address(),
-			mayServe: chosen.MayServe,
-			finish:   g.inflight.Start(chosen.ID(), r.account.Name()),
+			id:      chosen.ID(),
+			address: chosen.Address(),
+			mayServe: func(now time.Time) bool {
+				return chosen.MayServe(now) && g.opts.Config().KeptOut(chosen.DataHall(), allowed...) == ""
+			},
+			finish: g.inflight.Start(chosen.ID(), r.account.Name()),
 		}, nil
 	}
 }
@@ -81,19 +88,32 @@
 	return a
 }
 
-// endpointsOf returns the endpoints that may serve now, without those tried.
-func (g *Gateway) endpointsOf(s config.Service, tried map[string]bool) []catalog.Endpoint {
+// endpointsOf returns the endpoints that may take the call now, and what kept the
+// others out.
+func (g *Gateway) endpointsOf(s config.Service, allowed []config.Regions, tried map[string]bool) ([]catalog.Endpoint, PassedOver) {
 	view, now := g.opts.Config(), time.Now()
 	var all []catalog.Endpoint
+	var passed PassedOver
 	for _, e := range g.opts.Catalog.Endpoints() {
 		labels := view.NodeLabels(e.ID(), map[string]string{
 			config.LabelDomain: e.Domain(), config.LabelDataHall: e.DataHall(),
 			config.LabelKind: string(cluster.KindService),
 		})
-		drained := labels[config.LabelDrain] == config.LabelTrue
-		if e.MayServe(now) && !tried[e.ID()] && !drained && s.SelectsNode(labels) {
+		if !s.SelectsNode(labels) {
+			continue
+		}
+		switch why := view.KeptOut(e.DataHall(), allowed...); {
+		case why != "":
+			passed = passed.add(why)
+		case tried[e.ID()]:
+			passed = passed.add(reason.Tried)
+		case labels[config.LabelDrain] == config.LabelTrue:
+			passed = passed.add(reason.Leaving)
+		case !e.MayServe(now):
+			passed = passed.add(reason.Suspected)
+		default:
 			all = append(all, e)
 		}
 	}
-	return all
+	return all, passed
 }
