--- a/placement/input.go
+++ b/placement/input.go
@@ -79,6 +79,9 @@
 	// LoadSlots is how many replicas may load weights at a time, so that the
 	// store brings up one soon rather than all late; zero is no limit.
 	LoadSlots int
+	// Closed tells that the domain's data hall is closed: replicas stay as they are, and
+	// none is formed or repaired.
+	Closed bool
 }
 
 // Step is one order to one node.
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -18,6 +18,10 @@
 // has no other nodes. Nothing moves without a reason.
 func Make(in Input) Plan {
 	p := newPlanner(in)
+	if in.Closed {
+		p.holdAll()
+		return p.plan
+	}
 	for _, want := range p.wants {
 		p.keep(want)
 	}
@@ -443,6 +447,8 @@
 
 func (p *planner) idleReason(n *Node) string {
 	switch {
+	case p.in.Closed:
+		return "its data hall is closed"
 	case n.Scripted:
 		return "managed by scripts"
 	case n.Lost || !n.Answering:
--- a/replica/probe.go
+++ b/replica/probe.go
@@ -110,7 +110,7 @@
 // input makes the planner's input from what is known now.
 func (d *domain) input(view *config.View) placement.Input {
 	now := time.Now()
-	in := placement.Input{Domain: d.name, LoadSlots: d.c.opts.LoadSlots}
+	in := placement.Input{Domain: d.name, LoadSlots: d.c.opts.LoadSlots, Closed: view.Hall(d.dataHall).Closed()}
 	mayUnfenced := d.mayOrderUnfenced(d.c.opts.Ownership.Grant(d.name), now)
 	for id, m := range d.nodes {
 		if m.listed.Kind != cluster.KindEngine {
--- a/replica/want.go
+++ b/replica/want.go
@@ -37,23 +37,37 @@
 			Model:      model.Name(),
 			Version:    model.Version(),
 			Adapters:   view.AdaptersOf(deployment, model),
-			Selects:    deployment.SelectsNode,
+			Selects:    selectsIn(view, deployment, d.dataHall),
 			Objective:  placement.Objective{Downtime: spec.Objective.Downtime, Stranded: spec.Objective.Stranded},
 		}
 		want.Fill = spec.Replicas > 0 && want.Objective.Pays(d.acceleratorsOf(want.Size), d.assignedNodes())
-		want.MayRoll = d.mayRoll(deployment.Name(), want)
+		want.MayRoll = d.mayRoll(view, deployment.Name(), want)
 		wants = append(wants, want)
 	}
 	return wants
 }
 
+// selectsIn returns whether nodes with given labels may be used in the data hall: those
+// that the deployment selects, where its requests may run.
+func selectsIn(view *config.View, deployment config.Deployment, hall string) func(map[string]string) bool {
+	if !deployment.AllowedRegions().Allow(view.Hall(hall).Region()) {
+		return func(map[string]string) bool { return false }
+	}
+	return deployment.SelectsNode
+}
+
 // supplies works out what each domain can give to a deployment: other domains
-// by their reports, this one by what was just probed.
+// by their reports, this one by what was just probed. Domains in closed data halls and
+// in regions that the deployment does not allow give nothing, so that the others form
+// what is wanted.
 func (d *domain) supplies(view *config.View, deployment config.Deployment) []placement.Supply {
 	now := time.Now()
-	supplies := []placement.Supply{d.ownSupply(deployment, now)}
+	var supplies []placement.Supply
+	if view.KeptOut(d.dataHall, deployment.AllowedRegions()) == "" {
+		supplies = append(supplies, d.ownSupply(deployment, now))
+	}
 	for _, report := range d.c.opts.Catalog.Reports() {
-		if report.Domain == d.name {
+		if report.Domain == d.name || view.KeptOut(report.DataHall, deployment.AllowedRegions()) != "" {
 			continue
 		}
 		if _, deadline, _ := d.c.opts.Catalog.Current(report.Domain); now.After(deadline.Add(staleSupply)) {
@@ -139,12 +153,13 @@
 
 // mayRoll returns the replicas of the deployment that may go down for the
 // wanted version now. All owners work it out from the same reports: the first
-// outdated replicas by name may go, as long as few enough are down.
-func (d *domain) mayRoll(deployment string, want placement.Want) []string {
+// outdated replicas by name may go, as long as few enough are down. Those in closed
+// data halls keep their version until the hall opens, and hold up no other.
+func (d *domain) mayRoll(view *config.View, deployment string, want placement.Want) []string {
 	var managed, outdated []catalog.Replica
 	down := 0
 	for _, r := range d.c.opts.Catalog.Replicas() {
-		if r.Deployment() != deployment || r.Scripted() {
+		if r.Deployment() != deployment || r.Scripted() || view.Hall(r.DataHall()).Closed() {
 			continue
 		}
 		managed = append(managed, r)
