--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -161,6 +161,17 @@
 	return c.replicas[deployment]
 }
 
+// InDomain returns the replicas of a fabric domain.
+func (c *Catalog) InDomain(domain string) []Replica {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	h, ok := c.domains[domain]
+	if !ok {
+		return nil
+	}
+	return h.replicas()
+}
+
 // Replicas returns every replica of every deployment, sorted by name.
 func (c *Catalog) Replicas() []Replica {
 	c.mu.RLock()
@@ -322,9 +333,8 @@
 			delete(c.domains, domain)
 			continue
 		}
-		for i, r := range h.report.Replicas {
-			c.replicas[r.Deployment] = append(c.replicas[r.Deployment],
-				Replica{domain: domain, dataHall: h.report.DataHall, deadline: h.deadline, report: r, load: loadOf(h.loads, i)})
+		for _, r := range h.replicas() {
+			c.replicas[r.Deployment()] = append(c.replicas[r.Deployment()], r)
 		}
 	}
 	for _, replicas := range c.replicas {
@@ -332,6 +342,18 @@
 	}
 }
 
+// replicas returns the replicas of the report, with their newest loads.
+func (h *held) replicas() []Replica {
+	all := make([]Replica, 0, len(h.report.Replicas))
+	for i, r := range h.report.Replicas {
+		all = append(all, Replica{
+			domain: h.report.Domain, dataHall: h.report.DataHall, deadline: h.deadline,
+			report: r, load: loadOf(h.loads, i),
+		})
+	}
+	return all
+}
+
 // loadFields is how many numbers a report has for the load of one replica.
 const loadFields = 3
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/eventlog"
 	"quartzshelf.dev/gateway"
+	"quartzshelf.dev/hall"
 	"quartzshelf.dev/intent"
 	"quartzshelf.dev/membership"
 	"quartzshelf.dev/ownership"
@@ -69,6 +70,7 @@
 	peerHTTP   *http.Server
 	operators  *operators
 	accounts   *accounting
+	halls      *hall.Watch
 	readiness  *readiness
 
 	listeners listeners
@@ -189,6 +191,7 @@
 	d.peerHTTP = &http.Server{Handler: rpc.NewPeerServer(d.peerServer), ReadTimeout: peerReadTimeout}
 	d.readiness = newReadiness(d)
 	d.gateway = d.newGateway()
+	d.halls = d.newHallWatch()
 	d.accounts = newAccounting(d)
 	d.operators = newOperators(d)
 	return nil
@@ -254,18 +257,6 @@
 	})
 }
 
-// entries lists the addresses of the daemons that take requests and stay.
-func (d *Daemon) entries() []gateway.Entry {
-	all := []gateway.Entry{}
-	for _, m := range d.stayingMembers() {
-		if m.State == rpc.MemberState_ALIVE && m.Ready {
-			all = append(all, gateway.Entry{Address: m.EntryAddress, DataHall: m.DataHall})
-		}
-	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all
-}
-
 // Addresses returns the IP:port pairs for callers and operators.
 func (d *Daemon) Addresses() (callers, operators string) {
 	return d.listeners.callers.Addr().String(), d.listeners.operators.Addr().String()
@@ -288,6 +279,7 @@
 	d.duties.Go(func() { d.accounts.run(ctx) })
 	d.duties.Go(func() { d.announce(ctx) })
 	d.duties.Go(func() { d.readiness.run(ctx) })
+	d.duties.Go(func() { d.halls.Run(ctx) })
 	d.duties.Go(func() {
 		d.serve("peers", func() error { return d.peerHTTP.Serve(countedListener{d.listeners.peers, d.dialer.traffic}) })
 	})
--- /dev/null
+++ b/daemon/entries.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"math/rand/v2"
+
+	"quartzshelf.dev/gateway"
+	"quartzshelf.dev/rpc"
+)
+
+// entries lists the addresses of the daemons that take requests and stay. Those in
+// closed data halls are left out, unless there are no others: they refuse truthfully.
+func (d *Daemon) entries() []gateway.Entry {
+	view := d.state.View()
+	open, closed := []gateway.Entry{}, []gateway.Entry{}
+	for _, m := range d.stayingMembers() {
+		if m.State != rpc.MemberState_ALIVE || !m.Ready {
+			continue
+		}
+		entry := gateway.Entry{Address: m.EntryAddress, DataHall: m.DataHall}
+		if view.Hall(m.DataHall).Closed() {
+			closed = append(closed, entry)
+		} else {
+			open = append(open, entry)
+		}
+	}
+	all := open
+	if len(all) == 0 {
+		all = closed
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all
+}
--- /dev/null
+++ b/daemon/halls_test.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/config"
+	"quartzshelf.dev/hall"
+)
+
+// putDocument publishes a document over the one in force.
+func putDocument(t *testing.T, d *Daemon, kind config.Kind, name, spec string) config.Verdict {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	object, _ := d.state.View().Object(config.Key{Kind: kind, Name: name})
+	document := config.Document{Kind: kind, Name: name, Labels: object.Document().Labels, Spec: json.RawMessage(spec)}
+	verdict, err := d.publish(ctx, newID(), config.ChangeSet{Changes: []config.Change{
+		{Operation: config.OperationPut, Base: object.Revision(), Document: document},
+	}})
+	assert.NilError(t, err)
+	return verdict
+}
+
+// post sends a completion and returns the answer with an open body.
+func post(t *testing.T, d *Daemon, body string) *http.Response {
+	t.Helper()
+	callers, _ := d.Addresses()
+	request, err := http.NewRequest(http.MethodPost, "http://"+callers+"/v1/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer demo-key")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// TestClosingAHall closes the only hall of a daemon on an embedded platform while a
+// stream runs: the stream ends, new requests are refused truthfully, explain says why,
+// the hall becomes empty, and opening it serves at once with the same replica.
+func TestClosingAHall(t *testing.T) {
+	d := startDaemon(t)
+	defer d.Kill()
+	before := d.catalog.Of("demo")[0]
+	running := post(t, d, `{"model":"demo","stream":true,"prompt":"p","max_tokens":150}`)
+	stream := bufio.NewReader(running.Body)
+	_, err := stream.ReadString('\n')
+	assert.NilError(t, err)
+
+	assert.Equal(t, putDocument(t, d, config.KindDataHall, "hall-a", `{"region":"south","closed":true}`).Problem, "")
+	refused := post(t, d, `{"model":"demo","prompt":"p"}`)
+	assert.Equal(t, refused.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, refused.Header.Get("Retry-After") != "")
+	text, err := io.ReadAll(refused.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text), `"ran":"no","reason":"hall_closed"`), string(text))
+	explanation, ok := d.explain("request", refused.Header.Get("Quartzshelf-Request"))
+	assert.Assert(t, ok)
+	assert.Equal(t, explanation.State, "refused: hall_closed")
+	explanation, ok = d.explain("replica", before.ID())
+	assert.Assert(t, ok)
+	assert.Equal(t, explanation.State, replicaClosed)
+	assert.Equal(t, explanation.Because[0], "hall_closed: an operator closed its data hall hall-a")
+	assert.Assert(t, d.meter.Refusals()[reason.HallClosed] > 0)
+	assert.Equal(t, d.halls.Statuses(time.Now())[0].State, hall.Closing)
+
+	rest, err := io.ReadAll(stream)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"), "what ran in the hall ends")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s := d.halls.Statuses(time.Now())[0]; s.State != hall.Empty {
+			return poll.Continue("%+v", s)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+	assert.Equal(t, d.halls.Count(hall.Empty), 1)
+
+	assert.Equal(t, putDocument(t, d, config.KindDataHall, "hall-a", `{"region":"south"}`).Problem, "")
+	assert.Equal(t, post(t, d, `{"model":"demo","prompt":"p"}`).StatusCode, http.StatusOK)
+	after := d.catalog.Of("demo")[0]
+	assert.Equal(t, after.Generation(), before.Generation(), "the replica stayed formed")
+}
+
+// TestRegionsOfTheQuickstart binds the deployment and the account to regions.
+func TestRegionsOfTheQuickstart(t *testing.T) {
+	d := startDaemon(t)
+	defer d.Kill()
+	assert.Equal(t, putDocument(t, d, config.KindDataHall, "hall-a", `{"region":"south"}`).Problem, "")
+	assert.Equal(t, putDocument(t, d, config.KindDataHall, "hall-b", `{"region":"north"}`).Problem, "")
+	account := func(region string) string {
+		return fmt.Sprintf(`{"keyHashes":[%q],"allowedRegions":[%q]}`, config.HashKey("demo-key"), region)
+	}
+	assert.Equal(t, putDocument(t, d, config.KindAccount, "demo", account("west")).Problem,
+		`ClientAccount/demo: field spec.allowedRegions[0]: no DataHall document names the region "west", known regions are north, south`)
+	assert.Equal(t, putDocument(t, d, config.KindAccount, "demo", account("south")).Problem, "")
+	assert.Equal(t, post(t, d, `{"model":"demo","prompt":"p"}`).StatusCode, http.StatusOK)
+	assert.Equal(t, putDocument(t, d, config.KindAccount, "demo", account("north")).Problem, "")
+	refused, err := io.ReadAll(post(t, d, `{"model":"demo","prompt":"p"}`).Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(refused), `"ran":"no","reason":"region_not_allowed"`), string(refused))
+	assert.DeepEqual(t, d.warnings(), []string{
+		"DataHall/hall-b: no node and no daemon is there; halls with any are hall-a",
+	})
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -47,6 +47,7 @@
 	app.Get("/api/objects", o.objects)
 	app.Get("/api/history", func(c *fiber.Ctx) error { return c.JSON(d.state.History()) })
 	app.Get("/api/status", func(c *fiber.Ctx) error { return c.JSON(d.status()) })
+	app.Get("/api/halls", func(c *fiber.Ctx) error { return c.JSON(d.halls.Statuses(time.Now())) })
 	app.Get("/api/explain/:kind/*", o.explain)
 	app.Post("/api/changes/:id", o.change)
 	app.Get("/api/changes/:id", o.verdict)
@@ -138,7 +139,7 @@
 	if !verdict.Accepted {
 		o.d.meter.Refuse(reason.ConfigurationClash)
 	}
-	return c.JSON(ChangeReply{Verdict: verdict, Warnings: o.d.state.View().Warnings()})
+	return c.JSON(ChangeReply{Verdict: verdict, Warnings: o.d.warnings()})
 }
 
 func (o *operators) verdict(c *fiber.Ctx) error {
@@ -146,7 +147,7 @@
 	if !ok {
 		return fiber.NewError(http.StatusNotFound, "no such change set is folded here")
 	}
-	return c.JSON(ChangeReply{Verdict: verdict, Warnings: o.d.state.View().Warnings()})
+	return c.JSON(ChangeReply{Verdict: verdict, Warnings: o.d.warnings()})
 }
 
 func (o *operators) explain(c *fiber.Ctx) error {
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -1,11 +1,10 @@
 package daemon
 
 import (
-	"fmt"
-	"slices"
 	"time"
 
 	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/hall"
 	"quartzshelf.dev/rpc"
 )
 
@@ -23,6 +22,7 @@
 	Domains   []DomainRow             `json:"domains"`
 	Replicas  []ReplicaRow            `json:"replicas"`
 	Nodes     []NodeRow               `json:"nodes"`
+	Halls     []hall.Status           `json:"halls"`
 	Warnings  []string                `json:"warnings"`
 	LogSilent string                  `json:"log_silent,omitempty"`
 }
@@ -77,6 +77,7 @@
 	replicaDraining = "draining"
 	replicaDark     = "dark"
 	replicaScripted = "serving (scripts)"
+	replicaClosed   = "in closed hall"
 )
 
 func (d *Daemon) status() Status {
@@ -85,8 +86,9 @@
 		Daemon: d.settings.Name, Ready: "ready", Revision: d.state.View().Revision(),
 		Sums: d.accounts.sums(), Requests: d.meter.Requests(),
 		Refusals: d.meter.Refusals(), Retries: d.meter.Retries(),
-		Warnings: d.state.View().Warnings(),
+		Warnings: d.warnings(),
 		Replicas: d.replicaRows(now),
+		Halls:    d.halls.Statuses(now),
 	}
 	if closed := d.readiness.gate(); closed != nil {
 		s.Ready = string(closed.Reason) + ": " + closed.Message
@@ -144,6 +146,8 @@
 		case !now.Before(r.Deadline()):
 			row.State = replicaDark
 			row.Reason = "nothing was heard from the leader of its domain"
+		case d.state.View().Hall(r.DataHall()).Closed():
+			row.State = replicaClosed
 		case r.Draining():
 			row.State = replicaDraining
 		case r.Scripted():
@@ -155,93 +159,3 @@
 	}
 	return rows
 }
-
-// Explanation answers an operator's why.
-type Explanation struct {
-	Subject string   `json:"subject"`
-	State   string   `json:"state"`
-	Because []string `json:"because"`
-}
-
-// explain says why a replica or a node is as it is, or why a request went
-// where it did.
-func (d *Daemon) explain(kind, name string) (Explanation, bool) {
-	switch kind {
-	case "replica":
-		return d.explainReplica(name)
-	case "node":
-		return d.explainNode(name)
-	case "request":
-		return d.explainRequest(name)
-	default:
-		return Explanation{}, false
-	}
-}
-
-func (d *Daemon) explainReplica(name string) (Explanation, bool) {
-	rows := d.replicaRows(time.Now())
-	i := slices.IndexFunc(rows, func(r ReplicaRow) bool { return r.Name == name })
-	if i < 0 {
-		return Explanation{}, false
-	}
-	row := rows[i]
-	e := Explanation{Subject: "replica " + name, State: row.State}
-	if row.Reason != "" {
-		e.Because = append(e.Because, row.Reason)
-	}
-	for _, report := range d.catalog.Reports() {
-		if report.Domain == row.Domain {
-			e.Because = append(e.Because, fmt.Sprintf("reported by %s, which leads domain %s under epoch %d, rank %d",
-				report.Owner, report.Domain, report.Token.GetEpoch(), report.Token.GetRank()))
-			e.Because = append(e.Because, nodeReasons(report, row.Nodes)...)
-		}
-	}
-	return e, true
-}
-
-// nodeReasons describes the nodes of a replica that are not simply assigned.
-func nodeReasons(report *rpc.DomainReport, nodes []string) []string {
-	var all []string
-	for _, n := range report.Nodes {
-		if slices.Contains(nodes, n.Id) && n.State != rpc.NodeState_ASSIGNED {
-			all = append(all, fmt.Sprintf("node %s is %s", n.Id, n.State))
-		}
-	}
-	return all
-}
-
-func (d *Daemon) explainNode(name string) (Explanation, bool) {
-	for _, report := range d.catalog.Reports() {
-		for _, n := range report.Nodes {
-			if n.Id != name {
-				continue
-			}
-			e := Explanation{Subject: "node " + name, State: n.State.String()}
-			if n.Replica != "" {
-				e.Because = append(e.Because, "it is assigned to replica "+n.Replica)
-			}
-			if n.Reason != "" {
-				e.Because = append(e.Because, n.Reason)
-			}
-			return e, true
-		}
-	}
-	return Explanation{}, false
-}
-
-func (d *Daemon) explainRequest(id string) (Explanation, bool) {
-	decision, ok := d.gateway.Decision(id)
-	if !ok {
-		return Explanation{}, false
-	}
-	return Explanation{
-		Subject: "request " + id,
-		State:   "sent to replica " + decision.Replica,
-		Because: []string{
-			fmt.Sprintf("at %s it was chosen from %d serving replicas of %s for client account %s",
-				decision.Time.Format(time.RFC3339Nano), decision.Candidates, decision.Deployment, decision.Account),
-			fmt.Sprintf("its slots were %.0f%% occupied, the least occupied replica's %.0f%%",
-				100*decision.Occupancy, 100*decision.Least),
-		},
-	}, true
-}
--- a/routing/inflight.go
+++ b/routing/inflight.go
@@ -39,6 +39,16 @@
 	return r.own, r.ownAtReport
 }
 
+// Count returns the replica's own count now.
+func (f *Inflight) Count(replica string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.replicas[replica]; ok {
+		return r.own
+	}
+	return 0
+}
+
 // Start counts a request of a client account to a replica. The returned
 // function ends it; it does so once, however often it is called.
 func (f *Inflight) Start(replica, account string) func() {
