--- a/cmd/operatorcmd/change.go
+++ b/cmd/operatorcmd/change.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"strings"
@@ -107,6 +108,11 @@
 
 // publish hands a change set over and shows the verdict.
 func (env *environment) publish(set config.ChangeSet) error {
+	return env.publishTo(env.stdout, set)
+}
+
+// publishTo hands a change set over and writes the verdict to out.
+func (env *environment) publishTo(out io.Writer, set config.ChangeSet) error {
 	reply, err := env.client.publish(set)
 	if err != nil {
 		return err
@@ -122,7 +128,7 @@
 		if set.Changes[i].Operation == config.OperationDelete {
 			done = "deleted"
 		}
-		fmt.Fprintf(env.stdout, "%s %s at revision %d\n", object, done, reply.Verdict.Offset+1)
+		fmt.Fprintf(out, "%s %s at revision %d\n", object, done, reply.Verdict.Offset+1)
 	}
 	return nil
 }
--- a/cmd/operatorcmd/run.go
+++ b/cmd/operatorcmd/run.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"github.com/alecthomas/kong"
+	"github.com/posener/complete"
 	"github.com/willabides/kongplete"
 )
 
@@ -36,7 +37,8 @@
 	Validate validateCommand `cmd:"" help:"Check the documents in files without publishing them."`
 	History  historyCommand  `cmd:"" help:"Show the newest changes and the verdicts on them."`
 	Status   statusCommand   `cmd:"" help:"Show replicas, domains, daemons and refusals."`
-	Explain  explainCommand  `cmd:"" help:"Say why a replica or node is as it is, or why a request went where it did."`
+	Hall     hallCommand     `cmd:"" help:"Show, close or open data halls."`
+	Explain  explainCommand  `cmd:"" help:"Say why a replica, node or data hall is as it is, or why a request went where it did."`
 	Report   reportCommand   `cmd:"" help:"Sum up from the logs of daemons what was refused and late, why, and what leaders did."`
 	Trace    traceCommand    `cmd:"" help:"Tell the story of a request, worker or replica from the logs of daemons."`
 	HashKey  hashKeyCommand  `cmd:"" help:"Print the hash of a bearer key, as a ClientAccount needs it."`
@@ -81,7 +83,7 @@
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
-	kongplete.Complete(parser)
+	kongplete.Complete(parser, kongplete.WithPredictor("hall", complete.PredictFunc(predictHalls)))
 	parsed, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(stderr, "quartzshelf:", err)
@@ -104,7 +106,7 @@
 		return exitUsage
 	case errors.As(err, &refused):
 		return exitRefused
-	case errors.Is(err, errUnsettled):
+	case errors.Is(err, errUnsettled), errors.Is(err, errNotEmpty):
 		return exitUnsettled
 	case errors.As(err, &answered):
 		return exitFailed
--- a/cmd/operatorcmd/show.go
+++ b/cmd/operatorcmd/show.go
@@ -92,7 +92,7 @@
 	}
 	fmt.Fprintf(env.stdout, "dark replicas %d, group downtime %.0f replica-seconds\n", status.Sums.DarkReplicas, status.Sums.DowntimeSeconds)
 	fmt.Fprintf(env.stdout, "stranded accelerators %d, %.0f accelerator-seconds\n\n", status.Sums.StrandedAccelerators, status.Sums.StrandedSeconds)
-	for _, t := range []table{replicaTable(status), domainTable(status), memberTable(status), counterTable(status)} {
+	for _, t := range []table{replicaTable(status), hallTable(status.Halls), domainTable(status), memberTable(status), counterTable(status)} {
 		if err := t.write(env.stdout); err != nil {
 			return err
 		}
@@ -149,8 +149,8 @@
 
 // explainCommand says why.
 type explainCommand struct {
-	Kind string `arg:"" enum:"replica,node,request" help:"What to explain: replica, node or request."`
-	Name string `arg:"" help:"Name of the replica or node, or the Quartzshelf-Request header of an answer."`
+	Kind string `arg:"" enum:"replica,node,hall,request" help:"What to explain: replica, node, hall or request."`
+	Name string `arg:"" help:"Name of the replica, node or data hall, or the Quartzshelf-Request header of an answer."`
 }
 
 // Run implements the command.
