--- a/serving/lead.go
+++ b/serving/lead.go
@@ -15,7 +15,8 @@
 	keeper := formation.NewKeeper(formation.Options{
 		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders, IndirectLeave: s.leaveThroughPeers,
 		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince,
-		Announced:  func(a fleet.Announcement) { s.inventory.Decide(claim.Term(), a) },
+		Announced: func(a fleet.Announcement) { s.inventory.Decide(claim.Term(), a) },
+		BearHalls: s.opts.Bounds.BearHalls, HallOpen: s.hallOpen,
 		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
 		Counted: s.meter.Order, Logger: s.logger.Named("formation"),
 	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first},
@@ -29,6 +30,11 @@
 	}
 }
 
+// hallOpen reports whether a data hall takes requests and stays open.
+func (s *Server) hallOpen(hall string) bool {
+	return s.halls.View().State(hall, time.Now()) == fleet.HallOpen
+}
+
 func (s *Server) setKeeper(k *formation.Keeper) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
