--- a/relay/relay.go
+++ b/relay/relay.go
@@ -50,9 +50,12 @@
 
 // Relay serves callers. It implements http.Handler.
 type Relay struct {
-	opts     Options
-	upstream *upstream
-	budget   *budget
+	opts      Options
+	upstream  *upstream
+	budget    *budget
+	patiences *patiences
+	// startedAt is when this daemon began.
+	startedAt time.Time
 	// answered tells that some answer was not a refusal.
 	answered atomic.Bool
 	done     chan struct{}
@@ -62,7 +65,7 @@
 
 // New returns a relay; Run does its housekeeping.
 func New(opts Options) *Relay {
-	return &Relay{opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), done: make(chan struct{})}
+	return &Relay{opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), patiences: newPatiences(), startedAt: time.Now(), done: make(chan struct{})}
 }
 
 // Done is closed when Run has returned.
--- a/relay/request.go
+++ b/relay/request.go
@@ -31,8 +31,10 @@
 	tenant   *fleet.Tenant
 	arrived  time.Time
 	deadline time.Time
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// waited is how long the caller had waited before, as far as its deadline tells.
+	waited time.Duration
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// sends counts the workers that may have run the request, rejections those
 	// that certainly did not.
@@ -155,6 +157,7 @@
 	if c.route.Kind == fleet.NonIdempotent {
 		parent = context.WithoutCancel(parent)
 	}
+	c.waited = r.patiences.waited(c.route, c.deadline.Sub(c.arrived), c.arrived)
 	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline)
 }
 
@@ -198,15 +201,11 @@
 	left := max(time.Until(c.deadline).Milliseconds(), 1)
 	header.Set(names.Deadline, strconv.FormatInt(left, 10))
 	header.Set(names.Instance, worker.ID)
-	priority := c.route.Priority
 	if c.tenant != nil {
 		header.Set(names.Tenant, c.tenant.Name)
-		if c.tenant.Ranked {
-			priority = c.tenant.Priority
-		}
 	}
 	if c.engine != nil {
-		header.Set(names.Priority, strconv.Itoa(min(max(priority, 0), lowestPriority)))
+		header.Set(names.Priority, strconv.Itoa(c.rank(lastEvent, time.Now())))
 	}
 	if lastEvent != "" {
 		header.Set(names.LastEvent, lastEvent)
--- /dev/null
+++ b/relay/return_test.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// returnWaiting callers waited in the dark, returnNew come in the three seconds after.
+	returnWaiting = 400
+	returnNew     = 720
+)
+
+// TestReturnOfAll plays the moment at which all daemons are back after 1.3 s without power:
+// they know no loads, and 400 callers who waited come within 100 ms, once, beside 240 new
+// ones each second for 160 slots. Those who waited are late already and are served before
+// they leave; of the new ones more are in time than if all were let in as they come, which
+// leaves 47 to 51 in 100 of them in time.
+func TestReturnOfAll(t *testing.T) {
+	const rounds = 4
+	waited, fresh, inTime := 0, 0, 0
+	for range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			p := playReturn(t)
+			for i := range returnWaiting {
+				if p.served(fmt.Sprint("waited", i)) {
+					waited++
+				}
+			}
+			for i := range returnNew {
+				id := fmt.Sprint("new", i)
+				if p.served(id) || p.served(id+" again") {
+					fresh++
+				}
+				if p.served(id) && p.results[id].first < 300*time.Millisecond {
+					inTime++
+				}
+			}
+		})
+	}
+	t.Logf("served: %d who waited, %d new ones; in time %d", waited, fresh, inTime)
+	assert.Assert(t, waited >= rounds*returnWaiting*95/100, "%d who waited are served", waited)
+	assert.Assert(t, fresh >= rounds*returnNew*98/100, "%d new ones are served", fresh)
+	assert.Assert(t, inTime >= rounds*returnNew*55/100, "%d new ones are in time", inTime)
+}
+
+func playReturn(t *testing.T) *play {
+	t.Helper()
+	const (
+		daemons, heads = 24, 8
+		dark           = 1300 * time.Millisecond
+		given          = 6 * time.Second
+	)
+	var all []*playedHead
+	for i := range heads {
+		all = append(all, &playedHead{id: fmt.Sprint("h", i)})
+	}
+	p := newPlay(t, daemons, all...)
+	for i := range returnWaiting {
+		waited := dark * time.Duration(i) / returnWaiting
+		p.calls.Go(func() {
+			time.Sleep(time.Duration(i%50) * 2 * time.Millisecond)
+			p.send(i%daemons, fmt.Sprint("waited", i), 100, given-waited)
+		})
+	}
+	for i := range returnNew {
+		p.calls.Go(func() { p.callTwice(i%daemons, fmt.Sprint("new", i), given) })
+		time.Sleep(3 * time.Second / returnNew)
+	}
+	p.calls.Wait()
+	return p
+}
+
+// TestWaited: a daemon tells by the time that a caller gives how long it has waited before,
+// whether callers of the route give as much as the route allows or less.
+func TestWaited(t *testing.T) {
+	now := time.Unix(1000, 0)
+	route, _ := playedConfig().Route("h", "/stream/")
+	tests := map[string]struct {
+		// usual is what the callers before gave, how many of them there were.
+		usual  time.Duration
+		before int
+		given  time.Duration
+		later  time.Duration
+		want   time.Duration
+	}{
+		"the first caller, who waited":           {given: 4700 * time.Millisecond, want: 1300 * time.Millisecond},
+		"one of many who give all":               {usual: 6 * time.Second, before: 50, given: 5 * time.Second, want: time.Second},
+		"callers who give less than the route":   {usual: 3 * time.Second, before: 50, given: 3 * time.Second},
+		"one of them who waited":                 {usual: 3 * time.Second, before: 50, given: 2 * time.Second, want: time.Second},
+		"what was given long ago does not count": {usual: 6 * time.Second, before: 50, given: 3 * time.Second, later: time.Minute},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPatiences()
+			for range test.before {
+				p.waited(route, test.usual, now)
+			}
+			if test.later > 0 {
+				// Two spans go by.
+				p.waited(route, test.given, now.Add(test.later))
+				now := now.Add(2 * test.later)
+				assert.Equal(t, p.waited(route, test.given, now), test.want)
+				return
+			}
+			assert.Equal(t, p.waited(route, test.given, now), test.want)
+		})
+	}
+}
+
+// TestRank: what can still be in time comes first at a worker, but not before a stream whose
+// caller has part of it.
+func TestRank(t *testing.T) {
+	now := time.Unix(1000, 0)
+	route, _ := playedConfig().Route("h", "/stream/")
+	tests := map[string]struct {
+		waited, age time.Duration
+		last        string
+		priority    int
+		want        int
+	}{
+		"in time":                      {age: 100 * time.Millisecond, priority: 1, want: 1},
+		"late here":                    {age: 400 * time.Millisecond, priority: 1, want: 4},
+		"late by what it waited":       {waited: time.Second, priority: 1, want: 4},
+		"a stream that goes on":        {waited: time.Second, last: "7", priority: 1, want: 1},
+		"the least urgent stays least": {waited: time.Second, priority: 8, want: lowestPriority},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := *route
+			r.Priority = test.priority
+			c := &request{route: &r, waited: test.waited, arrived: now.Add(-test.age)}
+			assert.Equal(t, c.rank(test.last, now), test.want)
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -44,6 +44,7 @@
 func (r *Relay) serveStream(w http.ResponseWriter, c *request) *refusal {
 	s := &relayed{w: w, last: c.header.Get(r.opts.Names.LastEvent), movedAt: c.arrived}
 	r.opts.Tracker.NotePause(c.model, c.route.GapTarget, c.arrived)
+	r.settle(c)
 	for {
 		replica, none := r.chooseOrWait(c, s)
 		if none != nil {
@@ -69,11 +70,12 @@
 	}
 }
 
-// chooseOrWait chooses a replica. A stream that has begun waits a little for one.
+// chooseOrWait chooses a replica. A stream that has begun, or is late, waits a little for
+// one.
 func (r *Relay) chooseOrWait(c *request, s *relayed) (*fleet.Replica, *refusal) {
 	for {
 		replica, none := r.choose(c)
-		if none == nil || !s.begun || time.Since(s.movedAt) > resumeWait || c.gaveUp() {
+		if none == nil || !c.mayWait(s, none, time.Now()) {
 			return replica, none
 		}
 		pause.For(c.ctx, resumePoll)
