--- a/relay/apart.go
+++ b/relay/apart.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -16,19 +17,34 @@
 		return
 	}
 	c.failed = append(c.failed, replica.Head)
-	if errors.Is(err, syscall.ECONNREFUSED) && r.opts.Tracker.Refused(replica, time.Now()) {
-		r.opts.Logger.Info("head takes no connections", "replica", replica.ID, "head", replica.Head.ID)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if !refused && !timedOutDialing(err) {
+		return
+	}
+	if r.opts.Tracker.Unreached(replica, refused, time.Now()) {
+		r.opts.Logger.Info("head takes no connections", "replica", replica.ID, "head", replica.Head.ID, "error", err)
 	}
 }
 
-// Refused notes that nobody listens at the address of a replica's head, which is certain
-// at once, and reports whether that is news. It gets no new requests for suspectFor, and
-// peers are told; streams in flight may still end there if it leaves as planned.
-func (t *Tracker) Refused(r *fleet.Replica, now time.Time) bool {
+// timedOutDialing reports whether a head did not accept a connection in time.
+func timedOutDialing(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && op.Timeout()
+}
+
+// Unreached notes that a replica's head took no connection, and reports whether that is
+// news. If it was refused nobody listens there; if it was not accepted in time that may be
+// a lost packet, and counts only while no stream moves there. It gets no new requests for
+// suspectFor, and peers are told; streams in flight may still end there if the head leaves
+// as planned.
+func (t *Tracker) Unreached(r *fleet.Replica, refused bool, now time.Time) bool {
 	t.mu.Lock()
 	s := t.loadOf(r)
-	news := now.After(s.refusedUntil)
-	s.refusedUntil = now.Add(suspectFor)
+	counts := refused || now.Sub(t.moveOf(s)) > goSilence
+	news := counts && now.After(s.refusedUntil)
+	if counts {
+		s.refusedUntil = now.Add(suspectFor)
+	}
 	t.mu.Unlock()
 	if news {
 		t.stalled(r)
--- a/relay/apart_test.go
+++ b/relay/apart_test.go
@@ -1,13 +1,20 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/fleet"
 )
 
@@ -64,19 +71,70 @@
 	})
 }
 
-// TestRefusedHeadsArePassedOver: a head that takes no connections is a fact for this daemon
-// and its peers at once, though a stream that moves there may still end.
-func TestRefusedHeadsArePassedOver(t *testing.T) {
-	now := time.Unix(1000, 0)
-	told := 0
-	tracker := NewTracker("", func(*fleet.Replica) { told++ })
-	gone, there := testReplica("gone", ""), testReplica("there", "")
-	assert.Assert(t, tracker.Refused(gone, now))
-	tracker.Moved(gone, &StreamWatch{}, now)
-	assert.Equal(t, chosen(tracker, []*fleet.Replica{gone, there}, now, 50)["gone"], 0)
-	assert.Assert(t, !tracker.Refused(gone, now.Add(time.Second)))
-	assert.Equal(t, told, 1, "peers are told once")
-	assert.Assert(t, !tracker.Doubted(gone, now.Add(time.Minute)))
+// TestUnreachedHeadsArePassedOver: a head that refuses connections is a fact for this daemon
+// and its peers at once, though a stream that moves there may still end. One that did not
+// accept a connection in time is one unless streams move there.
+func TestUnreachedHeadsArePassedOver(t *testing.T) {
+	tests := map[string]struct{ refused, moves, want bool }{
+		"refused":                     {refused: true, want: true},
+		"refused, but streams move":   {refused: true, moves: true, want: true},
+		"timed out":                   {want: true},
+		"timed out, but streams move": {moves: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			told := 0
+			tracker := NewTracker("", func(*fleet.Replica) { told++ })
+			gone, there := testReplica("gone", ""), testReplica("there", "")
+			if test.moves {
+				tracker.Moved(gone, &StreamWatch{}, now)
+			}
+			assert.Equal(t, tracker.Unreached(gone, test.refused, now), test.want)
+			assert.Equal(t, tracker.Doubted(gone, now), test.want)
+			if !test.want {
+				return
+			}
+			tracker.Moved(gone, &StreamWatch{}, now)
+			assert.Equal(t, chosen(tracker, []*fleet.Replica{gone, there}, now, 50)["gone"], 0)
+			tracker.Unreached(gone, test.refused, now.Add(time.Second))
+			assert.Equal(t, told, 1, "peers are told once")
+			assert.Assert(t, !tracker.Doubted(gone, now.Add(time.Minute)))
+		})
+	}
+}
+
+// TestWhatTellsOfAHead: only a failed connection says that nobody can reach it.
+func TestWhatTellsOfAHead(t *testing.T) {
+	dial := func(err error) error {
+		return &sendError{cause: failure.At(failure.Refused, "connect to worker", "w", &net.OpError{Op: "dial", Err: err})}
+	}
+	tests := map[string]struct {
+		err  error
+		want bool
+	}{
+		"refused":     {err: dial(syscall.ECONNREFUSED), want: true},
+		"timed out":   {err: dial(os.ErrDeadlineExceeded), want: true},
+		"no route":    {err: dial(syscall.EHOSTUNREACH)},
+		"cut off":     {err: &sendError{sent: true, cause: io.ErrUnexpectedEOF}},
+		"turned away": {err: &sendError{cause: failure.At(failure.Refused, "exchange with worker", "w", errTurnedAway)}},
+		"fell silent": {err: withCause(canceled(errStalled), "w", io.ErrUnexpectedEOF)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			told := false
+			r := &Relay{opts: Options{Logger: hclog.NewNullLogger(), Tracker: NewTracker("", func(*fleet.Replica) { told = true })}}
+			r.noteFailed(&request{}, testReplica("a", ""), test.err)
+			assert.Equal(t, told, test.want)
+		})
+	}
+}
+
+// canceled returns a context that ended for a cause.
+func canceled(cause error) context.Context {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(cause)
+	return ctx
 }
 
 // TestPeersWordCountsForUnusedReplicas: a daemon that never used a replica does not try
