--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -168,30 +168,3 @@
 		assert.DeepEqual(t, f.changes, []string{"wtrue", "wfalse"})
 	})
 }
-
-func BenchmarkCheck(b *testing.B) {
-	for _, warming := range []int{0, 100} {
-		b.Run(fmt.Sprint(warming), func(b *testing.B) {
-			f := newFixture(bears)
-			var replicas []*fleet.Replica
-			for i := range 400 {
-				id, coldLeft := fmt.Sprint("w", i), int64(0)
-				if i < warming {
-					coldLeft = time.Hour.Milliseconds()
-				}
-				f.list(id, coldLeft)
-				w, _ := f.inventory.View().Worker(id)
-				replicas = append(replicas, &fleet.Replica{ID: id, Head: w})
-			}
-			b.ResetTimer()
-			for b.Loop() {
-				check := f.Check(time.Now())
-				for _, r := range replicas {
-					if check != nil {
-						check(r)
-					}
-				}
-			}
-		})
-	}
-}
--- a/allowance/sum_test.go
+++ b/allowance/sum_test.go
@@ -104,36 +104,49 @@
 	return span{from: time.Duration(from) * step, to: time.Duration(from+rapid.IntRange(0, 100).Draw(t, name+" for")) * step}
 }
 
-// TestSumStaysBelowBound lets daemons that hold one of two views of the registered ones
-// send all they may, with freezes, restarts and connections that open late: in no second
-// are more requests sent than the operator allows.
+// drawDaemon draws a daemon with troubles of its own.
+func drawDaemon(t *rapid.T, id string) *daemon {
+	d := &daemon{id: id, frozen: drawSpan(t, "frozen"), slow: drawSpan(t, "slow")}
+	for range rapid.IntRange(0, 6).Draw(t, "restarts") {
+		d.restarts = append(d.restarts, time.Duration(rapid.IntRange(1, 199).Draw(t, "restart"))*step)
+	}
+	return d
+}
+
+// drawDaemons draws daemons that hold one of two views of the registered ones, each with
+// itself in it. The views may have nobody in common, and all may freeze together.
+func drawDaemons(t *rapid.T) []*daemon {
+	disjoint, together := rapid.Bool().Draw(t, "disjoint"), rapid.Bool().Draw(t, "together")
+	frozen, slow := drawSpan(t, "all frozen"), drawSpan(t, "all slow")
+	var views [2][]string
+	var sides [2][]*daemon
+	for i := range rapid.IntRange(1, 16).Draw(t, "daemons") {
+		d := drawDaemon(t, fmt.Sprintf("daemon-%d", i))
+		if together {
+			d.frozen, d.slow = frozen, slow
+		}
+		side := rapid.IntRange(0, 1).Draw(t, "side")
+		sides[side] = append(sides[side], d)
+		views[side] = append(views[side], d.id)
+		if !disjoint && rapid.Bool().Draw(t, "known to the other side") {
+			views[1-side] = append(views[1-side], d.id)
+		}
+	}
+	for side, all := range sides {
+		for _, d := range all {
+			d.members = views[side]
+		}
+	}
+	return append(sides[0], sides[1]...)
+}
+
+// TestSumStaysBelowBound lets daemons send all they may, with freezes, restarts and
+// connections that open late: in no second are more requests sent than the operator allows.
 func TestSumStaysBelowBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bound := Bound{Burst: rapid.Float64Range(1, 2).Draw(t, "burst"), Slack: float64(rapid.IntRange(0, 12).Draw(t, "slack"))}
-		count := rapid.IntRange(1, 16).Draw(t, "daemons")
-		var members [2][]string
-		var all []*daemon
-		disjoint := rapid.Bool().Draw(t, "disjoint")
-		sameFreeze, sameSlow := drawSpan(t, "all frozen"), drawSpan(t, "all slow")
-		together := rapid.Bool().Draw(t, "together")
-		for i := range count {
-			d := &daemon{id: fmt.Sprintf("daemon-%d", i), frozen: sameFreeze, slow: sameSlow}
-			if !together {
-				d.frozen, d.slow = drawSpan(t, "frozen"), drawSpan(t, "slow")
-			}
-			for range rapid.IntRange(0, 6).Draw(t, "restarts") {
-				d.restarts = append(d.restarts, time.Duration(rapid.IntRange(1, 199).Draw(t, "restart"))*step)
-			}
-			side := rapid.IntRange(0, 1).Draw(t, "side")
-			members[side] = append(members[side], d.id)
-			if !disjoint && rapid.Bool().Draw(t, "known to the other side") {
-				members[1-side] = append(members[1-side], d.id)
-			}
-			d.members = []string{fmt.Sprint(side)}
-			all = append(all, d)
-		}
+		all := drawDaemons(t)
 		for _, d := range all {
-			d.members = members[int(d.members[0][0]-'0')]
 			d.begin(bound, start)
 		}
 		for at := time.Duration(0); at < 4*time.Second; at += step {
--- a/relay/warmup_test.go
+++ b/relay/warmup_test.go
@@ -147,43 +147,48 @@
 	}
 }
 
+// choiceRelay returns a relay with many replicas, of which the first ones warm up, and a
+// request to them.
+func choiceRelay(b *testing.B, replicas, warming int) (*Relay, *request) {
+	b.Helper()
+	inventory := fleet.NewInventory(time.Second, 0)
+	service := &fleet.Service{Name: "models", Engine: &fleet.Engine{Slots: 30}, WarmUp: fleet.WarmUp{PerSecond: 14, For: time.Second}}
+	config := fleet.NewConfig(fleet.Parts{Version: 1, Services: []*fleet.Service{service}})
+	changes := make([]fleet.Change, replicas)
+	for i := range changes {
+		id := fmt.Sprintf("i-%08x", i)
+		changes[i] = fleet.Change{ID: id, Worker: &fleet.Worker{
+			ID: id, Service: "models", Zone: "hall", Domain: "d", Slots: 30, Loaded: "m",
+			Member: fleet.Membership{Group: "g" + id, Epoch: 1, State: fleet.Open},
+		}}
+	}
+	for _, c := range changes[:warming] {
+		c.Worker.ColdLeft = time.Hour.Milliseconds()
+	}
+	inventory.Apply(changes, 1, time.Now())
+	members := make([]string, 90)
+	for i := range members {
+		members[i] = fmt.Sprint("daemon-", i)
+	}
+	tokens := allowance.New(allowance.Options{
+		Self: "daemon-1", Members: func() []string { return members }, Bound: allowance.Bound{Burst: 1.5, Slack: 5},
+		View: inventory.View, Halls: func() *fleet.HallView { return nil }, Config: func() *fleet.Config { return config },
+		Changed: func(*fleet.Worker, bool) {},
+	})
+	meter, err := telemetry.NewMeter()
+	assert.NilError(b, err)
+	r := New(Options{
+		View: inventory.View, Tracker: NewTracker("hall", func(*fleet.Replica) {}), Meter: meter,
+		WarmUp: tokens.Check, TakeWarmUp: tokens.Take, NextWarmUp: tokens.Next,
+	})
+	return r, &request{service: "models", model: "m", engine: service.Engine, route: &fleet.Route{}, tried: make(map[string]bool)}
+}
+
 // BenchmarkChoice measures the choice among 400 replicas while some of them warm up.
 func BenchmarkChoice(b *testing.B) {
-	const replicas = 400
 	for _, warming := range []int{0, 100} {
 		b.Run(fmt.Sprint("warming=", warming), func(b *testing.B) {
-			inventory := fleet.NewInventory(time.Second, 0)
-			service := &fleet.Service{Name: "models", Engine: &fleet.Engine{Slots: 30}, WarmUp: fleet.WarmUp{PerSecond: 14, For: time.Second}}
-			config := fleet.NewConfig(fleet.Parts{Version: 1, Services: []*fleet.Service{service}})
-			var changes []fleet.Change
-			for i := range replicas {
-				id := fmt.Sprintf("i-%08x", i)
-				w := &fleet.Worker{
-					ID: id, Service: "models", Zone: "hall", Domain: "d", Slots: 30, Loaded: "m",
-					Member: fleet.Membership{Group: "g" + id, Epoch: 1, State: fleet.Open},
-				}
-				if i < warming {
-					w.ColdLeft = time.Hour.Milliseconds()
-				}
-				changes = append(changes, fleet.Change{ID: id, Worker: w})
-			}
-			inventory.Apply(changes, 1, time.Now())
-			var members []string
-			for i := range 90 {
-				members = append(members, fmt.Sprint("daemon-", i))
-			}
-			tokens := allowance.New(allowance.Options{
-				Self: "daemon-1", Members: func() []string { return members }, Bound: allowance.Bound{Burst: 1.5, Slack: 5},
-				View: inventory.View, Halls: func() *fleet.HallView { return nil }, Config: func() *fleet.Config { return config },
-				Changed: func(*fleet.Worker, bool) {},
-			})
-			meter, err := telemetry.NewMeter()
-			assert.NilError(b, err)
-			r := New(Options{
-				View: inventory.View, Tracker: NewTracker("hall", func(*fleet.Replica) {}), Meter: meter,
-				WarmUp: tokens.Check, TakeWarmUp: tokens.Take, NextWarmUp: tokens.Next,
-			})
-			c := &request{service: "models", model: "m", engine: service.Engine, route: &fleet.Route{}, tried: make(map[string]bool)}
+			r, c := choiceRelay(b, 400, warming)
 			for b.Loop() {
 				if _, none := r.choose(c); none != nil {
 					b.Fatal(none.message)
