--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -56,6 +56,9 @@
 	// until is when the first of the workers has warmed up.
 	until   time.Time
 	warming map[string]*warming
+	// told holds the workers whose entry told how long they are cold since their hall was
+	// opened, with when that was.
+	told map[string]time.Time
 	// hallOpened tells that some warm up for longer than their entry tells, because their
 	// hall was opened.
 	hallOpened bool
@@ -152,9 +155,9 @@
 // look finds the workers that warm up now. A worker that did so before keeps its bucket.
 func (a *Allowance) look(held *snapshot, now time.Time) *snapshot {
 	members := a.opts.Members()
-	next := &snapshot{view: a.opts.View(), halls: a.opts.Halls(), config: a.opts.Config(), members: len(members)}
+	next := &snapshot{view: a.opts.View(), halls: a.opts.Halls(), config: a.opts.Config(), members: len(members), told: make(map[string]time.Time)}
 	for id, w := range next.view.Workers() {
-		until, bound := a.warmsUntil(next, w)
+		until, bound := a.warmsUntil(held, next, w)
 		if !now.Before(until) {
 			continue
 		}
@@ -171,22 +174,6 @@
 	return next
 }
 
-// warmsUntil returns until when a worker warms up, and what its service says of that.
-func (a *Allowance) warmsUntil(s *snapshot, w *fleet.Worker) (time.Time, fleet.WarmUp) {
-	if s.config == nil {
-		return time.Time{}, fleet.WarmUp{}
-	}
-	service, ok := s.config.Service(w.Service)
-	if !ok || service.WarmUp.PerSecond <= 0 {
-		return time.Time{}, fleet.WarmUp{}
-	}
-	until := w.ColdUntil
-	if opened := s.halls.OpenedAt(w.Zone); !opened.IsZero() && service.WarmUp.For > 0 {
-		until = later(until, opened.Add(service.WarmUp.For+a.opts.Settle))
-	}
-	return until, service.WarmUp
-}
-
 // warmingOf returns the state of a worker that warms up: its bucket from before if the
 // share is still the same, else an empty one, so that no change brings tokens.
 func (a *Allowance) warmingOf(held *snapshot, w *fleet.Worker, bound fleet.WarmUp, members []string, until, now time.Time) *warming {
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -116,6 +116,37 @@
 			f.hall(true)
 			f.hall(false)
 		}, 9, 12},
+		"its hall was opened, and its entry tells how long": {bears, func(f *fixture) {
+			f.list("w", 0)
+			f.hall(true)
+			f.hall(false)
+			f.list("w", 2000)
+			f.Look(time.Now())
+			time.Sleep(time.Second)
+			f.list("w", 1000)
+			f.Look(time.Now())
+			time.Sleep(time.Second)
+			f.list("w", 0)
+			f.Look(time.Now())
+		}, all, all},
+		"its hall was opened again since its entry told": {bears, func(f *fixture) {
+			f.list("w", 0)
+			f.hall(true)
+			f.hall(false)
+			f.list("w", 2000)
+			f.Look(time.Now())
+			time.Sleep(2 * time.Second)
+			f.list("w", 0)
+			f.hall(true)
+			f.hall(false)
+		}, 9, 12},
+		"its hall was opened, and its entry tells of an earlier time": {bears, func(f *fixture) {
+			f.list("w", 3000)
+			time.Sleep(2 * time.Second)
+			f.hall(true)
+			f.hall(false)
+			time.Sleep(2 * time.Second)
+		}, 9, 12},
 		"nothing is known": {bears, func(f *fixture) { f.config = nil; f.list("w", 3000) }, all, all},
 	}
 	for name, test := range tests {
