--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -34,7 +34,8 @@
 	View   func() *fleet.View
 	Halls  func() *fleet.HallView
 	Config func() *fleet.Config
-	// Changed is called when a worker begins or ceases to warm up, as seen here.
+	// Changed is called when a worker begins or ceases to warm up, as seen here. It must not
+	// call the Allowance.
 	Changed func(worker *fleet.Worker, warming bool)
 }
 
