--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -23,6 +23,7 @@
 	"quartzshelf.dev/common/proptest"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/eventlog"
+	"quartzshelf.dev/hall"
 	"quartzshelf.dev/intent"
 	"quartzshelf.dev/membership"
 	"quartzshelf.dev/ownership"
@@ -60,6 +61,8 @@
 	catalog   *catalog.Catalog
 	agent     *membership.Agent
 	ledger    *intent.Ledger
+	halls     *hall.Watch
+	startedAt time.Time
 	cancel    context.CancelFunc
 	duties    conc.WaitGroup
 }
@@ -140,6 +143,12 @@
 		Random:        rand.New(rand.NewPCG(1, uint64(h.life))),
 	})
 	h.ledger = h.newLedger()
+	h.startedAt = time.Now()
+	h.halls = hall.NewWatch(hall.Options{
+		Config: h.state.View, Catalog: h.catalog, Reached: h.agent.Reached, ServeWindow: serveWindow,
+		InFlight: func(string) int { return 0 }, Daemons: func() map[string]int { return nil },
+		Logger: hclog.NewNullLogger(),
+	})
 	h.run(opts)
 }
 
@@ -180,6 +189,7 @@
 	}
 	h.duties.Go(func() { h.agent.Run(ctx) })
 	h.duties.Go(func() { h.ledger.Run(ctx) })
+	h.duties.Go(func() { h.halls.Run(ctx) })
 	if !opts.withoutControllers {
 		controller := replica.NewController(replica.Options{
 			Self: h.id, Config: h.state.View, List: nodes, Control: nodes, Catalog: h.catalog,
