--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -127,7 +127,7 @@
 	if err := c.BodyParser(&set); err != nil {
 		return fiber.NewError(http.StatusBadRequest, "not a change set: "+err.Error())
 	}
-	if closed := o.d.readiness.gate(); closed != nil {
+	if closed := o.d.readiness.publishing(); closed != nil {
 		return failure.New(failure.Refused, "publish configuration", o.d.settings.Name, "%s", closed.Message)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), applyTimeout)
--- a/daemon/readiness.go
+++ b/daemon/readiness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -132,6 +133,26 @@
 	return nil
 }
 
+// publishing returns nil while this daemon may publish changes. It may not while most
+// daemons are out of its reach: they go on taking requests by what they know, as long as
+// more than half of all daemons reach each other.
+func (r *readiness) publishing() *gateway.Closed {
+	if closed := r.gate(); closed != nil {
+		return closed
+	}
+	return tooFew(r.d.agent.Reached(time.Now().Add(-contactWindow)))
+}
+
+// tooFew returns why a daemon that reaches so many of all daemons must not publish, or
+// nil: those that it does not reach must be no majority.
+func tooFew(reached, members int) *gateway.Closed {
+	if 2*reached >= members {
+		return nil
+	}
+	return &gateway.Closed{Reason: reason.Isolated, Message: fmt.Sprintf(
+		"this daemon reaches %d of %d daemons; the others might go on without the change", reached, members)}
+}
+
 // known reports whether there is a configuration to start with: the log was
 // read to its end, or a peer gave one.
 func (r *readiness) known(next int64) bool {
