--- a/eligibility/eligibility_test.go
+++ b/eligibility/eligibility_test.go
@@ -1,6 +1,7 @@
 package eligibility
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -84,30 +85,30 @@
 			replicas = append(replicas, replicaIn(id, halls.Draw(t, "hall")))
 		}
 		rules := testRules()
-		got := rules.Select(request, replicas)
-		var want Selection
-		for _, r := range replicas {
-			class, cause := rules.Judge(request, r)
-			if cause != None {
-				want.counts[cause]++
-			}
-			if class != Excluded {
-				want.byClass[class] = append(want.byClass[class], r)
-			}
-		}
+		got, want := rules.Select(request, replicas), judged(rules, request, replicas)
+		assert.Equal(t, got.Counts(), want.Counts())
+		assert.Equal(t, got.Empty(), want.Empty())
 		for class := Eligible; class < Excluded; class++ {
-			assert.Equal(t, len(got.Of(class)), len(want.Of(class)))
-			for i, r := range got.Of(class) {
-				assert.Equal(t, r, want.Of(class)[i])
-			}
-		}
-		for cause := Tried; cause < causes; cause++ {
-			assert.Equal(t, got.Counts()[cause], want.counts[cause])
+			assert.Assert(t, slices.Equal(got.Of(class), want.Of(class)), "class %d", class)
 		}
-		assert.Equal(t, got.Empty(), want.Empty())
 	})
 }
 
+// judged selects replicas one by one.
+func judged(rules *Rules, request *Request, replicas []*fleet.Replica) Selection {
+	var s Selection
+	for _, r := range replicas {
+		class, cause := rules.Judge(request, r)
+		if cause != None {
+			s.counts[cause]++
+		}
+		if class != Excluded {
+			s.byClass[class] = append(s.byClass[class], r)
+		}
+	}
+	return s
+}
+
 func TestCounts(t *testing.T) {
 	counts := Counts{Hall: 3, WarmUp: 1}
 	assert.Equal(t, counts.String(), "hall_closed=3 warm_up=1")
--- a/fleet/halls_test.go
+++ b/fleet/halls_test.go
@@ -109,61 +109,106 @@
 	})
 }
 
+// hallPlay is an operator and daemons that read its words, or hear of them, now and then.
+type hallPlay struct {
+	closed   map[string]bool
+	changed  map[string]time.Time
+	words    []HallChange
+	daemons  []*Halls
+	readTo   []int
+	learntAt []time.Time
+}
+
+func newHallPlay(daemons int) *hallPlay {
+	p := &hallPlay{closed: make(map[string]bool), changed: make(map[string]time.Time)}
+	for range daemons {
+		h := NewHalls(emptyWithin)
+		h.Take(HallNews{Whole: true}, 1, time.Now())
+		p.daemons = append(p.daemons, h)
+		p.readTo, p.learntAt = append(p.readTo, 0), append(p.learntAt, time.Now())
+	}
+	return p
+}
+
+// toggle closes an open hall, or opens a closed one.
+func (p *hallPlay) toggle(hall string) {
+	p.closed[hall], p.changed[hall] = !p.closed[hall], time.Now()
+	p.words = append(p.words, HallChange{Hall: hall, Closed: p.closed[hall]})
+}
+
+// read lets a daemon read what is new.
+func (p *hallPlay) read(daemon int) {
+	p.daemons[daemon].Take(HallNews{Changes: slices.Clone(p.words[p.readTo[daemon]:])}, int64(len(p.words)+1), time.Now())
+	p.readTo[daemon], p.learntAt[daemon] = len(p.words), time.Now()
+}
+
+// hear lets a daemon hear another one.
+func (p *hallPlay) hear(daemon, from int) {
+	p.daemons[daemon].Follow(p.daemons[from].Report(time.Now()), time.Now())
+	if p.readTo[from] < p.readTo[daemon] {
+		return
+	}
+	p.readTo[daemon] = p.readTo[from]
+	if p.learntAt[from].After(p.learntAt[daemon]) {
+		p.learntAt[daemon] = p.learntAt[from]
+	}
+}
+
+// late returns the daemon and hall that are not closed though the daemon learnt after the
+// operator's word and the bound has passed; nothing if all is well.
+func (p *hallPlay) late() string {
+	for hall, closed := range p.closed {
+		if !closed || time.Since(p.changed[hall]) <= emptyWithin {
+			continue
+		}
+		for i, h := range p.daemons {
+			if p.learntAt[i].After(p.changed[hall]) && h.View().State(hall, time.Now()) != HallClosed {
+				return fmt.Sprint(i, hall)
+			}
+		}
+	}
+	return ""
+}
+
+// settled lets all daemons read, and returns a hall of which one of them holds another
+// state than the operator after the bound.
+func (p *hallPlay) settled() string {
+	for i := range p.daemons {
+		p.read(i)
+	}
+	time.Sleep(emptyWithin)
+	for hall, closed := range p.closed {
+		for i, h := range p.daemons {
+			if (h.View().State(hall, time.Now()) == HallClosed) != closed {
+				return fmt.Sprint(i, hall)
+			}
+		}
+	}
+	return ""
+}
+
 // TestHallsAgree: whatever daemons read or hear, in any order and with gaps, none keeps a
 // hall open longer than the bound after the operator's word as long as it reads or hears
 // within that time, and all agree in the end.
 func TestHallsAgree(outer *testing.T) {
+	const daemons = 3
 	rapid.Check(outer, func(t *rapid.T) {
 		synctest.Test(outer, func(*testing.T) {
-			operator := map[string]bool{}
-			closedAt := map[string]time.Time{}
-			var log []HallChange
-			daemons := []*Halls{NewHalls(emptyWithin), NewHalls(emptyWithin), NewHalls(emptyWithin)}
-			at := make([]int, len(daemons))
-			fresh := make([]time.Time, len(daemons))
-			for i, h := range daemons {
-				h.Take(HallNews{Whole: true}, 1, time.Now())
-				fresh[i] = time.Now()
-			}
+			p := newHallPlay(daemons)
+			who := rapid.IntRange(0, daemons-1)
 			for range rapid.IntRange(1, 30).Draw(t, "steps") {
 				time.Sleep(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
-				switch who := rapid.IntRange(0, len(daemons)-1).Draw(t, "daemon"); rapid.IntRange(0, 2).Draw(t, "what") {
+				switch rapid.IntRange(0, 2).Draw(t, "what") {
 				case 0:
-					hall := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "hall")
-					operator[hall] = !operator[hall]
-					closedAt[hall] = time.Now()
-					log = append(log, HallChange{Hall: hall, Closed: operator[hall]})
+					p.toggle(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "hall"))
 				case 1:
-					daemons[who].Take(HallNews{Changes: slices.Clone(log[at[who]:])}, int64(len(log)+1), time.Now())
-					at[who], fresh[who] = len(log), time.Now()
+					p.read(who.Draw(t, "daemon"))
 				case 2:
-					from := rapid.IntRange(0, len(daemons)-1).Draw(t, "from")
-					daemons[who].Follow(daemons[from].Report(time.Now()), time.Now())
-					if at[from] >= at[who] {
-						at[who] = at[from]
-						if fresh[from].After(fresh[who]) {
-							fresh[who] = fresh[from]
-						}
-					}
-				}
-				for i, h := range daemons {
-					for hall, closed := range operator {
-						told := fresh[i].After(closedAt[hall])
-						if closed && told && time.Since(closedAt[hall]) > emptyWithin {
-							assert.Equal(t, h.View().State(hall, time.Now()), HallClosed, fmt.Sprint(i, hall))
-						}
-					}
-				}
-			}
-			for i, h := range daemons {
-				h.Take(HallNews{Changes: slices.Clone(log[at[i]:])}, int64(len(log)+1), time.Now())
-			}
-			time.Sleep(emptyWithin)
-			for hall, closed := range operator {
-				for _, h := range daemons {
-					assert.Equal(t, h.View().State(hall, time.Now()) == HallClosed, closed)
+					p.hear(who.Draw(t, "daemon"), who.Draw(t, "from"))
 				}
+				assert.Equal(t, p.late(), "")
 			}
+			assert.Equal(t, p.settled(), "")
 		})
 	})
 }
