--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -134,7 +134,9 @@
 			copied = true
 			s.byClass[Eligible] = append(make([]*fleet.Replica, 0, len(replicas)), replicas[:i]...)
 		}
-		s.counts[cause]++
+		if cause != None {
+			s.counts[cause]++
+		}
 		if class != Excluded {
 			s.byClass[class] = append(s.byClass[class], replica)
 		}
