--- a/formation/form.go
+++ b/formation/form.go
@@ -108,11 +108,7 @@
 		}
 		pause.For(ctx, tickEvery/4)
 	}
-	for _, w := range members {
-		if !seen[w.ID] {
-			k.doubt(ctx, g, w)
-		}
-	}
+	k.doubt(ctx, g, slices.DeleteFunc(slices.Clone(members), func(w *fleet.Worker) bool { return seen[w.ID] })...)
 	return false
 }
 
--- a/formation/partition.go
+++ b/formation/partition.go
@@ -115,17 +115,10 @@
 	}
 	changed := false
 	for range passes {
-		again := false
-		for _, domain := range slices.Sorted(maps.Keys(free)) {
-			if d, ok := p.better(domain, free[domain], divisions[domain]); ok {
-				divisions[domain] = d
-				again = true
-			}
-		}
-		changed = changed || again
-		if !again {
+		if !p.pass(free, divisions) {
 			break
 		}
+		changed = true
 	}
 	if !changed {
 		return formations
@@ -137,6 +130,18 @@
 	return all
 }
 
+// pass divides each domain anew, and reports whether any gained.
+func (p *partition) pass(free map[string][]Free, divisions map[string]division) bool {
+	changed := false
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		if d, ok := p.better(domain, free[domain], divisions[domain]); ok {
+			divisions[domain] = d
+			changed = true
+		}
+	}
+	return changed
+}
+
 // hallOf returns the data hall of a domain: that of its first worker.
 func hallOf(workers []Free) string {
 	if len(workers) == 0 {
--- a/formation/supply.go
+++ b/formation/supply.go
@@ -140,21 +140,27 @@
 	better := false
 	for c, given := range s.given {
 		for from, count := range given {
-			if count == 0 || !steps[from].reached {
-				continue
-			}
-			for to := range s.models {
-				cost := steps[from].cost + s.costs[c][to] - s.costs[c][from]
-				if to != from && (!steps[to].reached || cost < steps[to].cost) {
-					steps[to] = step{cost: cost, class: c, from: from, reached: true}
-					better = true
-				}
+			if count > 0 && steps[from].reached {
+				better = s.relaxFrom(steps, c, from) || better
 			}
 		}
 	}
 	return better
 }
 
+// relaxFrom does so for workers of one class that a model has.
+func (s *supply) relaxFrom(steps []step, class, from int) bool {
+	better := false
+	for to := range s.models {
+		cost := steps[from].cost + s.costs[class][to] - s.costs[class][from]
+		if to != from && (!steps[to].reached || cost < steps[to].cost) {
+			steps[to] = step{cost: cost, class: class, from: from, reached: true}
+			better = true
+		}
+	}
+	return better
+}
+
 // along returns how many workers can go the way that leads to a model.
 func (s *supply) along(steps []step, model int) int {
 	amount := 1 << 30
