--- a/formation/demand.go
+++ b/formation/demand.go
@@ -133,16 +133,6 @@
 		if !ok {
 			held = measured
 		}
-		k.smooth[model] = Work{
-			Busy: smoothed(held.Busy, measured.Busy), Prompts: smoothed(held.Prompts, measured.Prompts), Pause: measured.Pause,
-		}
-	}
-}
-
-func smoothed(held, measured float64) float64 {
-	weight := demandFall
-	if measured > held {
-		weight = demandRise
+		k.smooth[model] = held.toward(measured, 1)
 	}
-	return held + weight*(measured-held)
 }
--- a/formation/inherit_test.go
+++ b/formation/inherit_test.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,28 @@
 		assert.DeepEqual(t, w.broken, []string(nil))
 	})
 }
+
+// TestSmootherIsFedAtAnyInterval: work that is measured each second is smoothed as by a
+// leader that looks ten times as often.
+func TestSmootherIsFedAtAnyInterval(t *testing.T) {
+	for name, every := range map[string]time.Duration{"each tick": tickEvery, "each second": time.Second, "each five seconds": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			var s Smoother
+			now := time.Time{}.Add(time.Hour)
+			s.Observe(map[string]Work{"big": {Busy: 100, Pause: time.Second}}, now)
+			for range 10 * time.Second / every {
+				now = now.Add(every)
+				s.Observe(map[string]Work{"big": {Busy: 50, Pause: time.Second}}, now)
+			}
+			// (1-demandFall)^100 of the difference is left.
+			got := s.Work()["big"]
+			assert.Assert(t, math.Abs(got.Busy-68.3) < 0.1, "%.2f", got.Busy)
+			assert.Equal(t, got.Pause, time.Second)
+			// A clock that steps back changes nothing.
+			s.Observe(map[string]Work{"big": {}}, now.Add(-time.Hour))
+			assert.Equal(t, s.Work()["big"].Busy, got.Busy)
+		})
+	}
+	var s Smoother
+	assert.Equal(t, len(s.Work()), 0)
+}
--- a/formation/options.go
+++ b/formation/options.go
@@ -31,7 +31,7 @@
 	// Counted is called with each order given to a worker and its outcome: the
 	// verdict's name, "unanswered", or "returned" for a leave that did not last.
 	Counted func(order, outcome string)
-	// Smoothed returns the smoothed work that this daemon knew before it led, from which
+	// Smoothed returns the smoothed work that this daemon knew before it led (Smoother), from which
 	// the term goes on; nil if none is kept.
 	Smoothed func() map[string]Work
 	// BearHalls is how many data halls may be lost at once, with enough of each model
--- /dev/null
+++ b/formation/smoother.go
@@ -0,0 +1,60 @@
+package formation
+
+import (
+	"maps"
+	"math"
+	"sync"
+	"time"
+)
+
+// Smoother keeps the smoothed work of each model as a daemon knows it, whether it leads
+// or not, so that a new leader goes on where the last one was (Options.Smoothed). It may
+// be fed at any interval: once a second is enough, since work that rises is followed
+// within some 2.5 s and work that falls within 10 s.
+type Smoother struct {
+	mu   sync.Mutex
+	held map[string]Work
+	at   time.Time
+}
+
+// Observe takes the work that was measured now.
+func (s *Smoother) Observe(measured map[string]Work, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held == nil {
+		s.held = make(map[string]Work)
+	}
+	ticks := max(now.Sub(s.at).Seconds()/tickEvery.Seconds(), 0)
+	if now.After(s.at) {
+		s.at = now
+	}
+	for model, w := range measured {
+		held, ok := s.held[model]
+		if !ok {
+			held = w
+		}
+		s.held[model] = held.toward(w, ticks)
+	}
+}
+
+// Work returns the smoothed work of each model.
+func (s *Smoother) Work() map[string]Work {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.held)
+}
+
+// toward returns work as smoothed over so many ticks in which another one was measured.
+func (w Work) toward(measured Work, ticks float64) Work {
+	return Work{
+		Busy: smoothed(w.Busy, measured.Busy, ticks), Prompts: smoothed(w.Prompts, measured.Prompts, ticks), Pause: measured.Pause,
+	}
+}
+
+func smoothed(held, measured, ticks float64) float64 {
+	weight := demandFall
+	if measured > held {
+		weight = demandRise
+	}
+	return measured + math.Pow(1-weight, ticks)*(held-measured)
+}
