--- a/formation/exchange_test.go
+++ b/formation/exchange_test.go
@@ -1,9 +1,11 @@
 package formation
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"quartzshelf.dev/fleet"
 )
@@ -61,6 +63,30 @@
 	}
 }
 
+// TestTradeMindsTheHalls: of two domains that give as much, the one is taken whose hall
+// holds fewer groups of the model.
+func TestTradeMindsTheHalls(t *testing.T) {
+	big, small := fleet.Model{Name: "big", Size: 4}, fleet.Model{Name: "small", Size: 4}
+	for name, test := range map[string]struct {
+		bear int
+		want []string
+	}{
+		"no loss to bear":    {want: []string{"s"}},
+		"the loss of a hall": {bear: 1, want: []string{"t"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			trader := newTrader([]Need{{Model: big, Want: 4, Have: 3}, {Model: small, Want: 4, Have: 8}}, nil, []Standing{
+				{Key: "s", Domain: "d", Hall: "h0", Model: "small", Members: 4}, {Key: "t", Domain: "e", Hall: "h1", Model: "small", Members: 4},
+			})
+			trader.value.halls = Halls{Bear: test.bear, Weight: hallWeight}
+			trader.value.serving = map[string]map[string]int{"big": {"h0": 2, "h1": 1}, "small": {"h0": 4, "h1": 4}}
+			x, ok := trader.best()
+			assert.Assert(t, ok)
+			assert.DeepEqual(t, x.Keys, test.want)
+		})
+	}
+}
+
 // TestTradeCountsAllItGets: a large group gives the members of several small ones, so
 // that no second one is given up for the same lack.
 func TestTradeCountsAllItGets(t *testing.T) {
@@ -75,3 +101,60 @@
 	x.apply(needs)
 	assert.Equal(t, needs[1].Have, 6)
 }
+
+// TestTradeHolds checks what must hold of every exchange: groups of one domain, none
+// twice, enough members for what it gets, and givers that stay better off.
+func TestTradeHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t)
+		standing := make(map[string]Standing)
+		var all []Standing
+		for i, n := range in.Needs {
+			for g := range n.Have {
+				s := Standing{
+					Key: fmt.Sprintf("g%d-%d", i, g), Domain: fmt.Sprint("d", rapid.IntRange(0, 3).Draw(t, "domain")),
+					Model: n.Model.Name, Members: n.Model.Size, Cold: make(map[string]int),
+				}
+				for _, o := range in.Needs {
+					s.Cold[o.Model.Name] = rapid.IntRange(0, n.Model.Size).Draw(t, "cold")
+				}
+				standing[s.Key] = s
+				all = append(all, s)
+			}
+		}
+		x, ok := Trade(in.Needs, in.Free, all)
+		if !ok {
+			return
+		}
+		after := make(map[string]Need)
+		for _, n := range in.Needs {
+			after[n.Model.Name] = n
+		}
+		to := after[x.Model]
+		assert.Assert(t, !to.met() && x.Gets >= 1 && len(x.Keys) > 0)
+		members, given := 0, make(map[string]int)
+		for _, f := range in.Free {
+			if f.Domain == x.Domain && !f.Doubted && (f.warmth(x.Model) <= Staged || to.share(0) <= coldTradeShare) {
+				members++
+			}
+		}
+		for _, key := range x.Keys {
+			s, there := standing[key]
+			assert.Assert(t, there, "%s is given twice", key)
+			delete(standing, key)
+			assert.Equal(t, s.Domain, x.Domain)
+			assert.Assert(t, s.Model != x.Model)
+			given[s.Model]++
+			if to.share(0) <= coldTradeShare {
+				members += s.Members
+			} else {
+				members += s.warm(x.Model)
+			}
+		}
+		assert.Assert(t, members >= x.Gets*to.Model.Size, "%d members for %d groups", members, x.Gets)
+		assert.DeepEqual(t, given, x.Given)
+		for model, count := range given {
+			assert.Assert(t, after[model].share(-count) >= tradeMargin*to.share(1))
+		}
+	})
+}
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -281,18 +281,19 @@
 	}
 	counted := k.traffic()
 	forGroups, forIdle := k.room(s, view, budget, now)
-	formations, stagings := Plan(Input{
+	in := Input{
 		Needs: needs, Free: free, Warm: k.warm(s, view),
 		MaxLoads: forGroups, MaxStagings: forIdle,
 		Growing: !counted && k.listGrows(s, view, now),
 		Halls:   k.reserve(), Serving: serving, Released: k.released(needs, free, now),
-	})
+	}
+	formations, stagings := Plan(in)
 	for _, f := range formations {
 		budget.take(f.Loads, counted, now)
 		k.beginForm(ctx, s, f)
 	}
 	if len(formations) == 0 && counted {
-		k.trade(ctx, needs, free, groups, forGroups, now)
+		k.trade(ctx, in, groups, now)
 	}
 	if !counted {
 		stagings = append(k.longIdle(stagings, now), k.seconds(s, view)...)
--- a/formation/partition.go
+++ b/formation/partition.go
@@ -11,7 +11,9 @@
 	// sameValue is below which two divisions earn the same, so that the one with the
 	// fewer and quicker moves is taken; sums of floats differ by less.
 	sameValue = 1e-9
-	// passes is how often each domain is divided anew by what the others do now.
+	// passes is how often each domain is divided anew by what the others do now, where
+	// there are others: the second pass sees what the first changed elsewhere. Each costs
+	// as much as the search of all domains.
 	passes = 2
 )
 
@@ -114,7 +116,7 @@
 		p.count(divisions[domain], hallOf(list), 1)
 	}
 	changed := false
-	for range passes {
+	for range min(passes, len(free)) {
 		if !p.pass(free, divisions) {
 			break
 		}
--- a/formation/trade.go
+++ b/formation/trade.go
@@ -27,6 +27,8 @@
 	Domain  string
 	Model   string
 	Members int
+	// Hall is the data hall of its head.
+	Hall string
 	// Cold counts, by model, the members that would have to load it.
 	Cold map[string]int
 }
@@ -291,12 +293,14 @@
 // gained returns what the exchange earns: more of the model that gets once its groups
 // serve, less of those that give.
 func (g *gift) gained(gets int) float64 {
-	gain := func(n Need, more float64) float64 {
-		return g.value.model(n, float64(n.Have)+more, 0) - g.value.model(n, float64(n.Have), 0)
+	hall := g.standing[g.domain][0].Hall
+	gain := func(n Need, groups int, part float64) float64 {
+		before, after := g.value.worst(n.Model.Name, nil), g.value.worst(n.Model.Name, map[string]int{hall: groups})
+		return g.value.model(n, float64(n.Have)+float64(groups)*part, after) - g.value.model(n, float64(n.Have), before)
 	}
-	total := gain(g.to, float64(gets)*part(g.to.Model, g.cold))
+	total := gain(g.to, gets, part(g.to.Model, g.cold))
 	for i, o := range g.givers {
-		total += gain(o, -float64(g.counts[i]))
+		total += gain(o, -g.counts[i], 1)
 	}
 	return total
 }
--- a/formation/trading.go
+++ b/formation/trading.go
@@ -19,9 +19,9 @@
 
 // trade dissolves surplus groups of one model in favour of another that is
 // short. What trades under way give and get is counted already. Those that complete
-// the survivors of a group with one other group don't wait for their turn. It may begin
-// maxLoads loads.
-func (k *Keeper) trade(ctx context.Context, needs []Need, free []Free, groups []*observed, maxLoads int, now time.Time) {
+// the survivors of a group with one other group don't wait for their turn.
+func (k *Keeper) trade(ctx context.Context, in Input, groups []*observed, now time.Time) {
+	needs, free := slices.Clone(in.Needs), in.Free
 	k.trades = slices.DeleteFunc(k.trades, func(x Exchange) bool {
 		return !slices.ContainsFunc(x.Keys, func(key string) bool { return k.operating[key] })
 	})
@@ -30,7 +30,6 @@
 	}
 	byKey, standing := k.standing(groups)
 	most := max(len(standing)/groupsPerTrade, 1)
-	needs = slices.Clone(needs)
 	down, next := make(map[string]int), k.tradeNext
 	defer func() { k.tradeNext = next }()
 	for _, x := range k.trades {
@@ -39,7 +38,8 @@
 	}
 	for {
 		t := newTrader(needs, free, standing)
-		t.down, t.maxLoads = down, maxLoads
+		t.down, t.maxLoads = down, in.MaxLoads
+		t.value.halls, t.value.serving = in.Halls, in.Serving
 		x, ok := t.best()
 		paced := now.Before(k.tradeNext) || len(k.trades) >= most
 		if !ok || paced && !t.completes(x) {
@@ -73,7 +73,7 @@
 		if o.whole() && o.absent == 0 && o.state == fleet.Open && !k.operating[o.key] && k.retired[o.key] == 0 && k.halls.usable(o.head.Zone) {
 			byKey[o.key] = o
 			all = append(all, Standing{
-				Key: o.key, Domain: o.head.Domain, Model: o.model.Name, Members: len(o.members), Cold: k.cold(o),
+				Key: o.key, Domain: o.head.Domain, Model: o.model.Name, Members: len(o.members), Hall: o.head.Zone, Cold: k.cold(o),
 			})
 		}
 	}
--- a/formation/value.go
+++ b/formation/value.go
@@ -71,11 +71,11 @@
 	}
 	var counts []int
 	for hall, count := range v.serving[model] {
-		counts = append(counts, count+more[hall])
+		counts = append(counts, max(count+more[hall], 0))
 	}
 	for hall, count := range more {
 		if _, counted := v.serving[model][hall]; !counted {
-			counts = append(counts, count)
+			counts = append(counts, max(count, 0))
 		}
 	}
 	slices.SortFunc(counts, func(a, b int) int { return b - a })
