--- a/formation/partition.go
+++ b/formation/partition.go
@@ -11,7 +11,9 @@
 	// sameValue is below which two divisions earn the same, so that the one with the
 	// fewer and quicker moves is taken; sums of floats differ by less.
 	sameValue = 1e-9
-	// passes is how often each domain is divided anew by what the others do now.
+	// passes is how often each domain is divided anew by what the others do now, where
+	// there are others: the second pass sees what the first changed elsewhere. Each costs
+	// as much as the search of all domains.
 	passes = 2
 )
 
@@ -114,18 +116,11 @@
 		p.count(divisions[domain], hallOf(list), 1)
 	}
 	changed := false
-	for range passes {
-		again := false
-		for _, domain := range slices.Sorted(maps.Keys(free)) {
-			if d, ok := p.better(domain, free[domain], divisions[domain]); ok {
-				divisions[domain] = d
-				again = true
-			}
-		}
-		changed = changed || again
-		if !again {
+	for range min(passes, len(free)) {
+		if !p.pass(free, divisions) {
 			break
 		}
+		changed = true
 	}
 	if !changed {
 		return formations
@@ -137,6 +132,18 @@
 	return all
 }
 
+// pass divides each domain anew, and reports whether any gained.
+func (p *partition) pass(free map[string][]Free, divisions map[string]division) bool {
+	changed := false
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		if d, ok := p.better(domain, free[domain], divisions[domain]); ok {
+			divisions[domain] = d
+			changed = true
+		}
+	}
+	return changed
+}
+
 // hallOf returns the data hall of a domain: that of its first worker.
 func hallOf(workers []Free) string {
 	if len(workers) == 0 {
