--- a/relay/relay.go
+++ b/relay/relay.go
@@ -195,7 +195,7 @@
 		}
 		predicted := costsOf(c.engine, c.model, replicas[0].Head.Slots)
 		predicted.kept = r.upstream.kept(idleFor(!c.route.Repeatable()))
-		choice, ok := r.chooseApart(c, replicas, without, predicted, now)
+		choice, ok := r.chooseFrom(c, replicas, without, predicted, now)
 		if !ok {
 			continue
 		}
