--- a/relay/connections.go
+++ b/relay/connections.go
@@ -70,17 +70,17 @@
 		u.count(w.Service, true)
 		return c, nil
 	}
-	u.count(w.Service, false)
 	raw, err := u.dialer.DialContext(ctx, "tcp", w.Address)
 	if err != nil {
 		return nil, &sendError{cause: failure.At(failure.Refused, "connect to worker", w.ID, err)}
 	}
+	u.count(w.Service, false)
 	return &connection{Conn: raw, worker: w.ID, service: w.Service, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
 // reuse takes the connection that was used last, which is the least likely to
 // be closed by its worker. One that has been idle for too long stays for
-// requests that bear it.
+// requests that bear it, or until the next sweep.
 func (u *upstream) reuse(worker string, idleFor time.Duration) *connection {
 	now := time.Now()
 	u.mu.Lock()
@@ -92,10 +92,6 @@
 		}
 		c := all[len(all)-1]
 		if !u.usable(c, idleFor, now) {
-			if now.Before(c.closeAt) {
-				return nil
-			}
-			u.closeIdle(worker, 0)
 			return nil
 		}
 		u.idle[worker] = all[:len(all)-1]
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,29 @@
+package telemetry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestConnectionsAreTold: the ratio of new connections can be read for each service.
+func TestConnectionsAreTold(t *testing.T) {
+	m, err := NewMeter()
+	assert.NilError(t, err)
+	m.Connection("models", false)
+	m.Connection("models", true)
+	m.Connection("models", true)
+	m.Connection("plain", false)
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, want := range []string{
+		`quartzshelf_connections_total{service="models",use="opened"} 1`,
+		`quartzshelf_connections_total{service="models",use="reused"} 2`,
+		`quartzshelf_connections_total{service="plain",use="opened"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(recorder.Body.String(), want), "%s in %s", want, recorder.Body)
+	}
+}
