--- a/relay/connections.go
+++ b/relay/connections.go
@@ -70,6 +70,11 @@
 		u.count(w.Service, true)
 		return c, nil
 	}
+	return u.open(ctx, w)
+}
+
+// open opens a connection to a worker.
+func (u *upstream) open(ctx context.Context, w *fleet.Worker) (*connection, error) {
 	raw, err := u.dialer.DialContext(ctx, "tcp", w.Address)
 	if err != nil {
 		return nil, &sendError{cause: failure.At(failure.Refused, "connect to worker", w.ID, err)}
--- a/relay/connections_test.go
+++ b/relay/connections_test.go
@@ -67,6 +67,33 @@
 	}
 }
 
+// TestDroppedConnections: where a worker dropped a kept connection without closing it, the
+// request goes to the same worker once more, unless it must not run twice; no answer promises
+// that it did not run.
+func TestDroppedConnections(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		script []behaviour
+		status int
+		runs   int
+	}{
+		"may be repeated":    {path: "/safe/", script: []behaviour{answers, drops}, status: 200, runs: 1},
+		"a stream":           {path: "/stream/", script: []behaviour{answers, drops}, status: 200, runs: 1},
+		"must not run twice": {path: "/once/", script: []behaviour{answers, drops}, status: 502},
+		"dropped again":      {path: "/safe/", script: []behaviour{answers, drops, drops}, status: 502},
+		"turned away then, though it may have run": {path: "/safe/", script: []behaviour{answers, drops, rejects}, status: 502},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			worker := newFakeWorker(t, "w", test.script...)
+			_, server := newTestRelay(t, worker)
+			assert.Equal(t, do(t, server, test.path, "first", nil).status, 200)
+			assert.Equal(t, do(t, server, test.path, "second", nil).status, test.status)
+			assert.Equal(t, worker.runs("second"), test.runs)
+		})
+	}
+}
+
 func TestKeepFor(t *testing.T) {
 	tests := map[string]struct {
 		header string
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -51,22 +51,44 @@
 	response *http.Response
 	// release undoes the closing of the connection on cancellation.
 	release func() bool
+	// resent tells that the worker may have had the request before, over a
+	// connection that broke.
+	resent bool
 }
 
 // send passes a request on and returns once the head of its answer came. The
-// connection is closed as soon as ctx ends.
+// connection is closed as soon as ctx ends. A request is sent again to the same
+// worker if that had dropped the kept connection, unless it may have run and must
+// not run twice.
 func (u *upstream) send(ctx context.Context, w *fleet.Worker, m *message) (*exchange, error) {
 	c, err := u.get(ctx, w, idleFor(m.once))
 	if err != nil {
 		return nil, err
 	}
+	e, err := u.exchange(ctx, c, m)
+	sent := wasSent(err)
+	if err == nil || c.idled == 0 || ctx.Err() != nil || !isReset(err) || m.once && sent {
+		return e, withCause(ctx, w.ID, err)
+	}
+	if c, err = u.open(ctx, w); err == nil {
+		e, err = u.exchange(ctx, c, m)
+	}
+	if err != nil {
+		return nil, withCause(ctx, w.ID, &sendError{sent: sent || wasSent(err), cause: err})
+	}
+	e.resent = sent
+	return e, nil
+}
+
+// exchange sends a request over a connection and reads the head of its answer.
+func (u *upstream) exchange(ctx context.Context, c *connection, m *message) (*exchange, error) {
 	release := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := c.roundTrip(m)
 	if err != nil {
 		release()
 		_ = c.Close()
 		u.noteUnanswered(ctx, c, err)
-		return nil, withCause(ctx, w.ID, err)
+		return nil, err
 	}
 	return &exchange{ctx: ctx, conn: c, upstream: u, response: response, release: release}, nil
 }
@@ -89,6 +111,9 @@
 
 // withCause adds why the context ended to an error that this brought about.
 func withCause(ctx context.Context, worker string, err error) error {
+	if err == nil {
+		return nil
+	}
 	sent := wasSent(err)
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -101,13 +101,13 @@
 }
 
 // rejected returns an error if the worker turned the request away before
-// anything ran.
+// anything ran. One that was sent before may have run then.
 func (r *Relay) rejected(e *exchange, worker string) error {
 	status := e.response.StatusCode
 	if e.response.Header.Get(r.opts.Names.NotRun) == "" && status != http.StatusMisdirectedRequest {
 		return nil
 	}
-	return &sendError{cause: failure.New(failure.Refused, "exchange with worker", worker, "turned away with status %d", status)}
+	return &sendError{sent: e.resent, cause: failure.New(failure.Refused, "exchange with worker", worker, "turned away with status %d", status)}
 }
 
 // writeAnswer passes a whole answer on.
--- a/relay/worker_test.go
+++ b/relay/worker_test.go
@@ -24,6 +24,8 @@
 	rejects behaviour = "rejects"
 	// fails runs it and answers with a failure of its own.
 	fails behaviour = "fails"
+	// drops resets the connection in place of an answer, and runs nothing.
+	drops behaviour = "drops"
 	// loses runs it and closes the connection without an answer.
 	loses behaviour = "loses"
 	// cuts runs it and breaks off within its answer.
@@ -129,7 +131,7 @@
 	b := w.next()
 	w.mu.Lock()
 	w.heads = append(w.heads, r.Header)
-	if b != rejects {
+	if b != rejects && b != drops {
 		w.ran[id]++
 	}
 	w.mu.Unlock()
@@ -141,6 +143,10 @@
 	case fails:
 		write(c, "HTTP/1.1 500 Failed\r\n"+signed+"Content-Length: 0\r\n\r\n")
 		return true
+	case drops:
+		// Without a linger time the connection is reset.
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
 	case loses:
 		return false
 	case garbles:
