--- a/relay/whole.go
+++ b/relay/whole.go
@@ -105,13 +105,13 @@
 }
 
 // rejected returns an error if the worker turned the request away before
-// anything ran.
+// anything ran. One that was sent before may have run then.
 func (r *Relay) rejected(e *exchange, worker string) error {
 	status := e.response.StatusCode
 	if e.response.Header.Get(r.opts.Names.NotRun) == "" && status != http.StatusMisdirectedRequest {
 		return nil
 	}
-	return &sendError{cause: failure.At(failure.Refused, "exchange with worker", worker, fmt.Errorf("%w with status %d", errTurnedAway, status))}
+	return &sendError{sent: e.resent, cause: failure.At(failure.Refused, "exchange with worker", worker, fmt.Errorf("%w with status %d", errTurnedAway, status))}
 }
 
 // writeAnswer passes a whole answer on.
