--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"quartzshelf.dev/cluster"
+	"quartzshelf.dev/rpc"
 	"quartzshelf.dev/standin"
 )
 
@@ -94,3 +95,23 @@
 		}
 	}
 }
+
+// BenchmarkChoice measures the choice of one of 400 replicas.
+func BenchmarkChoice(b *testing.B) {
+	h := newHarness(b)
+	report := &rpc.DomainReport{Domain: "fabric-2", DataHall: "hall-a", Token: &rpc.Token{Epoch: 1}, Version: 1}
+	for i := range 400 {
+		report.Replicas = append(report.Replicas, &rpc.ReplicaReport{
+			Id: fmt.Sprint("large-", i), Deployment: "chat", Generation: 1, Serving: true, LeaderAddress: downAddress,
+		})
+	}
+	h.catalog.Publish(report, time.Now().Add(time.Hour))
+	view := h.gateway.opts.Config()
+	deployment, _ := view.Deployment("chat")
+	choose := h.gateway.chooseReplica(&request{id: "r", account: view.Accounts()[0]}, deployment, promptOf)
+	b.ReportAllocs()
+	for b.Loop() {
+		target, _ := choose(nil)
+		target.finish()
+	}
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -67,17 +67,18 @@
 
 // candidates returns the replicas that may take the request now, the same as the
 // picker sees them, and what kept the others out.
-func (g *Gateway) candidates(deployment string, allowed []config.Regions, tried map[string]bool) ([]catalog.Replica, []routing.Candidate, PassedOver) {
-	view, now := g.opts.Config(), time.Now()
+func (g *Gateway) candidates(deployment string, allowed []config.Regions, tried map[string]bool) ([]*catalog.Replica, []routing.Candidate, PassedOver) {
+	judge := choice{view: g.opts.Config(), allowed: allowed, tried: tried, now: time.Now()}
 	all := g.opts.Catalog.Of(deployment)
-	replicas := make([]catalog.Replica, 0, len(all))
+	replicas := make([]*catalog.Replica, 0, len(all))
 	candidates := make([]routing.Candidate, 0, len(all))
 	var passed PassedOver
-	for _, replica := range all {
+	for i := range all {
+		replica := &all[i]
 		if !replica.Listed() {
 			continue
 		}
-		if why := keptOut(view, replica, allowed, tried, now); why != "" {
+		if why := judge.keptOut(replica); why != "" {
 			passed = passed.add(why)
 			continue
 		}
--- a/gateway/eligible.go
+++ b/gateway/eligible.go
@@ -44,18 +44,39 @@
 	return []config.Regions{regions, r.account.AllowedRegions()}
 }
 
-// keptOut returns why a replica that its owner lists as serving must not get a request
-// now, or an empty reason. The hall and the region come first: they hold whatever else
-// is wrong.
-func keptOut(view *config.View, r catalog.Replica, allowed []config.Regions, tried map[string]bool, now time.Time) reason.Reason {
-	switch why := view.KeptOut(r.DataHall(), allowed...); {
+// choice is what replicas are judged by in one choice.
+type choice struct {
+	view    *config.View
+	allowed []config.Regions
+	tried   map[string]bool
+	now     time.Time
+	// hall is the data hall looked at last and hallWhy what keeps it out: replicas of
+	// one hall mostly follow each other.
+	hall    string
+	hallWhy reason.Reason
+	looked  bool
+}
+
+// hallKeptOut returns why a data hall must not get the request, or an empty reason.
+func (c *choice) hallKeptOut(hall string) reason.Reason {
+	if !c.looked || c.hall != hall {
+		c.hall, c.hallWhy, c.looked = hall, c.view.KeptOut(hall, c.allowed...), true
+	}
+	return c.hallWhy
+}
+
+// keptOut returns why a replica that its owner lists as serving must not get the
+// request now, or an empty reason. The hall and the region come first: they hold
+// whatever else is wrong.
+func (c *choice) keptOut(r *catalog.Replica) reason.Reason {
+	switch why := c.hallKeptOut(r.DataHall()); {
 	case why != "":
 		return why
-	case tried[r.ID()]:
+	case len(c.tried) > 0 && c.tried[r.ID()]:
 		return reason.Tried
 	case r.Draining():
 		return reason.Leaving
-	case !r.MayServe(now):
+	case !r.MayServe(c.now):
 		// Nothing was heard from the leader of its domain for the serve window.
 		return reason.Suspected
 	}
