--- a/formation/survivors.go
+++ b/formation/survivors.go
@@ -1,6 +1,9 @@
 package formation
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // survivorsWait is how long idle workers of a domain wait for what they lack of a group
 // of a model that is short. Members of a group that ends are freed one after the other
@@ -8,6 +11,16 @@
 // groups of another model within half a second.
 const survivorsWait = 300 * time.Millisecond
 
+const (
+	// releaseShare is the part of what is wanted of a model above which survivors don't
+	// turn to it. With a quarter more than is wanted, fillTarget of the slots leaves 0.56
+	// of them busy.
+	releaseShare = 1.25
+	// releaseBeyond is how many groups more than are wanted there must be as well: of few
+	// groups one is much.
+	releaseBeyond = 2
+)
+
 // released returns the domains whose idle workers are too few for a group of any model
 // that is short, and have been for a while: they may form groups beyond what is wanted
 // of another model. The way back is a trade, once the missing member is there and warm.
@@ -20,7 +33,7 @@
 		}
 		waiting[domain] = true
 		at, ok := k.releaseAt[domain]
-		if !ok {
+		if !ok || k.exchanging(domain) {
 			at = now.Add(survivorsWait)
 			k.releaseAt[domain] = at
 		}
@@ -34,6 +47,15 @@
 	return released
 }
 
+// exchanging reports whether groups of a domain are being given up for another model.
+// Their members are freed one after the other, over as long as requests end there, and
+// must not go back to the model that gave them. The keeper's mutex is held.
+func (k *Keeper) exchanging(domain string) bool {
+	return slices.ContainsFunc(k.trades, func(x Exchange) bool {
+		return x.Domain == domain && slices.ContainsFunc(x.Keys, func(key string) bool { return k.operating[key] })
+	})
+}
+
 // lacksMembers reports whether some model is short, and workers are too few for a group
 // of any that is, but enough for one of another model.
 func lacksMembers(needs []Need, workers int) bool {
@@ -41,6 +63,8 @@
 	for _, n := range needs {
 		fits := n.Model.Size > 0 && n.Model.Size <= workers
 		switch {
+		case n.share(0) >= releaseShare && float64(n.Have) >= n.Want+releaseBeyond:
+			// More of it earns nothing, and must be given up again.
 		case n.met():
 			other = other || fits
 		case fits:
--- a/formation/survivors_test.go
+++ b/formation/survivors_test.go
@@ -72,6 +72,8 @@
 		"survivors of a large group":        {needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 1, Have: 2}}, workers: 15, want: true},
 		"enough for the large one":          {needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 1, Have: 2}}, workers: 16},
 		"too few for any":                   {needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 1, Have: 2}}, workers: 3},
+		"far more of the other model":       {needs: []Need{{Model: big, Want: 7, Have: 5}, {Model: small, Want: 18.6, Have: 30}}, workers: 14},
+		"some more of the other model":      {needs: []Need{{Model: big, Want: 7, Have: 5}, {Model: small, Want: 18.6, Have: 20}}, workers: 14, want: true},
 		"nothing is short":                  {needs: []Need{{Model: big, Want: 1, Have: 1}, {Model: small, Want: 1, Have: 2}}, workers: 15},
 		"the other model is short also":     {needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 3, Have: 2}}, workers: 15},
 		"one model, larger than its domain": {needs: []Need{{Model: big, Want: 2}}, workers: 15},
@@ -138,3 +140,25 @@
 		})
 	}
 }
+
+// TestMembersOfAnExchangeAreNotReleased: groups that are given up for a larger one end one
+// after the other, as their requests do; what is free already must wait for the rest.
+func TestMembersOfAnExchangeAreNotReleased(t *testing.T) {
+	big, small := fleet.Model{Name: "big", Size: 16}, fleet.Model{Name: "small", Size: 4}
+	needs := []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 4, Have: 4}}
+	var free []Free
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		free = append(free, Free{ID: id, Domain: "d"})
+	}
+	now := time.Unix(1000, 0)
+	k := &Keeper{
+		releaseAt: make(map[string]time.Time), operating: map[string]bool{"g3": true},
+		trades: []Exchange{{Model: "big", Domain: "d", Keys: []string{"g1", "g2", "g3"}}},
+	}
+	k.released(needs, free, now)
+	assert.Assert(t, !k.released(needs, free, now.Add(10*survivorsWait))["d"], "a group still ends")
+	k.operating = nil
+	later := now.Add(11 * survivorsWait)
+	k.released(needs, free, later)
+	assert.Assert(t, k.released(needs, free, later.Add(survivorsWait))["d"], "all have ended, and they are too few")
+}
