--- a/serving/lead.go
+++ b/serving/lead.go
@@ -16,7 +16,7 @@
 		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders, IndirectLeave: s.leaveThroughPeers,
 		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince,
 		Announced: func(a fleet.Announcement) { s.inventory.Decide(claim.Term(), a) },
-		BearHalls: s.opts.Bounds.BearHalls, HallOpen: s.hallOpen,
+		Smoothed:  s.work.Work, BearHalls: s.opts.Bounds.BearHalls, HallOpen: s.hallOpen,
 		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
 		Counted: s.meter.Order, Logger: s.logger.Named("formation"),
 	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first},
@@ -41,6 +41,24 @@
 	s.keeper = k
 }
 
+// observeEvery is how often a daemon that may come to lead looks at the work of the fleet.
+const observeEvery = time.Second
+
+// observeWork keeps the smoothed work of the fleet until ctx ends, from which a term of
+// this daemon's would go on.
+func (s *Server) observeWork(ctx context.Context) {
+	ticker := time.NewTicker(observeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.work.Observe(s.demand(), now)
+		}
+	}
+}
+
 // demand returns the work of each model over all daemons.
 func (s *Server) demand() map[string]formation.Work {
 	now := time.Now()
--- a/serving/server.go
+++ b/serving/server.go
@@ -66,7 +66,9 @@
 	warmUp *allowance.Allowance
 	// suspicions holds the replicas that fell silent of late.
 	suspicions *suspicions
-	leaving    atomic.Bool
+	// work is the smoothed work of the fleet.
+	work    formation.Smoother
+	leaving atomic.Bool
 	// metAt is when the member list was first read.
 	metAt atomic.Pointer[time.Time]
 	// readAgain is when the member list is to be read again.
@@ -184,6 +186,7 @@
 	duties.Go(func() { s.fetcher.run(running) })
 	duties.Go(func() { s.passNews(running) })
 	duties.Go(func() { s.watchHalls(running) })
+	duties.Go(func() { s.observeWork(running) })
 	duties.Go(func() { s.meet(running) })
 	duties.Go(func() { s.watchWarmUp(running) })
 	duties.Go(func() { s.serveMetrics(running) })
