--- a/formation/trade.go
+++ b/formation/trade.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// surplus reports whether the models that give keep what is wanted of them.
+func (x Exchange) surplus(needs []Need) bool {
+	for _, n := range needs {
+		if given := x.Given[n.Model.Name]; given > 0 && n.share(-given) < 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // hold counts the groups that the exchange holds down.
 func (x Exchange) hold(down map[string]int) {
 	for model, count := range x.Given {
--- a/formation/trading.go
+++ b/formation/trading.go
@@ -19,7 +19,8 @@
 
 // trade dissolves surplus groups of one model in favour of another that is
 // short. What trades under way give and get is counted already. Those that complete
-// the survivors of a group with one other group don't wait for their turn.
+// the survivors of a group with one other group don't wait for their turn, nor do
+// those that give no more than is there beyond what is wanted.
 func (k *Keeper) trade(ctx context.Context, in Input, groups []*observed, now time.Time) {
 	needs, free := slices.Clone(in.Needs), in.Free
 	k.trades = slices.DeleteFunc(k.trades, func(x Exchange) bool {
@@ -42,7 +43,7 @@
 		t.value.halls, t.value.serving = in.Halls, in.Serving
 		x, ok := t.best()
 		paced := now.Before(k.tradeNext) || len(k.trades) >= most
-		if !ok || paced && !t.completes(x) {
+		if !ok || paced && !t.completes(x) && !x.surplus(needs) {
 			return
 		}
 		k.trades = append(k.trades, x)
