--- a/relay/request.go
+++ b/relay/request.go
@@ -201,11 +201,15 @@
 	left := max(time.Until(c.deadline).Milliseconds(), 1)
 	header.Set(names.Deadline, strconv.FormatInt(left, 10))
 	header.Set(names.Instance, worker.ID)
+	priority := c.route.Priority
 	if c.tenant != nil {
 		header.Set(names.Tenant, c.tenant.Name)
+		if c.tenant.Ranked {
+			priority = c.tenant.Priority
+		}
 	}
 	if c.engine != nil {
-		header.Set(names.Priority, strconv.Itoa(c.rank(lastEvent, time.Now())))
+		header.Set(names.Priority, strconv.Itoa(min(max(priority, 0), lowestPriority)))
 	}
 	if lastEvent != "" {
 		header.Set(names.LastEvent, lastEvent)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -44,7 +44,6 @@
 func (r *Relay) serveStream(w http.ResponseWriter, c *request) *refusal {
 	s := &relayed{w: w, last: c.header.Get(r.opts.Names.LastEvent), movedAt: c.arrived}
 	r.opts.Tracker.NotePause(c.model, c.route.GapTarget, c.arrived)
-	r.settle(c)
 	for {
 		replica, none := r.chooseOrWait(c, s)
 		if none != nil {
--- a/relay/waited.go
+++ b/relay/waited.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/fleet"
 )
@@ -16,13 +15,6 @@
 	// patienceAfter is how many callers of a route must have come before the longest time
 	// that they gave is taken for what callers give at first, in place of the time-out.
 	patienceAfter = 10
-	// lateRank is how much less urgent a late request is for a worker: it comes after
-	// those that can still be in time, also of less urgent routes.
-	lateRank = 3
-	// settleMost bounds how long a late request waits at a daemon that has just started.
-	// In TestReturnOfAll a longer wait costs requests, 0.6 s up to one in seven of those who
-	// waited; none at all leaves a third fewer of the new ones in time.
-	settleMost = 300 * time.Millisecond
 	// roomWait is how long a late request waits for room, and roomPart which part of the
 	// time left to it that may take.
 	roomWait = time.Second
@@ -74,27 +66,6 @@
 	return c.route.Objective > 0 && c.waited+now.Sub(c.arrived) > c.route.Objective
 }
 
-// rank returns the priority of a request at a worker, 0 being the most urgent. A stream
-// whose caller has part of it loses more than time if it is not taken up soon.
-func (c *request) rank(lastEvent string, now time.Time) int {
-	rank := c.route.Priority
-	if c.tenant != nil && c.tenant.Ranked {
-		rank = c.tenant.Priority
-	}
-	if lastEvent == "" && c.isLate(now) {
-		rank += lateRank
-	}
-	return min(max(rank, 0), lowestPriority)
-}
-
-// settle lets a request that is late already wait for a random while if this daemon has
-// just started: all that waited for the daemons comes in one moment.
-func (r *Relay) settle(c *request) {
-	if c.waited > 0 && c.isLate(c.arrived) && c.arrived.Sub(r.startedAt) < blindFor {
-		pause.For(c.ctx, time.Duration(r.random()*float64(settleMost)))
-	}
-}
-
 // mayWait reports whether a request that found no room may wait for some: one that began
 // until its caller leaves, one that is late for a while, since it can't come back in time
 // either.
