--- a/peers/message.go
+++ b/peers/message.go
@@ -83,7 +83,7 @@
 }
 
 // loadsPerPart is how many loads fit a datagram beside the rest: packed and
-// deflated, one takes about six bytes.
+// deflated, one takes about seven bytes.
 const loadsPerPart = 150
 
 // parts splits a summary into what fits a datagram each. A replica is always in
