--- a/relay/request.go
+++ b/relay/request.go
@@ -33,10 +33,8 @@
 	deadline time.Time
 	// waited is how long the caller had waited before, as far as its deadline tells.
 	waited time.Duration
-	// recovering tells that this daemon has just started, so that the caller probably did.
-	recovering bool
-	ctx        context.Context
-	cancel     context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// sends counts the workers that may have run the request, rejections those
 	// that certainly did not.
@@ -164,7 +162,6 @@
 		parent = context.WithoutCancel(parent)
 	}
 	c.waited = r.patiences.waited(c.route, c.deadline.Sub(c.arrived), c.arrived)
-	c.recovering = c.arrived.Sub(r.startedAt) < recoverFor
 	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline)
 }
 
@@ -208,11 +205,15 @@
 	left := max(time.Until(c.deadline).Milliseconds(), 1)
 	header.Set(names.Deadline, strconv.FormatInt(left, 10))
 	header.Set(names.Instance, worker.ID)
+	priority := c.route.Priority
 	if c.tenant != nil {
 		header.Set(names.Tenant, c.tenant.Name)
+		if c.tenant.Ranked {
+			priority = c.tenant.Priority
+		}
 	}
 	if c.engine != nil {
-		header.Set(names.Priority, strconv.Itoa(c.rank(lastEvent, time.Now())))
+		header.Set(names.Priority, strconv.Itoa(min(max(priority, 0), lowestPriority)))
 	}
 	if lastEvent != "" {
 		header.Set(names.LastEvent, lastEvent)
