--- a/relay/connections_test.go
+++ b/relay/connections_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"quartzshelf.dev/fleet"
 )
@@ -224,3 +225,63 @@
 	assert.Assert(t, !u.forgets("s", 3*second, now.Add(forgetFor+second)), "it is tried again")
 	assert.Assert(t, isReset(&sendError{cause: syscall.ECONNRESET}))
 }
+
+// pipedConnection is a connection without a network.
+func pipedConnection(worker string) *connection {
+	near, _ := net.Pipe()
+	return &connection{Conn: near, worker: worker, service: "s", reader: bufio.NewReader(near)}
+}
+
+// TestIdleConnectionsAreBounded: whatever is kept, taken, swept and ended, in any order, no
+// bound is passed, and nothing is taken that is not idle.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := newUpstream()
+		share := 2
+		u.share = func(string) int { return share }
+		worker := rapid.SampledFrom([]string{"a", "b", "c"})
+		idle := make(map[*connection]bool)
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				c := pipedConnection(worker.Draw(t, "worker"))
+				u.put(c, rapid.SampledFrom([]time.Duration{-time.Second, 0, time.Minute}).Draw(t, "keep"))
+				idle[c] = true
+			},
+			"reuse": func(t *rapid.T) {
+				id := worker.Draw(t, "worker")
+				c := u.reuse(id, rapid.SampledFrom([]time.Duration{0, time.Minute}).Draw(t, "idleFor"))
+				if c != nil {
+					assert.Assert(t, idle[c] && c.worker == id)
+					delete(idle, c)
+				}
+			},
+			"distrust": func(t *rapid.T) { u.distrust(worker.Draw(t, "worker")) },
+			"sweep":    func(*rapid.T) { u.sweep(time.Now()) },
+			"share": func(t *rapid.T) {
+				share = rapid.IntRange(0, 4).Draw(t, "share")
+				u.sweep(time.Now())
+			},
+			"": func(t *rapid.T) {
+				total := 0
+				for id, all := range u.idle {
+					total += len(all)
+					assert.Assert(t, len(all) <= share, "%d at %s", len(all), id)
+				}
+				assert.Equal(t, u.total, total)
+			},
+		})
+	})
+}
+
+// TestIdleConnectionsOfADaemonAreBounded: many workers take no more than the daemon keeps.
+func TestIdleConnectionsOfADaemonAreBounded(t *testing.T) {
+	u := newUpstream()
+	for i := range idleTotal + 10 {
+		u.put(pipedConnection(strconv.Itoa(i)), time.Minute)
+	}
+	assert.Equal(t, u.total, idleTotal)
+	u.sweep(time.Now().Add(time.Hour))
+	assert.Equal(t, u.total, 0)
+	u.put(pipedConnection("w"), time.Minute)
+	assert.Equal(t, u.total, 1)
+}
