--- a/daemon/halls_test.go
+++ b/daemon/halls_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/hall"
+	"quartzshelf.dev/rpc"
 )
 
 // putDocument publishes a document over the one in force.
@@ -72,6 +74,11 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, explanation.State, replicaClosed)
 	assert.Equal(t, explanation.Because[0], "hall_closed: an operator closed its data hall hall-a")
+	for kind, name := range map[string]string{"node": before.Nodes()[0], "hall": "hall-a"} {
+		explanation, ok = d.explain(kind, name)
+		assert.Assert(t, ok)
+		assert.Assert(t, strings.Contains(strings.Join(explanation.Because, "; "), "hall_closed: an operator closed it"), "%v", explanation)
+	}
 	assert.Assert(t, d.meter.Refusals()[reason.HallClosed] > 0)
 	assert.Equal(t, d.halls.Statuses(time.Now())[0].State, hall.Closing)
 
@@ -92,6 +99,32 @@
 	assert.Equal(t, after.Generation(), before.Generation(), "the replica stayed formed")
 }
 
+// TestEntriesOfClosedHalls names daemons in open halls, and all where none is open.
+func TestEntriesOfClosedHalls(t *testing.T) {
+	d := startDaemon(t)
+	defer d.Kill()
+	callers, _ := d.Addresses()
+	const other = "127.0.0.1:2"
+	d.agent.Table().Merge([]*rpc.Member{{
+		Id: "entry-2", Incarnation: 1, PeerAddress: "127.0.0.1:1", EntryAddress: other, DataHall: "hall-b", Ready: true,
+	}})
+	entries := func() []string {
+		var all []string
+		for _, e := range d.entries() {
+			all = append(all, e.Address)
+		}
+		slices.Sort(all)
+		return all
+	}
+	both := []string{callers, other}
+	slices.Sort(both)
+	assert.DeepEqual(t, entries(), both)
+	assert.Equal(t, putDocument(t, d, config.KindDataHall, "hall-a", `{"closed":true}`).Problem, "")
+	assert.DeepEqual(t, entries(), []string{other})
+	assert.Equal(t, putDocument(t, d, config.KindDataHall, "hall-b", `{"closed":true}`).Problem, "")
+	assert.DeepEqual(t, entries(), both)
+}
+
 // TestRegionsOfTheQuickstart binds the deployment and the account to regions.
 func TestRegionsOfTheQuickstart(t *testing.T) {
 	d := startDaemon(t)
--- a/gateway/eligible_test.go
+++ b/gateway/eligible_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -262,6 +263,28 @@
 	assert.Equal(t, decision.Refused, want)
 }
 
+// TestDecisionTellsWhatWasPassedOver serves a request while one hall is closed and one
+// lies in a region that is not allowed: explain and the metrics tell.
+func TestDecisionTellsWhatWasPassedOver(t *testing.T) {
+	h := newHalls(t)
+	h.setHall(0, true)
+	account := `{"keyHashes":["` + config.HashKey("demo-key") + `"],"allowedRegions":["south"]}`
+	assert.Equal(t, h.change("a", config.KindAccount, "demo", account), "")
+	got, err := h.call(false, false)
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK)
+	decision, ok := h.gateway.Decision(got.header.Get(headerRequest))
+	assert.Assert(t, ok)
+	assert.Equal(t, decision.Replica, "chat-1")
+	assert.Equal(t, decision.PassedOver.String(), "hall_closed=1 region_not_allowed=1")
+	page := httptest.NewRecorder()
+	h.gateway.opts.Meter.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, why := range []reason.Reason{reason.HallClosed, reason.RegionNotAllowed} {
+		line := fmt.Sprintf("quartzshelf_passed_over_total{reason=%q} 1", why)
+		assert.Assert(t, strings.Contains(page.Body.String(), line), "%s is missing", line)
+	}
+}
+
 // TestClosingBetweenChoiceAndSending closes a hall when the target is chosen and not
 // yet sent to.
 func TestClosingBetweenChoiceAndSending(t *testing.T) {
--- a/replica/domain.go
+++ b/replica/domain.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"quartzshelf.dev/cluster"
@@ -21,6 +23,8 @@
 	c        *Controller
 	name     string
 	dataHall string
+	// spans tells that the node list puts its nodes into several data halls.
+	spans bool
 
 	// leading tells that this daemon acted as leader at the last tick.
 	leading bool
@@ -140,12 +144,30 @@
 	d.c.remember(d.name, plan)
 }
 
+// locate takes over the data hall of the domain. A domain lies in one hall; should the
+// list say otherwise, that of the first node by name counts, at every daemon alike.
+func (d *domain) locate(listed []cluster.ListedNode) {
+	if len(listed) == 0 {
+		return
+	}
+	first := slices.MinFunc(listed, func(a, b cluster.ListedNode) int { return strings.Compare(a.ID, b.ID) })
+	d.dataHall = first.DataHall
+	other := slices.IndexFunc(listed, func(l cluster.ListedNode) bool { return l.DataHall != d.dataHall })
+	if spans := other >= 0; spans != d.spans {
+		d.spans = spans
+		if spans {
+			d.c.opts.Logger.Warn("domain spans data halls; closing the other one does not stop requests to it",
+				"domain", d.name, "hall", d.dataHall, "other", listed[other].DataHall, "node", listed[other].ID)
+		}
+	}
+}
+
 // remember takes over the rows of the node list.
 func (d *domain) remember(listed []cluster.ListedNode) {
 	present := make(map[string]bool, len(listed))
+	d.locate(listed)
 	for _, l := range listed {
 		present[l.ID] = true
-		d.dataHall = l.DataHall
 		m, ok := d.nodes[l.ID]
 		if !ok {
 			m = &nodeMemory{}
--- /dev/null
+++ b/replica/domain_test.go
@@ -0,0 +1,45 @@
+package replica
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/cluster"
+)
+
+// TestDomainThatSpansHalls lists nodes of one domain in two data halls: every daemon
+// takes the same hall, and says so once.
+func TestDomainThatSpansHalls(t *testing.T) {
+	row := func(id, hall string) cluster.ListedNode { return cluster.ListedNode{ID: id, DataHall: hall} }
+	cases := map[string]struct {
+		listed []cluster.ListedNode
+		hall   string
+		warned bool
+	}{
+		"one hall":         {[]cluster.ListedNode{row("n1", "a"), row("n2", "a")}, "a", false},
+		"two halls":        {[]cluster.ListedNode{row("n1", "a"), row("n2", "b")}, "a", true},
+		"in another order": {[]cluster.ListedNode{row("n2", "b"), row("n1", "a")}, "a", true},
+		"nothing listed":   {nil, "as before", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var log bytes.Buffer
+			controller := NewController(Options{Logger: hclog.New(&hclog.LoggerOptions{Output: &log})})
+			d := newDomain(controller, "fabric-1")
+			d.dataHall = "as before"
+			for range 3 {
+				d.remember(c.listed)
+			}
+			assert.Equal(t, d.dataHall, c.hall)
+			lines := 0
+			if c.warned {
+				lines = 1
+			}
+			assert.Equal(t, strings.Count(log.String(), "domain spans data halls"), lines, log.String())
+		})
+	}
+}
