--- a/daemon/arrivals.go
+++ b/daemon/arrivals.go
@@ -48,6 +48,13 @@
 	return all
 }
 
+// others reports whether any daemon but the given one arrived.
+func (a *arrivals) others(name string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.order) > 1 || len(a.order) == 1 && a.order[0] != name
+}
+
 // Apply implements eventlog.State.
 func (a *arrivals) Apply(_ cluster.Record, data json.RawMessage) {
 	var news arrival
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -70,13 +70,19 @@
 // startDaemon starts a daemon on an embedded platform with the quickstart's
 // configuration, whose deployment it narrows to one replica.
 func startDaemon(t *testing.T) *Daemon {
+	t.Helper()
+	return startDaemonWith(t, goodSettings)
+}
+
+// startDaemonWith is startDaemon with the given settings.
+func startDaemonWith(t *testing.T, text string) *Daemon {
 	t.Helper()
 	dir := t.TempDir()
 	documents, err := os.ReadFile("../examples/quickstart-configuration.yaml")
 	assert.NilError(t, err)
 	documents = bytes.Replace(documents, []byte("replicas: 2"), []byte("replicas: 1"), 1)
 	assert.NilError(t, os.WriteFile(filepath.Join(dir, "configuration.yaml"), documents, 0o600))
-	settings, err := ParseSettings(filepath.Join(dir, "settings.yaml"), []byte(goodSettings))
+	settings, err := ParseSettings(filepath.Join(dir, "settings.yaml"), []byte(text))
 	assert.NilError(t, err)
 	d, err := New(settings, hclog.NewNullLogger())
 	assert.NilError(t, err)
--- a/daemon/readiness.go
+++ b/daemon/readiness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	started bool
 	// entriesUntil is until when callers may use the answers given out.
 	entriesUntil time.Time
+	// expected is whom a majority is counted among while the log is out.
+	expected expected
 	// behindSince is since when a peer is known to hold a newer configuration.
 	behindSince time.Time
 }
@@ -78,6 +81,7 @@
 	defer ticker.Stop()
 	last := reason.Starting
 	for ctx.Err() == nil {
+		r.noteMembers(time.Now())
 		now := reason.Reason("")
 		closed := r.gate()
 		if closed != nil {
@@ -176,11 +180,29 @@
 		return true
 	}
 	reached, members := r.d.agent.Reached(since)
-	return members > 1 && 2*reached > members || members == 1 && r.alone()
+	r.mu.Lock()
+	members = max(members, r.expected.count())
+	heard := r.expected.heard
+	r.mu.Unlock()
+	return members > 1 && 2*reached > members || members == 1 && r.alone(heard)
+}
+
+// noteMembers notes which daemons are members now.
+func (r *readiness) noteMembers(now time.Time) {
+	logRead := r.d.followers[streamConfiguration].Confirmed().After(now.Add(-contactWindow))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expected.note(r.d.agent.Table().Members(), logRead)
 }
 
-// alone reports whether the daemon has been the only one all the time; then an
-// outage of the log leaves nobody who could accept a configuration through us.
-func (r *readiness) alone() bool {
+// alone reports whether the daemon, which has no other members, is the only one; then an
+// outage of the log leaves nobody who could accept a configuration through us. One that
+// has never heard of another daemon may just be cut off from those that it knows of.
+func (r *readiness) alone(heard bool) bool {
+	own := r.d.listeners.peers.Addr().String()
+	seeded := slices.ContainsFunc(r.d.settings.Seeds, func(seed string) bool { return seed != own })
+	if !heard && (seeded || r.d.arrived.others(r.d.settings.Name)) {
+		return false
+	}
 	return !r.d.followers[streamConfiguration].Confirmed().IsZero()
 }
--- a/daemon/readiness_test.go
+++ b/daemon/readiness_test.go
@@ -5,11 +5,15 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/rpc"
+	"quartzshelf.dev/standin"
 )
 
 // TestWhoMayPublish checks that of two parts of a fleet that do not reach each other,
@@ -69,3 +73,92 @@
 	code, text = publish()
 	assert.Equal(t, code, http.StatusOK, text)
 }
+
+// TestExpected checks who counts towards a majority while the log is out of reach.
+func TestExpected(t *testing.T) {
+	alive := func(ids ...string) []*rpc.Member {
+		var all []*rpc.Member
+		for _, id := range ids {
+			all = append(all, &rpc.Member{Id: id})
+		}
+		return all
+	}
+	left := append(alive("a"), &rpc.Member{Id: "b", State: rpc.MemberState_LEFT}, &rpc.Member{Id: "c", State: rpc.MemberState_DEAD})
+	type look struct {
+		members []*rpc.Member
+		logRead bool
+	}
+	cases := map[string]struct {
+		looks []look
+		want  int
+		heard bool
+	}{
+		"alone":                         {[]look{{alive("a"), true}, {alive("a"), false}}, 1, false},
+		"the dead count when forgotten": {[]look{{alive("a", "b", "c"), true}, {alive("a"), false}}, 3, true},
+		"who left does not":             {[]look{{alive("a", "b", "c"), true}, {left, false}, {alive("a"), false}}, 2, true},
+		"new ones count":                {[]look{{alive("a"), true}, {alive("a", "b"), false}, {alive("a"), false}}, 2, true},
+		"the log was read again":        {[]look{{alive("a", "b", "c"), true}, {alive("a"), false}, {alive("a"), true}}, 1, true},
+		"who left and came again":       {[]look{{left, false}, {alive("a", "b"), false}, {alive("a"), false}}, 3, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var e expected
+			for _, l := range c.looks {
+				e.note(l.members, l.logRead)
+			}
+			assert.Equal(t, e.count(), c.want)
+			assert.Equal(t, e.heard, c.heard)
+		})
+	}
+}
+
+// TestWhoGoesOnWithoutTheLog takes the log away from a daemon that reaches no other:
+// it goes on only if it knows of none.
+func TestWhoGoesOnWithoutTheLog(t *testing.T) {
+	three := []*rpc.Member{{Id: "entry-1"}, {Id: "entry-2"}, {Id: "entry-3"}}
+	cases := map[string]struct {
+		settings string
+		change   func(d *Daemon)
+		want     reason.Reason
+	}{
+		"the only one": {settings: goodSettings},
+		"seeds that never answered": {
+			settings: goodSettings + "seeds: [127.0.0.1:1]\n", want: reason.Isolated,
+		},
+		"another that arrived once": {
+			settings: goodSettings, want: reason.Isolated,
+			change: func(d *Daemon) { d.arrived.Apply(cluster.Record{}, []byte(`{"name":"entry-2","peer":"127.0.0.1:1"}`)) },
+		},
+		"others that look dead for long": {
+			settings: goodSettings, want: reason.Isolated,
+			change: func(d *Daemon) {
+				d.readiness.mu.Lock()
+				defer d.readiness.mu.Unlock()
+				d.readiness.expected.note(three, false)
+			},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := startDaemonWith(t, c.settings)
+			defer d.Kill()
+			d.embedded.Log().SetFaults(standin.LogFaults{Outage: true})
+			confirmed := d.followers[streamConfiguration].Confirmed
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if time.Since(confirmed()) < contactWindow+time.Second {
+					return poll.Continue("the log was read %v ago", time.Since(confirmed()))
+				}
+				return poll.Success()
+			}, poll.WithTimeout(time.Minute))
+			if c.change != nil {
+				c.change(d)
+			}
+			got := reason.Reason("")
+			if closed := d.readiness.gate(); closed != nil {
+				got = closed.Reason
+			}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
--- a/proof/hall_test.go
+++ b/proof/hall_test.go
@@ -15,6 +15,7 @@
 	"quartzshelf.dev/catalog"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/hall"
+	"quartzshelf.dev/rpc"
 	"quartzshelf.dev/standin"
 )
 
@@ -177,6 +178,9 @@
 	life        int
 	started     bool
 	behindSince time.Time
+	// expected and heard are as in the type expected of package daemon.
+	expected map[string]bool
+	heard    bool
 }
 
 // takes reports whether the host takes requests at now.
@@ -188,8 +192,10 @@
 	follower := h.followers["configuration"]
 	confirmed, next := follower.Confirmed(), follower.Fold().Next()
 	reached, members := h.agent.Reached(now.Add(-window))
+	g.note(h, confirmed.After(now.Add(-window)))
+	members = max(members, len(g.expected))
 	connected := confirmed.After(now.Add(-window)) ||
-		members > 1 && 2*reached > members || members == 1 && !confirmed.IsZero()
+		members > 1 && 2*reached > members || members == 1 && !confirmed.IsZero() && g.heard
 	behind := next < h.agent.FleetNext()
 	if !behind {
 		g.behindSince = time.Time{}
@@ -204,6 +210,22 @@
 	return g.started && connected && (!behind || !now.After(g.behindSince.Add(window)))
 }
 
+// note takes over the members. Every host has seeds, so that one that never heard of
+// another is not alone.
+func (g *gateOf) note(h *host, logRead bool) {
+	if logRead || g.expected == nil {
+		g.expected = make(map[string]bool)
+	}
+	members := h.agent.Table().Members()
+	for _, m := range members {
+		g.expected[m.Id] = m.State != rpc.MemberState_LEFT
+		if !g.expected[m.Id] {
+			delete(g.expected, m.Id)
+		}
+	}
+	g.heard = g.heard || len(members) > 1
+}
+
 // hallWatcher looks for a daemon that may send to a hall which another one calls empty.
 type hallWatcher struct {
 	fleet   *fleet
@@ -310,6 +332,37 @@
 	assert.Assert(t, empties > 0, "no hall was ever called empty")
 }
 
+// TestLoneStarterStopsWithoutTheLog starts a daemon out of reach of the others, lets it
+// read the log, and cuts it off from that too: it must take nothing when a hall is
+// called empty, and not take up again when the others count as forgotten.
+func TestLoneStarterStopsWithoutTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hallOptions)
+		defer f.stop()
+		f.settle(t)
+		lone := f.hosts[2]
+		lone.kill()
+		for _, other := range f.hosts[:2] {
+			f.net.setCut(lone.id, other.id, true)
+		}
+		lone.start(hallOptions)
+		time.Sleep(20 * time.Second)
+		f.net.setCut(lone.id, placeLog, true)
+		assert.NilError(t, f.hosts[0].setHall(t.Context(), "hall-1", true))
+		gates := map[string]*gateOf{}
+		for _, h := range f.hosts {
+			gates[h.id] = &gateOf{}
+		}
+		w := &hallWatcher{fleet: f, gates: gates}
+		for range 15 * 60 {
+			time.Sleep(time.Second)
+			w.look(time.Now())
+		}
+		assert.Equal(t, w.problem, "")
+		assert.Assert(t, w.empties > 0)
+	})
+}
+
 // TestHallIsNotEmptyBehindAPartition closes a hall through the one daemon that reaches
 // the log, while the two others, which reach each other alone, go on taking requests.
 // The hall must not be called empty before they know.
