--- a/formation/exchange_test.go
+++ b/formation/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -14,7 +15,7 @@
 // more of a model at once than the rest can carry.
 func TestTradeForWhatCanStand(t *testing.T) {
 	big, small := fleet.Model{Name: "big", Size: 4, Load: simLoad, Warm: simWarm}, fleet.Model{Name: "small", Size: 2, Load: simLoad, Warm: simWarm}
-	needs := []Need{{Model: big, Want: 3, Have: 2}, {Model: small, Want: 2, Have: 8}}
+	needs := []Need{{Model: big, Want: 9, Have: 6}, {Model: small, Want: 8, Have: 8}}
 	warm := []Free{{ID: "a", Domain: "d", Loaded: "big"}, {ID: "b", Domain: "d", Loaded: "big"}}
 	group := func(key, domain string, cold int) Standing {
 		return Standing{Key: key, Domain: domain, Model: "small", Members: 2, Cold: map[string]int{"big": cold}}
@@ -39,11 +40,15 @@
 			free: warm, standing: []Standing{group("s", "c", 0), group("t", "c", 0), group("u", "d", 0)}, want: []string{"u"},
 		},
 		"loads where half of what is wanted lacks": {
-			needs: []Need{{Model: big, Want: 3, Have: 1}, {Model: small, Want: 2, Have: 8}},
+			needs: []Need{{Model: big, Want: 9, Have: 3}, {Model: small, Want: 8, Have: 8}},
+			free:  warm, standing: []Standing{group("s", "d", 1)}, maxLoads: 1, want: []string{"s"},
+		},
+		"loads where others have more than is wanted": {
+			needs: []Need{{Model: big, Want: 9, Have: 6}, {Model: small, Want: 6, Have: 9}},
 			free:  warm, standing: []Standing{group("s", "d", 1)}, maxLoads: 1, want: []string{"s"},
 		},
 		"no loads may begin": {
-			needs: []Need{{Model: big, Want: 3, Have: 1}, {Model: small, Want: 2, Have: 8}},
+			needs: []Need{{Model: big, Want: 9, Have: 3}, {Model: small, Want: 8, Have: 8}},
 			free:  warm, standing: []Standing{group("s", "d", 1)},
 		},
 		"a quarter of the groups is down": {free: warm, standing: []Standing{group("s", "d", 0)}, down: map[string]int{"small": 2}},
@@ -102,6 +107,12 @@
 	assert.Equal(t, needs[1].Have, 6)
 }
 
+// mayLoad reports whether members that load count for an exchange.
+func mayLoad(needs []Need, x Exchange) bool {
+	to := needs[slices.IndexFunc(needs, func(n Need) bool { return n.Model.Name == x.Model })]
+	return to.share(0) <= coldTradeShare || x.surplus(needs)
+}
+
 // TestTradeHolds checks what must hold of every exchange: groups of one domain, none
 // twice, enough members for what it gets, and givers that stay better off.
 func TestTradeHolds(t *testing.T) {
@@ -134,7 +145,7 @@
 		assert.Assert(t, !to.met() && x.Gets >= 1 && len(x.Keys) > 0)
 		members, given := 0, make(map[string]int)
 		for _, f := range in.Free {
-			if f.Domain == x.Domain && !f.Doubted && (f.warmth(x.Model) <= Staged || to.share(0) <= coldTradeShare) {
+			if f.Domain == x.Domain && !f.Doubted && (f.warmth(x.Model) <= Staged || mayLoad(in.Needs, x)) {
 				members++
 			}
 		}
@@ -145,7 +156,7 @@
 			assert.Equal(t, s.Domain, x.Domain)
 			assert.Assert(t, s.Model != x.Model)
 			given[s.Model]++
-			if to.share(0) <= coldTradeShare {
+			if mayLoad(in.Needs, x) {
 				members += s.Members
 			} else {
 				members += s.warm(x.Model)
--- a/formation/survivors.go
+++ b/formation/survivors.go
@@ -1,6 +1,9 @@
 package formation
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // survivorsWait is how long idle workers of a domain wait for what they lack of a group
 // of a model that is short. Members of a group that ends are freed one after the other
@@ -15,7 +18,7 @@
 func (k *Keeper) released(needs []Need, free []Free, now time.Time) map[string]bool {
 	released, waiting := make(map[string]bool), make(map[string]bool)
 	for domain, workers := range byDomain(free) {
-		if !lacksMembers(needs, len(workers)) {
+		if !lacksMembers(needs, len(workers)) || k.trading(domain) {
 			continue
 		}
 		waiting[domain] = true
@@ -34,6 +37,12 @@
 	return released
 }
 
+// trading reports whether groups of a domain are being given up for another model: those
+// that are dissolved first wait for the others.
+func (k *Keeper) trading(domain string) bool {
+	return slices.ContainsFunc(k.trades, func(x Exchange) bool { return x.Domain == domain })
+}
+
 // lacksMembers reports whether some model is short, and workers are too few for a group
 // of any that is, but enough for one of another model.
 func lacksMembers(needs []Need, workers int) bool {
--- a/formation/trade.go
+++ b/formation/trade.go
@@ -11,9 +11,14 @@
 	// tradeMargin is by how much a model that gives must be better off afterwards
 	// than the one that gets, lest replicas go back and forth.
 	tradeMargin = 1.1
+	// loadPenalty is what a second of a load costs, as a part of a model's requests, beside
+	// what its group doesn't serve meanwhile: the loads of others take longer. It is small
+	// against what one group of a dozen earns, so that it only chooses among exchanges.
+	loadPenalty = 1e-5
 	// coldTradeShare is the part of what is wanted at or below which a model gets groups
 	// whose members have yet to load it. At fillTarget of it all its slots are busy; at
-	// half of it requests are refused for longer than the 12 to 16 s of a load.
+	// half of it requests are refused for longer than the 12 to 16 s of a load. Groups
+	// beyond what is wanted are given for such members at any share.
 	coldTradeShare = 0.5
 	// downPart is the part of a model's groups that trades may hold down at once. One
 	// exchange is always allowed; beside it the rest of the model carries a third more
@@ -77,7 +82,8 @@
 // Trade returns the groups to dissolve so that a model that is short can be
 // formed: groups, within one domain, of models that stay better off than it. It
 // returns false when nothing is short or nothing can be done. Members that need no
-// load are taken, unless the model lacks half of what is wanted.
+// load are taken, unless the model lacks half of what is wanted, or others have more
+// than that.
 func Trade(needs []Need, free []Free, standing []Standing) (Exchange, bool) {
 	return newTrader(needs, free, standing).best()
 }
@@ -121,14 +127,11 @@
 }
 
 // bestFor returns the exchange for a model that earns the most over all domains; of
-// equal ones that with the fewest groups. Members that load count only if much is short.
+// equal ones that with the fewest groups.
 func (t *trader) bestFor(n Need) (Exchange, bool) {
 	var best *gift
 	for _, domain := range slices.Sorted(maps.Keys(t.standing)) {
 		for _, cold := range []bool{false, true} {
-			if cold && n.share(0) > coldTradeShare {
-				continue
-			}
 			g := t.newGift(n, domain, cold)
 			g.from(0)
 			if g.found && (best == nil || g.better(best)) {
@@ -267,8 +270,14 @@
 	if members < size || len(chosen) == 0 || g.cold && g.loads(chosen) > g.maxLoads {
 		return
 	}
+	if g.cold && g.to.share(0) > coldTradeShare && !g.surplus() {
+		return
+	}
 	gets := max(min(members/size, int(math.Ceil(g.to.Want))-g.to.Have), 1)
 	gain := g.gained(gets)
+	if g.cold {
+		gain -= loadPenalty * float64(g.loads(chosen)) * g.to.Model.Load.Seconds()
+	}
 	keys := make([]string, len(chosen))
 	for i, s := range chosen {
 		keys[i] = s.Key
@@ -286,6 +295,16 @@
 	}
 }
 
+// surplus reports whether the givers keep what is wanted of them.
+func (g *gift) surplus() bool {
+	for i, o := range g.givers {
+		if g.counts[i] > 0 && o.share(-g.counts[i]) < 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // loads returns how many members of one new group have to load, at least.
 func (g *gift) loads(chosen []Standing) int {
 	warm := 0
