--- a/formation/survivors.go
+++ b/formation/survivors.go
@@ -28,12 +28,12 @@
 func (k *Keeper) released(needs []Need, free []Free, now time.Time) map[string]bool {
 	released, waiting := make(map[string]bool), make(map[string]bool)
 	for domain, workers := range byDomain(free) {
-		if !lacksMembers(needs, len(workers)) {
+		if !lacksMembers(needs, len(workers)) || k.trading(domain) {
 			continue
 		}
 		waiting[domain] = true
 		at, ok := k.releaseAt[domain]
-		if !ok || k.exchanging(domain) {
+		if !ok {
 			at = now.Add(survivorsWait)
 			k.releaseAt[domain] = at
 		}
@@ -47,13 +47,10 @@
 	return released
 }
 
-// exchanging reports whether groups of a domain are being given up for another model.
-// Their members are freed one after the other, over as long as requests end there, and
-// must not go back to the model that gave them. The keeper's mutex is held.
-func (k *Keeper) exchanging(domain string) bool {
-	return slices.ContainsFunc(k.trades, func(x Exchange) bool {
-		return x.Domain == domain && slices.ContainsFunc(x.Keys, func(key string) bool { return k.operating[key] })
-	})
+// trading reports whether groups of a domain are being given up for another model: those
+// that are dissolved first wait for the others.
+func (k *Keeper) trading(domain string) bool {
+	return slices.ContainsFunc(k.trades, func(x Exchange) bool { return x.Domain == domain })
 }
 
 // lacksMembers reports whether some model is short, and workers are too few for a group
--- a/formation/survivors_test.go
+++ b/formation/survivors_test.go
@@ -157,7 +157,7 @@
 	}
 	k.released(needs, free, now)
 	assert.Assert(t, !k.released(needs, free, now.Add(10*survivorsWait))["d"], "a group still ends")
-	k.operating = nil
+	k.trades = nil
 	later := now.Add(11 * survivorsWait)
 	k.released(needs, free, later)
 	assert.Assert(t, k.released(needs, free, later.Add(survivorsWait))["d"], "all have ended, and they are too few")
