--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,12 +46,12 @@
 // beginSilence, as without the word of peers.
 func TestStandingReplicaIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var stopped bool
-		p := newPlay(t, 2, &playedHead{id: "a", still: func() bool { return stopped }})
+		var stopped atomic.Bool
+		p := newPlay(t, 2, &playedHead{id: "a", still: stopped.Load})
 		p.call(0, "begun", 0, patient)
 		p.call(1, "other", 0, patient)
 		time.Sleep(100 * time.Millisecond)
-		stopped = true
+		stopped.Store(true)
 		began := time.Now()
 		p.call(1, "waits", 0, patient)
 		for i, r := range p.daemons {
@@ -59,7 +60,7 @@
 			}
 			assert.Assert(t, time.Since(began) <= goSilence+2*sweepEvery, "daemon %d after %s", i, time.Since(began))
 		}
-		stopped = false
+		stopped.Store(false)
 		p.calls.Wait()
 	})
 }
@@ -92,11 +93,12 @@
 
 func playDeadConnection(t *testing.T, prompt int) {
 	t.Helper()
-	silent := prompt > 0
-	p := newPlay(t, 1, &playedHead{id: "a", mute: func(id string) bool { return id == "dead" && silent }})
+	var silent atomic.Bool
+	silent.Store(prompt > 0)
+	p := newPlay(t, 1, &playedHead{id: "a", mute: func(id string) bool { return id == "dead" && silent.Load() }})
 	p.call(0, "dead", prompt, patient)
 	time.Sleep(100 * time.Millisecond)
-	silent = true
+	silent.Store(true)
 	p.join(&playedHead{id: "b"})
 	for range 35 {
 		// So many that both heads get some.
