--- a/relay/apart.go
+++ b/relay/apart.go
@@ -57,29 +57,31 @@
 	return news
 }
 
-// chooseFrom chooses a replica for the next attempt among all: at first among those that
-// are least likely to share the failure of the attempts before, or, while little is known
-// of loads, between two.
+// chooseFrom chooses a replica for the next attempt: at first among those that are least
+// likely to share the failure of the attempts before, or, while little is known of loads,
+// between two.
 func (r *Relay) chooseFrom(c *request, replicas []*fleet.Replica, costs costs, now time.Time) (Choice, bool) {
-	some := replicas
-	switch {
-	case len(c.failed) > 0:
-		some = apart(replicas, c.failed)
-	case now.Sub(r.startedAt) < blindFor:
-		some = r.twoOf(replicas)
+	choose := func(some []*fleet.Replica) (Choice, bool) {
+		return r.opts.Tracker.Choose(some, c.tried, costs, c.prompt, now)
 	}
-	if len(some) > 0 && len(some) < len(replicas) {
-		choice, ok := r.opts.Tracker.Choose(some, c.tried, costs, c.prompt, now)
+	switch others := apart(replicas, c.failed); {
+	case len(c.failed) > 0 && len(others) > 0:
+		choice, ok := choose(others)
 		if ok && choice.Busy < r.room(c, choice.Replica) && !r.opts.Tracker.Doubted(choice.Replica, now) {
 			return choice, true
 		}
+	case now.Sub(r.startedAt) < blindFor:
+		if choice, ok := choose(r.twoOf(replicas)); ok && !r.opts.Tracker.Doubted(choice.Replica, now) {
+			return choice, true
+		}
 	}
-	return r.opts.Tracker.Choose(replicas, c.tried, costs, c.prompt, now)
+	return choose(replicas)
 }
 
 // twoOf returns two replicas at random. When all daemons start at once what waited comes
 // before their first reports, and for a while all know the same few loads: each would
-// choose the replicas that look idle. Of two at random none gets more than twice its part.
+// choose the replicas that look idle, and then the last that seem to have room. Of two at
+// random none gets more than twice its part; if both are full the others will be soon.
 func (r *Relay) twoOf(replicas []*fleet.Replica) []*fleet.Replica {
 	n := len(replicas)
 	const few = 3
--- a/relay/apart_test.go
+++ b/relay/apart_test.go
@@ -149,3 +149,48 @@
 	assert.Assert(t, tracker.Doubted(silent, now.Add(time.Second)), "once it is used, too")
 	assert.Assert(t, !tracker.Doubted(silent, now.Add(suspectFor)))
 }
+
+// TestTwoOf: the two are different ones, each replica comes as often as another, and a
+// service of few replicas is not narrowed.
+func TestTwoOf(t *testing.T) {
+	const draws, n = 4000, 8
+	var all []*fleet.Replica
+	for i := range n {
+		all = append(all, placed(fmt.Sprint(i), "", ""))
+	}
+	r := &Relay{}
+	counts := make(map[string]int)
+	for range draws {
+		two := r.twoOf(all)
+		assert.Equal(t, len(two), 2)
+		assert.Assert(t, two[0] != two[1])
+		counts[two[0].ID]++
+		counts[two[1].ID]++
+	}
+	for id, count := range counts {
+		// 1,000 are expected of each, with a standard deviation of 27.
+		assert.Assert(t, count > 800 && count < 1200, "%s came %d times", id, count)
+	}
+	assert.Equal(t, len(r.twoOf(all[:2])), 2)
+	assert.Equal(t, len(r.twoOf(nil)), 0)
+}
+
+// TestRefusedReplicasOfTwo: while a daemon is new, two replicas that are passed over do not
+// hide the others.
+func TestRefusedReplicasOfTwo(t *testing.T) {
+	now := time.Now()
+	var all []*fleet.Replica
+	tracker := NewTracker("", func(*fleet.Replica) {})
+	for i := range 8 {
+		all = append(all, placed(fmt.Sprint(i), "", ""))
+		if i > 0 {
+			tracker.Suspect(fmt.Sprint(i), now)
+		}
+	}
+	r := &Relay{opts: Options{Tracker: tracker}, startedAt: now}
+	for range 50 {
+		choice, ok := r.chooseFrom(&request{}, all, testCosts, now)
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Replica.ID, "0")
+	}
+}
