--- a/relay/warmup_test.go
+++ b/relay/warmup_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -94,6 +95,32 @@
 	assert.Assert(t, served > 5)
 }
 
+// TestWrongHints lets every replica be judged to have room, whether it has a token or not:
+// the choice goes on without those that have none, and ends.
+func TestWrongHints(t *testing.T) {
+	tests := map[string]struct {
+		left   map[string]int
+		status int
+		reason string
+	}{
+		"one has none":      {map[string]int{"a": 0}, http.StatusOK, ""},
+		"none has one":      {map[string]int{"a": 0, "b": 0}, http.StatusServiceUnavailable, "warm_up"},
+		"the other has one": {map[string]int{"b": 0, "a": 1}, http.StatusOK, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, b := newFakeWorker(t, "a"), newFakeWorker(t, "b")
+			r, server := newTestRelay(t, a, b)
+			tokens := &fakeTokens{left: test.left}
+			tokens.bound(r)
+			r.opts.WarmUp = func(time.Time) func(*fleet.Replica) bool { return nil }
+			got := do(t, server, "/once/", "x", nil)
+			assert.Equal(t, got.status, test.status)
+			assert.Assert(t, strings.Contains(got.body, test.reason))
+		})
+	}
+}
+
 // TestRetriesAndResumptionsTakeTokens counts what comes after a failure like the rest.
 func TestRetriesAndResumptionsTakeTokens(t *testing.T) {
 	tests := map[string]struct {
