--- a/cmd/operatorcmd/show.go
+++ b/cmd/operatorcmd/show.go
@@ -1,6 +1,7 @@
 package operatorcmd
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"net/url"
@@ -83,22 +84,25 @@
 	if env.format != formatTable {
 		return show(env.stdout, env.format, status, table{})
 	}
-	fmt.Fprintf(env.stdout, "daemon %s is %s, configuration revision %d\n", status.Daemon, status.Ready, status.Revision)
+	// The page is written at once: whoever reads it through a pipe may stop early.
+	var page bytes.Buffer
+	fmt.Fprintf(&page, "daemon %s is %s, configuration revision %d\n", status.Daemon, status.Ready, status.Revision)
 	if status.LogSilent != "" {
-		fmt.Fprintln(env.stdout, "warning:", status.LogSilent)
+		fmt.Fprintln(&page, "warning:", status.LogSilent)
 	}
 	for _, warning := range status.Warnings {
-		fmt.Fprintln(env.stdout, "warning:", warning)
+		fmt.Fprintln(&page, "warning:", warning)
 	}
-	fmt.Fprintf(env.stdout, "dark replicas %d, group downtime %.0f replica-seconds\n", status.Sums.DarkReplicas, status.Sums.DowntimeSeconds)
-	fmt.Fprintf(env.stdout, "stranded accelerators %d, %.0f accelerator-seconds\n\n", status.Sums.StrandedAccelerators, status.Sums.StrandedSeconds)
+	fmt.Fprintf(&page, "dark replicas %d, group downtime %.0f replica-seconds\n", status.Sums.DarkReplicas, status.Sums.DowntimeSeconds)
+	fmt.Fprintf(&page, "stranded accelerators %d, %.0f accelerator-seconds\n\n", status.Sums.StrandedAccelerators, status.Sums.StrandedSeconds)
 	for _, t := range []table{replicaTable(status), hallTable(status.Halls), domainTable(status), memberTable(status), counterTable(status)} {
-		if err := t.write(env.stdout); err != nil {
+		if err := t.write(&page); err != nil {
 			return err
 		}
-		fmt.Fprintln(env.stdout)
+		fmt.Fprintln(&page)
 	}
-	return nil
+	_, err := page.WriteTo(env.stdout)
+	return err
 }
 
 func replicaTable(s daemon.Status) table {
