--- a/relay/apart_test.go
+++ b/relay/apart_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/eligibility"
 	"quartzshelf.dev/fleet"
 )
 
@@ -194,8 +195,10 @@
 		}
 	}
 	r := &Relay{opts: Options{Tracker: tracker}, startedAt: now}
+	rules := eligibility.Rules{Suspected: tracker.suspects(now)}
+	selection := rules.Select(&eligibility.Request{}, all)
 	for range 50 {
-		choice, ok := r.chooseFrom(&request{}, all, nil, testCosts, now)
+		choice, ok := r.chooseFrom(&request{}, selection.Of(eligibility.Eligible), nil, testCosts, now)
 		assert.Assert(t, ok)
 		assert.Equal(t, choice.Replica.ID, "0")
 	}
