--- a/formation/survivors_test.go
+++ b/formation/survivors_test.go
@@ -138,3 +138,18 @@
 		})
 	}
 }
+
+// TestExchangeReleasesNobody: workers of an exchange whose other groups still drain are
+// not survivors.
+func TestExchangeReleasesNobody(t *testing.T) {
+	needs := []Need{{Model: fleet.Model{Name: "big", Size: 4}, Want: 2}, {Model: fleet.Model{Name: "small", Size: 2}, Want: 1, Have: 2}}
+	free := []Free{{ID: "a", Domain: "d"}, {ID: "b", Domain: "d"}, {ID: "c", Domain: "e"}, {ID: "f", Domain: "e"}}
+	k := NewKeeper(newWorld(1, 1, 0).options(), Term{Epoch: 1}, func() {})
+	k.trades = []Exchange{{Model: "big", Domain: "d"}}
+	now := time.Now()
+	assert.DeepEqual(t, k.released(needs, free, now), map[string]bool{"e": false})
+	now = now.Add(survivorsWait)
+	assert.DeepEqual(t, k.released(needs, free, now), map[string]bool{"e": true})
+	k.trades = nil
+	assert.DeepEqual(t, k.released(needs, free, now), map[string]bool{"d": false, "e": true})
+}
--- a/formation/trading_test.go
+++ b/formation/trading_test.go
@@ -1,11 +1,15 @@
 package formation
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
 )
 
 // TestTradesKeepPaceWithTheFleet turns the work of a fleet to one model: one that is
@@ -34,3 +38,62 @@
 		assert.Assert(t, large >= 2*small, "%d replicas were gained by a small fleet, %d by one four times as large", small, large)
 	})
 }
+
+// TestSurplusExchangesDoNotWait: what is there beyond what is wanted is given though
+// another exchange went a moment ago; what is wanted is not.
+func TestSurplusExchangesDoNotWait(t *testing.T) {
+	tests := map[string]struct {
+		// want is how many small groups are wanted of the four that are there.
+		want float64
+		// trades is how many exchanges begin.
+		trades int
+	}{
+		"beyond what is wanted":   {want: 1, trades: 1},
+		"some of what is wanted":  {want: 3, trades: 0},
+		"nothing could be spared": {want: 9, trades: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, 1, 8)
+				w.demand = map[string]Work{}
+				config := simConfig(w.loadsPerSecond)
+				service, _ := config.Service("models")
+				w.mu.Lock()
+				for i, id := range []string{"w0-0", "w0-2", "w0-4", "w0-6"} {
+					w.putInto(id, fmt.Sprintf("w0-%d", 2*i+1), int64(i+1))
+				}
+				w.mu.Unlock()
+				ctx, cancel := context.WithCancel(context.Background())
+				k := NewKeeper(w.options(), Term{Epoch: 9}, func() {})
+				now := time.Now()
+				k.settledAt, k.tradeNext = now, now.Add(time.Hour)
+				k.mu.Lock()
+				groups := k.groups(service, w.inventory.View())
+				needs := []Need{{Model: simModels[0], Want: 20, Have: 1}, {Model: simModels[1], Want: test.want, Have: 4}}
+				k.trade(ctx, Input{Needs: needs, MaxLoads: 9}, groups, now)
+				trades := len(k.trades)
+				k.mu.Unlock()
+				cancel()
+				k.group.Wait()
+				w.pending.Wait()
+				assert.Equal(t, len(groups), 4)
+				assert.Equal(t, trades, test.trades)
+			})
+		})
+	}
+}
+
+// putInto lists two workers as an open group of the small model that has the large one
+// on its hosts. The mutex is held.
+func (w *world) putInto(head, other string, epoch int64) {
+	g := Group{Name: fleet.GroupName("small", epoch, nil), Epoch: epoch, Model: "small", Members: []string{head, other}}
+	for rank, id := range g.Members {
+		s := w.workers[id]
+		s.group, s.epoch, s.rank, s.state, s.last, s.staged = g, epoch, rank, fleet.Ready, "small", "big"
+		if rank == 0 {
+			s.state = fleet.Open
+		}
+		w.list(s)
+	}
+}
