--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -285,9 +285,12 @@
 		Needs: needs, Free: free, Warm: k.warm(s, view),
 		MaxLoads: forGroups, MaxStagings: forIdle,
 		Growing: !counted && k.listGrows(s, view, now),
-		Halls:   k.reserve(), Serving: serving, Released: k.released(needs, free, now),
+		Halls:   k.reserve(), Serving: serving, Released: k.released(needs, free, now), Trading: k.endTrades(),
 	}
 	formations, stagings := Plan(in)
+	if counted {
+		formations = k.insteadOfLoads(ctx, in, formations, groups, now)
+	}
 	for _, f := range formations {
 		budget.take(f.Loads, counted, now)
 		k.beginForm(ctx, s, f)
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -60,6 +60,9 @@
 	// Released tells the domains whose idle workers can't complete a group of a model
 	// that is short, and serve another one meanwhile.
 	Released map[string]bool
+	// Trading holds, by domain, the model for which groups there are being given up: until
+	// they are, nothing else is formed there, and nothing that loads.
+	Trading map[string]string
 }
 
 // Plan returns the groups to form now, and what idle workers should bring to
@@ -88,7 +91,7 @@
 	p := &planner{
 		needs: slices.Clone(in.Needs), byDomain: byDomain(in.Free), warm: in.Warm,
 		maxLoads: in.MaxLoads, maxStagings: in.MaxStagings, growing: in.Growing,
-		released: in.Released, halls: in.Halls, inHall: make(map[string]map[string]int),
+		released: in.Released, trading: in.Trading, halls: in.Halls, inHall: make(map[string]map[string]int),
 	}
 	for model, halls := range in.Serving {
 		p.inHall[model] = maps.Clone(halls)
@@ -114,21 +117,41 @@
 		part.maxLoads = 0
 	}
 	free := byDomain(in.Free)
+	var kept []Formation
+	for domain := range in.Trading {
+		kept = append(kept, formationsIn(domain, free[domain], planned)...)
+		delete(free, domain)
+	}
+	planned = slices.DeleteFunc(slices.Clone(planned), func(f Formation) bool {
+		return slices.ContainsFunc(kept, func(k Formation) bool { return k.Members[0] == f.Members[0] })
+	})
 	all := part.improve(planned, free)
 	p.maxStagings -= part.loads - (in.MaxLoads - p.maxLoads)
 	p.maxLoads = in.MaxLoads - part.loads
+	all = append(all, kept...)
 	taken := make(map[string]bool)
 	for _, f := range all {
 		for _, id := range f.Members {
 			taken[id] = true
 		}
 	}
-	for domain, workers := range free {
+	for domain, workers := range byDomain(in.Free) {
 		p.byDomain[domain] = slices.DeleteFunc(workers, func(w Free) bool { return taken[w.ID] })
 	}
 	return all
 }
 
+// formationsIn returns the groups that are planned out of a domain's workers.
+func formationsIn(domain string, workers []Free, planned []Formation) []Formation {
+	var all []Formation
+	for _, f := range planned {
+		if slices.ContainsFunc(workers, func(w Free) bool { return w.ID == f.Members[0] && w.Domain == domain }) {
+			all = append(all, f)
+		}
+	}
+	return all
+}
+
 // mayExceed reports whether a domain may form more than is wanted.
 func (p *planner) mayExceed(domain string) bool {
 	short := slices.ContainsFunc(p.needs, func(n Need) bool { return !n.met() })
@@ -170,6 +193,7 @@
 	// waiting tells that a wanted group waits for its loads.
 	waiting  bool
 	released map[string]bool
+	trading  map[string]string
 	halls    Halls
 	// inHall counts by model and data hall the groups that stand or are planned.
 	inHall map[string]map[string]int
@@ -271,6 +295,13 @@
 	return p.inHall[model][hall]
 }
 
+// reserved reports whether the workers of a domain wait for those of groups that are being
+// given up.
+func (p *planner) reserved(domain, model string, limit Warmth) bool {
+	to, trading := p.trading[domain]
+	return trading && (to != model || limit > Staged)
+}
+
 // bestDomain returns the warmest workers for a group of the model, and their
 // domain; nil when no domain has enough. Among equals the domain that suits the
 // model best is taken.
@@ -279,7 +310,7 @@
 	var bestName string
 	var bestFit fit
 	for _, name := range slices.Sorted(maps.Keys(p.byDomain)) {
-		if p.beyond && !p.mayExceed(name) {
+		if p.beyond && !p.mayExceed(name) || p.reserved(name, m.Name, limit) {
 			continue
 		}
 		chosen, cost := warmest(m, p.byDomain[name], limit)
--- a/formation/trade.go
+++ b/formation/trade.go
@@ -145,6 +145,26 @@
 	return best.exchange(), true
 }
 
+// instead returns an exchange of the domain of a planned group whose members load, if it
+// gives them warm members and earns more.
+func (t *trader) instead(f Formation) (Exchange, bool) {
+	i := slices.IndexFunc(t.needs, func(n Need) bool { return n.Model.Name == f.Model.Name })
+	if f.Loads == 0 || i < 0 {
+		return Exchange{}, false
+	}
+	for domain, workers := range t.free {
+		if !slices.ContainsFunc(workers, func(w Free) bool { return w.ID == f.Members[0] }) {
+			continue
+		}
+		n := t.needs[i]
+		g := t.newGift(n, domain, false)
+		g.from(0)
+		waiting := t.value.model(n, float64(n.Have)+part(n.Model, true), 0) - t.value.model(n, float64(n.Have), 0)
+		return g.exchange(), g.found && g.gain > waiting
+	}
+	return Exchange{}, false
+}
+
 // completes reports whether an exchange gives one group to at least as many idle workers
 // as it has members: the survivors of a group that lost some.
 func (t *trader) completes(x Exchange) bool {
--- a/formation/trading.go
+++ b/formation/trading.go
@@ -23,20 +23,14 @@
 // those that give no more than is there beyond what is wanted.
 func (k *Keeper) trade(ctx context.Context, in Input, groups []*observed, now time.Time) {
 	needs, free := slices.Clone(in.Needs), in.Free
-	k.trades = slices.DeleteFunc(k.trades, func(x Exchange) bool {
-		return !slices.ContainsFunc(x.Keys, func(key string) bool { return k.operating[key] })
-	})
 	if now.Before(k.settledAt) {
 		return
 	}
 	byKey, standing := k.standing(groups)
 	most := max(len(standing)/groupsPerTrade, 1)
-	down, next := make(map[string]int), k.tradeNext
+	next := k.tradeNext
 	defer func() { k.tradeNext = next }()
-	for _, x := range k.trades {
-		x.apply(needs)
-		x.hold(down)
-	}
+	down := k.applyTrades(needs)
 	for {
 		t := newTrader(needs, free, standing)
 		t.down, t.maxLoads = down, in.MaxLoads
@@ -56,6 +50,72 @@
 	}
 }
 
+// endTrades forgets the exchanges whose groups are dissolved, and returns the domains of
+// the others with the models that get their members.
+func (k *Keeper) endTrades() map[string]string {
+	k.trades = slices.DeleteFunc(k.trades, func(x Exchange) bool {
+		return !slices.ContainsFunc(x.Keys, func(key string) bool { return k.operating[key] })
+	})
+	under := make(map[string]string)
+	for _, x := range k.trades {
+		under[x.Domain] = x.Model
+	}
+	return under
+}
+
+// applyTrades counts in needs what trades under way give and get, and returns how many
+// groups of each model they hold down.
+func (k *Keeper) applyTrades(needs []Need) map[string]int {
+	down := make(map[string]int)
+	for _, x := range k.trades {
+		x.apply(needs)
+		x.hold(down)
+	}
+	return down
+}
+
+// insteadOfLoads returns the planned groups but for those that would wait for the loads of
+// some members, where giving up groups of the domain gives them warm ones and earns more:
+// a load takes 12 to 16 s, in which all members wait, an exchange some 2 s.
+func (k *Keeper) insteadOfLoads(ctx context.Context, in Input, planned []Formation, groups []*observed, now time.Time) []Formation {
+	loads := slices.ContainsFunc(planned, func(f Formation) bool { return f.Loads > 0 })
+	if !loads || now.Before(k.settledAt) {
+		return planned
+	}
+	byKey, standing := k.standing(groups)
+	needs := slices.Clone(in.Needs)
+	down := k.applyTrades(needs)
+	var kept []Formation
+	for i, f := range planned {
+		t := newTrader(needs, without(in.Free, kept, planned[i+1:]), standing)
+		t.down = down
+		x, ok := t.instead(f)
+		if !ok || k.trading(x.Domain) {
+			kept = append(kept, f)
+			continue
+		}
+		k.trades = append(k.trades, x)
+		x.apply(needs)
+		x.hold(down)
+		standing = slices.DeleteFunc(standing, func(s Standing) bool { return s.Domain == x.Domain })
+		k.giveGroups(ctx, x, byKey)
+	}
+	return kept
+}
+
+// without returns the workers that are in none of the groups.
+func without(free []Free, groups ...[]Formation) []Free {
+	taken := make(map[string]bool)
+	for _, list := range groups {
+		for _, f := range list {
+			for _, id := range f.Members {
+				taken[id] = true
+			}
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(free), func(f Free) bool { return taken[f.ID] })
+}
+
 // giveGroups dissolves the groups of an exchange.
 func (k *Keeper) giveGroups(ctx context.Context, x Exchange, byKey map[string]*observed) {
 	for _, key := range x.Keys {
