--- a/formation/survivors_test.go
+++ b/formation/survivors_test.go
@@ -141,24 +141,17 @@
 	}
 }
 
-// TestMembersOfAnExchangeAreNotReleased: groups that are given up for a larger one end one
-// after the other, as their requests do; what is free already must wait for the rest.
-func TestMembersOfAnExchangeAreNotReleased(t *testing.T) {
-	big, small := fleet.Model{Name: "big", Size: 16}, fleet.Model{Name: "small", Size: 4}
-	needs := []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 4, Have: 4}}
-	var free []Free
-	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
-		free = append(free, Free{ID: id, Domain: "d"})
-	}
-	now := time.Unix(1000, 0)
-	k := &Keeper{
-		releaseAt: make(map[string]time.Time), operating: map[string]bool{"g3": true},
-		trades: []Exchange{{Model: "big", Domain: "d", Keys: []string{"g1", "g2", "g3"}}},
-	}
-	k.released(needs, free, now)
-	assert.Assert(t, !k.released(needs, free, now.Add(10*survivorsWait))["d"], "a group still ends")
+// TestExchangeReleasesNobody: workers of an exchange whose other groups still drain are
+// not survivors.
+func TestExchangeReleasesNobody(t *testing.T) {
+	needs := []Need{{Model: fleet.Model{Name: "big", Size: 4}, Want: 2}, {Model: fleet.Model{Name: "small", Size: 2}, Want: 1, Have: 2}}
+	free := []Free{{ID: "a", Domain: "d"}, {ID: "b", Domain: "d"}, {ID: "c", Domain: "e"}, {ID: "f", Domain: "e"}}
+	k := NewKeeper(newWorld(1, 1, 0).options(), Term{Epoch: 1}, func() {})
+	k.trades = []Exchange{{Model: "big", Domain: "d"}}
+	now := time.Now()
+	assert.DeepEqual(t, k.released(needs, free, now), map[string]bool{"e": false})
+	now = now.Add(survivorsWait)
+	assert.DeepEqual(t, k.released(needs, free, now), map[string]bool{"e": true})
 	k.trades = nil
-	later := now.Add(11 * survivorsWait)
-	k.released(needs, free, later)
-	assert.Assert(t, k.released(needs, free, later.Add(survivorsWait))["d"], "all have ended, and they are too few")
+	assert.DeepEqual(t, k.released(needs, free, now), map[string]bool{"d": false, "e": true})
 }
