--- a/formation/exchange_test.go
+++ b/formation/exchange_test.go
@@ -68,6 +68,42 @@
 	}
 }
 
+// TestExchangeInsteadOfLoads: a planned group whose members would wait for a load gives way
+// to an exchange that makes it of warm members.
+func TestExchangeInsteadOfLoads(t *testing.T) {
+	big, small := fleet.Model{Name: "big", Size: 4, Load: simLoad, Warm: simWarm}, fleet.Model{Name: "small", Size: 2, Load: simLoad, Warm: simWarm}
+	needs := []Need{{Model: big, Want: 6, Have: 4}, {Model: small, Want: 5, Have: 8}}
+	survivors := []Free{
+		{ID: "a", Domain: "d", Loaded: "big"}, {ID: "b", Domain: "d", Loaded: "big"}, {ID: "c", Domain: "d", Loaded: "big"}, {ID: "e", Domain: "d"},
+	}
+	group := func(domain string, cold int) Standing {
+		return Standing{Key: "s", Domain: domain, Model: "small", Members: 2, Cold: map[string]int{"big": cold}}
+	}
+	tests := map[string]struct {
+		needs    []Need
+		standing []Standing
+		want     []string
+	}{
+		"a warm group in the domain":   {needs: needs, standing: []Standing{group("d", 0)}, want: []string{"s"}},
+		"one of its members is warm":   {needs: needs, standing: []Standing{group("d", 1)}, want: []string{"s"}},
+		"none of its members is warm":  {needs: needs, standing: []Standing{group("d", 2)}},
+		"a group of another domain":    {needs: needs, standing: []Standing{group("c", 0)}},
+		"no other group":               {needs: needs},
+		"a group that can't be spared": {needs: []Need{{Model: big, Want: 6, Have: 4}, {Model: small, Want: 10, Have: 8}}, standing: []Standing{group("d", 0)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x, ok := newTrader(test.needs, survivors, test.standing).instead(newFormation(big, survivors))
+			assert.Equal(t, ok, test.want != nil)
+			if ok {
+				assert.DeepEqual(t, x.Keys, test.want)
+			}
+		})
+	}
+	_, ok := newTrader(needs, survivors, []Standing{group("d", 0)}).instead(Formation{Model: big, Members: []string{"a"}})
+	assert.Assert(t, !ok, "a group that needs no load")
+}
+
 // TestTradeMindsTheHalls: of two domains that give as much, the one is taken whose hall
 // holds fewer groups of the model.
 func TestTradeMindsTheHalls(t *testing.T) {
--- a/formation/partition.go
+++ b/formation/partition.go
@@ -40,8 +40,9 @@
 	added    []map[string]int
 	loads    int
 	maxLoads int
-	// beyond tells which domains may form more than is wanted.
-	beyond func(domain string) bool
+	// beyond tells which domains may form more than is wanted, fixed which ones form what
+	// is planned.
+	beyond, fixed func(domain string) bool
 }
 
 func newPartition(needs []Need, in Input) *partition {
@@ -136,6 +137,9 @@
 func (p *partition) pass(free map[string][]Free, divisions map[string]division) bool {
 	changed := false
 	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		if p.fixed(domain) {
+			continue
+		}
 		if d, ok := p.better(domain, free[domain], divisions[domain]); ok {
 			divisions[domain] = d
 			changed = true
--- a/formation/partition_test.go
+++ b/formation/partition_test.go
@@ -15,7 +15,7 @@
 // wanted of one to four models.
 func drawInput(t *rapid.T) Input {
 	in := Input{
-		Serving: make(map[string]map[string]int), Released: make(map[string]bool),
+		Serving: make(map[string]map[string]int), Released: make(map[string]bool), Trading: make(map[string]string),
 		Warm: make(map[string]map[string]int), Halls: Halls{Bear: rapid.IntRange(0, 2).Draw(t, "bear"), Weight: hallWeight},
 	}
 	names := []string{""}
@@ -29,6 +29,9 @@
 	model := rapid.SampledFrom(names)
 	for d := range rapid.IntRange(0, 4).Draw(t, "domains") {
 		domain := fmt.Sprint("d", d)
+		if rapid.IntRange(0, 3).Draw(t, "trading") == 0 {
+			in.Trading[domain] = in.Needs[0].Model.Name
+		}
 		in.Released[domain] = rapid.Bool().Draw(t, "released")
 		for i := range rapid.IntRange(0, 20).Draw(t, "workers") {
 			f := Free{
@@ -92,6 +95,36 @@
 	})
 }
 
+// TestDomainsWaitForExchanges: while groups of a domain are given up for a model, nothing
+// else is formed there, and nothing that loads.
+func TestDomainsWaitForExchanges(t *testing.T) {
+	big, small := fleet.Model{Name: "big", Size: 3}, fleet.Model{Name: "small", Size: 2}
+	worker := func(id, loaded string) Free { return Free{ID: id, Domain: "d", Loaded: loaded} }
+	tests := map[string]struct {
+		free    []Free
+		trading map[string]string
+		want    []string
+	}{
+		"no exchange":             {free: []Free{worker("a", "small"), worker("b", "small")}, want: []string{"a", "b"}},
+		"for another model":       {free: []Free{worker("a", "small"), worker("b", "small")}, trading: map[string]string{"d": "big"}},
+		"in another domain":       {free: []Free{worker("a", "small"), worker("b", "small")}, trading: map[string]string{"e": "big"}, want: []string{"a", "b"}},
+		"a member has to load":    {free: []Free{worker("a", "big"), worker("b", "big"), worker("c", "")}, trading: map[string]string{"d": "big"}},
+		"members that are enough": {free: []Free{worker("a", "big"), worker("b", "big"), worker("c", "big")}, trading: map[string]string{"d": "big"}, want: []string{"a", "b", "c"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			formations, _ := Plan(Input{
+				Needs: []Need{{Model: big, Want: 2, Have: 1}, {Model: small, Want: 2, Have: 1}}, Free: test.free, MaxLoads: 9, Trading: test.trading,
+			})
+			var got []string
+			for _, f := range formations {
+				got = append(got, f.Members...)
+			}
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
 // TestSupplyIsTheCheapest compares who is given to which model with all ways to do it.
 func TestSupplyIsTheCheapest(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -111,47 +111,28 @@
 // their members out of those that are left.
 func (p *planner) improved(in Input, planned []Formation) []Formation {
 	part := newPartition(in.Needs, in)
+	part.fixed = func(domain string) bool { return in.Trading[domain] != "" }
 	part.beyond = func(domain string) bool { return p.beyond && p.mayExceed(domain) }
 	if p.waiting {
 		// Loads are kept for the group that waits for them.
 		part.maxLoads = 0
 	}
 	free := byDomain(in.Free)
-	var kept []Formation
-	for domain := range in.Trading {
-		kept = append(kept, formationsIn(domain, free[domain], planned)...)
-		delete(free, domain)
-	}
-	planned = slices.DeleteFunc(slices.Clone(planned), func(f Formation) bool {
-		return slices.ContainsFunc(kept, func(k Formation) bool { return k.Members[0] == f.Members[0] })
-	})
 	all := part.improve(planned, free)
 	p.maxStagings -= part.loads - (in.MaxLoads - p.maxLoads)
 	p.maxLoads = in.MaxLoads - part.loads
-	all = append(all, kept...)
 	taken := make(map[string]bool)
 	for _, f := range all {
 		for _, id := range f.Members {
 			taken[id] = true
 		}
 	}
-	for domain, workers := range byDomain(in.Free) {
+	for domain, workers := range free {
 		p.byDomain[domain] = slices.DeleteFunc(workers, func(w Free) bool { return taken[w.ID] })
 	}
 	return all
 }
 
-// formationsIn returns the groups that are planned out of a domain's workers.
-func formationsIn(domain string, workers []Free, planned []Formation) []Formation {
-	var all []Formation
-	for _, f := range planned {
-		if slices.ContainsFunc(workers, func(w Free) bool { return w.ID == f.Members[0] && w.Domain == domain }) {
-			all = append(all, f)
-		}
-	}
-	return all
-}
-
 // mayExceed reports whether a domain may form more than is wanted.
 func (p *planner) mayExceed(domain string) bool {
 	short := slices.ContainsFunc(p.needs, func(n Need) bool { return !n.met() })
