--- a/relay/return_test.go
+++ b/relay/return_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
 )
 
 const (
@@ -104,3 +106,12 @@
 		})
 	}
 }
+
+// TestOldRoutesAreForgotten: configurations bring routes of other names again and again.
+func TestOldRoutesAreForgotten(t *testing.T) {
+	p, now := newPatiences(), time.Unix(1000, 0)
+	for i := range 50 {
+		p.waited(&fleet.Route{Name: fmt.Sprint(i)}, time.Second, now.Add(time.Duration(i)*patienceFor))
+	}
+	assert.Assert(t, len(p.routes) <= 4, "%d routes are held", len(p.routes))
+}
--- a/relay/waited.go
+++ b/relay/waited.go
@@ -45,6 +45,7 @@
 	defer p.mu.Unlock()
 	held, ok := p.routes[route.Name]
 	if !ok {
+		p.forget(now)
 		held = &patience{until: now.Add(patienceFor)}
 		p.routes[route.Name] = held
 	}
@@ -60,6 +61,15 @@
 	return max(first-given, 0)
 }
 
+// forget drops routes that nobody called for long: configurations bring others.
+func (p *patiences) forget(now time.Time) {
+	for name, held := range p.routes {
+		if now.Sub(held.until) > patienceFor {
+			delete(p.routes, name)
+		}
+	}
+}
+
 // isLate reports whether the first answer can't be in time any more, by when the caller
 // first asked.
 func (c *request) isLate(now time.Time) bool {
