--- a/serving/warmup.go
+++ b/serving/warmup.go
@@ -30,14 +30,14 @@
 	return a
 }
 
-// registered returns the ids of all registered daemons, or none while this daemon knows
-// only itself and has not read the member list.
+// registered returns the ids of all registered daemons, or none before this daemon has read
+// the member list: daemons that were started without the store hear those of their own data
+// hall only, so each hall would choose holders of its own.
 func (s *Server) registered() []string {
-	all := s.agent.Table().Registered()
-	if len(all) <= 1 && s.metAt.Load() == nil {
+	if s.metAt.Load() == nil {
 		return nil
 	}
-	return all
+	return s.agent.Table().Registered()
 }
 
 // membersDue reports whether the member list is to be read again though others are heard:
