--- a/formation/survivors_test.go
+++ b/formation/survivors_test.go
@@ -153,3 +153,29 @@
 	k.trades = nil
 	assert.DeepEqual(t, k.released(needs, free, now), map[string]bool{"d": false, "e": true})
 }
+
+// TestSurvivorsDoNotWaitForALoad: where a new worker has to load, a group of another model
+// that is not needed completes the survivors.
+func TestSurvivorsDoNotWaitForALoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 8)
+		w.demand = map[string]Work{"big": {Busy: 1}, "small": {}}
+		_, big, stop := serving(w, "big")
+		w.pending.Go(func() { w.readList(60 * time.Second) })
+		time.Sleep(firstFor + 2*time.Second)
+		w.kill(big.Members[2])
+		// The loss is known after 4 s. The new worker refuses to stage a model beforehand.
+		time.Sleep(3950 * time.Millisecond)
+		w.arrive("d0", "")
+		w.mu.Lock()
+		w.workers["new-d0"].staging = true
+		w.mu.Unlock()
+		// Giving up a group takes 1.5 s, joining 1.5 s, and a load 12 s.
+		time.Sleep(5 * time.Second)
+		serving := w.serving()
+		stop()
+		assert.Equal(t, serving["big"], 1, "%v", serving)
+		w.pending.Wait()
+		assert.DeepEqual(t, w.broken, []string(nil))
+	})
+}
