--- a/allowance/share.go
+++ b/allowance/share.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// holdersMost is how many daemons send to a worker that warms up: one or two may be
-	// away at any moment, and each sends less the more there are.
-	holdersMost = 4
+	// holdersMost is how many daemons send to a worker that warms up, so that one may be
+	// away. Each keeps room for a request that it had a token for before, so fewer holders
+	// send more together: two send 9.5 where four send 7.7 (docs/design/warm-up.md).
+	holdersMost = 2
 	// leastRate is the least rate, in requests a second, for which a further holder is
 	// taken: below it a worker that warms up for a few seconds gets next to nothing of it.
 	leastRate = 1.0
