--- a/formation/halls.go
+++ b/formation/halls.go
@@ -60,11 +60,10 @@
 	return closed
 }
 
-// reserve returns what a plan weighs for the loss of data halls.
+// reserve returns what a plan weighs for the loss of data halls: nothing without a weight.
 func (k *Keeper) reserve() Halls {
-	weight := k.opts.HallWeight
-	if weight <= 0 {
-		weight = hallWeight
+	if k.opts.HallWeight <= 0 {
+		return Halls{}
 	}
-	return Halls{Bear: k.opts.BearHalls, Weight: weight}
+	return Halls{Bear: k.opts.BearHalls, Weight: k.opts.HallWeight}
 }
--- a/formation/halls_test.go
+++ b/formation/halls_test.go
@@ -12,6 +12,10 @@
 	"quartzshelf.dev/fleet"
 )
 
+// hallWeight is the weight of the loss of halls in these tests: a plan gives a hundredth of
+// today's share for a twentieth of what is left after a hall's loss.
+const hallWeight = 0.2
+
 // hallWorld returns a world of listed domains, which lie in turn in the halls "h0" and
 // "h1". The second is closed while the returned flag is set.
 func hallWorld(domains, perDomain int) (*world, *atomic.Bool) {
--- a/formation/options.go
+++ b/formation/options.go
@@ -35,8 +35,8 @@
 	// the term goes on; nil if none is kept.
 	Smoothed func() map[string]Work
 	// BearHalls is how many data halls may be lost at once, with enough of each model
-	// left; zero if none is reckoned with. HallWeight is what a share of requests that
-	// such a loss takes costs, beside one that is lost now; zero for the usual weight.
+	// left. HallWeight is what a share of requests that such a loss takes costs, beside one
+	// that is lost now; zero leaves the loss of halls out.
 	BearHalls  int
 	HallWeight float64
 	// HallOpen reports whether a data hall takes requests; nil if all do.
--- a/formation/value.go
+++ b/formation/value.go
@@ -19,10 +19,6 @@
 	// workerLoss is the chance that a worker is lost while the planned groups are
 	// formed. Days of 45 s lose 15 to 40 of 222 workers, and a warm join takes 1.5 s.
 	workerLoss = 0.01
-	// hallWeight is what a share of requests that is lost with the worst halls costs,
-	// beside one that is lost now, unless the options say another. At 0.2 a plan gives
-	// a hundredth of today's share for a twentieth of what is left after a hall's loss.
-	hallWeight = 0.2
 )
 
 // Halls is what a plan weighs for the loss of data halls.
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -16,7 +16,7 @@
 		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders, IndirectLeave: s.leaveThroughPeers,
 		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince,
 		Announced: func(a fleet.Announcement) { s.inventory.Decide(claim.Term(), a) },
-		Smoothed:  s.work.Work, BearHalls: s.opts.Bounds.BearHalls, HallOpen: s.hallOpen,
+		Smoothed:  s.work.Work, BearHalls: s.opts.Bounds.BearHalls, HallWeight: s.opts.Bounds.HallWeight, HallOpen: s.hallOpen,
 		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
 		Counted: s.meter.Order, Logger: s.logger.Named("formation"),
 	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first},
--- a/serving/options.go
+++ b/serving/options.go
@@ -42,9 +42,13 @@
 	// Empty is the time after the operator's word within which a closed data hall gets
 	// no more requests.
 	Empty time.Duration
-	// BearHalls is how many data halls may be lost at once.
-	BearHalls int
-	WarmUp    WarmUpBound
+	// BearHalls is how many data halls may be lost at once, HallWeight what a share of
+	// requests that such a loss takes costs a plan, beside one that is lost now. Zero
+	// leaves it out, which is the usual: at 0.2 and 0.02 plans served callers worse on days
+	// on which no hall was lost (docs/design/domain-plan.md).
+	BearHalls  int
+	HallWeight float64
+	WarmUp     WarmUpBound
 	// KeepEntries is for how long callers keep an answer of Entries.
 	KeepEntries time.Duration
 }
