--- a/formation/stagings.go
+++ b/formation/stagings.go
@@ -11,20 +11,18 @@
 	Model  string
 }
 
-// stagings returns what the workers that are left should bring to their hosts: the model
-// that they are missing for, or else the one that most of their domain is warm for.
+// stagings returns what the workers that are left should bring to their hosts:
+// the model that most of their domain is warm for. Workers that are warm for a model that
+// is short keep it.
 func (p *planner) stagings() []Staging {
 	var all []Staging
 	for _, domain := range slices.Sorted(maps.Keys(p.byDomain)) {
-		model := p.missingFor(domain)
-		if model == "" {
-			model = p.mainModel(domain)
-		}
+		model := p.mainModel(domain)
 		for _, f := range p.byDomain[domain] {
 			if model == "" || len(all) >= min(p.maxLoads, p.maxStagings) {
 				break
 			}
-			if f.warmth(model) > Staged {
+			if f.warmth(model) > Staged && !p.awaited(f) {
 				all = append(all, Staging{Worker: f.ID, Model: model})
 			}
 		}
@@ -32,18 +30,9 @@
 	return all
 }
 
-// missingFor returns the shortest model for a group of which a domain lacks warm workers,
-// but no more than it has idle ones: what is staged there brings it back.
-func (p *planner) missingFor(domain string) string {
-	best, most := "", 0.0
-	for _, n := range p.needs {
-		warm := p.warm[domain][n.Model.Name]
-		lacks := n.Model.Size - warm%max(n.Model.Size, 1)
-		if !n.met() && warm >= n.Model.Size/2 && lacks <= len(p.byDomain[domain]) && n.short() > most {
-			best, most = n.Model.Name, n.short()
-		}
-	}
-	return best
+// awaited reports whether a worker is warm for a model that is short.
+func (p *planner) awaited(f Free) bool {
+	return slices.ContainsFunc(p.needs, func(n Need) bool { return !n.met() && f.warmth(n.Model.Name) <= Staged })
 }
 
 // mainModel returns the model that most workers of a domain are warm for.
