--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,11 +58,10 @@
 	Tracker *Tracker
 	Budget  BudgetOptions
 	// ServeLate keeps requests that are late already rather than lose them: they wait for
-	// room, refused callers are told to come back over all of the time that they heed, and a
-	// replica counts as silent only if nobody's streams move there. Where a third of the
-	// workers is lost that makes fresh requests late as well, so it is off by default: with
-	// a hall lost twice callers earned 0.29 of what is owed with it, 0.45 without it (one
-	// play each, docs/design/nothing-lost.md).
+	// room, and refused callers are told to come back over all of the time that they heed.
+	// Where a third of the workers is lost that makes fresh requests late as well, so it is
+	// off by default: with a hall lost twice callers earned 0.29 of what is owed with it,
+	// 0.44 without it (one play each, docs/design/nothing-lost.md).
 	ServeLate bool
 	// Leaving reports whether this daemon is to stop.
 	Leaving func() bool
@@ -92,7 +91,6 @@
 		startedAt: time.Now(), done: make(chan struct{}),
 	}
 	r.upstream.share, r.upstream.count = r.idleShare, opts.Meter.Connection
-	opts.Tracker.believeMoves(opts.ServeLate)
 	return r
 }
 
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -129,20 +129,9 @@
 	return all
 }
 
-// believeMoves sets whether a stream that moves at a peer shows that its replica does.
-func (t *Tracker) believeMoves(believe bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.believesMoves = believe
-}
-
-// moveOf returns when a stream last moved at a replica, here or, if peers are believed in
-// that, at a peer, as far as known.
+// moveOf returns when a stream last moved at a replica, here or at a peer, as far as known.
 func (t *Tracker) moveOf(s *replicaLoad) time.Time {
 	moved := s.lastMove
-	if !t.believesMoves {
-		return moved
-	}
 	for _, remote := range t.remote {
 		if l, ok := remote.loads[s.replica.ID]; ok && l.Moved > 0 {
 			if at := remote.heard.Add(-time.Duration(l.Moved) * time.Millisecond); at.After(moved) {
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -55,8 +55,6 @@
 	rumours map[string]time.Time
 	// traffic tells that a request came, here or at a peer.
 	traffic bool
-	// believesMoves tells that a stream which moves at a peer shows that its replica does.
-	believesMoves bool
 	// stalled is called, without the lock, with a replica that fell silent.
 	stalled func(r *fleet.Replica)
 }
