--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -164,7 +164,7 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			tracker := NewTracker("", func(*fleet.Replica) {})
-				tracker.Begin(testReplica("a", ""), 0)
+			tracker.Begin(testReplica("a", ""), 0)
 			tracker.SetRemote("peer", peers.Summary{Daemons: 1, Loads: peers.Loads{{Replica: "a", InFlight: 1, Moved: test.moved}}}, now)
 			tracker.Suspect("a", now)
 			assert.Equal(t, tracker.suspected("a", now), test.want)
