--- a/relay/apart.go
+++ b/relay/apart.go
@@ -9,10 +9,10 @@
 	"quartzshelf.dev/fleet"
 )
 
-// blindFor is for how long after its start a daemon chooses between two replicas: it knows
+// loadsUnknownFor is for how long after its start a daemon chooses between two replicas: it knows
 // no loads until peers have reported, 0.4 s after the start on average and 0.6 s at the
 // latest (lines `start: loads of peers known`), and what waited comes within 1.2 s.
-const blindFor = 2 * time.Second
+const loadsUnknownFor = 2 * time.Second
 
 // noteFailed notes what a failed attempt tells of a replica beyond the request. A worker
 // that turned the request away, or a stream whose connection alone fell silent, tells
@@ -70,7 +70,7 @@
 		if ok && choice.Busy < r.room(c, choice.Replica) {
 			return choice, true
 		}
-	case now.Sub(r.startedAt) < blindFor:
+	case now.Sub(r.startedAt) < loadsUnknownFor:
 		if choice, ok := choose(r.twoOf(replicas)); ok {
 			return choice, true
 		}
@@ -122,5 +122,5 @@
 	if s, ok := t.held[replica]; ok {
 		return now.Before(s.suspect) || now.Before(s.refusedUntil)
 	}
-	return now.Before(t.rumours[replica])
+	return now.Before(t.reportedSuspects[replica])
 }
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -71,7 +71,7 @@
 	s, ok := t.held[replica]
 	switch {
 	case !ok:
-		t.rumours[replica] = now.Add(suspectFor)
+		t.reportedSuspects[replica] = now.Add(suspectFor)
 	case now.Sub(t.moveOf(s)) > goSilence:
 		s.suspect = now.Add(suspectFor)
 	}
@@ -107,9 +107,9 @@
 	const forgetAfter = time.Minute
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, until := range t.rumours {
+	for id, until := range t.reportedSuspects {
 		if now.After(until) {
-			delete(t.rumours, id)
+			delete(t.reportedSuspects, id)
 		}
 	}
 	var all []*fleet.Replica
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -50,9 +50,9 @@
 	remote map[string]remoteLoads
 	rates  *rates
 	pauses pauses
-	// rumours holds until when replicas that this daemon never used are suspected, by the
+	// reportedSuspects holds until when replicas that this daemon never used are suspected, by the
 	// word of peers.
-	rumours map[string]time.Time
+	reportedSuspects map[string]time.Time
 	// traffic tells that a request came, here or at a peer.
 	traffic bool
 	// stalled is called, without the lock, with a replica that fell silent.
@@ -73,14 +73,14 @@
 	return &Tracker{
 		zone: zone, held: make(map[string]*replicaLoad),
 		remote: make(map[string]remoteLoads), rates: newRates(), pauses: make(pauses),
-		rumours: make(map[string]time.Time), stalled: stalled,
+		reportedSuspects: make(map[string]time.Time), stalled: stalled,
 	}
 }
 
 func (t *Tracker) loadOf(r *fleet.Replica) *replicaLoad {
 	s, ok := t.held[r.ID]
 	if !ok {
-		s = &replicaLoad{replica: r, streams: make(map[*StreamWatch]struct{}), suspect: t.rumours[r.ID]}
+		s = &replicaLoad{replica: r, streams: make(map[*StreamWatch]struct{}), suspect: t.reportedSuspects[r.ID]}
 		t.held[r.ID] = s
 	}
 	s.lastKnown = time.Now()
@@ -259,7 +259,7 @@
 			all[id] = true
 		}
 	}
-	for id := range t.rumours {
+	for id := range t.reportedSuspects {
 		if t.doubted(id, now) {
 			all[id] = true
 		}
