--- a/formation/doubt.go
+++ b/formation/doubt.go
@@ -14,6 +14,11 @@
 // has to load is through with it.
 const doubtFor = 9 * time.Second
 
+// doubtPause is how long such a worker is not used at all. One that fails at once would be
+// ordered into a new group in each look, ten times a second, and its partners may begin a
+// load each time.
+const doubtPause = time.Second
+
 // doubt notes the workers because of which a group was not formed. A term that ends,
 // which cancels the context, proves nothing about them.
 func (k *Keeper) doubt(ctx context.Context, g Group, workers ...*fleet.Worker) {
@@ -38,6 +43,13 @@
 	}
 }
 
+// pausedNow reports whether a worker kept a group from being formed a moment ago. The
+// keeper's mutex is held.
+func (k *Keeper) pausedNow(id string) bool {
+	until, ok := k.doubts[id]
+	return ok && time.Now().Before(until.Add(doubtPause-doubtFor))
+}
+
 // doubted reports whether others are preferred to a worker. The keeper's mutex is held.
 func (k *Keeper) doubted(id string) bool {
 	until, ok := k.doubts[id]
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -223,7 +223,7 @@
 	}
 	var all []Free
 	for id, w := range view.Workers() {
-		if w.Service != s.Name || w.Draining || k.busy[id] || k.silentNow(id) || held[id] || !k.halls.usable(w.Zone) {
+		if w.Service != s.Name || w.Draining || k.busy[id] || k.silentNow(id) || k.pausedNow(id) || held[id] || !k.halls.usable(w.Zone) {
 			continue
 		}
 		if _, loading := k.loading[id]; loading {
--- a/formation/survivors_test.go
+++ b/formation/survivors_test.go
@@ -181,3 +181,24 @@
 		assert.DeepEqual(t, w.broken, []string(nil))
 	})
 }
+
+// TestWorkersThatRefuseHoldNobodyUp: a listed worker whose address refuses connections fails
+// each forming at once; its partners must not be ordered anew in each look, since they may
+// begin a load each time.
+func TestWorkersThatRefuseHoldNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := unlistedWorld(1, 1, 4)
+		for _, s := range w.workers {
+			s.staged = "big"
+			w.list(s)
+		}
+		w.refusing["w0-0"] = true
+		w.pending.Go(func() { w.readList(6 * time.Second) })
+		_, stop := term(w, 1)
+		time.Sleep(5 * time.Second)
+		stop()
+		w.pending.Wait()
+		// Four partners at most in each of five seconds, with the models they turn to meanwhile.
+		assert.Assert(t, w.given["join"] <= 40, "%v", w.given)
+	})
+}
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -95,6 +95,10 @@
 	loads          []time.Time
 	// smoothed is the work that daemons knew before a term, hallOpen which halls are open.
 	smoothed func() map[string]Work
+	// refusing holds workers that nobody reaches, which shows at once.
+	refusing map[string]bool
+	// given counts the tries of orders.
+	given    map[string]int
 	hallOpen func(hall string) bool
 	broken   []string
 	pending  sync.WaitGroup
@@ -138,6 +142,7 @@
 		random: rand.New(rand.NewPCG(seed, seed)), workers: make(map[string]*simWorker),
 		demand: map[string]Work{"big": {Busy: 5}, "small": {Busy: 5}}, closing: time.Second,
 		inventory: fleet.NewInventory(1200*time.Millisecond, 0), wasReady: make(map[string]bool), cut: make(map[string]bool), dark: make(map[string]bool), elsewhere: make(map[string]bool),
+		refusing: make(map[string]bool), given: make(map[string]int),
 		delays: make(map[string][]time.Duration), opening: simForm + simDelivery, opened: make(map[string]int), loadsPerSecond: 5,
 	}
 	for d := range domains {
@@ -162,7 +167,7 @@
 			return time.Time{}
 		},
 		Announced:  func(a fleet.Announcement) { w.inventory.Decide(0, a) },
-		Counted:    func(string, string) {},
+		Counted:    w.count,
 		StallAfter: 6 * time.Second, Ceiling: simCeiling,
 		Smoothed: w.smoothed, HallOpen: w.hallOpen,
 		Logger: hclog.NewNullLogger(),
@@ -474,6 +479,13 @@
 	})
 }
 
+// count counts a try of an order.
+func (w *world) count(order, _ string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.given[order]++
+}
+
 func (w *world) ask(ctx context.Context, worker *fleet.Worker) (State, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -481,6 +493,9 @@
 	if w.elsewhere[worker.ID] {
 		return State{}, ErrElsewhere
 	}
+	if w.refusing[worker.ID] {
+		return State{}, errSilent
+	}
 	if s.dead || w.cut[worker.ID] || w.dark[worker.ID] {
 		w.mu.Unlock()
 		<-ctx.Done()
