--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,7 @@
 
 soak-again: build
 	$(SOAK) --parallel 4 --seeds $$(sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
+	$(SOAK) --parallel 4 --halls --seeds $$(sed -n 's/^halls \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 
 # simulate plays schedules in virtual time. It draws new seeds and prints them;
 # replay one with SEED=n make simulate.
