quarantine, relay: Tell by what a broken request is known again

Each attempt that its worker breaks off now leaves a line with the fingerprint of the request (account, method, host, target, body), and quartzshelf_attempts_broken counts them. No decision changes.

A shorter name by headers was ruled out: a copy comes with the same path, caller and body, and headers are free.

--- /dev/null
+++ b/relay/broken.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/quarantine"
+)
+
+// brokeOff reports whether a request that was sent failed since the worker's side of its
+// connection ended.
+func brokeOff(err error) bool {
+	if !wasSent(err) {
+		return false
+	}
+	return isReset(err) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// fingerprint returns the request's fingerprint, which is computed when it is first asked for.
+func (c *request) fingerprint() quarantine.Fingerprint {
+	c.fingerprintOnce.Do(func() {
+		account := ""
+		if c.tenant != nil {
+			account = c.tenant.Name
+		}
+		c.fingerprintHeld = quarantine.FingerprintOf(account, c.method, c.host, c.target, c.body)
+	})
+	return c.fingerprintHeld
+}
+
+// tellBroken logs an attempt that broke off, and by what the request is known again when it
+// comes under another id: which requests were at a worker when it ended shows in these lines.
+func (r *Relay) tellBroken(c *request, replica *fleet.Replica, err error) {
+	account := ""
+	if c.tenant != nil {
+		account = c.tenant.Name
+	}
+	r.opts.Meter.Broken(c.service)
+	r.opts.Logger.Info("attempt broke off", "request", c.id, "fingerprint", c.fingerprint().String(),
+		"account", account, "host", c.host, "target", c.target, "bytes", len(c.body),
+		"worker", replica.Head.ID, "replica", replica.ID, "busy", c.chosenBusy, "sends", c.sends,
+		"sent_ms", time.Since(c.sentAt).Milliseconds(), "error", err)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -180,6 +180,7 @@
 			return nil, r.noneEligible(c, selection.Counts(), now)
 		}
 		replica, none := r.chooseAmong(c, &selection, without, now)
+		c.sentAt = now
 		if none != nil || r.takeWarmUp(c, replica, now) {
 			return replica, none
 		}
@@ -255,6 +256,9 @@
 	} else {
 		c.rejections++
 	}
+	if brokeOff(err) {
+		r.tellBroken(c, replica, err)
+	}
 	if !c.gaveUp() {
 		r.opts.Tracker.Fail(replica, time.Now())
 		r.noteFailed(c, replica, err)
--- a/relay/request.go
+++ b/relay/request.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/quarantine"
 )
 
 // request is a caller's request on its way through the daemon.
@@ -49,8 +51,12 @@
 	passedOver string
 	// sendBy is until when the attempt may be sent; the zero time for any time.
 	sendBy time.Time
-	// lastCause is the error of the newest failed attempt.
+	// lastCause is the error of the newest failed attempt, sentAt when that was chosen.
 	lastCause error
+	sentAt    time.Time
+
+	fingerprintOnce sync.Once
+	fingerprintHeld quarantine.Fingerprint
 }
 
 // mayHaveRan reports whether some worker may have begun the request.
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -33,6 +33,8 @@
 	orders     metric.Int64Counter
 	// warmUp counts tokens of the warm-up allowance, by outcome.
 	warmUp metric.Int64Counter
+	// broken counts attempts that their workers broke off.
+	broken metric.Int64Counter
 	// connections counts what carried requests to workers.
 	connections metric.Int64Counter
 	// datagrams and datagramBytes count what was sent to peers.
@@ -113,6 +115,11 @@
 	if err != nil {
 		return err
 	}
+	m.broken, err = meter.Int64Counter("quartzshelf_attempts_broken",
+		metric.WithDescription("Attempts whose connection the worker ended within, by service."))
+	if err != nil {
+		return err
+	}
 	m.connections, err = meter.Int64Counter("quartzshelf_connections",
 		metric.WithDescription("Connections that carried requests to workers, by service, opened or reused."))
 	if err != nil {
@@ -193,6 +200,11 @@
 	m.warmUp.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// Broken counts an attempt that a worker of a service broke off.
+func (m *Meter) Broken(service string) {
+	m.broken.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
 // Connection counts a connection to a worker of a service that is to carry a
 // request, either opened for it or reused.
 func (m *Meter) Connection(service string, reused bool) {
