--- a/common/reason/reason.go
+++ b/common/reason/reason.go
@@ -38,6 +38,8 @@
 	HallClosed         Reason = "hall_closed"
 	RegionNotAllowed   Reason = "region_not_allowed"
 	WarmUp             Reason = "warm_up"
+	// Quarantined: the request ended the workers that ran it.
+	Quarantined Reason = "quarantined"
 )
 
 // Reasons for which a replica is passed over that refuse no request by themselves.
@@ -81,7 +83,7 @@
 		NoReplica, Overloaded, AccountLimit, FairShare, Starting, Stopping, Isolated,
 		IntentLog, KeyMismatch, KeyInvalid, KeyExpired, KeyPending, KeyHolderGone, RetryBudget,
 		EndpointRefused, EndpointUnreached, EndpointBroken, EndpointTimeout, EndpointCrossed,
-		ConfigurationClash, HallClosed, RegionNotAllowed, WarmUp,
+		ConfigurationClash, HallClosed, RegionNotAllowed, WarmUp, Quarantined,
 	}
 }
 
--- a/peers/heartbeat.go
+++ b/peers/heartbeat.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/quarantine"
 )
 
 // Claim is a leader's term: the epoch of a grant and the rank of the holder
@@ -94,6 +95,8 @@
 
 	Loads  Loads   `json:"loads,omitempty"`
 	Stalls []Stall `json:"stalls,omitempty"`
+	// Quarantine is what the daemon knows of requests that end workers.
+	Quarantine []quarantine.Entry `json:"q,omitempty"`
 	// Demand is the measured work of each model, in slots busy.
 	Demand map[string]float64 `json:"demand,omitempty"`
 	// Prompts is how many prompt tokens its requests there have.
--- /dev/null
+++ b/quarantine/table_test.go
@@ -0,0 +1,388 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quartzshelf.dev/common/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// at returns a time some milliseconds after the tests' epoch.
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// numbered returns the fingerprint of one of the tests' requests.
+func numbered(number int) Fingerprint {
+	return FingerprintOf("account", "POST", "host", "/", fmt.Append(nil, number))
+}
+
+// crash returns the end of a worker with a request that was sent at one time and broke at
+// another.
+func crash(worker string, sent, ended int) Crash {
+	return Crash{Worker: worker, Sent: at(sent), Ended: at(ended)}
+}
+
+func TestWhatMarks(t *testing.T) {
+	tests := map[string]struct {
+		crashes []Crash
+		// cleared is when a run was completed; zero for never.
+		cleared int
+		marked  bool
+		count   int
+	}{
+		"one after the other": {
+			crashes: []Crash{crash("a", 0, 10), crash("b", 11, 20), crash("c", 21, 30)}, marked: true, count: 3,
+		},
+		"two": {crashes: []Crash{crash("a", 0, 10), crash("b", 11, 20)}, count: 2},
+		"a rack that ends with three copies": {
+			crashes: []Crash{crash("a", 0, 1000), crash("b", 10, 1010), crash("c", 20, 1040)}, count: 1,
+		},
+		"copies that end apart": {
+			crashes: []Crash{crash("a", 0, 1000), crash("b", 10, 1100), crash("c", 20, 1200)}, marked: true, count: 3,
+		},
+		"two racks, one after the other": {
+			crashes: []Crash{crash("a", 0, 100), crash("b", 0, 101), crash("c", 110, 300), crash("d", 110, 301)}, count: 2,
+		},
+		"one worker, seen by three daemons": {
+			crashes: []Crash{crash("a", 0, 10), crash("a", 11, 300), crash("a", 0, 600)}, count: 1,
+		},
+		"a run that completed between": {
+			crashes: []Crash{crash("a", 0, 10), crash("b", 11, 200), crash("c", 400, 600)}, cleared: 300, count: 1,
+		},
+		"a run that completed before": {
+			crashes: []Crash{crash("a", 10, 20), crash("b", 21, 200), crash("c", 400, 600)}, cleared: 5, marked: true, count: 3,
+		},
+		"told in another order": {
+			crashes: []Crash{crash("c", 21, 30), crash("a", 0, 10), crash("b", 11, 20)}, marked: true, count: 3,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table, now, f := NewTable(), at(5000), numbered(1)
+			if test.cleared > 0 {
+				table.recordOf(f, now).clear(at(test.cleared))
+			}
+			marked := false
+			for _, c := range test.crashes {
+				_, m := table.Blame(f, c, now)
+				marked = marked || m
+			}
+			state := table.State(f, now)
+			assert.Equal(t, marked, test.marked)
+			assert.Equal(t, state.Quarantined, test.marked)
+			assert.Equal(t, state.Crashes, test.count)
+		})
+	}
+}
+
+// mark quarantines a request in a table by crashes that ended before a time.
+func mark(t *testing.T, table *Table, f Fingerprint, ended int) {
+	t.Helper()
+	for i := range crashesToMark {
+		table.Blame(f, crash(fmt.Sprintf("%s-%d", f, i), ended-10*(crashesToMark-i), ended-10*(crashesToMark-i)+9), at(ended))
+	}
+	assert.Assert(t, table.State(f, at(ended)).Quarantined)
+}
+
+// TestPeriodsGrow: a request that is let through again ends one worker, not three, and stays
+// away twice as long after that.
+func TestPeriodsGrow(t *testing.T) {
+	table, f := NewTable(), numbered(1)
+	mark(t, table, f, 1000)
+	until := table.State(f, at(1000)).Until
+	total, ended := 0, 0
+	for until.Sub(epoch) < 7*24*time.Hour {
+		assert.Assert(t, !table.State(f, until).Quarantined)
+		ended++
+		now := until.Add(time.Second)
+		_, marked := table.Blame(f, Crash{Worker: fmt.Sprint("later-", ended), Sent: until, Ended: now}, now)
+		assert.Assert(t, marked)
+		next := table.State(f, now).Until
+		assert.Assert(t, next.Sub(now) >= min(2*firstPeriod, mostPeriod))
+		until = next
+		total++
+	}
+	assert.Assert(t, total+crashesToMark <= 16, "%d workers in a week", total+crashesToMark)
+}
+
+func TestCompletedRunEndsAQuarantine(t *testing.T) {
+	table, f := NewTable(), numbered(1)
+	mark(t, table, f, 1000)
+	assert.Assert(t, table.Clear(f, at(1200)))
+	assert.Equal(t, table.State(f, at(1200)), State{})
+	assert.Assert(t, !table.Clear(f, at(1300)), "it is cleared already")
+	mark(t, table, f, 2000)
+	assert.Assert(t, !NewTable().Clear(f, at(1200)), "nothing was known of it")
+}
+
+// pass passes reports of one table on to another, as heartbeats do.
+func pass(from, to *Table, now time.Time, passesOn bool) Merged {
+	return to.Merge(from.Report(now, passesOn), now, now)
+}
+
+// TestNoDaemonNeedsToSeeMoreThanOne: three daemons see a crash each.
+func TestNoDaemonNeedsToSeeMoreThanOne(t *testing.T) {
+	tables, f := []*Table{NewTable(), NewTable(), NewTable()}, numbered(1)
+	for i, table := range tables {
+		_, marked := table.Blame(f, crash(fmt.Sprint(i), 100*i, 100*i+50), at(100*i+50))
+		assert.Assert(t, !marked)
+	}
+	now := at(400)
+	for _, from := range tables {
+		for _, to := range tables {
+			pass(from, to, now, false)
+		}
+	}
+	for _, table := range tables {
+		assert.Assert(t, table.State(f, now).Quarantined)
+	}
+}
+
+// TestMembersHearByRelays: what a member saw comes to the members of another hall by way of
+// two relays, and a member does not pass on what it only heard.
+func TestMembersHearByRelays(t *testing.T) {
+	member, relayA, relayB, far, f := NewTable(), NewTable(), NewTable(), NewTable(), numbered(1)
+	member.Blame(f, crash("a", 0, 50), at(50))
+	now := at(60)
+	assert.Assert(t, pass(member, relayA, now, false).News)
+	assert.Assert(t, pass(relayA, relayB, now, true).News)
+	assert.Assert(t, pass(relayB, far, now, true).News)
+	assert.Equal(t, far.State(f, now).Crashes, 1)
+	assert.Equal(t, len(far.Report(now, false)), 0)
+	assert.Assert(t, !pass(relayB, far, now, true).News, "it is known already")
+}
+
+// TestReportsJoin gives tables reports in any order, twice, late and through others: all
+// come to know the same, and what is cleared stays so.
+func TestReportsJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{NewTable(), NewTable(), NewTable()}
+		draw := func(label string) *Table { return tables[rapid.IntRange(0, len(tables)-1).Draw(t, label)] }
+		now, workers, cleared := 10_000, 0, false
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			now += rapid.IntRange(1, 60).Draw(t, "pause")
+			from := draw("from")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				workers++
+				sent := now - rapid.IntRange(1, 40).Draw(t, "ran")
+				from.Blame(numbered(1), crash(fmt.Sprint(workers), sent, now), at(now))
+			case 2:
+				cleared = cleared || from.Clear(numbered(1), at(now))
+			default:
+				pass(from, draw("to"), at(now), true)
+			}
+		}
+		now = tellAll(tables, now)
+		first := tables[0].State(numbered(1), at(now))
+		for _, table := range tables[1:] {
+			state := table.State(numbered(1), at(now))
+			assert.Equal(t, state.Quarantined, first.Quarantined)
+			assert.Assert(t, cleared || state.Crashes == first.Crashes)
+		}
+	})
+}
+
+// tellAll lets reports go on until each has reached all, within the time that news is told,
+// and returns when that is.
+func tellAll(tables []*Table, now int) int {
+	for range 2 * len(tables) {
+		now += 200
+		for _, from := range tables {
+			for _, to := range tables {
+				pass(from, to, at(now), true)
+			}
+		}
+	}
+	return now
+}
+
+func TestLiftIsTold(t *testing.T) {
+	a, b, f := NewTable(), NewTable(), numbered(1)
+	mark(t, a, f, 1000)
+	assert.DeepEqual(t, pass(a, b, at(1000), false).Marked, []Fingerprint{f})
+	assert.Assert(t, a.Clear(f, at(2000)))
+	assert.DeepEqual(t, pass(a, b, at(2001), false).Lifted, []Fingerprint{f})
+	assert.Assert(t, !pass(b, a, at(2002), true).News)
+	assert.Equal(t, a.State(f, at(2002)), State{})
+	assert.Equal(t, b.State(f, at(2002)), State{})
+}
+
+// TestMarksAreToldInTurn: a daemon that starts later hears of all marks within seconds, and
+// no report is long.
+func TestMarksAreToldInTurn(t *testing.T) {
+	const marks = 256
+	old, young := NewTable(), NewTable()
+	for i := range marks {
+		mark(t, old, numbered(i), 1000+i)
+	}
+	now, largest := at(60_000), 0
+	for range 16 {
+		now = now.Add(200 * time.Millisecond)
+		report := old.Report(now, false)
+		data, err := json.Marshal(report)
+		assert.NilError(t, err)
+		largest = max(largest, len(data))
+		young.Merge(report, now, now)
+	}
+	assert.Equal(t, len(young.Marks(now)), marks)
+	assert.Assert(t, largest < 8<<10, "a report has %d bytes", largest)
+}
+
+func TestMarksThatWereKept(t *testing.T) {
+	table, f, now := NewTable(), numbered(1), at(1000)
+	kept := Mark{Fingerprint: f, MarkedAt: at(0), Until: at(600_000), Rounds: 1}
+	assert.Assert(t, table.Restore(kept, now))
+	assert.Assert(t, !table.Restore(kept, now), "it is known already")
+	assert.Assert(t, table.State(f, now).Quarantined)
+	assert.Equal(t, len(table.Report(now, false)), 1)
+	assert.Assert(t, table.Clear(f, at(2000)))
+	assert.Assert(t, !table.Restore(kept, at(2001)), "it was lifted since")
+	over := Mark{Fingerprint: numbered(2), MarkedAt: at(0), Until: at(500), Rounds: 1}
+	assert.Assert(t, !table.Restore(over, now))
+}
+
+// TestMemoryIsBounded: what is not quarantined is forgotten first, the oldest before others.
+func TestMemoryIsBounded(t *testing.T) {
+	table := NewTable()
+	mark(t, table, numbered(0), 1000)
+	for i := 1; i <= 2*recordsMost; i++ {
+		table.Blame(numbered(i), crash(fmt.Sprint(i), 2000+i, 2000+i), at(2000+i))
+	}
+	now := at(2000 + 2*recordsMost)
+	assert.Equal(t, len(table.records), recordsMost)
+	assert.Assert(t, table.State(numbered(0), now).Quarantined)
+	assert.Equal(t, table.State(numbered(1), now).Crashes, 0)
+	assert.Equal(t, table.State(numbered(2*recordsMost), now).Crashes, 1)
+	table.Sweep(now.Add(rememberFor + time.Second))
+	assert.Equal(t, len(table.records), 1)
+	table.Sweep(now.Add(firstPeriod + rememberFor))
+	assert.Assert(t, table.Empty())
+}
+
+// TestReportsOfAnything: whatever a peer sends, the table stays bounded and does not end its
+// daemon.
+func TestReportsOfAnything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		age := rapid.OneOf(rapid.Int64(), rapid.Int64Range(-10, 5000))
+		var all []Entry
+		for range rapid.IntRange(0, 100).Draw(t, "entries") {
+			e := Entry{
+				Fingerprint: numbered(rapid.IntRange(0, 3).Draw(t, "of")), Cleared: age.Draw(t, "cleared"), Marked: age.Draw(t, "marked"),
+				Left: age.Draw(t, "left"), Rounds: int(age.Draw(t, "rounds")),
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "crashes") {
+				e.Crashes = append(e.Crashes, CrashReport{Worker: rapid.String().Draw(t, "worker"), Sent: age.Draw(t, "sent"), Ended: age.Draw(t, "ended")})
+			}
+			all = append(all, e)
+		}
+		table, now := NewTable(), at(1_000_000)
+		table.Merge(all, now, now)
+		for _, r := range table.records {
+			assert.Assert(t, len(r.crashes) <= crashesKept)
+			assert.Assert(t, !r.until.After(now.Add(2*mostPeriod)))
+			assert.Assert(t, r.rounds <= roundsMost)
+		}
+		_ = table.Report(now, true)
+	})
+}
+
+// The worst second that was measured: 25 replicas, of which one ends each 400 ms whatever it
+// runs; 60 requests a second, each of which runs for 1.2 s and is sent four times at most (two
+// attempts of a caller with two sends each), and one text that comes five times a second.
+const (
+	innocentReplicas, innocentSeconds  = 25, 600
+	innocentStep, innocentRuns         = 10, 1200
+	innocentEndsEvery                  = 400
+	innocentPerSecond, innocentPopular = 60, 5
+	innocentSends                      = 4
+	// innocentMost is the share of requests that may be marked: a run ends with its replica
+	// with 0.12, three do with 0.0017, and those that do have one send left to lose.
+	innocentMost = 0.0025
+)
+
+// innocentRun is a request at a replica.
+type innocentRun struct {
+	fingerprint   Fingerprint
+	replica, sent int
+	sends         int
+}
+
+// innocents plays them.
+type innocents struct {
+	random            *rand.Rand
+	table             *Table
+	requests, workers int
+	running           []innocentRun
+	marked            map[Fingerprint]bool
+}
+
+// TestInnocentRequestsAreNotMarked: what tells guilt from company is that other runs
+// complete.
+func TestInnocentRequestsAreNotMarked(t *testing.T) {
+	p := &innocents{random: rand.New(rand.NewPCG(1, 2)), table: NewTable(), marked: make(map[Fingerprint]bool)}
+	for now := 0; now < innocentSeconds*1000; now += innocentStep {
+		p.arrive(now)
+		p.step(now)
+	}
+	share := float64(len(p.marked)) / float64(p.requests)
+	t.Logf("%.5f of %d requests marked", share, p.requests)
+	assert.Assert(t, !p.marked[numbered(0)])
+	assert.Assert(t, share <= innocentMost, "%v of %d requests were marked", share, p.requests)
+}
+
+// arrive draws the requests that come in a step.
+func (p *innocents) arrive(now int) {
+	for range innocentStep * (innocentPerSecond + innocentPopular) {
+		if p.random.IntN(1000) > 0 {
+			continue
+		}
+		p.requests++
+		f := numbered(p.requests)
+		if p.random.IntN(innocentPerSecond+innocentPopular) < innocentPopular {
+			f = numbered(0)
+		}
+		p.running = append(p.running, innocentRun{fingerprint: f, replica: p.random.IntN(innocentReplicas), sent: now, sends: 1})
+	}
+}
+
+// step ends a replica when it is time, and the runs that are complete.
+func (p *innocents) step(now int) {
+	ended := -1
+	if now%innocentEndsEvery == 0 {
+		ended = p.random.IntN(innocentReplicas)
+		p.workers++
+	}
+	before := p.running
+	p.running = nil
+	for _, r := range before {
+		switch {
+		case r.replica == ended:
+			p.broke(r, now)
+		case now-r.sent >= innocentRuns:
+			p.table.Clear(r.fingerprint, at(now))
+		default:
+			p.running = append(p.running, r)
+		}
+	}
+	p.table.Sweep(at(now))
+}
+
+// broke blames a request for the end of its replica, and sends it again if it may be sent.
+func (p *innocents) broke(r innocentRun, now int) {
+	if _, marked := p.table.Blame(r.fingerprint, crash(fmt.Sprint(p.workers), r.sent, now), at(now)); marked {
+		p.marked[r.fingerprint] = true
+	}
+	if r.sends < innocentSends {
+		p.running = append(p.running, innocentRun{fingerprint: r.fingerprint, replica: p.random.IntN(innocentReplicas), sent: now, sends: r.sends + 1})
+	}
+}
--- a/relay/broken.go
+++ b/relay/broken.go
@@ -22,25 +22,34 @@
 // fingerprint returns the request's fingerprint, which is computed when it is first asked for.
 func (c *request) fingerprint() quarantine.Fingerprint {
 	c.fingerprintOnce.Do(func() {
-		account := ""
-		if c.tenant != nil {
-			account = c.tenant.Name
-		}
-		c.fingerprintHeld = quarantine.FingerprintOf(account, c.method, c.host, c.target, c.body)
+		c.fingerprinted.Store(true)
+		c.fingerprintHeld = quarantine.FingerprintOf(c.account(), c.method, c.host, c.target, c.body)
 	})
 	return c.fingerprintHeld
 }
 
+// fingerprintIfKnown returns the fingerprint as logs show it if a decision asked for it.
+func (c *request) fingerprintIfKnown() string {
+	if !c.fingerprinted.Load() {
+		return ""
+	}
+	return c.fingerprint().String()
+}
+
+// account returns the name of the client account; empty for a route that needs no key.
+func (c *request) account() string {
+	if c.tenant == nil {
+		return ""
+	}
+	return c.tenant.Name
+}
+
 // tellBroken logs an attempt that broke off, and by what the request is known again when it
 // comes under another id: which requests were at a worker when it ended shows in these lines.
 func (r *Relay) tellBroken(c *request, replica *fleet.Replica, err error) {
-	account := ""
-	if c.tenant != nil {
-		account = c.tenant.Name
-	}
 	r.opts.Meter.Broken(c.service)
 	r.opts.Logger.Info("attempt broke off", "request", c.id, "fingerprint", c.fingerprint().String(),
-		"account", account, "host", c.host, "target", c.target, "bytes", len(c.body),
+		"account", c.account(), "host", c.host, "target", c.target, "bytes", len(c.body),
 		"worker", replica.Head.ID, "replica", replica.ID, "busy", c.chosenBusy, "sends", c.sends,
 		"sent_ms", time.Since(c.sentAt).Milliseconds(), "error", err)
 }
--- a/relay/cost.go
+++ b/relay/cost.go
@@ -34,6 +34,9 @@
 	service time.Duration
 	// kept holds the workers to which a connection is kept.
 	kept map[string]bool
+	// fewest has the replica chosen that has the least work in flight: if the request ends
+	// it, the fewest others break with it.
+	fewest bool
 }
 
 // costsOf returns the costs of a service and model; slots counts for services
--- /dev/null
+++ b/relay/ended.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"quartzshelf.dev/fleet"
+)
+
+const (
+	// endedWait bounds how long it is looked whether a worker has ended. It takes a round
+	// trip, 2.8 ms between data halls.
+	endedWait = 500 * time.Millisecond
+	// endedSoon is how long a request waits for that before it goes on elsewhere: ten round
+	// trips, a tenth of the pauses that callers bear.
+	endedSoon = 30 * time.Millisecond
+	// endedFor is how long an answer counts. A worker that lives may end a moment later,
+	// which connections that break then show.
+	endedFor = 100 * time.Millisecond
+)
+
+// endings tells whether workers have ended whose connections broke: a connection also breaks
+// at a worker that lives, or on its way there. It is safe for concurrent use.
+type endings struct {
+	// dial opens a connection to a worker's address.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// replaced reports whether another life has the address of a worker that accepts
+	// connections; nil if that can't be told.
+	replaced func(ctx context.Context, w *fleet.Worker) (bool, error)
+	// told is called when an error left it open whether a worker ended.
+	told   func(w *fleet.Worker, err error)
+	checks conc.WaitGroup
+
+	mu   sync.Mutex
+	held map[string]*ending
+}
+
+// ending is one look at a worker.
+type ending struct {
+	// forgetAt is from when it is looked again.
+	forgetAt time.Time
+	// done is closed when it is known whether the worker has ended.
+	done  chan struct{}
+	ended bool
+}
+
+// of returns the look at a worker whose connection broke now. All that break at the same
+// moment share one.
+func (e *endings) of(w *fleet.Worker, now time.Time) *ending {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, held := range e.held {
+		if held.isDone() && !now.Before(held.forgetAt) {
+			delete(e.held, id)
+		}
+	}
+	if held, ok := e.held[w.ID]; ok {
+		return held
+	}
+	look := &ending{forgetAt: now.Add(endedFor), done: make(chan struct{})}
+	e.held[w.ID] = look
+	e.checks.Go(func() {
+		defer close(look.done)
+		look.ended = e.look(w)
+	})
+	return look
+}
+
+func (l *ending) isDone() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// look reports whether nobody listens at a worker's address any more, or another life of it.
+// Silence tells nothing: a link may be cut, or the machine stand still.
+func (e *endings) look(w *fleet.Worker) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), endedWait)
+	defer cancel()
+	c, err := e.dial(ctx, "tcp", w.Address)
+	if err != nil {
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		if !refused {
+			e.told(w, err)
+		}
+		return refused
+	}
+	_ = c.Close()
+	if e.replaced == nil {
+		return false
+	}
+	replaced, err := e.replaced(ctx, w)
+	if err != nil {
+		e.told(w, err)
+	}
+	return replaced
+}
--- a/relay/engine_test.go
+++ b/relay/engine_test.go
@@ -44,9 +44,14 @@
 	// passes is how long a pass takes without reading; zero for playedPass.
 	passes time.Duration
 	mute   func(request string) bool
-
-	mu   sync.Mutex
-	runs []*playedRun
+	// runsText is called with the body of each request that begins to run.
+	runsText func(h *playedHead, body string)
+
+	mu sync.Mutex
+	// conns are the connections that the head has accepted.
+	conns []net.Conn
+	over  bool
+	runs  []*playedRun
 	// seen lists the requests in the order in which they came.
 	seen []string
 }
@@ -54,6 +59,7 @@
 // playedRun is a request at a head.
 type playedRun struct {
 	id   string
+	body string
 	conn net.Conn
 	// rank is the request's priority, 0 being the most urgent.
 	rank int
@@ -75,6 +81,26 @@
 	}
 }
 
+// accept takes a connection, which breaks when the head ends.
+func (h *playedHead) accept(c net.Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.conns = append(h.conns, c)
+	if h.over {
+		_ = c.Close()
+	}
+}
+
+// end breaks all connections; nothing runs after it.
+func (h *playedHead) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.over, h.runs = true, nil
+	for _, c := range h.conns {
+		_ = c.Close()
+	}
+}
+
 // serve answers the requests of a connection.
 func (h *playedHead) serve(p *sync.WaitGroup, c net.Conn) {
 	defer func() { _ = c.Close() }()
@@ -84,10 +110,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
 			return
 		}
-		run := &playedRun{id: request.Header.Get(testNames.Attempt), conn: c, next: 1, done: make(chan struct{})}
+		run := &playedRun{body: string(body), id: request.Header.Get(testNames.Attempt), conn: c, next: 1, done: make(chan struct{})}
 		run.toRead = time.Duration(promptTokens(request.Header.Get(testNames.Usage))) * playedToken
 		if last, err := strconv.Atoi(request.Header.Get(testNames.LastEvent)); err == nil {
 			run.next = last + 1
@@ -160,6 +187,9 @@
 			kept = append(kept, run)
 			continue
 		}
+		if !run.let && h.runsText != nil {
+			h.runsText(h, run.body)
+		}
 		run.let = true
 		piece := min(run.toRead, playedReading-read)
 		run.toRead, read = run.toRead-piece, read+piece
--- a/relay/play_test.go
+++ b/relay/play_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +19,7 @@
 
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/peers"
+	"quartzshelf.dev/quarantine"
 	"quartzshelf.dev/telemetry"
 )
 
@@ -30,8 +31,15 @@
 	daemons   []*Relay
 	// leaves is how long callers wait for the first event.
 	leaves time.Duration
-	calls  sync.WaitGroup
-	work   sync.WaitGroup
+	// body is the body of a request; all have the same if it is nil.
+	body func(id string) string
+	// table is what all daemons know of requests that end heads, as if each heard of it at
+	// once.
+	table *quarantine.Table
+	// ended counts the heads that ended.
+	ended int
+	calls sync.WaitGroup
+	work  sync.WaitGroup
 
 	mu      sync.Mutex
 	results map[string]playedCall
@@ -47,7 +55,7 @@
 func newPlay(t *testing.T, daemons int, heads ...*playedHead) *play {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &play{ctx: ctx, leaves: playedLeaves, heads: make(map[string]*playedHead), results: make(map[string]playedCall)}
+	p := &play{ctx: ctx, leaves: playedLeaves, table: quarantine.NewTable(), heads: make(map[string]*playedHead), results: make(map[string]playedCall)}
 	p.inventory = fleet.NewInventory(1200*time.Millisecond, 0)
 	for _, h := range heads {
 		p.join(h)
@@ -87,7 +95,8 @@
 	r := New(Options{
 		Names: testNames, Config: func() *fleet.Config { return config }, Confirmed: time.Now,
 		ServeLate: true, View: p.inventory.View, Tracker: NewTracker("", func(*fleet.Replica) {}),
-		Budget:  BudgetOptions{Ratio: 0.2, Window: 10 * time.Second, Extra: 1000, Daemons: func() int { return daemons }},
+		Budget:     BudgetOptions{Ratio: 0.2, Window: 10 * time.Second, Extra: 1000, Daemons: func() int { return daemons }},
+		Quarantine: p.table, Spread: func() { p.cutOff() },
 		Leaving: func() bool { return false }, Meter: meter, Logger: hclog.NewNullLogger(),
 	})
 	r.upstream.dial = func(_ context.Context, _, address string) (net.Conn, error) {
@@ -95,15 +104,50 @@
 		h, ok := p.heads[address]
 		p.mu.Unlock()
 		if !ok {
-			return nil, errors.New("connection refused")
+			return nil, syscall.ECONNREFUSED
 		}
 		near, far := net.Pipe()
+		h.accept(far)
 		p.work.Go(func() { h.serve(&p.work, far) })
 		return near, nil
 	}
 	return r
 }
 
+// cutOff tells all daemons of the requests that are quarantined.
+func (p *play) cutOff() {
+	var all []quarantine.Fingerprint
+	for _, m := range p.table.Marks(time.Now()) {
+		all = append(all, m.Fingerprint)
+	}
+	for _, r := range p.daemons {
+		r.CutOff(all)
+	}
+}
+
+// end ends a head: its connections break, none is accepted any more, and the list loses it
+// after three heartbeats. Another one takes its place.
+func (p *play) end(h *playedHead) {
+	p.mu.Lock()
+	if p.heads[h.id] != h {
+		p.mu.Unlock()
+		return
+	}
+	delete(p.heads, h.id)
+	p.ended++
+	next := &playedHead{id: fmt.Sprintf("%s-%d", h.id, p.ended), zone: h.zone, runsText: h.runsText}
+	p.mu.Unlock()
+	h.end()
+	p.work.Go(func() {
+		wait(p.ctx, 3*1200*time.Millisecond)
+		p.inventory.Apply([]fleet.Change{{ID: h.id}}, p.inventory.Position()+1, time.Now())
+	})
+	p.work.Go(func() {
+		wait(p.ctx, 2*time.Second)
+		p.join(next)
+	})
+}
+
 // report tells each daemon the loads at the others, five times a second, as late as
 // relays of a large fleet do.
 func (p *play) report() {
@@ -164,7 +208,11 @@
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(p.ctx, patience)
 	defer cancel()
-	request := httptest.NewRequest(http.MethodPost, "/stream/", strings.NewReader("body")).WithContext(ctx)
+	body := "body"
+	if p.body != nil {
+		body = p.body(id)
+	}
+	request := httptest.NewRequest(http.MethodPost, "/stream/", strings.NewReader(body)).WithContext(ctx)
 	request.Host = "h"
 	request.Header.Set(testNames.Attempt, id)
 	request.Header.Set(testNames.Model, "m")
--- /dev/null
+++ b/relay/quarantine_test.go
@@ -0,0 +1,319 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/common/reason"
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/quarantine"
+)
+
+// TestWhatIsNoCrash gives a relay attempts that fail at workers which live, or that end as
+// they had said: no request is blamed for any of them.
+func TestWhatIsNoCrash(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		script behaviour
+		// prepare changes the worker or its entry before the request.
+		prepare func(r *testRelay, w *fakeWorker)
+		change  func(*http.Request)
+		blamed  bool
+	}{
+		"a reset connection":                    {path: "/safe/", script: drops},
+		"a lost answer":                         {path: "/safe/", script: loses},
+		"a cut answer":                          {path: "/safe/", script: cuts},
+		"a torn stream":                         {path: "/stream/", script: tears},
+		"bytes that are no answer":              {path: "/safe/", script: garbles},
+		"an answer without signature":           {path: "/safe/", script: unsigned},
+		"a rejection":                           {path: "/safe/", script: rejects},
+		"a failure of the worker":               {path: "/safe/", script: fails},
+		"a silent stream":                       {path: "/stream/", script: stalls},
+		"our own patience":                      {path: "/stream/", script: stalls, change: func(h *http.Request) { h.Header.Set(testNames.Deadline, "100") }},
+		"a worker that ends":                    {path: "/safe/", script: ends, blamed: true},
+		"a stream whose worker ends":            {path: "/stream/", script: ends, blamed: true},
+		"a worker that said it leaves":          {path: "/safe/", script: ends, prepare: (*testRelay).drain},
+		"an address that is not there any more": {path: "/safe/", prepare: func(_ *testRelay, w *fakeWorker) { _ = w.listener.Close() }},
+		"another life at the address": {
+			path: "/safe/", script: loses, blamed: true,
+			prepare: func(r *testRelay, _ *fakeWorker) {
+				r.endings.replaced = func(context.Context, *fleet.Worker) (bool, error) { return true, nil }
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorker(t, "w", test.script)
+			r, server := newTestRelay(t, w)
+			if test.prepare != nil {
+				test.prepare(r, w)
+			}
+			do(t, server, test.path, "a", test.change)
+			assert.Equal(t, !r.opts.Quarantine.Empty(), test.blamed)
+		})
+	}
+}
+
+// drain lists a worker as leaving from the moment at which it gets a request.
+func (r *testRelay) drain(w *fakeWorker) {
+	w.arrived = func() {
+		entry := w.entry()
+		entry.Draining = true
+		r.inventory.Apply([]fleet.Change{{ID: w.id, Worker: entry}}, 2, time.Now())
+	}
+}
+
+// marked quarantines a request of the tests in a relay.
+func marked(r *testRelay, target, account, body string) quarantine.Fingerprint {
+	f := quarantine.FingerprintOf(account, http.MethodPost, "h", target, []byte(body))
+	blame(r.opts.Quarantine, f, 3, time.Now())
+	return f
+}
+
+// blame notes crashes of a request, one after the other, up to now.
+func blame(table *quarantine.Table, f quarantine.Fingerprint, crashes int, now time.Time) {
+	for i := range crashes {
+		ended := now.Add(time.Duration(i-crashes) * time.Second)
+		table.Blame(f, quarantine.Crash{Worker: fmt.Sprint(i), Sent: ended, Ended: ended}, now)
+	}
+}
+
+// TestQuarantinedRequest: it is refused at once and truly, whoever sends it under the same
+// account, and nobody else is.
+func TestQuarantinedRequest(t *testing.T) {
+	tests := map[string]struct {
+		account, path, body string
+		status              int
+	}{
+		"the same":        {account: "tenant", path: "/safe/", body: "body", status: http.StatusServiceUnavailable},
+		"another account": {account: "other", path: "/safe/", body: "body", status: http.StatusOK},
+		"another path":    {account: "tenant", path: "/safe/other", body: "body", status: http.StatusOK},
+		"another body":    {account: "tenant", path: "/safe/", body: "other", status: http.StatusOK},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorker(t, "w")
+			r, server := newTestRelay(t, w)
+			marked(r, test.path, test.account, test.body)
+			got := do(t, server, "/safe/", "a", nil)
+			assert.Equal(t, got.status, test.status)
+			if test.status == http.StatusOK {
+				return
+			}
+			assert.Equal(t, w.runs("a"), 0)
+			assert.Assert(t, strings.Contains(got.body, string(reason.Quarantined)))
+			seconds, err := time.ParseDuration(got.header.Get("Retry-After") + "s")
+			assert.NilError(t, err)
+			assert.Assert(t, seconds > 9*time.Minute, "it is told to come back after %s", seconds)
+			assert.Equal(t, r.opts.Meter.Refusals()[reason.Quarantined], int64(1))
+		})
+	}
+}
+
+// TestSuspectsRunBesideTheFewest: a request that ended two workers goes to the replica whose
+// end breaks the fewest others, whatever else speaks for another.
+func TestSuspectsRunBesideTheFewest(t *testing.T) {
+	tracker := NewTracker("here", func(*fleet.Replica) {})
+	near, far := testReplica("near", "here"), testReplica("far", "there")
+	tracker.Begin(near, 0)
+	tracker.Begin(far, 5000)
+	tracker.Begin(near, 0)
+	now := time.Now()
+	for range 20 {
+		choice, ok := tracker.Choose([]*fleet.Replica{near, far}, nil, testCosts, 10, now)
+		assert.Assert(t, ok && choice.Replica == near)
+		fewest := testCosts
+		fewest.fewest = true
+		choice, ok = tracker.Choose([]*fleet.Replica{near, far}, nil, fewest, 10, now)
+		assert.Assert(t, ok && choice.Replica == far)
+	}
+}
+
+// TestSuspectedRequestIsSentThere: a request that ended two workers goes beside the fewest
+// though the other replica is nearer, another request does not.
+func TestSuspectedRequestIsSentThere(t *testing.T) {
+	tests := map[string]int{"one crash": 1, "two crashes": 2}
+	for name, crashes := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near := &playedHead{id: "near"}
+				far := &playedHead{id: "far"}
+				p := newPlay(t, 1, near, far)
+				tracker, now := p.daemons[0].opts.Tracker, time.Now()
+				for _, replica := range p.inventory.View().Replicas("models", "m") {
+					// The far one has long prompts to read, the near one more requests.
+					tracker.Begin(replica, 0)
+					if replica.Head.ID == near.id {
+						tracker.Begin(replica, 0)
+					} else {
+						tracker.loadOf(replica).prefill = 20_000
+					}
+				}
+				f := quarantine.FingerprintOf("", http.MethodPost, "h", "/stream/", []byte("body"))
+				blame(p.table, f, crashes, now)
+				p.send(0, "a", 10, 6*time.Second)
+				assert.Equal(t, len(far.seen) > 0, crashes > 1)
+			})
+		})
+	}
+}
+
+// TestQuarantineCutsOffWhatHasNotBegun: a copy that waits at a head would end it; one whose
+// events come goes on, and shows that the quarantine was wrong.
+func TestQuarantineCutsOffWhatHasNotBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 1, &playedHead{id: "a", mute: func(id string) bool { return id == "waits" }})
+		r := p.daemons[0]
+		r.opts.Spread = func() {}
+		p.call(0, "runs", 10, 6*time.Second)
+		p.call(0, "waits", 10, 6*time.Second)
+		time.Sleep(150 * time.Millisecond)
+		f := quarantine.FingerprintOf("", http.MethodPost, "h", "/stream/", []byte("body"))
+		now := time.Now()
+		for i := range 3 {
+			ended := now.Add(time.Duration(i-3) * time.Second)
+			r.Blame(f, quarantine.Crash{Worker: fmt.Sprint(i), Sent: ended, Ended: ended})
+		}
+		p.calls.Wait()
+		assert.Assert(t, p.served("runs"))
+		waits := p.results["waits"]
+		assert.Equal(t, waits.status, http.StatusBadGateway, "it may have run")
+		assert.Assert(t, waits.end < time.Second, "it is answered after %s", waits.end)
+		assert.Assert(t, !p.table.State(f, time.Now()).Quarantined)
+	})
+}
+
+// TestStormOfOneRequest plays copies of a request that ends each head which begins to run
+// it, eight a second at four daemons, beside 40 others a second: three heads end, and those
+// at which copies were on their way. Without quarantine 60 heads end in 10 s, and 31 of the
+// 400 others are served.
+func TestStormOfOneRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := playBesideCrashes(t, func(p *play) {
+			for i := range 80 {
+				time.Sleep(125 * time.Millisecond)
+				p.call(i%len(p.daemons), fmt.Sprint("crash", i), 100, 6*time.Second)
+			}
+		})
+		served := p.count("other", playedOthers, p.served)
+		t.Logf("%d heads ended, %d of %d others served", p.ended, served, playedOthers)
+		assert.Assert(t, p.ended <= 6, "%d heads ended", p.ended)
+		assert.Assert(t, served >= playedOthers*98/100, "%d others are served", served)
+	})
+}
+
+// TestPopularRequestBesideCrashes plays one text that comes five times a second while a head
+// ends by itself every 700 ms: no quarantine begins, and as much is served as of the others.
+func TestPopularRequestBesideCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const copies = 50
+		p := playBesideCrashes(t, func(p *play) {
+			for i := range copies {
+				time.Sleep(200 * time.Millisecond)
+				p.call(i%len(p.daemons), fmt.Sprint("popular", i), 100, 6*time.Second)
+				if i%7 == 6 {
+					p.work.Go(func() { p.endOne() })
+				}
+			}
+		})
+		popular, others := p.count("popular", copies, p.served), p.count("other", playedOthers, p.served)
+		t.Logf("%d heads ended; served: %d of %d copies, %d of %d others", p.ended, popular, copies, others, playedOthers)
+		for _, r := range p.daemons {
+			assert.Equal(t, r.opts.Meter.Refusals()[reason.Quarantined], int64(0))
+		}
+		assert.Assert(t, popular >= copies*96/100, "%d copies are served", popular)
+		assert.Assert(t, others >= playedOthers*98/100, "%d others are served", others)
+	})
+}
+
+// playedOthers is how many requests of texts of their own come in the plays beside crashes.
+const playedOthers = 400
+
+// playBesideCrashes plays ten seconds of requests with texts of their own, and what is given
+// beside them.
+func playBesideCrashes(t *testing.T, beside func(p *play)) *play {
+	t.Helper()
+	const daemons, heads = 4, 12
+	var p *play
+	ends := func(h *playedHead, body string) {
+		if body == "crash" {
+			p.work.Go(func() { p.end(h) })
+		}
+	}
+	var all []*playedHead
+	for i := range heads {
+		all = append(all, &playedHead{id: fmt.Sprint("h", i), runsText: ends})
+	}
+	p = newPlay(t, daemons, all...)
+	p.body = func(id string) string {
+		kind := strings.TrimRight(id, "0123456789")
+		if kind == "other" {
+			return id
+		}
+		return kind
+	}
+	p.calls.Go(func() { beside(p) })
+	for i := range playedOthers {
+		time.Sleep(25 * time.Millisecond)
+		p.call(i%daemons, fmt.Sprint("other", i), 100, 6*time.Second)
+	}
+	p.calls.Wait()
+	return p
+}
+
+// endOne ends one of the heads.
+func (p *play) endOne() {
+	p.mu.Lock()
+	var one *playedHead
+	for _, h := range p.heads {
+		if one == nil || h.id < one.id {
+			one = h
+		}
+	}
+	p.mu.Unlock()
+	p.end(one)
+}
+
+// TestOneLookForAll: connections that break at one moment share one look at their worker,
+// and a later one looks again.
+func TestOneLookForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		looks, refuse := 0, false
+		e := &endings{held: make(map[string]*ending), told: func(*fleet.Worker, error) {}}
+		e.dial = func(context.Context, string, string) (net.Conn, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			looks++
+			if refuse {
+				return nil, syscall.ECONNREFUSED
+			}
+			near, _ := net.Pipe()
+			return near, nil
+		}
+		w := &fleet.Worker{ID: "w"}
+		for range 20 {
+			look := e.of(w, time.Now())
+			<-look.done
+			assert.Assert(t, !look.ended)
+		}
+		assert.Equal(t, looks, 1)
+		time.Sleep(endedFor)
+		refuse = true
+		look := e.of(w, time.Now())
+		<-look.done
+		assert.Assert(t, look.ended)
+		assert.Equal(t, looks, 2)
+		e.checks.Wait()
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/eligibility"
 	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/quarantine"
 	"quartzshelf.dev/telemetry"
 )
 
@@ -63,6 +65,13 @@
 	// off by default: with a hall lost twice callers earned 0.29 of what is owed with it,
 	// 0.44 without it (one play each, docs/design/nothing-lost.md).
 	ServeLate bool
+	// Quarantine holds what is known of requests that end workers; nil for a table of the
+	// relay's own. Spread is called when peers are to be told of it at once; nil for nobody.
+	Quarantine *quarantine.Table
+	Spread     func()
+	// Replaced reports whether another life has the address of a worker; nil if that can't
+	// be told.
+	Replaced func(ctx context.Context, w *fleet.Worker) (bool, error)
 	// Leaving reports whether this daemon is to stop.
 	Leaving func() bool
 	Meter   *telemetry.Meter
@@ -75,6 +84,8 @@
 	upstream  *upstream
 	budget    *budget
 	patiences *patiences
+	endings   *endings
+	unbegun   unbegun
 	// startedAt is when this daemon began.
 	startedAt time.Time
 	// answered tells that some answer was not a refusal.
@@ -86,11 +97,22 @@
 
 // New returns a relay; Run does its housekeeping.
 func New(opts Options) *Relay {
+	if opts.Quarantine == nil {
+		opts.Quarantine = quarantine.NewTable()
+	}
+	if opts.Spread == nil {
+		opts.Spread = func() {}
+	}
 	r := &Relay{
 		opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), patiences: newPatiences(),
 		startedAt: time.Now(), done: make(chan struct{}),
 	}
 	r.upstream.share, r.upstream.count = r.idleShare, opts.Meter.Connection
+	r.unbegun.held = make(map[*request]context.CancelCauseFunc)
+	r.endings = &endings{replaced: opts.Replaced, told: r.tellUnclear, held: make(map[string]*ending)}
+	r.endings.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return r.upstream.dial(ctx, network, address)
+	}
 	return r
 }
 
@@ -100,6 +122,7 @@
 // Run looks for silent replicas and closes idle connections until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
 	defer close(r.done)
+	defer r.endings.checks.Wait()
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	last := time.Now()
@@ -111,6 +134,7 @@
 			now := time.Now()
 			r.opts.Tracker.Sweep(now, now.Sub(last))
 			r.upstream.sweep(now)
+			r.opts.Quarantine.Sweep(now)
 			last = now
 		}
 	}
@@ -154,7 +178,7 @@
 		service, sends, rejections := c.service, c.sends, c.rejections
 		r.opts.Logger.Info("request refused", "request", c.id, "status", f.status, "reason", string(f.reason),
 			"service", service, "model", c.model, "sends", sends, "rejections", rejections,
-			"ms", time.Since(c.arrived).Milliseconds(), "config", r.version(), "passed_over", f.passedOver, "error", f.cause)
+			"ms", time.Since(c.arrived).Milliseconds(), "config", r.version(), "passed_over", f.passedOver, "fingerprint", c.fingerprintIfKnown(), "error", f.cause)
 	}
 	f.write(w)
 }
@@ -169,6 +193,9 @@
 // choose returns the replica for the next attempt, or why there is none.
 func (r *Relay) choose(c *request) (*fleet.Replica, *refusal) {
 	now := time.Now()
+	if f := r.quarantined(c, now); f != nil {
+		return nil, f
+	}
 	if c.tenant != nil && r.BeliefTooOld(now) {
 		return nil, unavailable(reason.Isolated, "it is not certain which keys are in force", retryRevived)
 	}
@@ -202,6 +229,7 @@
 		}
 		predicted := costsOf(c.engine, c.model, replicas[0].Head.Slots)
 		predicted.kept = r.upstream.kept(idleFor(!c.route.Repeatable()))
+		predicted.fewest = c.suspected
 		choice, ok := r.chooseFrom(c, replicas, without, predicted, now)
 		if !ok {
 			continue
@@ -258,8 +286,9 @@
 	}
 	if brokeOff(err) {
 		r.tellBroken(c, replica, err)
+		r.blame(c, replica, time.Now())
 	}
-	if !c.gaveUp() {
+	if !c.gaveUp() && !errors.Is(err, errQuarantined) {
 		r.opts.Tracker.Fail(replica, time.Now())
 		r.noteFailed(c, replica, err)
 	}
@@ -275,8 +304,11 @@
 	if c.mayHaveRan() {
 		f = refuse(http.StatusBadGateway, reason.EndpointBroken, "the worker's answer was lost")
 	}
-	if errors.Is(c.lastCause, errStalled) {
+	switch {
+	case errors.Is(c.lastCause, errStalled):
 		f.reason = reason.EndpointTimeout
+	case errors.Is(c.lastCause, errQuarantined):
+		f.reason = reason.Quarantined
 	}
 	return c.truthful(f)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quartzshelf.dev/common/reason"
@@ -55,7 +56,11 @@
 	lastCause error
 	sentAt    time.Time
 
+	// suspected tells that the next crash would quarantine the request.
+	suspected bool
+
 	fingerprintOnce sync.Once
+	fingerprinted   atomic.Bool
 	fingerprintHeld quarantine.Fingerprint
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -99,6 +99,8 @@
 func (r *Relay) tryStream(c *request, s *relayed, replica *fleet.Replica) error {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
+	r.unbegun.add(c, cancel)
+	defer r.unbegun.remove(c)
 	reserved := r.opts.Tracker.Begin(replica, c.prompt)
 	defer reserved.End()
 	watch := r.opts.Tracker.Follow(replica, costsOf(c.engine, c.model, replica.Head.Slots), cancel)
@@ -119,6 +121,7 @@
 			s.late.noteNext(c, replica.ID, now.Sub(s.movedAt))
 		} else {
 			r.opts.Meter.FirstToken(c.arrived)
+			r.unbegun.remove(c)
 			s.late.noteFirst(c, replica.ID, now)
 		}
 		reserved.Started()
@@ -129,6 +132,7 @@
 		return withCause(ctx, replica.Head.ID, &sendError{sent: true, cause: err})
 	}
 	e.finish()
+	r.completedBy(c, e)
 	return nil
 }
 
@@ -141,6 +145,7 @@
 		return &sendError{sent: true, cause: err}
 	}
 	e.finish()
+	r.completedBy(c, e)
 	got := &answer{status: e.response.StatusCode, header: forwarded(e.response.Header), body: body}
 	if s.begun || got.status < http.StatusBadRequest || got.status >= http.StatusInternalServerError && c.sends+1 < c.route.Attempts {
 		return &sendError{sent: true, cause: failure.New(failure.Remote, "read stream", replica.Head.ID, "status %d", got.status)}
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -20,6 +20,9 @@
 	failureCost = 100 * time.Millisecond
 	// leastLate is the least time that loads of peers are late by.
 	leastLate = 50 * time.Millisecond
+	// fewestCost is charged for each request in flight where the fewest are wanted; predicted
+	// waits are shorter.
+	fewestCost = 10 * time.Second
 	// noisePasses is how many times less than a pass choices are spread at least.
 	noisePasses = 5
 )
@@ -178,6 +181,9 @@
 		busy, cost := t.cost(r, c, now)
 		cost += c.connecting(r.Head.ID, busy, noise)
 		cost += time.Duration(rand.Float64() * float64(noise))
+		if c.fewest {
+			cost += time.Duration(busy * float64(fewestCost))
+		}
 		if !found || cost < bestCost {
 			best, bestCost, found = Choice{Replica: r, Busy: busy}, cost, true
 		}
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -92,6 +92,7 @@
 		return nil, withCause(c.ctx, replica.Head.ID, &sendError{sent: true, cause: err})
 	}
 	e.finish()
+	r.completedBy(c, e)
 	got := &answer{status: e.response.StatusCode, header: forwarded(e.response.Header), body: body}
 	return got, r.checkSigned(got, replica.Head.ID)
 }
--- a/relay/worker_test.go
+++ b/relay/worker_test.go
@@ -40,6 +40,8 @@
 	garbles behaviour = "garbles"
 	// stalls sends two events and then nothing.
 	stalls behaviour = "stalls"
+	// ends runs it, and the worker's process ends.
+	ends behaviour = "ends"
 )
 
 var testNames = Names{
@@ -64,6 +66,8 @@
 	// accepted counts the connections, header is added to each answer.
 	accepted int
 	header   string
+	// arrived is called when a request comes, before its behaviour is played.
+	arrived func()
 }
 
 func newFakeWorker(t *testing.T, id string, script ...behaviour) *fakeWorker {
@@ -129,6 +133,9 @@
 func (w *fakeWorker) answer(c net.Conn, r *http.Request) bool {
 	id := r.Header.Get(testNames.Attempt)
 	b := w.next()
+	if w.arrived != nil {
+		w.arrived()
+	}
 	w.mu.Lock()
 	w.heads = append(w.heads, r.Header)
 	if b != rejects && b != drops {
@@ -149,6 +156,9 @@
 		return false
 	case loses:
 		return false
+	case ends:
+		_ = w.listener.Close()
+		return false
 	case garbles:
 		write(c, "these bytes are no answer\r\n\r\n")
 		return false
--- a/serving/crashing_test.go
+++ b/serving/crashing_test.go
@@ -43,8 +43,13 @@
 // that repeats are not the cause. In the users' record two copies are sent twice each, under
 // ids of their own, and heads end 1 to 78 ms after they begin to run them.
 
-// crashingBody is the body of the request that ends each worker which runs it.
-const crashingBody = "ends each worker"
+// crashingBody is the body of the request that ends each worker which runs it, breakingBody
+// of one whose connection ends, waitingBody of one that gets no answer.
+const (
+	crashingBody = "ends each worker"
+	breakingBody = "ends its connection"
+	waitingBody  = "gets no answer"
+)
 
 var crashingNames = relay.Names{
 	Attempt: "X-Attempt", Deadline: "X-Deadline", Key: "X-Key", Tenant: "X-Tenant", Instance: "X-Instance",
@@ -62,6 +67,8 @@
 	heads   []*fleet.Worker
 	// ended counts the heads that ended, sent the requests.
 	ended, sent atomic.Int64
+	// waiting counts the requests that wait at heads.
+	waiting atomic.Int64
 }
 
 // crashingDaemon is one of them, with the part of its duties that routing needs.
@@ -97,9 +104,16 @@
 		if err != nil {
 			return
 		}
-		if string(body) == crashingBody {
+		switch string(body) {
+		case crashingBody:
 			end()
 			panic(http.ErrAbortHandler)
+		case breakingBody:
+			panic(http.ErrAbortHandler)
+		case waitingBody:
+			f.waiting.Add(1)
+			<-r.Context().Done()
+			return
 		}
 		w.Header().Set(crashingNames.Attempt, r.Header.Get(crashingNames.Attempt))
 		w.Header().Set(crashingNames.Signature, id)
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -20,6 +20,7 @@
 	h.Loads, h.Traffic = s.tracker.Loads(), s.tracker.Traffic()
 	h.Demand, h.Prompts = s.tracker.Demand()
 	h.Stalls = s.suspicions.current(now)
+	h.Quarantine = s.quarantine.Report(now, s.passesOn())
 }
 
 // age returns how long ago a time was, in milliseconds.
@@ -44,6 +45,7 @@
 	s.beliefs.Confirm(p.ConfigVersion, p.ConfigConfirmed())
 	s.inventory.Confirm(p.WorkersPosition, p.WorkersConfirmed())
 	s.suspected(p)
+	s.heardQuarantine(p)
 	if p.ConfigVersion > s.beliefs.Version() || p.WorkersPosition > s.inventory.Position() || s.inventory.Decided().Before(p.Decided) {
 		s.fetcher.want(p)
 	}
--- a/serving/options.go
+++ b/serving/options.go
@@ -72,6 +72,8 @@
 	Registry   leadership.Registry
 	MemberList MemberList
 	Orders     formation.Orders
+	// Marks keeps the requests that are quarantined.
+	Marks MarkStore
 
 	// Transport carries datagrams between daemons; without one they go by UDP.
 	Transport peers.Transport
--- /dev/null
+++ b/serving/quarantine.go
@@ -0,0 +1,186 @@
+package serving
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"quartzshelf.dev/common/pause"
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/formation"
+	"quartzshelf.dev/peers"
+	"quartzshelf.dev/quarantine"
+)
+
+const (
+	// keepMarksEvery is how often a leader looks whether marks are to be kept, readMarksEvery
+	// how often it reads those that are kept, so that a mark that an operator removes is
+	// lifted.
+	keepMarksEvery = 500 * time.Millisecond
+	readMarksEvery = 30 * time.Second
+	// readMarksAgain is how soon that is tried again when it failed.
+	readMarksAgain = 2 * time.Second
+	// liftAfter is how long ago a mark must have been read for its absence to mean that it
+	// was removed: answers of the store may be some seconds behind.
+	liftAfter = 10 * time.Second
+	// marksTimeout bounds a call to where marks are kept.
+	marksTimeout = time.Second
+)
+
+// MarkStore keeps the requests that are quarantined beyond the life of all daemons. Read and
+// Write are nil where nothing is kept.
+type MarkStore struct {
+	// Read returns the marks that are kept. Those that are not understood are left out, and
+	// reported by an error beside the others.
+	Read func(ctx context.Context) ([]quarantine.Mark, error)
+	// Write keeps a mark; one without a time at which it ends is removed.
+	Write func(ctx context.Context, m quarantine.Mark) error
+}
+
+// markKeeper keeps marks while this daemon leads.
+type markKeeper struct {
+	server *Server
+	// kept holds the marks that are known to be kept.
+	kept map[quarantine.Fingerprint]keptMark
+	// readAt is when they are to be read next.
+	readAt time.Time
+}
+
+// keptMark is a mark that is known to be kept until a time. readAt is when it was first read;
+// the zero time if it was only written.
+type keptMark struct {
+	until, readAt time.Time
+}
+
+// keepMarks keeps the marks that daemons set until ctx ends, so that a request does not begin
+// anew to end workers when all daemons have ended at once.
+func (s *Server) keepMarks(ctx context.Context) {
+	if s.opts.Marks.Read == nil || s.opts.Marks.Write == nil {
+		return
+	}
+	k := &markKeeper{server: s, kept: make(map[quarantine.Fingerprint]keptMark)}
+	for ctx.Err() == nil {
+		if s.isReader() {
+			k.look(ctx, time.Now())
+		} else {
+			// Another leader may write meanwhile.
+			k.readAt = time.Time{}
+		}
+		pause.For(ctx, keepMarksEvery)
+	}
+}
+
+// look reads what is kept when that is due, and writes what is not.
+func (k *markKeeper) look(ctx context.Context, now time.Time) {
+	if !now.Before(k.readAt) && !k.read(ctx, now) {
+		return
+	}
+	for _, m := range k.server.quarantine.Marks(now) {
+		if held, ok := k.kept[m.Fingerprint]; !ok || m.Until.After(held.until) {
+			k.write(ctx, m)
+		}
+	}
+	for f := range k.kept {
+		if !k.server.quarantine.State(f, now).Quarantined {
+			k.write(ctx, quarantine.Mark{Fingerprint: f})
+		}
+	}
+}
+
+// read takes what is kept, and reports whether it is known now. What was kept and is gone
+// was lifted by an operator.
+func (k *markKeeper) read(ctx context.Context, now time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, marksTimeout)
+	defer cancel()
+	marks, err := k.server.opts.Marks.Read(ctx)
+	if err != nil {
+		k.server.logger.Info("marks of quarantined requests not read", "error", err)
+		k.readAt = now.Add(readMarksAgain)
+		if len(marks) == 0 {
+			return false
+		}
+	}
+	if err == nil {
+		k.readAt = now.Add(readMarksEvery)
+		k.liftRemoved(marks, now)
+	}
+	for _, m := range marks {
+		held := k.kept[m.Fingerprint]
+		k.kept[m.Fingerprint] = keptMark{until: m.Until, readAt: cmp.Or(held.readAt, now)}
+		if k.server.quarantine.Restore(m, now) {
+			k.server.quarantinedNow([]quarantine.Fingerprint{m.Fingerprint}, "store")
+		}
+	}
+	return true
+}
+
+// liftRemoved lifts the marks that were read before and are not kept any more.
+func (k *markKeeper) liftRemoved(marks []quarantine.Mark, now time.Time) {
+	for f, held := range k.kept {
+		kept := slices.ContainsFunc(marks, func(m quarantine.Mark) bool { return m.Fingerprint == f })
+		if kept || held.readAt.IsZero() || now.Sub(held.readAt) < liftAfter {
+			continue
+		}
+		delete(k.kept, f)
+		if k.server.quarantine.Clear(f, now) {
+			k.server.lifted([]quarantine.Fingerprint{f}, "store")
+		}
+	}
+}
+
+// write keeps a mark, or removes one.
+func (k *markKeeper) write(ctx context.Context, m quarantine.Mark) {
+	ctx, cancel := context.WithTimeout(ctx, marksTimeout)
+	defer cancel()
+	if err := k.server.opts.Marks.Write(ctx, m); err != nil {
+		// It may be kept all the same; the next look writes it again.
+		k.server.logger.Info("mark of a quarantined request not kept", "fingerprint", m.Fingerprint.String(), "error", err)
+		return
+	}
+	if m.Until.IsZero() {
+		delete(k.kept, m.Fingerprint)
+		return
+	}
+	k.kept[m.Fingerprint] = keptMark{until: m.Until, readAt: k.kept[m.Fingerprint].readAt}
+}
+
+// heardQuarantine takes what a peer reports of requests that end workers. A relay passes news
+// on at once.
+func (s *Server) heardQuarantine(p *peers.Peer) {
+	merged := s.quarantine.Merge(p.Quarantine, p.HeardAt, time.Now())
+	s.quarantinedNow(merged.Marked, p.ID)
+	s.lifted(merged.Lifted, p.ID)
+	if merged.News && s.passesOn() {
+		s.agent.Send(time.Now())
+	}
+}
+
+// quarantinedNow deals with requests that are quarantined from now on by the word of another.
+func (s *Server) quarantinedNow(marked []quarantine.Fingerprint, by string) {
+	for _, f := range marked {
+		state := s.quarantine.State(f, time.Now())
+		s.logger.Info("request quarantined by report", "fingerprint", f.String(), "by", by, "crashes", state.Crashes, "until", state.Until)
+	}
+	s.relay.CutOff(marked)
+}
+
+func (s *Server) lifted(lifted []quarantine.Fingerprint, by string) {
+	for _, f := range lifted {
+		s.meter.Quarantine("lifted")
+		s.logger.Info("quarantine lifted", "fingerprint", f.String(), "by", by)
+	}
+}
+
+// replaced reports whether another life has the address of a worker.
+func (s *Server) replaced(ctx context.Context, w *fleet.Worker) (bool, error) {
+	if s.opts.Orders.Ask == nil {
+		return false, nil
+	}
+	_, err := s.opts.Orders.Ask(ctx, w)
+	if errors.Is(err, formation.ErrElsewhere) {
+		return true, nil
+	}
+	return false, err
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -18,6 +18,7 @@
 	"quartzshelf.dev/formation"
 	"quartzshelf.dev/leadership"
 	"quartzshelf.dev/peers"
+	"quartzshelf.dev/quarantine"
 	"quartzshelf.dev/relay"
 	"quartzshelf.dev/telemetry"
 )
@@ -64,6 +65,8 @@
 	fetcher   *fetcher
 	// warmUp bounds what workers get that warm up.
 	warmUp *allowance.Allowance
+	// quarantine holds what is known of requests that end workers.
+	quarantine *quarantine.Table
 	// suspicions holds the replicas that fell silent of late.
 	suspicions *suspicions
 	// work is the smoothed work of the fleet.
@@ -90,7 +93,7 @@
 	s := &Server{
 		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(), halls: fleet.NewHalls(opts.Bounds.Empty),
 		inventory: fleet.NewInventory(opts.Bounds.Heartbeat, opts.Bounds.Leave), suspicions: newSuspicions(),
-		readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
+		quarantine: quarantine.NewTable(), readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
 	}
 	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
 	s.fetcher = newFetcher(s)
@@ -108,6 +111,7 @@
 	s.elector = s.newElector()
 	s.warmUp = s.newWarmUp()
 	s.relay = s.newRelay()
+	meter.Gauge("requests_quarantined", func() float64 { return float64(len(s.quarantine.Marks(time.Now()))) })
 	meter.Gauge("halls_closing", s.hallsIn(fleet.HallClosing))
 	meter.Gauge("halls_closed", s.hallsIn(fleet.HallClosed))
 	return s, nil
@@ -132,6 +136,7 @@
 		Names: s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
 		View: s.inventory.View, Halls: s.halls.View, RegionOf: s.regionOf,
 		WarmUp: s.warmUp.Check, TakeWarmUp: s.takeWarmUp, NextWarmUp: s.warmUp.Next, Tracker: s.tracker, Budget: budget,
+		Quarantine: s.quarantine, Spread: func() { s.agent.Send(time.Now()) }, Replaced: s.replaced,
 		Leaving: s.leaving.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
 	})
 }
@@ -189,6 +194,7 @@
 	duties.Go(func() { s.observeWork(running) })
 	duties.Go(func() { s.meet(running) })
 	duties.Go(func() { s.watchWarmUp(running) })
+	duties.Go(func() { s.keepMarks(running) })
 	duties.Go(func() { s.serveMetrics(running) })
 	duties.Go(func() { s.tellStart(running) })
 	stopped := make(chan error, 1)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -33,6 +33,8 @@
 	orders     metric.Int64Counter
 	// warmUp counts tokens of the warm-up allowance, by outcome.
 	warmUp metric.Int64Counter
+	// quarantine counts what happened to requests that end workers.
+	quarantine metric.Int64Counter
 	// broken counts attempts that their workers broke off.
 	broken metric.Int64Counter
 	// connections counts what carried requests to workers.
@@ -115,6 +117,11 @@
 	if err != nil {
 		return err
 	}
+	m.quarantine, err = meter.Int64Counter("quartzshelf_quarantine",
+		metric.WithDescription("Requests that were at a worker when it ended, and their quarantine, by event."))
+	if err != nil {
+		return err
+	}
 	m.broken, err = meter.Int64Counter("quartzshelf_attempts_broken",
 		metric.WithDescription("Attempts whose connection the worker ended within, by service."))
 	if err != nil {
@@ -200,6 +207,12 @@
 	m.warmUp.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// Quarantine counts what happened to a request that was at a worker when it ended: it was
+// blamed, quarantined, cleared or lifted.
+func (m *Meter) Quarantine(event string) {
+	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 // Broken counts an attempt that a worker of a service broke off.
 func (m *Meter) Broken(service string) {
 	m.broken.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
