soak, standin, docs: Let a request end each worker that runs it

The stand-in's workers end with a request of a certain body and are back after some seconds, a caller of the soak sends copies of it at any daemon all the time, and workers check that not more than three reach any of them once three have ended and all daemons have had 3 s in calm. Nobody listens any more where a worker ended: links took connections for dead workers before, which no platform does.

--- a/Makefile
+++ b/Makefile
@@ -40,15 +40,17 @@
 	scripts/faults
 
 # soak plays random faults against real daemons, those of data halls too. It draws seeds and
-# prints them; replay one with SEEDS=n make soak, with HALLS= if it was drawn without halls.
+# prints them; replay one with SEEDS=n make soak, with HALLS= or CRASHING= if it was drawn without.
 HALLS := --halls
+CRASHING := --crashing
 soak: build
-	$(SOAK) $(HALLS) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
+	$(SOAK) $(HALLS) $(CRASHING) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
 
 # soak-short is the part of CI (workers of seed 4 look at fences), soak-again plays what failed once.
 soak-short: build
 	$(SOAK) --seeds 1,2,4 --parallel 3 --duration 5s
 	$(SOAK) --halls --seeds 11,12,13 --parallel 3 --duration 8s
+	$(SOAK) --crashing --seeds 21,22,23 --parallel 3 --duration 8s
 
 soak-again: build
 	$(SOAK) --parallel 4 --seeds $$(sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
--- a/cmd/soakcmd/run.go
+++ b/cmd/soakcmd/run.go
@@ -49,6 +49,7 @@
 	Series   int           `help:"Series of faults that overlap." default:"3"`
 	Duration time.Duration `help:"How long faults strike." default:"15s"`
 	Halls    bool          `help:"Also close, lose and warm up data halls, in two regions."`
+	Crashing bool          `help:"Also send a request that ends each worker which runs it."`
 	Verbose  bool          `help:"Tell every fault."`
 }
 
@@ -109,7 +110,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Seed: seed, Program: program, Dir: dir, Host: host(number), Daemons: line.Daemons, Workers: line.Workers,
-		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls,
+		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls, Crashing: line.Crashing,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: stderr, Level: level}),
 	})
 	result.Seed = seed
@@ -138,6 +139,9 @@
 	for _, what := range slices.Sorted(maps.Keys(p.Totals)) {
 		counts = append(counts, fmt.Sprintf("%s %d", what, p.Totals[what]))
 	}
+	if p.Crashed > 0 {
+		counts = append(counts, fmt.Sprintf("workers ended by a request %d", p.Crashed))
+	}
 	if p.err == nil && len(p.Violations) == 0 {
 		fmt.Fprintf(t.out, "seed %d: passed, %d faults; %s\n", p.Seed, p.Faults, strings.Join(counts, ", "))
 		// Logs of what went well are of no use.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,8 @@
 	Callers, Series  int
 	// Duration is how long faults strike.
 	Duration time.Duration
+	// Crashing adds a request that ends each worker which runs it and comes again and again.
+	Crashing bool
 	// Halls adds data halls that are closed, lost and cold, and a second region.
 	Halls  bool
 	Logger hclog.Logger
@@ -50,6 +52,8 @@
 	Totals map[string]int
 	// Faults counts the faults that struck.
 	Faults int
+	// Crashed counts the workers that a request ended.
+	Crashed int
 }
 
 // Timing of a soak and its stand-ins.
@@ -101,7 +105,9 @@
 	// peaceAt is since when nothing is wrong any more; zero before.
 	peaceAt time.Time
 	lastLed *daemon
-	err     error
+	// over tells that nothing is to be started any more.
+	over bool
+	err  error
 }
 
 // Run plays one soak. An error says that it could not be played.
@@ -123,14 +129,14 @@
 	cancel()
 	group.Wait()
 	r.end()
-	return Result{Seed: opts.Seed, Violations: r.ledger.Violations(), Totals: r.callers.totals(), Faults: r.struck}, cmp.Or(err, r.err)
+	return Result{Seed: opts.Seed, Violations: r.ledger.Violations(), Totals: r.callers.totals(), Faults: r.struck, Crashed: r.fabric.CrashedUnder()}, cmp.Or(err, r.err)
 }
 
 // prepare starts the stand-in and the daemons.
 func (r *run) prepare() error {
 	r.fabric = standin.NewFabric(standin.FabricOptions{
 		Store: r.store, Ledger: r.ledger, Timing: timing, Models: r.models, Ceiling: ceiling, Calm: r.calm,
-		Fenceless: fenceless(r.opts.Seed), Halls: r.halls(),
+		Fenceless: fenceless(r.opts.Seed), Halls: r.halls(), Ended: r.workerEnded, Crashed: r.workerCrashed,
 	})
 	r.operator = standin.NewOperator(standin.OperatorOptions{
 		Store: r.store, Models: r.models, Timing: timing, Ceiling: ceiling, Slots: slots, LoadsAtOnce: 4, Tenants: r.callers.tenants, Halls: r.halls(),
@@ -277,6 +283,9 @@
 		c := newCaller(r, i)
 		group.Go(func() { c.loop(background) })
 	}
+	if r.opts.Crashing {
+		group.Go(func() { r.sendCrashing(background) })
+	}
 	time.Sleep(time.Second)
 	var series conc.WaitGroup
 	for i := range r.opts.Series {
@@ -411,8 +420,18 @@
 	}
 }
 
+// isOver reports whether nothing is to be started any more.
+func (r *run) isOver() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.over
+}
+
 // close ends all that was started.
 func (r *run) close() {
+	r.mu.Lock()
+	r.over = true
+	r.mu.Unlock()
 	var group conc.WaitGroup
 	for _, d := range r.daemons {
 		group.Go(func() {
