quarantine/guard, relay, serving: Guard both edges by one piece of code

The look at workers whose connections broke, the blame and what is told of it move from the relay into quarantine/guard, so that the product's own interface can use the same. What decides stays in quarantine, what is the relay's own (streams that wait, leaving workers) stays there.

--- a/relay/ended.go
+++ b/quarantine/guard/ended.go
@@ -1,16 +1,15 @@
-package relay
+package guard
 
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
-
-	"quartzshelf.dev/fleet"
 )
 
 const (
@@ -25,17 +24,37 @@
 	endedFor = 100 * time.Millisecond
 )
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// BrokeOff reports whether an exchange failed since the worker's side of its connection
+// ended, or since nobody listened when it was to be sent there once more.
+func BrokeOff(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// Worker is a worker whose connection broke.
+type Worker struct {
+	// ID names its life.
+	ID      string
+	Address string
+	// Replaced reports whether another life answers at the address, if somebody does; nil if
+	// that can't be told.
+	Replaced func(ctx context.Context) (bool, error)
+}
+
 // endings tells whether workers have ended whose connections broke: a connection also breaks
 // at a worker that lives, or on its way there. It is safe for concurrent use.
 type endings struct {
-	// dial opens a connection to a worker's address.
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// replaced reports whether another life has the address of a worker that accepts
-	// connections; nil if that can't be told.
-	replaced func(ctx context.Context, w *fleet.Worker) (bool, error)
-	// told is called when an error left it open whether a worker ended.
-	told   func(w *fleet.Worker, err error)
-	checks conc.WaitGroup
+	dial Dial
+	// unclear is called when an error left it open whether a worker ended.
+	unclear func(w Worker, err error)
+	checks  conc.WaitGroup
 
 	mu   sync.Mutex
 	held map[string]*ending
@@ -52,7 +71,7 @@
 
 // of returns the look at a worker whose connection broke now. All that break at the same
 // moment share one.
-func (e *endings) of(w *fleet.Worker, now time.Time) *ending {
+func (e *endings) of(w Worker, now time.Time) *ending {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for id, held := range e.held {
@@ -83,24 +102,24 @@
 
 // look reports whether nobody listens at a worker's address any more, or another life of it.
 // Silence tells nothing: a link may be cut, or the machine stand still.
-func (e *endings) look(w *fleet.Worker) bool {
+func (e *endings) look(w Worker) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), endedWait)
 	defer cancel()
 	c, err := e.dial(ctx, "tcp", w.Address)
 	if err != nil {
 		refused := errors.Is(err, syscall.ECONNREFUSED)
 		if !refused {
-			e.told(w, err)
+			e.unclear(w, err)
 		}
 		return refused
 	}
 	_ = c.Close()
-	if e.replaced == nil {
+	if w.Replaced == nil {
 		return false
 	}
-	replaced, err := e.replaced(ctx, w)
+	replaced, err := w.Replaced(ctx)
 	if err != nil {
-		e.told(w, err)
+		e.unclear(w, err)
 	}
 	return replaced
 }
--- a/relay/broken.go
+++ b/relay/broken.go
@@ -1,24 +1,12 @@
 package relay
 
 import (
-	"errors"
-	"io"
-	"syscall"
 	"time"
 
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/quarantine"
 )
 
-// brokeOff reports whether a request that was sent failed since the worker's side of its
-// connection ended.
-func brokeOff(err error) bool {
-	if !wasSent(err) {
-		return false
-	}
-	return isReset(err) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // fingerprint returns the request's fingerprint, which is computed when it is first asked for.
 func (c *request) fingerprint() quarantine.Fingerprint {
 	c.fingerprintOnce.Do(func() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,7 +14,7 @@
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/eligibility"
 	"quartzshelf.dev/fleet"
-	"quartzshelf.dev/quarantine"
+	"quartzshelf.dev/quarantine/guard"
 	"quartzshelf.dev/telemetry"
 )
 
@@ -65,10 +65,9 @@
 	// off by default: with a hall lost twice callers earned 0.29 of what is owed with it,
 	// 0.44 without it (one play each, docs/design/nothing-lost.md).
 	ServeLate bool
-	// Quarantine holds what is known of requests that end workers; nil for a table of the
-	// relay's own. Spread is called when peers are to be told of it at once; nil for nobody.
-	Quarantine *quarantine.Table
-	Spread     func()
+	// Spread is called when peers are to be told at once of requests that end workers; nil
+	// for nobody.
+	Spread func()
 	// Replaced reports whether another life has the address of a worker; nil if that can't
 	// be told.
 	Replaced func(ctx context.Context, w *fleet.Worker) (bool, error)
@@ -84,7 +83,7 @@
 	upstream  *upstream
 	budget    *budget
 	patiences *patiences
-	endings   *endings
+	guard     *guard.Guard
 	unbegun   unbegun
 	// startedAt is when this daemon began.
 	startedAt time.Time
@@ -97,22 +96,18 @@
 
 // New returns a relay; Run does its housekeeping.
 func New(opts Options) *Relay {
-	if opts.Quarantine == nil {
-		opts.Quarantine = quarantine.NewTable()
-	}
-	if opts.Spread == nil {
-		opts.Spread = func() {}
-	}
 	r := &Relay{
 		opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), patiences: newPatiences(),
 		startedAt: time.Now(), done: make(chan struct{}),
 	}
 	r.upstream.share, r.upstream.count = r.idleShare, opts.Meter.Connection
 	r.unbegun.held = make(map[*request]context.CancelCauseFunc)
-	r.endings = &endings{replaced: opts.Replaced, told: r.tellUnclear, held: make(map[string]*ending)}
-	r.endings.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return r.upstream.dial(ctx, network, address)
-	}
+	r.guard = guard.New(guard.Options{
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return r.upstream.dial(ctx, network, address)
+		},
+		Marked: r.cutOff, Spread: opts.Spread, Meter: opts.Meter, Logger: opts.Logger,
+	})
 	return r
 }
 
@@ -122,7 +117,7 @@
 // Run looks for silent replicas and closes idle connections until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
 	defer close(r.done)
-	defer r.endings.checks.Wait()
+	defer r.guard.Wait()
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	last := time.Now()
@@ -134,7 +129,7 @@
 			now := time.Now()
 			r.opts.Tracker.Sweep(now, now.Sub(last))
 			r.upstream.sweep(now)
-			r.opts.Quarantine.Sweep(now)
+			r.guard.Table().Sweep(now)
 			last = now
 		}
 	}
@@ -284,9 +279,9 @@
 	} else {
 		c.rejections++
 	}
-	if brokeOff(err) {
+	if ran && guard.BrokeOff(err) {
 		r.tellBroken(c, replica, err)
-		r.blame(c, replica, time.Now())
+		r.blame(c, replica)
 	}
 	if !c.gaveUp() && !errors.Is(err, errQuarantined) {
 		r.opts.Tracker.Fail(replica, time.Now())
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -20,7 +20,7 @@
 	h.Loads, h.Traffic = s.tracker.Loads(), s.tracker.Traffic()
 	h.Demand, h.Prompts = s.tracker.Demand()
 	h.Stalls = s.suspicions.current(now)
-	h.Quarantine = s.quarantine.Report(now, s.passesOn())
+	h.Quarantine = s.relay.Guard().Table().Report(now, s.passesOn())
 }
 
 // age returns how long ago a time was, in milliseconds.
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -12,6 +12,7 @@
 	"quartzshelf.dev/formation"
 	"quartzshelf.dev/peers"
 	"quartzshelf.dev/quarantine"
+	"quartzshelf.dev/quarantine/guard"
 )
 
 const (
@@ -27,6 +28,8 @@
 	liftAfter = 10 * time.Second
 	// marksTimeout bounds a call to where marks are kept.
 	marksTimeout = time.Second
+	// byStore stands in logs for the place where marks are kept.
+	byStore = "store"
 )
 
 // MarkStore keeps the requests that are quarantined beyond the life of all daemons. Read and
@@ -72,18 +75,20 @@
 	}
 }
 
+func (k *markKeeper) guard() *guard.Guard { return k.server.relay.Guard() }
+
 // look reads what is kept when that is due, and writes what is not.
 func (k *markKeeper) look(ctx context.Context, now time.Time) {
 	if !now.Before(k.readAt) && !k.read(ctx, now) {
 		return
 	}
-	for _, m := range k.server.quarantine.Marks(now) {
+	for _, m := range k.guard().Table().Marks(now) {
 		if held, ok := k.kept[m.Fingerprint]; !ok || m.Until.After(held.until) {
 			k.write(ctx, m)
 		}
 	}
 	for f := range k.kept {
-		if !k.server.quarantine.State(f, now).Quarantined {
+		if !k.guard().Table().State(f, now).Quarantined {
 			k.write(ctx, quarantine.Mark{Fingerprint: f})
 		}
 	}
@@ -109,9 +114,7 @@
 	for _, m := range marks {
 		held := k.kept[m.Fingerprint]
 		k.kept[m.Fingerprint] = keptMark{until: m.Until, readAt: cmp.Or(held.readAt, now)}
-		if k.server.quarantine.Restore(m, now) {
-			k.server.quarantinedNow([]quarantine.Fingerprint{m.Fingerprint}, "store")
-		}
+		k.guard().Restore(m, byStore)
 	}
 	return true
 }
@@ -124,9 +127,7 @@
 			continue
 		}
 		delete(k.kept, f)
-		if k.server.quarantine.Clear(f, now) {
-			k.server.lifted([]quarantine.Fingerprint{f}, "store")
-		}
+		k.guard().Lift(f, byStore)
 	}
 }
 
@@ -149,30 +150,11 @@
 // heardQuarantine takes what a peer reports of requests that end workers. A relay passes news
 // on at once.
 func (s *Server) heardQuarantine(p *peers.Peer) {
-	merged := s.quarantine.Merge(p.Quarantine, p.HeardAt, time.Now())
-	s.quarantinedNow(merged.Marked, p.ID)
-	s.lifted(merged.Lifted, p.ID)
-	if merged.News && s.passesOn() {
+	if s.relay.Guard().Merge(p.Quarantine, p.HeardAt, p.ID) && s.passesOn() {
 		s.agent.Send(time.Now())
 	}
 }
 
-// quarantinedNow deals with requests that are quarantined from now on by the word of another.
-func (s *Server) quarantinedNow(marked []quarantine.Fingerprint, by string) {
-	for _, f := range marked {
-		state := s.quarantine.State(f, time.Now())
-		s.logger.Info("request quarantined by report", "fingerprint", f.String(), "by", by, "crashes", state.Crashes, "until", state.Until)
-	}
-	s.relay.CutOff(marked)
-}
-
-func (s *Server) lifted(lifted []quarantine.Fingerprint, by string) {
-	for _, f := range lifted {
-		s.meter.Quarantine("lifted")
-		s.logger.Info("quarantine lifted", "fingerprint", f.String(), "by", by)
-	}
-}
-
 // replaced reports whether another life has the address of a worker.
 func (s *Server) replaced(ctx context.Context, w *fleet.Worker) (bool, error) {
 	if s.opts.Orders.Ask == nil {
--- a/serving/server.go
+++ b/serving/server.go
@@ -18,7 +18,6 @@
 	"quartzshelf.dev/formation"
 	"quartzshelf.dev/leadership"
 	"quartzshelf.dev/peers"
-	"quartzshelf.dev/quarantine"
 	"quartzshelf.dev/relay"
 	"quartzshelf.dev/telemetry"
 )
@@ -65,8 +64,6 @@
 	fetcher   *fetcher
 	// warmUp bounds what workers get that warm up.
 	warmUp *allowance.Allowance
-	// quarantine holds what is known of requests that end workers.
-	quarantine *quarantine.Table
 	// suspicions holds the replicas that fell silent of late.
 	suspicions *suspicions
 	// work is the smoothed work of the fleet.
@@ -93,7 +90,7 @@
 	s := &Server{
 		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(), halls: fleet.NewHalls(opts.Bounds.Empty),
 		inventory: fleet.NewInventory(opts.Bounds.Heartbeat, opts.Bounds.Leave), suspicions: newSuspicions(),
-		quarantine: quarantine.NewTable(), readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
+		readDelay: readDelayOf(opts.Self.ID), done: make(chan struct{}),
 	}
 	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
 	s.fetcher = newFetcher(s)
@@ -111,7 +108,7 @@
 	s.elector = s.newElector()
 	s.warmUp = s.newWarmUp()
 	s.relay = s.newRelay()
-	meter.Gauge("requests_quarantined", func() float64 { return float64(len(s.quarantine.Marks(time.Now()))) })
+	meter.Gauge("requests_quarantined", func() float64 { return float64(len(s.relay.Guard().Table().Marks(time.Now()))) })
 	meter.Gauge("halls_closing", s.hallsIn(fleet.HallClosing))
 	meter.Gauge("halls_closed", s.hallsIn(fleet.HallClosed))
 	return s, nil
@@ -136,7 +133,7 @@
 		Names: s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
 		View: s.inventory.View, Halls: s.halls.View, RegionOf: s.regionOf,
 		WarmUp: s.warmUp.Check, TakeWarmUp: s.takeWarmUp, NextWarmUp: s.warmUp.Next, Tracker: s.tracker, Budget: budget,
-		Quarantine: s.quarantine, Spread: func() { s.agent.Send(time.Now()) }, Replaced: s.replaced,
+		Spread: func() { s.agent.Send(time.Now()) }, Replaced: s.replaced,
 		Leaving: s.leaving.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
 	})
 }
