gateway, membership, daemon, operatorcmd: Quarantine on the product's own interface too

The same cause stood in the gateway: up to four targets for each request, and nothing remembered of those that ended under it. It now asks the same guard before each attempt, and blames and clears requests by it; records go with the exchanges of membership. Operators see and lift quarantines (`quartzshelf quarantine list|lift`, /api/quarantine).

--- a/cmd/operatorcmd/client.go
+++ b/cmd/operatorcmd/client.go
@@ -48,10 +48,13 @@
 }
 
 // get decodes the answer of the first daemon that answers into reply.
-func (c *client) get(path string, reply any) error {
+func (c *client) get(path string, reply any) error { return c.first(fasthttp.MethodGet, path, reply) }
+
+// first calls one daemon after the other until one answers, and decodes that into reply.
+func (c *client) first(method, path string, reply any) error {
 	var last error
 	for _, address := range c.addresses {
-		last = c.call(fasthttp.MethodGet, address, path, nil, reply)
+		last = c.call(method, address, path, nil, reply)
 		var answered *apiError
 		if last == nil || errors.As(last, &answered) && answered.status < fasthttp.StatusInternalServerError {
 			return last
--- a/cmd/operatorcmd/run.go
+++ b/cmd/operatorcmd/run.go
@@ -30,18 +30,19 @@
 type commandLine struct {
 	globals
 
-	Apply    applyCommand    `cmd:"" help:"Publish the documents in files."`
-	Get      getCommand      `cmd:"" help:"Show the configuration in force."`
-	Delete   deleteCommand   `cmd:"" help:"Delete an object."`
-	Label    labelCommand    `cmd:"" help:"Set or remove labels of an object; a node's object is made when missing."`
-	Validate validateCommand `cmd:"" help:"Check the documents in files without publishing them."`
-	History  historyCommand  `cmd:"" help:"Show the newest changes and the verdicts on them."`
-	Status   statusCommand   `cmd:"" help:"Show replicas, domains, daemons and refusals."`
-	Hall     hallCommand     `cmd:"" help:"Show, close or open data halls."`
-	Explain  explainCommand  `cmd:"" help:"Say why a replica, node or data hall is as it is, or why a request went where it did."`
-	Report   reportCommand   `cmd:"" help:"Sum up from the logs of daemons what was refused and late, why, and what leaders did."`
-	Trace    traceCommand    `cmd:"" help:"Tell the story of a request, worker or replica from the logs of daemons."`
-	HashKey  hashKeyCommand  `cmd:"" help:"Print the hash of a bearer key, as a ClientAccount needs it."`
+	Apply      applyCommand      `cmd:"" help:"Publish the documents in files."`
+	Get        getCommand        `cmd:"" help:"Show the configuration in force."`
+	Delete     deleteCommand     `cmd:"" help:"Delete an object."`
+	Label      labelCommand      `cmd:"" help:"Set or remove labels of an object; a node's object is made when missing."`
+	Validate   validateCommand   `cmd:"" help:"Check the documents in files without publishing them."`
+	History    historyCommand    `cmd:"" help:"Show the newest changes and the verdicts on them."`
+	Status     statusCommand     `cmd:"" help:"Show replicas, domains, daemons and refusals."`
+	Hall       hallCommand       `cmd:"" help:"Show, close or open data halls."`
+	Quarantine quarantineCommand `cmd:"" help:"Show or lift the quarantine of requests that ended workers."`
+	Explain    explainCommand    `cmd:"" help:"Say why a replica, node or data hall is as it is, or why a request went where it did."`
+	Report     reportCommand     `cmd:"" help:"Sum up from the logs of daemons what was refused and late, why, and what leaders did."`
+	Trace      traceCommand      `cmd:"" help:"Tell the story of a request, worker or replica from the logs of daemons."`
+	HashKey    hashKeyCommand    `cmd:"" help:"Print the hash of a bearer key, as a ClientAccount needs it."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print or install completions for the shell."`
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -219,8 +219,8 @@
 		},
 		Seeds: func() []string { return append(d.arrived.addresses(), s.Seeds...) },
 		Dial:  d.dialer.dial, Reports: d.catalog,
-		Configuration: eventlog.NewShared(d.followers[streamConfiguration]),
-		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Configuration: eventlog.NewShared(d.followers[streamConfiguration]), Quarantine: d.spreadQuarantine(),
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 }
 
@@ -253,7 +253,7 @@
 		Config: d.state.View, Catalog: d.catalog, Ledger: d.ledger, Limiter: d.limiter, Meter: d.meter,
 		Gate: d.readiness.gate, Leaving: func() bool { return d.agent.Table().Self().Leaving }, Entries: d.entries, KeepEntriesUntil: d.readiness.keepEntries,
 		Daemons: func() int { return len(d.stayingMembers()) },
-		NewID:   newID, MaxBody: d.settings.MaxBodyBytes,
+		NewID:   newID, MaxBody: d.settings.MaxBodyBytes, Logger: d.logger.Named("gateway"),
 	})
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -47,6 +47,8 @@
 	app.Get("/api/history", func(c *fiber.Ctx) error { return c.JSON(d.state.History()) })
 	app.Get("/api/status", func(c *fiber.Ctx) error { return c.JSON(d.status()) })
 	app.Get("/api/halls", func(c *fiber.Ctx) error { return c.JSON(d.halls.Statuses(time.Now())) })
+	app.Get("/api/quarantine", o.quarantined)
+	app.Delete("/api/quarantine/:fingerprint", o.lift)
 	app.Get("/api/explain/:kind/*", o.explain)
 	app.Post("/api/changes/:id", o.change)
 	app.Get("/api/changes/:id", o.verdict)
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -92,11 +92,13 @@
 		body, err := readAll(a.response, a.target.address)
 		a.close()
 		if err == nil {
+			g.guard.Completed(r.guarded())
 			answer := intent.NewAnswer(a.response.StatusCode, a.response.Header.Get(fiber.HeaderContentType), body)
 			g.settle(claim, reason.RanYes, answer)
 			c.Set(headerReplica, a.target.id)
 			return writeAnswer(c, answer)
 		}
+		g.broke(r, a.target, err)
 		failed := failedSend(err)
 		var none *refusal
 		if a, none = g.again(r, r.body, failed, choose, tried); none != nil {
@@ -172,6 +174,7 @@
 		if s.gone && s.r.repeatable {
 			return
 		}
+		s.g.broke(s.r, a.target, err)
 		failed := failedSend(&sendError{sent: true, cause: err})
 		next, none := s.resume(failed)
 		if none != nil {
@@ -266,6 +269,7 @@
 
 // finish ends the stream properly.
 func (s *relayedStream) finish() {
+	s.g.guard.Completed(s.r.guarded())
 	_ = s.write(doneMark)
 	s.g.settle(s.claim, reason.RanYes, intent.NewAnswer(http.StatusOK, "text/event-stream", s.copied))
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -25,6 +25,8 @@
 	mayServe func(now time.Time) bool
 	// finish ends the count of the attempt.
 	finish func()
+	// sentAt is when the attempt was sent.
+	sentAt time.Time
 }
 
 // sharedSource draws from the source that all goroutines share.
@@ -140,6 +142,9 @@
 // when the one before certainly ran nothing.
 func (g *Gateway) open(r *request, body []byte, choose chooser, tried map[string]bool, maySend func(time.Time) bool) (*attempt, *refusal) {
 	for {
+		if f := g.quarantined(r, time.Now()); f != nil {
+			return nil, r.truthful(f)
+		}
 		t, none := choose(tried)
 		if none != nil {
 			return nil, r.truthful(none)
@@ -154,6 +159,7 @@
 			t.finish()
 			return nil, r.truthful(refuse(reason.KeyExpired, "the claim of the key ran out before the request was sent"))
 		}
+		t.sentAt = now
 		a, failed := g.try(r, body, t)
 		if failed == nil {
 			return a, nil
@@ -202,7 +208,11 @@
 	})
 	if err != nil {
 		cancel()
-		return nil, failedSend(err)
+		failed := failedSend(err)
+		if failed.ran != reason.RanNo {
+			g.broke(r, t, err)
+		}
+		return nil, failed
 	}
 	if notStarted(response) {
 		closeBody(response)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/hashicorp/go-hclog"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"quartzshelf.dev/admission"
@@ -15,6 +16,7 @@
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/intent"
+	"quartzshelf.dev/quarantine/guard"
 	"quartzshelf.dev/routing"
 	"quartzshelf.dev/telemetry"
 )
@@ -71,6 +73,8 @@
 	Daemons func() int
 	NewID   func() string
 	MaxBody int
+	// Logger tells of requests that end workers; nil for nobody.
+	Logger hclog.Logger
 }
 
 // Gateway serves callers.
@@ -80,6 +84,7 @@
 	upstream *upstream
 	inflight *routing.Inflight
 	budget   *budget
+	guard    *guard.Guard
 	// decisions holds why the newest requests went where they did.
 	decisions *lru.Cache[string, Decision]
 	done      chan struct{}
@@ -90,10 +95,14 @@
 	if opts.MaxBody == 0 {
 		opts.MaxBody = DefaultMaxBody
 	}
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
 	g := &Gateway{
 		opts: opts, upstream: newUpstream(), inflight: routing.NewInflight(),
 		budget: newBudget(), done: make(chan struct{}),
 	}
+	g.guard = guard.New(guard.Options{Dial: (&net.Dialer{Timeout: dialTimeout}).DialContext, Meter: opts.Meter, Logger: opts.Logger})
 	// New fails only for a size below one.
 	g.decisions, _ = lru.New[string, Decision](maxDecisions)
 	g.app = g.routes()
@@ -116,6 +125,7 @@
 // Stop ends the listener, waits until limit for requests in flight, and closes
 // the rest.
 func (g *Gateway) Stop(limit time.Duration) error {
+	defer g.guard.Wait()
 	defer g.upstream.close()
 	return failure.At(failure.Unavailable, "stop serving callers", "callers", g.app.ShutdownWithTimeout(limit))
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,6 +45,8 @@
 	repeats  behaviour = "answers and repeats tokens"
 	skips    behaviour = "answers and leaves out a token"
 	garbles  behaviour = "answers with an event that is no JSON"
+	ends     behaviour = "runs and ends its process"
+	endsLate behaviour = "ends its process within its answer"
 	tokens             = 6
 	promptOf           = "prompt"
 )
@@ -117,6 +119,9 @@
 		return
 	case resets:
 		panic(http.ErrAbortHandler)
+	case ends:
+		_ = e.server.Close()
+		panic(http.ErrAbortHandler)
 	case crosses:
 		id = "of-another-request"
 	}
@@ -145,9 +150,13 @@
 		text.WriteString(standin.Token(textFor(b), i))
 	}
 	w.Header().Set(cluster.HeaderRequest, id)
-	if b == cuts {
+	if b == cuts || b == endsLate {
 		w.Header().Set("Content-Length", "1000")
 		_, _ = io.WriteString(w, "{")
+		if b == endsLate {
+			w.(http.Flusher).Flush()
+			_ = e.server.Close()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = fmt.Fprintf(w, `{"id":%q,"choices":[{"text":%q}]}`, id, text.String())
@@ -156,8 +165,11 @@
 func (e *fakeEndpoint) token(w http.ResponseWriter, id string, i int, b behaviour) {
 	const half = tokens / 2
 	switch {
-	case i == half && b == cuts:
+	case i == half && (b == cuts || b == endsLate):
 		w.(http.Flusher).Flush()
+		if b == endsLate {
+			_ = e.server.Close()
+		}
 		panic(http.ErrAbortHandler)
 	case i == half && b == skips:
 		return
@@ -242,9 +254,9 @@
 }
 
 // publish lists each endpoint, and an address where nothing listens, as a
-// serving replica.
+// serving replica. A later call is to list more of them.
 func (h *harness) publish() {
-	report := &rpc.DomainReport{Domain: "fabric-1", Token: &rpc.Token{Epoch: 1}, Version: 1, Beat: 1}
+	report := &rpc.DomainReport{Domain: "fabric-1", Token: &rpc.Token{Epoch: 1}, Version: uint64(len(h.endpoints)), Beat: 1}
 	addresses := []string{downAddress}
 	for _, e := range h.endpoints {
 		addresses = append(addresses, e.addr)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,12 +4,14 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
+	"quartzshelf.dev/quarantine"
 )
 
 // Headers of requests from callers.
@@ -44,6 +46,9 @@
 	priority int
 	// mayHaveRan tells that some attempt was sent and may have run.
 	mayHaveRan bool
+
+	fingerprintOnce sync.Once
+	fingerprintHeld quarantine.Fingerprint
 }
 
 // truthful returns the refusal with what it may say of the whole request: an
--- a/membership/agent.go
+++ b/membership/agent.go
@@ -60,6 +60,27 @@
 	Install(data []byte) error
 }
 
+// Quarantine is what daemons know of requests that end workers, as far as it spreads with
+// membership. Both functions are nil where nothing is to spread.
+type Quarantine struct {
+	Report func() []*rpc.QuarantineEntry
+	// Merge takes what a peer reported just now.
+	Merge func(peer string, all []*rpc.QuarantineEntry)
+}
+
+func (q Quarantine) report() []*rpc.QuarantineEntry {
+	if q.Report == nil {
+		return nil
+	}
+	return q.Report()
+}
+
+func (q Quarantine) merge(peer string, all []*rpc.QuarantineEntry) {
+	if q.Merge != nil && len(all) > 0 {
+		q.Merge(peer, all)
+	}
+}
+
 // Options configures an Agent.
 type Options struct {
 	Self *rpc.Member
@@ -69,7 +90,9 @@
 	Dial          func(address string) rpc.Peer
 	Reports       Reports
 	Configuration Configuration
-	SuspectFor    time.Duration
+	// Quarantine spreads what is known of requests that end workers.
+	Quarantine Quarantine
+	SuspectFor time.Duration
 	// Random must not be used elsewhere.
 	Random *rand.Rand
 }
@@ -197,6 +220,7 @@
 		MembersHash:     a.table.Hash(),
 		ConfigNext:      uint64(a.opts.Configuration.Next()),
 		WantConfig:      a.opts.Configuration.Stale(),
+		Quarantine:      a.opts.Quarantine.report(),
 	}
 	start := time.Now()
 	reply, err := a.opts.Dial(address).Exchange(ctx, request)
@@ -205,6 +229,7 @@
 	}
 	a.table.Merge(reply.Members)
 	a.opts.Reports.Merge(reply.Reports, start)
+	a.opts.Quarantine.merge(address, reply.Quarantine)
 	a.hearConfig(int64(reply.ConfigNext), reply.ConfigCheckpoint)
 	a.contact(address, start)
 	return nil
@@ -254,7 +279,9 @@
 	start := time.Now()
 	a.table.Merge(request.Members)
 	a.hearConfig(int64(request.ConfigNext), nil)
+	a.opts.Quarantine.merge(request.From, request.Quarantine)
 	reply := &rpc.ExchangeReply{
+		Quarantine: a.opts.Quarantine.report(),
 		Reports:    a.opts.Reports.Since(request.Reports),
 		ConfigNext: uint64(a.opts.Configuration.Next()),
 	}
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -169,6 +169,46 @@
 	}
 }
 
+// TestQuarantineSpreads: what one member knows of requests that end workers reaches all, as
+// asked for and as answered.
+func TestQuarantineSpreads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLocal(50)
+		known := make(map[string][]*rpc.QuarantineEntry)
+		for id, a := range l.agents {
+			a.opts.Quarantine = Quarantine{
+				Report: func() []*rpc.QuarantineEntry { return known[id] },
+				Merge:  func(_ string, all []*rpc.QuarantineEntry) { known[id] = all },
+			}
+		}
+		known["entry-000"] = []*rpc.QuarantineEntry{{Fingerprint: []byte("f")}}
+		rounds := 0
+		for ; len(known) < len(l.agents) && rounds < 20; rounds++ {
+			l.round(t.Context())
+		}
+		assert.Equal(t, len(known), len(l.agents), "after %d rounds", rounds)
+	})
+}
+
+// TestExchangeTellsBothWays: one exchange brings what either side knows to the other.
+func TestExchangeTellsBothWays(t *testing.T) {
+	for _, knows := range []string{"entry-000", "entry-001"} {
+		t.Run(knows, func(t *testing.T) {
+			l := newLocal(2)
+			known := map[string][]*rpc.QuarantineEntry{knows: {{Fingerprint: []byte("f")}}}
+			for id, a := range l.agents {
+				a.opts.Quarantine = Quarantine{
+					Report: func() []*rpc.QuarantineEntry { return known[id] },
+					Merge:  func(_ string, all []*rpc.QuarantineEntry) { known[id] = all },
+				}
+			}
+			asks := l.agents["entry-000"]
+			assert.NilError(t, asks.exchange(t.Context(), l.agents["entry-001"].opts.Self.PeerAddress))
+			assert.Equal(t, len(known), 2)
+		})
+	}
+}
+
 // BenchmarkRound measures one member's part of a round of exchanges in a quiet
 // fleet, and how many rounds a change takes to reach all.
 func BenchmarkRound(b *testing.B) {
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -117,6 +117,33 @@
 	}
 }
 
+// TestCompletedRunClears: a run that completes clears a request of two crashes, whether its
+// answer is relayed whole or as a stream.
+func TestCompletedRunClears(t *testing.T) {
+	for _, path := range []string{"/safe/", "/once/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			r, server := newTestRelay(t, newFakeWorker(t, "w"))
+			f := quarantine.FingerprintOf("tenant", http.MethodPost, "h", path, []byte("body"))
+			blame(r.guard.Table(), f, 2, time.Now())
+			assert.Equal(t, r.guard.Table().State(f, time.Now()).Crashes, 2)
+			assert.Equal(t, do(t, server, path, "a", nil).status, http.StatusOK)
+			assert.Equal(t, r.guard.Table().State(f, time.Now()).Crashes, 0)
+		})
+	}
+}
+
+// TestRelayForgets: what nothing was seen of for long costs requests nothing any more.
+func TestRelayForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 1, &playedHead{id: "a"})
+		table := p.daemons[0].guard.Table()
+		blame(table, quarantine.FingerprintOf("", http.MethodPost, "h", "/", nil), 1, time.Now())
+		assert.Assert(t, !table.Empty())
+		time.Sleep(6 * time.Minute)
+		assert.Assert(t, table.Empty())
+	})
+}
+
 // TestSuspectsRunBesideTheFewest: a request that ended two workers goes to the replica whose
 // end breaks the fewest others, whatever else speaks for another.
 func TestSuspectsRunBesideTheFewest(t *testing.T) {
