--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -137,15 +137,20 @@
 	a.target.finish()
 }
 
+// next chooses the next target of a request that is not quarantined.
+func (g *Gateway) next(r *request, choose chooser, tried map[string]bool) (*target, *refusal) {
+	if f := g.quarantined(r, time.Now()); f != nil {
+		return nil, f
+	}
+	return choose(tried)
+}
+
 // open sends the request to one target after the other until one begins to
 // answer. A request that must not be repeated goes on to another target only
 // when the one before certainly ran nothing.
 func (g *Gateway) open(r *request, body []byte, choose chooser, tried map[string]bool, maySend func(time.Time) bool) (*attempt, *refusal) {
 	for {
-		if f := g.quarantined(r, time.Now()); f != nil {
-			return nil, r.truthful(f)
-		}
-		t, none := choose(tried)
+		t, none := g.next(r, choose, tried)
 		if none != nil {
 			return nil, r.truthful(none)
 		}
