serving, platform: Let records that are no marks keep no others from being kept

Found by reading: a record of another writer in the topic of marks made the whole reading fail, so that, where there were no other marks, the leader kept none, and said so every two seconds. Such records are passed over and told once. TestRecordsThatAreNoMarks.

--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -35,9 +35,8 @@
 // MarkStore keeps the requests that are quarantined beyond the life of all daemons. Read and
 // Write are nil where nothing is kept.
 type MarkStore struct {
-	// Read returns the marks that are kept. Those that are not understood are left out, and
-	// reported by an error beside the others.
-	Read func(ctx context.Context) ([]quarantine.Mark, error)
+	// Read returns the marks that are kept, and an error for each record that is none.
+	Read func(ctx context.Context) (marks []quarantine.Mark, refused []error, err error)
 	// Write keeps a mark; one without a time at which it ends is removed.
 	Write func(ctx context.Context, m quarantine.Mark) error
 }
@@ -49,6 +48,8 @@
 	kept map[quarantine.Fingerprint]keptMark
 	// readAt is when they are to be read next.
 	readAt time.Time
+	// refused is what was last said of records that are no marks, so that it is logged once.
+	refused string
 }
 
 // keptMark is a mark that is known to be kept until a time. readAt is when it was first read;
@@ -99,18 +100,15 @@
 func (k *markKeeper) read(ctx context.Context, now time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, marksTimeout)
 	defer cancel()
-	marks, err := k.server.opts.Marks.Read(ctx)
+	marks, refused, err := k.server.opts.Marks.Read(ctx)
 	if err != nil {
 		k.server.logger.Info("marks of quarantined requests not read", "error", err)
 		k.readAt = now.Add(readMarksAgain)
-		if len(marks) == 0 {
-			return false
-		}
-	}
-	if err == nil {
-		k.readAt = now.Add(readMarksEvery)
-		k.liftRemoved(marks, now)
+		return false
 	}
+	k.readAt = now.Add(readMarksEvery)
+	k.tellRefused(refused)
+	k.liftRemoved(marks, now)
 	for _, m := range marks {
 		held := k.kept[m.Fingerprint]
 		k.kept[m.Fingerprint] = keptMark{until: m.Until, readAt: cmp.Or(held.readAt, now)}
@@ -119,6 +117,19 @@
 	return true
 }
 
+// tellRefused logs once which records are no marks. Nothing is done to them: another writer
+// may know what they are.
+func (k *markKeeper) tellRefused(refused []error) {
+	text := ""
+	if len(refused) > 0 {
+		text = errors.Join(refused...).Error()
+	}
+	if text != "" && text != k.refused {
+		k.server.logger.Warn("records of quarantined requests not understood", "error", text)
+	}
+	k.refused = text
+}
+
 // liftRemoved lifts the marks that were read before and are not kept any more.
 func (k *markKeeper) liftRemoved(marks []quarantine.Mark, now time.Time) {
 	for f, held := range k.kept {
--- a/serving/quarantine_test.go
+++ b/serving/quarantine_test.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -277,22 +279,24 @@
 	kept  map[quarantine.Fingerprint]quarantine.Mark
 	away  bool
 	reads int
+	// refused is what is said of records that are no marks.
+	refused []error
 }
 
 func (f *fakeMarks) store() MarkStore { return MarkStore{Read: f.read, Write: f.write} }
 
-func (f *fakeMarks) read(context.Context) ([]quarantine.Mark, error) {
+func (f *fakeMarks) read(context.Context) ([]quarantine.Mark, []error, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	if f.away {
-		return nil, errAway
+		return nil, nil, errAway
 	}
 	var all []quarantine.Mark
 	for _, m := range f.kept {
 		all = append(all, m)
 	}
-	return all, nil
+	return all, f.refused, nil
 }
 
 func (f *fakeMarks) write(_ context.Context, m quarantine.Mark) error {
@@ -347,6 +351,22 @@
 	assert.Equal(t, len(h.Quarantine), 1)
 }
 
+// TestRecordsThatAreNoMarks: what another writer put beside the marks keeps none from being
+// read or kept, and is told once.
+func TestRecordsThatAreNoMarks(t *testing.T) {
+	marks := &fakeMarks{kept: make(map[quarantine.Fingerprint]quarantine.Mark), refused: []error{errors.New("no mark")}}
+	var lines bytes.Buffer
+	s, now := newServer(t, &fakeStore{}), time.Now()
+	s.opts.Marks, s.logger = marks.store(), hclog.New(&hclog.LoggerOptions{Output: &lines})
+	k := &markKeeper{server: s, kept: make(map[quarantine.Fingerprint]keptMark)}
+	quarantineIn(s, quarantine.FingerprintOf("a", "POST", "h", "/", nil), now)
+	k.look(context.Background(), now)
+	k.look(context.Background(), now.Add(readMarksEvery))
+	assert.Equal(t, marks.reads, 2)
+	assert.Equal(t, len(marks.kept), 1)
+	assert.Equal(t, strings.Count(lines.String(), "not understood"), 1)
+}
+
 // TestOperatorLiftsAMark: a mark that is removed from where it is kept is lifted at the next
 // reading, and one that ended by a completed run is removed there.
 func TestOperatorLiftsAMark(t *testing.T) {
