formation, soak: List loads that did not count after all daemons had ended, red

All daemons ended at once while no replica was open. The next leader took the fleet for new, since nothing was open and no daemon knew of requests, and began 16 loads at once that it did not count.

TestLaterLeaderOfAFleetThatServedBoundsLoads shows it without the soak, and fails.

--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -423,6 +425,31 @@
 	})
 }
 
+// TestLaterLeaderOfAFleetThatServedBoundsLoads: all daemons ended at once while no replica was
+// left, so that nobody knows that requests came before; what lies on hosts shows that groups
+// were formed. The leader takes the fleet for new: in the soak it began 16 loads within 5 s
+// where 8 may, and more than are allowed is a broken promise. A second leader right at the
+// start, when nothing lies anywhere, must still be quick.
+func TestLaterLeaderOfAFleetThatServedBoundsLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 4, 10)
+		w.mu.Lock()
+		for i, id := range slices.Sorted(maps.Keys(w.workers)) {
+			if i%4 == 0 {
+				w.workers[id].staged = "small"
+				w.list(w.workers[id])
+			}
+		}
+		w.mu.Unlock()
+		_, stop := term(w, 3)
+		time.Sleep(time.Second)
+		joining := w.joining()
+		stop()
+		w.pending.Wait()
+		assert.Assert(t, joining <= 7, "%d loads run at once", joining)
+	})
+}
+
 // TestLaterLeaderOfANewFleetIsQuick lets a leader come second right at the
 // start, when nothing serves yet.
 func TestLaterLeaderOfANewFleetIsQuick(t *testing.T) {
