formation, serving, platform: Tell a fleet that served from a new one

Cause: Keeper.isFresh took a fleet in which no replica was open for new, and whether requests came was known to daemons alone. After the end of all daemons while no replica was open, the next leader loaded as if nothing counted: 16 loads within 5 s where 8 may.

Ruled out: a mark of the first request in the store, since traffic may come and all daemons end before it is written; what lies on hosts alone, since a second leader within the first seconds of a new fleet would then load slowly. Both are told apart by the process: the platform's settings say whether it is of the first start of the whole system. Such a process has heard of requests, if any came; a later one takes what workers hold as a sign that the fleet served.

--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -58,6 +58,9 @@
 	Rank  int
 	// First tells that nobody led the fleet before.
 	First bool
+	// FirstLife tells that this process has run since the fleet first started, so that it
+	// has heard of requests if any came.
+	FirstLife bool
 }
 
 // Keeper forms and mends replicas for one term.
@@ -321,19 +324,32 @@
 // takes a fleet for new only if nothing in it served when its term began.
 func (k *Keeper) traffic() bool { return !k.fresh || k.opts.Traffic() }
 
-// isFresh reports whether nothing serves yet.
+// isFresh reports whether nothing has served yet. A process that started later may follow
+// daemons that all ended at once while no replica was open, so that nobody is left who heard
+// of requests: for it, what workers hold shows that the fleet is not new. Without that such
+// a leader began 16 loads within 5 s where 8 may.
 func (k *Keeper) isFresh(view *fleet.View) bool {
 	if k.term.First {
 		return true
 	}
 	for _, w := range view.Workers() {
-		if w.Member.State == fleet.Open || w.Member.State == fleet.Closing || w.Member.State == fleet.Broken {
+		if served(w) || !k.term.FirstLife && holdsModel(w) {
 			return false
 		}
 	}
 	return true
 }
 
+// served reports whether a worker shows that its group was opened.
+func served(w *fleet.Worker) bool {
+	return w.Member.State == fleet.Open || w.Member.State == fleet.Closing || w.Member.State == fleet.Broken
+}
+
+// holdsModel reports whether a leader has given a worker something to do.
+func holdsModel(w *fleet.Worker) bool {
+	return w.Member.Group != "" || w.Loaded != "" || len(w.Staged) > 0
+}
+
 // refresh notes who is listed and forgets the silence of those who left.
 func (k *Keeper) refresh(view *fleet.View) {
 	for id, w := range view.Workers() {
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -19,7 +19,7 @@
 		Smoothed:  s.work.Work, BearHalls: s.opts.Bounds.BearHalls, HallWeight: s.opts.Bounds.HallWeight, HallOpen: s.hallOpen,
 		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
 		Counted: s.meter.Order, Logger: s.logger.Named("formation"),
-	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first},
+	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first, FirstLife: s.opts.FirstLife},
 		func() { s.elector.Yield("a worker knows a higher term") })
 	s.setKeeper(keeper)
 	keeper.Run(ctx)
--- a/serving/options.go
+++ b/serving/options.go
@@ -62,6 +62,8 @@
 // Options configures a Server.
 type Options struct {
 	Self peers.Identity
+	// FirstLife tells that this process runs since the fleet first started.
+	FirstLife bool
 	// Regions holds the region of each data hall.
 	Regions map[string]string
 	Bounds  Bounds
--- a/soak/process.go
+++ b/soak/process.go
@@ -57,12 +57,9 @@
 	return ports, nil
 }
 
-// prepare writes the settings and opens the log.
+// prepare opens the log.
 func (d *daemon) prepare(dir string) error {
 	d.file = filepath.Join(dir, d.settings.Name+".toml")
-	if err := os.WriteFile(d.file, []byte(d.settings.Text()), 0o600); err != nil {
-		return failure.At(failure.Invalid, "write settings", d.settings.Name, err)
-	}
 	log, err := os.Create(filepath.Join(dir, d.settings.Name+".log"))
 	if err != nil {
 		return failure.At(failure.Invalid, "open log", d.settings.Name, err)
@@ -78,6 +75,11 @@
 	if d.command != nil || d.held {
 		return nil
 	}
+	settings := d.settings
+	settings.Bootstrap = d.life == 0
+	if err := os.WriteFile(d.file, []byte(settings.Text()), 0o600); err != nil {
+		return failure.At(failure.Invalid, "write settings", settings.Name, err)
+	}
 	command := exec.Command(d.program)
 	command.Env = append(os.Environ(), standin.SettingsVariable+"="+d.file)
 	command.Stderr = d.log
