relay: Let a caller that reads slowly slow its own stream alone

Cause: while an event is written to a caller that does not read, nothing is read of the replica, and the tracker took that for the replica's silence: after 450 ms it suspected the replica, cut its streams and told all peers.

Mend: a stream that waits for its caller says nothing of its replica; its clock starts again when the caller has taken the event. Others of the replica are judged as before.

Ruled out: a deadline on each write to the caller, which would cut callers that are slow but alive. TestSilenceBehindSlowCallers holds the bound for callers that read.

--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -36,7 +36,7 @@
 	e := &exchange{response: &http.Response{Body: io.NopCloser(reader), Header: http.Header{}}}
 	s := &relayed{w: recorder}
 	b.ResetTimer()
-	if err := s.copy(e, func(time.Time) {}); err != nil {
+	if err := s.copy(e, func(time.Time) {}, func() {}); err != nil {
 		b.Fatal(err)
 	}
 }
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"quartzshelf.dev/fleet"
@@ -31,6 +32,9 @@
 	dueBy time.Time
 	// excused tells that a pause of this process restarted its clock since it last moved.
 	excused bool
+	// passing tells that an event is being passed on to the caller: until the caller has
+	// taken it, nothing is read of the replica, whose silence says nothing.
+	passing atomic.Bool
 	costs   costs
 	cancel  context.CancelCauseFunc
 }
@@ -56,6 +60,19 @@
 	s.suspect = time.Time{}
 }
 
+// Passing notes that an event is being passed on to the caller of a stream, until Passed.
+func (w *StreamWatch) Passing() { w.passing.Store(true) }
+
+// Passed notes that the caller of a stream has taken its last event. A caller that reads
+// slowly slows its own stream alone: counted as silence of the replica, one such caller
+// took the replica from all others.
+func (t *Tracker) Passed(watch *StreamWatch, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	watch.movedAt = now
+	watch.passing.Store(false)
+}
+
 // Unfollow ends the following of a stream.
 func (t *Tracker) Unfollow(r *fleet.Replica, watch *StreamWatch) {
 	t.mu.Lock()
@@ -121,7 +138,7 @@
 		if s.isSilent(t.moveOf(s), now) {
 			s.suspect = now.Add(suspectFor)
 			all = append(all, s.replica)
-			s.cut(errStalled, func(*StreamWatch) bool { return true })
+			s.cut(errStalled, func(w *StreamWatch) bool { return !w.passing.Load() })
 			continue
 		}
 		s.cut(errQuiet, func(w *StreamWatch) bool { return t.isQuiet(s, w, now) })
@@ -147,6 +164,9 @@
 // first event may be in a queue: it is due once the work that was sent before it is done,
 // as far as that is known when peers have reported it.
 func (t *Tracker) isQuiet(s *replicaLoad, w *StreamWatch, now time.Time) bool {
+	if w.passing.Load() {
+		return false
+	}
 	if w.begun {
 		pass := w.costs.pass + time.Duration(w.costs.slots*float64(w.costs.perRequest))
 		return now.Sub(w.movedAt) > goSilence+pass
@@ -163,11 +183,12 @@
 // isSilent reports whether none of the replica's streams moved for so long that it must
 // have stopped, if one moved last at the given time.
 func (s *replicaLoad) isSilent(moved, now time.Time) bool {
-	if len(s.streams) == 0 {
-		return false
-	}
-	limit, first := beginSilence, now
+	limit, first, waiting := beginSilence, now, 0
 	for watch := range s.streams {
+		if watch.passing.Load() {
+			continue
+		}
+		waiting++
 		if watch.begun {
 			limit = goSilence
 		}
@@ -178,7 +199,7 @@
 	if first.After(moved) {
 		moved = first
 	}
-	return now.Sub(moved) > limit
+	return waiting > 0 && now.Sub(moved) > limit
 }
 
 // cut ends the streams that are chosen, so that they go on elsewhere.
--- /dev/null
+++ b/relay/slowcaller_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// slowWriter is the connection of a caller that takes a while to read each event.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	each time.Duration
+}
+
+func (w *slowWriter) Write(b []byte) (int, error) {
+	time.Sleep(w.each)
+	return w.ResponseRecorder.Write(b)
+}
+
+// sendSlowly sends a stream request whose caller reads slowly.
+func (p *play) sendSlowly(daemon int, id string, each time.Duration) {
+	p.calls.Go(func() {
+		request := httptest.NewRequest(http.MethodPost, "/stream/", strings.NewReader("body")).WithContext(p.ctx)
+		request.Host = "h"
+		request.Header.Set(testNames.Attempt, id)
+		request.Header.Set(testNames.Model, "m")
+		w := &slowWriter{ResponseRecorder: httptest.NewRecorder(), each: each}
+		got := playedCall{call: call{whole: true}}
+		func() {
+			defer func() {
+				if recover() != nil {
+					got.whole = false
+				}
+			}()
+			p.daemons[daemon].ServeHTTP(w, request)
+		}()
+		got.status, got.body = w.Code, w.Body.String()
+		p.mu.Lock()
+		p.results[id] = got
+		p.mu.Unlock()
+	})
+}
+
+// TestSlowCallerHarmsNobody: the only stream of a replica at this daemon has a caller that
+// reads slowly. Its replica is not suspected, and its stream goes on at the one worker to its
+// end.
+func TestSlowCallerHarmsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 2, &playedHead{id: "a"})
+		const each = goSilence + 2*sweepEvery
+		p.sendSlowly(0, "slow", each)
+		for n := range 10 {
+			time.Sleep(200 * time.Millisecond)
+			for _, r := range p.daemons {
+				assert.Assert(t, !r.opts.Tracker.suspected("a@1", time.Now()), "suspected in step %d", n)
+			}
+		}
+		p.calls.Wait()
+		assert.Equal(t, p.sends("slow"), 1)
+		assert.Assert(t, p.served("slow"), "%+v", p.results["slow"])
+	})
+}
+
+// TestSilenceBehindSlowCallers: a replica that stands still is noticed by the stream whose
+// caller reads, whatever the callers of the others do.
+func TestSilenceBehindSlowCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stopped := false
+		p := newPlay(t, 1, &playedHead{id: "a", still: func() bool { return stopped }})
+		for i := range 5 {
+			p.sendSlowly(0, fmt.Sprint("slow", i), 10*time.Second)
+		}
+		p.call(0, "reads", 0, patient)
+		time.Sleep(100 * time.Millisecond)
+		stopped = true
+		began := time.Now()
+		for !p.daemons[0].opts.Tracker.suspected("a@1", time.Now()) {
+			time.Sleep(10 * time.Millisecond)
+			assert.Assert(t, time.Since(began) <= goSilence+2*sweepEvery, "not noticed after %s", time.Since(began))
+		}
+		stopped = false
+		p.calls.Wait()
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -126,8 +126,10 @@
 		}
 		reserved.Started()
 		r.opts.Tracker.Moved(replica, watch, now)
+		watch.Passing()
 	}
-	if err := s.copy(e, moved); err != nil {
+	passed := func() { r.opts.Tracker.Passed(watch, time.Now()) }
+	if err := s.copy(e, moved, passed); err != nil {
 		e.abort()
 		return withCause(ctx, replica.Head.ID, &sendError{sent: true, cause: err})
 	}
@@ -156,7 +158,7 @@
 }
 
 // copy passes whole events on as they come, until the stream is complete.
-func (s *relayed) copy(e *exchange, moved func(time.Time)) error {
+func (s *relayed) copy(e *exchange, moved func(time.Time), passed func()) error {
 	buffer := make([]byte, 0, streamBuffer)
 	for {
 		if len(buffer) == cap(buffer) {
@@ -170,7 +172,9 @@
 		whole, rest := splitEvents(buffer)
 		if len(whole) > 0 {
 			moved(time.Now())
-			if err := s.pass(e, whole); err != nil {
+			err := s.pass(e, whole)
+			passed()
+			if err != nil {
 				return err
 			}
 			buffer = append(buffer[:0], rest...)
