relay, serving, platform: Bound what is held for callers and workers

Cause: a daemon read bodies and whole answers without a bound but the size of one, 4 and 32 MB, and a caller that announced a body and sent nothing, or did not read its answer, held its handler for ever. Machines of 184 MB kill a process above that.

A body that finds none is refused with 503, since its request has not run; an answer waits for room, and its worker with it. Room is taken as bytes come. `held_bytes` shows the sum.

Tests: TestBodiesAreBounded, TestAnnouncedBodyTakesNoRoom, TestAnswersWaitForRoom. Not measured here: thousands of slow callers at one process.

--- a/common/reason/reason.go
+++ b/common/reason/reason.go
@@ -38,6 +38,8 @@
 	HallClosed         Reason = "hall_closed"
 	RegionNotAllowed   Reason = "region_not_allowed"
 	WarmUp             Reason = "warm_up"
+	// MemoryBound: the daemon holds as many bytes for callers as it may.
+	MemoryBound Reason = "memory_bound"
 	// Quarantined: the request ended the workers that ran it.
 	Quarantined Reason = "quarantined"
 )
@@ -83,7 +85,7 @@
 		NoReplica, Overloaded, AccountLimit, FairShare, Starting, Stopping, Isolated,
 		IntentLog, KeyMismatch, KeyInvalid, KeyExpired, KeyPending, KeyHolderGone, RetryBudget,
 		EndpointRefused, EndpointUnreached, EndpointBroken, EndpointTimeout, EndpointCrossed,
-		ConfigurationClash, HallClosed, RegionNotAllowed, WarmUp, Quarantined,
+		ConfigurationClash, HallClosed, RegionNotAllowed, WarmUp, MemoryBound, Quarantined,
 	}
 }
 
--- /dev/null
+++ b/relay/holdings_test.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestBodiesAreBounded reads bodies beside others that are held already.
+func TestBodiesAreBounded(t *testing.T) {
+	const most = 1 << 20
+	tests := map[string]struct {
+		bound int64
+		held  map[string]int64
+		size  int
+		want  error
+	}{
+		"room for it":                        {bound: most, size: 100 << 10},
+		"no bound":                           {size: 4 << 20},
+		"nothing":                            {bound: most},
+		"others hold all":                    {bound: most, held: map[string]int64{"b": most / 2, "c": most/2 - 1}, size: 600, want: errNoRoom},
+		"its account holds its part":         {bound: most, held: map[string]int64{"a": most/4 - 1}, size: 600, want: errNoRoom},
+		"another account holds more":         {bound: most, held: map[string]int64{"b": most / 2}, size: 600},
+		"too long for its account by itself": {bound: most, size: most / 2, want: errNoRoom},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := NewHoldings(test.bound)
+			for account, bytes := range test.held {
+				h.byAccount[account] = bytes
+				h.total += bytes
+			}
+			before := h.Held()
+			o := holding{holdings: h, account: "a"}
+			body := bytes.Repeat([]byte("x"), test.size)
+			got, err := o.read(bytes.NewReader(body), 8<<20, refuseWhenFull)
+			assert.Assert(t, errors.Is(err, test.want), "%v", err)
+			if test.want == nil {
+				assert.Equal(t, string(got), string(body))
+				assert.Equal(t, h.Held()-before, int64(test.size))
+			}
+			o.end()
+			assert.Equal(t, h.Held(), before)
+		})
+	}
+}
+
+// TestAnnouncedBodyTakesNoRoom: a caller announces a long body, sends a little and stops.
+func TestAnnouncedBodyTakesNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := NewHoldings(1 << 20)
+		o := holding{holdings: h, account: "a"}
+		reader, writer := io.Pipe()
+		done := make(chan error, 1)
+		go func() {
+			_, err := o.read(reader, 1<<20, refuseWhenFull)
+			done <- err
+		}()
+		_, err := writer.Write([]byte("little"))
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Assert(t, h.Held() <= firstStep, "%d bytes held", h.Held())
+		assert.NilError(t, writer.CloseWithError(io.ErrClosedPipe))
+		assert.Assert(t, errors.Is(<-done, io.ErrClosedPipe))
+		o.end()
+		assert.Equal(t, h.Held(), int64(0))
+	})
+}
+
+// TestAnswersWaitForRoom: an answer was made, so it is read when others have ended.
+func TestAnswersWaitForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := NewHoldings(1 << 20)
+		first := holding{holdings: h, account: "b"}
+		assert.Assert(t, first.grow(1<<20))
+		time.AfterFunc(time.Second, first.end)
+		second := holding{holdings: h, account: "a"}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		began := time.Now()
+		got, err := second.read(strings.NewReader("answer"), 1<<20, waitForRoom(ctx))
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), "answer")
+		assert.Assert(t, time.Since(began) >= time.Second)
+		assert.Assert(t, first.grow(1<<20-100))
+		_, err = second.read(strings.NewReader("answer"), 1<<20, waitForRoom(ctx))
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,6 +59,8 @@
 
 	Tracker *Tracker
 	Budget  BudgetOptions
+	// Holdings bounds what is held for callers and workers; nil for no bound.
+	Holdings *Holdings
 	// ServeLate keeps requests that are late already rather than lose them: they wait for
 	// room, and refused callers are told to come back over all of the time that they heed.
 	// Where a third of the workers is lost that makes fresh requests late as well, so it is
@@ -96,6 +98,9 @@
 
 // New returns a relay; Run does its housekeeping.
 func New(opts Options) *Relay {
+	if opts.Holdings == nil {
+		opts.Holdings = NewHoldings(0)
+	}
 	r := &Relay{
 		opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), patiences: newPatiences(),
 		startedAt: time.Now(), done: make(chan struct{}),
@@ -143,7 +148,10 @@
 	if r.opts.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	c, refused := r.accept(h)
+	c, refused := r.accept(h, http.NewResponseController(w))
+	if c != nil {
+		defer c.holding.end()
+	}
 	if refused == nil {
 		defer c.cancel()
 		r.budget.earn(c.service, c.arrived)
--- a/relay/request.go
+++ b/relay/request.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,12 +18,14 @@
 
 // request is a caller's request on its way through the daemon.
 type request struct {
-	id      string
-	method  string
-	target  string
-	host    string
-	header  http.Header
-	body    []byte
+	id     string
+	method string
+	target string
+	host   string
+	header http.Header
+	body   []byte
+	// holding is the room that the body and the answer take.
+	holding holding
 	route   *fleet.Route
 	service string
 	// engine is nil for services whose workers serve alone.
@@ -79,7 +81,7 @@
 }
 
 // accept reads a request and decides by the configuration whether it may run.
-func (r *Relay) accept(h *http.Request) (*request, *refusal) {
+func (r *Relay) accept(h *http.Request, edge *http.ResponseController) (*request, *refusal) {
 	config := r.opts.Config()
 	if config == nil {
 		return nil, unavailable(reason.Starting, "no configuration is known yet", retryRevived)
@@ -87,6 +89,7 @@
 	c := &request{
 		method: h.Method, target: h.RequestURI, host: h.Host, header: h.Header,
 		id: h.Header.Get(r.opts.Names.Attempt), arrived: time.Now(), tried: make(map[string]bool),
+		holding: holding{holdings: r.opts.Holdings},
 	}
 	path, _, _ := strings.Cut(c.target, "?")
 	route, ok := config.Route(c.host, path)
@@ -97,7 +100,10 @@
 	if bad := r.authenticate(c, config); bad != nil {
 		return c, bad
 	}
-	if bad := r.read(c, h, config.Limits()); bad != nil {
+	r.boundCaller(edge, c.arrived, route.Timeout)
+	bad := r.read(c, h, config.Limits())
+	r.bodyRead(edge)
+	if bad != nil {
 		return c, bad
 	}
 	c.service = route.Choose(r.random())
@@ -144,8 +150,14 @@
 	if h.ContentLength > most {
 		return refuse(http.StatusRequestEntityTooLarge, reason.BodyTooLarge, "the body is too long")
 	}
-	body, err := io.ReadAll(io.LimitReader(h.Body, most+1))
-	if err != nil {
+	c.holding.account = accountOf(c.tenant)
+	body, err := c.holding.read(h.Body, most, refuseWhenFull)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, reason.BadRequest, "the body did not come in time")
+	case errors.Is(err, errNoRoom):
+		return unavailable(reason.MemoryBound, "this daemon holds as much as it may", retryBusy)
+	case err != nil:
 		return refuse(http.StatusBadRequest, reason.BadRequest, "the body was not read whole")
 	}
 	if int64(len(body)) > most {
@@ -155,6 +167,14 @@
 	return nil
 }
 
+// accountOf names whose bytes are counted: those of callers without an account together.
+func accountOf(tenant *fleet.Tenant) string {
+	if tenant == nil {
+		return ""
+	}
+	return tenant.Name
+}
+
 // begin sets the request's deadline and context. A request that must not be
 // repeated goes on when its caller has gone, so that it ends whole.
 func (r *Relay) begin(c *request, h *http.Request) {
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -83,7 +82,7 @@
 		e.discard()
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(e.response.Body, maxAnswer+1))
+	body, err := c.holding.read(e.response.Body, maxAnswer, waitForRoom(c.ctx))
 	if err == nil && len(body) > maxAnswer {
 		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswer)
 	}
--- a/serving/options.go
+++ b/serving/options.go
@@ -38,7 +38,9 @@
 	// Stall is how long a replica that lost a member stands still.
 	Stall   time.Duration
 	Ceiling formation.Ceiling
-	Budget  relay.BudgetOptions
+	// Held is how many bytes of requests and answers the daemon may hold; zero for no bound.
+	Held   int64
+	Budget relay.BudgetOptions
 	// Empty is the time after the operator's word within which a closed data hall gets
 	// no more requests.
 	Empty time.Duration
--- a/serving/server.go
+++ b/serving/server.go
@@ -129,8 +129,11 @@
 func (s *Server) newRelay() *relay.Relay {
 	budget := s.opts.Bounds.Budget
 	budget.Daemons = s.agent.Daemons
+	holdings := relay.NewHoldings(s.opts.Bounds.Held)
+	s.meter.Gauge("held_bytes", func() float64 { return float64(holdings.Held()) })
 	return relay.New(relay.Options{
-		Names: s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
+		Holdings: holdings,
+		Names:    s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
 		View: s.inventory.View, Halls: s.halls.View, RegionOf: s.regionOf,
 		WarmUp: s.warmUp.Check, TakeWarmUp: s.takeWarmUp, NextWarmUp: s.warmUp.Next, Tracker: s.tracker, Budget: budget,
 		Spread: func() { s.agent.Send(time.Now()) }, Replaced: s.replaced,
