peers: Report on the fittest of a hall, and on the work of all by turns

Cause: of 44,000 datagrams a second that 986 daemons exchange when nothing happens, as reckoned from the topology, 29,000 are reports of ten relays, three datagrams each of who lives and of loads to 194 members, and a member hears all of it twice.

- A relay reports on all that leave and the 64 fittest that stay: callers take no more addresses from an answer, and the next relays are among them.
The requests of a hall then come to these, so that they keep more connections and know more by their own traffic.
- In a hall of more than 24 each relay tells the work of all to half of the members at a time; the others get its heartbeat, so that its silence is noticed as soon as before.
- The third uplink is told each 0.8 s, rather than each 0.2 s.

Ruled out: longer intervals, by which a daemon that ended is named to callers for longer; loads for those alone that serve, since a daemon's first request would be chosen blind.

--- a/peers/agent.go
+++ b/peers/agent.go
@@ -136,7 +136,9 @@
 		a.deliver(kindHeartbeat, l.reached(own.Leads != nil), now, a.message(own))
 		return
 	}
-	a.deliver(kindReports, l.hall, now, a.hallMessages(own, now, round)...)
+	told, others := l.inTurn(round)
+	a.deliver(kindReports, told, now, a.hallMessages(own, now, round)...)
+	a.deliver(kindHeartbeat, others, now, a.message(own))
 	a.deliver(kindReports, l.across, now, a.acrossMessages(own, now, round)...)
 }
 
--- a/peers/reports.go
+++ b/peers/reports.go
@@ -1,8 +1,16 @@
 package peers
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
+	// reportedMost is how many daemons of its hall a relay reports on, the fittest first:
+	// callers take as many addresses from one answer, and the next relays are among them.
+	// Of a hall of 197 each status round is one datagram to each member rather than three,
+	// and the requests of a hall come to these, who keep more connections and know more.
+	reportedMost = 64
 	// statusesPerDatagram bounds the daemons that one datagram reports on: packed
 	// and deflated, one takes about ten bytes.
 	statusesPerDatagram = 80
@@ -53,6 +61,7 @@
 	heard := a.table.heardOfLate(now)
 	first := a.message(own)
 	first.Known = someKnown(heard, now, round)
+	heard = reported(heard, a.opts.Self.Zone)
 	all := []*message{first}
 	for len(heard) > 0 {
 		n := min(len(heard), statusesPerDatagram)
@@ -69,6 +78,22 @@
 	return all
 }
 
+// reported returns the daemons that a relay reports on: all that leave, which callers must
+// not be sent to, and the fittest of its hall that stay. Daemons of other halls are named as
+// far as they are heard.
+func reported(heard []*Peer, hall string) []*Peer {
+	var all, staying []*Peer
+	for _, p := range heard {
+		if p.Leaving || p.Zone != hall {
+			all = append(all, p)
+			continue
+		}
+		staying = append(staying, p)
+	}
+	slices.SortFunc(staying, func(a, b *Peer) int { return CompareFitness(a.Identity, b.Identity) })
+	return append(all, staying[:min(len(staying), reportedMost)]...)
+}
+
 // heardOfLate returns the daemons that were themselves heard of late, sorted by id.
 func (t *Table) heardOfLate(now time.Time) []*Peer {
 	t.mu.Lock()
--- a/peers/topology.go
+++ b/peers/topology.go
@@ -18,6 +18,9 @@
 	// uplinks is how many daemons of their hall others report to: the relays, and
 	// the one that takes over when one of them fails.
 	uplinks = relaysPerHall + 1
+	// standbyRounds is how seldom the third uplink is told, in rounds: it knows from the
+	// relays who lives, and is told in each round once it relays.
+	standbyRounds = 4
 	// probes is how many silent daemons a relay tries in each round.
 	probes = 2
 )
@@ -63,8 +66,9 @@
 	peers []string
 	// hall gets what a relay passes on within its own hall.
 	hall []string
-	// fellows holds the other relays of the own hall.
+	// fellows holds the other relays of the own hall, rank is the own place among them.
 	fellows []string
+	rank    int
 	// across holds the relays of other halls, and a leader that is none: relays and
 	// leaders report to them.
 	across []string
@@ -83,6 +87,25 @@
 	return all
 }
 
+// inTurn returns which daemons of its hall a relay reports to in a round, and which get its
+// heartbeat alone. Statuses go to all at each second round. The work of all daemons is
+// several datagrams in a large fleet; there each of the relays tells half of the hall at a
+// time, so that a member hears it from one of them each 0.4 s, and each 0.8 s while one is
+// gone.
+func (l layout) inTurn(round int) (told, others []string) {
+	if round%2 == 0 || len(l.hall) <= directMost {
+		return l.hall, nil
+	}
+	for i, address := range l.hall {
+		if (i+round/2+l.rank)%relaysPerHall == 0 || slices.Contains(l.fellows, address) {
+			told = append(told, address)
+			continue
+		}
+		others = append(others, address)
+	}
+	return told, others
+}
+
 // audience returns who gets news of all workers, and who gets those of heads alone.
 func (l layout) audience(leads bool) (complete, members []string) {
 	if l.role != Relay {
@@ -120,8 +143,9 @@
 	for i, p := range fittest {
 		switch {
 		case p.ID == t.self.ID && i < relaysPerHall:
-			l.role = Relay
-		case p.ID != t.self.ID && i < uplinks:
+			l.role, l.rank = Relay, i
+		case p.ID == t.self.ID || i >= uplinks:
+		case i < relaysPerHall || round%standbyRounds == 0:
 			l.peers = append(l.peers, p.Address)
 		}
 		if p.ID != t.self.ID && i < relaysPerHall {
@@ -180,6 +204,7 @@
 			silent = append(silent, p.Address)
 		}
 	}
+	slices.Sort(living)
 	return append(living, inTurn(silent, probes, round)...)
 }
 
