fleet, leadership, platform, serving: Bear a store that comes back from a copy

Cause: offsets were compared as numbers, and epochs were made of them. After a drill the store gives offsets out again: lists and changes below the old mark were not taken, and two leaders could hold one epoch.

- A position is an era and an offset, compared as a pair; the era is read from each answer, one that falls or is none is refused.
- A grant carries its epoch, above all that the registry, peers or the daemon ever showed, and beyond what a copy can lack.
A term ends with the era in which it began.
- Marks and registrations that a copy lacks are written again, by the leader and by those that registered within a minute.
- A daemon that has just started serves no keys before it heard a peer or that there is none.

--- a/cmd/soakcmd/run.go
+++ b/cmd/soakcmd/run.go
@@ -50,6 +50,7 @@
 	Duration time.Duration `help:"How long faults strike." default:"15s"`
 	Halls    bool          `help:"Also close, lose and warm up data halls, in two regions."`
 	Crashing bool          `help:"Also send a request that ends each worker which runs it."`
+	Drills   bool          `help:"Also let the store come back from a copy that is seconds old."`
 	Verbose  bool          `help:"Tell every fault."`
 }
 
@@ -110,7 +111,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Seed: seed, Program: program, Dir: dir, Host: host(number), Daemons: line.Daemons, Workers: line.Workers,
-		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls, Crashing: line.Crashing,
+		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls, Crashing: line.Crashing, Drills: line.Drills,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: stderr, Level: level}),
 	})
 	result.Seed = seed
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -28,6 +28,9 @@
 	// workers is 25 pages; the source tells changes for 20 s at least, from which the
 	// reading goes on.
 	listMost = 10 * time.Second
+	// copySettles is how long after a source came back from a copy it has what was written
+	// before: writers write it again at their next heartbeat, each second or so.
+	copySettles = 5 * time.Second
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -120,17 +123,27 @@
 
 func (f *Follower) followConfig(ctx context.Context) {
 	position := int64(-1)
+	// readAgain is when everything is read anew after the source came back from a copy; the
+	// zero time for never.
+	var readAgain time.Time
+	era := int64(-1)
 	// behind tells that the newest configuration is not understood, so that the
 	// one in force is not confirmed: the newer one may have taken keys away.
 	behind := false
 	due := func() bool { return f.opts.Reads(f.opts.Beliefs.Confirmed()) }
 	f.follow(ctx, "configuration", due, func(ctx context.Context) error {
 		sent := time.Now()
+		if !readAgain.IsZero() && sent.After(readAgain) {
+			position, readAgain = -1, time.Time{}
+		}
 		news, err := f.readConfig(ctx, position)
 		if err != nil {
 			return err
 		}
-		position = news.Next
+		if era >= 0 && EraOf(news.Next) > era {
+			readAgain = sent.Add(copySettles)
+		}
+		position, era = news.Next, EraOf(news.Next)
 		if !news.Lost {
 			f.takeHalls(news, sent)
 		}
@@ -243,8 +256,13 @@
 		return false, err
 	}
 	f.logRefused(news.Refused)
-	if l.after == "" {
+	switch {
+	case l.after == "":
 		l.next = news.Next
+	case EraOf(news.Next) != EraOf(l.next):
+		// The parts are of different lists.
+		*l = listing{}
+		return false, nil
 	}
 	l.changes, l.after = append(l.changes, news.Changes...), news.Last
 	if news.More {
--- a/fleet/halls.go
+++ b/fleet/halls.go
@@ -160,9 +160,11 @@
 		return
 	}
 	closed := h.known()
+	// A copy of seconds ago may lack the operator's last word, which comes again.
+	copied := h.position > 0 && EraOf(position) > EraOf(h.position)
 	if news.Whole {
 		for hall := range closed {
-			closed[hall] = slices.Contains(news.Unclear, hall)
+			closed[hall] = copied || slices.Contains(news.Unclear, hall)
 		}
 	}
 	for _, c := range news.Changes {
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -154,12 +154,22 @@
 func (i *Inventory) replace(all []Change, position int64, sent time.Time) {
 	i.noteOutage(sent)
 	held := i.workers
+	copied := i.position > 0 && EraOf(position) > EraOf(i.position)
+	if copied {
+		// What was lost with the store's last seconds comes again; until then it is doubted.
+		i.outageEnd = time.Now()
+	}
 	i.workers = make(map[string]*Worker, len(all))
 	for _, c := range all {
-		if c.Worker != nil && i.keeps(c.Worker) {
-			i.workers[c.ID] = c.Worker.following(held[c.ID])
-			delete(i.lapsed, c.ID)
+		if c.Worker == nil || !i.keeps(c.Worker) {
+			continue
 		}
+		i.workers[c.ID] = c.Worker.following(held[c.ID])
+		if h, ok := held[c.ID]; copied && ok && c.Worker.isOlderThan(h) {
+			// A worker that said that it leaves has still said so.
+			i.workers[c.ID] = h
+		}
+		delete(i.lapsed, c.ID)
 	}
 	for id, w := range held {
 		if _, listed := i.workers[id]; !listed && i.lapses(id) {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // GroupState is how far a worker is in its group.
 type GroupState string
@@ -44,6 +47,10 @@
 	Domain   string `json:"domain,omitempty"`
 	Slots    int    `json:"slots"`
 	Draining bool   `json:"draining,omitempty"`
+	// Born is when this life began, in Unix milliseconds; 0 if the worker does not tell.
+	Born int64 `json:"born,omitempty"`
+	// Beat counts the worker's heartbeats in this life up to this entry.
+	Beat int64 `json:"beat,omitempty"`
 	// ColdLeft is for how much longer the worker said that it is cold, in milliseconds.
 	ColdLeft int64 `json:"cold,omitempty"`
 	// ColdUntil is when that ends, counted from when this daemon took the entry: late
@@ -67,6 +74,12 @@
 	return false
 }
 
+// isOlderThan reports whether an entry was written before another one of the same worker,
+// by what the worker itself tells in them.
+func (w *Worker) isOlderThan(other *Worker) bool {
+	return cmp.Or(cmp.Compare(w.Born, other.Born), cmp.Compare(w.Beat, other.Beat)) < 0
+}
+
 // isHead reports whether requests may go to a worker: it is the head of a group, or belongs
 // to a service without groups.
 func (w *Worker) isHead() bool {
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -43,11 +43,22 @@
 
 // Registry keeps grants. Each has an epoch that no other one shares.
 type Registry struct {
-	// Newest returns the newest grant, the zero one before the first, and the
-	// position at which the next one has to be added.
-	Newest func(ctx context.Context) (grant peers.Grant, position int64, err error)
-	// Add adds a grant if the position still holds, and returns its epoch.
-	Add func(ctx context.Context, holders []peers.Holder, position int64) (epoch int64, won bool, err error)
+	// Newest returns the newest grant and where the next one has to be added.
+	Newest func(ctx context.Context) (Found, error)
+	// Add adds a grant if the position still holds. Its epoch is above all that Found and
+	// peers told.
+	Add func(ctx context.Context, grant peers.Grant, position int64) (won bool, err error)
+}
+
+// Found is what a registry holds.
+type Found struct {
+	// Grant is the newest grant, the zero one before the first.
+	Grant peers.Grant
+	// Position is where the next one has to be added.
+	Position int64
+	// Given is an epoch below which grants may have been given that the registry has
+	// forgotten, as one that comes back from a copy.
+	Given int64
 }
 
 // Options configures an Elector.
@@ -64,6 +75,9 @@
 	Settled func(now time.Time) bool
 	// Fit reports whether this daemon knows enough to lead, and stays.
 	Fit func() bool
+	// Era returns the newest era that the registry told; nil for a registry that forgets
+	// nothing. A term ends with the era in which it began: its grant may be forgotten.
+	Era func() int64
 	// StoreSeen returns when the store last answered this daemon.
 	StoreSeen func() time.Time
 	// Lead is called with each term won and runs it until its context ends.
@@ -81,6 +95,8 @@
 	grant   peers.Grant
 	highest peers.Claim
 	own     *peers.Claim
+	// ownEra is the registry's era in which the own term began.
+	ownEra int64
 	// stop ends the own term.
 	stop func()
 	// leaderlessSince is since when no leader was heard; zero while one is.
@@ -172,6 +188,8 @@
 		switch {
 		case !fit:
 			e.yield("the daemon leaves or knows too little")
+		case e.era() != e.ownEra:
+			e.yield("the store came back from a copy")
 		case e.isolated(alive, now):
 			e.yield("neither the store nor most daemons are reached")
 		}
@@ -192,6 +210,14 @@
 	return now.Sub(e.leaderlessSince) >= time.Duration(turn)*turnPatience && !e.isolated(alive, now)
 }
 
+// era returns the newest era that the registry told.
+func (e *Elector) era() int64 {
+	if e.opts.Era == nil {
+		return 0
+	}
+	return e.opts.Era()
+}
+
 // isolated reports whether neither the store nor most daemons are reached.
 func (e *Elector) isolated(alive []*peers.Peer, now time.Time) bool {
 	known := e.opts.Known(now.Add(-knownFor)) + 1
@@ -258,6 +284,8 @@
 // attempt tries to win a term: by a new grant, or by rank when the store
 // cannot be reached.
 func (e *Elector) attempt(ctx context.Context) {
+	// What the store told until now is what the term rests on.
+	era := e.era()
 	claim, first, won := e.takeGrant(ctx)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -266,7 +294,7 @@
 		return
 	}
 	e.highest = claim
-	e.own = &claim
+	e.own, e.ownEra = &claim, era
 	term, stop := context.WithCancel(ctx)
 	e.stop = stop
 	e.leaderlessSince = time.Time{}
@@ -278,33 +306,43 @@
 func (e *Elector) takeGrant(ctx context.Context) (claim peers.Claim, first, won bool) {
 	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
-	newest, position, err := e.opts.Registry.Newest(ctx)
+	found, err := e.opts.Registry.Newest(ctx)
 	if err != nil {
 		claim, won = e.nextRank()
 		return claim, false, won
 	}
+	newest := found.Grant
 	e.mu.Lock()
 	if newest.Epoch > e.grant.Epoch {
 		e.grant = newest
 	}
-	holders := e.holders()
+	grant := e.nextGrant(found)
+	first = grant.Epoch == 1
 	unused := len(newest.Holders) > 0 && newest.Holders[0] == e.self() && e.highest.Epoch < newest.Epoch
 	e.mu.Unlock()
 	if unused {
 		// An earlier addition was made though its answer was lost.
 		return peers.Claim{Epoch: newest.Epoch}, false, true
 	}
-	epoch, won, err := e.opts.Registry.Add(ctx, holders, position)
+	won, err = e.opts.Registry.Add(ctx, grant, found.Position)
 	if err != nil {
 		e.opts.Logger.Warn("grant not added", "error", err)
 		return peers.Claim{}, false, false
 	}
 	if won {
 		e.mu.Lock()
-		e.grant = peers.Grant{Epoch: epoch, Holders: holders}
+		e.grant = grant
 		e.mu.Unlock()
 	}
-	return peers.Claim{Epoch: epoch}, newest.Epoch == 0, won
+	return peers.Claim{Epoch: grant.Epoch}, first, won
+}
+
+// nextGrant returns the grant to add after what the registry holds. Its epoch is above every
+// epoch that the registry, peers or this daemon ever showed, whatever the registry forgot:
+// two leaders of one epoch would give orders with the same fences. The mutex is held.
+func (e *Elector) nextGrant(found Found) peers.Grant {
+	given := max(found.Given, found.Grant.Epoch, e.grant.Epoch, e.highest.Epoch)
+	return peers.Grant{Epoch: given + 1, Holders: e.holders()}
 }
 
 // lacksDeputies reports whether this daemon leads by a grant that names too few
@@ -335,28 +373,29 @@
 func (e *Elector) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
-	newest, position, err := e.opts.Registry.Newest(ctx)
+	found, err := e.opts.Registry.Newest(ctx)
 	if err != nil {
 		return
 	}
+	newest := found.Grant
 	e.mu.Lock()
 	outdone := newest.Epoch > e.grant.Epoch
 	if outdone {
 		e.grant = newest
 	}
+	grant := e.nextGrant(found)
 	e.mu.Unlock()
 	if outdone && (len(newest.Holders) == 0 || newest.Holders[0] != e.self()) {
 		e.Yield("another daemon holds a newer grant")
 		return
 	}
-	holders := e.holders()
-	epoch, won, err := e.opts.Registry.Add(ctx, holders, position)
+	won, err := e.opts.Registry.Add(ctx, grant, found.Position)
 	if err != nil || !won {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.grant = peers.Grant{Epoch: epoch, Holders: holders}
+	e.grant = grant
 }
 
 // completeFirst puts daemons that know all workers before those that would have to learn of
--- a/leadership/elector_test.go
+++ b/leadership/elector_test.go
@@ -25,7 +25,8 @@
 // fakeFleet joins electors by heartbeats and a registry, both of which can fail.
 type fakeFleet struct {
 	mu      sync.Mutex
-	grants  []peers.Grant
+	grants  []keptGrant
+	era     int64
 	storeUp bool
 	// cut holds the daemons that reach neither others nor the store.
 	cut     map[string]bool
@@ -50,6 +51,8 @@
 	elector *Elector
 	heard   map[string]*peers.Peer
 	stop    context.CancelFunc
+	// era is the store's era as it told this daemon.
+	era int64
 }
 
 func newFakeFleet(daemons int) *fakeFleet {
@@ -66,7 +69,7 @@
 		Self: d.identity(), Registry: Registry{Newest: d.newest, Add: d.add}, Alive: d.alive, Known: d.known,
 		Patience: func() time.Duration { return 800 * time.Millisecond },
 		Settled:  func(time.Time) bool { return true }, Fit: d.fit,
-		StoreSeen: d.storeSeen, Lead: d.lead, Logger: hclog.NewNullLogger(),
+		Era: d.seenEra, StoreSeen: d.storeSeen, Lead: d.lead, Logger: hclog.NewNullLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
@@ -162,32 +165,107 @@
 	return d.fleet.storeUp && !d.fleet.cut[d.self.ID] && !d.fleet.dead[d.self.ID]
 }
 
-func (d *fakeDaemon) newest(context.Context) (peers.Grant, int64, error) {
+func (d *fakeDaemon) newest(context.Context) (Found, error) {
 	if !d.reachesStore() {
-		return peers.Grant{}, 0, errAway
+		return Found{}, errAway
 	}
 	d.fleet.mu.Lock()
 	defer d.fleet.mu.Unlock()
 	d.fleet.calls++
+	d.era = d.fleet.era
 	n := len(d.fleet.grants)
-	if n == 0 {
-		return peers.Grant{}, 0, nil
+	found := Found{Position: int64(n), Given: d.fleet.era * lostMost}
+	if n > 0 {
+		found.Grant = d.fleet.grants[n-1].Grant
+		found.Given = found.Grant.Epoch + (d.fleet.era-d.fleet.grants[n-1].era)*lostMost
 	}
-	return d.fleet.grants[n-1], int64(n), nil
+	return found, nil
 }
 
-func (d *fakeDaemon) add(_ context.Context, holders []peers.Holder, position int64) (int64, bool, error) {
+func (d *fakeDaemon) add(_ context.Context, grant peers.Grant, position int64) (bool, error) {
 	if !d.reachesStore() {
-		return 0, false, errAway
+		return false, errAway
 	}
 	d.fleet.mu.Lock()
 	defer d.fleet.mu.Unlock()
-	if position != int64(len(d.fleet.grants)) {
-		return 0, false, nil
+	if position != int64(len(d.fleet.grants)) || d.era != d.fleet.era {
+		return false, nil
 	}
-	epoch := position + 1
-	d.fleet.grants = append(d.fleet.grants, peers.Grant{Epoch: epoch, Holders: holders})
-	return epoch, true, nil
+	d.fleet.grants = append(d.fleet.grants, keptGrant{Grant: grant, era: d.fleet.era})
+	return true, nil
+}
+
+// seenEra returns the era that the store told this daemon: a leader reads all the time.
+func (d *fakeDaemon) seenEra() int64 {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	return d.era
+}
+
+// lostMost is how many grants a drill of these tests forgets at most.
+const lostMost = 3
+
+// keptGrant is a grant and the era in which it was given.
+type keptGrant struct {
+	peers.Grant
+	era int64
+}
+
+// drill lets the store come back without its last grants.
+func (f *fakeFleet) drill(lost int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.grants = f.grants[:max(len(f.grants)-lost, 0)]
+	f.era++
+}
+
+// tellEra lets the leaders that reach the store hear of its era, as their reads do.
+func (f *fakeFleet) tellEra() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.daemons {
+		if f.storeUp && !f.cut[d.self.ID] && !f.dead[d.self.ID] {
+			d.era = f.era
+		}
+	}
+}
+
+// TestStoreThatForgetsGrants lets the store come back without its newest grants at any
+// moment, beside kills, restarts, partitions and outages: no claim may be made twice, since
+// two leaders of one epoch give orders with the same fences, and one leads in the end.
+func TestStoreThatForgetsGrants(outer *testing.T) {
+	rapid.Check(outer, func(t *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 8), 3, 14).Draw(t, "steps")
+		which := rapid.SliceOfN(rapid.IntRange(0, 4), 14, 14).Draw(t, "which")
+		var twice, leaders []string
+		synctest.Test(outer, func(*testing.T) {
+			f := newFakeFleet(5)
+			incarnation := int64(1)
+			for i, step := range steps {
+				time.Sleep(time.Duration(400+150*step) * time.Millisecond)
+				incarnation++
+				if step > 5 {
+					f.drill(step - 5)
+				} else {
+					f.disturb(step, fmt.Sprintf("d%d", which[i]), incarnation)
+				}
+				if which[i]%2 == 0 {
+					f.tellEra()
+				}
+			}
+			f.set(func() { f.storeUp, f.cut = true, make(map[string]bool) })
+			f.tellEra()
+			time.Sleep(10 * time.Second)
+			twice, leaders = f.twice, f.leaders()
+			f.end()
+		})
+		if len(twice) > 0 {
+			t.Fatalf("claimed twice: %v", twice)
+		}
+		if len(leaders) != 1 {
+			t.Fatalf("when all is well again, %v lead", leaders)
+		}
+	})
 }
 
 // TestStartOfAFleetIsCalm starts many daemons at once, before any is ready: not
--- a/serving/crashing_test.go
+++ b/serving/crashing_test.go
@@ -162,6 +162,7 @@
 	})
 	assert.NilError(f.t, err)
 	s.beliefs.Offer(crashingConfig(), time.Now())
+	s.settledOnce.Store(true)
 	var changes []fleet.Change
 	for _, w := range f.heads {
 		changes = append(changes, fleet.Change{ID: w.ID, Worker: w})
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -41,6 +41,7 @@
 	if p.Traffic {
 		s.tracker.SetTraffic()
 	}
+	s.hearVersion(p.ConfigVersion)
 	s.halls.Follow(p.Halls, p.SentAfter)
 	s.beliefs.Confirm(p.ConfigVersion, p.ConfigConfirmed())
 	s.inventory.Confirm(p.WorkersPosition, p.WorkersConfirmed())
--- a/serving/meet.go
+++ b/serving/meet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quartzshelf.dev/common/pause"
+	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/peers"
 )
 
@@ -29,10 +30,13 @@
 // meet registers this daemon and looks for others while it hears none, soon again
 // after the start. Whoever registers later reads of this daemon and reports to it.
 func (s *Server) meet(ctx context.Context) {
-	registered, next := false, meetAgain
+	next := meetAgain
+	var registered registration
 	for ctx.Err() == nil {
-		registered = registered || s.register(ctx)
 		now := time.Now()
+		if registered.due(s.inventory.Position(), now) && s.register(ctx) {
+			registered = registration{at: now, era: s.storeEra()}
+		}
 		if s.metAt.Load() == nil || len(s.agent.Table().Alive(now)) == 0 || s.membersDue(now) {
 			s.readMembers(ctx)
 		} else {
@@ -43,6 +47,30 @@
 	}
 }
 
+// copyAge is how old a copy is at most from which the store comes back.
+const copyAge = time.Minute
+
+// storeEra returns how often the store came back from a copy, as far as it told this daemon.
+func (s *Server) storeEra() int64 {
+	if s.opts.Era == nil {
+		return 0
+	}
+	return s.opts.Era()
+}
+
+// registration is when a daemon registered, in which era of the store.
+type registration struct {
+	at  time.Time
+	era int64
+}
+
+// due reports whether a daemon is to register: it never did, or did so shortly before the
+// store came back from a copy, which may lack it. The others of a large fleet are in the
+// copy, and do not all write again.
+func (r registration) due(position int64, now time.Time) bool {
+	return r.at.IsZero() || fleet.EraOf(position) > r.era && now.Sub(r.at) < copyAge
+}
+
 func (s *Server) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, memberListTimeout)
 	defer cancel()
--- a/serving/options.go
+++ b/serving/options.go
@@ -72,9 +72,12 @@
 	Bounds  Bounds
 	Names   relay.Names
 
-	Source     fleet.Source
-	Decode     func(data []byte) (*fleet.Config, error)
-	Registry   leadership.Registry
+	Source   fleet.Source
+	Decode   func(data []byte) (*fleet.Config, error)
+	Registry leadership.Registry
+	// Era returns how often the store came back from a copy, as far as it told; nil for a
+	// store that never does.
+	Era        func() int64
 	MemberList MemberList
 	Orders     formation.Orders
 	// Marks keeps the requests that are quarantined.
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -69,8 +69,10 @@
 		if s.isReader() {
 			k.look(ctx, time.Now())
 		} else {
-			// Another leader may write meanwhile.
+			// Another leader may write meanwhile, and the store may come back without what was
+			// written: what it lacks in the next term was not lifted by an operator.
 			k.readAt = time.Time{}
+			clear(k.kept)
 		}
 		pause.For(ctx, keepMarksEvery)
 	}
--- a/serving/quarantine_test.go
+++ b/serving/quarantine_test.go
@@ -99,8 +99,8 @@
 	s := newServer(t, &fakeStore{})
 	s.opts.Marks = marks.store()
 	s.opts.Registry = leadership.Registry{
-		Newest: func(context.Context) (peers.Grant, int64, error) { return peers.Grant{}, 0, nil },
-		Add:    func(context.Context, []peers.Holder, int64) (int64, bool, error) { return 1, true, nil },
+		Newest: func(context.Context) (leadership.Found, error) { return leadership.Found{}, nil },
+		Add:    func(context.Context, peers.Grant, int64) (bool, error) { return true, nil },
 	}
 	s.elector = s.newElector()
 	front, err := net.Listen("tcp", "127.0.0.1:0")
--- a/serving/server.go
+++ b/serving/server.go
@@ -60,6 +60,10 @@
 	// that those of all halls were.
 	metAt  atomic.Pointer[time.Time]
 	metAll atomic.Bool
+	// settledOnce tells that what was read after the start is no older than what others
+	// know, newestHeard is the newest version of the configuration that was heard of.
+	settledOnce atomic.Bool
+	newestHeard atomic.Int64
 	// readAgain is when the member list is to be read again.
 	readAgain time.Time
 	// unread holds the data halls whose part of the member list is yet to be read, the own
@@ -114,6 +118,7 @@
 		Registry: s.opts.Registry,
 		Alive:    table.Alive, Known: table.Known, Settled: table.Settled, Patience: table.Patience,
 		Fit:       s.fit,
+		Era:       s.opts.Era,
 		StoreSeen: s.storeSeen,
 		Lead:      s.lead, Logger: s.logger.Named("leadership"),
 	})
@@ -126,7 +131,7 @@
 	s.meter.Gauge("held_bytes", func() float64 { return float64(holdings.Held()) })
 	return relay.New(relay.Options{
 		Holdings: holdings,
-		Names:    s.opts.Names, Config: s.beliefs.Config, Confirmed: s.beliefs.Confirmed, BeliefFor: s.beliefFor(),
+		Names:    s.opts.Names, Config: s.beliefs.Config, Confirmed: s.configConfirmed, BeliefFor: s.beliefFor(),
 		View: s.inventory.View, Halls: s.halls.View, RegionOf: s.regionOf,
 		WarmUp: s.warmUp.Check, TakeWarmUp: s.takeWarmUp, NextWarmUp: s.warmUp.Next, Tracker: s.tracker, Budget: budget,
 		Spread: func() { s.agent.Send(time.Now()) }, Replaced: s.replaced,
@@ -207,7 +212,7 @@
 
 // Ready reports whether callers should come here.
 func (s *Server) Ready() bool {
-	return s.knows() && !s.leaving.Load() && !s.relay.BeliefTooOld(time.Now())
+	return s.knows() && s.settled(time.Now()) && !s.leaving.Load() && !s.relay.BeliefTooOld(time.Now())
 }
 
 // KeepEntries returns for how long callers keep an answer of Entries.
--- a/serving/server_test.go
+++ b/serving/server_test.go
@@ -70,6 +70,29 @@
 func learn(s *Server, at time.Time) {
 	s.beliefs.Offer(fleet.NewConfig(fleet.Parts{Version: 1}), at)
 	s.inventory.Replace(nil, 1, at)
+	s.settledOnce.Store(true)
+}
+
+// TestWhoHasJustStartedBelievesPeers: the store came back from a copy and shows an older
+// configuration. A daemon that starts then serves no keys by it once it hears of a newer one,
+// nor before it could hear of any.
+func TestWhoHasJustStartedBelievesPeers(t *testing.T) {
+	s, now := newServer(t, &fakeStore{}), time.Now()
+	s.beliefs.Offer(fleet.NewConfig(fleet.Parts{Version: 1}), now)
+	s.inventory.Replace(nil, 1, now)
+	assert.Assert(t, !s.Ready() && s.relay.BeliefTooOld(now), "it heard nobody yet")
+	p := &peers.Peer{Heartbeat: peers.Heartbeat{Identity: peers.Identity{ID: "b", Incarnation: 1, Address: "b"}, ConfigVersion: 2}, HeardAt: now}
+	s.agent.Table().Hear(p.Heartbeat, now, now)
+	s.heard(p)
+	assert.Assert(t, !s.Ready() && s.relay.BeliefTooOld(now), "a newer one is in force at a peer")
+	s.beliefs.Offer(fleet.NewConfig(fleet.Parts{Version: 2}), now)
+	assert.Assert(t, s.Ready() && !s.relay.BeliefTooOld(now))
+	alone := newServer(t, &fakeStore{})
+	alone.beliefs.Offer(fleet.NewConfig(fleet.Parts{Version: 1}), now)
+	alone.inventory.Replace(nil, 1, now)
+	long := now.Add(-2 * hearFor)
+	alone.metAt.Store(&long)
+	assert.Assert(t, alone.Ready(), "there is nobody to hear")
 }
 
 func TestWhoHasNotMetOthersDoesNotLead(t *testing.T) {
--- a/serving/start_test.go
+++ b/serving/start_test.go
@@ -134,23 +134,23 @@
 
 func (s *sharedStore) registry(link float64) leadership.Registry {
 	return leadership.Registry{
-		Newest: func(ctx context.Context) (peers.Grant, int64, error) {
+		Newest: func(ctx context.Context) (leadership.Found, error) {
 			err := s.answer(ctx, identityBytes, link)
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			return s.grant, s.grant.Epoch, err
+			return leadership.Found{Grant: s.grant, Position: s.grant.Epoch}, err
 		},
-		Add: func(ctx context.Context, holders []peers.Holder, position int64) (int64, bool, error) {
+		Add: func(ctx context.Context, grant peers.Grant, position int64) (bool, error) {
 			if err := s.answer(ctx, identityBytes, link); err != nil {
-				return 0, false, err
+				return false, err
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if s.grant.Epoch != position {
-				return 0, false, nil
+				return false, nil
 			}
-			s.grant = peers.Grant{Epoch: position + 1, Holders: holders}
-			return s.grant.Epoch, true, nil
+			s.grant = grant
+			return true, nil
 		},
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,6 +39,8 @@
 	Duration time.Duration
 	// Crashing adds a request that ends each worker which runs it and comes again and again.
 	Crashing bool
+	// Drills lets the store come back from a copy that is seconds old.
+	Drills bool
 	// Halls adds data halls that are closed, lost and cold, and a second region.
 	Halls  bool
 	Logger hclog.Logger
@@ -294,6 +296,9 @@
 	if r.opts.Halls {
 		series.Go(func() { r.strikeAll(ctx, hallSchedule(r.opts.Seed, r.opts.Duration), hallFaults) })
 	}
+	if r.opts.Drills {
+		series.Go(func() { r.strikeAll(ctx, drillSchedule(r.opts.Seed, r.opts.Duration), drills) })
+	}
 	series.Wait()
 	if !r.recovered(ctx) {
 		served, all := r.callers.served(time.Now().Add(-recoverWindow))
