formation, fleet, relay, platform: Let workers come back under their id

Cause: all that is known of a worker is kept by its id. The membership that an earlier life had told stood above what the list shows of the new one, its epoch being higher; an id that had ended never served again; models, positions and connections of the earlier life were taken for those of the new one.

Mend: a worker's start (`born`) is part of what it tells; when the list or its own report shows another one, what was known of the life before is forgotten.

Ruled out: another key than the id everywhere, since replicas, loads and suspicions go by group and epoch, which no later life has.

Not begun: a clock that counts suspension.

--- a/Makefile
+++ b/Makefile
@@ -40,12 +40,13 @@
 	scripts/faults
 
 # soak plays random faults against real daemons, those of data halls too. It draws seeds and
-# prints them; replay one with SEEDS=n make soak, with HALLS=, CRASHING= or DRILLS= if it was drawn without.
+# prints them; replay one with SEEDS=n make soak, with HALLS=, CRASHING=, DRILLS= or REBORN= if it was drawn without.
 HALLS := --halls
 CRASHING := --crashing
 DRILLS := --drills
+REBORN := --reborn
 soak: build
-	$(SOAK) $(HALLS) $(CRASHING) $(DRILLS) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
+	$(SOAK) $(HALLS) $(CRASHING) $(DRILLS) $(REBORN) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
 
 # soak-short is the part of CI (workers of seed 4 look at fences), soak-again plays what failed once.
 soak-short: build
@@ -53,6 +54,7 @@
 	$(SOAK) --halls --seeds 11,12,13 --parallel 3 --duration 8s
 	$(SOAK) --crashing --seeds 21,22,23 --parallel 3 --duration 8s
 	$(SOAK) --drills --seeds 4176265991,32,33 --parallel 3 --duration 12s
+	$(SOAK) --reborn --seeds 41,42,43 --parallel 3 --duration 8s
 
 soak-again: build
 	$(SOAK) --parallel 4 --seeds $$(sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
--- a/cmd/soakcmd/run.go
+++ b/cmd/soakcmd/run.go
@@ -51,6 +51,7 @@
 	Halls    bool          `help:"Also close, lose and warm up data halls, in two regions."`
 	Crashing bool          `help:"Also send a request that ends each worker which runs it."`
 	Drills   bool          `help:"Also let the store come back from a copy that is seconds old."`
+	Reborn   bool          `help:"Also let workers come back under their id."`
 	Verbose  bool          `help:"Tell every fault."`
 }
 
@@ -111,7 +112,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Seed: seed, Program: program, Dir: dir, Host: host(number), Daemons: line.Daemons, Workers: line.Workers,
-		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls, Crashing: line.Crashing, Drills: line.Drills,
+		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls, Crashing: line.Crashing, Drills: line.Drills, Reborn: line.Reborn,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: stderr, Level: level}),
 	})
 	result.Seed = seed
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -38,7 +38,7 @@
 
 // Worker is one life of a worker as it describes itself.
 type Worker struct {
-	// ID names this life; a restarted worker has another one.
+	// ID names the worker. A restarted one has another id, or the same and another Born.
 	ID      string `json:"id"`
 	Service string `json:"service"`
 	Address string `json:"address"`
@@ -90,7 +90,7 @@
 // tells. A worker that has left its group tells no model, but still holds the
 // one it served.
 func (w *Worker) following(earlier *Worker) *Worker {
-	keepsLoaded := w.Loaded == "" && earlier != nil && earlier.Loaded != ""
+	keepsLoaded := w.Loaded == "" && earlier != nil && earlier.Born == w.Born && earlier.Loaded != ""
 	if !keepsLoaded && w.ColdLeft <= 0 {
 		return w
 	}
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -249,6 +249,9 @@
 
 // loaded returns the model that a worker was set up for last.
 func (k *Keeper) loaded(w *fleet.Worker) string {
+	if k.isOver(w) {
+		return k.known[w.ID].state.Loaded
+	}
 	if o, ok := k.known[w.ID]; ok && o.state.Loaded != "" && o.at.After(k.opts.Inventory.Confirmed()) {
 		return o.state.Loaded
 	}
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -97,6 +97,8 @@
 	silent map[string]time.Time
 	// positions holds, by worker, how many orders it has begun and its group.
 	positions map[string]position
+	// lives holds when the present lives of workers began.
+	lives map[string]life
 	// former holds all workers that were ever listed.
 	former map[string]*fleet.Worker
 	// seenView is the list as the last look found it, absent holds the workers that
@@ -192,6 +194,7 @@
 		formed:      make(map[string]Group),
 		silent:      make(map[string]time.Time),
 		former:      make(map[string]*fleet.Worker),
+		lives:       make(map[string]life),
 		seenView:    view,
 		absent:      make(map[string]*absence),
 		ended:       make(map[string]bool),
@@ -354,6 +357,7 @@
 func (k *Keeper) refresh(view *fleet.View) {
 	for id, w := range view.Workers() {
 		k.former[id] = w
+		k.noteListed(w)
 	}
 	for id := range k.silent {
 		if _, listed := view.Worker(id); !listed {
@@ -385,6 +389,9 @@
 // newer than the list.
 func (k *Keeper) member(w *fleet.Worker) fleet.Membership {
 	o, ok := k.known[w.ID]
+	if k.isOver(w) {
+		return o.state.Member
+	}
 	if !ok || o.state.Member.Epoch < w.Member.Epoch {
 		return w.Member
 	}
@@ -404,6 +411,9 @@
 func (k *Keeper) learn(id string, s State) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !k.noteReported(id, s.Born) {
+		return
+	}
 	delete(k.silent, id)
 	now := time.Now()
 	k.reported(id, s, now)
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -87,6 +87,8 @@
 	Staged []string
 	// Orders is how many orders the worker has begun in its life.
 	Orders int64
+	// Born is when that life began, in Unix milliseconds; 0 if the worker does not tell.
+	Born int64
 }
 
 // Orders reaches workers. An error of a function says that no answer came: the
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -25,13 +25,15 @@
 	mute     bool
 	dead     bool
 	draining bool
-	fence    Fence
-	epoch    int64
-	group    Group
-	state    fleet.GroupState
-	rank     int
-	last     string
-	staged   string
+	// born is when its life began, beat counts its entries in that life.
+	born, beat int64
+	fence      Fence
+	epoch      int64
+	group      Group
+	state      fleet.GroupState
+	rank       int
+	last       string
+	staged     string
 	// staging tells that it loads to its host, stages counts orders to do so.
 	staging bool
 	stages  int
@@ -110,6 +112,8 @@
 	simHot  = 200 * time.Millisecond
 	simForm = 300 * time.Millisecond
 	simLag  = 200 * time.Millisecond
+	// simBorn is when workers were born, in Unix milliseconds.
+	simBorn = 1_700_000_000_000
 	// simDelivery is how long the list takes to show a change.
 	simDelivery = 30 * time.Millisecond
 )
@@ -147,7 +151,7 @@
 	}
 	for d := range domains {
 		for i := range perDomain {
-			s := &simWorker{id: fmt.Sprintf("w%d-%d", d, i), domain: fmt.Sprintf("d%d", d)}
+			s := &simWorker{id: fmt.Sprintf("w%d-%d", d, i), domain: fmt.Sprintf("d%d", d), born: simBorn}
 			w.workers[s.id] = s
 		}
 	}
@@ -178,7 +182,7 @@
 // mutex is held.
 func (w *world) note(s *simWorker) {
 	s.states = append(s.states, timedState{from: time.Now().Add(simLag), state: State{
-		Member: s.member(), Loaded: s.last, Staged: []string{s.staged}, Orders: s.orders,
+		Member: s.member(), Loaded: s.last, Staged: []string{s.staged}, Orders: s.orders, Born: s.born,
 	}})
 }
 
@@ -204,8 +208,9 @@
 	if !s.dead {
 		entry := &fleet.Worker{
 			ID: s.id, Service: "models", Address: s.id, Domain: s.domain, Zone: s.zone, Slots: 10, Draining: s.draining,
-			Member: s.member(),
+			Member: s.member(), Born: s.born, Beat: s.beat,
 		}
+		s.beat++
 		if s.group.Name != "" {
 			// Who is in no group tells no model.
 			entry.Loaded = s.last
--- a/relay/connections.go
+++ b/relay/connections.go
@@ -47,7 +47,9 @@
 	net.Conn
 	worker  string
 	service string
-	reader  *bufio.Reader
+	// born is when the worker's life began to which the connection leads.
+	born   int64
+	reader *bufio.Reader
 	// idleSince is when it was last used, closeAt until when it may be used.
 	idleSince time.Time
 	closeAt   time.Time
@@ -68,7 +70,7 @@
 // get returns a connection to a worker: one that has been idle for less than
 // idleFor, or a new one.
 func (u *upstream) get(ctx context.Context, w *fleet.Worker, idleFor time.Duration) (*connection, error) {
-	if c := u.reuse(w.ID, idleFor); c != nil {
+	if c := u.reuse(w, idleFor); c != nil {
 		u.count(w.Service, true)
 		return c, nil
 	}
@@ -82,28 +84,29 @@
 		return nil, &sendError{cause: failure.At(failure.Refused, "connect to worker", w.ID, err)}
 	}
 	u.count(w.Service, false)
-	return &connection{Conn: raw, worker: w.ID, service: w.Service, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return &connection{Conn: raw, worker: w.ID, service: w.Service, born: w.Born, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
 // reuse takes the connection that was used last, which is the least likely to
 // be closed by its worker. One that has been idle for too long stays for
 // requests that bear it, or until the next sweep.
-func (u *upstream) reuse(worker string, idleFor time.Duration) *connection {
+// Those to an earlier life of the worker are closed.
+func (u *upstream) reuse(w *fleet.Worker, idleFor time.Duration) *connection {
 	now := time.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for {
-		all := u.idle[worker]
+		all := u.idle[w.ID]
 		if len(all) == 0 {
 			return nil
 		}
 		c := all[len(all)-1]
-		if !u.usable(c, idleFor, now) {
+		if c.born == w.Born && !u.usable(c, idleFor, now) {
 			return nil
 		}
-		u.idle[worker] = all[:len(all)-1]
+		u.idle[w.ID] = all[:len(all)-1]
 		u.total--
-		if c.quiet() {
+		if c.born == w.Born && c.quiet() {
 			c.idled = now.Sub(c.idleSince)
 			return c
 		}
--- a/relay/connections_test.go
+++ b/relay/connections_test.go
@@ -249,7 +249,7 @@
 			},
 			"reuse": func(t *rapid.T) {
 				id := worker.Draw(t, "worker")
-				c := u.reuse(id, rapid.SampledFrom([]time.Duration{0, time.Minute}).Draw(t, "idleFor"))
+				c := u.reuse(&fleet.Worker{ID: id}, rapid.SampledFrom([]time.Duration{0, time.Minute}).Draw(t, "idleFor"))
 				if c != nil {
 					assert.Assert(t, idle[c] && c.worker == id)
 					delete(idle, c)
--- a/relay/tracker_test.go
+++ b/relay/tracker_test.go
@@ -91,7 +91,7 @@
 			c := &connection{Conn: raw, worker: "w", reader: bufio.NewReader(raw)}
 			u.put(c, idleMost)
 			c.idleSince = time.Now().Add(-test.idle)
-			assert.Equal(t, u.reuse("w", test.idleFor) == c, test.reused)
+			assert.Equal(t, u.reuse(&fleet.Worker{ID: "w"}, test.idleFor) == c, test.reused)
 		})
 	}
 	// The relay asks for the shorter time for such requests alone.
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -173,9 +173,9 @@
 	if s.opts.Orders.Ask == nil {
 		return false, nil
 	}
-	_, err := s.opts.Orders.Ask(ctx, w)
+	state, err := s.opts.Orders.Ask(ctx, w)
 	if errors.Is(err, formation.ErrElsewhere) {
 		return true, nil
 	}
-	return false, err
+	return err == nil && state.Born != 0 && w.Born != 0 && state.Born != w.Born, err
 }
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -72,7 +72,7 @@
 	back := crashBack + time.Duration(rand.Int64N(int64(crashBack)))
 	time.AfterFunc(back, func() {
 		if !r.isOver() {
-			r.replace(w)
+			r.restart(w)
 		}
 	})
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -186,7 +186,7 @@
 	}
 	return func() {
 		for _, w := range struck {
-			r.replace(w)
+			r.restart(w)
 		}
 	}
 }
@@ -207,7 +207,7 @@
 			all := r.fabric.Workers(standin.ModelService)
 			w := all[random.IntN(len(all))]
 			w.Crash()
-			r.replace(w)
+			r.restart(w)
 		}
 	}()
 	return func() {
@@ -224,7 +224,7 @@
 	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	for _, w := range all[:len(all)/2] {
 		w.Crash()
-		r.replace(w)
+		r.restart(w)
 	}
 	return nothing
 }
--- a/soak/halls.go
+++ b/soak/halls.go
@@ -129,7 +129,7 @@
 	}
 	return func() {
 		for _, w := range lost {
-			r.replace(w)
+			r.restart(w)
 		}
 		for _, d := range off {
 			r.check(d.revive())
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,6 +39,8 @@
 	Duration time.Duration
 	// Crashing adds a request that ends each worker which runs it and comes again and again.
 	Crashing bool
+	// Reborn lets workers come back under their id.
+	Reborn bool
 	// Drills lets the store come back from a copy that is seconds old.
 	Drills bool
 	// Halls adds data halls that are closed, lost and cold, and a second region.
@@ -175,7 +177,9 @@
 func (r *run) startWorker(spec standin.WorkerSpec) error {
 	r.mu.Lock()
 	r.started++
-	spec.ID = fmt.Sprintf("w%d", r.started)
+	if spec.ID == "" {
+		spec.ID = fmt.Sprintf("w%d", r.started)
+	}
 	if spec.Zone == "" {
 		spec.Zone = zoneName(r.started % 2)
 	}
@@ -207,7 +211,22 @@
 // replace starts an empty worker in a worker's place.
 func (r *run) replace(w *standin.Worker) {
 	spec := w.Spec()
-	spec.Address = ""
+	spec.ID, spec.Address, spec.Staged = "", "", ""
+	r.check(r.startWorker(spec))
+}
+
+// restart starts a worker that has ended again: where workers come back under their id every
+// second one does, with what lies on its host, else another one takes its place.
+func (r *run) restart(w *standin.Worker) {
+	r.mu.Lock()
+	comesBack := r.opts.Reborn && r.started%2 == 0
+	r.mu.Unlock()
+	if !comesBack {
+		r.replace(w)
+		return
+	}
+	spec := w.Spec()
+	spec.Address, spec.Staged = "", w.Staged()
 	r.check(r.startWorker(spec))
 }
 
