relay: Round shares of the repeat budget up in turns

Cause: a daemon's share of the extra repeats is a whole number of requests. At 986 daemons and 1,040 it is 1.004 for a service of which the daemon had one request in the window, so it holds just; at 1,970 it is below one and nearly nothing is repeated.

Ruled out: lending between daemons of a hall, which needs a message for each repeat; a share by the daemons that serve, which are not known alike everywhere.

Mend: daemons round up in turns by their shares, where the fifth of the budget that is kept back is four times the standard deviation of that.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"hash/fnv"
+	"math"
 	"sync"
 	"time"
 )
@@ -10,6 +12,12 @@
 	budgetShare = 0.8
 	// budgetParts is into how many parts the window is cut for counting.
 	budgetParts = 20
+	// roundingWindows is in how many windows each daemon has had its turn to round up. In one
+	// window a tenth of them change over, which half of the part kept back bears.
+	roundingWindows = 10
+	// roundingMargin is how many times the standard deviation of all daemons' rounding the
+	// part of the budget that is kept back must be.
+	roundingMargin = 4
 )
 
 // BudgetOptions bounds the repeats of a service over the fleet: in any window
@@ -18,6 +26,8 @@
 	Ratio  float64
 	Window time.Duration
 	Extra  float64
+	// Self names this daemon among those that share the extra.
+	Self string
 	// Daemons returns how many daemons share the extra.
 	Daemons func() int
 }
@@ -79,9 +89,36 @@
 		repeats += t.repeats[p]
 	}
 	extra := b.opts.Extra / float64(max(b.opts.Daemons(), 1))
-	if repeats+1 > budgetShare*(b.opts.Ratio*requests+extra) {
+	if repeats+1 > b.round(budgetShare*(b.opts.Ratio*requests+extra), service, now) {
 		return false
 	}
 	t.repeats[i]++
 	return true
 }
+
+// round makes a daemon's share of repeats a whole number. In a large fleet shares are below
+// one: rounded down by all, a fleet of 986 that may repeat 1,040 requests repeated none of
+// those of a service that gets 67 a second. Daemons therefore round up in turns, as many of
+// them at any time as their shares say, where the part of the budget that is kept back bears
+// the chance in that.
+func (b *budget) round(share float64, service string, now time.Time) float64 {
+	whole, part := math.Modf(share)
+	daemons := float64(max(b.opts.Daemons(), 1))
+	spread := math.Sqrt(daemons) / 2
+	if (1-budgetShare)*b.opts.Extra < roundingMargin*spread {
+		return whole
+	}
+	turn := float64(now.UnixNano()) / float64(roundingWindows*b.opts.Window.Nanoseconds())
+	if _, drawn := math.Modf(b.place(service) + turn); drawn < part {
+		return whole + 1
+	}
+	return whole
+}
+
+// place returns a daemon's place among all in the turns of a service, from 0 to 1.
+func (b *budget) place(service string) float64 {
+	h := fnv.New32a()
+	// Writing to a hash does not fail.
+	_, _ = h.Write([]byte(b.opts.Self + "/" + service))
+	return float64(h.Sum32()) / (1 << 32)
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -126,7 +126,7 @@
 
 func (s *Server) newRelay() *relay.Relay {
 	budget := s.opts.Bounds.Budget
-	budget.Daemons = s.agent.Daemons
+	budget.Self, budget.Daemons = s.opts.Self.ID, s.agent.Daemons
 	holdings := relay.NewHoldings(s.opts.Bounds.Held)
 	s.meter.Gauge("held_bytes", func() float64 { return float64(holdings.Held()) })
 	return relay.New(relay.Options{
