peers: Test that a relay which leaves hands over before it goes

No test failed when leaving daemons stayed relays until they had ended. Now one does: without the filter of Table.expected nobody has followed after 0.4 s. No program changes.

--- a/peers/relay_test.go
+++ b/peers/relay_test.go
@@ -299,3 +299,47 @@
 		}
 	})
 }
+
+// TestRelayThatLeavesHandsOver: a relay that says that it leaves is followed by the next
+// fittest of its hall before it ends, so that no report is missed when it does. Until then it
+// goes on relaying.
+func TestRelayThatLeavesHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		n := newNetwork(ctx, 5)
+		all := n.fleet(t, 2, 20, 3)
+		time.Sleep(3 * time.Second)
+		leaving := relayOf(all, "hall0", 0)
+		n.set(func() { leaving.leaving = true })
+		leaving.agent.Send(time.Now())
+		time.Sleep(2 * heartbeatEvery)
+		relays := 0
+		for _, d := range all {
+			if d != leaving && d.hall() == "hall0" && d.agent.Role() == Relay {
+				relays++
+			}
+		}
+		assert.Equal(t, relays, relaysPerHall, "nobody followed it yet")
+		n.set(func() { leaving.off = true })
+		for range 10 {
+			time.Sleep(heartbeatEvery / 2)
+			for _, d := range all {
+				if d != leaving && d.hall() == "hall0" {
+					checkSeesHall(t, d, all, leaving)
+				}
+			}
+		}
+	})
+}
+
+// checkSeesHall checks that a daemon takes all of its hall for alive, but for one.
+func checkSeesHall(t *testing.T, d *simDaemon, all []*simDaemon, but *simDaemon) {
+	t.Helper()
+	names := d.names()
+	for _, other := range all {
+		if other != d && other != but && other.hall() == d.hall() {
+			assert.Assert(t, slices.Contains(names, other.id()), "%s has lost sight of %s", d.id(), other.id())
+		}
+	}
+}
