--- a/relay/holdings_test.go
+++ b/relay/holdings_test.go
@@ -89,7 +89,8 @@
 		assert.NilError(t, err)
 		assert.Equal(t, string(got), "answer")
 		assert.Assert(t, time.Since(began) >= time.Second)
-		assert.Assert(t, first.grow(1<<20-100))
+		third := holding{holdings: h, account: "b"}
+		assert.Assert(t, third.grow(1<<20-100))
 		_, err = second.read(strings.NewReader("answer"), 1<<20, waitForRoom(ctx))
 		assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 	})
