--- /dev/null
+++ b/relay/edge_test.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// TestCallerThatLeavesIsNoticed: the bound on sending a body must not hide that the caller
+// closed its connection, nor end a request of its own once the body is read.
+func TestCallerThatLeavesIsNoticed(t *testing.T) {
+	const bound = 300 * time.Millisecond
+	tests := map[string]struct {
+		stays bool
+		want  bool
+	}{
+		"it leaves": {want: true},
+		"it stays":  {stays: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &Relay{opts: Options{Logger: hclog.NewNullLogger()}}
+			gone := make(chan bool, 1)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+				edge := http.NewResponseController(w)
+				r.boundCaller(edge, time.Now(), bound)
+				_, _ = io.ReadAll(h.Body)
+				r.bodyRead(edge)
+				select {
+				case <-h.Context().Done():
+					gone <- true
+				case <-time.After(3 * bound):
+					gone <- false
+				}
+			}))
+			defer server.Close()
+			c, err := net.Dial("tcp", server.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+			assert.NilError(t, err)
+			if !test.stays {
+				assert.NilError(t, c.Close())
+			}
+			assert.Equal(t, <-gone, test.want)
+		})
+	}
+}
