fleet, serving: Take nothing for confirmed by a store that has just come back from a copy

Mend: for two seconds after the era rises no read and no peer confirms the version in force, so that keys are void in time; whichever source is read first tells of the era, and members hear of it by the positions of others. What a daemon tells of its configuration, version and age, is now of one moment: read one after the other, a peer could take an older version for confirmed.

Ruled out: re-reading after five seconds alone, which was there and came too late.

--- a/Makefile
+++ b/Makefile
@@ -61,6 +61,7 @@
 	$(SOAK) --parallel 4 --halls --seeds $$(sed -n 's/^halls \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 	$(SOAK) --parallel 4 --halls --crashing --duration 12s --seeds $$(sed -n 's/^crashing \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 	$(SOAK) --parallel 4 --drills --duration 12s --seeds $$(sed -n 's/^drill \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
+	$(SOAK) --parallel 4 --halls --crashing --drills --reborn --duration 12s --seeds $$(sed -n 's/^all \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 
 # simulate plays schedules in virtual time. It draws new seeds and prints them;
 # replay one with SEED=n make simulate.
--- a/fleet/beliefs.go
+++ b/fleet/beliefs.go
@@ -14,6 +14,31 @@
 
 	mu        sync.Mutex
 	confirmed time.Time
+	// heldUntil is until when nothing confirms what is held.
+	heldUntil time.Time
+}
+
+// copyHold is how long after the source came back from a copy its newest configuration may
+// be an older one: its writers write again at their next heartbeat, which is due each 1.2 s.
+// Confirmed meanwhile, keys that were taken away ran for 3.9 s where 3 s may (soak).
+const copyHold = 2 * time.Second
+
+// HoldCopy notes that the source came back from a copy at a time: what it shows for a while
+// confirms nothing. Before anything was confirmed there is nothing to hold.
+func (b *Beliefs) HoldCopy(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until := at.Add(copyHold); !b.confirmed.IsZero() && until.After(b.heldUntil) {
+		b.heldUntil = until
+	}
+}
+
+// State returns the version in force and when it was last known to be the newest, of one
+// moment.
+func (b *Beliefs) State() (version int64, confirmed time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Version(), b.confirmed
 }
 
 // NewBeliefs returns beliefs without a configuration.
@@ -66,6 +91,9 @@
 }
 
 func (b *Beliefs) confirm(at time.Time) {
+	if time.Now().Before(b.heldUntil) {
+		return
+	}
 	if at.After(b.confirmed) {
 		b.confirmed = at
 	}
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -109,3 +109,64 @@
 	h.Take(HallNews{Whole: true}, PositionOf(1, 41), time.Now())
 	assert.Equal(t, h.View().State("a", time.Now()), HallOpen, "the operator's word did not come again")
 }
+
+// TestCopyConfirmsNoConfiguration: a newer configuration, which took a key away, was written
+// and lost with the store's last seconds before this daemon read it. That the copy shows the
+// version in force does not say that it is the newest, until its writer had time to write
+// again.
+func TestCopyConfirmsNoConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBeliefs()
+		c := NewConfig(Parts{Version: 3})
+		b.Offer(c, time.Now())
+		before := b.Confirmed()
+		time.Sleep(time.Second)
+		b.HoldCopy(time.Now())
+		b.Offer(c, time.Now())
+		b.Confirm(3, time.Now())
+		assert.Equal(t, b.Confirmed(), before)
+		time.Sleep(copyHold)
+		b.Confirm(3, time.Now())
+		assert.Assert(t, b.Confirmed().After(before))
+		fresh := NewBeliefs()
+		fresh.HoldCopy(time.Now())
+		fresh.Offer(c, time.Now())
+		assert.Assert(t, !fresh.Confirmed().IsZero(), "a daemon that has just started has nothing to hold")
+	})
+}
+
+// TestFollowerHoldsWhatACopyShows lets a source come back from a copy while it is followed.
+func TestFollowerHoldsWhatACopyShows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{version: 3}
+		beliefs := NewBeliefs()
+		stop := follow(source, beliefs, NewInventory(1200*time.Millisecond, 0))
+		time.Sleep(time.Second)
+		source.set(func() { source.era, source.lost = 1, true })
+		time.Sleep(copyHold - time.Second/2)
+		held := time.Since(beliefs.Confirmed())
+		time.Sleep(time.Second)
+		again := time.Since(beliefs.Confirmed())
+		stop()
+		assert.Assert(t, held > time.Second, "confirmed %s before", held)
+		assert.Assert(t, again < time.Second, "confirmed %s before", again)
+	})
+}
+
+// TestFirstReadMayBeOfACopy: a daemon that started a moment ago knows by peers alone what was
+// in force in the era before. Its first read of either source is of a copy.
+func TestFirstReadMayBeOfACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{version: 3, era: 2}
+		beliefs, inventory := NewBeliefs(), NewInventory(1200*time.Millisecond, 0)
+		beliefs.Offer(NewConfig(Parts{Version: 3}), time.Now())
+		inventory.Replace(nil, PositionOf(1, 50), time.Now())
+		before := beliefs.Confirmed()
+		time.Sleep(time.Second)
+		stop := follow(source, beliefs, inventory)
+		time.Sleep(copyHold - time.Second/2)
+		held := beliefs.Confirmed()
+		stop()
+		assert.Equal(t, held, before)
+	})
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -101,6 +102,8 @@
 // Follower keeps beliefs and inventory up to date from their source.
 type Follower struct {
 	opts FollowerOptions
+	// era is one more than the newest era that was read, 0 before the first read.
+	era  atomic.Int64
 	done chan struct{}
 }
 
@@ -143,6 +146,7 @@
 		if era >= 0 && EraOf(news.Next) > era {
 			readAgain = sent.Add(copySettles)
 		}
+		f.noteEra(news.Next)
 		position, era = news.Next, EraOf(news.Next)
 		if !news.Lost {
 			f.takeHalls(news, sent)
@@ -232,6 +236,22 @@
 	return f.opts.Inventory.AwaitsList() || f.opts.Reads(f.opts.Inventory.Confirmed())
 }
 
+// noteEra takes the era of what was read of either source. A later one than was known, by a
+// read or by what peers told, says that the source came back from a copy: whichever of the two
+// is read first tells so, and a daemon that has only been told by peers so far holds what it
+// has as well.
+func (f *Follower) noteEra(position int64) {
+	known := f.era.Load()
+	if own := f.opts.Inventory.Position(); own > 0 {
+		known = max(known, EraOf(own)+1)
+	}
+	era := EraOf(position) + 1
+	if known > 0 && era > known {
+		f.opts.Beliefs.HoldCopy(time.Now())
+	}
+	f.era.Store(max(era, known))
+}
+
 // listing is a whole list as far as it was read. Parts that were read are kept when the
 // reading of one fails.
 type listing struct {
@@ -268,6 +288,7 @@
 	if news.More {
 		return false, nil
 	}
+	f.noteEra(l.next)
 	f.opts.Inventory.Replace(l.changes, l.next, l.sent)
 	return true, nil
 }
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -239,6 +239,8 @@
 	version int64
 	down    bool
 	lost    bool
+	// era is how often the source came back from a copy.
+	era int64
 	// refused tells that the newest configuration is not understood.
 	refused error
 	calls   int
@@ -268,7 +270,7 @@
 		// The version before the newest one is understood.
 		return ConfigNews{Config: NewConfig(Parts{Version: s.version - 1}), Refused: s.refused, Next: s.version}, nil
 	}
-	return ConfigNews{Config: NewConfig(Parts{Version: s.version}), Next: s.version}, nil
+	return ConfigNews{Config: NewConfig(Parts{Version: s.version}), Next: PositionOf(s.era, s.version)}, nil
 }
 
 func (s *fakeSource) nextConfig(ctx context.Context, position int64, wait time.Duration) (ConfigNews, error) {
@@ -280,7 +282,7 @@
 	switch {
 	case lost:
 		return ConfigNews{Lost: true}, nil
-	case !down && version > position:
+	case !down && version > OffsetOf(position):
 		return s.readConfig(ctx)
 	}
 	select {
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -11,7 +11,8 @@
 // compose fills in what this daemon reports of itself to its peers.
 func (s *Server) compose(h *peers.Heartbeat, now time.Time) {
 	h.Ready, h.Leaving, h.Complete = s.Ready(), s.leaving.Load(), s.inventory.Complete()
-	h.ConfigVersion, h.ConfigAge = s.beliefs.Version(), age(s.beliefs.Confirmed(), now)
+	version, confirmed := s.beliefs.State()
+	h.ConfigVersion, h.ConfigAge = version, age(confirmed, now)
 	h.WorkersPosition, h.WorkersAge = s.inventory.Position(), age(s.inventory.Confirmed(), now)
 	h.Halls = s.halls.Report(now)
 	h.Decided = s.inventory.Decided()
@@ -42,6 +43,10 @@
 		s.tracker.SetTraffic()
 	}
 	s.hearVersion(p.ConfigVersion)
+	if own := s.inventory.Position(); own > 0 && fleet.EraOf(p.WorkersPosition) > fleet.EraOf(own) {
+		// Who does not read the store learns of a copy by the positions of others.
+		s.beliefs.HoldCopy(p.HeardAt)
+	}
 	s.halls.Follow(p.Halls, p.SentAfter)
 	s.beliefs.Confirm(p.ConfigVersion, p.ConfigConfirmed())
 	s.inventory.Confirm(p.WorkersPosition, p.WorkersConfirmed())
