fleet, serving: Take a whole list that is behind what was followed meanwhile

A daemon that holds heads alone and comes to need all workers refused each list whose position was below its own, as that of any list which changes while it is read, and read the next one without a pause; at each heartbeat it fetched one from its relays too. The same I/O was done again and again to no use.

Mend: such a list is taken with the changes that were followed since, if all of them are kept; one that can't be taken is read again after 0.5 s; a peer that is behind is not asked for its list.

Ruled out: not following while a list is awaited, which would leave heads stale while the store is away; taking the older list alone, by which workers that left would come back.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -29,6 +29,9 @@
 	// workers is 25 pages; the source tells changes for 20 s at least, from which the
 	// reading goes on.
 	listMost = 10 * time.Second
+	// listAgain is how long after a list that could not be taken another one is read: six
+	// tries within the three seconds by which answers of the store are known to be behind.
+	listAgain = 500 * time.Millisecond
 	// copySettles is how long after a source came back from a copy it has what was written
 	// before: writers write it again at their next heartbeat, each second or so.
 	copySettles = 5 * time.Second
@@ -205,6 +208,7 @@
 			if done {
 				position = list.next
 				list = listing{}
+				f.pauseIfAwaited(ctx)
 			}
 			return err
 		}
@@ -231,6 +235,15 @@
 	})
 }
 
+// pauseIfAwaited pauses if a list that was read could not be taken: it is behind what peers
+// told, as that of a source which shows what is some seconds old. Read again at once it would
+// be read 250 times a second.
+func (f *Follower) pauseIfAwaited(ctx context.Context) {
+	if f.opts.Inventory.AwaitsList() {
+		pause.For(ctx, listAgain)
+	}
+}
+
 // workersDue reports whether this daemon is to read the worker list now.
 func (f *Follower) workersDue() bool {
 	return f.opts.Inventory.AwaitsList() || f.opts.Reads(f.opts.Inventory.Confirmed())
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -87,6 +87,8 @@
 	from, to int64
 	changes  []Change
 	exact    bool
+	// heads tells that only the changes of heads are among them.
+	heads bool
 }
 
 // NewInventory returns an inventory without workers, which write to the list
@@ -139,12 +141,17 @@
 }
 
 // Replace takes a whole list, as changes from an empty one, which reaches up to position and was asked for
-// at sent. A list older than what is held is ignored.
+// at sent. A list older than what is held is ignored, unless it is awaited and the changes
+// since were all followed: a list that changes while it is read is behind by then.
 func (i *Inventory) Replace(all []Change, position int64, sent time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if position < i.position {
-		return
+		since, ok := i.journaled(position)
+		if !ok || since.Heads || !i.awaitsList() {
+			return
+		}
+		all, position = slices.Concat(all, since.Changes), i.position
 	}
 	i.partial = i.scope == HeadsOnly
 	i.replace(all, position, sent)
@@ -162,6 +169,7 @@
 	i.workers = make(map[string]*Worker, len(all))
 	for _, c := range all {
 		if c.Worker == nil || !i.keeps(c.Worker) {
+			delete(i.workers, c.ID)
 			continue
 		}
 		i.workers[c.ID] = c.Worker.following(held[c.ID])
@@ -205,8 +213,8 @@
 	changes, position := d.Changes, d.To
 	i.noteOutage(sent)
 	i.markHeads(changes)
-	if len(changes) > 0 {
-		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes, exact: d.Exact})
+	if len(changes) > 0 || d.Heads {
+		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes, exact: d.Exact, heads: d.Heads})
 		i.journal = i.journal[max(len(i.journal)-maxJournal, 0):]
 	}
 	for _, c := range changes {
@@ -239,14 +247,8 @@
 	if from == i.position {
 		return d, false
 	}
-	first := slices.IndexFunc(i.journal, func(b batch) bool { return b.from <= from && from < b.to })
-	if first >= 0 {
-		d.From, d.Exact = i.journal[first].from, true
-		for _, b := range i.journal[first:] {
-			d.Changes = append(d.Changes, b.changes...)
-			d.Exact = d.Exact && b.exact
-		}
-		return d, false
+	if held, ok := i.journaled(from); ok {
+		return held, false
 	}
 	for id, w := range i.workers {
 		d.Changes = append(d.Changes, Change{ID: id, Worker: w})
@@ -254,6 +256,21 @@
 	return d, true
 }
 
+// journaled returns the changes that led from a position, or from an earlier one, to the
+// current one, and false where they are not kept. The mutex is held.
+func (i *Inventory) journaled(from int64) (d Delta, ok bool) {
+	first := slices.IndexFunc(i.journal, func(b batch) bool { return b.from <= from && from < b.to })
+	if first < 0 {
+		return d, false
+	}
+	d = Delta{From: i.journal[first].from, To: i.position, Exact: true}
+	for _, b := range i.journal[first:] {
+		d.Changes = append(d.Changes, b.changes...)
+		d.Exact, d.Heads = d.Exact && b.exact, d.Heads || b.heads
+	}
+	return d, true
+}
+
 // Follow takes a peer's newest changes, which were known to be the newest at
 // the given time, if they join on to what is held. Changes that are held
 // already do no harm, since all of them are taken in their order.
--- a/fleet/inventory_test.go
+++ b/fleet/inventory_test.go
@@ -244,6 +244,8 @@
 	// refused tells that the newest configuration is not understood.
 	refused error
 	calls   int
+	// lists counts the reads of whole lists.
+	lists int
 }
 
 func (s *fakeSource) set(change func()) {
@@ -296,6 +298,9 @@
 }
 
 func (s *fakeSource) readWorkers(context.Context, string) (WorkerNews, error) {
+	s.set(func() { s.lists++ })
+	// An answer takes as long as the store's.
+	time.Sleep(4 * time.Millisecond)
 	return WorkerNews{Next: 1, Changes: []Change{{ID: "w", Worker: head("w", "g", 1, Open)}}}, nil
 }
 
--- a/fleet/scope.go
+++ b/fleet/scope.go
@@ -47,9 +47,11 @@
 func (i *Inventory) AwaitsList() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.partial && i.scope == AllWorkers
+	return i.awaitsList()
 }
 
+func (i *Inventory) awaitsList() bool { return i.partial && i.scope == AllWorkers }
+
 // Wants returns the scope that is to be asked for.
 func (i *Inventory) Wants() Scope {
 	i.mu.Lock()
--- a/fleet/scope_test.go
+++ b/fleet/scope_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -148,3 +149,53 @@
 		})
 	}
 }
+
+// awaiting returns an inventory that held heads alone and wants all workers, while the list
+// changes: it has followed all changes since a list was asked for.
+func awaiting(source *Inventory) *Inventory {
+	i := NewInventory(time.Second, 0)
+	i.SetScope(HeadsOnly)
+	whole, _ := source.Since(-1)
+	i.Replace(whole.Changes, whole.To, time.Now())
+	i.SetScope(AllWorkers)
+	return i
+}
+
+// TestListBehindWhatWasFollowedIsTaken: the list changes while it is read, so that it is
+// behind the changes that were followed meanwhile. It is taken, with these.
+func TestListBehindWhatWasFollowedIsTaken(t *testing.T) {
+	source := NewInventory(time.Second, 0)
+	source.Replace([]Change{{ID: "a", Worker: head("a", "g", 1, Open)}, {ID: "b", Worker: head("b", "h", 2, Open)}}, 2, time.Now())
+	i := awaiting(source)
+	whole, _ := source.Since(-1)
+	member := head("c", "g", 1, Ready)
+	member.Member.Rank = 1
+	source.Apply([]Change{{ID: "b"}, {ID: "c", Worker: member}}, 4, time.Now())
+	d, _ := source.Since(2)
+	i.Follow(d, time.Now())
+	assert.Equal(t, i.Position(), int64(4))
+	i.Replace(whole.Changes, whole.To, time.Now())
+	assert.Assert(t, i.Complete(), "it awaits a list still")
+	assert.Equal(t, i.Position(), int64(4))
+	_, left := i.View().Worker("b")
+	assert.Assert(t, !left, "a worker that left came back")
+	_, joined := i.View().Worker("c")
+	assert.Assert(t, joined)
+}
+
+// TestListThatCannotBeTakenIsNotReadAllTheTime: the source shows an older list for a while,
+// and only the changes of heads were followed since.
+func TestListThatCannotBeTakenIsNotReadAllTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{version: 1}
+		inventory := NewInventory(time.Second, 0)
+		inventory.SetScope(HeadsOnly)
+		inventory.Replace(nil, 50, time.Now())
+		inventory.SetScope(AllWorkers)
+		stop := follow(source, NewBeliefs(), inventory)
+		time.Sleep(3 * time.Second)
+		stop()
+		assert.Assert(t, inventory.AwaitsList())
+		assert.Assert(t, source.lists > 0 && source.lists <= 10, "read %d times in 3 s", source.lists)
+	})
+}
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -63,9 +63,10 @@
 }
 
 // lacksWorkers reports whether a peer knows later changes of the worker list, or all workers
-// when this daemon needs them.
+// when this daemon needs them. The list of one that is behind could not be taken.
 func (s *Server) lacksWorkers(p *peers.Peer) bool {
-	return p.WorkersPosition > s.inventory.Position() || p.Complete && s.inventory.AwaitsList()
+	own := s.inventory.Position()
+	return p.WorkersPosition > own || p.WorkersPosition == own && p.Complete && s.inventory.AwaitsList()
 }
 
 // countsLoads reports whether a peer's own loads count here, rather than as a part
