--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -433,14 +433,7 @@
 func TestLaterLeaderOfAFleetThatServedBoundsLoads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 4, 10)
-		w.mu.Lock()
-		for i, id := range slices.Sorted(maps.Keys(w.workers)) {
-			if i%4 == 0 {
-				w.workers[id].staged = "small"
-				w.list(w.workers[id])
-			}
-		}
-		w.mu.Unlock()
+		w.stageSome()
 		_, stop := term(w, 3)
 		time.Sleep(time.Second)
 		loads := w.loading()
@@ -455,14 +448,7 @@
 func TestLaterLeaderOfTheFirstLifeIsQuick(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 4, 10)
-		w.mu.Lock()
-		for i, id := range slices.Sorted(maps.Keys(w.workers)) {
-			if i%4 == 0 {
-				w.workers[id].staged = "small"
-				w.list(w.workers[id])
-			}
-		}
-		w.mu.Unlock()
+		w.stageSome()
 		ctx, stop := context.WithCancel(context.Background())
 		k := NewKeeper(w.options(), Term{Epoch: 2, FirstLife: true}, stop)
 		go k.Run(ctx)
@@ -503,6 +489,18 @@
 	}
 }
 
+// stageSome lets a model lie on the host of every fourth worker.
+func (w *world) stageSome() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, id := range slices.Sorted(maps.Keys(w.workers)) {
+		if i%4 == 0 {
+			w.workers[id].staged = "small"
+			w.list(w.workers[id])
+		}
+	}
+}
+
 // loading counts the workers that load weights from the store: those that join a group of a
 // model that lies on their host, or that they served last, do not.
 func (w *world) loading() int {
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -179,12 +179,11 @@
 }
 
 // SendNews passes on what has just become known: a leader to all it reports to, a
-// relay within its hall. The members of its hall get heads, the news of those workers that
-// requests go to.
-func (a *Agent) SendNews(all, heads []News, leads bool, now time.Time) {
+// relay within its hall. The members of its hall get news of their own.
+func (a *Agent) SendNews(all, forMembers []News, leads bool, now time.Time) {
 	complete, members := a.current().audience(leads)
 	a.sendNews(all, complete, now)
-	a.sendNews(heads, members, now)
+	a.sendNews(forMembers, members, now)
 }
 
 func (a *Agent) sendNews(all []News, to []string, now time.Time) {
--- a/peers/topology.go
+++ b/peers/topology.go
@@ -106,7 +106,7 @@
 	return told, others
 }
 
-// audience returns who gets news of all workers, and who gets those of heads alone.
+// audience returns who gets news of all workers, and which members get news of their own.
 func (l layout) audience(leads bool) (complete, members []string) {
 	if l.role != Relay {
 		return l.reached(leads), nil
--- a/serving/news.go
+++ b/serving/news.go
@@ -39,7 +39,7 @@
 		if s.passesOn() {
 			var n news
 			n, passed = s.newsSince(passed)
-			s.agent.SendNews(n.all, n.heads, s.isReader(), time.Now())
+			s.agent.SendNews(n.all, n.members, s.isReader(), time.Now())
 		} else {
 			passed = newsPosition{workers: s.inventory.Position(), decided: s.inventory.Decided()}
 		}
@@ -57,14 +57,14 @@
 }
 
 // news is what has become known, in parts that fit a datagram each: with the changes of all
-// workers, and with those of heads alone for daemons that need no more.
+// workers, and for members, most of which need those of heads alone.
 type news struct {
-	all, heads []peers.News
+	all, members []peers.News
 }
 
 func (n *news) add(part peers.News) {
 	n.all = append(n.all, part)
-	n.heads = append(n.heads, part)
+	n.members = append(n.members, part)
 }
 
 // newsSince returns what has become known since a position, and the new position. Where
@@ -94,13 +94,13 @@
 			n.all = append(n.all, peers.News{Workers: &part})
 		}
 		if s.boundsWarmUp() {
-			n.heads = n.all
+			n.members = n.all
 			return
 		}
 	}
 	heads, _ := changes.SplitHeads(changesPerNews)
 	for _, part := range heads {
-		n.heads = append(n.heads, peers.News{Workers: &part})
+		n.members = append(n.members, peers.News{Workers: &part})
 	}
 }
 
--- a/serving/news_test.go
+++ b/serving/news_test.go
@@ -38,7 +38,7 @@
 	follower.inventory.Replace(listed(0, 3), 3, time.Now())
 	follower.inventory.FollowDecisions(leader.inventory.DecisionsSince(fleet.DecisionPosition{}))
 	n, passed := leader.newsSince(newsPosition{})
-	assert.Equal(t, len(n.all)+len(n.heads), 0, "what was there at the start is fetched by those that lack it")
+	assert.Equal(t, len(n.all)+len(n.members), 0, "what was there at the start is fetched by those that lack it")
 	const count = 40
 	leader.inventory.Apply(listed(3, count), 3+count, time.Now())
 	for i := range count {
@@ -62,7 +62,7 @@
 	assert.Equal(t, follower.inventory.Position(), leader.inventory.Position())
 	assert.Equal(t, follower.inventory.Decided(), leader.inventory.Decided())
 	n, _ = leader.newsSince(passed)
-	assert.Equal(t, len(n.all)+len(n.heads), 0)
+	assert.Equal(t, len(n.all)+len(n.members), 0)
 }
 
 // TestMembersAreToldWhatTheyHold: members hold heads alone, or all workers where requests to
@@ -96,7 +96,7 @@
 			}
 			leader.inventory.Apply(changes, start+1+count, time.Now())
 			n, _ := leader.newsSince(passed)
-			for _, part := range n.heads {
+			for _, part := range n.members {
 				member.taken(&peers.Peer{}, &part)
 			}
 			assert.Equal(t, member.inventory.Position(), leader.inventory.Position())
