--- a/serving/options.go
+++ b/serving/options.go
@@ -77,7 +77,10 @@
 	Registry leadership.Registry
 	// Era returns how often the store came back from a copy, as far as it told; nil for a
 	// store that never does.
-	Era        func() int64
+	Era func() int64
+	// StoreCalls returns how many calls to the store were made so far, by what they were
+	// for; nil for a store that does not count them.
+	StoreCalls func() map[string]int64
 	MemberList MemberList
 	Orders     formation.Orders
 	// Marks keeps the requests that are quarantined.
--- a/serving/server.go
+++ b/serving/server.go
@@ -111,6 +111,9 @@
 	s.warmUp = s.newWarmUp()
 	s.relay = s.newRelay()
 	meter.Gauge("requests_quarantined", func() float64 { return float64(len(s.relay.Guard().Table().Marks(time.Now()))) })
+	if opts.StoreCalls != nil {
+		meter.CountStoreCalls(opts.StoreCalls)
+	}
 	meter.Gauge("halls_closing", s.hallsIn(fleet.HallClosing))
 	meter.Gauge("halls_closed", s.hallsIn(fleet.HallClosed))
 	return s, nil
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -46,6 +46,8 @@
 
 	mu     sync.Mutex
 	gauges map[string]func() float64
+	// storeCalls returns the calls to the store so far by purpose; nil before it is known.
+	storeCalls func() map[string]int64
 }
 
 // NewMeter returns a meter with a counter for each reason, all at zero.
@@ -135,6 +137,9 @@
 	if err := m.registerDatagrams(meter); err != nil {
 		return err
 	}
+	if err := m.registerStoreCalls(meter); err != nil {
+		return err
+	}
 	m.first, err = meter.Float64Histogram("quartzshelf_first_token_seconds",
 		metric.WithDescription("Time from a request to the first token."), bounds)
 	if err != nil {
@@ -248,6 +253,31 @@
 	m.datagramBytes.Add(context.Background(), int64(bytes), kinds)
 }
 
+func (m *Meter) registerStoreCalls(meter metric.Meter) error {
+	_, err := meter.Int64ObservableCounter("quartzshelf_store_calls",
+		metric.WithDescription("Calls to the store, by what they were for."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			m.mu.Lock()
+			read := m.storeCalls
+			m.mu.Unlock()
+			if read == nil {
+				return nil
+			}
+			for purpose, calls := range read() {
+				o.Observe(calls, metric.WithAttributes(attribute.String("purpose", purpose)))
+			}
+			return nil
+		}))
+	return err
+}
+
+// CountStoreCalls shows the calls to the store that read returns, by purpose.
+func (m *Meter) CountStoreCalls(read func() map[string]int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.storeCalls = read
+}
+
 // FirstToken records the time from a request, begun at start, to its first token.
 func (m *Meter) FirstToken(start time.Time) {
 	m.first.Record(context.Background(), time.Since(start).Seconds())
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -27,3 +27,18 @@
 		assert.Assert(t, strings.Contains(recorder.Body.String(), want), "%s in %s", want, recorder.Body)
 	}
 }
+
+// TestStoreCallsAreTold: the calls to the store can be read by purpose, and none are shown
+// before it is known who counts them.
+func TestStoreCallsAreTold(t *testing.T) {
+	m, err := NewMeter()
+	assert.NilError(t, err)
+	shown := func() string {
+		recorder := httptest.NewRecorder()
+		m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		return recorder.Body.String()
+	}
+	assert.Assert(t, !strings.Contains(shown(), "quartzshelf_store_calls"))
+	m.CountStoreCalls(func() map[string]int64 { return map[string]int64{"list members": 3} })
+	assert.Assert(t, strings.Contains(shown(), `quartzshelf_store_calls_total{purpose="list members"} 3`))
+}
