peers: Let relays go on beside fitter ones that have just started

Cause: with an order of equals that all lives share, both relays of a hall that end and start again take over at their first heartbeat, and know of their hall whom the member list names. The relays that followed them stop at once, and members that the list does not name lose sight of each other (TestRelaysThatComeBackTakeOverSlowly, red before).

A relay that has relayed for two seconds goes on for two more beside a fitter daemon that is new. Ruled out: that any relay does so.

--- a/peers/agent.go
+++ b/peers/agent.go
@@ -68,8 +68,9 @@
 
 	mu    sync.Mutex
 	round int
-	// layout is that of the newest round.
-	layout layout
+	// layout is that of the newest round, and roleSince when this daemon took its role.
+	layout    layout
+	roleSince time.Time
 }
 
 // NewAgent returns an agent; Run makes it work.
@@ -161,7 +162,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.round++
-	a.layout = a.table.layout(now, a.Role(), size, a.round)
+	before := a.Role()
+	a.layout = a.table.layout(now, standing{role: before, since: a.roleSince}, size, a.round)
+	if a.layout.role != before {
+		a.roleSince = now
+	}
 	a.role.Store(int32(a.layout.role))
 	return a.layout, a.round
 }
--- a/peers/agent_test.go
+++ b/peers/agent_test.go
@@ -72,7 +72,7 @@
 	assert.Equal(t, len(table.Alive(held)), 1, "heartbeats wait to be read")
 	assert.Assert(t, !table.Settled(held))
 	assert.Assert(t, table.Settled(held.Add(aliveFor)))
-	told := func(at time.Time) int { return len(table.layout(at, Direct, 1, 1).peers) }
+	told := func(at time.Time) int { return len(table.layout(at, standing{role: Direct}, 1, 1).peers) }
 	assert.Equal(t, told(now.Add(forgetAfter/2)), 1, "silent daemons are still told")
 	assert.Equal(t, told(now.Add(2*forgetAfter)), 0)
 	table.Learn(Identity{ID: "z", Incarnation: 1, Address: "a:1"}, now)
--- a/peers/registered_test.go
+++ b/peers/registered_test.go
@@ -25,7 +25,7 @@
 		table.Hear(Heartbeat{Identity: identity("a", 1)}, time.Now(), time.Now())
 		assert.DeepEqual(t, held, []string{"m", "z"})
 		time.Sleep(2 * forgetAfter)
-		table.layout(time.Now(), Direct, 1, 1)
+		table.layout(time.Now(), standing{role: Direct}, 1, 1)
 		assert.Equal(t, len(table.Alive(time.Now())), 0)
 		assert.Equal(t, len(table.peers), 0)
 		assert.DeepEqual(t, table.Registered(), []string{"a", "m", "z"})
--- a/peers/relay_test.go
+++ b/peers/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -335,3 +336,37 @@
 		assert.Assert(t, other == d || slices.Contains(names, other.id()), "%s has lost sight of %s", d.id(), other.id())
 	}
 }
+
+// TestRelaysThatComeBackTakeOverSlowly ends both relays of a hall and starts them anew. They
+// are fitter than those that followed them, but know only whom the member list names, so that
+// the others go on relaying until the new lives know the hall.
+func TestRelaysThatComeBackTakeOverSlowly(t *testing.T) {
+	inVirtualTime(t, 8, func(t *testing.T, n *network) {
+		const listed = 32
+		all := n.fleet(t, 2, 60, 3)
+		time.Sleep(3 * time.Second)
+		former := []*simDaemon{relayOf(all, "hall0", 0), relayOf(all, "hall0", 1)}
+		n.set(func() { former[0].off, former[1].off = true, true })
+		time.Sleep(4 * time.Second)
+		staying := slices.DeleteFunc(slices.Clone(all), func(d *simDaemon) bool { return slices.Contains(former, d) || d.hall() != "hall0" })
+		for _, d := range former {
+			d.stop()
+			number, capacity := 0, d.agent.opts.Self.Capacity
+			_, err := fmt.Sscanf(d.id(), "front-hall0-%d", &number)
+			assert.NilError(t, err)
+			back := n.add(t, "hall0", number, capacity)
+			slices.SortFunc(staying, func(a, b *simDaemon) int { return CompareRelays(a.agent.opts.Self, b.agent.opts.Self) })
+			for _, other := range append(slices.Clone(staying[:listed]), former...) {
+				back.agent.Table().Learn(other.agent.opts.Self, time.Now())
+			}
+			back.agent.Arrange(time.Now())
+		}
+		for range 40 {
+			time.Sleep(heartbeatEvery / 2)
+			for _, d := range staying {
+				checkSees(t, d, staying)
+			}
+		}
+		assert.Equal(t, roles(staying)["hall0"][Relay], 0, "those that followed go on")
+	})
+}
--- a/peers/topology.go
+++ b/peers/topology.go
@@ -21,6 +21,10 @@
 	// standbyRounds is how seldom the third uplink is told, in rounds: it knows from the
 	// relays who lives, and is told in each round once it relays.
 	standbyRounds = 4
+	// handOver is for how long a relay goes on relaying beside a fitter daemon whose life has
+	// just begun: that one knows whom the member list names, and hears of the rest of its
+	// hall within a second.
+	handOver = 2 * time.Second
 	// probes is how many silent daemons a relay tries in each round.
 	probes = 2
 )
@@ -137,13 +141,19 @@
 	return complete, members
 }
 
+// standing is the part that a daemon had until now, and since when.
+type standing struct {
+	role  Role
+	since time.Time
+}
+
 // layout returns whom to report to.
-func (t *Table) layout(now time.Time, before Role, size, round int) layout {
+func (t *Table) layout(now time.Time, before standing, size, round int) layout {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
 	limit := directAgain
-	if before == Direct {
+	if before.role == Direct {
 		limit = directMost
 	}
 	expected := t.expected(now)
@@ -166,12 +176,25 @@
 			l.relays = append(l.relays, p.Identity)
 		}
 	}
+	if l.role == Member && before.role == Relay && t.isNew(l.relays, before.since, now) {
+		l.role = Relay
+	}
 	if l.role == Relay {
 		l.hall = t.hallAddresses(now, round)
 	}
 	return l
 }
 
+// isNew reports whether the life of one of some daemons has just become known to one that has
+// relayed for a while by then. In a start of all, many take themselves for relays until they
+// know of fitter ones, and yield at once.
+func (t *Table) isNew(some []Identity, relaying, now time.Time) bool {
+	return slices.ContainsFunc(some, func(id Identity) bool {
+		p, ok := t.peers[id.ID]
+		return ok && now.Sub(p.addedAt) < handOver && p.addedAt.Sub(relaying) > handOver
+	})
+}
+
 // expected returns the daemons that stay and are alive, or may be though they
 // were not heard yet.
 func (t *Table) expected(now time.Time) []*Peer {
