serving: Test each belief that a heartbeat carries

Cause: without the line by which a daemon hears of closed data halls from its peers, all tests passed. A daemon that the store turns away would send requests there for as long as it is.

No program changes.

--- /dev/null
+++ b/serving/heartbeat_test.go
@@ -0,0 +1,121 @@
+package serving
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+// tell lets a daemon hear the heartbeat that another one composes.
+func tell(from, to *Server, now time.Time) {
+	h := peers.Heartbeat{Identity: from.opts.Self}
+	h.ID, h.Address = "teller", "127.0.0.1:1"
+	from.compose(&h, now)
+	p := &peers.Peer{Heartbeat: h, HeardAt: now, SentAfter: now}
+	to.agent.Table().Hear(h, now, now)
+	to.heard(p)
+}
+
+// TestHeartbeatsCarry lets a daemon that the store turns away hear of a peer what it can't
+// read for itself. Each case fails without the line that sends it, and without the one that
+// takes it.
+func TestHeartbeatsCarry(t *testing.T) {
+	now := time.Now()
+	earlier := now.Add(-3 * time.Second)
+	tests := map[string]struct {
+		know func(teller *Server)
+		told func(s *Server) bool
+	}{
+		"a closed data hall": {
+			know: func(teller *Server) {
+				teller.halls.Take(fleet.HallNews{Whole: true, Changes: []fleet.HallChange{{Hall: "z", Closed: true}}}, 5, now)
+			},
+			told: func(s *Server) bool { return s.halls.View().State("z", now) != fleet.HallOpen },
+		},
+		"that the configuration is the newest": {
+			know: func(teller *Server) { teller.beliefs.Confirm(1, now) },
+			told: func(s *Server) bool { return now.Sub(s.beliefs.Confirmed()) < time.Second },
+		},
+		"that the worker list is the newest": {
+			know: func(teller *Server) { teller.inventory.Confirm(1, now) },
+			told: func(s *Server) bool { return now.Sub(s.inventory.Confirmed()) < time.Second },
+		},
+		"that there is a newer configuration": {
+			know: func(teller *Server) { teller.beliefs.Offer(fleet.NewConfig(fleet.Parts{Version: 2}), now) },
+			told: func(s *Server) bool { return len(s.fetcher.wanted) == 1 && s.newestHeard.Load() == 2 },
+		},
+		"that there are changes of the worker list": {
+			know: func(teller *Server) { teller.inventory.Replace(nil, 2, now) },
+			told: func(s *Server) bool { return len(s.fetcher.wanted) == 1 },
+		},
+		"that there are decisions of a leader": {
+			know: func(teller *Server) {
+				teller.inventory.BeginTerm(1)
+				teller.inventory.Decide(1, fleet.Announcement{Group: "g"})
+			},
+			told: func(s *Server) bool { return len(s.fetcher.wanted) == 1 },
+		},
+		"who may lead": {
+			know: func(teller *Server) {
+				claim := peers.Claim{Epoch: 7}
+				teller.elector.Hear(&peers.Peer{Heartbeat: peers.Heartbeat{Highest: claim, Grant: peers.Grant{Epoch: 7}}})
+			},
+			told: func(s *Server) bool {
+				_, highest, grant := s.elector.State()
+				return highest.Epoch == 7 && grant.Epoch == 7
+			},
+		},
+		"that a leader was heard": {
+			know: func(teller *Server) {
+				leader := peers.Identity{ID: "leader", Incarnation: 1, Address: "127.0.0.1:2"}
+				teller.agent.Table().Hear(peers.Heartbeat{Identity: leader, Leads: &peers.Claim{Epoch: 1}}, now, now)
+			},
+			told: func(s *Server) bool {
+				heard := func(p *peers.Peer) bool { return p.ID == "teller" && p.LeaderAge > 0 }
+				return slices.ContainsFunc(s.agent.Table().Alive(now), heard)
+			},
+		},
+		"that requests came": {
+			know: func(teller *Server) { teller.tracker.SetTraffic() },
+			told: func(s *Server) bool { return s.tracker.Traffic() },
+		},
+		"that a replica fell silent": {
+			know: func(teller *Server) { teller.suspicions.add(peers.Stall{Replica: "r", Head: "w"}, now) },
+			told: func(s *Server) bool { return len(s.suspicions.current(now)) == 1 },
+		},
+		"that the store came back from a copy": {
+			know: func(teller *Server) {
+				teller.inventory.Replace(nil, fleet.PositionOf(1, 1), now)
+				teller.beliefs.Confirm(1, now)
+			},
+			// What the store then shows confirms nothing for a while.
+			told: func(s *Server) bool {
+				s.beliefs.Confirm(1, now)
+				return s.beliefs.Confirmed().Equal(earlier)
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			teller, s := newServerThatKnows(t, earlier), newServerThatKnows(t, earlier)
+			tell(teller, s, now)
+			assert.Assert(t, !test.told(newServerThatKnows(t, earlier)), "it is so without being told")
+			test.know(teller)
+			tell(teller, s, now.Add(time.Millisecond))
+			assert.Assert(t, test.told(s))
+		})
+	}
+}
+
+// newServerThatKnows returns a daemon that knows a configuration and the workers as of a time.
+func newServerThatKnows(t *testing.T, at time.Time) *Server {
+	t.Helper()
+	s := newServer(t, &fakeStore{})
+	learn(s, at)
+	return s
+}
