peers, serving, docs: Correct what comments say of the start

The looks at the member list are 2,300 since the second look. Nothing in the program changes but the name of a variable.

--- a/peers/topology.go
+++ b/peers/topology.go
@@ -65,8 +65,8 @@
 // CompareRelays orders daemons by how fit they are to relay: those on larger machines come
 // first, and the order of equals is the same in all their lives. After the end of all daemons
 // the member list holds former lives, and each daemon knows the new life of itself alone:
-// ordered by incarnations, none of 986 took itself for a relay, and 1,770 calls read the list
-// of workers where 70 do.
+// ordered by incarnations, 986 daemons did not agree on who relays, and 1,770 calls read the
+// list of workers where 70 do.
 func CompareRelays(a, b Identity) int {
 	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
 }
--- a/serving/meet.go
+++ b/serving/meet.go
@@ -42,15 +42,15 @@
 // meet looks for others while this daemon hears none, soon again after the start, and
 // registers it. Whoever reads later knows of this daemon and reports to it.
 func (s *Server) meet(ctx context.Context) {
-	next, spread := meetAgain, false
+	next, lookedAgain := meetAgain, false
 	s.readTooSoon.Store(true)
 	for ctx.Err() == nil {
 		now := time.Now()
 		if s.metAt.Load() == nil || s.readTooSoon.Load() || len(s.agent.Table().Alive(now)) == 0 || s.membersDue(now) {
 			s.readMembers(ctx)
 		}
-		if s.metAt.Load() != nil && len(s.listed) == 0 && !spread {
-			spread = true
+		if s.metAt.Load() != nil && len(s.listed) == 0 && !lookedAgain {
+			lookedAgain = true
 			pause.For(ctx, rand.N(meetSpread))
 			continue
 		}
@@ -156,7 +156,7 @@
 // readRest reads who there is in the data halls that are yet to be read, once it is known
 // who there is in the own one: a member of a large fleet is told of other halls by its
 // relays, and reads its own hall alone. Of 986 daemons each would else read of 986; when all
-// of them started at once and found nobody listed, they did (5,956 reads; 2,012 now).
+// of them started at once and found nobody listed, they did (5,956 reads; 2,300 now).
 func (s *Server) readRest(ctx context.Context) {
 	if s.metAt.Load() == nil || s.readTooSoon.Load() {
 		return
