formation: Draw rebirths under the same id in the simulation

The simulation played eight fixed rebirths. It now draws them at any step beside kills, late orders and two leaders, shown by the list after 50 ms, 1.2 s or 3 s.

Ruled out as a further check: that no domain keeps four idle workers. Schedules without any rebirth end so too, since no model wants more. A keeper that forgets nothing of an earlier life is found by TestWorkersComeBackUnderTheirID, not by these draws. No program changes.

--- a/formation/keeper_test.go
+++ b/formation/keeper_test.go
@@ -239,6 +239,26 @@
 	})
 }
 
+// rebornListed is how long the list takes to show a worker that has started again under its
+// id, by step from 6 on: at once, within a heartbeat, and while the list is behind.
+var rebornListed = []time.Duration{50 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second}
+
+// TestNothingTwiceWhileWorkersComeBack draws rebirths under the same id as well.
+func TestNothingTwiceWhileWorkersComeBack(outer *testing.T) {
+	rapid.Check(outer, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		late := rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "late")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5+len(rebornListed)), 4, 16).Draw(t, "steps")
+		var problems []string
+		synctest.Test(outer, func(*testing.T) {
+			problems = runSchedule(newWorld(seed, 2, 10), late, steps)
+		})
+		if len(problems) > 0 {
+			t.Fatalf("broken: %v", problems)
+		}
+	})
+}
+
 // runSchedule plays one schedule of faults and returns what was wrong.
 func runSchedule(w *world, late float64, steps []int) []string {
 	w.late = late
@@ -263,6 +283,16 @@
 			stop()
 			epoch++
 			k, stop = term(w, epoch)
+		case step > 5:
+			id := fmt.Sprintf("w%d-%d", i%2, (i*7+step)%10)
+			if w.isDead(id) {
+				continue
+			}
+			groups := w.groupsOf(id)
+			w.rebear(id, rebornListed[step-6])
+			for _, g := range groups {
+				k.Suspect(g)
+			}
 		default:
 			w.mu.Lock()
 			w.traffic = true
@@ -292,6 +322,12 @@
 	return nil
 }
 
+func (w *world) isDead(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[id].dead
+}
+
 func (w *world) alive() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -295,11 +295,13 @@
 	}
 	dead := s.dead || w.cut[id] || w.dark[id]
 	delay, late := w.delay(what, id, fence)
+	life := s.born
 	w.mu.Unlock()
 	apply := func() Verdict {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if s.dead {
+		if s.dead || s.born != life {
+			// What an earlier life was ordered ended with it.
 			return Unfit
 		}
 		if !w.fenceless && fence < s.fence {
@@ -472,11 +474,14 @@
 			return Holds
 		}
 		s.staging = true
-		wait := w.load()
+		wait, life := w.load(), s.born
 		w.pending.Go(func() {
 			time.Sleep(wait)
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			if s.born != life {
+				return
+			}
 			s.staged, s.staging = model, false
 			w.list(s)
 		})
