fleet, soak, docs: List a first read that may be of a copy, red

All daemons ended right after that, started while the store was away, and took what its copy showed for the newest; who knew the era before holds it for two seconds, and nobody was left who did.

--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -170,3 +170,20 @@
 		assert.Equal(t, held, before)
 	})
 }
+
+// TestFirstReadAfterAnOutageMayBeOfACopy: a daemon starts while the source is away, with nobody
+// to ask. What the source shows first may be of a copy: a key that was taken away just before
+// may be in force there until the operator has written again, so that it confirms nothing yet.
+func TestFirstReadAfterAnOutageMayBeOfACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{version: 3, era: 2, down: true}
+		beliefs, inventory := NewBeliefs(), NewInventory(1200*time.Millisecond, 0)
+		stop := follow(source, beliefs, inventory)
+		time.Sleep(1500 * time.Millisecond)
+		source.set(func() { source.down = false })
+		time.Sleep(copyHold - time.Second/2)
+		held := beliefs.Confirmed()
+		stop()
+		assert.Assert(t, held.IsZero(), "confirmed before the operator can have written again")
+	})
+}
