backpressure, relay, serving: Show what workers say of themselves in answers

A package reads the three from the head of each answer, on every way to a worker, and refuses values that say nothing (negative, not a number, two of them, absurd). A line is logged when a worker begins to ask and ceases to, and quartzshelf_worker_signals and two gauges count. An answer of another worker at the address (421) says nothing; only a signed answer takes a limit back, and only to a request that was sent after it was named, since answers of streams come in another order than their requests began in.

Connections to workers are opened by a function that can be given, so that tests of whole daemons can play workers in their own time.

--- /dev/null
+++ b/backpressure/signal_test.go
@@ -0,0 +1,67 @@
+package backpressure
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var testNames = Names{Limit: "X-Limit", Leaving: "X-Leaving"}
+
+func TestRead(t *testing.T) {
+	limits := func(values ...string) http.Header { return http.Header{"X-Limit": values} }
+	rests := func(value string) http.Header { return http.Header{"Retry-After": {value}} }
+	tests := map[string]struct {
+		status  int
+		header  http.Header
+		want    Signal
+		unclear bool
+	}{
+		"nothing":                        {status: 200, want: Signal{Unlimited: true}},
+		"a limit":                        {status: 200, header: limits("1.6"), want: Signal{Limited: true, PerSecond: 1.6}},
+		"a limit below one":              {status: 200, header: limits("0.25"), want: Signal{Limited: true, PerSecond: 0.25}},
+		"a limit of zero":                {status: 200, header: limits("0"), want: Signal{Limited: true}},
+		"a limit with a rejection":       {status: 503, header: limits("2"), want: Signal{Limited: true, PerSecond: 2}},
+		"a negative limit":               {status: 200, header: limits("-1"), unclear: true},
+		"a limit that is no number":      {status: 200, header: limits("NaN"), unclear: true},
+		"a limit without end":            {status: 200, header: limits("Inf"), unclear: true},
+		"an absurd limit":                {status: 200, header: limits("1e9"), unclear: true},
+		"two limits":                     {status: 200, header: limits("1", "2"), unclear: true},
+		"a limit of 4 KB":                {status: 200, header: limits(strings.Repeat("1", 4<<10)), unclear: true},
+		"an empty limit":                 {status: 200, header: limits(""), unclear: true},
+		"rest":                           {status: 503, header: rests("3"), want: Signal{Unlimited: true, Rest: 3 * time.Second}},
+		"rest with a fraction":           {status: 503, header: rests("0.25"), want: Signal{Unlimited: true, Rest: 250 * time.Millisecond}},
+		"rest for ever":                  {status: 503, header: rests("1e300"), want: Signal{Unlimited: true, Rest: restMost}},
+		"rest before now":                {status: 503, header: rests("-3"), want: Signal{Unlimited: true}, unclear: true},
+		"rest until a date":              {status: 503, header: rests("Fri, 04 Dec 2026 10:00:00 GMT"), want: Signal{Unlimited: true}, unclear: true},
+		"a success that names a time":    {status: 200, header: rests("3"), want: Signal{Unlimited: true}},
+		"a caller's own limit, 429":      {status: 429, header: rests("3"), want: Signal{Unlimited: true}},
+		"it leaves":                      {status: 200, header: http.Header{"X-Leaving": {"1"}}, want: Signal{Unlimited: true, Leaving: true}},
+		"it says that it does not leave": {status: 200, header: http.Header{"X-Leaving": {"0"}}, want: Signal{Unlimited: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := testNames.Read(&http.Response{StatusCode: test.status, Header: test.header}, true)
+			assert.Equal(t, errors.Is(err, ErrUnclear), test.unclear)
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
+// TestUnsignedSaysLittle: an answer that may be another's takes no limit back.
+func TestUnsignedSaysLittle(t *testing.T) {
+	got, err := testNames.Read(&http.Response{StatusCode: http.StatusOK}, false)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, Signal{})
+}
+
+// TestNoNames: where workers have no such headers, nothing is read but rest.
+func TestNoNames(t *testing.T) {
+	got, err := Names{}.Read(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"": {"1"}}}, true)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, Signal{Unlimited: true})
+}
--- /dev/null
+++ b/backpressure/table_test.go
@@ -0,0 +1,74 @@
+package backpressure
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+// word is what the worker "w" of a life says at a time, in an answer to a request that was
+// sent at another; both from the start.
+type word struct {
+	born     int64
+	sent, at time.Duration
+	signal   Signal
+}
+
+func limit(perSecond float64) Signal { return Signal{Limited: true, PerSecond: perSecond} }
+
+var noLimit = Signal{Unlimited: true}
+
+func TestHear(t *testing.T) {
+	const s = time.Second
+	tests := map[string]struct {
+		words  []word
+		events []Event
+		// limited and resting are what holds at the end, ten seconds after the start.
+		limited, resting int
+	}{
+		"nothing":                           {words: []word{{at: s, signal: noLimit}}},
+		"a limit":                           {words: []word{{at: s, signal: limit(1.5)}}, events: []Event{LimitNamed}, limited: 1},
+		"the same limit again":              {words: []word{{at: s, signal: limit(1.5)}, {at: 2 * s, signal: limit(1.5)}}, events: []Event{LimitNamed}, limited: 1},
+		"another limit":                     {words: []word{{at: s, signal: limit(1.5)}, {at: 2 * s, signal: limit(0)}}, events: []Event{LimitNamed, LimitChanged}, limited: 1},
+		"no limit any more":                 {words: []word{{at: s, signal: limit(1.5)}, {sent: 2 * s, at: 3 * s, signal: noLimit}}, events: []Event{LimitNamed, LimitDropped}},
+		"an answer that began before":       {words: []word{{at: 2 * s, signal: limit(1.5)}, {sent: s, at: 3 * s, signal: noLimit}}, events: []Event{LimitNamed}, limited: 1},
+		"an answer that says nothing":       {words: []word{{at: s, signal: limit(1.5)}, {sent: 2 * s, at: 3 * s}}, events: []Event{LimitNamed}, limited: 1},
+		"another life says nothing":         {words: []word{{at: s, signal: limit(1.5)}, {born: 1, at: 2 * s, signal: noLimit}}, events: []Event{LimitNamed}},
+		"another life has a limit too":      {words: []word{{at: s, signal: limit(1.5)}, {born: 1, at: 2 * s, signal: limit(3)}}, events: []Event{LimitNamed, LimitNamed}, limited: 1},
+		"rest":                              {words: []word{{at: 9 * s, signal: Signal{Rest: 3 * s}}}, events: []Event{RestAsked}, resting: 1},
+		"rest that is over":                 {words: []word{{at: s, signal: Signal{Rest: 3 * s}}}, events: []Event{RestAsked}},
+		"a longer rest":                     {words: []word{{at: 8 * s, signal: Signal{Rest: s}}, {at: 8500 * time.Millisecond, signal: Signal{Rest: 3 * s}}}, events: []Event{RestAsked}, resting: 1},
+		"a shorter rest does not shorten":   {words: []word{{at: 8 * s, signal: Signal{Rest: 3 * s}}, {at: 9 * s, signal: Signal{Rest: time.Millisecond}}}, events: []Event{RestAsked}, resting: 1},
+		"rest again":                        {words: []word{{at: s, signal: Signal{Rest: s}}, {at: 9 * s, signal: Signal{Rest: 3 * s}}}, events: []Event{RestAsked, RestAsked}, resting: 1},
+		"it leaves, said twice":             {words: []word{{at: s, signal: Signal{Leaving: true}}, {at: 2 * s, signal: Signal{Leaving: true}}}, events: []Event{Leaves}},
+		"it leaves, and names a limit, too": {words: []word{{at: s, signal: Signal{Leaving: true, Limited: true, PerSecond: 1}}}, events: []Event{LimitNamed, Leaves}, limited: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var events []Event
+			table := NewTable(Options{Changed: func(c Change) { events = append(events, c.Event) }})
+			for _, w := range test.words {
+				table.Hear(&fleet.Worker{ID: "w", Born: w.born}, w.signal, start.Add(w.sent), start.Add(w.at))
+			}
+			assert.DeepEqual(t, events, test.events)
+			assert.Equal(t, table.Limited(), test.limited)
+			assert.Equal(t, table.Resting(start.Add(10*s)), test.resting)
+		})
+	}
+}
+
+// TestForget: what a life asked for that is no longer listed is forgotten.
+func TestForget(t *testing.T) {
+	table := NewTable(Options{Changed: func(Change) {}})
+	table.Hear(&fleet.Worker{ID: "w", Born: 1}, limit(1), start, start)
+	table.Hear(&fleet.Worker{ID: "v", Born: 1}, limit(1), start, start)
+	table.Forget(func(worker string, born int64) bool { return worker == "w" && born == 1 })
+	assert.Equal(t, table.Limited(), 1)
+	table.Forget(func(worker string, born int64) bool { return worker == "w" && born == 2 })
+	assert.Equal(t, table.Limited(), 0)
+}
--- a/relay/names.go
+++ b/relay/names.go
@@ -4,6 +4,8 @@
 // only when that is certain.
 package relay
 
+import "quartzshelf.dev/backpressure"
+
 // Names holds the names of the headers spoken with callers and workers.
 type Names struct {
 	// Attempt carries the identity of a request; an answer repeats it.
@@ -28,4 +30,6 @@
 	LastEvent string
 	// Priority carries the rank of a request, 0 being the most urgent.
 	Priority string
+	// Asks are the headers in which workers say what they ask for.
+	Asks backpressure.Names
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"quartzshelf.dev/backpressure"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/eligibility"
 	"quartzshelf.dev/fleet"
@@ -73,6 +74,11 @@
 	// Replaced reports whether another life has the address of a worker; nil if that can't
 	// be told.
 	Replaced func(ctx context.Context, w *fleet.Worker) (bool, error)
+	// Signalled is called with what a worker says of itself in the head of an answer to a
+	// request that was sent at a time; nil for nobody.
+	Signalled func(w *fleet.Worker, s backpressure.Signal, sent, now time.Time)
+	// Dial opens connections to workers; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Leaving reports whether this daemon is to stop.
 	Leaving func() bool
 	Meter   *telemetry.Meter
@@ -106,6 +112,9 @@
 		startedAt: time.Now(), done: make(chan struct{}),
 	}
 	r.upstream.share, r.upstream.count = r.idleShare, opts.Meter.Connection
+	if opts.Dial != nil {
+		r.upstream.dial = opts.Dial
+	}
 	r.unbegun.held = make(map[*request]context.CancelCauseFunc)
 	r.guard = guard.New(guard.Options{
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
--- /dev/null
+++ b/relay/signals_test.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/backpressure"
+	"quartzshelf.dev/fleet"
+)
+
+// heardSignals collects what workers said of themselves.
+type heardSignals struct {
+	mu  sync.Mutex
+	all []backpressure.Signal
+}
+
+func (h *heardSignals) take(_ *fleet.Worker, s backpressure.Signal, _, _ time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.all = append(h.all, s)
+}
+
+// TestSignalsAreHeard: what a worker says of itself is read on each way to it, also where its
+// answer turns the request away, but not from an answer of another worker.
+func TestSignalsAreHeard(t *testing.T) {
+	const limit = "X-Limit: 1.5\r\n"
+	limited := []backpressure.Signal{{Limited: true, PerSecond: 1.5}}
+	tests := map[string]struct {
+		path   string
+		script []behaviour
+		header string
+		want   []backpressure.Signal
+	}{
+		"a request that runs once":   {path: "/once/", header: limit, want: limited},
+		"a request that may repeat":  {path: "/safe/", header: limit, want: limited},
+		"a stream":                   {path: "/stream/", header: limit, want: limited},
+		"a failure of the worker":    {path: "/once/", script: []behaviour{fails}, header: limit, want: limited},
+		"a rejection":                {path: "/once/", script: []behaviour{rejects}, header: "Retry-After: 3\r\n", want: []backpressure.Signal{{Rest: 3 * time.Second}}},
+		"it leaves":                  {path: "/once/", header: "X-Leaving: 1\r\n", want: []backpressure.Signal{{Unlimited: true, Leaving: true}}},
+		"an answer of another":       {path: "/once/", script: []behaviour{misdirects}, header: "X-Leaving: 1\r\n"},
+		"an answer without a limit":  {path: "/safe/", want: []backpressure.Signal{{Unlimited: true}}},
+		"an answer without a signer": {path: "/once/", script: []behaviour{unsigned}, want: []backpressure.Signal{{}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorker(t, "w", test.script...)
+			w.header = test.header
+			r, server := newTestRelay(t, w)
+			var heard heardSignals
+			r.opts.Names.Asks, r.opts.Signalled = backpressure.Names{Limit: "X-Limit", Leaving: "X-Leaving"}, heard.take
+			do(t, server, test.path, "x", nil)
+			heard.mu.Lock()
+			defer heard.mu.Unlock()
+			assert.DeepEqual(t, heard.all, test.want)
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -105,7 +105,7 @@
 	defer reserved.End()
 	watch := r.opts.Tracker.Follow(replica, costsOf(c.engine, c.model, replica.Head.Slots), cancel)
 	defer r.opts.Tracker.Unfollow(replica, watch)
-	e, err := r.upstream.send(ctx, replica.Head, r.messageFor(c, replica.Head, s.last))
+	e, err := r.sendTo(ctx, c, replica.Head, s.last)
 	if err != nil {
 		return err
 	}
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -74,7 +74,7 @@
 func (r *Relay) tryWhole(c *request, replica *fleet.Replica) (*answer, error) {
 	reserved := r.opts.Tracker.Begin(replica, c.prompt)
 	defer reserved.End()
-	e, err := r.upstream.send(c.ctx, replica.Head, r.messageFor(c, replica.Head, ""))
+	e, err := r.sendTo(c.ctx, c, replica.Head, "")
 	if err != nil {
 		return nil, err
 	}
--- a/relay/worker_test.go
+++ b/relay/worker_test.go
@@ -22,6 +22,8 @@
 	answers behaviour = "answers"
 	// rejects turns it away before it runs.
 	rejects behaviour = "rejects"
+	// misdirects says that the request is meant for another worker.
+	misdirects behaviour = "misdirects"
 	// fails runs it and answers with a failure of its own.
 	fails behaviour = "fails"
 	// drops resets the connection in place of an answer, and runs nothing.
@@ -138,14 +140,17 @@
 	}
 	w.mu.Lock()
 	w.heads = append(w.heads, r.Header)
-	if b != rejects && b != drops {
+	if b != rejects && b != misdirects && b != drops {
 		w.ran[id]++
 	}
 	w.mu.Unlock()
 	signed := "X-Attempt: " + id + "\r\nX-Signature: " + w.id + "\r\n" + w.header
 	switch b {
 	case rejects:
-		write(c, "HTTP/1.1 503 Full\r\nX-Attempt: "+id+"\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		write(c, "HTTP/1.1 503 Full\r\nX-Attempt: "+id+"\r\nX-Not-Run: 1\r\n"+w.header+"Content-Length: 0\r\n\r\n")
+		return true
+	case misdirects:
+		write(c, "HTTP/1.1 421 Another\r\nX-Attempt: "+id+"\r\nX-Not-Run: 1\r\n"+w.header+"Content-Length: 0\r\n\r\n")
 		return true
 	case fails:
 		write(c, "HTTP/1.1 500 Failed\r\n"+signed+"Content-Length: 0\r\n\r\n")
--- a/serving/options.go
+++ b/serving/options.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -92,6 +93,8 @@
 	// without them that goes by HTTP at the addresses of daemons.
 	Ask        http.RoundTripper
 	ServePeers func(ctx context.Context, handler http.Handler)
+	// DialWorker opens connections to workers; nil for TCP.
+	DialWorker func(ctx context.Context, network, address string) (net.Conn, error)
 	// Metrics is the address for metrics; empty for none.
 	Metrics string
 	Logger  hclog.Logger
--- a/serving/server.go
+++ b/serving/server.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"quartzshelf.dev/allowance"
+	"quartzshelf.dev/backpressure"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/formation"
@@ -51,6 +52,8 @@
 	fetcher   *fetcher
 	// warmUp bounds what workers get that warm up.
 	warmUp *allowance.Allowance
+	// signals holds what workers ask for in their answers.
+	signals *backpressure.Table
 	// suspicions holds the replicas that fell silent of late.
 	suspicions *suspicions
 	// work is the smoothed work of the fleet.
@@ -109,6 +112,7 @@
 	}
 	s.elector = s.newElector()
 	s.warmUp = s.newWarmUp()
+	s.signals = s.newSignals()
 	s.relay = s.newRelay()
 	meter.Gauge("requests_quarantined", func() float64 { return float64(len(s.relay.Guard().Table().Marks(time.Now()))) })
 	if opts.StoreCalls != nil {
@@ -142,7 +146,7 @@
 		Names:    s.opts.Names, Config: s.beliefs.Config, Confirmed: s.configConfirmed, BeliefFor: s.beliefFor(),
 		View: s.inventory.View, Halls: s.halls.View, RegionOf: s.regionOf,
 		WarmUp: s.warmUp.Check, TakeWarmUp: s.takeWarmUp, NextWarmUp: s.warmUp.Next, Tracker: s.tracker, Budget: budget,
-		Spread: func() { s.agent.Send(time.Now()) }, Replaced: s.replaced,
+		Spread: func() { s.agent.Send(time.Now()) }, Replaced: s.replaced, Signalled: s.signals.Hear, Dial: s.opts.DialWorker,
 		Leaving: s.leaving.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
 	})
 }
@@ -201,6 +205,7 @@
 	duties.Go(func() { s.meet(running) })
 	duties.Go(func() { s.watchScope(running) })
 	duties.Go(func() { s.watchWarmUp(running) })
+	duties.Go(func() { s.watchSignals(running) })
 	duties.Go(func() { s.keepMarks(running) })
 	duties.Go(func() { s.serveMetrics(running) })
 	duties.Go(func() { s.tellStart(running) })
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -35,6 +35,8 @@
 	warmUp metric.Int64Counter
 	// quarantine counts what happened to requests that end workers.
 	quarantine metric.Int64Counter
+	// signals counts what workers said of themselves in answers.
+	signals metric.Int64Counter
 	// broken counts attempts that their workers broke off.
 	broken metric.Int64Counter
 	// connections counts what carried requests to workers.
@@ -124,6 +126,11 @@
 	if err != nil {
 		return err
 	}
+	m.signals, err = meter.Int64Counter("quartzshelf_worker_signals",
+		metric.WithDescription("What workers asked for in their answers, by event: new, changed, dropped or not understood."))
+	if err != nil {
+		return err
+	}
 	m.broken, err = meter.Int64Counter("quartzshelf_attempts_broken",
 		metric.WithDescription("Attempts whose connection the worker ended within, by service."))
 	if err != nil {
@@ -218,6 +225,12 @@
 	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
 }
 
+// Signal counts what a worker asked for in an answer: a limit, rest, or that it leaves, and
+// values that were not understood.
+func (m *Meter) Signal(event string) {
+	m.signals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 // Broken counts an attempt that a worker of a service broke off.
 func (m *Meter) Broken(service string) {
 	m.broken.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
