serving, platform/standin, soak: Reproduce a limit that nobody heeds, red

One daemon alone breaks the bound as well, and the rate does not change when the limit is named: of the three hypotheses the first holds (nobody reads it); that each daemon keeps the limit for itself is ruled out as the cause, and is what a mend must not bring about.

No stand-in knew that workers ask for anything.

--- a/cmd/soakcmd/run.go
+++ b/cmd/soakcmd/run.go
@@ -52,6 +52,7 @@
 	Crashing bool          `help:"Also send a request that ends each worker which runs it."`
 	Drills   bool          `help:"Also let the store come back from a copy that is seconds old."`
 	Reborn   bool          `help:"Also let workers come back under their id."`
+	Asking   bool          `help:"Also let workers name limits, ask for rest and say in answers that they leave."`
 	Verbose  bool          `help:"Tell every fault."`
 }
 
@@ -112,7 +113,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Seed: seed, Program: program, Dir: dir, Host: host(number), Daemons: line.Daemons, Workers: line.Workers,
-		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls, Crashing: line.Crashing, Drills: line.Drills, Reborn: line.Reborn,
+		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls, Crashing: line.Crashing, Drills: line.Drills, Reborn: line.Reborn, Asking: line.Asking,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: stderr, Level: level}),
 	})
 	result.Seed = seed
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -113,6 +113,11 @@
 	reused atomic.Bool
 }
 
+// sender names the daemon's life to which a request goes, and when it does.
+func (r *call) sender() standin.Sender {
+	return standin.Sender{Daemon: lifeOf(r.daemon, r.life), At: r.sentAt}
+}
+
 // send sends one request and checks its answer.
 func (c *caller) send(d *daemon) {
 	c.sent++
@@ -124,7 +129,7 @@
 	tenant := ""
 	r.key, tenant = c.run.callers.key(c.random)
 	r.later = c.kind == standin.Safe && c.random.IntN(3) == 0 && c.run.callers.hasRoute()
-	c.run.ledger.Sent(r.id, r.kind, tenant)
+	c.run.ledger.Sent(r.id, r.kind, tenant, r.sender())
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { r.reused.Store(i.Reused || i.WasIdle) }})
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -64,7 +64,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := &run{ledger: standin.NewLedger(), callers: newCallers(), daemons: []*daemon{{life: 1}}}
-			r.ledger.Sent("q", test.kind, "t")
+			r.ledger.Sent("q", test.kind, "t", standin.Sender{})
 			if test.prepare != nil {
 				test.prepare(r)
 			}
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -40,7 +40,8 @@
 func (c *caller) sendCopy(ctx context.Context, d *daemon) {
 	c.sent++
 	copied := &call{id: fmt.Sprintf("c%d-%d", c.number, c.sent), kind: standin.Stream, daemon: d, events: eventsLeast, sentAt: time.Now(), key: keyName(1, 1)}
-	c.run.ledger.Sent(copied.id, copied.kind, tenantName(1))
+	copied.life, _ = d.status()
+	c.run.ledger.Sent(copied.id, copied.kind, tenantName(1), copied.sender())
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request := c.request(ctx, copied)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -32,6 +32,12 @@
 	return draw(rand.New(rand.NewPCG(seed, stream)), hallFaultNames(), total)
 }
 
+// askSchedule returns what workers ask for, which is drawn apart from the faults as well.
+func askSchedule(seed uint64, total time.Duration) []step {
+	const stream = 1 << 35
+	return draw(rand.New(rand.NewPCG(seed, stream)), askNames(), total)
+}
+
 // draw draws faults of some kinds up to a total time.
 func draw(random *rand.Rand, kinds []string, total time.Duration) []step {
 	var steps []step
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,6 +41,8 @@
 	Crashing bool
 	// Reborn lets workers come back under their id.
 	Reborn bool
+	// Asking lets workers name limits, ask for rest and say in answers that they leave.
+	Asking bool
 	// Drills lets the store come back from a copy that is seconds old.
 	Drills bool
 	// Halls adds data halls that are closed, lost and cold, and a second region.
@@ -141,6 +143,7 @@
 	r.fabric = standin.NewFabric(standin.FabricOptions{
 		Store: r.store, Ledger: r.ledger, Timing: timing, Models: r.models, Ceiling: ceiling, Calm: r.calm,
 		Fenceless: fenceless(r.opts.Seed), Halls: r.halls(), Ended: r.workerEnded, Crashed: r.workerCrashed,
+		LinkSound: r.linkSound,
 	})
 	r.operator = standin.NewOperator(standin.OperatorOptions{
 		Store: r.store, Models: r.models, Timing: timing, Ceiling: ceiling, Slots: slots, LoadsAtOnce: 4, Tenants: r.callers.tenants, Halls: r.halls(),
@@ -318,6 +321,9 @@
 	if r.opts.Drills {
 		series.Go(func() { r.strikeAll(ctx, drillSchedule(r.opts.Seed, r.opts.Duration), drills) })
 	}
+	if r.opts.Asking {
+		series.Go(func() { r.strikeAll(ctx, askSchedule(r.opts.Seed, r.opts.Duration), askFaults) })
+	}
 	series.Wait()
 	if !r.recovered(ctx) {
 		served, all := r.callers.served(time.Now().Add(-recoverWindow))
