--- a/backpressure/shares_test.go
+++ b/backpressure/shares_test.go
@@ -128,6 +128,43 @@
 	return s
 }
 
+// act is one step of the daemon: it returns whether it sends a request.
+func (s *sharer) act(step int, now time.Duration, r *fleet.Replica, perSecond float64) bool {
+	at, restarted := start.Add(now), slices.Contains(s.restarts, now)
+	if now < s.joins || s.frozen <= now && now < s.frozeTo || now < s.hears {
+		return false
+	}
+	if step%50 == 0 || now == s.hears || restarted {
+		s.table.Hear(r.Head, named(perSecond), at, at)
+		s.table.Look(at)
+	}
+	_, ok := s.table.Take(r, at)
+	return ok && s.table.Naming() != nil
+}
+
+// playAll lets daemons send all they may, and returns when requests came.
+func playAll(all []*sharer, halls []string, perSecond float64) []time.Duration {
+	var now time.Duration
+	for _, s := range all {
+		s.begin(all, halls, &now)
+	}
+	r := &fleet.Replica{ID: "g", Head: &fleet.Worker{ID: "w"}}
+	var came []time.Duration
+	for step := range playSteps {
+		now = time.Duration(step) * playStep
+		for _, s := range all {
+			if slices.Contains(s.restarts, now) {
+				s.begin(all, halls, &now)
+			}
+			if s.act(step, now, r, perSecond) {
+				came = append(came, now+s.delay)
+			}
+		}
+	}
+	slices.Sort(came)
+	return came
+}
+
 // TestSumStaysBelowLimit lets daemons send all they may to a worker that named a limit, which
 // hear of it late, freeze, start anew, and of which one is added and not known to the others
 // at first: within no window come more requests than the limit allows.
@@ -139,35 +176,9 @@
 		for i := range rapid.IntRange(1, 24).Draw(t, "daemons") {
 			all = append(all, drawSharer(t, i, halls))
 		}
-		added := all[len(all)-1]
-		added.joins = time.Duration(rapid.IntRange(1, playSteps).Draw(t, "joins")) * playStep
-		var now time.Duration
-		for _, s := range all {
-			s.begin(all, halls, &now)
-		}
-		r := &fleet.Replica{ID: "g", Head: &fleet.Worker{ID: "w"}}
-		var came []time.Duration
-		for step := range playSteps {
-			now = time.Duration(step) * playStep
-			at := start.Add(now)
-			for _, s := range all {
-				if slices.Contains(s.restarts, now) {
-					s.begin(all, halls, &now)
-				}
-				if now < s.joins || s.frozen <= now && now < s.frozeTo || now < s.hears {
-					continue
-				}
-				if step%50 == 0 || now == s.hears || slices.Contains(s.restarts, now) {
-					s.table.Hear(r.Head, named(perSecond), at, at)
-					s.table.Look(at)
-				}
-				if _, ok := s.table.Take(r, at); ok && s.table.Naming() != nil {
-					came = append(came, now+s.delay)
-				}
-			}
-		}
-		slices.Sort(came)
+		all[len(all)-1].joins = time.Duration(rapid.IntRange(1, playSteps).Draw(t, "joins")) * playStep
 		first := 0
+		came := playAll(all, halls, perSecond)
 		for i, at := range came {
 			for at-came[first] >= testBound.Window {
 				first++
@@ -178,6 +189,21 @@
 	})
 }
 
+// fleetOf returns daemons that know of a limit.
+func fleetOf(halls, perHall int, perSecond float64) []*sharer {
+	names := namesOf("hall", halls)
+	var all []*sharer
+	for i := range halls * perHall {
+		all = append(all, &sharer{id: fmt.Sprintf("daemon-%03d", i), hall: names[i%halls]})
+	}
+	var now time.Duration
+	for _, s := range all {
+		s.begin(all, names, &now)
+		s.table.Hear(&fleet.Worker{ID: "w"}, named(perSecond), start, start)
+	}
+	return all
+}
+
 // TestSumOfLargeFleets: what is sent in all depends on the limit, not on how many daemons
 // there are, and the limit is used whatever their number.
 func TestSumOfLargeFleets(t *testing.T) {
@@ -189,25 +215,13 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			const perSecond = 1.3
-			halls := namesOf("hall", test.halls)
-			var all []*sharer
-			for i := range test.halls * test.perHall {
-				all = append(all, &sharer{id: fmt.Sprintf("daemon-%03d", i), hall: halls[i%test.halls]})
-			}
-			var now time.Duration
-			for _, s := range all {
-				s.begin(all, halls, &now)
-				s.table.Hear(&fleet.Worker{ID: "w"}, named(perSecond), start, start)
-			}
+			const perSecond, seconds = 1.3, 9
+			all := fleetOf(test.halls, test.perHall, perSecond)
 			r, came := &fleet.Replica{ID: "g", Head: &fleet.Worker{ID: "w"}}, 0
-			const seconds = 9
-			for step := range seconds * 10 {
-				at := start.Add(time.Duration(step) * 100 * time.Millisecond)
-				for _, s := range all {
-					if _, ok := s.table.Take(r, at); ok {
-						came++
-					}
+			for step := range seconds * 10 * len(all) {
+				at := start.Add(time.Duration(step/len(all)) * 100 * time.Millisecond)
+				if _, ok := all[step%len(all)].table.Take(r, at); ok {
+					came++
 				}
 			}
 			assert.Assert(t, float64(came) <= perSecond*seconds, "%d came", came)
--- a/serving/signals_test.go
+++ b/serving/signals_test.go
@@ -346,6 +346,31 @@
 	}
 }
 
+// limitedCount is how many heads name a limit, limitNamed from when on.
+const (
+	limitedCount = 2
+	limitNamed   = 2 * time.Second
+)
+
+// limitedHeads returns eight heads, of which the first ones name a limit.
+func limitedHeads(perSecond float64) []*signalHead {
+	says := func(h http.Header, at time.Duration) bool {
+		if at >= limitNamed {
+			h.Set(signalNames.Asks.Limit, strconv.FormatFloat(perSecond, 'f', -1, 64))
+		}
+		return true
+	}
+	var heads []*signalHead
+	for i := range 8 {
+		h := &signalHead{id: fmt.Sprint("head-", i), work: 300 * time.Millisecond}
+		if i < limitedCount {
+			h.id, h.says = fmt.Sprint("limited-", i), says
+		}
+		heads = append(heads, h)
+	}
+	return heads
+}
+
 // TestNamedLimitHolds lets two of eight heads name a limit after two seconds, in fleets in
 // which all report to all, and in which relays pass reports on.
 func TestNamedLimitHolds(t *testing.T) {
@@ -365,29 +390,16 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				const named = 2 * time.Second
-				says := func(h http.Header, at time.Duration) bool {
-					if at >= named {
-						h.Set(signalNames.Asks.Limit, strconv.FormatFloat(test.perSecond, 'f', -1, 64))
-					}
-					return true
-				}
-				heads := []*signalHead{{id: "limited-a", says: says}, {id: "limited-b", says: says}}
-				for i := range 6 {
-					heads = append(heads, &signalHead{id: fmt.Sprint("head-", i)})
-				}
-				for _, h := range heads {
-					h.work = 300 * time.Millisecond
-				}
-				f := newSignalFleet(t, test.halls, test.perHall, heads...)
 				const from, to = 6 * time.Second, 22 * time.Second
+				heads := limitedHeads(test.perSecond)
+				f := newSignalFleet(t, test.halls, test.perHall, heads...)
 				f.load(test.load, to)
 				came := 0
-				for _, h := range heads[:2] {
-					assertLimit(t, h, named, test.perSecond)
+				for _, h := range heads[:limitedCount] {
+					assertLimit(t, h, limitNamed, test.perSecond)
 					came += h.came(from, to)
 				}
-				worth := 2 * test.perSecond * (to - from).Seconds()
+				worth := limitedCount * test.perSecond * (to - from).Seconds()
 				assert.Assert(t, float64(came) >= worth/2, "they got %d requests of %.1f that they take", came, worth)
 				assert.Equal(t, f.served, f.sent, "the others have room")
 			})
