--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -114,14 +114,8 @@
 			class, cause = Reserve, Hall
 		}
 	}
-	if r.WarmUp != nil && !r.WarmUp(replica) {
-		return Excluded, WarmUp
-	}
-	if r.Rested != nil && !r.Rested(replica) {
-		return Excluded, Resting
-	}
-	if r.Limit != nil && !r.Limit(replica) {
-		return Excluded, Limited
+	if bound := r.bound(replica); bound != None {
+		return Excluded, bound
 	}
 	if r.Suspected != nil && r.Suspected(replica) {
 		return Doubtful, Suspected
@@ -129,6 +123,19 @@
 	return class, cause
 }
 
+// bound returns what keeps a replica from bearing one more request from this daemon.
+func (r *Rules) bound(replica *fleet.Replica) Cause {
+	switch {
+	case r.WarmUp != nil && !r.WarmUp(replica):
+		return WarmUp
+	case r.Rested != nil && !r.Rested(replica):
+		return Resting
+	case r.Limit != nil && !r.Limit(replica):
+		return Limited
+	}
+	return None
+}
+
 // Selection is replicas by class.
 type Selection struct {
 	byClass [classes][]*fleet.Replica
