--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -114,8 +114,10 @@
 			class, cause = Reserve, Hall
 		}
 	}
-	if bound := r.bound(replica); bound != None {
-		return Excluded, bound
+	if r.bounds() {
+		if bound := r.bound(replica); bound != None {
+			return Excluded, bound
+		}
 	}
 	if r.Suspected != nil && r.Suspected(replica) {
 		return Doubtful, Suspected
@@ -123,6 +125,9 @@
 	return class, cause
 }
 
+// bounds reports whether anything bounds what replicas bear. Mostly nothing does.
+func (r *Rules) bounds() bool { return r.WarmUp != nil || r.Rested != nil || r.Limit != nil }
+
 // bound returns what keeps a replica from bearing one more request from this daemon.
 func (r *Rules) bound(replica *fleet.Replica) Cause {
 	switch {
