platform/standin, soak: Tell daemons of all data halls in their settings

Traced: on the platform the settings name all data halls; those of the stand-in named a daemon's own alone where halls are not told apart, so that each of two halls held all shares of a limit. Not a fault of the daemons, which go by their settings.

--- a/soak/halls.go
+++ b/soak/halls.go
@@ -55,6 +55,17 @@
 	return zoneName(i % 2)
 }
 
+// zones returns the names of all data halls, which daemons know by their settings.
+func (r *run) zones() []string {
+	var all []string
+	for i := range r.opts.Daemons {
+		if zone := r.zoneOfDaemon(i); !slices.Contains(all, zone) {
+			all = append(all, zone)
+		}
+	}
+	return all
+}
+
 // halls returns what is demanded of data halls.
 func (r *run) halls() standin.Halls {
 	if !r.opts.Halls {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -248,7 +248,7 @@
 		return failure.At(failure.Unavailable, "open link to the store", ip, err)
 	}
 	d := &daemon{program: r.opts.Program, store: link, led: r.noteLeader, settings: standin.DaemonSettings{
-		Name: fmt.Sprintf("daemon-%d", i), Zone: r.zoneOfDaemon(i), IP: ip, Store: link.address(),
+		Name: fmt.Sprintf("daemon-%d", i), Zone: r.zoneOfDaemon(i), Zones: r.zones(), IP: ip, Store: link.address(),
 		Front: ports[0], Ready: ports[1], Directory: ports[2], Peer: ports[3],
 		Timing: timing, Grace: grace, Revoke: revokeBound, Ceiling: ceiling, Halls: r.halls(),
 	}}
