fleet: Let a first read of a store that was copied confirm nothing yet

All daemons ended right after, started while the store was away, and took what it showed from a copy for the newest; the hold for what a copy shows knew only daemons that had confirmed something before.

A daemon that knows nothing yet and reads from a store that ever came back from a copy can't tell whether it just did. Its own reads confirm nothing for two seconds, by when the operator has written again; the word of a peer that ran before does at once, so that a single restart waits no longer than for its first heartbeat. Where the store never was copied nothing changes.

Ruled out: holding only after reads that failed, since daemons may start in the moment after the return.

--- a/fleet/beliefs.go
+++ b/fleet/beliefs.go
@@ -14,8 +14,10 @@
 
 	mu        sync.Mutex
 	confirmed time.Time
-	// heldUntil is until when nothing confirms what is held.
-	heldUntil time.Time
+	// heldUntil is until when nothing confirms what is held, readsHeldUntil until when reads
+	// of this daemon alone do not.
+	heldUntil      time.Time
+	readsHeldUntil time.Time
 }
 
 // copyHold is how long after the source came back from a copy its newest configuration may
@@ -33,6 +35,17 @@
 	}
 }
 
+// HoldReads notes that this daemon, which knows nothing yet, reads for the first time, from a
+// source that came back from a copy some time: it may just have done so. Who ran before may
+// know better, and is believed.
+func (b *Beliefs) HoldReads(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.confirmed.IsZero() {
+		b.readsHeldUntil = at.Add(copyHold)
+	}
+}
+
 // State returns the version in force and when it was last known to be the newest, of one
 // moment.
 func (b *Beliefs) State() (version int64, confirmed time.Time) {
@@ -77,11 +90,11 @@
 		notify(b.changed)
 	}
 	if c.Version() >= b.current.Load().Version() {
-		b.confirm(sent)
+		b.confirmRead(sent)
 	}
 }
 
-// Confirm notes that the given version was the newest at the given time.
+// Confirm notes that the given version was the newest at the given time, by a peer's word.
 func (b *Beliefs) Confirm(version int64, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -90,6 +103,21 @@
 	}
 }
 
+// ConfirmRead notes that a read which was sent at the given time brought nothing newer.
+func (b *Beliefs) ConfirmRead(sent time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current.Load() != nil {
+		b.confirmRead(sent)
+	}
+}
+
+func (b *Beliefs) confirmRead(sent time.Time) {
+	if !sent.Before(b.readsHeldUntil) {
+		b.confirm(sent)
+	}
+}
+
 func (b *Beliefs) confirm(at time.Time) {
 	if time.Now().Before(b.heldUntil) {
 		return
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -187,3 +187,36 @@
 		assert.Assert(t, held.IsZero(), "confirmed before the operator can have written again")
 	})
 }
+
+// TestWhoRanBeforeIsBelieved: a daemon that starts after the source came back from a copy some
+// time does not wait where a peer confirms what it read; nor does one whose source never did.
+func TestWhoRanBeforeIsBelieved(t *testing.T) {
+	tests := map[string]struct {
+		era     int64
+		peer    bool
+		refused bool
+	}{
+		"alone":                     {era: 2, refused: true},
+		"a peer ran before":         {era: 2, peer: true},
+		"the source never was lost": {era: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := &fakeSource{version: 3, era: test.era}
+				beliefs := NewBeliefs()
+				stop := follow(source, beliefs, NewInventory(1200*time.Millisecond, 0))
+				time.Sleep(copyHold / 4)
+				if test.peer {
+					beliefs.Confirm(3, time.Now())
+				}
+				confirmed := beliefs.Confirmed()
+				time.Sleep(copyHold)
+				late := beliefs.Confirmed()
+				stop()
+				assert.Equal(t, confirmed.IsZero(), test.refused)
+				assert.Assert(t, !late.IsZero(), "the hold ends")
+			})
+		})
+	}
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -146,8 +146,11 @@
 		if err != nil {
 			return err
 		}
-		if era >= 0 && EraOf(news.Next) > era {
+		switch read := EraOf(news.Next); {
+		case era >= 0 && read > era:
 			readAgain = sent.Add(copySettles)
+		case era < 0 && read > 0:
+			f.opts.Beliefs.HoldReads(time.Now())
 		}
 		f.noteEra(news.Next)
 		position, era = news.Next, EraOf(news.Next)
@@ -167,7 +170,7 @@
 			f.opts.Beliefs.Offer(news.Config, sent)
 			behind = false
 		case !behind:
-			f.opts.Beliefs.Confirm(f.opts.Beliefs.Version(), sent)
+			f.opts.Beliefs.ConfirmRead(sent)
 		}
 		return nil
 	})
