formation: Note who has just left the list before a member counts as lost

Not listed and not known as off the list, it counted as gone, and the group was given up: its loads were made for nothing, and callers waited for the next one.

The forming notes who left the list itself before it judges; the list is read under the mutex in both places, so that no look goes back to an earlier one. Ruled out: an answer of the member that came late, since the member answers all the time in the runs that failed.

TestMemberOffTheListIsNotLostAtOnce puts the forming's look right after the change: it failed each time, passes.

--- a/formation/absent_test.go
+++ b/formation/absent_test.go
@@ -135,3 +135,29 @@
 		assert.DeepEqual(t, w.broken, []string(nil))
 	})
 }
+
+// TestMemberOffTheListIsNotLostAtOnce: a group was given up, 2 times in 300, whose member had
+// left the list while it joined.
+//
+// The order of events: the list loses the member; the forming of the group looks at the new
+// list before the leader's next look has noted that the member is off it; not listed and not
+// known as off the list, it counts as gone.
+//
+// The evidence: with the forming's look put right after the change, as here, each run fails.
+func TestMemberOffTheListIsNotLostAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 4)
+		w.pending.Go(func() { w.readList(2 * time.Second) })
+		k, stop := term(w, 1)
+		time.Sleep(850 * time.Millisecond)
+		w.mu.Lock()
+		forming := w.workers["w0-0"].group
+		w.mu.Unlock()
+		member, listed := w.inventory.View().Worker(forming.Members[1])
+		assert.Assert(t, listed)
+		w.inventory.Apply([]fleet.Change{{ID: member.ID}}, w.inventory.Position()+1, time.Now())
+		assert.Equal(t, len(k.lost([]*fleet.Worker{member})), 0)
+		stop()
+		w.pending.Wait()
+	})
+}
--- a/formation/form.go
+++ b/formation/form.go
@@ -102,7 +102,7 @@
 			nextAsk = now.Add(askEvery)
 			k.askReady(ctx, g, k.untold(members, view, now), seen)
 		}
-		if lost := k.lost(members, view); len(lost) > 0 {
+		if lost := k.lost(members); len(lost) > 0 {
 			k.doubt(ctx, g, lost...)
 			return false
 		}
@@ -144,10 +144,12 @@
 }
 
 // lost returns the members that are gone or leaving. One that left the list but answers
-// is neither.
-func (k *Keeper) lost(members []*fleet.Worker, view *fleet.View) []*fleet.Worker {
+// is neither: who has just left it is noted first, which the next look would do too late.
+func (k *Keeper) lost(members []*fleet.Worker) []*fleet.Worker {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	view := k.opts.Inventory.View()
+	k.refreshAbsent(view, time.Now())
 	var all []*fleet.Worker
 	for _, w := range members {
 		listed, ok := view.Worker(w.ID)
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -258,9 +258,10 @@
 	if config == nil {
 		return
 	}
-	view := k.opts.Inventory.View()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	// It is read under the mutex, so that no look goes back to an earlier list.
+	view := k.opts.Inventory.View()
 	k.refresh(view)
 	k.refreshAbsent(view, now)
 	k.askAbsent(ctx, now)
