--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -146,12 +146,10 @@
 		if err != nil {
 			return err
 		}
-		switch read := EraOf(news.Next); {
-		case era >= 0 && read > era:
+		if era >= 0 && EraOf(news.Next) > era {
 			readAgain = sent.Add(copySettles)
-		case era < 0 && read > 0:
-			f.opts.Beliefs.HoldReads(time.Now())
 		}
+		f.noteFirstEra(era, EraOf(news.Next))
 		f.noteEra(news.Next)
 		position, era = news.Next, EraOf(news.Next)
 		if !news.Lost {
@@ -252,6 +250,14 @@
 	return f.opts.Inventory.AwaitsList() || f.opts.Reads(f.opts.Inventory.Confirmed())
 }
 
+// noteFirstEra holds what the first read brings, before which no era was known, of a source
+// that came back from a copy some time.
+func (f *Follower) noteFirstEra(before, era int64) {
+	if before < 0 && era > 0 {
+		f.opts.Beliefs.HoldReads(time.Now())
+	}
+}
+
 // noteEra takes the era of what was read of either source. A later one than was known, by a
 // read or by what peers told, says that the source came back from a copy: whichever of the two
 // is read first tells so, and a daemon that has only been told by peers so far holds what it
