peers, serving, platform: Give what daemons tell each other a version

Cause: builds that run side by side had nothing to tell each other by; what a daemon decides from what others know (who holds shares of limits, so far) could not ask what these can do, and a message that was not understood was passed over without a count or a line.

Daemons tell in which version of the format they write and which is the oldest that they understand; the fleet acts by the earliest that one in touch speaks, by way of relays as well, until none was heard for ten seconds. New daemons send nothing to workers that name limits while earlier ones, which heed none, are in touch. Claims that can't be count as the first version, what is of a later format alone is not taken; both are counted and logged once. An age that was left out is unknown, no longer that of what was just confirmed.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PROGRAMS := quartzshelfd quartzshelf quartzshelf-standin quartzshelf-load quartzshelf-platform quartzshelf-soak
 SOAK := $(BIN)/quartzshelf-soak --program $(BIN)/quartzshelf-platform
 
-.PHONY: build test lint tools quickstart fleet faults soak soak-short soak-again simulate measure bench generate clean
+.PHONY: build test lint tools quickstart fleet faults soak soak-short soak-again soak-mixed simulate measure bench generate clean
 
 build:
 	go build -o $(BIN)/ $(addprefix ./cmd/,$(PROGRAMS))
@@ -58,6 +58,7 @@
 	$(SOAK) --drills --seeds 4176265991,32,33 --parallel 3 --duration 12s
 	$(SOAK) --reborn --seeds 41,42,43 --parallel 3 --duration 8s
 	$(SOAK) --asking --seeds 51,52,54 --parallel 3 --duration 12s
+	MIXES=half scripts/soak-mixed $(SOAK) --seeds 101,102 --parallel 2 --duration 5s
 
 soak-again: build
 	$(SOAK) --parallel 4 --seeds $$(sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
@@ -67,6 +68,10 @@
 	$(SOAK) --parallel 4 --halls --crashing --drills --reborn --duration 12s --seeds $$(sed -n 's/^all \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 	$(SOAK) --parallel 4 --asking --duration 12s --seeds $$(sed -n 's/^asking \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 
+# soak-mixed plays random faults with the landing before this one beside it, in each way.
+soak-mixed: build
+	scripts/soak-mixed $(SOAK) $(HALLS) $(CRASHING) $(DRILLS) $(REBORN) $(ASKING) --daemons 6 --duration 12s --count $${COUNT:-4} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
+
 # simulate plays schedules in virtual time. It draws new seeds and prints them;
 # replay one with SEED=n make simulate.
 simulate:
--- a/backpressure/report.go
+++ b/backpressure/report.go
@@ -16,7 +16,7 @@
 	freshFor = 2 * time.Second
 	// freshMost and turnMost bound the entries of one report. What has not changed of late
 	// follows in turns, all of 400 within five seconds.
-	freshMost = 32
+	freshMost = 16
 	turnMost  = 16
 	// dropMargin is how much later than a limit was last heard an answer without one must have
 	// been asked for to end it by a peer's word: ages are only as exact as a round of
--- a/cmd/operatorcmd/run.go
+++ b/cmd/operatorcmd/run.go
@@ -41,6 +41,7 @@
 	Quarantine quarantineCommand `cmd:"" help:"Show or lift the quarantine of requests that ended workers."`
 	Explain    explainCommand    `cmd:"" help:"Say why a replica, node or data hall is as it is, or why a request went where it did."`
 	Report     reportCommand     `cmd:"" help:"Sum up from the logs of daemons what was refused and late, why, and what leaders did."`
+	Builds     buildsCommand     `cmd:"" help:"List from the logs of daemons what each was built from, and by which format they act."`
 	Trace      traceCommand      `cmd:"" help:"Tell the story of a request, worker or replica from the logs of daemons."`
 	HashKey    hashKeyCommand    `cmd:"" help:"Print the hash of a bearer key, as a ClientAccount needs it."`
 
--- a/cmd/soakcmd/run.go
+++ b/cmd/soakcmd/run.go
@@ -53,6 +53,8 @@
 	Drills   bool          `help:"Also let the store come back from a copy that is seconds old."`
 	Reborn   bool          `help:"Also let workers come back under their id."`
 	Asking   bool          `help:"Also let workers name limits, ask for rest and say in answers that they leave."`
+	Earlier  string        `help:"The program of an earlier build that runs beside this one." type:"existingfile"`
+	Mix      string        `help:"How both run: half of the daemons for good, each replaced when it starts again, or replaced and taken back." enum:"half,replaced,back" default:"half"`
 	Verbose  bool          `help:"Tell every fault."`
 }
 
@@ -111,8 +113,14 @@
 	if err != nil {
 		return played{Result: soak.Result{Seed: seed}, dir: dir, err: err}
 	}
+	earlier := line.Earlier
+	if earlier != "" {
+		if earlier, err = filepath.Abs(earlier); err != nil {
+			return played{Result: soak.Result{Seed: seed}, dir: dir, err: err}
+		}
+	}
 	result, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Program: program, Dir: dir, Host: host(number), Daemons: line.Daemons, Workers: line.Workers,
+		Seed: seed, Program: program, Earlier: earlier, Mix: soak.Mix(line.Mix), Dir: dir, Host: host(number), Daemons: line.Daemons, Workers: line.Workers,
 		Callers: line.Callers, Series: line.Series, Duration: line.Duration, Halls: line.Halls, Crashing: line.Crashing, Drills: line.Drills, Reborn: line.Reborn, Asking: line.Asking,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: stderr, Level: level}),
 	})
--- /dev/null
+++ b/common/wiretest/wiretest.go
@@ -0,0 +1,150 @@
+// Package wiretest lets tests check messages in JSON against those that another build wrote:
+// that what it wrote is understood, and that nothing it needs is left out or of another type.
+package wiretest
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+)
+
+// filledPrefix begins the texts that Fill makes.
+const filledPrefix = "s"
+
+// Fill sets all exported fields of what v points to, to values that differ from zero.
+func Fill(v any) { fill(reflect.ValueOf(v).Elem(), 1) }
+
+func fill(v reflect.Value, n int64) {
+	if v.Type() == reflect.TypeFor[time.Time]() {
+		v.Set(reflect.ValueOf(time.Unix(n, 0).UTC()))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem(), n)
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if v.Type().Field(i).IsExported() {
+				fill(v.Field(i), n+int64(i))
+			}
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0), n)
+	case reflect.Array:
+		for i := range v.Len() {
+			fill(v.Index(i), n)
+		}
+	case reflect.Map:
+		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
+		fill(key, n)
+		fill(value, n)
+		v.Set(reflect.MakeMap(v.Type()))
+		v.SetMapIndex(key, value)
+	default:
+		fillPlain(v, n)
+	}
+}
+
+func fillPlain(v reflect.Value, n int64) {
+	switch {
+	case v.Kind() == reflect.String:
+		v.SetString(fmt.Sprint(filledPrefix, n))
+	case v.Kind() == reflect.Bool:
+		v.SetBool(true)
+	case v.CanInt():
+		v.SetInt(n)
+	case v.CanUint():
+		v.SetUint(uint64(n))
+	case v.CanFloat():
+		v.SetFloat(float64(n) + 0.5)
+	}
+}
+
+// Lost returns what of a recorded message is lost or changed when it is decoded into v and
+// encoded again, by path.
+func Lost(recorded []byte, v any) ([]string, error) {
+	if err := json.Unmarshal(recorded, v); err != nil {
+		return nil, fmt.Errorf("decode: %w", err)
+	}
+	return compare(recorded, v, func(before, after any) bool { return reflect.DeepEqual(before, after) })
+}
+
+// Missing returns what of a recorded message is not in v, or of another type there, by path.
+func Missing(recorded []byte, v any) ([]string, error) {
+	return compare(recorded, v, func(before, after any) bool { return reflect.TypeOf(before) == reflect.TypeOf(after) })
+}
+
+func compare(recorded []byte, v any, same func(before, after any) bool) ([]string, error) {
+	encoded, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	var before, after any
+	if err := json.Unmarshal(recorded, &before); err != nil {
+		return nil, fmt.Errorf("decode: %w", err)
+	}
+	if err := json.Unmarshal(encoded, &after); err != nil {
+		return nil, fmt.Errorf("decode: %w", err)
+	}
+	found := differences("", before, after, same)
+	slices.Sort(found)
+	return found, nil
+}
+
+// differences returns the paths at which after lacks what before has.
+func differences(path string, before, after any, same func(before, after any) bool) []string {
+	switch b := before.(type) {
+	case map[string]any:
+		if a, ok := after.(map[string]any); ok {
+			return differentFields(path, b, a, same)
+		}
+		return []string{path}
+	case []any:
+		if a, ok := after.([]any); ok && len(a) >= len(b) {
+			return differentItems(path, b, a, same)
+		}
+		return []string{path}
+	}
+	if same(before, after) {
+		return nil
+	}
+	return []string{path}
+}
+
+func differentFields(path string, before, after map[string]any, same func(before, after any) bool) []string {
+	var found []string
+	for key, value := range before {
+		held, ok := fieldOf(after, key, len(before))
+		if !ok {
+			found = append(found, path+"/"+key)
+			continue
+		}
+		found = append(found, differences(path+"/"+key, value, held, same)...)
+	}
+	return found
+}
+
+// fieldOf returns a field. The only key of a map is data if Fill made it, so that any other one
+// stands for it.
+func fieldOf(fields map[string]any, key string, count int) (value any, ok bool) {
+	if value, ok = fields[key]; ok || count != 1 || !strings.HasPrefix(key, filledPrefix) {
+		return value, ok
+	}
+	for _, value = range fields {
+		return value, true
+	}
+	return nil, false
+}
+
+func differentItems(path string, before, after []any, same func(before, after any) bool) []string {
+	var found []string
+	for i := range before {
+		found = append(found, differences(fmt.Sprintf("%s/%d", path, i), before[i], after[i], same)...)
+	}
+	return found
+}
--- /dev/null
+++ b/common/wiretest/wiretest_test.go
@@ -0,0 +1,65 @@
+package wiretest
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+type inner struct {
+	Count int            `json:"n"`
+	Parts []string       `json:"p"`
+	Work  map[string]int `json:"w"`
+}
+
+type before struct {
+	Name  string `json:"name"`
+	Inner *inner `json:"inner"`
+}
+
+// TestChangesAreFound: a field that is renamed, left out or of another type is found, both by
+// who reads what was recorded and by who would have to write it.
+func TestChangesAreFound(t *testing.T) {
+	b := &before{}
+	Fill(b)
+	recorded, err := json.Marshal(b)
+	assert.NilError(t, err)
+	type renamedInner struct {
+		Count int            `json:"count"`
+		Parts []string       `json:"p"`
+		Work  map[string]int `json:"w"`
+	}
+	tests := map[string]struct {
+		now           any
+		lost, missing []string
+	}{
+		"the same": {now: &before{}},
+		"a field more": {now: &struct {
+			before
+			More int `json:"more"`
+		}{}},
+		"one renamed": {now: &struct {
+			Name  string        `json:"name"`
+			Inner *renamedInner `json:"inner"`
+		}{}, lost: []string{"/inner/n"}, missing: []string{"/inner/n"}},
+		"one left out": {now: &struct {
+			Inner *inner `json:"inner"`
+		}{}, lost: []string{"/name"}, missing: []string{"/name"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			lost, err := Lost(recorded, test.now)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, lost, test.lost)
+			Fill(test.now)
+			missing, err := Missing(recorded, test.now)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, missing, test.missing)
+		})
+	}
+	_, err = Lost(recorded, &struct {
+		Name int `json:"name"`
+	}{})
+	assert.ErrorContains(t, err, "decode")
+}
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -35,6 +35,13 @@
 	kindNews      = "news"
 )
 
+// The causes for which datagrams are passed over, as they are counted.
+const (
+	causeFraming  = "framing"
+	causeDecoding = "decoding"
+	causeFormat   = "format"
+)
+
 // Options configures an Agent.
 type Options struct {
 	Self Identity
@@ -50,9 +57,11 @@
 	// Summed is called with each summary that counts for this daemon, and its hall;
 	// the hall is empty where it sums up all daemons, this one included.
 	Summed func(hall string, s Summary, now time.Time)
-	// Counted is called with each datagram that is sent, by its kind and bytes.
-	Counted func(kind string, bytes int)
-	Logger  hclog.Logger
+	// Counted is called with each datagram that is sent, by its kind and bytes, PassedOver with
+	// each that came and is not understood, by the cause; nil for nobody.
+	Counted    func(kind string, bytes int)
+	PassedOver func(cause string)
+	Logger     hclog.Logger
 }
 
 // Agent sends and receives reports.
@@ -71,10 +80,16 @@
 	// layout is that of the newest round, and roleSince when this daemon took its role.
 	layout    layout
 	roleSince time.Time
+	// passedOver holds of whom it was logged that its datagrams are not understood, by cause.
+	passedOver map[string]bool
 }
 
+// passedOverMost bounds how many senders are remembered whose datagrams are not understood.
+const passedOverMost = 256
+
 // NewAgent returns an agent; Run makes it work.
 func NewAgent(opts Options) (*Agent, error) {
+	opts.Self.Format = OwnFormat()
 	if opts.Transport.Send == nil {
 		transport, err := ListenUDP(opts.Self.Address)
 		if err != nil {
@@ -84,7 +99,7 @@
 	}
 	return &Agent{
 		opts: opts, table: NewTable(opts.Self), clocks: newClocks(), sums: newSummaries(),
-		start: time.Now(), done: make(chan struct{}),
+		start: time.Now(), done: make(chan struct{}), passedOver: make(map[string]bool),
 	}, nil
 }
 
@@ -270,10 +285,12 @@
 // take takes one datagram. What is not understood is passed over.
 func (a *Agent) take(datagram []byte, now time.Time) {
 	if len(datagram) < headerLength || datagram[0] != formatByte {
+		a.passOver(causeFraming, "", nil)
 		return
 	}
 	m, err := decode(datagram[headerLength:])
 	if err != nil || m.ID == "" {
+		a.passOver(causeDecoding, m.ID, err)
 		return
 	}
 	if m.Heartbeat != nil && !a.takeHeartbeat(m.Heartbeat, datagram, now) {
@@ -300,6 +317,22 @@
 	}
 }
 
+// passOver counts a datagram that is not understood, and logs the first one of a sender.
+func (a *Agent) passOver(cause, sender string, err error) {
+	if a.opts.PassedOver != nil {
+		a.opts.PassedOver(cause)
+	}
+	a.mu.Lock()
+	told := a.passedOver[cause+sender] || len(a.passedOver) >= passedOverMost
+	if !told {
+		a.passedOver[cause+sender] = true
+	}
+	a.mu.Unlock()
+	if !told {
+		a.opts.Logger.Warn("datagrams not understood", "cause", cause, "from", sender, "error", err)
+	}
+}
+
 // redirect names the relays of the own hall to a new daemon that takes this member for one:
 // it read the member list before they were in it, would hear of nobody, and after a second
 // take itself for alone and read all that the store holds.
@@ -320,6 +353,13 @@
 		// This daemon has yet to hear a whole heartbeat of that one.
 		return false
 	}
+	if !h.Format.IsUnderstood() {
+		a.passOver(causeFormat, h.ID, nil)
+		return false
+	}
+	if !h.Format.isClear() {
+		a.passOver(causeFormat, h.ID, nil)
+	}
 	echo := time.Duration(binary.BigEndian.Uint64(datagram[9:]))
 	if echo < 0 || echo > now.Sub(a.start) {
 		echo = 0
@@ -339,6 +379,11 @@
 // up those of other halls, members take the sum from a relay.
 func (a *Agent) takeSummaries(p *Peer, m *message, now time.Time) {
 	role := a.Role()
+	for _, s := range []*Summary{m.Hall, m.Fleet} {
+		if s != nil && s.Part == 0 {
+			a.table.NoteFormat(s.version(), now)
+		}
+	}
 	if m.Hall != nil && p.Zone != a.opts.Self.Zone {
 		a.sums.set(p.Zone, *m.Hall, now)
 		if role == Relay {
--- a/peers/agent_test.go
+++ b/peers/agent_test.go
@@ -119,7 +119,7 @@
 			Self: Identity{ID: "a", Incarnation: 1}, Heard: heard, News: func(*Peer, *News) {},
 			Summed: func(string, Summary, time.Time) {}, Logger: hclog.NewNullLogger(),
 		},
-		table: NewTable(Identity{ID: "a", Incarnation: 1}), clocks: newClocks(), sums: newSummaries(), start: time.Now(),
+		table: NewTable(Identity{ID: "a", Incarnation: 1}), clocks: newClocks(), sums: newSummaries(), start: time.Now(), passedOver: make(map[string]bool),
 	}
 }
 
--- a/peers/heartbeat.go
+++ b/peers/heartbeat.go
@@ -64,6 +64,10 @@
 	// Capacity is how much the daemon's machine can do, in thousandths of a
 	// processor core; 0 if it is not known.
 	Capacity int `json:"cap,omitempty"`
+	// Format tells in which versions of the format the daemon can be spoken with.
+	Format Format `json:"f,omitzero"`
+	// Build names the source that the daemon was built from; empty if it is not known.
+	Build string `json:"b,omitempty"`
 }
 
 // Never is the age, in milliseconds, of what was never known to be the newest.
@@ -153,7 +157,8 @@
 func (p *Peer) WorkersConfirmed() time.Time { return p.confirmed(p.WorkersAge) }
 
 func (p *Peer) confirmed(age int64) time.Time {
-	if p.SentAfter.IsZero() || age >= Never {
+	if p.SentAfter.IsZero() || age <= 0 || age >= Never {
+		// An age is at least one; zero is one that the sender left out.
 		// A time of long ago would make its receiver read the store at once: 48 of 986
 		// daemons after a start of all.
 		return time.Time{}
--- a/peers/message.go
+++ b/peers/message.go
@@ -40,6 +40,17 @@
 	// Part tells the parts of one summary apart: loads that do not fit one
 	// datagram go into further parts, which tell nothing else.
 	Part int `json:"part,omitempty"`
+	// Format is the earliest version of the format that one of the daemons speaks; zero where
+	// the relay tells none. The first part alone tells it.
+	Format int `json:"f,omitempty"`
+}
+
+// version returns the earliest version of the format among the daemons.
+func (s *Summary) version() int {
+	if s.Format < FormatFirst || s.Format > formatMost {
+		return FormatFirst
+	}
+	return min(s.Format, formatSpoken)
 }
 
 // message is the content of a datagram. Parts that are nil were left out.
@@ -64,6 +75,11 @@
 		sum := s.Age*int64(s.Daemons) + (other.Age+age.Milliseconds())*int64(other.Daemons)
 		s.Age = sum / int64(total)
 	}
+	if s.Daemons == 0 {
+		s.Format = other.Format
+	} else if other.Daemons > 0 {
+		s.Format = min(s.version(), other.version())
+	}
 	s.Daemons = total
 	s.Traffic = s.Traffic || other.Traffic
 	s.Demand = sumDemand(s.Demand, other.Demand)
@@ -91,7 +107,7 @@
 func (s Summary) parts() []Summary {
 	count := max((len(s.Loads)+loadsPerPart-1)/loadsPerPart, 1)
 	all := make([]Summary, count)
-	all[0] = Summary{Daemons: s.Daemons, Traffic: s.Traffic, Demand: s.Demand, Prompts: s.Prompts}
+	all[0] = Summary{Daemons: s.Daemons, Traffic: s.Traffic, Demand: s.Demand, Prompts: s.Prompts, Format: s.Format}
 	for _, l := range s.Loads {
 		h := fnv.New32a()
 		// Writing to a hash does not fail.
@@ -107,5 +123,5 @@
 
 // summaryOf returns the work of one daemon.
 func summaryOf(h *Heartbeat) Summary {
-	return Summary{Daemons: 1, Traffic: h.Traffic, Demand: h.Demand, Prompts: h.Prompts, Loads: h.Loads}
+	return Summary{Daemons: 1, Traffic: h.Traffic, Demand: h.Demand, Prompts: h.Prompts, Loads: h.Loads, Format: h.Format.version()}
 }
--- a/peers/network_test.go
+++ b/peers/network_test.go
@@ -77,7 +77,7 @@
 		epoch := 1<<28 + n.random.Int64N(replicas)
 		d.loads = append(d.loads, Load{Replica: fleet.KeyOf("model", epoch), InFlight: 1, Prefill: n.random.IntN(4000)})
 	}
-	self := Identity{ID: id, Incarnation: time.Now().UnixMilli(), Zone: hall, Address: id + ":1", Front: id + ":2", Capacity: capacity}
+	self := Identity{ID: id, Incarnation: time.Now().UnixMilli(), Zone: hall, Address: id + ":1", Front: id + ":2", Capacity: capacity, Build: "01234567"}
 	agent, err := NewAgent(Options{
 		Self: self, Transport: Transport{Send: d.send, Receive: d.receive, Close: func() error { return nil }},
 		Compose: d.compose, Heard: func(*Peer) {}, News: func(_ *Peer, m *News) { d.take(m) },
--- a/peers/reports.go
+++ b/peers/reports.go
@@ -121,7 +121,10 @@
 	}
 	var some []Identity
 	for i := range min(knownPerRound, len(fresh)) {
-		some = append(some, fresh[(round/2*knownPerRound+i)%len(fresh)].Identity)
+		identity := fresh[(round/2*knownPerRound+i)%len(fresh)].Identity
+		// Its own heartbeats tell these to all that need them.
+		identity.Format, identity.Build = Format{}, ""
+		some = append(some, identity)
 	}
 	return some
 }
--- a/peers/table.go
+++ b/peers/table.go
@@ -35,6 +35,8 @@
 	peers map[string]*Peer
 	// registered holds all daemons that were ever known, this one too.
 	registered registered
+	// formats holds which versions of the format daemons speak.
+	formats formats
 	// pausedUntil is until when silence counts less: after this process stood
 	// still for pausedFor, heartbeats that waited for it have yet to be read.
 	pausedUntil time.Time
@@ -96,6 +98,7 @@
 	if t.outlived(h.Identity, now) {
 		return false
 	}
+	t.formats.note(h.Format.version(), now)
 	next := &Peer{Heartbeat: h, HeardAt: now, SentAfter: sentAfter, addedAt: now}
 	if held, ok := t.peers[h.ID]; ok && held.Incarnation == h.Incarnation {
 		if held.SentAfter.After(sentAfter) {
@@ -200,6 +203,21 @@
 	return age
 }
 
+// NoteFormat notes that a relay heard daemons of which the earliest version is the given one.
+func (t *Table) NoteFormat(version int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.formats.note(version, now)
+}
+
+// OldestFormat returns the earliest version of the format that a daemon in touch speaks, this
+// one included: the fleet acts by what that one understands.
+func (t *Table) OldestFormat(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.formats.oldest(now)
+}
+
 // Patience returns how long a daemon counts as alive after a heartbeat.
 func (t *Table) Patience() time.Duration { return aliveFor }
 
--- a/serving/backpressure.go
+++ b/serving/backpressure.go
@@ -31,9 +31,9 @@
 }
 
 // sharers returns the daemons of the own data hall that hold shares of limits; none before
-// this daemon has read who there is.
+// this daemon has read who there is, and while others do not heed limits.
 func (s *Server) sharers() []string {
-	if s.metAt.Load() == nil || s.readTooSoon.Load() {
+	if s.metAt.Load() == nil || s.readTooSoon.Load() || !s.sharesLimits(time.Now()) {
 		return nil
 	}
 	return s.agent.Table().Fittest(backpressure.MembersMost)
--- /dev/null
+++ b/serving/format_test.go
@@ -0,0 +1,242 @@
+package serving
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/backpressure"
+	"quartzshelf.dev/common/wiretest"
+	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/peers"
+)
+
+// TestEarlierAnswers reads what daemons of the first version of the format answered each other,
+// and looks whether what this build answers has all of that.
+func TestEarlierAnswers(t *testing.T) {
+	tests := map[string]func() any{
+		"workers":   func() any { return &changesMessage{} },
+		"decisions": func() any { return &fleet.Decisions{} },
+		"leave":     func() any { return &leaveMessage{} },
+		"verdict":   func() any { return &verdictMessage{} },
+	}
+	for name, empty := range tests {
+		t.Run(name, func(t *testing.T) {
+			recorded, err := os.ReadFile("testdata/format-1/" + name + ".json")
+			assert.NilError(t, err)
+			lost, err := wiretest.Lost(recorded, empty())
+			assert.NilError(t, err)
+			assert.Equal(t, len(lost), 0, "not understood: %v", lost)
+			own := empty()
+			wiretest.Fill(own)
+			missing, err := wiretest.Missing(recorded, own)
+			assert.NilError(t, err)
+			assert.Equal(t, len(missing), 0, "not written any more: %v", missing)
+		})
+	}
+}
+
+// framing is what stands before the message of a datagram, in bytes.
+const framing = 17
+
+// toFirst returns a datagram as a daemon of the first version of the format writes or reads
+// it: without what was added since.
+func toFirst(datagram []byte) []byte {
+	body, err := io.ReadAll(flate.NewReader(bytes.NewReader(datagram[framing:])))
+	if err != nil {
+		return datagram
+	}
+	var m any
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.UseNumber()
+	if decoder.Decode(&m) != nil {
+		return datagram
+	}
+	dropAdded(m)
+	body, err = json.Marshal(m)
+	if err != nil {
+		return datagram
+	}
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return datagram
+	}
+	// Writing to a buffer does not fail.
+	_, _ = w.Write(body)
+	_ = w.Close()
+	return append(bytes.Clone(datagram[:framing]), packed.Bytes()...)
+}
+
+// dropAdded drops what was added to a message: by its names, at the places that have them.
+func dropAdded(m any) {
+	fields, ok := m.(map[string]any)
+	if !ok {
+		return
+	}
+	for _, part := range []string{"hb", "hall", "fleet"} {
+		if inner, ok := fields[part].(map[string]any); ok {
+			for _, added := range []string{"f", "b", "bp"} {
+				delete(inner, added)
+			}
+		}
+	}
+	known, _ := fields["known"].([]any)
+	for _, identity := range known {
+		if inner, ok := identity.(map[string]any); ok {
+			delete(inner, "f")
+			delete(inner, "b")
+		}
+	}
+}
+
+// earlier returns a transport as a daemon of the first version of the format uses it.
+func earlier(t peers.Transport) peers.Transport {
+	return peers.Transport{
+		Send: func(to string, datagram []byte) error { return t.Send(to, toFirst(datagram)) },
+		Receive: func(buffer []byte) (int, error) {
+			n, err := t.Receive(buffer)
+			if err != nil {
+				return n, err
+			}
+			return copy(buffer, toFirst(buffer[:n])), nil
+		},
+		Close: t.Close,
+	}
+}
+
+// mixedFleet is daemons of three halls, some of an earlier version.
+type mixedFleet struct {
+	all []*Server
+	// early tells which are of an earlier version, end ends each.
+	early []bool
+	end   []context.CancelFunc
+}
+
+func newMixedFleet(t *testing.T, perHall int, isEarly func(inHall int) bool) *mixedFleet {
+	t.Helper()
+	const halls = 3
+	network := &fakeNetwork{random: rand.New(rand.NewPCG(1, 1)), inboxes: make(map[string]chan []byte)}
+	f := &mixedFleet{}
+	var duties conc.WaitGroup
+	for i := range halls * perHall {
+		id := fmt.Sprintf("daemon-%03d", i)
+		store, transport := &fakeStore{}, network.transport(id)
+		if isEarly(i % perHall) {
+			transport = earlier(transport)
+		}
+		s, err := New(Options{
+			Self:   peers.Identity{ID: id, Incarnation: 1, Zone: fmt.Sprintf("hall-%d", i/perHall), Address: id},
+			Bounds: Bounds{Heartbeat: time.Second, KeepEntries: time.Second}, Transport: transport,
+			Source: store.source(), MemberList: MemberList{Register: store.register, Read: store.read}, Logger: hclog.NewNullLogger(),
+		})
+		assert.NilError(t, err)
+		f.all, f.early = append(f.all, s), append(f.early, isEarly(i%perHall))
+	}
+	for _, s := range f.all {
+		for _, other := range f.all {
+			s.agent.Table().Learn(other.opts.Self, time.Now())
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		f.end = append(f.end, cancel)
+		duties.Go(func() { s.agent.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		for _, end := range f.end {
+			end()
+		}
+		duties.Wait()
+		// Datagrams that are on their way arrive.
+		time.Sleep(time.Second)
+	})
+	return f
+}
+
+// assertFormat checks what the daemons of this version take for the earliest one in touch.
+func (f *mixedFleet) assertFormat(t *testing.T, want int) {
+	t.Helper()
+	for i, s := range f.all {
+		if !f.early[i] {
+			assert.Equal(t, s.agent.Table().OldestFormat(time.Now()), want, "%s, a %s", s.opts.Self.ID, s.agent.Role())
+		}
+	}
+}
+
+// TestMixedFleetActsByTheOldest lets daemons of an earlier version be in a fleet with relays:
+// all others know that there are some, by way of relays of either version, and act by this
+// one's version once none has been in touch for a while.
+func TestMixedFleetActsByTheOldest(t *testing.T) {
+	tests := map[string]struct {
+		perHall int
+		isEarly func(inHall int) bool
+	}{
+		"half of 300":                         {100, func(i int) bool { return i%2 == 0 }},
+		"the relays":                          {30, func(i int) bool { return i < 2 }},
+		"all but the relays":                  {30, func(i int) bool { return i >= 2 }},
+		"one of a hall, which does not relay": {30, func(i int) bool { return i == 25 }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newMixedFleet(t, test.perHall, test.isEarly)
+				time.Sleep(5 * time.Second)
+				f.assertFormat(t, peers.FormatFirst)
+				for i, end := range f.end {
+					if f.early[i] {
+						end()
+					}
+				}
+				time.Sleep(5 * time.Second)
+				f.assertFormat(t, peers.FormatFirst)
+				time.Sleep(10 * time.Second)
+				f.assertFormat(t, peers.FormatAsked)
+			})
+		})
+	}
+}
+
+// TestNoSharesBesideEarlierDaemons: daemons of an earlier version heed no limit. While one is
+// in touch the others send nothing to a worker that named one, so that all of them together
+// send as little as can be; once it is gone they share the limit.
+func TestNoSharesBesideEarlierDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		says := func(h http.Header, _ time.Duration) bool {
+			h.Set(signalNames.Asks.Limit, "1.5")
+			return true
+		}
+		limited, other := &signalHead{id: "limited", says: says, work: 30 * time.Millisecond}, &signalHead{id: "other", work: 30 * time.Millisecond}
+		f := newSignalFleet(t, 3, 2, limited, other)
+		for _, s := range f.daemons {
+			s.signals.Hear(&fleet.Worker{ID: "limited"}, backpressure.Signal{Limited: true, PerSecond: 1.5}, time.Now(), time.Now())
+			s.agent.Table().NoteFormat(peers.FormatFirst, time.Now())
+		}
+		f.load(30, 8*time.Second)
+		assert.Equal(t, limited.came(0, 8*time.Second), 0)
+		f.load(30, 12*time.Second)
+		assert.Assert(t, limited.came(12*time.Second, 20*time.Second) > 0)
+		assert.Equal(t, f.served, f.sent)
+	})
+}
+
+// TestToFirst: the helper drops what was added and nothing else.
+func TestToFirst(t *testing.T) {
+	m := map[string]any{"id": "a", "hb": map[string]any{"f": 1, "bp": 1, "cv": 3}, "known": []any{map[string]any{"f": 1, "id": "b"}}}
+	dropAdded(m)
+	data, err := json.Marshal(m)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(data), `"f"`) && strings.Contains(string(data), `"cv":3`))
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -92,6 +92,7 @@
 	if err != nil {
 		return nil, failure.At(failure.Unavailable, "start metrics", opts.Metrics, err)
 	}
+	opts.Self.Format = peers.OwnFormat()
 	s := &Server{
 		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(), halls: fleet.NewHalls(opts.Bounds.Empty),
 		inventory: fleet.NewInventory(opts.Bounds.Heartbeat, opts.Bounds.Leave), suspicions: newSuspicions(),
@@ -105,7 +106,7 @@
 	})
 	s.agent, err = peers.NewAgent(peers.Options{
 		Self: opts.Self, Transport: opts.Transport, Compose: s.compose, Heard: s.heard, News: s.taken, Summed: s.summed,
-		Counted: s.meter.Datagram, Logger: opts.Logger.Named("peers"),
+		Counted: s.meter.Datagram, PassedOver: s.meter.PassedOverDatagram, Logger: opts.Logger.Named("peers"),
 	})
 	if err != nil {
 		return nil, err
@@ -118,6 +119,8 @@
 	if opts.StoreCalls != nil {
 		meter.CountStoreCalls(opts.StoreCalls)
 	}
+	meter.Gauge("oldest_format", func() float64 { return float64(s.agent.Table().OldestFormat(time.Now())) })
+	meter.CountDaemons(s.daemonsByBuild)
 	meter.Gauge("halls_closing", s.hallsIn(fleet.HallClosing))
 	meter.Gauge("halls_closed", s.hallsIn(fleet.HallClosed))
 	return s, nil
@@ -209,6 +212,7 @@
 	duties.Go(func() { s.watchScope(running) })
 	duties.Go(func() { s.watchWarmUp(running) })
 	duties.Go(func() { s.watchSignals(running) })
+	duties.Go(func() { s.watchFormat(running) })
 	duties.Go(func() { s.keepMarks(running) })
 	duties.Go(func() { s.serveMetrics(running) })
 	duties.Go(func() { s.tellStart(running) })
--- a/soak/process.go
+++ b/soak/process.go
@@ -22,7 +22,8 @@
 // daemon is one daemon over all its lives, each a process of its own.
 type daemon struct {
 	settings standin.DaemonSettings
-	program  string
+	// program returns the program of a life, of which the first is 1.
+	program func(life int) string
 	// file holds the settings, log what the lives wrote.
 	file string
 	log  *os.File
@@ -80,7 +81,7 @@
 	if err := os.WriteFile(d.file, []byte(settings.Text()), 0o600); err != nil {
 		return failure.At(failure.Invalid, "write settings", settings.Name, err)
 	}
-	command := exec.Command(d.program)
+	command := exec.Command(d.program(d.life + 1))
 	command.Env = append(os.Environ(), standin.SettingsVariable+"="+d.file)
 	command.Stderr = d.log
 	output, err := command.StdoutPipe()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,6 +30,9 @@
 	Seed uint64
 	// Program is the daemon's program, Dir where settings and logs go.
 	Program, Dir string
+	// Earlier is the program of an earlier build, Mix how both run side by side.
+	Earlier string
+	Mix     Mix
 	// Host is the part of the loopback addresses before the last number, which
 	// is of this soak alone.
 	Host             string
@@ -247,7 +250,7 @@
 	if err != nil {
 		return failure.At(failure.Unavailable, "open link to the store", ip, err)
 	}
-	d := &daemon{program: r.opts.Program, store: link, led: r.noteLeader, settings: standin.DaemonSettings{
+	d := &daemon{program: r.opts.programOf(i), store: link, led: r.noteLeader, settings: standin.DaemonSettings{
 		Name: fmt.Sprintf("daemon-%d", i), Zone: r.zoneOfDaemon(i), Zones: r.zones(), IP: ip, Store: link.address(),
 		Front: ports[0], Ready: ports[1], Directory: ports[2], Peer: ports[3],
 		Timing: timing, Grace: grace, Revoke: revokeBound, Ceiling: ceiling, Halls: r.halls(),
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -44,12 +44,21 @@
 	// datagrams and datagramBytes count what was sent to peers.
 	datagrams     metric.Int64Counter
 	datagramBytes metric.Int64Counter
-	handler       http.Handler
+	// passedOverDatagrams counts what came from peers and was not understood.
+	passedOverDatagrams metric.Int64Counter
+	handler             http.Handler
 
 	mu     sync.Mutex
 	gauges map[string]func() float64
 	// storeCalls returns the calls to the store so far by purpose; nil before it is known.
 	storeCalls func() map[string]int64
+	// daemons returns how many daemons live, by build; nil before it is known.
+	daemons func() map[Build]int64
+}
+
+// Build is what a daemon was built from, and which version of the format it speaks.
+type Build struct {
+	Source, Format string
 }
 
 // NewMeter returns a meter with a counter for each reason, all at zero.
@@ -111,41 +120,10 @@
 		return err
 	}
 	bounds := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.074, 0.1, 0.2, 0.36, 0.5, 1, 2, 5, 10)
-	m.orders, err = meter.Int64Counter("quartzshelf_orders",
-		metric.WithDescription("Orders given to workers, by order and outcome."))
-	if err != nil {
-		return err
-	}
-	m.warmUp, err = meter.Int64Counter("quartzshelf_warm_up",
-		metric.WithDescription("Requests to workers that warm up, by whether the allowance had room."))
-	if err != nil {
-		return err
-	}
-	m.quarantine, err = meter.Int64Counter("quartzshelf_quarantine",
-		metric.WithDescription("Requests that were at a worker when it ended, and their quarantine, by event."))
-	if err != nil {
-		return err
-	}
-	m.signals, err = meter.Int64Counter("quartzshelf_worker_signals",
-		metric.WithDescription("What workers asked for in their answers, by event: new, changed, dropped or not understood."))
-	if err != nil {
-		return err
-	}
-	m.broken, err = meter.Int64Counter("quartzshelf_attempts_broken",
-		metric.WithDescription("Attempts whose connection the worker ended within, by service."))
-	if err != nil {
-		return err
-	}
-	m.connections, err = meter.Int64Counter("quartzshelf_connections",
-		metric.WithDescription("Connections that carried requests to workers, by service, opened or reused."))
-	if err != nil {
-		return err
-	}
-	if err := m.registerDatagrams(meter); err != nil {
-		return err
-	}
-	if err := m.registerStoreCalls(meter); err != nil {
-		return err
+	for _, register := range []func(metric.Meter) error{m.registerCounters, m.registerStoreCalls, m.registerDaemons} {
+		if err := register(meter); err != nil {
+			return err
+		}
 	}
 	m.first, err = meter.Float64Histogram("quartzshelf_first_token_seconds",
 		metric.WithDescription("Time from a request to the first token."), bounds)
@@ -247,16 +225,26 @@
 		metric.WithAttributes(attribute.String("service", service), attribute.String("use", use)))
 }
 
-func (m *Meter) registerDatagrams(meter metric.Meter) error {
-	var err error
-	m.datagrams, err = meter.Int64Counter("quartzshelf_datagrams",
-		metric.WithDescription("Datagrams sent to peers, by kind."))
-	if err != nil {
-		return err
+// registerCounters registers the counters whose labels are not known before.
+func (m *Meter) registerCounters(meter metric.Meter) error {
+	counters := map[*metric.Int64Counter]struct{ name, description string }{
+		&m.orders:              {"quartzshelf_orders", "Orders given to workers, by order and outcome."},
+		&m.warmUp:              {"quartzshelf_warm_up", "Requests to workers that warm up, by whether the allowance had room."},
+		&m.quarantine:          {"quartzshelf_quarantine", "Requests that were at a worker when it ended, and their quarantine, by event."},
+		&m.signals:             {"quartzshelf_worker_signals", "What workers asked for in their answers, by event: new, changed, dropped or not understood."},
+		&m.broken:              {"quartzshelf_attempts_broken", "Attempts whose connection the worker ended within, by service."},
+		&m.connections:         {"quartzshelf_connections", "Connections that carried requests to workers, by service, opened or reused."},
+		&m.datagrams:           {"quartzshelf_datagrams", "Datagrams sent to peers, by kind."},
+		&m.datagramBytes:       {"quartzshelf_datagram_bytes", "Bytes of datagrams sent to peers, by kind."},
+		&m.passedOverDatagrams: {"quartzshelf_datagrams_passed_over", "Datagrams of peers that were not understood, by cause."},
 	}
-	m.datagramBytes, err = meter.Int64Counter("quartzshelf_datagram_bytes",
-		metric.WithDescription("Bytes of datagrams sent to peers, by kind."))
-	return err
+	for counter, is := range counters {
+		var err error
+		if *counter, err = meter.Int64Counter(is.name, metric.WithDescription(is.description)); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Datagram counts a datagram sent to a peer.
@@ -266,6 +254,36 @@
 	m.datagramBytes.Add(context.Background(), int64(bytes), kinds)
 }
 
+// PassedOverDatagram counts a datagram of a peer that was not understood.
+func (m *Meter) PassedOverDatagram(cause string) {
+	m.passedOverDatagrams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
+}
+
+func (m *Meter) registerDaemons(meter metric.Meter) error {
+	_, err := meter.Int64ObservableGauge("quartzshelf_daemons",
+		metric.WithDescription("Daemons that this one hears and itself, by what they were built from and the format that they speak."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			m.mu.Lock()
+			read := m.daemons
+			m.mu.Unlock()
+			if read == nil {
+				return nil
+			}
+			for build, count := range read() {
+				o.Observe(count, metric.WithAttributes(attribute.String("build", build.Source), attribute.String("format", build.Format)))
+			}
+			return nil
+		}))
+	return err
+}
+
+// CountDaemons shows the daemons that read returns, by build.
+func (m *Meter) CountDaemons(read func() map[Build]int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.daemons = read
+}
+
 func (m *Meter) registerStoreCalls(meter metric.Meter) error {
 	_, err := meter.Int64ObservableCounter("quartzshelf_store_calls",
 		metric.WithDescription("Calls to the store, by what they were for."),
