--- /dev/null
+++ b/backpressure/limits_test.go
@@ -0,0 +1,40 @@
+package backpressure
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// TestLimitIsOfALife: a limit binds what goes to the life of the worker that named it, whatever
+// replica it heads, and nothing else.
+func TestLimitIsOfALife(t *testing.T) {
+	tests := map[string]struct {
+		head  fleet.Worker
+		bound bool
+	}{
+		"that life":        {fleet.Worker{ID: "w", Born: 1}, true},
+		"its next life":    {fleet.Worker{ID: "w", Born: 2}, false},
+		"an earlier entry": {fleet.Worker{ID: "w"}, false},
+		"another worker":   {fleet.Worker{ID: "v", Born: 1}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := quietTable()
+			table.Hear(&fleet.Worker{ID: "w", Born: 1}, named(1), start, start)
+			r := &fleet.Replica{ID: "any", Head: &test.head}
+			assert.Equal(t, table.Check(start)(r), !test.bound)
+			assert.Equal(t, table.Naming()(r), test.bound)
+			_, ok := table.Take(r, start)
+			assert.Equal(t, ok, !test.bound)
+			assert.Equal(t, table.Next(r, start).After(start), test.bound)
+			later := start.Add(time.Minute)
+			sendBy, ok := table.Take(r, later)
+			assert.Assert(t, ok)
+			assert.Equal(t, sendBy.IsZero(), !test.bound, "a token is void after a moment")
+		})
+	}
+}
