peers: Let the simulated network draw loads under its lock

Under the race detector TestRelaysThatComeBackTakeOverSlowly failed: a daemon that is added while others run drew from the network's random source beside them. Ruled out: the agents, which share nothing there. The draws of a fleet that starts at once stay the same, as they are made one after the other.

--- a/peers/network_test.go
+++ b/peers/network_test.go
@@ -73,10 +73,12 @@
 	if capacity > 200 {
 		d.rate = largeLink
 	}
+	n.mu.Lock()
 	for range 5 {
 		epoch := 1<<28 + n.random.Int64N(replicas)
 		d.loads = append(d.loads, Load{Replica: fleet.KeyOf("model", epoch), InFlight: 1, Prefill: n.random.IntN(4000)})
 	}
+	n.mu.Unlock()
 	self := Identity{ID: id, Incarnation: time.Now().UnixMilli(), Zone: hall, Address: id + ":1", Front: id + ":2", Capacity: capacity, Build: "01234567"}
 	agent, err := NewAgent(Options{
 		Self: self, Transport: Transport{Send: d.send, Receive: d.receive, Close: func() error { return nil }},
