awake: Make what is believed as old as it is after a suspension

Cause: a machine may be suspended for a minute, in which the steady clock of time.Time stands still. A daemon that woke took its configuration for as fresh as before: a key that had been taken away meanwhile was served until the next read of the store, at most a second or two, and for as long as the store was away. A leader went on with its term though another one had been followed, heartbeats that had waited in the machine confirmed what they told as of now, and requests went out on connections that workers had closed long ago.

Mend: common/awake reads CLOCK_BOOTTIME beside CLOCK_MONOTONIC.

--- /dev/null
+++ b/common/awake/awake_test.go
@@ -0,0 +1,94 @@
+package awake
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+// fakeClocks are the clocks of a machine that a test suspends.
+type fakeClocks struct {
+	steady, boot time.Duration
+	// slow is how long each reading of the first ones takes.
+	slow []time.Duration
+	err  error
+}
+
+func (f *fakeClocks) read(clock int32) (time.Duration, error) {
+	if len(f.slow) > 0 {
+		f.steady, f.boot, f.slow = f.steady+f.slow[0], f.boot+f.slow[0], f.slow[1:]
+	}
+	if clock == unix.CLOCK_BOOTTIME {
+		return f.boot, f.err
+	}
+	return f.steady, f.err
+}
+
+func TestSuspended(t *testing.T) {
+	const s = time.Second
+	tests := map[string]struct {
+		clocks fakeClocks
+		want   time.Duration
+		off    time.Duration
+	}{
+		"never":                         {clocks: fakeClocks{steady: 7 * s, boot: 7 * s}},
+		"for three seconds":             {clocks: fakeClocks{steady: 7 * s, boot: 10 * s}, want: 3 * s},
+		"the reader stood still":        {clocks: fakeClocks{steady: 7 * s, boot: 10 * s, slow: []time.Duration{s, s, s}}, want: 3 * s},
+		"the reader stands still often": {clocks: fakeClocks{boot: 3 * s, slow: []time.Duration{0, s, s, 0, s, s, 0, s, s, 0, s / 100, 0}}, want: 3 * s, off: s / 100},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := (&Clock{read: test.clocks.read}).Suspended()
+			assert.NilError(t, err)
+			assert.Assert(t, got >= test.want-test.off && got <= test.want+test.off, "%s", got)
+		})
+	}
+	broken := fakeClocks{err: errors.New("no such clock")}
+	_, err := (&Clock{read: broken.read}).Suspended()
+	assert.ErrorContains(t, err, "no such clock")
+}
+
+// TestThisMachine: the clocks of the machine that runs the test can be read.
+func TestThisMachine(t *testing.T) {
+	got, err := NewClock().Suspended()
+	assert.NilError(t, err)
+	assert.Assert(t, got > -time.Second)
+}
+
+// TestWatch: each suspension is told once, and before whoever checks goes on.
+func TestWatch(t *testing.T) {
+	suspended := time.Minute
+	var told []time.Duration
+	w := NewWatch(func() time.Duration { return suspended }, func(asleep time.Duration) { told = append(told, asleep) })
+	w.Check()
+	suspended += least - 1
+	w.Check()
+	assert.Equal(t, len(told), 0, "clocks are adjusted")
+	suspended += 5 * time.Second
+	w.Check()
+	w.Check()
+	suspended += time.Second
+	w.Check()
+	assert.DeepEqual(t, told, []time.Duration{5*time.Second + least - 1, time.Second})
+}
+
+// TestStamp: a moment before a suspension is as long ago afterwards as it is.
+func TestStamp(t *testing.T) {
+	suspended := time.Duration(0)
+	s := NewStamp(func() time.Duration { return suspended })
+	before := s.Time()
+	suspended = 5 * time.Second
+	assert.Equal(t, before.Sub(s.Time()), 5*time.Second)
+}
+
+func BenchmarkSuspended(b *testing.B) {
+	c := NewClock()
+	for b.Loop() {
+		if _, err := c.Suspended(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/fleet/beliefs.go
+++ b/fleet/beliefs.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// Slept notes that the machine was suspended for a while, which the steady clock does not
+// count: what is held is so much older.
+func (b *Beliefs) Slept(asleep time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.confirmed.IsZero() {
+		b.confirmed = b.confirmed.Add(-asleep)
+	}
+}
+
 // State returns the version in force and when it was last known to be the newest, of one
 // moment.
 func (b *Beliefs) State() (version int64, confirmed time.Time) {
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
 
+	"quartzshelf.dev/common/awake"
 	"quartzshelf.dev/common/pause"
 )
 
@@ -99,7 +100,10 @@
 	// Spread returns how long failed reads are apart at least, so that a source which
 	// comes back is not called by a large fleet at once; nil for no such bound.
 	Spread func() time.Duration
-	Logger hclog.Logger
+	// Suspended returns for how long the machine was suspended in all; nil for one that never
+	// is.
+	Suspended func() time.Duration
+	Logger    hclog.Logger
 }
 
 // Follower keeps beliefs and inventory up to date from their source.
@@ -112,6 +116,9 @@
 
 // NewFollower returns a follower; Run makes it work.
 func NewFollower(opts FollowerOptions) *Follower {
+	if opts.Suspended == nil {
+		opts.Suspended = awake.Never
+	}
 	return &Follower{opts: opts, done: make(chan struct{})}
 }
 
@@ -138,14 +145,15 @@
 	behind := false
 	due := func() bool { return f.opts.Reads(f.opts.Beliefs.Confirmed()) }
 	f.follow(ctx, "configuration", due, func(ctx context.Context) error {
-		sent := time.Now()
-		if !readAgain.IsZero() && sent.After(readAgain) {
+		asked := awake.NewStamp(f.opts.Suspended)
+		if !readAgain.IsZero() && asked.Time().After(readAgain) {
 			position, readAgain = -1, time.Time{}
 		}
 		news, err := f.readConfig(ctx, position)
 		if err != nil {
 			return err
 		}
+		sent := asked.Time()
 		if era >= 0 && EraOf(news.Next) > era {
 			readAgain = sent.Add(copySettles)
 		}
@@ -213,7 +221,7 @@
 			}
 			return err
 		}
-		sent := time.Now()
+		asked := awake.NewStamp(f.opts.Suspended)
 		// What peers told since the last read need not be read again.
 		position = max(position, f.opts.Inventory.Position())
 		next, cancel := context.WithTimeout(ctx, newsWait+readMost)
@@ -227,7 +235,7 @@
 			return nil
 		}
 		f.logRefused(news.Refused)
-		f.opts.Inventory.Take(Delta{From: position, To: news.Next, Changes: news.Changes}, sent)
+		f.opts.Inventory.Take(Delta{From: position, To: news.Next, Changes: news.Changes}, asked.Time())
 		position = news.Next
 		if !news.More {
 			pause.For(ctx, mergePause)
@@ -281,7 +289,7 @@
 	// next is the position to go on from, which the first part told; sent is when that
 	// was asked for.
 	next int64
-	sent time.Time
+	sent awake.Stamp
 	// after is the last worker read, empty before the first part.
 	after string
 }
@@ -290,8 +298,8 @@
 func (f *Follower) readList(ctx context.Context, l *listing) (done bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readMost)
 	defer cancel()
-	if l.after == "" || time.Since(l.sent) > listMost {
-		*l = listing{sent: time.Now()}
+	if l.after == "" || time.Since(l.sent.Time()) > listMost {
+		*l = listing{sent: awake.NewStamp(f.opts.Suspended)}
 	}
 	news, err := f.opts.Source.ReadWorkers(ctx, l.after)
 	if err != nil {
@@ -311,7 +319,7 @@
 		return false, nil
 	}
 	f.noteEra(l.next)
-	f.opts.Inventory.Replace(l.changes, l.next, l.sent)
+	f.opts.Inventory.Replace(l.changes, l.next, l.sent.Time())
 	return true, nil
 }
 
--- a/fleet/halls.go
+++ b/fleet/halls.go
@@ -200,6 +200,22 @@
 	}
 }
 
+// Slept notes that the machine was suspended for a while, which the steady clock does not
+// count: halls that were closing close so much sooner, and what is held is so much older.
+func (h *Halls) Slept(asleep time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.confirmed.IsZero() {
+		h.confirmed = h.confirmed.Add(-asleep)
+	}
+	held := h.View()
+	next := &HallView{closeBy: make(map[string]time.Time), openedAt: held.openedAt}
+	for hall, closeBy := range held.closeBy {
+		next.closeBy[hall] = closeBy.Add(-asleep)
+	}
+	h.view.Store(next)
+}
+
 // Report returns what is known, for peers.
 func (h *Halls) Report(now time.Time) HallReport {
 	h.mu.Lock()
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -319,6 +319,16 @@
 	}
 }
 
+// Slept notes that the machine was suspended for a while, which the steady clock does not
+// count: the list is so much older.
+func (i *Inventory) Slept(asleep time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.confirmed.IsZero() {
+		i.confirmed = i.confirmed.Add(-asleep)
+	}
+}
+
 // Leave notes that a life of a worker said elsewhere than in the list that it leaves.
 func (i *Inventory) Leave(worker string, born int64) {
 	i.mu.Lock()
--- /dev/null
+++ b/fleet/suspended_test.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// TestNewsOverASuspension: the same with changes that a read waited for.
+func TestNewsOverASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asleep atomic.Int64
+		source := (&fakeSource{version: 3}).source()
+		next := source.NextWorkers
+		source.NextWorkers = func(ctx context.Context, position int64, wait time.Duration) (WorkerNews, error) {
+			asleep.Add(int64(time.Minute))
+			return next(ctx, position, wait)
+		}
+		inventory := NewInventory(time.Second, 0)
+		f := NewFollower(FollowerOptions{
+			Source: source, Beliefs: NewBeliefs(), Inventory: inventory, Reads: func(time.Time) bool { return true },
+			Suspended: func() time.Duration { return time.Duration(asleep.Load()) }, Logger: hclog.NewNullLogger(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		read := inventory.Confirmed()
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, inventory.Confirmed(), read, "a read confirmed what it told before a suspension")
+		cancel()
+		<-f.Done()
+	})
+}
+
+// TestReadsOverASuspension: a machine was suspended for a minute while its reads were under
+// way. Their answers told the state as of before, and were taken for a second old: the steady
+// clock stood still meanwhile.
+func TestReadsOverASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asleep atomic.Int64
+		source := (&fakeSource{version: 3}).source()
+		readConfig, readWorkers := source.ReadConfig, source.ReadWorkers
+		source.ReadConfig = func(ctx context.Context) (ConfigNews, error) {
+			asleep.Add(int64(time.Minute))
+			return readConfig(ctx)
+		}
+		source.ReadWorkers = func(ctx context.Context, after string) (WorkerNews, error) {
+			asleep.Add(int64(time.Minute))
+			return readWorkers(ctx, after)
+		}
+		beliefs, inventory := NewBeliefs(), NewInventory(time.Second, 0)
+		f := NewFollower(FollowerOptions{
+			Source: source, Beliefs: beliefs, Inventory: inventory, Reads: func(time.Time) bool { return true },
+			Suspended: func() time.Duration { return time.Duration(asleep.Load()) }, Logger: hclog.NewNullLogger(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, beliefs.Version(), int64(3))
+		assert.Assert(t, time.Since(beliefs.Confirmed()) >= time.Minute, "confirmed %s ago", time.Since(beliefs.Confirmed()))
+		assert.Equal(t, len(inventory.View().Workers()), 1)
+		assert.Assert(t, time.Since(inventory.Confirmed()) >= time.Minute, "confirmed %s ago", time.Since(inventory.Confirmed()))
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, time.Since(beliefs.Confirmed()) < 4*time.Second, "reads that nothing interrupts confirm")
+		cancel()
+		<-f.Done()
+	})
+}
--- a/formation/give.go
+++ b/formation/give.go
@@ -46,6 +46,12 @@
 func (k *Keeper) tryOrder(ctx context.Context, give func(context.Context, Fence) (Verdict, error)) (Verdict, error) {
 	k.calls <- struct{}{}
 	defer func() { <-k.calls }()
+	if k.opts.Awake != nil {
+		k.opts.Awake()
+	}
+	if err := ctx.Err(); err != nil {
+		return Unfit, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return give(ctx, k.fence())
--- a/formation/options.go
+++ b/formation/options.go
@@ -41,5 +41,8 @@
 	HallWeight float64
 	// HallOpen reports whether a data hall takes requests; nil if all do.
 	HallOpen func(hall string) bool
-	Logger   hclog.Logger
+	// Awake is called before each order: it ends the term if the machine was suspended since,
+	// as what is believed may be long past; nil for a machine that never is.
+	Awake  func()
+	Logger hclog.Logger
 }
--- /dev/null
+++ b/formation/suspended_test.go
@@ -0,0 +1,43 @@
+package formation
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/fleet"
+)
+
+// TestNoOrderAfterASuspension: the leader's machine was suspended past its term while another
+// daemon led. When it woke, it went on with the orders that it was about to give.
+func TestNoOrderAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 6)
+		ctx, stop := context.WithCancel(context.Background())
+		opts := w.options()
+		suspended := false
+		opts.Awake = func() {
+			if suspended {
+				stop()
+			}
+		}
+		k := NewKeeper(opts, Term{Epoch: 1, First: true}, stop)
+		suspended = true
+		given := 0
+		verdict, _ := k.order(ctx, "join", &fleet.Worker{ID: "w0-0"}, func(context.Context, Fence) (Verdict, error) {
+			given++
+			return Begun, nil
+		})
+		assert.Equal(t, given, 0)
+		assert.Assert(t, verdict != Begun)
+		go k.Run(ctx)
+		time.Sleep(10 * time.Second)
+		<-k.Done()
+		for _, s := range w.workers {
+			assert.Equal(t, s.orders, int64(0), "%s was given an order", s.id)
+		}
+	})
+}
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"quartzshelf.dev/common/awake"
 	"quartzshelf.dev/peers"
 )
 
@@ -80,6 +81,9 @@
 	Era func() int64
 	// StoreSeen returns when the store last answered this daemon.
 	StoreSeen func() time.Time
+	// Suspended returns for how long the machine was suspended in all; nil for one that never
+	// is.
+	Suspended func() time.Duration
 	// Lead is called with each term won and runs it until its context ends.
 	Lead   func(ctx context.Context, claim peers.Claim, first bool)
 	Logger hclog.Logger
@@ -109,6 +113,9 @@
 
 // NewElector returns an elector; Run makes it work.
 func NewElector(opts Options) *Elector {
+	if opts.Suspended == nil {
+		opts.Suspended = awake.Never
+	}
 	return &Elector{opts: opts, start: time.Now(), done: make(chan struct{})}
 }
 
@@ -285,11 +292,12 @@
 // cannot be reached.
 func (e *Elector) attempt(ctx context.Context) {
 	// What the store told until now is what the term rests on.
-	era := e.era()
+	era, asked := e.era(), awake.NewStamp(e.opts.Suspended)
 	claim, first, won := e.takeGrant(ctx)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !won || e.highest.Higher(claim) || ctx.Err() != nil {
+	// Others may have led since the store answered a daemon that was suspended.
+	if !won || asked.Interrupted() || e.highest.Higher(claim) || ctx.Err() != nil {
 		e.pauseUntil = time.Now().Add(retryPause)
 		return
 	}
--- a/leadership/elector_test.go
+++ b/leadership/elector_test.go
@@ -493,3 +493,28 @@
 		f.set(func() { f.cut = make(map[string]bool) })
 	}
 }
+
+// TestGrantsOverASuspension: a daemon that tried to lead was suspended before the store's
+// answer reached it. Others led meanwhile; it claimed its term all the same when it woke, and
+// gave orders until it heard of a higher one.
+func TestGrantsOverASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(1)
+		d := f.daemons[0]
+		asleep := time.Duration(0)
+		d.elector.opts.Suspended = func() time.Duration { return asleep }
+		add := d.elector.opts.Registry.Add
+		d.elector.opts.Registry.Add = func(ctx context.Context, grant peers.Grant, position int64) (bool, error) {
+			if asleep == 0 {
+				asleep = time.Minute
+			}
+			return add(ctx, grant, position)
+		}
+		d.elector.attempt(context.Background())
+		own, _, _ := d.elector.State()
+		assert.Assert(t, own == nil, "it claims a grant that was won before it was suspended")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(f.leaders()), 1, "it leads by what the store tells it now")
+		f.end()
+	})
+}
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
 
+	"quartzshelf.dev/common/awake"
 	"quartzshelf.dev/common/failure"
 )
 
@@ -61,7 +62,10 @@
 	// each that came and is not understood, by the cause; nil for nobody.
 	Counted    func(kind string, bytes int)
 	PassedOver func(cause string)
-	Logger     hclog.Logger
+	// Suspended returns for how long the machine was suspended in all; nil for one that never
+	// is. Clocks that are told and echoed count it.
+	Suspended func() time.Duration
+	Logger    hclog.Logger
 }
 
 // Agent sends and receives reports.
@@ -90,6 +94,9 @@
 // NewAgent returns an agent; Run makes it work.
 func NewAgent(opts Options) (*Agent, error) {
 	opts.Self.Format = OwnFormat()
+	if opts.Suspended == nil {
+		opts.Suspended = awake.Never
+	}
 	if opts.Transport.Send == nil {
 		transport, err := ListenUDP(opts.Self.Address)
 		if err != nil {
@@ -163,7 +170,7 @@
 func (a *Agent) compose(now time.Time) *Heartbeat {
 	own := &Heartbeat{Identity: a.opts.Self}
 	a.opts.Compose(own, now)
-	a.clocks.noteGrant(own.Grant.Epoch, now.Sub(a.start))
+	a.clocks.noteGrant(own.Grant.Epoch, a.clock(now))
 	return own
 }
 
@@ -218,7 +225,7 @@
 // deliver sends messages to daemons. Each gets heartbeats in the form that
 // completes what it holds.
 func (a *Agent) deliver(kind string, addresses []string, now time.Time, all ...*message) {
-	clock := now.Sub(a.start)
+	clock := a.clock(now)
 	for _, m := range all {
 		whole := sync.OnceValue(func() []byte { return a.datagram(m, clock) })
 		brief := sync.OnceValue(func() []byte { return a.datagram(m.brief(), clock) })
@@ -347,6 +354,10 @@
 	a.deliver(kindHeartbeat, []string{p.Address}, now, m)
 }
 
+// clock returns this daemon's clock, which peers echo. It counts suspensions: what waited in
+// this machine meanwhile is so much older.
+func (a *Agent) clock(now time.Time) time.Duration { return now.Sub(a.start) + a.opts.Suspended() }
+
 // takeHeartbeat takes a heartbeat, and reports false if it cannot be understood yet.
 func (a *Agent) takeHeartbeat(h *Heartbeat, datagram []byte, now time.Time) bool {
 	if h.Brief && !a.table.complete(h) || h.Address == "" {
@@ -361,13 +372,14 @@
 		a.passOver(causeFormat, h.ID, nil)
 	}
 	echo := time.Duration(binary.BigEndian.Uint64(datagram[9:]))
-	if echo < 0 || echo > now.Sub(a.start) {
+	clock := a.clock(now)
+	if echo < 0 || echo > clock {
 		echo = 0
 	}
 	a.clocks.heard(h.Address, int64(binary.BigEndian.Uint64(datagram[1:])), echo)
 	var sentAfter time.Time
 	if echo > 0 {
-		sentAfter = a.start.Add(echo)
+		sentAfter = now.Add(echo - clock)
 	}
 	if a.table.Hear(*h, now, sentAfter) {
 		a.opts.Heard(&Peer{Heartbeat: *h, HeardAt: now, SentAfter: sentAfter})
--- a/peers/agent_test.go
+++ b/peers/agent_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/common/awake"
 )
 
 // freeAddress returns a loopback address that the kernel chose.
@@ -117,7 +119,7 @@
 	return &Agent{
 		opts: Options{
 			Self: Identity{ID: "a", Incarnation: 1}, Heard: heard, News: func(*Peer, *News) {},
-			Summed: func(string, Summary, time.Time) {}, Logger: hclog.NewNullLogger(),
+			Summed: func(string, Summary, time.Time) {}, Suspended: awake.Never, Logger: hclog.NewNullLogger(),
 		},
 		table: NewTable(Identity{ID: "a", Incarnation: 1}), clocks: newClocks(), sums: newSummaries(), start: time.Now(), passedOver: make(map[string]bool),
 	}
@@ -172,3 +174,36 @@
 		deafAgent(func(*Peer) {}).take(data, time.Now())
 	})
 }
+
+// TestHeartbeatsThatWaitedOverASuspension: a machine was suspended for a minute after it had
+// told its clock. A heartbeat that had come by then and echoed it was read when the machine
+// woke; what it confirmed counted as fresh, as the steady clock had stood still.
+func TestHeartbeatsThatWaitedOverASuspension(t *testing.T) {
+	var heard []*Peer
+	a := deafAgent(func(p *Peer) { heard = append(heard, p) })
+	asleep := time.Duration(0)
+	a.opts.Suspended = func() time.Duration { return asleep }
+	b := &Heartbeat{Identity: Identity{ID: "b", Incarnation: 1, Address: "b:1"}}
+	datagram := a.datagram(&message{ID: "b", Incarnation: 1, Heartbeat: b}, time.Millisecond)
+	told := a.start.Add(time.Second)
+	binary.BigEndian.PutUint64(datagram[9:], uint64(a.clock(told)))
+	asleep = time.Minute
+	read := told.Add(100 * time.Millisecond)
+	a.take(datagram, read)
+	assert.Equal(t, len(heard), 1)
+	assert.Equal(t, read.Sub(heard[0].SentAfter), time.Minute+100*time.Millisecond)
+}
+
+// TestTableOverASuspension: others count as heard so much earlier, but not as silent before
+// what waits is read.
+func TestTableOverASuspension(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Identity{ID: "a", Incarnation: 1, Address: "a:1"})
+	b := Heartbeat{Identity: Identity{ID: "b", Incarnation: 1, Address: "b:1"}}
+	assert.Assert(t, table.Hear(b, now, now))
+	table.Slept(now, time.Minute)
+	assert.Assert(t, !table.Settled(now))
+	assert.Equal(t, len(table.Alive(now)), 1, "heartbeats wait to be read")
+	assert.Equal(t, table.Alive(now)[0].SentAfter, now.Add(-time.Minute))
+	assert.Equal(t, len(table.Alive(now.Add(aliveFor))), 0)
+}
--- a/peers/table.go
+++ b/peers/table.go
@@ -90,6 +90,23 @@
 	t.pausedUntil, t.pausedFor = now.Add(aliveFor), gap
 }
 
+// Slept notes that the machine was suspended for a while up to now, which the steady clock
+// does not count: others were heard so much earlier, and what waits has yet to be read.
+func (t *Table) Slept(now time.Time, asleep time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, p := range t.peers {
+		earlier := *p
+		for _, at := range []*time.Time{&earlier.HeardAt, &earlier.SentAfter, &earlier.reportedAt, &earlier.addedAt} {
+			if !at.IsZero() {
+				*at = at.Add(-asleep)
+			}
+		}
+		t.peers[id] = &earlier
+	}
+	t.pausedUntil, t.pausedFor = now.Add(aliveFor), asleep
+}
+
 // Hear takes a heartbeat. It reports false for one that is out of date.
 func (t *Table) Hear(h Heartbeat, now, sentAfter time.Time) bool {
 	t.mu.Lock()
--- a/relay/connections.go
+++ b/relay/connections.go
@@ -181,6 +181,15 @@
 	u.closeIdle(worker, 0)
 }
 
+// closeAll closes all idle connections.
+func (u *upstream) closeAll() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for worker := range u.idle {
+		u.closeIdle(worker, 0)
+	}
+}
+
 // closeIdle closes the oldest idle connections to a worker until most are left.
 func (u *upstream) closeIdle(worker string, most int) {
 	all := u.idle[worker]
--- a/relay/connections_test.go
+++ b/relay/connections_test.go
@@ -285,3 +285,17 @@
 	u.put(pipedConnection("w"), time.Minute)
 	assert.Equal(t, u.total, 1)
 }
+
+// TestConnectionsOverASuspension: workers closed connections while this machine was suspended,
+// of which it had no news. Requests that may be sent once were lost on them.
+func TestConnectionsOverASuspension(t *testing.T) {
+	worker := newFakeWorker(t, "w")
+	r, server := newTestRelay(t, worker)
+	for i := range 3 {
+		assert.Equal(t, do(t, server, "/safe/", strconv.Itoa(i), nil).status, 200)
+	}
+	assert.Equal(t, worker.connections(), 1)
+	r.Slept()
+	assert.Equal(t, do(t, server, "/safe/", "after", nil).status, 200)
+	assert.Equal(t, worker.connections(), 2)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,9 @@
 	Signalled func(w *fleet.Worker, s backpressure.Signal, sent, now time.Time)
 	// Dial opens connections to workers; nil for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Awake is called before a request is judged by what is believed: it sees to it that
+	// beliefs are as old as they are if the machine was suspended; nil for one that never is.
+	Awake func()
 	// Leaving reports whether this daemon is to stop.
 	Leaving func() bool
 	Meter   *telemetry.Meter
@@ -101,6 +104,9 @@
 	if opts.Holdings == nil {
 		opts.Holdings = NewHoldings(0)
 	}
+	if opts.Awake == nil {
+		opts.Awake = func() {}
+	}
 	r := &Relay{
 		opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), patiences: newPatiences(),
 		startedAt: time.Now(), done: make(chan struct{}),
@@ -143,6 +149,10 @@
 	}
 }
 
+// Slept notes that the machine was suspended: workers may have closed the connections that
+// were kept, and of some of them nothing tells.
+func (r *Relay) Slept() { r.upstream.closeAll() }
+
 func (r *Relay) random() float64 { return rand.Float64() }
 
 // ServeHTTP answers one request.
@@ -198,6 +208,7 @@
 
 // choose returns the replica for the next attempt, or why there is none.
 func (r *Relay) choose(c *request) (*fleet.Replica, *refusal) {
+	r.opts.Awake()
 	now := time.Now()
 	if f := r.quarantined(c, now); f != nil {
 		return nil, f
--- a/relay/request.go
+++ b/relay/request.go
@@ -84,6 +84,7 @@
 
 // accept reads a request and decides by the configuration whether it may run.
 func (r *Relay) accept(h *http.Request, edge *http.ResponseController) (*request, *refusal) {
+	r.opts.Awake()
 	config := r.opts.Config()
 	if config == nil {
 		return nil, unavailable(reason.Starting, "no configuration is known yet", retryRevived)
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"quartzshelf.dev/common/awake"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/fleet"
@@ -39,12 +40,18 @@
 type fetcher struct {
 	server *Server
 	client *http.Client
-	wanted chan *peers.Peer
+	wanted chan wish
 	packed packedConfig
 }
 
+// wish is a peer to fetch from, and when that was wanted.
+type wish struct {
+	*peers.Peer
+	wanted awake.Stamp
+}
+
 func newFetcher(s *Server) *fetcher {
-	f := &fetcher{server: s, wanted: make(chan *peers.Peer, 1), client: &http.Client{Timeout: fetchTimeout, Transport: s.opts.Ask}}
+	f := &fetcher{server: s, wanted: make(chan wish, 1), client: &http.Client{Timeout: fetchTimeout, Transport: s.opts.Ask}}
 	if s.opts.Ask == nil {
 		f.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}
 	}
@@ -54,7 +61,7 @@
 // want asks for what a peer knows, unless a fetch is waiting already.
 func (f *fetcher) want(p *peers.Peer) {
 	select {
-	case f.wanted <- p:
+	case f.wanted <- wish{Peer: p, wanted: awake.NewStamp(f.server.opts.Suspended)}:
 	default:
 	}
 }
@@ -99,11 +106,11 @@
 
 // fetch brings what is still missing. What cannot be had now is asked for again
 // after the next heartbeat.
-func (f *fetcher) fetch(ctx context.Context, p *peers.Peer) {
+func (f *fetcher) fetch(ctx context.Context, p wish) {
 	if p.ConfigVersion > f.server.beliefs.Version() {
 		f.report(p, f.fetchConfig(ctx, p))
 	}
-	if f.server.lacksWorkers(p) {
+	if f.server.lacksWorkers(p.Peer) {
 		f.report(p, f.fetchWorkers(ctx, p))
 	}
 	if f.server.inventory.Decided().Before(p.Decided) {
@@ -111,13 +118,13 @@
 	}
 }
 
-func (f *fetcher) report(p *peers.Peer, err error) {
+func (f *fetcher) report(p wish, err error) {
 	if err != nil {
 		f.server.logger.Debug("not fetched from peer", "peer", p.ID, "error", err)
 	}
 }
 
-func (f *fetcher) fetchConfig(ctx context.Context, p *peers.Peer) error {
+func (f *fetcher) fetchConfig(ctx context.Context, p wish) error {
 	data, err := f.get(ctx, p, pathConfig)
 	if err != nil {
 		return err
@@ -130,7 +137,7 @@
 	return nil
 }
 
-func (f *fetcher) fetchWorkers(ctx context.Context, p *peers.Peer) error {
+func (f *fetcher) fetchWorkers(ctx context.Context, p wish) error {
 	inventory := f.server.inventory
 	scope, from := inventory.Wants(), inventory.Position()
 	if inventory.AwaitsList() && p.Complete {
@@ -159,7 +166,7 @@
 	return nil
 }
 
-func (f *fetcher) fetchDecisions(ctx context.Context, p *peers.Peer) error {
+func (f *fetcher) fetchDecisions(ctx context.Context, p wish) error {
 	known := f.server.inventory.Decided()
 	data, err := f.get(ctx, p, fmt.Sprintf("%s?term=%d&from=%d", pathDecisions, known.Term, known.Seq))
 	if err != nil {
@@ -173,7 +180,7 @@
 	return nil
 }
 
-func (f *fetcher) get(ctx context.Context, p *peers.Peer, path string) ([]byte, error) {
+func (f *fetcher) get(ctx context.Context, p wish, path string) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+path, nil)
 	if err != nil {
 		return nil, failure.At(failure.Invalid, "ask peer", p.ID, err)
@@ -190,6 +197,10 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, failure.New(failure.Refused, "ask peer", p.ID, "status %d", response.StatusCode)
 	}
+	// What the peer confirmed when it was heard is older than it seems.
+	if p.wanted.Interrupted() {
+		return nil, failure.New(failure.Unavailable, "ask peer", p.ID, "the machine was suspended meanwhile")
+	}
 	return data, nil
 }
 
--- a/serving/fetch_test.go
+++ b/serving/fetch_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quartzshelf.dev/common/awake"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/peers"
 )
@@ -30,7 +31,7 @@
 	for version := int64(1); version <= 2; version++ {
 		words := bytes.Repeat([]byte{'a' + byte(version)}, 50_000)
 		giver.beliefs.Offer(fleet.NewConfig(fleet.Parts{Version: version, Encoded: words}), time.Now())
-		assert.NilError(t, taker.fetcher.fetchConfig(context.Background(), peer))
+		assert.NilError(t, taker.fetcher.fetchConfig(context.Background(), wish{Peer: peer, wanted: awake.NewStamp(awake.Never)}))
 		assert.Equal(t, taker.beliefs.Version(), version)
 		assert.DeepEqual(t, decoded[version-1], words)
 
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -10,6 +10,7 @@
 
 // compose fills in what this daemon reports of itself to its peers.
 func (s *Server) compose(h *peers.Heartbeat, now time.Time) {
+	s.awake.Check()
 	h.Ready, h.Leaving, h.Complete = s.Ready(), s.leaving.Load(), s.inventory.Complete()
 	version, confirmed := s.beliefs.State()
 	h.ConfigVersion, h.ConfigAge = version, age(confirmed, now)
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -12,14 +12,7 @@
 // lead runs a term of leadership until ctx ends.
 func (s *Server) lead(ctx context.Context, claim peers.Claim, first bool) {
 	s.inventory.BeginTerm(claim.Term())
-	keeper := formation.NewKeeper(formation.Options{
-		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders, IndirectLeave: s.leaveThroughPeers,
-		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince,
-		Announced: func(a fleet.Announcement) { s.inventory.Decide(claim.Term(), a) },
-		Smoothed:  s.work.Work, BearHalls: s.opts.Bounds.BearHalls, HallWeight: s.opts.Bounds.HallWeight, HallOpen: s.hallOpen,
-		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
-		Counted: s.meter.Order, Logger: s.logger.Named("formation"),
-	}, formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first, FirstLife: s.opts.FirstLife},
+	keeper := formation.NewKeeper(s.formationOptions(claim), formation.Term{Epoch: claim.Epoch, Rank: claim.Rank, First: first, FirstLife: s.opts.FirstLife},
 		func() { s.elector.Yield("a worker knows a higher term") })
 	s.setKeeper(keeper)
 	keeper.Run(ctx)
@@ -30,6 +23,17 @@
 	}
 }
 
+func (s *Server) formationOptions(claim peers.Claim) formation.Options {
+	return formation.Options{
+		Config: s.beliefs.Config, Inventory: s.inventory, Orders: s.opts.Orders, IndirectLeave: s.leaveThroughPeers,
+		Demand: s.demand, Traffic: s.tracker.Traffic, ListSince: s.inventory.KnownSince,
+		Announced: func(a fleet.Announcement) { s.inventory.Decide(claim.Term(), a) },
+		Smoothed:  s.work.Work, BearHalls: s.opts.Bounds.BearHalls, HallWeight: s.opts.Bounds.HallWeight, HallOpen: s.hallOpen,
+		StallAfter: s.opts.Bounds.Stall, Ceiling: s.opts.Bounds.Ceiling,
+		Awake: s.awake.Check, Counted: s.meter.Order, Logger: s.logger.Named("formation"),
+	}
+}
+
 // hallOpen reports whether a data hall takes requests and stays open.
 func (s *Server) hallOpen(hall string) bool {
 	return s.halls.View().State(hall, time.Now()) == fleet.HallOpen
--- a/serving/news_test.go
+++ b/serving/news_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quartzshelf.dev/common/awake"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/peers"
 )
@@ -129,7 +130,7 @@
 				Identity:        peers.Identity{ID: "leader", Address: servePeer(t, leader)},
 				WorkersPosition: leader.inventory.Position(), Decided: leader.inventory.Decided(),
 			}}
-			follower.fetcher.fetch(context.Background(), p)
+			follower.fetcher.fetch(context.Background(), wish{Peer: p, wanted: awake.NewStamp(awake.Never)})
 			assert.Equal(t, follower.inventory.Position(), leader.inventory.Position())
 			assert.Equal(t, follower.inventory.Decided(), leader.inventory.Decided())
 			for _, group := range []string{"closed", "missed"} {
--- a/serving/options.go
+++ b/serving/options.go
@@ -98,6 +98,9 @@
 	ServePeers func(ctx context.Context, handler http.Handler)
 	// DialWorker opens connections to workers; nil for TCP.
 	DialWorker func(ctx context.Context, network, address string) (net.Conn, error)
+	// Suspended returns for how long the machine was suspended in all; nil for one that never
+	// is.
+	Suspended func() time.Duration
 	// Metrics is the address for metrics; empty for none.
 	Metrics string
 	Logger  hclog.Logger
--- a/serving/quarantine_test.go
+++ b/serving/quarantine_test.go
@@ -102,7 +102,7 @@
 		Newest: func(context.Context) (leadership.Found, error) { return leadership.Found{}, nil },
 		Add:    func(context.Context, peers.Grant, int64) (bool, error) { return true, nil },
 	}
-	s.elector = s.newElector()
+	s.elector = leadership.NewElector(s.electorOptions())
 	front, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/serving/server.go
+++ b/serving/server.go
@@ -13,6 +13,7 @@
 
 	"quartzshelf.dev/allowance"
 	"quartzshelf.dev/backpressure"
+	"quartzshelf.dev/common/awake"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/formation"
@@ -54,6 +55,8 @@
 	warmUp *allowance.Allowance
 	// signals holds what workers ask for in their answers.
 	signals *backpressure.Table
+	// awake notices that the machine was suspended.
+	awake *awake.Watch
 	// suspicions holds the replicas that fell silent of late.
 	suspicions *suspicions
 	// work is the smoothed work of the fleet.
@@ -93,25 +96,29 @@
 		return nil, failure.At(failure.Unavailable, "start metrics", opts.Metrics, err)
 	}
 	opts.Self.Format = peers.OwnFormat()
+	if opts.Suspended == nil {
+		opts.Suspended = awake.Never
+	}
 	s := &Server{
 		opts: opts, logger: opts.Logger, meter: meter, beliefs: fleet.NewBeliefs(), halls: fleet.NewHalls(opts.Bounds.Empty),
 		inventory: fleet.NewInventory(opts.Bounds.Heartbeat, opts.Bounds.Leave), suspicions: newSuspicions(),
 		readDelay: readDelayOf(opts.Self.ID), start: time.Now(), done: make(chan struct{}),
 	}
+	s.awake = awake.NewWatch(opts.Suspended, s.slept)
 	s.tracker = relay.NewTracker(opts.Self.Zone, s.stalled)
 	s.fetcher = newFetcher(s)
 	s.follower = fleet.NewFollower(fleet.FollowerOptions{
 		Source: opts.Source, Beliefs: s.beliefs, Halls: s.halls, Inventory: s.inventory,
-		Reads: s.reads, Spread: s.retrySpread, Logger: opts.Logger.Named("follower"),
+		Reads: s.reads, Spread: s.retrySpread, Suspended: s.suspended, Logger: opts.Logger.Named("follower"),
 	})
 	s.agent, err = peers.NewAgent(peers.Options{
 		Self: opts.Self, Transport: opts.Transport, Compose: s.compose, Heard: s.heard, News: s.taken, Summed: s.summed,
-		Counted: s.meter.Datagram, PassedOver: s.meter.PassedOverDatagram, Logger: opts.Logger.Named("peers"),
+		Counted: s.meter.Datagram, PassedOver: s.meter.PassedOverDatagram, Suspended: s.suspended, Logger: opts.Logger.Named("peers"),
 	})
 	if err != nil {
 		return nil, err
 	}
-	s.elector = s.newElector()
+	s.elector = leadership.NewElector(s.electorOptions())
 	s.warmUp = s.newWarmUp()
 	s.signals = s.newSignals()
 	s.relay = s.newRelay()
@@ -126,17 +133,17 @@
 	return s, nil
 }
 
-func (s *Server) newElector() *leadership.Elector {
+func (s *Server) electorOptions() leadership.Options {
 	table := s.agent.Table()
-	return leadership.NewElector(leadership.Options{
+	return leadership.Options{
 		Self:     s.opts.Self,
 		Registry: s.opts.Registry,
 		Alive:    table.Alive, Known: table.Known, Settled: table.Settled, Patience: table.Patience,
 		Fit:       s.fit,
 		Era:       s.opts.Era,
-		StoreSeen: s.storeSeen,
-		Lead:      s.lead, Logger: s.logger.Named("leadership"),
-	})
+		StoreSeen: s.storeSeen, Suspended: s.opts.Suspended,
+		Lead: s.lead, Logger: s.logger.Named("leadership"),
+	}
 }
 
 func (s *Server) newRelay() *relay.Relay {
@@ -153,6 +160,7 @@
 		Rests:   relay.Bound{Check: s.signals.Rested, Take: s.signals.TakeRested, Next: s.signals.RestEnds},
 		Tracker: s.tracker, Budget: budget,
 		Spread: func() { s.agent.Send(time.Now()) }, Replaced: s.replaced, Signalled: s.signals.Hear, Dial: s.opts.DialWorker,
+		Awake:   s.awake.Check,
 		Leaving: s.leaving.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
 	})
 }
--- a/serving/server_test.go
+++ b/serving/server_test.go
@@ -53,18 +53,24 @@
 }
 
 func newServer(t *testing.T, store *fakeStore) *Server {
+	t.Helper()
+	s, err := New(optionsOf(t, store))
+	assert.NilError(t, err)
+	return s
+}
+
+// optionsOf returns the options of a daemon alone.
+func optionsOf(t *testing.T, store *fakeStore) Options {
 	t.Helper()
 	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := c.LocalAddr().String()
 	assert.NilError(t, c.Close())
-	s, err := New(Options{
+	return Options{
 		Self:   peers.Identity{ID: "a", Incarnation: 1, Zone: "z", Address: address, Front: "front-a"},
 		Bounds: Bounds{Heartbeat: time.Second, Revoke: 5 * time.Second, KeepEntries: time.Second},
 		Source: store.source(), MemberList: MemberList{Register: store.register, Read: store.read}, Logger: hclog.NewNullLogger(),
-	})
-	assert.NilError(t, err)
-	return s
+	}
 }
 
 // learn lets the server know a configuration and the workers as of a time.
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -35,6 +35,8 @@
 	warmUp metric.Int64Counter
 	// quarantine counts what happened to requests that end workers.
 	quarantine metric.Int64Counter
+	// suspensions counts how often the machine was suspended.
+	suspensions metric.Int64Counter
 	// signals counts what workers said of themselves in answers.
 	signals metric.Int64Counter
 	// broken counts attempts that their workers broke off.
@@ -203,6 +205,9 @@
 	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
 }
 
+// Slept counts that the machine was suspended.
+func (m *Meter) Slept(time.Duration) { m.suspensions.Add(context.Background(), 1) }
+
 // Signal counts what a worker asked for in an answer: a limit, rest, or that it leaves, and
 // values that were not understood.
 func (m *Meter) Signal(event string) {
@@ -231,6 +236,7 @@
 		&m.orders:              {"quartzshelf_orders", "Orders given to workers, by order and outcome."},
 		&m.warmUp:              {"quartzshelf_warm_up", "Requests to workers that warm up, by whether the allowance had room."},
 		&m.quarantine:          {"quartzshelf_quarantine", "Requests that were at a worker when it ended, and their quarantine, by event."},
+		&m.suspensions:         {"quartzshelf_suspensions", "Times that the machine was suspended."},
 		&m.signals:             {"quartzshelf_worker_signals", "What workers asked for in their answers, by event: new, changed, dropped or not understood."},
 		&m.broken:              {"quartzshelf_attempts_broken", "Attempts whose connection the worker ended within, by service."},
 		&m.connections:         {"quartzshelf_connections", "Connections that carried requests to workers, by service, opened or reused."},
