--- a/fleet/beliefs.go
+++ b/fleet/beliefs.go
@@ -21,8 +21,8 @@
 }
 
 // copyHold is how long after the source came back from a copy its newest configuration may
-// be an older one: its writers write again at their next heartbeat, which is due each 1.2 s.
-// Confirmed meanwhile, keys that were taken away ran for 3.9 s where 3 s may (soak).
+// be an older one: its writers write again at their next heartbeat. Confirmed meanwhile, keys that
+// were taken away would run on.
 const copyHold = 2 * time.Second
 
 // HoldCopy notes that the source came back from a copy at a time: what it shows for a while
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -23,12 +23,10 @@
 	// firstWait is the same for the first configuration, which confirms nothing.
 	firstWait = 2 * time.Second
 	// readMost is how much longer than its wait a read may take while its answer comes: a
-	// source ends one that stands still much sooner. A configuration of 1 MB takes 0.6 s at
-	// 14 Mbit/s, alone on the link.
+	// source ends one that stands still much sooner.
 	readMost = 4 * time.Second
-	// listMost bounds the reading of a whole list, page by page. A list of twice 6,200
-	// workers is 25 pages; the source tells changes for 20 s at least, from which the
-	// reading goes on.
+	// listMost bounds the reading of a whole list, page by page. The source tells changes
+	// for twice that at least, from which the reading goes on.
 	listMost = 10 * time.Second
 	// listAgain is how long after a list that could not be taken another one is read: six
 	// tries within the three seconds by which answers of the store are known to be behind.
--- a/fleet/halls.go
+++ b/fleet/halls.go
@@ -35,10 +35,10 @@
 
 const (
 	// hallMargin is how long before the bound a hall takes nothing more: a request that
-	// was sent just before reaches its worker within the 0.5 s that a connection may take.
+	// was sent just before reaches its worker within the time that a connection may take.
 	hallMargin = 600 * time.Millisecond
 	// closingPart is the part of the bound for which a hall may be closing at most.
-	// Replicas that are staged elsewhere stand within 2.5 s, so a longer wait gains nothing.
+	// Replicas that are staged elsewhere stand sooner, so a longer wait gains nothing.
 	closingPart = 0.5
 )
 
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -76,7 +76,7 @@
 )
 
 // closedFor is how long a closed group is remembered that no worker shows: longer
-// than the cuts seen on the standard days, which end within 10 s.
+// than its members are usually cut off.
 const closedFor = 30 * time.Second
 
 // maxJournal is how many batches of changes are kept for peers.
--- a/formation/absent.go
+++ b/formation/absent.go
@@ -14,7 +14,7 @@
 	// that long and its two unanswered questions, unless callers report it sooner.
 	absentAskEvery = 500 * time.Millisecond
 	// absentMost bounds how long such a worker is asked. One that is only cut off
-	// from the store is listed again within this time on the deployments played.
+	// from the store is usually listed again within this time.
 	absentMost = 30 * time.Second
 )
 
--- a/formation/doubt.go
+++ b/formation/doubt.go
@@ -9,8 +9,8 @@
 )
 
 // doubtFor is how long a worker that kept a group from being formed is used only where
-// others are too few. A forming that is given up took joinSlack and a warm join, some
-// 4.5 s on the deployments played; twice that spares the second try, and a worker that
+// others are too few. A forming that is given up took joinSlack and a warm join; twice
+// that spares the second try, and a worker that
 // has to load is through with it.
 const doubtFor = 9 * time.Second
 
--- a/formation/fresh.go
+++ b/formation/fresh.go
@@ -7,11 +7,10 @@
 )
 
 const (
-	// listPause is how long the list of a new fleet must not have grown to count as
-	// whole: on the deployments played workers come within 4.5 s, 63 as well as 760.
+	// listPause is how long the list of a new fleet must not have grown to count as whole.
 	listPause = 400 * time.Millisecond
-	// listMost bounds that wait: requests come 10 s after the machines start or
-	// later, and forming takes 2 s.
+	// listMost bounds that wait: requests come twice as long after the machines start, and
+	// forming takes some of that.
 	listMost = 5 * time.Second
 )
 
--- a/formation/keeper.go
+++ b/formation/keeper.go
@@ -13,8 +13,8 @@
 // Timing of a keeper.
 const (
 	tickEvery = 100 * time.Millisecond
-	// callsAtOnce bounds the calls to workers that are under way: at 2 ms each they
-	// order 760 workers within 30 ms, over as many connections.
+	// callsAtOnce bounds the calls to workers that are under way, and the connections for
+	// them.
 	callsAtOnce = 64
 	// orderTimeout bounds an order, askTimeout a question to a worker.
 	orderTimeout = 200 * time.Millisecond
@@ -331,7 +331,7 @@
 // isFresh reports whether nothing has served yet. A process that started later may follow
 // daemons that all ended at once while no replica was open, so that nobody is left who heard
 // of requests: for it, what workers hold shows that the fleet is not new. Without that such
-// a leader began 16 loads within 5 s where 8 may.
+// a leader would begin more loads at once than may be.
 func (k *Keeper) isFresh(view *fleet.View) bool {
 	if k.term.First {
 		return true
--- a/formation/leaving.go
+++ b/formation/leaving.go
@@ -11,8 +11,7 @@
 	// while the head has work, and the requests in flight need some of them.
 	leaveWithin = 6 * time.Second
 	// leaveEvery is the least time between the dissolutions of two such groups
-	// of one model. Draining took 1.2 to 2.2 s in the trials on dhoop-lahore, and
-	// joining again 0.6 s.
+	// of one model: as long as draining and joining again take.
 	leaveEvery = 3 * time.Second
 )
 
--- a/formation/smoother.go
+++ b/formation/smoother.go
@@ -9,8 +9,8 @@
 
 // Smoother keeps the smoothed work of each model as a daemon knows it, whether it leads
 // or not, so that a new leader goes on where the last one was (Options.Smoothed). It may
-// be fed at any interval: once a second is enough, since work that rises is followed
-// within some 2.5 s and work that falls within 10 s.
+// be fed at any interval: once a second is enough, since changes of the work are
+// followed over several seconds.
 type Smoother struct {
 	mu   sync.Mutex
 	held map[string]Work
--- a/formation/staging.go
+++ b/formation/staging.go
@@ -58,8 +58,7 @@
 }
 
 // stagePause is how long a worker that refused to stage is left alone. It refuses
-// while it loads, for 12 to 16 s on the sites played, which a leader that came
-// later does not know of.
+// while it loads, which a leader that came later does not know of.
 const stagePause = 2 * time.Second
 
 // unbounded is how many loads may begin while they are not bounded.
--- a/formation/survivors.go
+++ b/formation/survivors.go
@@ -6,8 +6,8 @@
 )
 
 // survivorsWait is how long idle workers of a domain wait for what they lack of a group
-// of a model that is short. Members of a group that ends are freed one after the other
-// within 0.2 s, and a trade that completes them is found in the next look; what is left then joins
+// of a model that is short. Members of a group that ends are freed one after the other,
+// and a trade that completes them is found in the next look; what is left then joins
 // groups of another model within half a second.
 const survivorsWait = 300 * time.Millisecond
 
--- a/formation/trade.go
+++ b/formation/trade.go
@@ -17,7 +17,7 @@
 	loadPenalty = 1e-5
 	// coldTradeShare is the part of what is wanted at or below which a model gets groups
 	// whose members have yet to load it. At fillTarget of it all its slots are busy; at
-	// half of it requests are refused for longer than the 12 to 16 s of a load. Groups
+	// half of it requests are refused for longer than a load takes. Groups
 	// beyond what is wanted are given for such members at any share.
 	coldTradeShare = 0.5
 	// downPart is the part of a model's groups that trades may hold down at once. One
--- a/formation/trading.go
+++ b/formation/trading.go
@@ -76,7 +76,7 @@
 
 // insteadOfLoads returns the planned groups but for those that would wait for the loads of
 // some members, where giving up groups of the domain gives them warm ones and earns more:
-// a load takes 12 to 16 s, in which all members wait, an exchange some 2 s.
+// a load, in which all members wait, takes many times as long as an exchange.
 func (k *Keeper) insteadOfLoads(ctx context.Context, in Input, planned []Formation, groups []*observed, now time.Time) []Formation {
 	loads := slices.ContainsFunc(planned, func(f Formation) bool { return f.Loads > 0 })
 	if !loads || now.Before(k.settledAt) {
--- a/formation/value.go
+++ b/formation/value.go
@@ -9,15 +9,14 @@
 )
 
 const (
-	// horizon is how far a plan looks ahead. A load from the weight store takes 12 to
-	// 16 s on the deployments played, so that a group which has to load still counts.
+	// horizon is how far a plan looks ahead: about two loads from the weight store, so that
+	// a group which has to load still counts.
 	horizon = 30 * time.Second
 	// saturation says how fast the served part of a model's requests rises with its
 	// replicas: at what is wanted 1-exp(-3) = 0.95 of them find a place at once, and
 	// at fillTarget of it, where every slot would be busy, 0.88.
 	saturation = 3
-	// workerLoss is the chance that a worker is lost while the planned groups are
-	// formed. Days of 45 s lose 15 to 40 of 222 workers, and a warm join takes 1.5 s.
+	// workerLoss is the chance that a worker is lost while the planned groups are formed.
 	workerLoss = 0.01
 )
 
--- a/peers/heartbeat.go
+++ b/peers/heartbeat.go
@@ -159,8 +159,7 @@
 func (p *Peer) confirmed(age int64) time.Time {
 	if p.SentAfter.IsZero() || age <= 0 || age >= Never {
 		// An age is at least one; zero is one that the sender left out.
-		// A time of long ago would make its receiver read the store at once: 48 of 986
-		// daemons after a start of all.
+		// A time of long ago would make its receiver read the store at once.
 		return time.Time{}
 	}
 	return p.SentAfter.Add(-time.Duration(age) * time.Millisecond)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -7,13 +7,12 @@
 
 const (
 	// crashesToMark is how many independent crashes without a completed run mark a request.
-	// An innocent request meets one with the share of runs that end with their worker, 0.15
-	// in the worst second measured (docs/incidents/crashing-requests.md), so three by chance
-	// with 0.003, and any run of it that completes clears it.
+	// An innocent request rarely meets three by chance (docs/design/crashing-requests.md),
+	// and any run of it that completes clears it.
 	crashesToMark = 3
 	// apart is how far apart crashes end that have no common cause: what takes several
 	// workers at once, like a rack without power, ends them within some milliseconds, which
-	// daemons see 40 ms apart at most when their machines are slowed five times.
+	// daemons on slow machines see further apart.
 	apart = 100 * time.Millisecond
 	// crashesKept is how many crashes of a request are remembered, the newest ones.
 	crashesKept = 6
--- a/relay/apart.go
+++ b/relay/apart.go
@@ -10,8 +10,8 @@
 )
 
 // loadsUnknownFor is for how long after its start a daemon chooses between two replicas: it knows
-// no loads until peers have reported, 0.4 s after the start on average and 0.6 s at the
-// latest (lines `start: loads of peers known`), and what waited comes within 1.2 s.
+// no loads until peers have reported (lines `start: loads of peers known`), and what waited
+// meanwhile comes first.
 const loadsUnknownFor = 2 * time.Second
 
 // noteFailed notes what a failed attempt tells of a replica beyond the request. A worker
--- a/relay/comeback.go
+++ b/relay/comeback.go
@@ -27,8 +27,7 @@
 // comeBack returns after how long a caller that found no room is to come back. It comes
 // once, and all that are refused in one moment would meet again if told the same time. How
 // much work waits is known late, since loads of peers are, so the times are spread over the
-// later half of those that it heeds: in the test's bursts that lost the fewest, fewer than
-// 0.3 s for all, than all of that time, and than a queue of promised places.
+// later half of those that it heeds.
 func (r *Relay) comeBack(c *request, now time.Time) time.Duration {
 	latest := c.latestReturn(now)
 	if latest <= retryBusy {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,8 +59,7 @@
 	// ServeLate keeps requests that are late already rather than lose them: they wait for
 	// room, and refused callers are told to come back over all of the time that they heed.
 	// Where a third of the workers is lost that makes fresh requests late as well, so it is
-	// off by default: with a hall lost twice callers earned 0.29 of what is owed with it,
-	// 0.44 without it (one play each, docs/design/nothing-lost.md).
+	// off by default (docs/design/nothing-lost.md).
 	ServeLate bool
 	// Spread is called when peers are to be told at once of requests that end workers; nil
 	// for nobody.
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -11,14 +11,14 @@
 const (
 	// beginSilence and goSilence are how long all streams from a replica, here and at
 	// peers, may be silent before it is suspected: while none here has begun, and
-	// after. A pass full of prompts takes up to 0.34 s.
+	// after. A pass full of prompts is shorter than both.
 	beginSilence = 900 * time.Millisecond
 	goSilence    = 450 * time.Millisecond
 	// suspectFor is how long a suspected replica gets no requests unless it
 	// shows progress.
 	suspectFor = 2 * time.Second
-	// reportedWithin is how soon work at peers is known here: a heartbeat each 0.2 s, a
-	// summary of a relay each 0.4 s.
+	// reportedWithin is how soon work at peers is known here: a heartbeat and a summary of
+	// a relay later.
 	reportedWithin = 600 * time.Millisecond
 )
 
--- a/relay/spread.go
+++ b/relay/spread.go
@@ -5,10 +5,7 @@
 const (
 	// spreadMost is over how long streams are spread that go on elsewhere when they are
 	// late already. All streams of a replica that stands still are noticed at the same
-	// moment: 20 prompts of 1,500 tokens that come to four others at once hold up the
-	// streams there for 150 ms and more, where pauses of 200 to 300 ms are borne and a
-	// pass takes 50. Callers wait for two seconds or longer after the last event, of
-	// which half a second went by.
+	// moment, and their prompts would hold up the streams of the replicas that take them.
 	spreadMost = 600 * time.Millisecond
 	// spreadPart is the part of the time left to a request that this may take.
 	spreadPart = 0.25
--- a/serving/meet.go
+++ b/serving/meet.go
@@ -19,8 +19,7 @@
 	whileAlone = time.Second
 	// meetSpread is over how long daemons that find nobody listed, as when a fleet starts for
 	// the first time, spread their second look: the time within which daemons start. All
-	// that look at one moment register, and then read of each other: 986 writes and 52 MB
-	// where these take 250 and 20.
+	// that look at one moment register, and then read of each other.
 	meetSpread = 300 * time.Millisecond
 	// memberListTimeout bounds a call to the member list while its answer comes; the list
 	// ends one that stands still much sooner.
@@ -28,8 +27,7 @@
 	// enoughMembers is how many daemons of a data hall are registered at least, and
 	// fittestMembers how many of the fittest are whatever is registered: by those a daemon
 	// that starts finds the hall's relays, of which there are two and one that stands by, and
-	// who holds shares of limits; the others are found by their heartbeats. Of 986 daemons that start together 750 need
-	// not write.
+	// who holds shares of limits. The others are found by their heartbeats and need not write.
 	enoughMembers  = 32
 	fittestMembers = backpressure.MembersMost
 	// readMembersSoon is how long after its first read the member list is read again, by
--- a/serving/reader.go
+++ b/serving/reader.go
@@ -30,8 +30,8 @@
 	// Mbit/s within two.
 	toldFor = 4 * time.Second
 	// retriesPerSecond is how often all daemons together call the store again while it
-	// answers none of them: 1 in 80 of the calls that the smallest store of a large fleet
-	// bears. One answer is passed on to all.
+	// answers none of them: a small part of the calls that it bears. One answer is passed
+	// on to all.
 	retriesPerSecond = 200
 )
 
