fleet, platform: Read the newest configuration when behind, and confirm no part

Cause: a read of the store tells 128 kB of changes, six of these configurations. The readers took the sixth for the newest: the fleet counted it as confirmed, so that the others did not read, and the next read came when that was 1.3 s old, for six more, while 25 had come. A daemon that had not read for long began where it had read last.

Ruled out: that the configurations were not passed on (each version was at all daemons within 0.3 s of the first one), that they were not understood (no line).

Mend: a part confirms nothing, and tells that it is one; after it the newest is read, which is one record however many came, again and again as long as answers are slow and bring something new. Parts of the worker list confirm nothing either.

TestWhoIsBehindKnowsIt failed for the configuration, and with that mended for the workers.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -52,6 +52,8 @@
 	Next int64
 	// Lost says that the position is gone; everything is to be read anew.
 	Lost bool
+	// More tells that there was more to read at Next as this was read.
+	More bool
 	// Refused tells why the newest configuration was not understood, if it was not;
 	// Config is then the newest one that was, if there is news of it.
 	Refused error
@@ -127,85 +129,11 @@
 func (f *Follower) Run(ctx context.Context) {
 	defer close(f.done)
 	var group conc.WaitGroup
-	group.Go(func() { f.followConfig(ctx) })
+	group.Go(func() { newConfigReader(f).run(ctx) })
 	group.Go(func() { f.followWorkers(ctx) })
 	group.Wait()
 }
 
-func (f *Follower) followConfig(ctx context.Context) {
-	position := int64(-1)
-	// readAgain is when everything is read anew after the source came back from a copy; the
-	// zero time for never.
-	var readAgain time.Time
-	era := int64(-1)
-	// behind tells that the newest configuration is not understood, so that the
-	// one in force is not confirmed: the newer one may have taken keys away.
-	behind := false
-	due := func() bool { return f.opts.Reads(f.opts.Beliefs.Confirmed()) }
-	f.follow(ctx, "configuration", due, func(ctx context.Context) error {
-		asked := awake.NewStamp(f.opts.Suspended)
-		if !readAgain.IsZero() && asked.Time().After(readAgain) {
-			position, readAgain = -1, time.Time{}
-		}
-		news, err := f.readConfig(ctx, position)
-		if err != nil {
-			return err
-		}
-		sent := asked.Time()
-		if era >= 0 && EraOf(news.Next) > era {
-			readAgain = sent.Add(copySettles)
-		}
-		f.noteFirstEra(era, EraOf(news.Next))
-		f.noteEra(news.Next)
-		position, era = news.Next, EraOf(news.Next)
-		if !news.Lost {
-			f.takeHalls(news, sent)
-		}
-		switch {
-		case news.Lost:
-			position = -1
-		case news.Refused != nil:
-			f.opts.Logger.Error("configuration not understood: the last one stays in force", "error", news.Refused)
-			behind = true
-			if news.Config != nil {
-				f.opts.Beliefs.Offer(news.Config, time.Time{})
-			}
-		case news.Config != nil:
-			f.opts.Beliefs.Offer(news.Config, sent)
-			behind = false
-		case !behind:
-			f.opts.Beliefs.ConfirmRead(sent)
-		}
-		return nil
-	})
-}
-
-// takeHalls takes what a read brought of closed data halls.
-func (f *Follower) takeHalls(news ConfigNews, sent time.Time) {
-	if f.opts.Halls == nil {
-		return
-	}
-	for _, err := range news.Halls.Refused {
-		f.opts.Logger.Error("entry of a data hall not understood: its last state stays", "error", err)
-	}
-	f.opts.Halls.Take(news.Halls, news.Next, sent)
-}
-
-func (f *Follower) readConfig(ctx context.Context, position int64) (ConfigNews, error) {
-	if position < 0 {
-		ctx, cancel := context.WithTimeout(ctx, readMost)
-		defer cancel()
-		return f.opts.Source.ReadConfig(ctx)
-	}
-	wait := newsWait
-	if f.opts.Beliefs.Config() == nil {
-		wait = firstWait
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readMost)
-	defer cancel()
-	return f.opts.Source.NextConfig(ctx, position, wait)
-}
-
 func (f *Follower) followWorkers(ctx context.Context) {
 	position := int64(-1)
 	var list listing
@@ -233,11 +161,14 @@
 			return nil
 		}
 		f.logRefused(news.Refused)
-		f.opts.Inventory.Take(Delta{From: position, To: news.Next, Changes: news.Changes}, asked.Time())
+		read := Delta{From: position, To: news.Next, Changes: news.Changes}
 		position = news.Next
-		if !news.More {
-			pause.For(ctx, mergePause)
+		if news.More {
+			f.opts.Inventory.TakePart(read, asked.Time())
+			return nil
 		}
+		f.opts.Inventory.Take(read, asked.Time())
+		pause.For(ctx, mergePause)
 		return nil
 	})
 }
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -197,6 +197,15 @@
 	i.take(d.counted(), sent)
 }
 
+// TakePart takes a part of what there was as a read was sent at a time. It confirms nothing:
+// what follows may take workers away.
+func (i *Inventory) TakePart(d Delta, sent time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.noteOutage(sent)
+	i.take(d.counted(), time.Time{})
+}
+
 // Apply takes changes that lead from what is held to a position, by a read that was
 // sent at a time.
 func (i *Inventory) Apply(changes []Change, position int64, sent time.Time) {
