peers: Send loads in each round in small halls

Cause: members of a data hall choose replicas by loads that relays sum up and send every other round. In a fleet of 78 daemons in three halls these were 0.64 s old on average.

Ruled out: the choice itself.

Relays of halls of up to 37 daemons now send the sums in each round, and all members get them from both relays.

--- a/peers/network_test.go
+++ b/peers/network_test.go
@@ -61,6 +61,9 @@
 	demand                   float64
 	loads                    Loads
 	news                     []News
+	// loadsMeasuredAt is when the loads in the latest summary were measured on average. It is only
+	// set by the goroutine that receives datagrams.
+	loadsMeasuredAt time.Time
 }
 
 func newNetwork(ctx context.Context, seed uint64) *network {
@@ -85,7 +88,10 @@
 	agent, err := NewAgent(Options{
 		Self: self, Transport: Transport{Send: d.send, Receive: d.receive, Close: func() error { return nil }},
 		FillHeartbeat: d.fillHeartbeat, OnHeartbeat: func(*Peer) {}, OnNews: func(_ *Peer, m *News) { d.handleNews(m) },
-		OnSummary: func(string, Summary, time.Time) {}, OnSent: func(string, int) {}, Logger: hclog.NewNullLogger(),
+		OnSummary: func(_ string, s Summary, now time.Time) {
+			d.loadsMeasuredAt = now.Add(-time.Duration(s.Age) * time.Millisecond)
+		},
+		OnSent: func(string, int) {}, Logger: hclog.NewNullLogger(),
 	})
 	assert.NilError(t, err)
 	d.agent = agent
--- a/peers/relay_test.go
+++ b/peers/relay_test.go
@@ -86,6 +86,43 @@
 	}
 }
 
+// TestAgeOfLoads checks how old the loads are that members choose replicas by. In small halls they
+// must be newer than in large ones, where more reports would not fit the relays' links. Daemons that
+// choose by older loads send requests to replicas that have filled up since.
+func TestAgeOfLoads(t *testing.T) {
+	tests := map[string]struct {
+		perHall int
+		maxAge  time.Duration
+	}{
+		"small halls": {perHall: 26, maxAge: 450 * time.Millisecond},
+		"large halls": {perHall: 59, maxAge: 700 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, 1, func(t *testing.T, n *network) {
+				const samples, interval = 100, 37 * time.Millisecond
+				all := n.addFleet(t, 3, test.perHall, 2)
+				time.Sleep(4 * time.Second)
+				sum, count := time.Duration(0), 0
+				for range samples {
+					time.Sleep(interval)
+					synctest.Wait()
+					for _, d := range all {
+						if d.agent.Role() == Member {
+							sum, count = sum+time.Since(d.loadsMeasuredAt), count+1
+						}
+					}
+				}
+				mean := sum / time.Duration(count)
+				rates := n.sendRates(all, 2*time.Second)
+				t.Logf("%s old on average; a relay sends %.0f bytes a second", mean, rates[relayOf(all, "hall1", 0)])
+				assert.Assert(t, mean <= test.maxAge, "%s", mean)
+				checkBounds(t, all, rates)
+			})
+		})
+	}
+}
+
 // checkRoles checks that each hall has its relays, and that all other daemons are members.
 func checkRoles(t *testing.T, all []*simDaemon) {
 	t.Helper()
--- a/peers/topology.go
+++ b/peers/topology.go
@@ -16,6 +16,9 @@
 	// uplinkCount is the number of daemons of its hall that a member reports to. These are the
 	// relays, and a standby that takes over when a relay fails.
 	uplinkCount = relaysPerHall + 1
+	// maxSmallHall is the number of other daemons in a hall up to which relays send all of them
+	// summaries in each round.
+	maxSmallHall = 36
 	// roundsPerStandbyReport is the number of rounds after which a member reports to the standby
 	// again.
 	roundsPerStandbyReport = 4
@@ -98,12 +101,16 @@
 	return all
 }
 
+// isSmallHall reports whether a relay's hall is so small that all its daemons get the summary of
+// the fleet in each round. Daemons then choose replicas by newer loads.
+func (l layout) isSmallHall() bool { return len(l.hall) <= maxSmallHall }
+
 // splitByTurn splits the daemons of a relay's hall in two for a round. Those in full get its
 // reports, the others only its heartbeat. In even rounds all get the reports, which then hold
 // statuses. In odd rounds of a large hall the relays divide the daemons among them, because
 // summaries may take several datagrams.
 func (l layout) splitByTurn(round int) (full, others []string) {
-	if round%2 == 0 || len(l.hall) <= maxDirectDaemons {
+	if round%2 == 0 || l.isSmallHall() {
 		return l.hall, nil
 	}
 	for i, address := range l.hall {
