--- a/peers/relay_test.go
+++ b/peers/relay_test.go
@@ -100,20 +100,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, 1, func(t *testing.T, n *network) {
-				const samples, interval = 100, 37 * time.Millisecond
 				all := n.addFleet(t, 3, test.perHall, 2)
 				time.Sleep(4 * time.Second)
-				sum, count := time.Duration(0), 0
-				for range samples {
-					time.Sleep(interval)
-					synctest.Wait()
-					for _, d := range all {
-						if d.agent.Role() == Member {
-							sum, count = sum+time.Since(d.loadsMeasuredAt), count+1
-						}
-					}
-				}
-				mean := sum / time.Duration(count)
+				mean := meanAgeOfLoads(all)
 				rates := n.sendRates(all, 2*time.Second)
 				t.Logf("%s old on average; a relay sends %.0f bytes a second", mean, rates[relayOf(all, "hall1", 0)])
 				assert.Assert(t, mean <= test.maxAge, "%s", mean)
@@ -123,6 +112,22 @@
 	}
 }
 
+// meanAgeOfLoads returns how old the loads are that members know, on average over four seconds.
+func meanAgeOfLoads(all []*simDaemon) time.Duration {
+	const samples, interval = 100, 37 * time.Millisecond
+	sum, count := time.Duration(0), 0
+	for range samples {
+		time.Sleep(interval)
+		synctest.Wait()
+		for _, d := range all {
+			if d.agent.Role() == Member {
+				sum, count = sum+time.Since(d.loadsMeasuredAt), count+1
+			}
+		}
+	}
+	return sum / time.Duration(count)
+}
+
 // checkRoles checks that each hall has its relays, and that all other daemons are members.
 func checkRoles(t *testing.T, all []*simDaemon) {
 	t.Helper()
