peers: Decide in one place in which rounds relays send summaries

Cause: found on reading. Whether a summary goes out was decided by parity and hall size in hallMessages, again in crossHallMessages; now layout.sendsSummary says it once.

The bound of 37 daemons had not been measured at its edge: TestReportTrafficFitsSmallLinks now plays five halls of 37 and of 38, too, and both keep the 250 kB.

--- a/peers/agent.go
+++ b/peers/agent.go
@@ -162,9 +162,10 @@
 		return
 	}
 	full, others := l.splitByTurn(round)
-	a.deliver(kindReports, full, now, a.hallMessages(own, now, round, l.isSmallHall())...)
+	withSummary := l.sendsSummary(round)
+	a.deliver(kindReports, full, now, a.hallMessages(own, now, round, withSummary)...)
 	a.deliver(kindHeartbeat, others, now, a.newMessage(own))
-	a.deliver(kindReports, l.otherHalls, now, a.crossHallMessages(own, now, round, l.isSmallHall())...)
+	a.deliver(kindReports, l.otherHalls, now, a.crossHallMessages(own, now, withSummary)...)
 }
 
 // composeHeartbeat returns this daemon's current heartbeat.
--- a/peers/relay_test.go
+++ b/peers/relay_test.go
@@ -66,19 +66,23 @@
 // small link carries, even if the relays run on small machines.
 func TestReportTrafficFitsSmallLinks(t *testing.T) {
 	tests := map[string]struct {
-		largePerHall int
+		perHall, largePerHall int
 	}{
-		"larger machines relay": {largePerHall: 3},
-		"small machines relay":  {},
+		"larger machines relay":             {perHall: 59, largePerHall: 3},
+		"small machines relay":              {perHall: 59},
+		"the largest halls that are small":  {perHall: maxSmallHall + 1},
+		"the smallest halls that are large": {perHall: maxSmallHall + 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, 1, func(t *testing.T, n *network) {
-				all := n.addFleet(t, 5, 59, test.largePerHall)
+				all := n.addFleet(t, 5, test.perHall, test.largePerHall)
 				time.Sleep(4 * time.Second)
 				checkRoles(t, all)
-				checkBounds(t, all, n.sendRates(all, 2*time.Second))
-				for _, d := range []*simDaemon{all[0], all[58], all[200]} {
+				rates := n.sendRates(all, 2*time.Second)
+				t.Logf("a relay sends %.0f bytes a second", rates[relayOf(all, "hall1", 0)])
+				checkBounds(t, all, rates)
+				for _, d := range []*simDaemon{all[0], all[test.perHall-1], all[len(all)*2/3]} {
 					checkKnown(t, d, all, relaysPerHall)
 				}
 			})
--- a/peers/reports.go
+++ b/peers/reports.go
@@ -20,25 +20,22 @@
 )
 
 // hallMessages returns the messages that a relay sends within its hall in a round. Even rounds
-// report on single daemons, odd ones hold the summary of the fleet. In a small hall, even rounds
-// hold the summary as well.
-func (a *Agent) hallMessages(own *Heartbeat, now time.Time, round int, isSmall bool) []*message {
-	setFleet := func(m *message, s *Summary) { m.Fleet = s }
-	if round%2 != 0 {
-		return a.summaryMessages(own, a.fleetSummary(own, now), setFleet)
+// report on single daemons.
+func (a *Agent) hallMessages(own *Heartbeat, now time.Time, round int, withSummary bool) []*message {
+	var all []*message
+	carried := own
+	if round%2 == 0 {
+		all, carried = a.statusMessages(own, now, round), nil
 	}
-	all := a.statusMessages(own, now, round)
-	if isSmall {
-		all = append(all, a.summaryMessages(nil, a.fleetSummary(own, now), setFleet)...)
+	if withSummary {
+		all = append(all, a.summaryMessages(carried, a.fleetSummary(own, now), func(m *message, s *Summary) { m.Fleet = s })...)
 	}
 	return all
 }
 
 // crossHallMessages returns the messages that a relay sends to relays of other halls in a round.
-// Even rounds hold only its heartbeat, odd ones also the summary of its hall. Relays of a small
-// hall send the summary in each round.
-func (a *Agent) crossHallMessages(own *Heartbeat, now time.Time, round int, isSmall bool) []*message {
-	if round%2 == 0 && !isSmall {
+func (a *Agent) crossHallMessages(own *Heartbeat, now time.Time, withSummary bool) []*message {
+	if !withSummary {
 		return []*message{a.newMessage(own)}
 	}
 	return a.summaryMessages(own, a.hallSummary(own, now), func(m *message, s *Summary) { m.Hall = s })
--- a/peers/summaries.go
+++ b/peers/summaries.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// summaryLifetime is how long a relay's summary stays valid. A relay sends one every other round,
+// summaryLifetime is how long a relay's summary stays valid. A relay sends one at least every other round,
 // so several may be lost.
 const summaryLifetime = 2 * time.Second
 
--- a/peers/topology.go
+++ b/peers/topology.go
@@ -105,6 +105,10 @@
 // the fleet in each round. Daemons then choose replicas by newer loads.
 func (l layout) isSmallHall() bool { return len(l.hall) <= maxSmallHall }
 
+// sendsSummary reports whether a relay sends summaries in a round, of the fleet within its hall and
+// of its hall to the relays of others.
+func (l layout) sendsSummary(round int) bool { return round%2 != 0 || l.isSmallHall() }
+
 // splitByTurn splits the daemons of a relay's hall in two for a round. Those in full get its
 // reports, the others only its heartbeat. In even rounds all get the reports, which then hold
 // statuses. In odd rounds of a large hall the relays divide the daemons among them, because
