--- a/proxy/connections.go
+++ b/proxy/connections.go
@@ -32,6 +32,8 @@
 	// onConnection is called for each connection opened or reused.
 	idleShare    func(service string) int
 	onConnection func(service string, reused bool)
+	// onConnectFailed is called for each connection that could not be opened.
+	onConnectFailed func(w *fleet.Worker, err error)
 
 	mu        sync.Mutex
 	idle      map[string][]*connection
@@ -59,10 +61,11 @@
 func newUpstream() *upstream {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &upstream{
-		dial:         dialer.DialContext,
-		idleShare:    func(string) int { return maxIdlePerWorker },
-		onConnection: func(string, bool) {},
-		idle:         make(map[string][]*connection), earlyDrops: make(map[string]earlyDrop),
+		dial:            dialer.DialContext,
+		idleShare:       func(string) int { return maxIdlePerWorker },
+		onConnection:    func(string, bool) {},
+		onConnectFailed: func(*fleet.Worker, error) {},
+		idle:            make(map[string][]*connection), earlyDrops: make(map[string]earlyDrop),
 	}
 }
 
@@ -80,6 +83,7 @@
 func (u *upstream) open(ctx context.Context, w *fleet.Worker) (*connection, error) {
 	raw, err := u.dial(ctx, "tcp", w.Address)
 	if err != nil {
+		u.onConnectFailed(w, err)
 		return nil, &sendError{cause: failure.Wrap(failure.Refused, "connect to worker", w.ID, err)}
 	}
 	u.onConnection(w.Service, false)
--- a/proxy/failover.go
+++ b/proxy/failover.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -36,6 +37,19 @@
 	return errors.As(err, &op) && op.Op == "dial" && op.Timeout()
 }
 
+// connectFailureCause returns the cause of a failed attempt to open a connection, for metrics.
+func connectFailureCause(err error) string {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case isDialTimeout(err):
+		return "timed_out"
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return "canceled"
+	}
+	return "other"
+}
+
 // MarkUnreachable marks a replica as suspected because no connection to its head could be opened. A
 // refused connection always counts. A timeout may be due to a lost packet, and counts only if no
 // stream has recently received an event from the replica. Streams in flight may still complete.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -108,6 +108,9 @@
 		startedAt: time.Now(), done: make(chan struct{}),
 	}
 	r.upstream.idleShare, r.upstream.onConnection = r.idleShare, opts.Meter.CountConnection
+	r.upstream.onConnectFailed = func(w *fleet.Worker, err error) {
+		opts.Meter.CountFailedConnect(w.Service, connectFailureCause(err))
+	}
 	if opts.Dial != nil {
 		r.upstream.dial = opts.Dial
 	}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -46,6 +46,8 @@
 	brokenAttempts metric.Int64Counter
 	// connections counts the connections used for requests to workers, opened or reused.
 	connections metric.Int64Counter
+	// failedConnects counts failed attempts to open a connection to a worker.
+	failedConnects metric.Int64Counter
 	// datagrams and datagramBytes count the datagrams sent to peers and their bytes.
 	datagrams     metric.Int64Counter
 	datagramBytes metric.Int64Counter
@@ -239,6 +241,13 @@
 		metric.WithAttributes(attribute.String("service", service), attribute.String("use", use)))
 }
 
+// CountFailedConnect counts a failed attempt to open a connection to a worker of the service, by
+// cause.
+func (m *Meter) CountFailedConnect(service, cause string) {
+	m.failedConnects.Add(context.Background(), 1,
+		metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
+}
+
 // registerCounters registers the counters whose label values are not fixed in advance.
 func (m *Meter) registerCounters(meter metric.Meter) error {
 	counters := map[*metric.Int64Counter]struct{ name, description string }{
@@ -249,6 +258,7 @@
 		&m.workerSignals:    {"quartzshelf_worker_signals", "What workers asked for in their answers, by event: new, changed, dropped or not understood."},
 		&m.brokenAttempts:   {"quartzshelf_attempts_broken", "Attempts whose connection the worker ended within, by service."},
 		&m.connections:      {"quartzshelf_connections", "Connections that carried requests to workers, by service, opened or reused."},
+		&m.failedConnects:   {"quartzshelf_connects_failed", "Connections to workers that could not be opened, by service and cause."},
 		&m.datagrams:        {"quartzshelf_datagrams", "Datagrams sent to peers, by kind."},
 		&m.datagramBytes:    {"quartzshelf_datagram_bytes", "Bytes of datagrams sent to peers, by kind."},
 		&m.ignoredDatagrams: {"quartzshelf_datagrams_passed_over", "Datagrams of peers that were not understood, by cause."},
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestConnectionsAreExported checks that opened and reused connections are exported for
-// each service.
+// TestConnectionsAreExported checks that opened, reused and failed connections are exported
+// for each service.
 func TestConnectionsAreExported(t *testing.T) {
 	m, err := NewMeter()
 	assert.NilError(t, err)
@@ -18,12 +18,14 @@
 	m.CountConnection("models", true)
 	m.CountConnection("models", true)
 	m.CountConnection("plain", false)
+	m.CountFailedConnect("plain", "refused")
 	recorder := httptest.NewRecorder()
 	m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, want := range []string{
 		`quartzshelf_connections_total{service="models",use="opened"} 1`,
 		`quartzshelf_connections_total{service="models",use="reused"} 2`,
 		`quartzshelf_connections_total{service="plain",use="opened"} 1`,
+		`quartzshelf_connects_failed_total{cause="refused",service="plain"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(recorder.Body.String(), want), "%s in %s", want, recorder.Body)
 	}
