proxy, serving: Forward requests through peers while no worker is reached

Callers of a daemon that had lost its links to all workers got 503 for as long as the partition lasted, and the directory kept sending new ones.

Cause: a failed connection was always taken for the worker's fault. Nothing concluded that the daemon's own links were down, so it stayed ready, suspected one replica after the other, had its peers suspect them too, counted crashes that were none, and as a leader dissolved replicas that served. And a request had no way to a worker but this daemon's own link.

Before a worker is blamed, a few others of its service are now connected to (two, then up to seven more, 0.3 s at most; one check at a time, its result reused for 0.1 s). If none is reached, the links to the service are down: nobody is blamed, requests go on through a ready peer of the nearest hall, the heartbeat says not ready, so that directories leave the daemon out, and it does not lead while others reach all services. Checks are repeated every 0.5 s; a third of the workers tried must be reached for the links to count as up again.

A peer takes a forwarded request like a caller's: key, quarantine, limits, regions and halls are checked there. A mark keeps it from being forwarded again and carries the attempts that may have run; it is not sent to workers. A promise of the peer's own (429, 503) lets another peer be tried unless it holds for all (no capacity, quarantined); after anything else a request that must not be repeated is not sent again. Attempts that reach no worker take nothing from the retry budget, and only the first daemon counts the request.

Ruled out: that withdrawing alone would do. Callers keep addresses for up to three times their lifetime, and five of six daemons may be cut off.

--- a/peers/heartbeat.go
+++ b/peers/heartbeat.go
@@ -80,6 +80,8 @@
 	// are the grant, and the identity except for id and incarnation.
 	Brief bool `json:"brief,omitempty"`
 
+	// Ready is set if callers and peers should prefer the daemon: it can serve and reaches workers of
+	// each service.
 	Ready   bool `json:"ready,omitempty"`
 	Leaving bool `json:"leaving,omitempty"`
 	// Complete is set if the daemon knows all workers. Only such a daemon may lead.
--- a/proxy/buffered.go
+++ b/proxy/buffered.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -9,7 +10,6 @@
 
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/reason"
-	"quartzshelf.dev/fleet"
 )
 
 // maxAnswerBytes limits the body of an answer that is relayed as a whole.
@@ -27,12 +27,12 @@
 // serveBuffered relays a request whose answer is read completely before it is forwarded.
 func (p *Proxy) serveBuffered(w http.ResponseWriter, c *request) *refusal {
 	for {
-		replica, refused := p.choose(c)
+		chosen, refused := p.choose(c)
 		if refused != nil {
 			return c.correctStatus(refused)
 		}
-		got, err := p.tryBuffered(c, replica)
-		if err == nil && !p.shouldRetryAnswer(c, replica, got) {
+		got, err := p.tryBuffered(c, chosen)
+		if err == nil && !p.shouldRetryAnswer(c, chosen, got) {
 			writeAnswer(w, got)
 			return nil
 		}
@@ -40,9 +40,9 @@
 			p.opts.Meter.CountRetry(reason.RetryBroken)
 			continue
 		}
-		mayHaveRun := p.recordFailure(c, replica, err)
-		if !p.takeRetry(c, mayHaveRun) {
-			return p.failureRefusal(c)
+		mayHaveRun, refused := p.recordAttempt(c, chosen, err)
+		if refused != nil {
+			return refused
 		}
 		p.opts.Meter.CountRetry(retryReason(mayHaveRun))
 	}
@@ -57,21 +57,25 @@
 }
 
 // shouldRetryAnswer reports whether another worker should be tried because a worker answered with a
-// server error (5xx). If so, it takes the retry from the budget.
-func (p *Proxy) shouldRetryAnswer(c *request, replica *fleet.Replica, got *answer) bool {
-	if got.status < http.StatusInternalServerError || !c.route.Repeatable() {
+// server error (5xx). If so, it takes the retry from the budget. A peer has already tried others.
+func (p *Proxy) shouldRetryAnswer(c *request, chosen destination, got *answer) bool {
+	if chosen.peer != nil || got.status < http.StatusInternalServerError || !c.route.Repeatable() {
 		return false
 	}
 	c.sends++
-	c.triedReplicas[replica.ID] = true
+	c.triedReplicas[chosen.replica.ID] = true
 	if remaining := p.selectReplicas(c, time.Now()); remaining.IsEmpty() {
 		return false
 	}
 	return p.takeRetry(c, true)
 }
 
-// tryBuffered sends the request to one worker and reads the complete answer.
-func (p *Proxy) tryBuffered(c *request, replica *fleet.Replica) (*answer, error) {
+// tryBuffered sends the request to one replica or peer and reads the complete answer.
+func (p *Proxy) tryBuffered(c *request, chosen destination) (*answer, error) {
+	if chosen.peer != nil {
+		return p.forwardBuffered(c, chosen.peer)
+	}
+	replica := chosen.replica
 	reservation := p.opts.Tracker.Reserve(replica, c.promptTokens)
 	defer reservation.Release()
 	e, err := p.sendTo(c.ctx, c, replica.Head, "")
@@ -82,18 +86,26 @@
 		e.discard()
 		return nil, err
 	}
-	body, err := c.memory.read(e.response.Body, maxAnswerBytes, waitForMemory(c.ctx))
+	got, err := p.readAnswer(c.ctx, c, e, replica.Head.ID)
+	if err != nil {
+		return nil, err
+	}
+	p.recordCompletion(c, e)
+	return got, p.checkSigned(got, replica.Head.ID)
+}
+
+// readAnswer reads the complete answer of a worker or peer.
+func (p *Proxy) readAnswer(ctx context.Context, c *request, e *exchange, sender string) (*answer, error) {
+	body, err := c.memory.read(e.response.Body, maxAnswerBytes, waitForMemory(ctx))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
 	}
 	if err != nil {
 		e.abort()
-		return nil, withCause(c.ctx, replica.Head.ID, &sendError{mayHaveArrived: true, cause: err})
+		return nil, withCause(ctx, sender, &sendError{mayHaveArrived: true, cause: err})
 	}
 	e.finish()
-	p.recordCompletion(c, e)
-	got := &answer{status: e.response.StatusCode, header: forwardedHeaders(e.response.Header), body: body}
-	return got, p.checkSigned(got, replica.Head.ID)
+	return &answer{status: e.response.StatusCode, header: forwardedHeaders(e.response.Header), body: body}, nil
 }
 
 // checkSigned returns an error if an answer with a status below 300 lacks its worker's signature.
--- a/proxy/connections.go
+++ b/proxy/connections.go
@@ -34,6 +34,8 @@
 	onConnection func(service string, reused bool)
 	// onConnectFailed is called for each connection that could not be opened.
 	onConnectFailed func(w *fleet.Worker, err error)
+	// onSlowConnect is called if opening a connection takes longer than slowConnect.
+	onSlowConnect func(w *fleet.Worker)
 
 	mu        sync.Mutex
 	idle      map[string][]*connection
@@ -65,6 +67,7 @@
 		idleShare:       func(string) int { return maxIdlePerWorker },
 		onConnection:    func(string, bool) {},
 		onConnectFailed: func(*fleet.Worker, error) {},
+		onSlowConnect:   func(*fleet.Worker) {},
 		idle:            make(map[string][]*connection), earlyDrops: make(map[string]earlyDrop),
 	}
 }
@@ -81,7 +84,9 @@
 
 // open opens a connection to a worker.
 func (u *upstream) open(ctx context.Context, w *fleet.Worker) (*connection, error) {
+	slow := time.AfterFunc(slowConnect, func() { u.onSlowConnect(w) })
 	raw, err := u.dial(ctx, "tcp", w.Address)
+	slow.Stop()
 	if err != nil {
 		u.onConnectFailed(w, err)
 		return nil, &sendError{cause: failure.Wrap(failure.Refused, "connect to worker", w.ID, err)}
@@ -185,6 +190,17 @@
 	u.closeIdle(worker, 0)
 }
 
+// closeService closes the idle connections to the workers of a service.
+func (u *upstream) closeService(service string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for worker, conns := range u.idle {
+		if len(conns) > 0 && conns[0].service == service {
+			u.closeIdle(worker, 0)
+		}
+	}
+}
+
 // closeAll closes all idle connections.
 func (u *upstream) closeAll() {
 	u.mu.Lock()
--- a/proxy/failover.go
+++ b/proxy/failover.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/quarantine/guard"
 )
 
 // randomPairPeriod is how long after its start a daemon chooses between two random replicas. In
@@ -31,6 +32,11 @@
 	}
 }
 
+// mayBeOwnLinks reports whether an attempt may have failed because of this daemon's own links.
+func mayBeOwnLinks(err error) bool {
+	return guard.IsConnectionBroken(err) || isDialTimeout(err) || errors.Is(err, errReplicaSilent)
+}
+
 // isDialTimeout reports whether an attempt to open a connection timed out.
 func isDialTimeout(err error) bool {
 	var op *net.OpError
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -66,8 +66,14 @@
 	// OnSignal, if not nil, is called after each answer with the limits and pauses that the worker
 	// set in its header. sent is when the request was sent.
 	OnSignal func(w *fleet.Worker, s backpressure.Signal, sent, now time.Time)
-	// Dial opens connections to workers; nil for TCP.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Dial opens connections to workers, DialPeer those to peers; nil for TCP.
+	Dial, DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
+	// Peers returns the other daemons that are alive; nil if there are none. Requests are forwarded
+	// to them while this daemon reaches no worker of the service.
+	Peers func() []Peer
+	// OnLinksChanged, if not nil, is called when this daemon no longer reaches any worker of a
+	// service, or reaches them again.
+	OnLinksChanged func()
 	// CheckSuspension is called before a request is accepted and before a replica is chosen. After
 	// a suspension of the machine, it corrects how old the daemon's information is considered to
 	// be. Nil if the machine is never suspended.
@@ -80,8 +86,12 @@
 
 // Proxy serves callers. It implements http.Handler.
 type Proxy struct {
-	opts           Options
-	upstream       *upstream
+	opts     Options
+	upstream *upstream
+	// peerUpstream manages the connections to peers, forwards the attempts at them.
+	peerUpstream   *upstream
+	forwards       *forwards
+	links          *links
 	budget         *budget
 	callerTimeouts *callerTimeouts
 	guard          *guard.Guard
@@ -103,8 +113,14 @@
 	if opts.CheckSuspension == nil {
 		opts.CheckSuspension = func() {}
 	}
+	if opts.Peers == nil {
+		opts.Peers = func() []Peer { return nil }
+	}
+	if opts.OnLinksChanged == nil {
+		opts.OnLinksChanged = func() {}
+	}
 	r := &Proxy{
-		opts: opts, upstream: newUpstream(), budget: newBudget(opts.Budget), callerTimeouts: newCallerTimeouts(),
+		opts: opts, upstream: newUpstream(), peerUpstream: newUpstream(), forwards: newForwards(), budget: newBudget(opts.Budget), callerTimeouts: newCallerTimeouts(),
 		startedAt: time.Now(), done: make(chan struct{}),
 	}
 	r.upstream.idleShare, r.upstream.onConnection = r.idleShare, opts.Meter.CountConnection
@@ -114,6 +130,11 @@
 	if opts.Dial != nil {
 		r.upstream.dial = opts.Dial
 	}
+	if opts.DialPeer != nil {
+		r.peerUpstream.dial = opts.DialPeer
+	}
+	r.links = newLinks(r)
+	r.upstream.onSlowConnect = func(w *fleet.Worker) { r.links.start(w.Service, w.ID, time.Now()) }
 	r.waitingStreams.cancels = make(map[*request]context.CancelCauseFunc)
 	r.guard = guard.New(guard.Options{
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -132,6 +153,7 @@
 func (p *Proxy) Run(ctx context.Context) {
 	defer close(p.done)
 	defer p.guard.Wait()
+	defer p.links.wait()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	last := time.Now()
@@ -143,6 +165,9 @@
 			now := time.Now()
 			p.opts.Tracker.Sweep(now, now.Sub(last))
 			p.upstream.sweep(now)
+			p.peerUpstream.sweep(now)
+			p.links.sweep(now)
+			p.forwards.sweep(p.opts.Peers)
 			p.guard.Table().Sweep(now)
 			last = now
 		}
@@ -151,7 +176,22 @@
 
 // CloseIdleConnections must be called after a suspension of the machine. It closes the idle
 // connections, because workers may have closed them unnoticed.
-func (p *Proxy) CloseIdleConnections() { p.upstream.closeAll() }
+func (p *Proxy) CloseIdleConnections() {
+	p.upstream.closeAll()
+	p.peerUpstream.closeAll()
+}
+
+// IsCutOff reports whether this daemon reaches no worker of any service.
+func (p *Proxy) IsCutOff() bool { return p.links.areAllDown() }
+
+// IsPartlyCutOff reports whether this daemon reaches no worker of some service.
+func (p *Proxy) IsPartlyCutOff() bool { return p.links.isAnyDown() }
+
+// AfterLinkCheck calls report unless a check shows that this daemon reaches no worker of the given
+// worker's service. It is used before a worker is blamed for a failure.
+func (p *Proxy) AfterLinkCheck(failed *fleet.Worker, report func()) {
+	p.links.afterCheck(failed, report)
+}
 
 func (p *Proxy) random() float64 { return rand.Float64() }
 
@@ -167,7 +207,9 @@
 	}
 	if refused == nil {
 		defer c.cancel()
-		p.budget.addRequest(c.service, c.arrived)
+		if !c.isForwarded {
+			p.budget.addRequest(c.service, c.arrived)
+		}
 		if c.route.Kind == fleet.Stream {
 			refused = p.serveStream(w, c)
 		} else {
@@ -206,16 +248,27 @@
 	return 0
 }
 
-// choose returns the replica for the next attempt, or a refusal if there is none.
-func (p *Proxy) choose(c *request) (*fleet.Replica, *refusal) {
+// choose returns the replica for the next attempt, or a peer if this daemon reaches no worker of the
+// service. It returns a refusal if there is neither.
+func (p *Proxy) choose(c *request) (destination, *refusal) {
 	p.opts.CheckSuspension()
 	now := time.Now()
 	if f := p.checkQuarantine(c, now); f != nil {
-		return nil, f
+		return destination{}, f
 	}
 	if c.tenant != nil && p.IsConfigStale(now) {
-		return nil, newUnavailable(reason.Isolated, "it is not certain which keys are in force", retryUninformed)
+		return destination{}, newUnavailable(reason.Isolated, "it is not certain which keys are in force", retryUninformed)
 	}
+	if p.links.isDown(c.service) {
+		peer, refused := p.choosePeer(c)
+		return destination{peer: peer}, refused
+	}
+	replica, refused := p.chooseReplica(c, now)
+	return destination{replica: replica}, refused
+}
+
+// chooseReplica returns the replica for the next attempt, or a refusal if there is none.
+func (p *Proxy) chooseReplica(c *request, now time.Time) (*fleet.Replica, *refusal) {
 	selection := p.selectReplicas(c, now)
 	// exhausted holds replicas whose last token was taken by another request since they were
 	// classified.
@@ -293,7 +346,28 @@
 	return true
 }
 
-// recordFailure records a failed attempt and returns whether it may have run.
+// recordAttempt records a failed attempt. It returns whether the attempt may have run, and a refusal
+// if no other one may follow.
+func (p *Proxy) recordAttempt(c *request, chosen destination, err error) (mayHaveRun bool, refused *refusal) {
+	canRetry := false
+	if chosen.peer != nil {
+		mayHaveRun = p.recordPeerFailure(c, chosen.peer, err)
+		if f := finalRefusal(err); f != nil {
+			return mayHaveRun, c.correctStatus(f)
+		}
+		canRetry = p.takeRetryAfterPeer(c, mayHaveRun)
+	} else {
+		mayHaveRun = p.recordFailure(c, chosen.replica, err)
+		canRetry = p.takeRetry(c, mayHaveRun)
+	}
+	if !canRetry {
+		return mayHaveRun, p.failureRefusal(c)
+	}
+	return mayHaveRun, nil
+}
+
+// recordFailure records a failed attempt at a replica and returns whether it may have run. If this
+// daemon's own links failed, the replica is not blamed.
 func (p *Proxy) recordFailure(c *request, replica *fleet.Replica, err error) (mayHaveRun bool) {
 	c.lastErr = err
 	c.triedReplicas[replica.ID] = true
@@ -305,6 +379,11 @@
 	}
 	if mayHaveRun && guard.IsConnectionBroken(err) {
 		p.logBroken(c, replica, err)
+	}
+	if mayBeOwnLinks(err) && !p.links.verify(c.ctx, replica.Head) {
+		return mayHaveRun
+	}
+	if mayHaveRun && guard.IsConnectionBroken(err) {
 		p.reportCrash(c, replica)
 	}
 	if !c.isDone() && !errors.Is(err, errQuarantined) {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -34,6 +34,7 @@
 		View: r.inventory.View, Tracker: NewTracker("", func(*fleet.Replica) {}),
 		Budget:    RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 1000, Daemons: func() int { return 1 }},
 		IsLeaving: func() bool { return r.isLeaving }, Meter: meter, Logger: hclog.NewNullLogger(),
+		Peers: r.currentPeers, Dial: r.dialWorker,
 	})
 	var changes []fleet.Change
 	for _, w := range workers {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -47,6 +47,10 @@
 	sends         int
 	rejections    int
 	triedReplicas map[string]bool
+	// triedPeers holds the IDs of the peers at which attempts failed. isForwarded reports whether
+	// a peer forwarded the request to this daemon.
+	triedPeers  map[string]bool
+	isForwarded bool
 	// failedHeads holds the heads of the replicas at which attempts failed, except for rejections
 	// and silence of a single stream. Replicas near these heads may have failed as well.
 	failedHeads []*fleet.Worker
@@ -97,9 +101,10 @@
 	}
 	c := &request{
 		method: h.Method, target: h.RequestURI, host: h.Host, header: h.Header,
-		id: h.Header.Get(p.opts.Names.AttemptID), arrived: time.Now(), triedReplicas: make(map[string]bool),
+		id: h.Header.Get(p.opts.Names.AttemptID), arrived: time.Now(), triedReplicas: make(map[string]bool), triedPeers: make(map[string]bool),
 		memory: requestMemory{bufferLimit: p.opts.BufferLimit},
 	}
+	c.readForwarded()
 	path, _, _ := strings.Cut(c.target, "?")
 	route, ok := config.Route(c.host, path)
 	if !ok {
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -215,3 +215,28 @@
 		}
 	}
 }
+
+// suspectedHeads returns the IDs of the heads of replicas that are suspected to have stopped.
+func (t *Tracker) suspectedHeads(now time.Time) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heads := make(map[string]bool)
+	for id, s := range t.replicas {
+		if t.isSuspected(id, now) {
+			heads[s.replica.Head.ID] = true
+		}
+	}
+	return heads
+}
+
+// clearSuspicions clears the suspicions of a service's replicas. It is called when this daemon's own
+// links, which led to them, are up again.
+func (t *Tracker) clearSuspicions(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.replicas {
+		if s.replica.Service == service {
+			s.suspectedUntil, s.unreachableUntil = time.Time{}, time.Time{}
+		}
+	}
+}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -46,23 +47,23 @@
 	s := &relayedStream{w: w, lastEventID: c.header.Get(p.opts.Names.LastEventID), lastEventAt: c.arrived}
 	p.opts.Tracker.RecordGapTarget(c.model, c.route.GapTarget, c.arrived)
 	for {
-		replica, refused := p.chooseOrWait(c, s)
+		chosen, refused := p.chooseOrWait(c, s)
 		if refused != nil {
 			return p.endStream(c, s, refused)
 		}
-		err := p.tryStream(c, s, replica)
+		err := p.tryStream(c, s, chosen)
 		if err == nil {
 			p.logLate(c, &s.timing)
 			return nil
 		}
 		s.timing.isResuming = true
-		mayHaveRun := p.recordFailure(c, replica, err)
-		if c.isDone() || s.isClientGone || !p.takeRetry(c, mayHaveRun) {
-			return p.endStream(c, s, p.failureRefusal(c))
+		mayHaveRun, refused := p.recordAttempt(c, chosen, err)
+		if refused != nil || s.isClientGone {
+			return p.endStream(c, s, cmp.Or(refused, p.failureRefusal(c)))
 		}
 		pause.Sleep(c.ctx, p.resumeDelay(c, s, time.Now()))
 		if s.isHeadSent {
-			p.opts.Logger.Info("stream resumes", "request", c.id, "from", replica.ID, "after_event", s.lastEventID, "error", err)
+			p.opts.Logger.Info("stream resumes", "request", c.id, "from", chosen.id(), "after_event", s.lastEventID, "error", err)
 			p.opts.Meter.CountRetry(reason.RetryResumed)
 			continue
 		}
@@ -70,12 +71,12 @@
 	}
 }
 
-// chooseOrWait chooses a replica. A stream that has started or is late may wait for one.
-func (p *Proxy) chooseOrWait(c *request, s *relayedStream) (*fleet.Replica, *refusal) {
+// chooseOrWait chooses where to send an attempt. A stream that has started or is late may wait.
+func (p *Proxy) chooseOrWait(c *request, s *relayedStream) (destination, *refusal) {
 	for {
-		replica, refused := p.choose(c)
+		chosen, refused := p.choose(c)
 		if refused == nil || !p.mayWait(c, s, refused, time.Now()) {
-			return replica, refused
+			return chosen, refused
 		}
 		pause.Sleep(c.ctx, resumePollInterval)
 	}
@@ -94,8 +95,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// tryStream sends the request to one replica and relays the answer until the stream is complete.
-func (p *Proxy) tryStream(c *request, s *relayedStream, replica *fleet.Replica) error {
+// tryStream sends the request to one replica or peer and relays the answer until the stream is
+// complete.
+func (p *Proxy) tryStream(c *request, s *relayedStream, chosen destination) error {
+	if chosen.peer != nil {
+		return p.forwardStream(c, s, chosen.peer)
+	}
+	replica := chosen.replica
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	p.waitingStreams.add(c, cancel)
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -229,6 +231,23 @@
 	inventory   *fleet.Inventory
 	confirmedAt time.Time
 	isLeaving   bool
+	// peers are the other daemons. isCut reports whether connections to workers are refused.
+	peers atomic.Pointer[[]Peer]
+	isCut atomic.Bool
+}
+
+func (p *testProxy) currentPeers() []Peer {
+	if all := p.peers.Load(); all != nil {
+		return *all
+	}
+	return nil
+}
+
+func (p *testProxy) dialWorker(ctx context.Context, network, address string) (net.Conn, error) {
+	if p.isCut.Load() {
+		return refuseDial(ctx, network, address)
+	}
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
 }
 
 func (w *fakeWorker) entry() *fleet.Worker {
--- a/serving/entries.go
+++ b/serving/entries.go
@@ -59,7 +59,7 @@
 func (s *Server) entries() []entry {
 	var all []entry
 	if !s.isLeaving.Load() {
-		all = append(all, entry{address: s.opts.Self.ServingAddress, hall: s.opts.Self.Zone, isReady: s.IsReady()})
+		all = append(all, entry{address: s.opts.Self.ServingAddress, hall: s.opts.Self.Zone, isReady: s.isFullyReady()})
 	}
 	alive := s.agent.Table().Alive(time.Now())
 	slices.SortStableFunc(alive, func(a, b *peers.Peer) int { return cmp.Compare(s.hallOrder(a), s.hallOrder(b)) })
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -77,9 +77,14 @@
 	return all
 }
 
-// onStall logs a replica whose stall this daemon detected itself, and reports it to peers and to
-// the reconciler.
+// onStall handles a replica whose stall this daemon detected itself. It reports the stall unless this
+// daemon's own links are down.
 func (s *Server) onStall(r *fleet.Replica) {
+	s.proxy.AfterLinkCheck(r.Head, func() { s.reportStall(r) })
+}
+
+// reportStall logs a stalled replica, and reports it to peers and to the reconciler.
+func (s *Server) reportStall(r *fleet.Replica) {
 	now := time.Now()
 	s.logger.Warn("replica stalled", "replica", r.ID, "head", r.Head.ID)
 	s.suspicions.add(peers.Stall{Replica: r.ID, Head: r.Head.ID}, now)
--- a/serving/links_test.go
+++ b/serving/links_test.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -408,3 +409,43 @@
 		})
 	}
 }
+
+// TestCutHallServesInALargerFleet guards against a data hall whose daemons refuse everything because
+// none of them reaches a worker, and against callers that are turned to a single daemon instead.
+func TestCutHallServesInALargerFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const halls, perHall, headCount = 5, 12, 60
+		var heads []*signalHead
+		for i := range headCount {
+			heads = append(heads, &signalHead{id: fmt.Sprint("head-", i), processingTime: 50 * time.Millisecond})
+		}
+		f := newSignalFleet(t, halls, perHall, heads...)
+		isCutOff := func(daemon string) bool {
+			var index int
+			_, err := fmt.Sscanf(daemon, "daemon-%d", &index)
+			return err == nil && index < perHall
+		}
+		var cut atomic.Bool
+		f.isCut = func(daemon string) bool { return cut.Load() && isCutOff(daemon) }
+		f.sendLoad(300, 2*time.Second)
+		cut.Store(true)
+		for _, s := range f.daemons[:perHall] {
+			f.closeConns(s.opts.Self.ID)
+		}
+		f.sendLoad(300, contactTime)
+		sent, served := f.sent, f.served
+		f.sendLoad(300, 5*time.Second)
+		assert.Equal(t, f.served-served, f.sent-sent)
+		for _, s := range f.daemons {
+			assert.Equal(t, s.isFullyReady(), !isCutOff(s.opts.Self.ID), s.opts.Self.ID)
+			assert.Assert(t, !slices.ContainsFunc(s.AddressesFor(Caller{Host: "h"}), isCutOff), s.opts.Self.ID)
+			assert.Assert(t, len(s.AddressesFor(Caller{Host: "h"})) >= halls-1, s.opts.Self.ID)
+			assert.Equal(t, len(s.suspicions.recentStalls(time.Now())), 0)
+		}
+		cut.Store(false)
+		time.Sleep(contactTime)
+		for _, s := range f.daemons {
+			assert.Assert(t, slices.ContainsFunc(s.AddressesFor(Caller{Host: "h"}), isCutOff), s.opts.Self.ID)
+		}
+	})
+}
--- a/serving/options.go
+++ b/serving/options.go
@@ -99,8 +99,9 @@
 	// unset, HTTP is used at the daemons' addresses.
 	PeerTransport http.RoundTripper
 	ServePeers    func(ctx context.Context, handler http.Handler)
-	// DialWorker opens connections to workers; nil for TCP.
-	DialWorker func(ctx context.Context, network, address string) (net.Conn, error)
+	// DialWorker opens connections to workers, and DialPeer those to the serving addresses of other
+	// daemons; nil for TCP.
+	DialWorker, DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
 	// Suspended returns the total time for which the machine was suspended. It is nil for a machine
 	// that is never suspended.
 	Suspended func() time.Duration
--- a/serving/server.go
+++ b/serving/server.go
@@ -167,6 +167,7 @@
 		RestLimit:   proxy.RequestLimit{Check: s.signals.CheckRest, Take: s.signals.TakeRest, Next: s.signals.NextAfterRest},
 		Tracker:     s.tracker, Budget: budget,
 		NotifyPeers: func() { s.agent.SendHeartbeat(time.Now()) }, IsReplaced: s.isReplaced, OnSignal: s.signals.Observe, Dial: s.opts.DialWorker,
+		DialPeer: s.opts.DialPeer, Peers: s.forwardPeers, OnLinksChanged: func() { s.agent.SendHeartbeat(time.Now()) },
 		CheckSuspension: s.suspensionWatch.Check,
 		IsLeaving:       s.isLeaving.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
 	})
@@ -188,10 +189,11 @@
 }
 
 // canLead reports whether this daemon may lead. It must not be leaving, must have the configuration
-// and all workers, and must have waited for heartbeats of others for listenPeriod.
+// and all workers, must have waited for heartbeats of others for listenPeriod, and must reach workers
+// if any daemon does.
 func (s *Server) canLead() bool {
 	readAt := s.membersReadAt.Load()
-	return !s.isLeaving.Load() && s.hasState() && s.inventory.IsComplete() && readAt != nil && time.Since(*readAt) > listenPeriod
+	return !s.isLeaving.Load() && s.hasState() && s.inventory.IsComplete() && readAt != nil && time.Since(*readAt) > listenPeriod && !s.isWorseLinked()
 }
 
 // storeLastSeen returns when the configuration or the worker list was last known to be the newest.
@@ -245,11 +247,15 @@
 	return err
 }
 
-// IsReady reports whether callers should use this daemon.
+// IsReady reports whether this daemon can serve callers.
 func (s *Server) IsReady() bool {
-	return s.hasState() && s.hasSettled(time.Now()) && !s.isLeaving.Load() && !s.proxy.IsConfigStale(time.Now())
+	return s.hasState() && s.hasSettled(time.Now()) && !s.isLeaving.Load() && !s.proxy.IsConfigStale(time.Now()) && !s.proxy.IsCutOff()
 }
 
+// isFullyReady reports whether callers and peers should prefer this daemon to others that are not. It
+// must be ready and reach workers of each service.
+func (s *Server) isFullyReady() bool { return s.IsReady() && !s.proxy.IsPartlyCutOff() }
+
 // AddressTTL returns how long callers may keep the addresses that AddressesFor returned.
 func (s *Server) AddressTTL() time.Duration { return s.opts.Bounds.AddressTTL }
 
--- a/serving/signals_test.go
+++ b/serving/signals_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -160,6 +161,46 @@
 	return n
 }
 
+// pipeListener accepts connections within the process.
+type pipeListener struct {
+	id     string
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener(id string) *pipeListener {
+	return &pipeListener{id: id, conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// dial connects a daemon to the listener.
+func (l *pipeListener) dial(daemon string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.conns <- daemonConn{Conn: far, daemon: daemon}:
+		return near, nil
+	case <-l.closed:
+		return nil, errHeadClosed
+	}
+}
+
+// Accept, Close and Addr implement net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, errHeadClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return daemonAddr(l.id) }
+
 // slotsPerHead is the number of requests that a head processes at once.
 const slotsPerHead = 17
 
@@ -192,8 +233,13 @@
 	random  *rand.Rand
 	// path is the path of the requests; empty for streams.
 	path string
+	// fronts accept the connections of peers. isCut reports whether a daemon reaches no head.
+	fronts map[string]*pipeListener
+	isCut  func(daemon string) bool
 
 	mu sync.Mutex
+	// conns holds the connections of each daemon to heads.
+	conns map[string][]net.Conn
 	// sent is the number of requests sent. served and refused are the numbers of those with status
 	// 200 and 503.
 	sent, served, refused int
@@ -202,7 +248,10 @@
 // newSignalFleet starts perHall daemons in each hall, in front of heads.
 func newSignalFleet(t *testing.T, halls, perHall int, heads ...*signalHead) *signalFleet {
 	t.Helper()
-	f := &signalFleet{t: t, start: time.Now(), heads: make(map[string]*signalHead), random: rand.New(rand.NewPCG(1, 2))}
+	f := &signalFleet{
+		t: t, start: time.Now(), heads: make(map[string]*signalHead), random: rand.New(rand.NewPCG(1, 2)),
+		fronts: make(map[string]*pipeListener), conns: make(map[string][]net.Conn), isCut: func(string) bool { return false },
+	}
 	network := &fakeNetwork{random: rand.New(rand.NewPCG(1, 1)), inboxes: make(map[string]chan []byte)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
@@ -223,6 +272,11 @@
 	}
 	for _, s := range f.daemons {
 		f.startTasks(ctx, &tasks, s)
+		front := newPipeListener(s.opts.Self.ID)
+		f.fronts[s.opts.Self.ID] = front
+		server := &http.Server{Handler: s.proxy, ReadHeaderTimeout: time.Minute}
+		tasks.Go(func() { _ = server.Serve(front) })
+		servers = append(servers, server)
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -246,6 +300,7 @@
 		Transport: network.transport(id),
 		Source:    store.source(), MemberList: MemberList{Register: store.register, Read: store.read},
 		DialWorker: func(_ context.Context, _, address string) (net.Conn, error) { return f.dial(id, address) },
+		DialPeer:   func(_ context.Context, _, address string) (net.Conn, error) { return f.fronts[address].dial(id) },
 		Logger:     hclog.NewNullLogger(),
 	})
 	assert.NilError(f.t, err)
@@ -281,11 +336,27 @@
 
 // dial connects a daemon to a head.
 func (f *signalFleet) dial(daemon, address string) (net.Conn, error) {
+	if f.isCut(daemon) {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
 	near, far := net.Pipe()
+	f.mu.Lock()
+	f.conns[daemon] = append(f.conns[daemon], near)
+	f.mu.Unlock()
 	f.heads[address].conns <- daemonConn{Conn: far, daemon: daemon}
 	return near, nil
 }
 
+// closeConns closes the connections of a daemon to heads.
+func (f *signalFleet) closeConns(daemon string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns[daemon] {
+		_ = c.Close()
+	}
+	delete(f.conns, daemon)
+}
+
 // call sends a request to a daemon and counts its response.
 func (f *signalFleet) call(s *Server, id string) {
 	request := httptest.NewRequest(http.MethodPost, cmp.Or(f.path, "/stream/"), strings.NewReader("body "+id))
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -48,6 +48,8 @@
 	connections metric.Int64Counter
 	// failedConnects counts failed attempts to open a connection to a worker.
 	failedConnects metric.Int64Counter
+	// forwards counts attempts that were forwarded to peers.
+	forwards metric.Int64Counter
 	// datagrams and datagramBytes count the datagrams sent to peers and their bytes.
 	datagrams     metric.Int64Counter
 	datagramBytes metric.Int64Counter
@@ -248,6 +250,11 @@
 		metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
 }
 
+// CountForward counts an attempt that was forwarded to a peer, by outcome.
+func (m *Meter) CountForward(outcome string) {
+	m.forwards.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // registerCounters registers the counters whose label values are not fixed in advance.
 func (m *Meter) registerCounters(meter metric.Meter) error {
 	counters := map[*metric.Int64Counter]struct{ name, description string }{
@@ -259,6 +266,7 @@
 		&m.brokenAttempts:   {"quartzshelf_attempts_broken", "Attempts whose connection the worker ended within, by service."},
 		&m.connections:      {"quartzshelf_connections", "Connections that carried requests to workers, by service, opened or reused."},
 		&m.failedConnects:   {"quartzshelf_connects_failed", "Connections to workers that could not be opened, by service and cause."},
+		&m.forwards:         {"quartzshelf_forwards", "Attempts forwarded to peers because this daemon reached no worker, by outcome."},
 		&m.datagrams:        {"quartzshelf_datagrams", "Datagrams sent to peers, by kind."},
 		&m.datagramBytes:    {"quartzshelf_datagram_bytes", "Bytes of datagrams sent to peers, by kind."},
 		&m.ignoredDatagrams: {"quartzshelf_datagrams_passed_over", "Datagrams of peers that were not understood, by cause."},
