--- a/proxy/names.go
+++ b/proxy/names.go
@@ -25,6 +25,9 @@
 	// tokens and the maximum number of answer tokens, separated by a comma.
 	Model string
 	Usage string
+	// Prefix is the header with the parts of the prompt, as comma-separated pairs of an ID and a
+	// number of tokens. The last part belongs to the request alone.
+	Prefix string
 	// LastEventID is the header with the ID of the last event that the caller has received.
 	LastEventID string
 	// Priority is the header with the request's priority; 0 is the most urgent.
--- a/serving/crashing_test.go
+++ b/serving/crashing_test.go
@@ -39,7 +39,7 @@
 var crashingHeaders = proxy.HeaderNames{
 	AttemptID: "X-Attempt", Deadline: "X-Deadline", Key: "X-Key", Tenant: "X-Tenant", Instance: "X-Instance",
 	NotRun: "X-Not-Run", Signature: "X-Signature", Model: "X-Model", Usage: "X-Usage",
-	LastEventID: "Last-Event-Id", Priority: "X-Priority",
+	LastEventID: "Last-Event-Id", Priority: "X-Priority", Prefix: "X-Prefix",
 }
 
 // crashingFleet is a group of daemons that exchange heartbeats, in front of heads that crash when
@@ -54,6 +54,10 @@
 	crashCount, sentCount atomic.Int64
 	// waitingCount is the number of requests with waitingBody that have reached a head.
 	waitingCount atomic.Int64
+	// restartsHeads makes heads restart, under new IDs, after they crashed. deadly records the requests
+	// with the deadly part of a prompt, which crash them as well.
+	restartsHeads atomic.Bool
+	deadly        arrivals
 }
 
 // crashingDaemon is a daemon of a crashingFleet. It runs only the tasks that are needed to route
@@ -85,12 +89,24 @@
 		f.crashCount.Add(1)
 		_ = server.Close()
 		f.removeFromLists(id)
+		if f.restartsHeads.Load() {
+			time.AfterFunc(restartTime, func() { f.restartHead(id) })
+		}
 	})
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
+		parts := strings.Split(r.Header.Get(crashingHeaders.Prefix), ",")
+		isDeadly := func(part string) bool { return strings.HasPrefix(part, deadlyPart+":") }
+		if slices.ContainsFunc(parts[:len(parts)-1], isDeadly) {
+			f.deadly.recordSent()
+			time.Sleep(deadlyDelay)
+			f.deadly.recordCrash()
+			crash()
+			panic(http.ErrAbortHandler)
+		}
 		switch string(body) {
 		case crashingBody:
 			crash()
@@ -117,6 +133,34 @@
 		})
 }
 
+// deadlyDelay is the time until a head crashes under a request with the deadly part.
+const deadlyDelay = 50 * time.Millisecond
+
+// stopRestarts stops the restarts of heads.
+func (f *crashingFleet) stopRestarts() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restartsHeads.Store(false)
+}
+
+// restartHead starts a head in place of one that crashed, and adds it to the lists of all daemons.
+func (f *crashingFleet) restartHead(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.restartsHeads.Load() {
+		return
+	}
+	known := len(f.heads)
+	f.startHead(id + "'")
+	var changes []fleet.Change
+	for _, w := range f.heads[known:] {
+		changes = append(changes, fleet.Change{ID: w.ID, Worker: w})
+	}
+	for _, d := range f.daemons {
+		d.inventory.Apply(changes, d.inventory.Position()+1, time.Now())
+	}
+}
+
 // removeFromLists removes a crashed head from the worker lists of all daemons.
 func (f *crashingFleet) removeFromLists(id string) {
 	f.mu.Lock()
