proxy: Take an unframed stream without events for broken

A stream that ends with its connection (neither a length nor chunks) and brought no event was passed on as a whole, empty answer. A worker that crashes as it begins to answer ends just so: its caller got a success without content, and the request was not moved to another worker.

Such an end now counts as a stream that ended within an event. Streams with a length or chunks are not concerned.

--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -99,8 +99,7 @@
 // neither chunked nor has a length doesn't count, since a crash may have cut it short. An answer
 // without the worker's signature doesn't count either.
 func (p *Proxy) recordCompletion(c *request, e *exchange) {
-	isFramed := e.response.ContentLength >= 0 || isChunked(e.response)
-	if isFramed && e.response.Header.Get(p.opts.Names.Signature) != "" {
+	if !e.isUnframed() && e.response.Header.Get(p.opts.Names.Signature) != "" {
 		p.guard.Completed(c.guardRequest())
 	}
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -190,7 +190,7 @@
 			buffer = append(buffer[:0], rest...)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(rest) > 0:
+		case errors.Is(err, io.EOF) && (len(rest) > 0 || !s.isHeadSent && e.isUnframed()):
 			return errPartialEvent
 		case errors.Is(err, io.EOF):
 			s.sendHead(e)
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -160,7 +160,7 @@
 // finish ends an exchange whose answer was read completely. It keeps the connection if the worker
 // allows that, and closes it otherwise.
 func (e *exchange) finish() {
-	if !e.stopCloseOnCancel() || e.response.Close || e.response.ContentLength < 0 && !isChunked(e.response) {
+	if !e.stopCloseOnCancel() || e.response.Close || e.isUnframed() {
 		_ = e.conn.Close()
 		return
 	}
@@ -188,8 +188,10 @@
 	e.finish()
 }
 
-func isChunked(r *http.Response) bool {
-	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
+// isUnframed reports whether the answer has neither a length nor chunks, and ends with its connection.
+func (e *exchange) isUnframed() bool {
+	isChunked := len(e.response.TransferEncoding) > 0 && e.response.TransferEncoding[0] == "chunked"
+	return e.response.ContentLength < 0 && !isChunked
 }
 
 // message is a request as sent to a worker.
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -44,6 +44,9 @@
 	garbles behaviour = "garbles"
 	// stalls sends two events and then nothing.
 	stalls behaviour = "stalls"
+	// vanishes runs the request and ends the connection after the header of an answer that has neither
+	// a length nor chunks.
+	vanishes behaviour = "vanishes"
 	// waits runs the request, but sends nothing.
 	waits behaviour = "waits"
 	// ends runs the request, then closes the connection and stops listening, like a process that
@@ -168,6 +171,9 @@
 		return false
 	case loses:
 		return false
+	case vanishes:
+		writeText(c, "HTTP/1.1 200 OK\r\n"+signedHeader+"Content-Type: text/event-stream\r\n\r\n")
+		return false
 	case waits:
 		// The connection stays open until the peer closes it.
 		_, _ = c.Read(make([]byte, 1))
