--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -190,17 +190,24 @@
 			buffer = append(buffer[:0], rest...)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && (len(rest) > 0 || !s.isHeadSent && e.isUnframed()):
-			return errPartialEvent
 		case errors.Is(err, io.EOF):
-			s.sendHead(e)
-			return nil
+			return s.finish(e, len(rest) > 0)
 		case err != nil:
 			return err
 		}
 	}
 }
 
+// finish ends the stream after the worker's answer has ended. It returns an error if the answer was
+// broken off: within an event, or before the first one if only the end of the connection ends it.
+func (s *relayedStream) finish(e *exchange, isWithinEvent bool) error {
+	if isWithinEvent || !s.isHeadSent && e.isUnframed() {
+		return errPartialEvent
+	}
+	s.sendHead(e)
+	return nil
+}
+
 // sendHead sends the answer's header to the caller, unless a header was sent before.
 func (s *relayedStream) sendHead(e *exchange) {
 	if s.isHeadSent {
