soak, standin: Play requests with a prompt part that crashes workers

Real processes, so that the quarantine of parts is also seen through heartbeats, restarts and an absent store.

--- a/Makefile
+++ b/Makefile
@@ -40,15 +40,16 @@
 	scripts/faults
 
 # soak runs random faults against real daemons. It draws seeds and prints them; replay one with
-# SEEDS=n make soak. Add HALLS=, CRASHING=, DRILLS=, REBORN= or ASKING= to leave out the faults of
+# SEEDS=n make soak. Add HALLS=, CRASHING=, PARTS=, DRILLS=, REBORN= or ASKING= to leave out the faults of
 # that kind, if the seed was drawn without them.
 HALLS := --halls
 CRASHING := --crashing
+PARTS := --parts
 DRILLS := --drills
 REBORN := --reborn
 ASKING := --asking
 soak: build
-	$(SOAK) $(HALLS) $(CRASHING) $(DRILLS) $(REBORN) $(ASKING) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
+	$(SOAK) $(HALLS) $(CRASHING) $(PARTS) $(DRILLS) $(REBORN) $(ASKING) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
 
 # soak-short is the soak of CI. Workers of seed 4 check fences. soak-again runs the seeds that once
 # failed, which are listed in soak/seeds.txt.
@@ -56,6 +57,7 @@
 	$(SOAK) --seeds 1,2,4 --parallel 3 --duration 5s
 	$(SOAK) --halls --seeds 11,12,13 --parallel 3 --duration 8s
 	$(SOAK) --crashing --seeds 21,22,23 --parallel 3 --duration 8s
+	$(SOAK) --parts --seeds 61,62,63 --parallel 3 --duration 12s
 	$(SOAK) --drills --seeds 4176265991,32,33 --parallel 3 --duration 12s
 	$(SOAK) --reborn --seeds 41,42,43 --parallel 3 --duration 8s
 	$(SOAK) --asking --seeds 51,52,54 --parallel 3 --duration 12s
--- a/cmd/soakcmd/run.go
+++ b/cmd/soakcmd/run.go
@@ -50,6 +50,7 @@
 	Duration time.Duration `help:"How long faults strike." default:"15s"`
 	Halls    bool          `help:"Also close, lose and warm up data halls, in two regions."`
 	Crashing bool          `help:"Also send a request that ends each worker which runs it."`
+	Parts    bool          `help:"Also send requests that share a part of their prompts which ends each worker."`
 	Drills   bool          `help:"Also let the store come back from a copy that is seconds old."`
 	Reborn   bool          `help:"Also let workers come back under their id."`
 	Asking   bool          `help:"Also let workers name limits, ask for rest and say in answers that they leave."`
@@ -122,7 +123,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Seed: seed, Program: program, EarlierProgram: earlier, Mix: soak.BuildMix(flags.Mix), Dir: dir, AddressPrefix: loopbackPrefix(index), Daemons: flags.Daemons, Workers: flags.Workers,
-		Callers: flags.Callers, SeriesCount: flags.Series, Duration: flags.Duration, HallFaults: flags.Halls, CrashingRequest: flags.Crashing, StoreRestores: flags.Drills, WorkersKeepIDs: flags.Reborn, WorkerSignals: flags.Asking,
+		Callers: flags.Callers, SeriesCount: flags.Series, Duration: flags.Duration, HallFaults: flags.Halls, CrashingRequest: flags.Crashing, CrashingPart: flags.Parts, StoreRestores: flags.Drills, WorkersKeepIDs: flags.Reborn, WorkerSignals: flags.Asking,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: stderr, Level: level}),
 	})
 	result.Seed = seed
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -120,6 +120,9 @@
 	connReused atomic.Bool
 }
 
+// sharedPart is the first part of all prompts.
+const sharedPart = "5a5a:40"
+
 // sender returns the incarnation of the daemon that gets the request, and the time of sending.
 func (r *call) sender() standin.Sender {
 	return standin.Sender{Daemon: incarnationName(r.daemon, r.incarnation), At: r.sentAt}
@@ -171,6 +174,7 @@
 	if r.kind == standin.Stream {
 		request.Header.Set(standin.HeaderModel, c.run.models[c.random.IntN(len(c.run.models))].Name)
 		request.Header.Set(standin.HeaderUsage, "100,"+strconv.Itoa(r.eventCount))
+		request.Header.Set(standin.HeaderPrefix, sharedPart+","+r.id+":60")
 	}
 	return request
 }
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -21,11 +21,17 @@
 	minCrashDowntime = 2 * time.Second
 )
 
+// The indexes of the callers whose requests crash workers.
+const (
+	crashingBodyCaller = 1000 + iota
+	crashingPartCaller
+)
+
 // sendCrashingRequests sends crashing requests to random daemons until ctx is done. A crashing
-// request crashes every worker that executes it.
-func (r *run) sendCrashingRequests(ctx context.Context) {
-	const crashingCallerIndex = 1000
-	c := newCaller(r, crashingCallerIndex)
+// request crashes every worker that executes it: by its body, or by a part of its prompt while no two
+// bodies are equal.
+func (r *run) sendCrashingRequests(ctx context.Context, callerIndex int) {
+	c := newCaller(r, callerIndex)
 	for ctx.Err() == nil {
 		time.Sleep(minCrashPause + time.Duration(c.random.Int64N(int64(crashPauseSpread))))
 		c.currentDaemon = nil
@@ -45,7 +51,12 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request := c.newRequest(ctx, crashingCall)
-	request.Body = io.NopCloser(strings.NewReader(standin.CrashBody))
+	if c.index == crashingPartCaller {
+		request.Body = io.NopCloser(strings.NewReader("the body of " + crashingCall.id))
+		request.Header.Set(standin.HeaderPrefix, sharedPart+","+standin.CrashPart+":60,"+crashingCall.id+":20")
+	} else {
+		request.Body = io.NopCloser(strings.NewReader(standin.CrashBody))
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		// The daemon may have been killed, or the worker may have crashed during its answer.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -45,6 +45,9 @@
 	Duration time.Duration
 	// CrashingRequest adds a caller whose requests crash every worker that executes them.
 	CrashingRequest bool
+	// CrashingPart adds a caller whose requests share nothing but a part of their prompts, which
+	// crashes every worker that executes them.
+	CrashingPart bool
 	// WorkersKeepIDs makes about half of the restarted workers keep their ID. Otherwise, every
 	// restarted worker gets a new ID.
 	WorkersKeepIDs bool
@@ -320,13 +323,7 @@
 	// The rate of model loads is checked from the first request on. The pause lets the initial
 	// loads end before that.
 	sleep(ctx, settleTime)
-	for i := range r.opts.Callers {
-		c := newCaller(r, i)
-		group.Go(func() { c.sendRequests(backgroundCtx) })
-	}
-	if r.opts.CrashingRequest {
-		group.Go(func() { r.sendCrashingRequests(backgroundCtx) })
-	}
+	r.startCallers(backgroundCtx, group)
 	time.Sleep(time.Second)
 	var series conc.WaitGroup
 	for i := range r.opts.SeriesCount {
@@ -350,6 +347,20 @@
 	return ctx.Err()
 }
 
+// startCallers starts the callers, which send requests until ctx is done.
+func (r *run) startCallers(ctx context.Context, group *conc.WaitGroup) {
+	for i := range r.opts.Callers {
+		c := newCaller(r, i)
+		group.Go(func() { c.sendRequests(ctx) })
+	}
+	if r.opts.CrashingRequest {
+		group.Go(func() { r.sendCrashingRequests(ctx, crashingBodyCaller) })
+	}
+	if r.opts.CrashingPart {
+		group.Go(func() { r.sendCrashingRequests(ctx, crashingPartCaller) })
+	}
+}
+
 func (r *run) awaitServing(ctx context.Context) bool {
 	const pollInterval = 50 * time.Millisecond
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(pollInterval) {
