--- a/proxy/slowcaller_test.go
+++ b/proxy/slowcaller_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,20 +71,20 @@
 // has a caller that reads without delay.
 func TestSilenceBehindSlowCallers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		stopped := false
-		p := newSimulation(t, 1, &simHead{id: "a", isStalled: func() bool { return stopped }})
+		var stopped atomic.Bool
+		p := newSimulation(t, 1, &simHead{id: "a", isStalled: func() bool { return stopped.Load() }})
 		for i := range 5 {
 			p.sendSlowly(0, fmt.Sprint("slow", i), 10*time.Second)
 		}
 		p.call(0, "reads", 0, fullTimeout)
 		time.Sleep(100 * time.Millisecond)
-		stopped = true
+		stopped.Store(true)
 		began := time.Now()
 		for !p.daemons[0].opts.Tracker.hasSuspected("a@1", time.Now()) {
 			time.Sleep(10 * time.Millisecond)
 			assert.Assert(t, time.Since(began) <= nextEventTimeout+2*sweepInterval, "not noticed after %s", time.Since(began))
 		}
-		stopped = false
+		stopped.Store(false)
 		p.calls.Wait()
 	})
 }
