proxy: Pass on long failures in place of a stream whole

A worker's error answer to a stream request was cut at 1 MiB without an error, and its caller got a length that was that of the cut part; the connection was kept though its body had not been read to the end.

The answer is read like that of any other request now: whole, up to the common limit and counted against the daemon's memory; a longer one is an error. The limit of an event still holds within streams.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -116,6 +116,7 @@
 		"all reject":                             {path: "/once/", script: []behaviour{rejects, rejects, rejects, rejects}, status: 503},
 		"a whole stream":                         {path: "/stream/", status: 200, body: wholeStream(), runs: 1},
 		"a broken stream goes on elsewhere":      {path: "/stream/", script: []behaviour{cuts}, status: 200, body: wholeStream(), runs: 2},
+		"a long failure in place of a stream":    {path: "/stream/", script: []behaviour{explains}, status: 400, body: longExplanation, runs: 1},
 		"an unframed stream without events":      {path: "/stream/", script: []behaviour{vanishes}, status: 200, body: wholeStream(), runs: 2},
 		"a torn event is not passed on":          {path: "/stream/", script: []behaviour{tears}, status: 200, body: wholeStream(), runs: 2},
 		"a silent stream goes on elsewhere":      {path: "/stream/", script: []behaviour{stalls}, status: 200, body: wholeStream(), runs: 2},
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -123,7 +123,7 @@
 		return err
 	}
 	if e.response.StatusCode != http.StatusOK || e.response.Header.Get(p.opts.Names.Signature) == "" {
-		return p.handleStreamFailure(c, s, e, replica)
+		return p.handleStreamFailure(ctx, c, s, e, replica)
 	}
 	onEvent := func(now time.Time) {
 		if s.isHeadSent {
@@ -150,15 +150,12 @@
 // handleStreamFailure handles an answer that is not a signed stream. An error status is forwarded
 // if the caller has received nothing yet, but a server error (5xx) only at the last attempt. In all
 // other cases handleStreamFailure returns an error.
-func (p *Proxy) handleStreamFailure(c *request, s *relayedStream, e *exchange, replica *fleet.Replica) error {
-	body, err := io.ReadAll(io.LimitReader(e.response.Body, maxEventBytes))
+func (p *Proxy) handleStreamFailure(ctx context.Context, c *request, s *relayedStream, e *exchange, replica *fleet.Replica) error {
+	got, err := p.readAnswer(ctx, c, e, replica.Head.ID)
 	if err != nil {
-		e.abort()
-		return &sendError{mayHaveArrived: true, cause: err}
+		return err
 	}
-	e.finish()
 	p.recordCompletion(c, e)
-	got := &answer{status: e.response.StatusCode, header: forwardedHeaders(e.response.Header), body: body}
 	if s.isHeadSent || got.status < http.StatusBadRequest || got.status >= http.StatusInternalServerError && c.sends+1 < c.route.MaxAttempts {
 		return &sendError{mayHaveArrived: true, cause: failure.New(failure.Remote, "read stream", replica.Head.ID, "status %d", got.status)}
 	}
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -44,6 +45,8 @@
 	garbles behaviour = "garbles"
 	// stalls sends two events and then nothing.
 	stalls behaviour = "stalls"
+	// explains runs the request and answers with a client error and longExplanation.
+	explains behaviour = "explains"
 	// vanishes runs the request and ends the connection after the header of an answer that has neither
 	// a length nor chunks.
 	vanishes behaviour = "vanishes"
@@ -60,6 +63,9 @@
 	LastEventID: "Last-Event-Id", Priority: "X-Priority", Prefix: "X-Prefix",
 }
 
+// longExplanation is longer than an event of a stream may be.
+var longExplanation = strings.Repeat("because ", maxEventBytes/4)
+
 // fakeEvents is the number of events of a complete stream.
 const fakeEvents = 9
 
@@ -171,6 +177,9 @@
 		return false
 	case loses:
 		return false
+	case explains:
+		writeText(c, "HTTP/1.1 400 Bad\r\n"+signedHeader+"Content-Length: "+strconv.Itoa(len(longExplanation))+"\r\n\r\n"+longExplanation)
+		return true
 	case vanishes:
 		writeText(c, "HTTP/1.1 200 OK\r\n"+signedHeader+"Content-Type: text/event-stream\r\n\r\n")
 		return false
