serving: Give up leading only for services with an engine

A daemon that reached no worker of any one service did not lead while another daemon was fully ready. Where all workers of a small plain service are gone (three of them, say), each daemon notices at its next request for it, so that leaders would have given up one after the other although the model workers, which are all that a leader manages, answered.

Only services with an engine count for leading now. The new test TestLeaderStaysWhenAPlainServiceIsGone failed before ("it may lead").

--- a/proxy/links.go
+++ b/proxy/links.go
@@ -131,26 +131,29 @@
 
 // areAllDown reports whether this daemon reaches no worker of any service.
 func (l *links) areAllDown() bool {
-	if !l.isAnyDown() {
+	down := l.downServices()
+	if len(down) == 0 {
 		return false
 	}
 	for service := range l.servicesWithWorkers() {
-		if !l.isDown(service) {
+		if !slices.Contains(down, service) {
 			return false
 		}
 	}
 	return true
 }
 
-func (l *links) isAnyDown() bool {
+// downServices returns the services of which this daemon reaches no worker.
+func (l *links) downServices() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, s := range l.services {
+	var down []string
+	for service, s := range l.services {
 		if s.isDown {
-			return true
+			down = append(down, service)
 		}
 	}
-	return false
+	return down
 }
 
 func (l *links) servicesWithWorkers() map[string]bool {
@@ -169,7 +172,7 @@
 }
 
 func (l *links) dueChecks(now time.Time) []string {
-	if !l.isAnyDown() {
+	if len(l.downServices()) == 0 {
 		return nil
 	}
 	hasWorkers := l.servicesWithWorkers()
--- a/proxy/links_test.go
+++ b/proxy/links_test.go
@@ -57,12 +57,11 @@
 // against links that are blamed for workers.
 func TestOwnLinksAreBlamedOnly(t *testing.T) {
 	tests := map[string]struct {
-		models, plain  int
-		dial           func(address string) (isOpen, hangs bool)
-		isUp           bool
-		isPlainDown    bool
-		areAllDown     bool
-		checkedService string
+		models, plain int
+		dial          func(address string) (isOpen, hangs bool)
+		isUp          bool
+		isPlainDown   bool
+		areAllDown    bool
 	}{
 		"all are reached":             {models: 30, plain: 3, dial: func(string) (bool, bool) { return true, false }, isUp: true},
 		"only the failed one is gone": {models: 2, plain: 1, dial: func(a string) (bool, bool) { return a != "models-0", false }, isUp: true},
@@ -83,7 +82,7 @@
 				assert.Equal(t, l.isDown("models"), !test.isUp)
 				assert.Equal(t, l.isDown("plain"), test.isPlainDown)
 				assert.Equal(t, l.areAllDown(), test.areAllDown)
-				assert.Equal(t, l.isAnyDown(), !test.isUp)
+				assert.Equal(t, len(l.downServices()) > 0, !test.isUp)
 			})
 		})
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -185,7 +185,22 @@
 func (p *Proxy) IsCutOff() bool { return p.links.areAllDown() }
 
 // IsPartlyCutOff reports whether this daemon reaches no worker of some service.
-func (p *Proxy) IsPartlyCutOff() bool { return p.links.isAnyDown() }
+func (p *Proxy) IsPartlyCutOff() bool { return len(p.links.downServices()) > 0 }
+
+// ReachesEngines reports whether this daemon reaches workers of each service with an engine, as far as
+// it knows.
+func (p *Proxy) ReachesEngines() bool {
+	config := p.opts.Config()
+	if config == nil {
+		return true
+	}
+	for _, name := range p.links.downServices() {
+		if s, ok := config.Service(name); ok && s.Engine != nil {
+			return false
+		}
+	}
+	return true
+}
 
 // AfterLinkCheck calls report unless a check shows that this daemon reaches no worker of the given
 // worker's service. It is used before a worker is blamed for a failure.
--- a/serving/forward.go
+++ b/serving/forward.go
@@ -38,10 +38,11 @@
 	return otherRegion
 }
 
-// isWorseLinked reports whether this daemon reaches no worker of some service, although another
-// daemon reaches workers of each.
+// isWorseLinked reports whether this daemon reaches no worker of some service with an engine, although
+// another daemon reaches workers of each service. Only services with an engine have replicas to
+// manage.
 func (s *Server) isWorseLinked() bool {
-	if !s.proxy.IsPartlyCutOff() {
+	if s.proxy.ReachesEngines() {
 		return false
 	}
 	isReady := func(p *peers.Peer) bool { return p.Ready && !p.Leaving }
--- a/serving/links_test.go
+++ b/serving/links_test.go
@@ -43,6 +43,8 @@
 // daemonLinks connects a daemon with the workers.
 type daemonLinks struct {
 	state atomic.Int32
+	// refused holds the addresses at which no worker accepts connections; nil for none.
+	refused atomic.Pointer[map[string]bool]
 
 	mu    sync.Mutex
 	conns []*linkConn
@@ -91,9 +93,13 @@
 // dial opens a connection to a worker. Like a dialer of the daemon, it gives up after a while.
 func (l *daemonLinks) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	const timeout = 500 * time.Millisecond
+	refusal := &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	if all := l.refused.Load(); all != nil && (*all)[address] {
+		return nil, refusal
+	}
 	switch l.current() {
 	case linksRefuse, linksKept:
-		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+		return nil, refusal
 	case linksHang:
 		select {
 		case <-ctx.Done():
@@ -196,13 +202,16 @@
 			_ = http.NewResponseController(w).Flush()
 		}
 	})}
+	plainListener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
 	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(plainListener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
-	address, hall := listener.Addr().String(), fmt.Sprintf("hall-%d", index%3)
+	hall := fmt.Sprintf("hall-%d", index%3)
 	f.workers = append(f.workers,
-		&fleet.Worker{ID: id, Service: "plain", Address: address, Zone: hall, Slots: 4},
+		&fleet.Worker{ID: id, Service: "plain", Address: plainListener.Addr().String(), Zone: hall, Slots: 4},
 		&fleet.Worker{
-			ID: id + "-model", Service: "models", Address: address, Zone: hall, Domain: fmt.Sprintf("d%d", index/2), Slots: 17, Loaded: "m",
+			ID: id + "-model", Service: "models", Address: listener.Addr().String(), Zone: hall, Domain: fmt.Sprintf("d%d", index/2), Slots: 17, Loaded: "m",
 			Member: fleet.Membership{Group: id, Epoch: 1, State: fleet.Open},
 		})
 }
@@ -449,3 +458,26 @@
 		}
 	})
 }
+
+// TestLeaderStaysWhenAPlainServiceIsGone guards against leaders that give up one after the other because
+// no worker of a service without an engine accepts connections.
+func TestLeaderStaysWhenAPlainServiceIsGone(t *testing.T) {
+	f := newLinkFleet(t, 6, 12)
+	refused := make(map[string]bool)
+	for _, w := range f.workers {
+		refused[w.Address] = w.Service == "plain"
+	}
+	d := f.daemons[0]
+	d.links.refused.Store(&refused)
+	time.Sleep(heartbeatWait)
+	assert.Assert(t, f.call(d, "/once/"), "a peer serves it")
+	assert.Assert(t, d.proxy.IsPartlyCutOff())
+	assert.Assert(t, !d.isFullyReady())
+	assert.Assert(t, d.IsReady(), "it serves the other service")
+	assert.Assert(t, !d.isWorseLinked(), "it may lead")
+	assert.Assert(t, f.call(d, "/stream/"))
+	for _, other := range f.daemons[1:] {
+		other.links.refused.Store(&refused)
+	}
+	assert.Assert(t, !f.call(d, "/safe/"), "no worker accepts connections")
+}
