--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,7 @@
 	$(SOAK) --parallel 4 --drills --duration 12s --seeds $$(sed -n 's/^drill \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 	$(SOAK) --parallel 4 --halls --crashing --drills --reborn --duration 12s --seeds $$(sed -n 's/^all \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 	$(SOAK) --parallel 4 --asking --duration 12s --seeds $$(sed -n 's/^asking \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
+	$(SOAK) --parallel 4 --halls --crashing --parts --drills --reborn --asking --duration 15s --seeds $$(sed -n 's/^every \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 
 # soak-mixed runs random faults against fleets that mix this build and the previous release.
 soak-mixed: build
