proxy: Take no retry for a stream whose caller has left

The request is cancelled at that point, so that no retry is taken, and the replica is not charged a penalty for a failure that was not its own.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -61,9 +60,13 @@
 			return nil
 		}
 		s.timing.isResuming = true
+		if s.isClientGone {
+			// Nobody is left to retry for, and the replica is not to blame.
+			c.cancel()
+		}
 		mayHaveRun, refused := p.recordAttempt(c, chosen, err)
-		if refused != nil || s.isClientGone {
-			return p.endStream(c, s, cmp.Or(refused, p.failureRefusal(c)))
+		if refused != nil {
+			return p.endStream(c, s, refused)
 		}
 		pause.Sleep(c.ctx, p.resumeDelay(c, s, time.Now()))
 		if s.isHeadSent {
