--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -41,3 +41,23 @@
 		table.Report(now, true)
 	}
 }
+
+// BenchmarkEvaluate evaluates a full table of parts, of which some have as many crashes as a record
+// holds and are explained by one of them.
+func BenchmarkEvaluate(b *testing.B) {
+	const suspects = 40
+	table := NewPartTable()
+	for i := range maxRecords - suspects {
+		play(table, crashes(1000+i, 300, 2, fmt.Sprint("rare-", i)))
+	}
+	for i := range suspects {
+		play(table, crashes(1000, 150, maxPartCrashes, fmt.Sprint("suspect-", i)))
+	}
+	play(table, crashes(1000, 150, maxPartCrashes, "other", "deadly"))
+	now := at(6000)
+	table.Evaluate(now)
+	b.ResetTimer()
+	for range b.N {
+		table.Evaluate(now)
+	}
+}
