--- a/proxy/forward_test.go
+++ b/proxy/forward_test.go
@@ -119,7 +119,7 @@
 			_, server := newCutProxy(t, peerAt("first", first.listener), far)
 			got := sendRequest(t, server, test.path, "a", nil)
 			assert.Equal(t, got.status, test.status)
-			assert.Equal(t, got.body == test.body || test.status != http.StatusOK, true, got.body)
+			assert.Assert(t, got.body == test.body || test.status != http.StatusOK, got.body)
 			assert.Equal(t, first.runs("a"), test.first)
 			assert.Equal(t, second.runs("a"), test.second)
 		})
--- a/proxy/links_test.go
+++ b/proxy/links_test.go
@@ -53,9 +53,9 @@
 	return all
 }
 
-// TestOwnLinksAreBlamedOnly guards against workers that are blamed for this daemon's own links, and
+// TestLinksAndWorkersAreToldApart guards against workers that are blamed for this daemon's own links, and
 // against links that are blamed for workers.
-func TestOwnLinksAreBlamedOnly(t *testing.T) {
+func TestLinksAndWorkersAreToldApart(t *testing.T) {
 	tests := map[string]struct {
 		models, plain int
 		dial          func(address string) (isOpen, hangs bool)
--- a/proxy/promptparts_test.go
+++ b/proxy/promptparts_test.go
@@ -55,15 +55,15 @@
 		prefix string
 		status int
 	}{
-		"the part":                   {prefix: "shared:40,deadly:80,own:9", status: http.StatusServiceUnavailable},
+		"the part":                   {prefix: "shared:40,crashing:80,own:9", status: http.StatusServiceUnavailable},
 		"another part":               {prefix: "shared:40,other:80,own:9", status: http.StatusOK},
-		"the last part does not say": {prefix: "shared:40,deadly:80", status: http.StatusOK},
+		"the last part does not say": {prefix: "shared:40,crashing:80", status: http.StatusOK},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			worker := newFakeWorker(t, "w")
 			p, server := newTestProxy(t, worker)
-			quarantinePart(t, p, "deadly")
+			quarantinePart(t, p, "crashing")
 			got := sendRequest(t, server, "/stream/", "a", func(r *http.Request) { r.Header.Set(testNames.Prefix, test.prefix) })
 			assert.Equal(t, got.status, test.status)
 			assert.Equal(t, worker.runs("a") > 0, test.status == http.StatusOK)
@@ -77,8 +77,8 @@
 func TestWaitingStreamIsCanceledWithItsPart(t *testing.T) {
 	worker := newFakeWorker(t, "w", waits)
 	p, server := newTestProxy(t, worker)
-	worker.onRequest = func() { quarantinePart(t, p, "deadly") }
-	got := sendRequest(t, server, "/stream/", "a", func(r *http.Request) { r.Header.Set(testNames.Prefix, "deadly:80,own:9") })
+	worker.onRequest = func() { quarantinePart(t, p, "crashing") }
+	got := sendRequest(t, server, "/stream/", "a", func(r *http.Request) { r.Header.Set(testNames.Prefix, "crashing:80,own:9") })
 	assert.Equal(t, got.status, http.StatusBadGateway)
 	assert.Equal(t, worker.runs("a"), 1)
 }
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -53,7 +53,7 @@
 	for i := range suspects {
 		play(table, crashes(1000, 150, maxPartCrashes, fmt.Sprint("suspect-", i)))
 	}
-	play(table, crashes(1000, 150, maxPartCrashes, "other", "deadly"))
+	play(table, crashes(1000, 150, maxPartCrashes, "other", "crashing"))
 	now := at(6000)
 	table.Evaluate(now)
 	b.ResetTimer()
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -56,7 +56,7 @@
 	return all
 }
 
-// TestPartToBlame guards against a deadly part that stays unknown, and against innocent parts that are
+// TestPartToBlame guards against a crashing part that stays unknown, and against innocent parts that are
 // blamed for the company in which they come.
 func TestPartToBlame(t *testing.T) {
 	joined := func(all ...[]partEvent) []partEvent {
@@ -74,18 +74,18 @@
 		marked []string
 		spared []string
 	}{
-		"four crashes":                       {events: crashes(1000, 300, 4, "deadly"), marked: []string{"deadly"}},
-		"three crashes":                      {events: crashes(1000, 300, 3, "deadly"), spared: []string{"deadly"}},
-		"four crashes in too short a time":   {events: crashes(1000, 110, 4, "deadly"), spared: []string{"deadly"}},
-		"crashes with a common cause":        {events: crashes(1000, 10, 9, "deadly"), spared: []string{"deadly"}},
-		"crashes at a high rate":             {events: crashes(1000, 5, 400, "deadly"), marked: []string{"deadly"}},
-		"a later part explains the first":    {events: crashes(1000, 300, 5, "first", "deadly"), marked: []string{"deadly"}, spared: []string{"first"}},
-		"a later part, at a high rate":       {events: crashes(1000, 5, 400, "first", "deadly"), marked: []string{"deadly"}, spared: []string{"first"}},
-		"a part that is there less often":    {events: joined(crashes(1000, 300, 4, "deadly", "tail"), crashes(2200, 300, 3, "deadly")), marked: []string{"deadly"}, spared: []string{"tail"}},
+		"four crashes":                       {events: crashes(1000, 300, 4, "crashing"), marked: []string{"crashing"}},
+		"three crashes":                      {events: crashes(1000, 300, 3, "crashing"), spared: []string{"crashing"}},
+		"four crashes in too short a time":   {events: crashes(1000, 110, 4, "crashing"), spared: []string{"crashing"}},
+		"crashes with a common cause":        {events: crashes(1000, 10, 9, "crashing"), spared: []string{"crashing"}},
+		"crashes at a high rate":             {events: crashes(1000, 5, 400, "crashing"), marked: []string{"crashing"}},
+		"a later part explains the first":    {events: crashes(1000, 300, 5, "first", "crashing"), marked: []string{"crashing"}, spared: []string{"first"}},
+		"a later part, at a high rate":       {events: crashes(1000, 5, 400, "first", "crashing"), marked: []string{"crashing"}, spared: []string{"first"}},
+		"a part that is there less often":    {events: joined(crashes(1000, 300, 4, "crashing", "tail"), crashes(2200, 300, 3, "crashing")), marked: []string{"crashing"}, spared: []string{"tail"}},
 		"a completed run clears":             {events: joined(crashes(1000, 300, 3, "part"), completion(2000, "part"), crashes(2100, 300, 3, "part")), spared: []string{"part"}},
 		"a run that completes after the end": {events: joined(crashes(1000, 300, 5, "part"), completion(2250, "part")), spared: []string{"part"}},
-		"the last part is cleared":           {events: joined(crashes(1000, 300, 5, "deadly", "tail"), completion(2250, "tail")), marked: []string{"deadly"}, spared: []string{"tail"}},
-		"two deadly parts":                   {events: joined(crashes(1000, 300, 5, "first", "deadly"), crashes(1100, 300, 5, "first", "second"), completion(2350, "first")), marked: []string{"deadly", "second"}, spared: []string{"first"}},
+		"the last part is cleared":           {events: joined(crashes(1000, 300, 5, "crashing", "tail"), completion(2250, "tail")), marked: []string{"crashing"}, spared: []string{"tail"}},
+		"two crashing parts":                 {events: joined(crashes(1000, 300, 5, "first", "crashing"), crashes(1100, 300, 5, "first", "second"), completion(2350, "first")), marked: []string{"crashing", "second"}, spared: []string{"first"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -118,24 +118,24 @@
 // TestPartsBelongToAccounts guards against an account that has another one's requests refused.
 func TestPartsBelongToAccounts(t *testing.T) {
 	table := NewPartTable()
-	play(table, crashes(1000, 300, 8, "deadly"))
+	play(table, crashes(1000, 300, 8, "crashing"))
 	now := at(5000)
 	table.Evaluate(now)
-	assert.Assert(t, table.State(PartOf("account", "deadly").Fingerprint, now).Quarantined)
-	assert.Assert(t, !table.State(PartOf("other", "deadly").Fingerprint, now).Quarantined)
+	assert.Assert(t, table.State(PartOf("account", "crashing").Fingerprint, now).Quarantined)
+	assert.Assert(t, !table.State(PartOf("other", "crashing").Fingerprint, now).Quarantined)
 	assert.Assert(t, PartOf("a", "b").Fingerprint != FingerprintOf("a", "", "", "b", nil))
 }
 
 // TestPartsOfSeveralDaemonsAddUp guards against daemons of which each knows too few crashes.
 func TestPartsOfSeveralDaemonsAddUp(t *testing.T) {
 	tables := []*Table{NewPartTable(), NewPartTable(), NewPartTable()}
-	for i, e := range crashes(1000, 300, 6, "first", "deadly") {
+	for i, e := range crashes(1000, 300, 6, "first", "crashing") {
 		play(tables[i%len(tables)], []partEvent{e})
 	}
 	now := exchangeAll(tables, 2600)
 	for _, table := range tables {
 		table.Evaluate(at(now + 700))
-		assert.Assert(t, isMarked(table, "deadly", now+700))
+		assert.Assert(t, isMarked(table, "crashing", now+700))
 		assert.Assert(t, !isMarked(table, "first", now+700))
 	}
 	assert.Equal(t, len(tables[0].Marks(at(now+700))), 1)
@@ -143,7 +143,7 @@
 }
 
 // TestPartsAmongSoundRequests plays a client account whose requests share parts, while some of them
-// have a deadly one. Workers that crash take the others' runs with them. Only the deadly part may be
+// have a crashing one. Workers that crash take the others' runs with them. Only the crashing part may be
 // quarantined, and soon enough.
 func TestPartsAmongSoundRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -164,40 +164,40 @@
 const minCrashPeriod = 2500
 
 // partSimulation runs requests with parts at workers. A worker crashes soon after it began a request
-// with the deadly part, and is back at once as another life.
+// with the crashing part, and is back at once as another life.
 type partSimulation struct {
 	table     *Table
 	random    *rand.Rand
 	running   [][]partRun
 	lives     []int
 	crashedAt []int
-	// deadlyInterval and soundInterval are the times between two new requests of each kind. deadly are
+	// crashingInterval and soundInterval are the times between two new requests of each kind. crashing are
 	// the parts of the former.
-	deadlyInterval, soundInterval int
-	deadly                        []string
-	// markedAt is when the deadly part was quarantined; zero before.
+	crashingInterval, soundInterval int
+	crashing                        []string
+	// markedAt is when the crashing part was quarantined; zero before.
 	markedAt int
 }
 
 func newPartSimulation(t *rapid.T) *partSimulation {
 	s := &partSimulation{
-		table: NewPartTable(), random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), deadly: []string{"shared", "deadly", "tail"},
-		deadlyInterval: rapid.IntRange(4, 150).Draw(t, "deadly interval") * 10, soundInterval: rapid.IntRange(1, 20).Draw(t, "sound interval") * 10,
+		table: NewPartTable(), random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), crashing: []string{"shared", "crashing", "tail"},
+		crashingInterval: rapid.IntRange(4, 150).Draw(t, "crashing interval") * 10, soundInterval: rapid.IntRange(1, 20).Draw(t, "sound interval") * 10,
 	}
 	// Where each worker crashes before it can complete anything, nothing tells the parts apart.
-	minWorkers := max(4, minCrashPeriod/s.deadlyInterval)
+	minWorkers := max(4, minCrashPeriod/s.crashingInterval)
 	workers := rapid.IntRange(minWorkers, max(30, minWorkers)).Draw(t, "workers")
 	s.running, s.lives = make([][]partRun, workers), make([]int, workers)
-	if rapid.Bool().Draw(t, "the deadly part comes first") {
-		s.deadly = []string{"deadly", "shared", "tail"}
+	if rapid.Bool().Draw(t, "the crashing part comes first") {
+		s.crashing = []string{"crashing", "shared", "tail"}
 	}
 	return s
 }
 
-// addRequests starts the requests that are due. The first two seconds have no deadly ones.
+// addRequests starts the requests that are due. The first two seconds have no crashing ones.
 func (s *partSimulation) addRequests(now int) {
-	if now >= 3000 && now%s.deadlyInterval == 0 {
-		s.start(now, s.deadly)
+	if now >= 3000 && now%s.crashingInterval == 0 {
+		s.start(now, s.crashing)
 	}
 	if now%s.soundInterval == 0 {
 		s.start(now, []string{"shared", fmt.Sprint("middle-", s.random.IntN(4)), "tail"})
@@ -208,20 +208,20 @@
 func (s *partSimulation) evaluate(t *rapid.T, now int) {
 	s.table.Evaluate(at(now))
 	for _, m := range s.table.Marks(at(now)) {
-		if m.Fingerprint != partNamed("deadly").Fingerprint {
+		if m.Fingerprint != partNamed("crashing").Fingerprint {
 			t.Fatalf("an innocent part is quarantined at %d", now)
 		}
 	}
-	if s.markedAt == 0 && isMarked(s.table, "deadly", now) {
+	if s.markedAt == 0 && isMarked(s.table, "crashing", now) {
 		s.markedAt = now
 	}
 }
 
-// partRun is a request at a worker. It ends at a time, by a crash if it is deadly.
+// partRun is a request at a worker. It ends at a time, by a crash if it is crashing.
 type partRun struct {
 	parts           []string
 	sentAt, endsAt  int
-	isDeadly        bool
+	isCrashing      bool
 	attemptsAllowed int
 }
 
@@ -235,10 +235,10 @@
 		if isMarked(s.table, id, now) {
 			return
 		}
-		r.isDeadly = r.isDeadly || id == "deadly"
+		r.isCrashing = r.isCrashing || id == "crashing"
 	}
 	r.sentAt, r.endsAt = now, now+300+s.random.IntN(900)
-	if r.isDeadly {
+	if r.isCrashing {
 		r.endsAt = now + 100 + s.random.IntN(200)
 	}
 	r.attemptsAllowed--
@@ -255,7 +255,7 @@
 			switch {
 			case r.endsAt > now:
 				left = append(left, r)
-			case r.isDeadly:
+			case r.isCrashing:
 				isCrashed = true
 				left = append(left, r)
 			default:
@@ -315,11 +315,11 @@
 // TestManyPartsEvictEachOther guards against a caller whose prompts name ever new parts.
 func TestManyPartsEvictEachOther(t *testing.T) {
 	table := NewPartTable()
-	play(table, crashes(1000, 300, 5, "deadly"))
+	play(table, crashes(1000, 300, 5, "crashing"))
 	table.Evaluate(at(3000))
 	for i := range 2 * maxRecords {
 		play(table, []partEvent{{at: 4000 + i, worker: fmt.Sprint(i), parts: []string{fmt.Sprint("part-", i)}}})
 	}
 	assert.Assert(t, len(table.records) <= maxRecords)
-	assert.Assert(t, isMarked(table, "deadly", 5000))
+	assert.Assert(t, isMarked(table, "crashing", 5000))
 }
--- a/serving/crashing_test.go
+++ b/serving/crashing_test.go
@@ -54,10 +54,10 @@
 	crashCount, sentCount atomic.Int64
 	// waitingCount is the number of requests with waitingBody that have reached a head.
 	waitingCount atomic.Int64
-	// restartsHeads makes heads restart, under new IDs, after they crashed. deadly records the requests
-	// with the deadly part of a prompt, which crash them as well.
+	// restartsHeads makes heads restart, under new IDs, after they crashed. crashing records the requests
+	// with the crashing part of a prompt, which crash them as well.
 	restartsHeads atomic.Bool
-	deadly        arrivals
+	crashing      arrivals
 }
 
 // crashingDaemon is a daemon of a crashingFleet. It runs only the tasks that are needed to route
@@ -99,11 +99,11 @@
 			return
 		}
 		parts := strings.Split(r.Header.Get(crashingHeaders.Prefix), ",")
-		isDeadly := func(part string) bool { return strings.HasPrefix(part, deadlyPart+":") }
-		if slices.ContainsFunc(parts[:len(parts)-1], isDeadly) {
-			f.deadly.recordSent()
-			time.Sleep(deadlyDelay)
-			f.deadly.recordCrash()
+		isCrashing := func(part string) bool { return strings.HasPrefix(part, crashingPart+":") }
+		if slices.ContainsFunc(parts[:len(parts)-1], isCrashing) {
+			f.crashing.recordSent()
+			time.Sleep(crashDelay)
+			f.crashing.recordCrash()
 			crash()
 			panic(http.ErrAbortHandler)
 		}
@@ -133,8 +133,8 @@
 		})
 }
 
-// deadlyDelay is the time until a head crashes under a request with the deadly part.
-const deadlyDelay = 50 * time.Millisecond
+// crashDelay is the time until a head crashes under a request with the crashing part.
+const crashDelay = 50 * time.Millisecond
 
 // stopRestarts stops the restarts of heads.
 func (f *crashingFleet) stopRestarts() {
--- a/serving/promptpart_test.go
+++ b/serving/promptpart_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// deadlyPart is a part of a prompt that crashes each worker that begins to answer a request with it.
-const deadlyPart = "dead01"
+// crashingPart is a part of a prompt that crashes each worker that begins to answer a request with it.
+const crashingPart = "dead01"
 
 const (
 	// restartTime is how long a crashed head is away.
@@ -55,7 +55,7 @@
 	return response.StatusCode, err == nil && response.StatusCode == http.StatusOK && strings.Contains(string(body), "whole")
 }
 
-// arrivals records when requests with the deadly part reached heads, and when heads crashed.
+// arrivals records when requests with the crashing part reached heads, and when heads crashed.
 type arrivals struct {
 	mu              sync.Mutex
 	sent, crashedAt []time.Time
@@ -95,16 +95,16 @@
 	return len(a.crashedAt)
 }
 
-// sendBoth sends deadly and sound requests at an interval, to all daemons in turn. It returns how many
+// sendBoth sends crashing and sound requests at an interval, to all daemons in turn. It returns how many
 // of the later sound ones were sent and served.
-func (f *promptFleet) sendBoth(deadly, sound string, interval time.Duration) (soundSent, soundServed int64) {
+func (f *promptFleet) sendBoth(crashing, sound string, interval time.Duration) (soundSent, soundServed int64) {
 	const duration = 9 * time.Second
 	var calls conc.WaitGroup
 	var sent, served atomic.Int64
 	for began := time.Now(); time.Since(began) < duration; time.Sleep(interval) {
 		isLate := time.Since(began) > 2*contactTime
 		n := f.requestCount.Load()
-		calls.Go(func() { f.send(f.daemons[n%3], "key", deadly) })
+		calls.Go(func() { f.send(f.daemons[n%3], "key", crashing) })
 		calls.Go(func() {
 			_, isWhole := f.send(f.daemons[(n+1)%3], "key", sound)
 			if !isLate {
@@ -125,15 +125,15 @@
 // what they share with these.
 func TestPromptPartThatCrashesWorkers(t *testing.T) {
 	tests := map[string]struct {
-		// deadly returns the prompt of the deadly requests, sound that of the others.
-		deadly, sound string
-		interval      time.Duration
+		// crashing returns the prompt of the crashing requests, sound that of the others.
+		crashing, sound string
+		interval        time.Duration
 	}{
-		"the second part":          {deadly: "shared:40," + deadlyPart + ":80", sound: "shared:40,other:80", interval: 120 * time.Millisecond},
-		"the second of three":      {deadly: "shared:40," + deadlyPart + ":80,tail:10", sound: "shared:40,other:80,tail:10", interval: 120 * time.Millisecond},
-		"the first part":           {deadly: deadlyPart + ":40,tail:10", sound: "shared:40,tail:10", interval: 120 * time.Millisecond},
-		"a request now and then":   {deadly: "shared:40," + deadlyPart + ":80", sound: "shared:40,other:80", interval: 700 * time.Millisecond},
-		"the same with little use": {deadly: "shared:40," + deadlyPart + ":80,tail:10", sound: "shared:40,tail:10", interval: 300 * time.Millisecond},
+		"the second part":          {crashing: "shared:40," + crashingPart + ":80", sound: "shared:40,other:80", interval: 120 * time.Millisecond},
+		"the second of three":      {crashing: "shared:40," + crashingPart + ":80,tail:10", sound: "shared:40,other:80,tail:10", interval: 120 * time.Millisecond},
+		"the first part":           {crashing: crashingPart + ":40,tail:10", sound: "shared:40,tail:10", interval: 120 * time.Millisecond},
+		"a request now and then":   {crashing: "shared:40," + crashingPart + ":80", sound: "shared:40,other:80", interval: 700 * time.Millisecond},
+		"the same with little use": {crashing: "shared:40," + crashingPart + ":80,tail:10", sound: "shared:40,tail:10", interval: 300 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -141,10 +141,10 @@
 			f := &promptFleet{crashingFleet: newCrashingFleet(t, 3, 24)}
 			f.restartsHeads.Store(true)
 			defer f.stopRestarts()
-			soundSent, soundServed := f.sendBoth(test.deadly, test.sound, test.interval)
-			count := f.deadly.sentAfterKnown()
-			assert.Assert(t, count <= maxSendsOfKnownPart, "%d requests with the part were sent after it was known; %d heads crashed", count, f.deadly.crashCount())
-			assert.Assert(t, f.deadly.crashCount() >= crashesUntilKnown-1, "%d heads crashed", f.deadly.crashCount())
+			soundSent, soundServed := f.sendBoth(test.crashing, test.sound, test.interval)
+			count := f.crashing.sentAfterKnown()
+			assert.Assert(t, count <= maxSendsOfKnownPart, "%d requests with the part were sent after it was known; %d heads crashed", count, f.crashing.crashCount())
+			assert.Assert(t, f.crashing.crashCount() >= crashesUntilKnown-1, "%d heads crashed", f.crashing.crashCount())
 			assert.Equal(t, soundServed, soundSent, "sound requests that were served, and sent")
 		})
 	}
--- a/serving/quarantine_test.go
+++ b/serving/quarantine_test.go
@@ -213,17 +213,17 @@
 				const halls, crashCount = 3, 6
 				all := startFakeFleet(t, halls, perHall, 0.03)
 				time.Sleep(5 * time.Second)
-				first, deadly := quarantine.PartOf("a", "first"), quarantine.PartOf("a", "deadly")
+				first, crashing := quarantine.PartOf("a", "first"), quarantine.PartOf("a", "crashing")
 				for i := range crashCount {
 					now := time.Now()
 					s := all[(i%halls+1)*perHall-1-i/halls]
-					s.proxy.Guard().PartTable().BlameParts([]quarantine.Part{first, deadly}, quarantine.Crash{Worker: fmt.Sprint(i), Sent: now.Add(-time.Millisecond), Ended: now}, now)
+					s.proxy.Guard().PartTable().BlameParts([]quarantine.Part{first, crashing}, quarantine.Crash{Worker: fmt.Sprint(i), Sent: now.Add(-time.Millisecond), Ended: now}, now)
 					time.Sleep(200 * time.Millisecond)
 				}
 				time.Sleep(time.Second)
 				for _, s := range all {
 					s.proxy.Guard().Sweep(time.Now())
-					assert.Assert(t, s.proxy.Guard().IsQuarantined(deadly.Fingerprint, time.Now()), "%s does not know of the quarantine", s.opts.Self.ID)
+					assert.Assert(t, s.proxy.Guard().IsQuarantined(crashing.Fingerprint, time.Now()), "%s does not know of the quarantine", s.opts.Self.ID)
 					assert.Assert(t, !s.proxy.Guard().IsQuarantined(first.Fingerprint, time.Now()), "%s holds the first part responsible", s.opts.Self.ID)
 				}
 			})
