proxy, quarantine: Clear parts of prompts by successes alone

A worker's signed error (its own 500, its 504 at the deadline) counted as a completed run and cleared the parts of the request's prompt. A worker that fails requests before it begins to write proves nothing about a part, so that a crashing one could have lost its record, or its quarantine, beside workers that fail part of their requests.

Parts are cleared only by a whole, framed, signed success now. Whole requests are cleared as before. TestAnsweredRunClearsParts: the rows with errors cleared the record before, and keep it now.

--- a/proxy/promptparts_test.go
+++ b/proxy/promptparts_test.go
@@ -83,15 +83,27 @@
 	assert.Equal(t, worker.runs("a"), 1)
 }
 
-// TestCompletedRunClearsParts guards against parts that stay under suspicion although runs with them
-// complete.
-func TestCompletedRunClearsParts(t *testing.T) {
-	worker := newFakeWorker(t, "w")
-	p, server := newTestProxy(t, worker)
-	part := quarantine.PartOf("tenant", "part")
-	p.guard.PartTable().BlameParts([]quarantine.Part{part}, quarantine.Crash{Worker: "x", Sent: time.Now().Add(-time.Second), Ended: time.Now()}, time.Now())
-	sendRequest(t, server, "/stream/", "a", func(r *http.Request) { r.Header.Set(testNames.Prefix, "part:80,own:9") })
-	assert.Equal(t, p.guard.PartTable().State(part.Fingerprint, time.Now()).Crashes, 0)
+// TestAnsweredRunClearsParts guards against parts that stay under suspicion although runs with them are
+// answered, and against crashing ones that a worker's error clears.
+func TestAnsweredRunClearsParts(t *testing.T) {
+	tests := map[string]struct {
+		script  []behaviour
+		crashes int
+	}{
+		"a whole answer":       {},
+		"an error of a worker": {script: []behaviour{fails, fails, fails}, crashes: 1},
+		"a client error":       {script: []behaviour{explains}, crashes: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			worker := newFakeWorker(t, "w", test.script...)
+			p, server := newTestProxy(t, worker)
+			part := quarantine.PartOf("tenant", "part")
+			p.guard.PartTable().BlameParts([]quarantine.Part{part}, quarantine.Crash{Worker: "x", Sent: time.Now().Add(-time.Second), Ended: time.Now()}, time.Now())
+			sendRequest(t, server, "/stream/", "a", func(r *http.Request) { r.Header.Set(testNames.Prefix, "part:80,own:9") })
+			assert.Equal(t, p.guard.PartTable().State(part.Fingerprint, time.Now()).Crashes, test.crashes)
+		})
+	}
 }
 
 // TestTornEventIsABrokenConnection guards against crashes that are not seen because the answer has
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -99,7 +100,11 @@
 // neither chunked nor has a length doesn't count, since a crash may have cut it short. An answer
 // without the worker's signature doesn't count either.
 func (p *Proxy) recordCompletion(c *request, e *exchange) {
-	if !e.isUnframed() && e.response.Header.Get(p.opts.Names.Signature) != "" {
-		p.guard.Completed(c.guardRequest())
+	if e.isUnframed() || e.response.Header.Get(p.opts.Names.Signature) == "" {
+		return
+	}
+	p.guard.Completed(c.guardRequest())
+	if e.response.StatusCode < http.StatusMultipleChoices {
+		p.guard.AnsweredWithSuccess(c.guardRequest())
 	}
 }
--- a/quarantine/guard/guard.go
+++ b/quarantine/guard/guard.go
@@ -162,7 +162,6 @@
 // Completed records that a worker completed a request, which proves that the request does not
 // crash workers.
 func (g *Guard) Completed(r Request) {
-	g.completedParts(r)
 	if g.table.Empty() || !g.table.Clear(r.Fingerprint(), time.Now()) {
 		return
 	}
@@ -198,7 +197,8 @@
 	g.reportMarked([]quarantine.Fingerprint{m.Fingerprint})
 }
 
-// Lift ends the quarantine of a request or part at the request of an operator, and reports whether there was one.
+// Lift ends the quarantine of a request or part at the request of an operator, and reports whether
+// there was one.
 func (g *Guard) Lift(f quarantine.Fingerprint, operator string) bool {
 	now := time.Now()
 	if !g.table.Clear(f, now) && !g.partTable.Clear(f, now) {
--- a/quarantine/guard/part.go
+++ b/quarantine/guard/part.go
@@ -55,9 +55,10 @@
 	g.opts.OnPartsQuarantined(all)
 }
 
-// completedParts records that a worker completed a request, which proves that none of its parts
-// crashes workers.
-func (g *Guard) completedParts(r Request) {
+// AnsweredWithSuccess records that a worker answered a request whole and with success, which proves that
+// none of its parts crashes workers. An error is no proof, since the worker may not have begun to write
+// an answer.
+func (g *Guard) AnsweredWithSuccess(r Request) {
 	if g.partTable.Empty() {
 		return
 	}
