proxy, telemetry: Show each daemon's share of the retry budget, and requests sent again

The output could not tell apart why a fleet sends more retries than its budget allows: requests that are sent to the same worker over a new connection were counted nowhere, and no line said what a daemon takes its share to be.

Added: quartzshelf_retries with retry_resent; quartzshelf_retry_budget by service with allowed, used and daemons; the line "retry budget exhausted", at most one a window; retry_budget in the lines of refused requests and broken streams. No decision changes.

--- a/common/reason/reason.go
+++ b/common/reason/reason.go
@@ -55,12 +55,15 @@
 	Leaving   Reason = "leaving"
 )
 
-// Reasons for which a request was sent again, to another replica.
+// Reasons for which a request was sent again, to another replica unless stated otherwise.
 const (
 	RetryUnreachable Reason = "retry_unreachable"
 	RetryRefused     Reason = "retry_refused"
 	RetryBroken      Reason = "retry_broken"
 	RetryResumed     Reason = "retry_resumed"
+	// RetryResent means that the request was sent to the same worker again, because the worker had
+	// reset a kept connection.
+	RetryResent Reason = "retry_resent"
 )
 
 // Reasons for which a stream was late although the caller received all of it.
@@ -101,7 +104,7 @@
 
 // Retries returns every reason of a retry.
 func Retries() []Reason {
-	return []Reason{RetryUnreachable, RetryRefused, RetryBroken, RetryResumed}
+	return []Reason{RetryUnreachable, RetryRefused, RetryBroken, RetryResumed, RetryResent}
 }
 
 // Ran is what an error answer states about whether the request was run.
--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -46,6 +49,23 @@
 	currentBucket int64
 	requests      [budgetBuckets]float64
 	retries       [budgetBuckets]float64
+	// quietUntil is the time until which exhaustion is not reported again.
+	quietUntil time.Time
+}
+
+// budgetState is a daemon's share of a service's budget, as this daemon knows it.
+type budgetState struct {
+	// requests and retries are those counted in the current window.
+	requests, retries float64
+	// allowed is how many retries this daemon may send in the window.
+	allowed float64
+	// daemons is the number of daemons that share ExtraRetries.
+	daemons int
+}
+
+// String returns the state in its log format.
+func (s budgetState) String() string {
+	return fmt.Sprintf("%g of %g retries, %g requests, %d daemons", s.retries, s.allowed, s.requests, s.daemons)
 }
 
 func newBudget(opts RetryBudget) *budget {
@@ -63,7 +83,7 @@
 	}
 	for counts.currentBucket < bucket {
 		if bucket-counts.currentBucket > budgetBuckets {
-			*counts = windowCounts{currentBucket: bucket}
+			*counts = windowCounts{currentBucket: bucket, quietUntil: counts.quietUntil}
 			break
 		}
 		counts.currentBucket++
@@ -85,27 +105,61 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts, i := b.countsAt(service, now)
-	requests, retries := 0.0, 0.0
-	for p := range budgetBuckets {
-		requests += counts.requests[p]
-		retries += counts.retries[p]
-	}
-	extra := b.opts.ExtraRetries / float64(max(b.opts.Daemons(), 1))
-	if retries+1 > b.roundShare(usedBudgetShare*(b.opts.Ratio*requests+extra), service, now) {
+	state := b.stateOf(counts, service, now)
+	if state.retries+1 > state.allowed {
 		return false
 	}
 	counts.retries[i]++
 	return true
 }
 
+// mustReportExhaustion reports whether the exhaustion of a service's budget must be logged. It
+// does so at most once in a window.
+func (b *budget) mustReportExhaustion(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts, _ := b.countsAt(service, now)
+	if now.Before(counts.quietUntil) {
+		return false
+	}
+	counts.quietUntil = now.Add(b.opts.Window)
+	return true
+}
+
+// state returns the state of a service's budget.
+func (b *budget) state(service string, now time.Time) budgetState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts, _ := b.countsAt(service, now)
+	return b.stateOf(counts, service, now)
+}
+
+// knownServices returns the services that were requested.
+func (b *budget) knownServices() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(maps.Keys(b.services))
+}
+
+// stateOf returns the state of a service's budget. The caller must hold the mutex.
+func (b *budget) stateOf(counts *windowCounts, service string, now time.Time) budgetState {
+	state := budgetState{daemons: max(b.opts.Daemons(), 1)}
+	for p := range budgetBuckets {
+		state.requests += counts.requests[p]
+		state.retries += counts.retries[p]
+	}
+	extra := b.opts.ExtraRetries / float64(state.daemons)
+	state.allowed = b.roundShare(usedBudgetShare*(b.opts.Ratio*state.requests+extra), state.daemons, service, now)
+	return state
+}
+
 // roundShare rounds a daemon's share of retries to a whole number. In a large fleet shares are
 // below one, and no daemon could retry if all rounded down. Daemons therefore round up in turns:
 // one whose share is 2.3 rounds up for 30 % of the time. All daemons round down if the unused part
 // of the budget does not cover the rounding errors.
-func (b *budget) roundShare(share float64, service string, now time.Time) float64 {
+func (b *budget) roundShare(share float64, daemons int, service string, now time.Time) float64 {
 	whole, fraction := math.Modf(share)
-	daemons := float64(max(b.opts.Daemons(), 1))
-	deviation := math.Sqrt(daemons) / 2
+	deviation := math.Sqrt(float64(daemons)) / 2
 	if (1-usedBudgetShare)*b.opts.ExtraRetries < roundingMargin*deviation {
 		return whole
 	}
--- a/proxy/connections.go
+++ b/proxy/connections.go
@@ -32,6 +32,8 @@
 	// onConnection is called for each connection opened or reused.
 	idleShare    func(service string) int
 	onConnection func(service string, reused bool)
+	// onResend is called for each request that is sent to the same worker again.
+	onResend func()
 	// onConnectFailed is called for each connection that could not be opened.
 	onConnectFailed func(w *fleet.Worker, err error)
 	// onSlowConnect is called if opening a connection takes longer than slowConnect.
@@ -66,6 +68,7 @@
 		dial:            dialer.DialContext,
 		idleShare:       func(string) int { return maxIdlePerWorker },
 		onConnection:    func(string, bool) {},
+		onResend:        func() {},
 		onConnectFailed: func(*fleet.Worker, error) {},
 		onSlowConnect:   func(*fleet.Worker) {},
 		idle:            make(map[string][]*connection), earlyDrops: make(map[string]earlyDrop),
--- a/proxy/connections_test.go
+++ b/proxy/connections_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/fleet"
 )
 
@@ -94,6 +95,14 @@
 	}
 }
 
+// TestResendsAreCounted checks that a request sent to the same worker again is exported as a retry.
+func TestResendsAreCounted(t *testing.T) {
+	r, server := newTestProxy(t, newFakeWorker(t, "w", answers, drops))
+	assert.Equal(t, sendRequest(t, server, "/safe/", "first", nil).status, 200)
+	assert.Equal(t, sendRequest(t, server, "/safe/", "second", nil).status, 200)
+	assert.DeepEqual(t, r.opts.Meter.Retries(), map[reason.Reason]int64{reason.RetryResent: 1})
+}
+
 func TestKeepAliveFor(t *testing.T) {
 	tests := map[string]struct {
 		header string
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -124,12 +124,14 @@
 		startedAt: time.Now(), done: make(chan struct{}),
 	}
 	r.upstream.idleShare, r.upstream.onConnection = r.idleShare, opts.Meter.CountConnection
+	r.upstream.onResend = func() { opts.Meter.CountRetry(reason.RetryResent) }
 	r.upstream.onConnectFailed = func(w *fleet.Worker, err error) {
 		opts.Meter.CountFailedConnect(w.Service, connectFailureCause(err))
 	}
 	if opts.Dial != nil {
 		r.upstream.dial = opts.Dial
 	}
+	r.peerUpstream.onResend = r.upstream.onResend
 	if opts.DialPeer != nil {
 		r.peerUpstream.dial = opts.DialPeer
 	}
@@ -202,6 +204,17 @@
 	return true
 }
 
+// RetryBudgets returns the state of this daemon's share of the retry budget of each service, for
+// metrics.
+func (p *Proxy) RetryBudgets() []telemetry.RetryBudget {
+	var all []telemetry.RetryBudget
+	for _, service := range p.budget.knownServices() {
+		state := p.budget.state(service, time.Now())
+		all = append(all, telemetry.RetryBudget{Service: service, Allowed: state.allowed, Used: state.retries, Daemons: state.daemons})
+	}
+	return all
+}
+
 // AfterLinkCheck calls report unless a check shows that this daemon reaches no worker of the given
 // worker's service. It is used before a worker is blamed for a failure.
 func (p *Proxy) AfterLinkCheck(failed *fleet.Worker, report func()) {
@@ -251,7 +264,7 @@
 		service, sends, rejections := c.service, c.sends, c.rejections
 		p.opts.Logger.Info("request refused", "request", c.id, "status", f.status, "reason", string(f.reason),
 			"service", service, "model", c.model, "sends", sends, "rejections", rejections,
-			"ms", time.Since(c.arrived).Milliseconds(), "config", p.configVersion(), "passed_over", f.passedOver, "fingerprint", c.fingerprintIfKnown(), "error", f.cause)
+			"ms", time.Since(c.arrived).Milliseconds(), "config", p.configVersion(), "passed_over", f.passedOver, "retry_budget", c.budgetAtRefusal, "fingerprint", c.fingerprintIfKnown(), "error", f.cause)
 	}
 	f.write(w)
 }
@@ -354,11 +367,24 @@
 	case !mayHaveRun && c.rejections > maxRejections:
 		return false
 	}
-	if !p.budget.takeRetry(c.service, time.Now()) {
-		p.opts.Meter.CountRefusal(reason.RetryBudgetExhausted)
-		return false
+	return p.takeFromBudget(c)
+}
+
+// takeFromBudget takes a retry from the budget of the request's service, and reports whether one was
+// left.
+func (p *Proxy) takeFromBudget(c *request) bool {
+	now := time.Now()
+	if p.budget.takeRetry(c.service, now) {
+		return true
 	}
-	return true
+	state := p.budget.state(c.service, now)
+	c.budgetAtRefusal = state.String()
+	p.opts.Meter.CountRefusal(reason.RetryBudgetExhausted)
+	if p.budget.mustReportExhaustion(c.service, now) {
+		p.opts.Logger.Info("retry budget exhausted", "service", c.service, "retries", state.retries, "allowed", state.allowed,
+			"requests", state.requests, "daemons", state.daemons)
+	}
+	return false
 }
 
 // recordAttempt records a failed attempt. It returns whether the attempt may have run, and a refusal
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -64,6 +64,9 @@
 	// the bound (warm-up, limit or rest) that last refused a token.
 	sendBy         time.Time
 	exhaustedBound reason.Reason
+	// budgetAtRefusal is a log text that describes the retry budget when it refused a retry of this
+	// request; empty if it did not.
+	budgetAtRefusal string
 	// lastErr is the error of the last failed attempt. chosenAt is when a replica was last chosen.
 	lastErr  error
 	chosenAt time.Time
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -98,7 +98,7 @@
 	}
 	p.opts.Meter.CountRefusal(f.reason)
 	p.opts.Logger.Info("stream broken off", "request", c.id, "reason", string(f.reason), "after_event", s.lastEventID,
-		"sends", c.sends, "client_gone", s.isClientGone, "ms", time.Since(c.arrived).Milliseconds(), "error", c.lastErr)
+		"sends", c.sends, "retry_budget", c.budgetAtRefusal, "client_gone", s.isClientGone, "ms", time.Since(c.arrived).Milliseconds(), "error", c.lastErr)
 	panic(http.ErrAbortHandler)
 }
 
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -77,6 +77,7 @@
 		return e, withCause(ctx, w.ID, err)
 	}
 	if c, err = u.open(ctx, w); err == nil {
+		u.onResend()
 		e, err = u.exchange(ctx, c, m)
 	}
 	if err != nil {
--- a/serving/server.go
+++ b/serving/server.go
@@ -136,6 +136,7 @@
 	}
 	meter.ExportGauge("oldest_format", func() float64 { return float64(s.agent.Table().OldestFormat(time.Now())) })
 	meter.ExportDaemons(s.daemonsByBuild)
+	meter.ExportRetryBudgets(s.proxy.RetryBudgets)
 	meter.ExportGauge("halls_closing", s.hallCounter(fleet.HallClosing))
 	meter.ExportGauge("halls_closed", s.hallCounter(fleet.HallClosed))
 	return s, nil
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -65,6 +65,18 @@
 	// daemons returns the number of live daemons, by build. It is nil until ExportDaemons
 	// is called.
 	daemons func() map[Build]int64
+	// retryBudgets returns the daemon's shares of the retry budgets. It is nil until
+	// ExportRetryBudgets is called.
+	retryBudgets func() []RetryBudget
+}
+
+// RetryBudget is the daemon's share of a service's retry budget in the current window.
+type RetryBudget struct {
+	Service string
+	// Allowed and Used are numbers of retries.
+	Allowed, Used float64
+	// Daemons is the number of daemons that share the budget.
+	Daemons int
 }
 
 // Build identifies the source that a daemon was built from and the version of the message
@@ -133,7 +145,7 @@
 		return err
 	}
 	buckets := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.074, 0.1, 0.2, 0.36, 0.5, 1, 2, 5, 10)
-	for _, register := range []func(metric.Meter) error{m.registerCounters, m.registerStoreCalls, m.registerDaemons} {
+	for _, register := range []func(metric.Meter) error{m.registerCounters, m.registerStoreCalls, m.registerDaemons, m.registerRetryBudgets} {
 		if err := register(meter); err != nil {
 			return err
 		}
@@ -318,6 +330,34 @@
 	m.daemons = read
 }
 
+func (m *Meter) registerRetryBudgets(meter metric.Meter) error {
+	_, err := meter.Float64ObservableGauge("quartzshelf_retry_budget",
+		metric.WithDescription("Share of the retry budget in the current window, by service and name."),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			m.mu.Lock()
+			read := m.retryBudgets
+			m.mu.Unlock()
+			if read == nil {
+				return nil
+			}
+			for _, budget := range read() {
+				for name, value := range map[string]float64{"allowed": budget.Allowed, "used": budget.Used, "daemons": float64(budget.Daemons)} {
+					o.Observe(value, metric.WithAttributes(attribute.String("service", budget.Service), attribute.String("name", name)))
+				}
+			}
+			return nil
+		}))
+	return err
+}
+
+// ExportRetryBudgets exports the shares that read returns. The meter calls read whenever the
+// metrics are collected.
+func (m *Meter) ExportRetryBudgets(read func() []RetryBudget) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.retryBudgets = read
+}
+
 func (m *Meter) registerStoreCalls(meter metric.Meter) error {
 	_, err := meter.Int64ObservableCounter("quartzshelf_store_calls",
 		metric.WithDescription("Calls to the store, by what they were for."),
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -31,6 +31,19 @@
 	}
 }
 
+// TestRetryBudgetsAreExported checks that the shares of retry budgets are exported by service.
+func TestRetryBudgetsAreExported(t *testing.T) {
+	m, err := NewMeter()
+	assert.NilError(t, err)
+	m.ExportRetryBudgets(func() []RetryBudget { return []RetryBudget{{Service: "models", Allowed: 12, Used: 3, Daemons: 7}} })
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for name, value := range map[string]string{"allowed": "12", "used": "3", "daemons": "7"} {
+		want := `quartzshelf_retry_budget{name="` + name + `",service="models"} ` + value
+		assert.Assert(t, strings.Contains(recorder.Body.String(), want), "%s in %s", want, recorder.Body)
+	}
+}
+
 // TestStoreCallsAreExported checks that calls to the store are exported by purpose, and that
 // none are exported before ExportStoreCalls is called.
 func TestStoreCallsAreExported(t *testing.T) {
