proxy: Add failing tests of the fleet's retry budget

Callers of a service whose workers fail saw more load on it than the retry budget allows. TestFleetStaysWithinRetryBudget draws fleets of 3 to 986 daemons that restart, join, freeze and are cut off, and whose clocks are set, and checks every window as the rule counts it. TestResendsTakeFromBudget sends a request on a kept connection that the worker resets: it is sent again with no retry left.

--- /dev/null
+++ b/proxy/budgetfleet_test.go
@@ -0,0 +1,256 @@
+package proxy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+	"unsafe"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// The simulation of a fleet's retry budgets runs in steps of fleetStep.
+const (
+	fleetStep   = 100 * time.Millisecond
+	fleetWindow = 10 * time.Second
+	fleetSteps  = 450
+	windowSteps = int(fleetWindow / fleetStep)
+)
+
+// budgetFleet is a fleet of daemons that share a retry budget. It counts what they send.
+type budgetFleet struct {
+	start    time.Time
+	random   *rand.Rand
+	extra    float64
+	daemons  []*budgetDaemon
+	requests [fleetSteps]int
+	retries  [fleetSteps]int
+	// refused is the number of retries that budgets refused.
+	refused int
+}
+
+// budgetDaemon is a daemon of a budgetFleet. Its process may end and start again.
+type budgetDaemon struct {
+	fleet  *budgetFleet
+	id     string
+	budget *budget
+	// side is the side of a network partition that the daemon is on.
+	side int
+	// startsAt is the step at which a killed daemon starts again, resumesAt the step at which a
+	// frozen one goes on.
+	startsAt, resumesAt int
+	// clockOffset is how far the time of day is off at this daemon.
+	clockOffset time.Duration
+	// heard is the number of daemons that this one hears, itself included.
+	heard int
+}
+
+const budgetRatio = 0.2
+
+func newBudgetFleet(random *rand.Rand, daemons int, extra float64) *budgetFleet {
+	f := &budgetFleet{start: time.Now(), random: random, extra: extra}
+	for range daemons {
+		f.join(0, true)
+	}
+	return f
+}
+
+// join adds a daemon. isFirst reports whether the fleet starts for the first time.
+func (f *budgetFleet) join(step int, isFirst bool) {
+	d := &budgetDaemon{fleet: f, id: fmt.Sprint("front-", len(f.daemons))}
+	f.daemons = append(f.daemons, d)
+	d.startProcess(step, isFirst)
+}
+
+func (d *budgetDaemon) startProcess(step int, isFirst bool) {
+	d.heard = 1
+	d.budget = newBudget(RetryBudget{
+		Ratio: budgetRatio, Window: fleetWindow, ExtraRetries: d.fleet.extra, Self: d.id,
+		Daemons: func() int { return d.heard },
+	})
+}
+
+// now returns the time of a step by the daemon's clock.
+func (d *budgetDaemon) now(step int) time.Time {
+	return stepClock(d.fleet.start.Add(time.Duration(step)*fleetStep), d.clockOffset)
+}
+
+func (d *budgetDaemon) isRunning(step int) bool { return step >= d.startsAt && step >= d.resumesAt }
+
+// kill ends the daemon's process. It starts again after some steps.
+func (d *budgetDaemon) kill(step, steps int) {
+	d.startsAt = step + steps
+	d.resumesAt = 0
+	d.startProcess(d.startsAt, false)
+}
+
+// updateHeard updates the number of daemons that each daemon hears.
+func (f *budgetFleet) updateHeard(step int) {
+	running := make(map[int]int)
+	for _, d := range f.daemons {
+		if d.isRunning(step) {
+			running[d.side]++
+		}
+	}
+	for _, d := range f.daemons {
+		if d.isRunning(step) {
+			d.heard = running[d.side]
+		}
+	}
+}
+
+// send sends requests to random daemons. Of each request, retries are wanted.
+func (f *budgetFleet) send(step, requests, retries int) {
+	for range requests {
+		d := f.daemons[f.random.IntN(len(f.daemons))]
+		f.requests[step]++
+		if !d.isRunning(step) {
+			continue
+		}
+		now := d.now(step)
+		d.budget.addRequest("s", now)
+		for range retries {
+			if !d.budget.takeRetry("s", now) {
+				f.refused++
+				break
+			}
+			f.retries[step]++
+		}
+	}
+}
+
+// checkWindows checks that no window has more retries than the budget allows. Requests are counted
+// in that window, the one before it, or the one half a window before, whichever has the most.
+func (f *budgetFleet) checkWindows(t assert.TestingT) {
+	requestsFrom := func(first int) int {
+		sum := 0
+		for i := max(first, 0); i < first+windowSteps; i++ {
+			sum += f.requests[i]
+		}
+		return sum
+	}
+	for first := range fleetSteps - windowSteps {
+		retries := 0
+		for i := first; i < first+windowSteps; i++ {
+			retries += f.retries[i]
+		}
+		requests := max(requestsFrom(first), requestsFrom(first-windowSteps/2), requestsFrom(first-windowSteps))
+		allowed := budgetRatio*float64(requests) + f.extra
+		assert.Assert(t, float64(retries) <= allowed, "%d retries from step %d, %g allowed", retries, first, allowed)
+	}
+}
+
+// stepClock returns a time whose time of day is off by offset, while its monotonic reading is
+// unchanged. Package time offers no way to make one.
+func stepClock(t time.Time, offset time.Duration) time.Time {
+	const secondsShift = 30
+	stepped := t
+	// The first word holds the seconds of the time of day above its nanoseconds.
+	*(*uint64)(unsafe.Pointer(&stepped)) += uint64(int64(offset/time.Second) << secondsShift)
+	if stepped.Sub(t) != 0 || stepped.Round(0).Sub(t.Round(0)) != offset {
+		panic("the layout of time.Time has changed")
+	}
+	return stepped
+}
+
+// budgetEvents are the disruptions of a budgetFleet. Each strikes the given daemons.
+var budgetEvents = map[string]func(struck []*budgetDaemon, step, steps int){
+	"kill": func(struck []*budgetDaemon, step, steps int) {
+		for _, d := range struck {
+			d.kill(step, steps)
+		}
+	},
+	"freeze": func(struck []*budgetDaemon, step, steps int) {
+		for _, d := range struck {
+			d.resumesAt = step + steps
+		}
+	},
+	"cut": func(struck []*budgetDaemon, _, steps int) {
+		for i, d := range struck {
+			d.side = 1 + i%steps
+		}
+	},
+	"heal": func(struck []*budgetDaemon, _, _ int) {
+		for _, d := range struck[:1] {
+			for _, other := range d.fleet.daemons {
+				other.side = 0
+			}
+		}
+	},
+	"clock ahead": func(struck []*budgetDaemon, _, steps int) {
+		for _, d := range struck {
+			d.clockOffset = time.Duration(steps) * 10 * time.Second
+		}
+	},
+	"clock back": func(struck []*budgetDaemon, _, steps int) {
+		for _, d := range struck {
+			d.clockOffset = -time.Duration(steps) * 10 * time.Second
+		}
+	},
+	"join": func(struck []*budgetDaemon, step, _ int) {
+		f := struck[0].fleet
+		for range max(len(struck)/4, 1) {
+			f.join(step, false)
+		}
+	},
+}
+
+// play runs the fleet with events drawn for each second, while all requests fail in some seconds.
+func (f *budgetFleet) play(t *rapid.T, kinds []string) {
+	const stepsPerSecond = 10
+	perStep := rapid.IntRange(1, 40).Draw(t, "requests per step")
+	failing, retries := false, 1
+	for step := range fleetSteps {
+		if step%stepsPerSecond == 0 {
+			failing = rapid.IntRange(0, 2).Draw(t, "failing") > 0
+			retries = rapid.IntRange(1, 3).Draw(t, "retries")
+			if step > 0 && rapid.IntRange(0, 3).Draw(t, "quiet") == 0 {
+				f.strike(t, kinds, step)
+			}
+		}
+		f.updateHeard(step)
+		wanted := 0
+		if failing {
+			wanted = retries
+		}
+		f.send(step, perStep, wanted)
+	}
+}
+
+func (f *budgetFleet) strike(t *rapid.T, kinds []string, step int) {
+	kind := rapid.SampledFrom(kinds).Draw(t, "kind")
+	share := rapid.SampledFrom([]float64{0, 0.3, 0.6, 1}).Draw(t, "share")
+	steps := rapid.IntRange(1, 40).Draw(t, "steps")
+	struck := make([]*budgetDaemon, 0, len(f.daemons))
+	for _, i := range f.random.Perm(len(f.daemons))[:max(int(share*float64(len(f.daemons))), 1)] {
+		struck = append(struck, f.daemons[i])
+	}
+	budgetEvents[kind](struck, step, steps)
+}
+
+// TestFleetStaysWithinRetryBudget guards against fleets that send more retries than their budget
+// allows while daemons restart, join, freeze and are cut off, and clocks are set.
+func TestFleetStaysWithinRetryBudget(t *testing.T) {
+	tests := map[string][]string{
+		"restarts":    {"kill"},
+		"clocks":      {"clock ahead", "clock back"},
+		"partitions":  {"cut", "heal"},
+		"freezes":     {"freeze"},
+		"joins":       {"join"},
+		"all of them": {"kill", "clock ahead", "clock back", "cut", "heal", "freeze", "join"},
+	}
+	for name, kinds := range tests {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				daemons := rapid.SampledFrom([]int{3, 7, 7, 70, 986}).Draw(t, "daemons")
+				extra := rapid.SampledFrom([]float64{5, 109, 132, 400, 1040}).Draw(t, "extra")
+				random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+				f := newBudgetFleet(random, daemons, extra)
+				f.play(t, kinds)
+				f.checkWindows(t)
+			})
+		})
+	}
+}
--- a/proxy/connections_test.go
+++ b/proxy/connections_test.go
@@ -103,6 +103,30 @@
 	assert.DeepEqual(t, r.opts.Meter.Retries(), map[reason.Reason]int64{reason.RetryResent: 1})
 }
 
+// TestResendsTakeFromBudget guards against requests that are sent to the same worker again although
+// the retry budget is used up.
+func TestResendsTakeFromBudget(t *testing.T) {
+	tests := map[string]struct {
+		extra  float64
+		status int
+		runs   int
+	}{
+		"a retry is left":  {extra: 2, status: 200, runs: 1},
+		"no retry is left": {extra: 0, status: 502},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			worker := newFakeWorker(t, "w", answers, drops)
+			r, server := newTestProxy(t, worker)
+			r.budget.opts.Ratio, r.budget.opts.ExtraRetries = 0, test.extra
+			assert.Equal(t, sendRequest(t, server, "/safe/", "first", nil).status, 200)
+			assert.Equal(t, sendRequest(t, server, "/safe/", "second", nil).status, test.status)
+			assert.Equal(t, worker.runs("second"), test.runs)
+			assert.Equal(t, r.budget.state("plain", time.Now()).retries, float64(test.runs))
+		})
+	}
+}
+
 func TestKeepAliveFor(t *testing.T) {
 	tests := map[string]struct {
 		header string
