proxy: Take a retry from the budget for a request that is sent to the same worker again

Callers of a service whose workers reset connections saw it loaded beyond the retry budget: a request on a kept connection that was reset went to the same worker again within 2 ms, and the budget was not asked. In one record a request with two attempts arrived four times.

Ruled out: that workers only drop idle connections there.

The mend holds because upstream.send is the only place that sends a message twice, to workers as to peers, and it now asks the message, which asks the budget.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -151,6 +151,7 @@
 	return &message{
 		method: c.method, encoded: encode(c.method, c.target, c.host, header, c.body),
 		attempt: c.id, attemptName: names.AttemptID, atMostOnce: !c.route.Repeatable(),
+		takeRetry: func() bool { return p.takeFromBudget(c) },
 	}
 }
 
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -278,6 +278,7 @@
 	return &message{
 		method: c.method, encoded: encode(c.method, c.target, c.host, header, c.body),
 		sendBy: c.sendBy, attempt: c.id, attemptName: names.AttemptID, atMostOnce: !c.route.Repeatable(),
+		takeRetry: func() bool { return p.takeFromBudget(c) },
 	}
 }
 
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -64,8 +64,8 @@
 
 // send sends a request and returns once the header of its answer has arrived. The connection is
 // closed as soon as ctx ends. If the worker resets a kept connection instead of answering, the
-// request is sent again over a new one. A request that may have arrived is not sent again if it
-// must run at most once or if its token allows only one send.
+// request is sent again over a new one. A request that may have arrived is sent again only if the
+// message allows it.
 func (u *upstream) send(ctx context.Context, w *fleet.Worker, m *message) (*exchange, error) {
 	c, err := u.get(ctx, w, maxIdleFor(m.atMostOnce))
 	if err != nil {
@@ -73,7 +73,7 @@
 	}
 	e, err := u.exchange(ctx, c, m)
 	sent := mayHaveArrived(err)
-	if err == nil || c.idleBefore == 0 || ctx.Err() != nil || !isReset(err) || sent && (m.atMostOnce || m.hasToken()) {
+	if err == nil || c.idleBefore == 0 || ctx.Err() != nil || !isReset(err) || sent && !m.takeResend() {
 		return e, withCause(ctx, w.ID, err)
 	}
 	if c, err = u.open(ctx, w); err == nil {
@@ -206,8 +206,15 @@
 	sendBy time.Time
 	// atMostOnce reports whether the request must not be repeated.
 	atMostOnce bool
+	// takeRetry takes a retry from the budget and reports whether one was left.
+	takeRetry func() bool
 }
 
+// takeResend reports whether a message that may have arrived may be sent to the same worker again. It
+// must not if the request must run at most once, or if its token allows only one send. Otherwise it
+// takes a retry from the budget.
+func (m *message) takeResend() bool { return !m.atMostOnce && !m.hasToken() && m.takeRetry() }
+
 // encode writes a request's header and body into one buffer.
 func encode(method, target, host string, header http.Header, body []byte) []byte {
 	var b bytes.Buffer
