proxy: Count retries by the monotonic clock

Callers of a service whose workers fail saw it loaded beyond the retry budget when the time of day was set. Windows went by the time of day: set ahead, a daemon forgot the retries of its window; set back, it dropped no request and no retry until the clock had caught up, so that requests of a minute allowed the retries of one window.

Ruled out: that the clock only speeds up a daemon's turns.

The mend holds because all that the budget derives from a time is now its distance from the start of the process, which setting a clock doesn't change.

--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -39,6 +39,9 @@
 // budget counts a daemon's requests and retries by service.
 type budget struct {
 	opts RetryBudget
+	// startedAt is when this process started. Windows are measured from it by the monotonic clock,
+	// because the time of day may be set.
+	startedAt time.Time
 
 	mu       sync.Mutex
 	services map[string]*windowCounts
@@ -68,14 +71,14 @@
 	return fmt.Sprintf("%g of %g retries, %g requests, %d daemons", s.retries, s.allowed, s.requests, s.daemons)
 }
 
-func newBudget(opts RetryBudget) *budget {
-	return &budget{opts: opts, services: make(map[string]*windowCounts)}
+func newBudget(opts RetryBudget, now time.Time) *budget {
+	return &budget{opts: opts, startedAt: now, services: make(map[string]*windowCounts)}
 }
 
 // countsAt returns the counts of a service after clearing buckets older than the window, and the
 // index of the current bucket.
 func (b *budget) countsAt(service string, now time.Time) (*windowCounts, int) {
-	bucket := now.UnixNano() / (int64(b.opts.Window) / budgetBuckets)
+	bucket := int64(now.Sub(b.startedAt) / (b.opts.Window / budgetBuckets))
 	counts, ok := b.services[service]
 	if !ok {
 		counts = &windowCounts{currentBucket: bucket}
@@ -163,7 +166,7 @@
 	if (1-usedBudgetShare)*b.opts.ExtraRetries < roundingMargin*deviation {
 		return whole
 	}
-	cycles := float64(now.UnixNano()) / float64(roundingWindows*b.opts.Window.Nanoseconds())
+	cycles := float64(now.Sub(b.startedAt)) / float64(roundingWindows*b.opts.Window)
 	if _, position := math.Modf(b.turnOffset(service) + cycles); position < fraction {
 		return whole + 1
 	}
--- a/proxy/budget_test.go
+++ b/proxy/budget_test.go
@@ -9,13 +9,16 @@
 	"gotest.tools/v3/assert"
 )
 
+// budgetStart is when the simulations of budgets start.
+var budgetStart = time.Unix(1_700_000_000, 0)
+
 // fleetBudgets returns the budgets of all daemons of a fleet.
 func fleetBudgets(daemons int, extra float64) []*budget {
 	var all []*budget
 	for i := range daemons {
 		all = append(all, newBudget(RetryBudget{
 			Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: extra, Self: fmt.Sprint("front-", i), Daemons: func() int { return daemons },
-		}))
+		}, budgetStart))
 	}
 	return all
 }
@@ -49,7 +52,7 @@
 	all, random := fleetBudgets(l.daemons, l.extra), rand.New(rand.NewPCG(3, 3))
 	var counts budgetCounts
 	for step := range counts.requests {
-		now := time.Unix(1_700_000_000, 0).Add(time.Duration(step) * time.Second / 10)
+		now := budgetStart.Add(time.Duration(step) * time.Second / 10)
 		for range l.perSecond / 10 {
 			b := all[random.IntN(len(all))]
 			b.addRequest("s", now)
--- a/proxy/budgetfleet_test.go
+++ b/proxy/budgetfleet_test.go
@@ -69,7 +69,7 @@
 	d.budget = newBudget(RetryBudget{
 		Ratio: budgetRatio, Window: fleetWindow, ExtraRetries: d.fleet.extra, Self: d.id,
 		Daemons: func() int { return d.heard },
-	})
+	}, d.now(step))
 }
 
 // now returns the time of a step by the daemon's clock.
@@ -254,3 +254,23 @@
 		})
 	}
 }
+
+// TestBudgetIgnoresClockSteps guards against retries that are forgotten, or requests that never
+// expire, when the time of day is set.
+func TestBudgetIgnoresClockSteps(t *testing.T) {
+	for name, offset := range map[string]time.Duration{"ahead": time.Hour, "back": -time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			b := newBudget(RetryBudget{Ratio: budgetRatio, Window: fleetWindow, ExtraRetries: 10, Daemons: func() int { return 1 }}, start)
+			for b.takeRetry("s", start) {
+			}
+			used := b.state("s", start).retries
+			for second := range 30 {
+				at := stepClock(start.Add(time.Duration(second)*time.Second), offset)
+				b.addRequest("s", at)
+				assert.Equal(t, b.state("s", at).retries, used*float64(1-min(second/10, 1)), "second %d", second)
+				assert.Assert(t, b.state("s", at).requests <= 10)
+			}
+		})
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -119,9 +119,10 @@
 	if opts.OnLinksChanged == nil {
 		opts.OnLinksChanged = func() {}
 	}
+	now := time.Now()
 	r := &Proxy{
-		opts: opts, upstream: newUpstream(), peerUpstream: newUpstream(), forwards: newForwards(), budget: newBudget(opts.Budget), callerTimeouts: newCallerTimeouts(),
-		startedAt: time.Now(), done: make(chan struct{}),
+		opts: opts, upstream: newUpstream(), peerUpstream: newUpstream(), forwards: newForwards(), budget: newBudget(opts.Budget, now), callerTimeouts: newCallerTimeouts(),
+		startedAt: now, done: make(chan struct{}),
 	}
 	r.upstream.idleShare, r.upstream.onConnection = r.idleShare, opts.Meter.CountConnection
 	r.upstream.onResend = func() { opts.Meter.CountRetry(reason.RetryResent) }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -238,7 +238,7 @@
 
 func TestBudget(t *testing.T) {
 	start := time.Unix(1000, 0)
-	b := newBudget(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 20, Daemons: func() int { return 2 }})
+	b := newBudget(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 20, Daemons: func() int { return 2 }}, start)
 	retries := 0
 	for b.takeRetry("s", start) {
 		retries++
