proxy, serving: Wait a window after a restart before using the extra retries

Callers of a service whose workers fail saw it loaded beyond the retry budget while daemons restarted. What a daemon used of the part that does not grow with requests was forgotten when its process ended, and the next process used the share again.

Ruled out: that a starting daemon takes the share of daemons it does not hear yet. The lines "retry budget exhausted" of restarted daemons name seven daemons and 18 to 22 retries allowed, each time anew.

The mend holds because the retries of an earlier process are older than a window when the extra ones begin, and retries that requests allow are counted with requests of the same process.

--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -34,6 +34,10 @@
 	Self string
 	// Daemons returns how many daemons share ExtraRetries.
 	Daemons func() int
+	// RunningSinceFleetStart reports that this process has been running since the fleet first
+	// started. Any other process may follow one that used its share of ExtraRetries, so it waits a
+	// window before it uses them.
+	RunningSinceFleetStart bool
 }
 
 // budget counts a daemon's requests and retries by service.
@@ -42,6 +46,8 @@
 	// startedAt is when this process started. Windows are measured from it by the monotonic clock,
 	// because the time of day may be set.
 	startedAt time.Time
+	// extraFrom is the time from which this daemon uses its share of ExtraRetries.
+	extraFrom time.Time
 
 	mu       sync.Mutex
 	services map[string]*windowCounts
@@ -72,7 +78,11 @@
 }
 
 func newBudget(opts RetryBudget, now time.Time) *budget {
-	return &budget{opts: opts, startedAt: now, services: make(map[string]*windowCounts)}
+	b := &budget{opts: opts, startedAt: now, extraFrom: now, services: make(map[string]*windowCounts)}
+	if !opts.RunningSinceFleetStart {
+		b.extraFrom = now.Add(opts.Window)
+	}
+	return b
 }
 
 // countsAt returns the counts of a service after clearing buckets older than the window, and the
@@ -151,7 +161,10 @@
 		state.requests += counts.requests[p]
 		state.retries += counts.retries[p]
 	}
-	extra := b.opts.ExtraRetries / float64(state.daemons)
+	extra := 0.0
+	if !now.Before(b.extraFrom) {
+		extra = b.opts.ExtraRetries / float64(state.daemons)
+	}
 	state.allowed = b.roundShare(usedBudgetShare*(b.opts.Ratio*state.requests+extra), state.daemons, service, now)
 	return state
 }
--- a/proxy/budget_test.go
+++ b/proxy/budget_test.go
@@ -17,7 +17,7 @@
 	var all []*budget
 	for i := range daemons {
 		all = append(all, newBudget(RetryBudget{
-			Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: extra, Self: fmt.Sprint("front-", i), Daemons: func() int { return daemons },
+			Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: extra, Self: fmt.Sprint("front-", i), Daemons: func() int { return daemons }, RunningSinceFleetStart: true,
 		}, budgetStart))
 	}
 	return all
--- a/proxy/budgetfleet_test.go
+++ b/proxy/budgetfleet_test.go
@@ -68,7 +68,7 @@
 	d.heard = 1
 	d.budget = newBudget(RetryBudget{
 		Ratio: budgetRatio, Window: fleetWindow, ExtraRetries: d.fleet.extra, Self: d.id,
-		Daemons: func() int { return d.heard },
+		Daemons: func() int { return d.heard }, RunningSinceFleetStart: isFirst,
 	}, d.now(step))
 }
 
@@ -261,7 +261,7 @@
 	for name, offset := range map[string]time.Duration{"ahead": time.Hour, "back": -time.Hour} {
 		t.Run(name, func(t *testing.T) {
 			start := time.Now()
-			b := newBudget(RetryBudget{Ratio: budgetRatio, Window: fleetWindow, ExtraRetries: 10, Daemons: func() int { return 1 }}, start)
+			b := newBudget(RetryBudget{Ratio: budgetRatio, Window: fleetWindow, ExtraRetries: 10, Daemons: func() int { return 1 }, RunningSinceFleetStart: true}, start)
 			for b.takeRetry("s", start) {
 			}
 			used := b.state("s", start).retries
@@ -274,3 +274,19 @@
 		})
 	}
 }
+
+// TestRestartedDaemonsShareNoExtraRetriesTwice guards against daemons that use their share of the
+// extra retries again after each restart.
+func TestRestartedDaemonsShareNoExtraRetriesTwice(t *testing.T) {
+	start := time.Now()
+	opts := RetryBudget{Ratio: budgetRatio, Window: fleetWindow, ExtraRetries: 10, Daemons: func() int { return 1 }}
+	restarted := newBudget(opts, start)
+	assert.Assert(t, !restarted.takeRetry("s", start.Add(fleetWindow-1)), "the process before may have used them")
+	assert.Assert(t, restarted.takeRetry("s", start.Add(fleetWindow)))
+	for range 10 {
+		restarted.addRequest("other", start)
+	}
+	assert.Assert(t, restarted.takeRetry("other", start), "requests of this process allow retries")
+	opts.RunningSinceFleetStart = true
+	assert.Assert(t, newBudget(opts, start).takeRetry("s", start), "there was no process before")
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -32,7 +32,7 @@
 		Names: testNames, Config: func() *fleet.Config { return config },
 		ConfigConfirmedAt: func() time.Time { return r.confirmedAt }, MaxConfigAge: time.Minute,
 		View: r.inventory.View, Tracker: NewTracker("", func(*fleet.Replica) {}),
-		Budget:    RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 1000, Daemons: func() int { return 1 }},
+		Budget:    RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 1000, Daemons: func() int { return 1 }, RunningSinceFleetStart: true},
 		IsLeaving: func() bool { return r.isLeaving }, Meter: meter, Logger: hclog.NewNullLogger(),
 		Peers: r.currentPeers, Dial: r.dialWorker,
 	})
@@ -238,7 +238,7 @@
 
 func TestBudget(t *testing.T) {
 	start := time.Unix(1000, 0)
-	b := newBudget(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 20, Daemons: func() int { return 2 }}, start)
+	b := newBudget(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 20, Daemons: func() int { return 2 }, RunningSinceFleetStart: true}, start)
 	retries := 0
 	for b.takeRetry("s", start) {
 		retries++
