proxy: Ask the retry budget for exactly the attempts that a worker received

Two faults of one cause: whether the budget was asked depended on where an attempt was sent, not on whether a worker received it. An attempt that a peer refused because a worker had rejected it was followed by another one at the next peer at no charge, up to three in all.

TestRejectionsBehindPeersTakeFromBudget failed before (three peers asked in place of one), TestRefusedConnectionsTakeNoRetry too (503 in place of 200); both pass, and so does TestLeaderStaysWhenAPlainServiceIsGone, unchanged, three times.

The mend holds because every failed attempt passes recordAttempt, where the error itself tells whether a worker received it; free attempts stay bounded by maxRejections.

--- a/proxy/buffered.go
+++ b/proxy/buffered.go
@@ -67,7 +67,7 @@
 	if remaining := p.selectReplicas(c, time.Now()); remaining.IsEmpty() {
 		return false
 	}
-	return p.takeRetry(c, true)
+	return c.mayRetry(true) && p.takeFromBudget(c)
 }
 
 // tryBuffered sends the request to one replica or peer and reads the complete answer.
--- a/proxy/connections_test.go
+++ b/proxy/connections_test.go
@@ -127,6 +127,19 @@
 	}
 }
 
+// TestRefusedConnectionsTakeNoRetry guards against a retry budget that is used up by attempts which reached
+// no worker.
+func TestRefusedConnectionsTakeNoRetry(t *testing.T) {
+	gone, sound := newFakeWorker(t, "gone"), newFakeWorker(t, "sound")
+	assert.NilError(t, gone.listener.Close())
+	r, server := newTestProxy(t, gone, sound)
+	r.budget.opts.Ratio, r.budget.opts.ExtraRetries = 0, 0
+	for i := range 20 {
+		assert.Equal(t, sendRequest(t, server, "/once/", strconv.Itoa(i), nil).status, 200)
+	}
+	assert.Equal(t, r.budget.state("plain", time.Now()).retries, 0.0)
+}
+
 func TestKeepAliveFor(t *testing.T) {
 	tests := map[string]struct {
 		header string
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -180,6 +180,15 @@
 	return fmt.Sprintf("refused with status %d, reason %s", e.refusal.status, e.refusal.reason)
 }
 
+// mayHaveReachedWorker reports whether a worker may have received the request and rejected it.
+func (e *peerRefusal) mayHaveReachedWorker() bool {
+	switch e.refusal.reason {
+	case reason.EndpointUnreachable, reason.Starting, reason.Stopping, reason.Isolated, reason.MemoryBound:
+		return false
+	}
+	return true
+}
+
 // readPeerRefusal reads a peer's refusal. If its body is not understood, the reason is empty.
 func readPeerRefusal(response *http.Response) *peerRefusal {
 	e := &peerRefusal{refusal: refusal{status: response.StatusCode}}
@@ -200,8 +209,7 @@
 	if !errors.As(err, &e) {
 		return nil
 	}
-	switch e.refusal.reason {
-	case "", reason.EndpointUnreachable, reason.EndpointRefused, reason.Starting, reason.Stopping, reason.Isolated, reason.MemoryBound:
+	if e.refusal.reason == "" || e.refusal.reason == reason.EndpointRefused || !e.mayHaveReachedWorker() {
 		return nil
 	}
 	passedOn := e.refusal
@@ -299,12 +307,3 @@
 	p.opts.Logger.Info("forwarding failed", "request", c.id, "peer", peer.ID, "may_have_run", mayHaveRun, "error", err)
 	return mayHaveRun
 }
-
-// takeRetryAfterPeer reports whether another attempt may follow one that failed at a peer. Attempts
-// that reached no worker take nothing from the retry budget.
-func (p *Proxy) takeRetryAfterPeer(c *request, mayHaveRun bool) bool {
-	if mayHaveRun {
-		return p.takeRetry(c, true)
-	}
-	return !c.isDone() && c.rejections <= maxRejections
-}
--- a/proxy/forward_test.go
+++ b/proxy/forward_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/quarantine"
 )
@@ -160,6 +161,42 @@
 	}
 }
 
+// TestRejectionsBehindPeersTakeFromBudget guards against requests that workers behind one peer after the
+// other reject although the retry budget is used up.
+func TestRejectionsBehindPeersTakeFromBudget(t *testing.T) {
+	tests := map[string]struct {
+		reason string
+		asked  int
+	}{
+		"a worker rejected it":           {reason: "endpoint_refused", asked: 1},
+		"an unknown reason":              {reason: "", asked: 1},
+		"the peer reached no worker":     {reason: "endpoint_unreachable", asked: 3},
+		"the peer is starting":           {reason: "starting", asked: 3},
+		"the peer is leaving":            {reason: "stopping", asked: 3},
+		"the peer's memory is used up":   {reason: "memory_bound", asked: 3},
+		"the peer may hold revoked keys": {reason: "isolated", asked: 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			asked := 0
+			refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				asked++
+				newUnavailable(reason.Reason(test.reason), "", 0).write(w)
+			})
+			var peers []Peer
+			for _, id := range []string{"a", "b", "c", "d"} {
+				peer := httptest.NewServer(refuse)
+				defer peer.Close()
+				peers = append(peers, peerAt(id, peer.Listener))
+			}
+			p, server := newCutProxy(t, peers...)
+			p.budget.opts.Ratio, p.budget.opts.ExtraRetries = 0, 0
+			assert.Equal(t, sendRequest(t, server, "/safe/", "a", nil).status, http.StatusServiceUnavailable)
+			assert.Equal(t, asked, test.asked)
+		})
+	}
+}
+
 // TestQuarantinedRequestIsNotForwarded guards against a way around the quarantine.
 func TestQuarantinedRequestIsNotForwarded(t *testing.T) {
 	peer := newFakeWorker(t, "peer")
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -357,18 +357,26 @@
 	return serviceLoadFactor * float64(max(replica.Head.Slots, 1))
 }
 
-// takeRetry reports whether a failed attempt may be followed by another one. If so, it takes the
-// retry from the budget. mayHaveRun reports whether the failed attempt may have run.
-func (p *Proxy) takeRetry(c *request, mayHaveRun bool) bool {
+// mayRetry reports whether a failed attempt may be followed by another one, apart from the retry
+// budget. mayHaveRun reports whether the failed attempt may have run.
+func (c *request) mayRetry(mayHaveRun bool) bool {
 	switch {
 	case c.isDone():
 		return false
-	case mayHaveRun && (!c.route.Repeatable() || c.sends >= c.route.MaxAttempts):
-		return false
-	case !mayHaveRun && c.rejections > maxRejections:
-		return false
+	case mayHaveRun:
+		return c.route.Repeatable() && c.sends < c.route.MaxAttempts
 	}
-	return p.takeFromBudget(c)
+	return c.rejections <= maxRejections
+}
+
+// mayHaveReachedWorker reports whether an attempt that failed with err may have been received by a
+// worker, even if that rejected it.
+func mayHaveReachedWorker(err error) bool {
+	var refused *peerRefusal
+	if errors.As(err, &refused) {
+		return refused.mayHaveReachedWorker()
+	}
+	return mayHaveArrived(err) || errors.Is(err, errRejected)
 }
 
 // takeFromBudget takes a retry from the budget of the request's service, and reports whether one was
@@ -391,18 +399,15 @@
 // recordAttempt records a failed attempt. It returns whether the attempt may have run, and a refusal
 // if no other one may follow.
 func (p *Proxy) recordAttempt(c *request, chosen destination, err error) (mayHaveRun bool, refused *refusal) {
-	canRetry := false
 	if chosen.peer != nil {
 		mayHaveRun = p.recordPeerFailure(c, chosen.peer, err)
-		if f := finalRefusal(err); f != nil {
-			return mayHaveRun, c.correctStatus(f)
-		}
-		canRetry = p.takeRetryAfterPeer(c, mayHaveRun)
 	} else {
 		mayHaveRun = p.recordFailure(c, chosen.replica, err)
-		canRetry = p.takeRetry(c, mayHaveRun)
 	}
-	if !canRetry {
+	if f := finalRefusal(err); f != nil {
+		return mayHaveRun, c.correctStatus(f)
+	}
+	if !c.mayRetry(mayHaveRun) || mayHaveReachedWorker(err) && !p.takeFromBudget(c) {
 		return mayHaveRun, p.failureRefusal(c)
 	}
 	return mayHaveRun, nil
