peers, proxy: Keep the shares of daemons that are not heard

Callers of a service whose workers fail saw it loaded beyond the retry budget while daemons were cut off from each other or stood still. Each daemon divided the part of the budget that does not grow with requests by the number of daemons it heard at that moment, so that the sides of a partition took the whole of it each, and so did a daemon that had just started, or was alone.

Now peers.Shares reckons a share: a daemon that is not heard keeps the share that it had for two hours, the others divide the rest. A daemon that starts counts those that the store lists, and takes no more than the lowest share that a peer reports; peers report it only where it is clearly below an equal one. Every process waits a window before it uses extra retries, also in the first start of a fleet, where none knows the others yet; the flag for that start goes away again.

The mend holds because what a side of a partition divides is what its members held when all heard each other; nothing is added to it until the others are heard.

--- a/peers/agent.go
+++ b/peers/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -79,9 +80,13 @@
 	done              chan struct{}
 	role              atomic.Int32
 	daemonCount       atomic.Int32
+	// usableShare and reportedShare hold the bits of Shares.Usable and Shares.Reported as of the
+	// latest round.
+	usableShare, reportedShare atomic.Uint64
 
-	mu    sync.Mutex
-	round int
+	mu     sync.Mutex
+	round  int
+	shares *Shares
 	// layout is the layout of the latest round, roleSince the time when this daemon's role began.
 	layout    layout
 	roleSince time.Time
@@ -105,9 +110,10 @@
 		}
 		opts.Transport = transport
 	}
+	now := time.Now()
 	return &Agent{
 		opts: opts, table: NewTable(opts.Self), clocks: newClocks(), receivedSummaries: newSummaries(),
-		startedAt: time.Now(), done: make(chan struct{}), loggedDrops: make(map[string]bool),
+		shares: NewShares(now), startedAt: now, done: make(chan struct{}), loggedDrops: make(map[string]bool),
 	}, nil
 }
 
@@ -120,6 +126,10 @@
 // DaemonCount returns the number of daemons, this one included, as of the latest round.
 func (a *Agent) DaemonCount() int { return max(int(a.daemonCount.Load()), 1) }
 
+// Share returns the share of a limit of the whole fleet that this daemon may use, as of the latest
+// round. It allows for daemons that are not heard; see Shares.
+func (a *Agent) Share() float64 { return math.Float64frombits(a.usableShare.Load()) }
+
 // Done returns a channel that is closed when Run has returned.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
@@ -170,7 +180,7 @@
 
 // composeHeartbeat returns this daemon's current heartbeat.
 func (a *Agent) composeHeartbeat(now time.Time) *Heartbeat {
-	own := &Heartbeat{Identity: a.opts.Self}
+	own := &Heartbeat{Identity: a.opts.Self, Share: math.Float64frombits(a.reportedShare.Load())}
 	a.opts.FillHeartbeat(own, now)
 	a.clocks.recordGrant(own.Grant.Epoch, a.clock(now))
 	return own
@@ -186,6 +196,7 @@
 	a.daemonCount.Store(int32(size))
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.updateShares(size, now)
 	a.round++
 	previous := a.Role()
 	a.layout = a.table.layout(now, previousRole{role: previous, since: a.roleSince}, size, a.round)
@@ -196,6 +207,20 @@
 	return a.layout, a.round
 }
 
+// updateShares recomputes this daemon's share of the fleet's limits. The caller must hold the mutex.
+func (a *Agent) updateShares(size int, now time.Time) {
+	view := ShareView{Known: a.table.EverKnownIDs(), Size: size}
+	for _, p := range a.table.Alive(now) {
+		view.Heard = append(view.Heard, p.ID)
+		if p.Share > 0 && (view.LowestReported == 0 || p.Share < view.LowestReported) {
+			view.LowestReported = p.Share
+		}
+	}
+	a.shares.Update(a.opts.Self.ID, view, now)
+	a.usableShare.Store(math.Float64bits(a.shares.Usable()))
+	a.reportedShare.Store(math.Float64bits(a.shares.Reported(size)))
+}
+
 // currentLayout returns the layout of the latest round.
 func (a *Agent) currentLayout() layout {
 	a.mu.Lock()
--- a/peers/heartbeat.go
+++ b/peers/heartbeat.go
@@ -118,6 +118,9 @@
 	PromptTokens map[string]float64 `json:"prompts,omitempty"`
 	// Traffic is set if clients have sent requests to the fleet.
 	Traffic bool `json:"traffic,omitempty"`
+	// Share is the daemon's share of the fleet's limits, if it is lower than an equal one because
+	// daemons that are not heard may be using theirs; zero otherwise.
+	Share float64 `json:"sh,omitempty"`
 }
 
 // toBrief returns the heartbeat without the parts that its receiver already knows.
--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -32,12 +32,10 @@
 	ExtraRetries float64
 	// Self identifies this daemon among those that share ExtraRetries.
 	Self string
-	// Daemons returns how many daemons share ExtraRetries.
+	// Daemons returns how many daemons are heard, this one included.
 	Daemons func() int
-	// RunningSinceFleetStart reports that this process has been running since the fleet first
-	// started. Any other process may follow one that used its share of ExtraRetries, so it waits a
-	// window before it uses them.
-	RunningSinceFleetStart bool
+	// Share returns this daemon's share of ExtraRetries, from 0 to 1.
+	Share func() float64
 }
 
 // budget counts a daemon's requests and retries by service.
@@ -46,8 +44,9 @@
 	// startedAt is when this process started. Windows are measured from it by the monotonic clock,
 	// because the time of day may be set.
 	startedAt time.Time
-	// extraFrom is the time from which this daemon uses its share of ExtraRetries.
-	extraFrom time.Time
+	// youngUntil is the time until which the process before this one may have used its share of
+	// ExtraRetries in the current window. Until then this one uses none of them.
+	youngUntil time.Time
 
 	mu       sync.Mutex
 	services map[string]*windowCounts
@@ -68,21 +67,17 @@
 	requests, retries float64
 	// allowed is how many retries this daemon may send in the window.
 	allowed float64
-	// daemons is the number of daemons that share ExtraRetries.
-	daemons int
+	// share is this daemon's share of ExtraRetries; zero if it must not use them yet.
+	share float64
 }
 
 // String returns the state in its log format.
 func (s budgetState) String() string {
-	return fmt.Sprintf("%g of %g retries, %g requests, %d daemons", s.retries, s.allowed, s.requests, s.daemons)
+	return fmt.Sprintf("%g of %g retries, %g requests, share %.3f", s.retries, s.allowed, s.requests, s.share)
 }
 
 func newBudget(opts RetryBudget, now time.Time) *budget {
-	b := &budget{opts: opts, startedAt: now, extraFrom: now, services: make(map[string]*windowCounts)}
-	if !opts.RunningSinceFleetStart {
-		b.extraFrom = now.Add(opts.Window)
-	}
-	return b
+	return &budget{opts: opts, startedAt: now, youngUntil: now.Add(opts.Window), services: make(map[string]*windowCounts)}
 }
 
 // countsAt returns the counts of a service after clearing buckets older than the window, and the
@@ -156,16 +151,15 @@
 
 // stateOf returns the state of a service's budget. The caller must hold the mutex.
 func (b *budget) stateOf(counts *windowCounts, service string, now time.Time) budgetState {
-	state := budgetState{daemons: max(b.opts.Daemons(), 1)}
+	var state budgetState
 	for p := range budgetBuckets {
 		state.requests += counts.requests[p]
 		state.retries += counts.retries[p]
 	}
-	extra := 0.0
-	if !now.Before(b.extraFrom) {
-		extra = b.opts.ExtraRetries / float64(state.daemons)
+	if !now.Before(b.youngUntil) {
+		state.share = b.opts.Share()
 	}
-	state.allowed = b.roundShare(usedBudgetShare*(b.opts.Ratio*state.requests+extra), state.daemons, service, now)
+	state.allowed = b.roundShare(usedBudgetShare*(b.opts.Ratio*state.requests+state.share*b.opts.ExtraRetries), service, now)
 	return state
 }
 
@@ -173,9 +167,9 @@
 // below one, and no daemon could retry if all rounded down. Daemons therefore round up in turns:
 // one whose share is 2.3 rounds up for 30 % of the time. All daemons round down if the unused part
 // of the budget does not cover the rounding errors.
-func (b *budget) roundShare(share float64, daemons int, service string, now time.Time) float64 {
+func (b *budget) roundShare(share float64, service string, now time.Time) float64 {
 	whole, fraction := math.Modf(share)
-	deviation := math.Sqrt(float64(daemons)) / 2
+	deviation := math.Sqrt(float64(max(b.opts.Daemons(), 1))) / 2
 	if (1-usedBudgetShare)*b.opts.ExtraRetries < roundingMargin*deviation {
 		return whole
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -211,7 +211,7 @@
 	var all []telemetry.RetryBudget
 	for _, service := range p.budget.knownServices() {
 		state := p.budget.state(service, time.Now())
-		all = append(all, telemetry.RetryBudget{Service: service, Allowed: state.allowed, Used: state.retries, Daemons: state.daemons})
+		all = append(all, telemetry.RetryBudget{Service: service, Allowed: state.allowed, Used: state.retries, Share: state.share})
 	}
 	return all
 }
@@ -391,7 +391,7 @@
 	p.opts.Meter.CountRefusal(reason.RetryBudgetExhausted)
 	if p.budget.mustReportExhaustion(c.service, now) {
 		p.opts.Logger.Info("retry budget exhausted", "service", c.service, "retries", state.retries, "allowed", state.allowed,
-			"requests", state.requests, "daemons", state.daemons)
+			"requests", state.requests, "share", state.share)
 	}
 	return false
 }
--- a/serving/server.go
+++ b/serving/server.go
@@ -157,7 +157,7 @@
 
 func (s *Server) newProxy() *proxy.Proxy {
 	budget := s.opts.Bounds.Budget
-	budget.Self, budget.Daemons, budget.RunningSinceFleetStart = s.opts.Self.ID, s.agent.DaemonCount, s.opts.RunningSinceFleetStart
+	budget.Self, budget.Daemons, budget.Share = s.opts.Self.ID, s.agent.DaemonCount, s.agent.Share
 	bufferLimit := proxy.NewBufferLimit(s.opts.Bounds.MaxBufferedBytes)
 	s.meter.ExportGauge("held_bytes", func() float64 { return float64(bufferLimit.BytesInUse()) })
 	return proxy.New(proxy.Options{
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -75,8 +75,8 @@
 	Service string
 	// Allowed and Used are numbers of retries.
 	Allowed, Used float64
-	// Daemons is the number of daemons that share the budget.
-	Daemons int
+	// Share is the share of the part that does not depend on requests, from 0 to 1.
+	Share float64
 }
 
 // Build identifies the source that a daemon was built from and the version of the message
@@ -341,7 +341,7 @@
 				return nil
 			}
 			for _, budget := range read() {
-				for name, value := range map[string]float64{"allowed": budget.Allowed, "used": budget.Used, "daemons": float64(budget.Daemons)} {
+				for name, value := range map[string]float64{"allowed": budget.Allowed, "used": budget.Used, "share": budget.Share} {
 					o.Observe(value, metric.WithAttributes(attribute.String("service", budget.Service), attribute.String("name", name)))
 				}
 			}
