proxy: Let a daemon that just started use only the spare part of the retry budget

Callers of a service whose workers fail saw it loaded beyond the retry budget when daemons restarted after a burst of failures. Retries are allowed by the requests of a window, so those of the process before, allowed by the window before the restart, and those of the new one, allowed by its own requests, fell into one window: up to 1.6 times the part of the budget that goes by requests.

Ruled out: the extra retries, which a restarted daemon no longer uses (TestFleetStaysWithinRetryBudget, case "restarts": 126 of 125 allowed without them).

In its first window a daemon now uses the fifth of Ratio that others leave.

The mend holds because what all processes before may have used in a window and what the new ones use of its requests add up to the budget, however often they restart.

--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -12,7 +12,8 @@
 
 const (
 	// usedBudgetShare is the share of the retry budget that daemons use. The rest covers errors
-	// from rounding the daemons' shares to whole retries.
+	// from rounding the daemons' shares to whole retries, and the retries of daemons that have just
+	// started.
 	usedBudgetShare = 0.8
 	// budgetBuckets is the number of buckets into which the window is divided.
 	budgetBuckets = 20
@@ -44,8 +45,9 @@
 	// startedAt is when this process started. Windows are measured from it by the monotonic clock,
 	// because the time of day may be set.
 	startedAt time.Time
-	// youngUntil is the time until which the process before this one may have used its share of
-	// ExtraRetries in the current window. Until then this one uses none of them.
+	// youngUntil is the time until which the process before this one may have used the whole budget in
+	// the current window. Until then this one uses only what daemons otherwise leave of Ratio, and no
+	// ExtraRetries.
 	youngUntil time.Time
 
 	mu       sync.Mutex
@@ -156,10 +158,11 @@
 		state.requests += counts.requests[p]
 		state.retries += counts.retries[p]
 	}
+	used := 1 - usedBudgetShare
 	if !now.Before(b.youngUntil) {
-		state.share = b.opts.Share()
+		used, state.share = usedBudgetShare, b.opts.Share()
 	}
-	state.allowed = b.roundShare(usedBudgetShare*(b.opts.Ratio*state.requests+state.share*b.opts.ExtraRetries), service, now)
+	state.allowed = b.roundShare(used*(b.opts.Ratio*state.requests+state.share*b.opts.ExtraRetries), service, now)
 	return state
 }
 
--- a/proxy/budgetfleet_test.go
+++ b/proxy/budgetfleet_test.go
@@ -348,8 +348,9 @@
 	restarted := newBudget(RetryBudget{Ratio: budgetRatio, Window: fleetWindow, ExtraRetries: 10, Daemons: func() int { return 1 }, Share: wholeShare}, start)
 	assert.Assert(t, !restarted.takeRetry("s", start.Add(fleetWindow-1)), "the process before may have used them")
 	assert.Assert(t, restarted.takeRetry("s", start.Add(fleetWindow)))
-	for range 10 {
+	for range 25 {
 		restarted.addRequest("other", start)
 	}
-	assert.Assert(t, restarted.takeRetry("other", start), "requests of this process allow retries")
+	assert.Assert(t, restarted.takeRetry("other", start), "requests of this process allow some retries")
+	assert.Assert(t, !restarted.takeRetry("other", start))
 }
