proxy: Count retries for the whole window of the budget

Callers of a service whose workers fail could see it loaded beyond the retry budget by two bursts of retries. The window was divided into twenty buckets, of which the current one is incomplete, so that retries were forgotten up to half a second early: two bursts 9.6 s apart could fall into one window of ten.

TestWindowsOfAnyStartStayWithinRetryBudget failed before, for a burst 1 ms after the start of a bucket, and passes. Retries are now counted in one bucket more, requests as before; a request whose body takes longer than the window to arrive no longer counts in a newer bucket.

TestBudgetIgnoresClockSteps expects retries to be dropped after the window and not at its last instant.

--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -15,8 +15,10 @@
 	// from rounding the daemons' shares to whole retries, and the retries of daemons that have just
 	// started.
 	usedBudgetShare = 0.8
-	// budgetBuckets is the number of buckets into which the window is divided.
+	// budgetBuckets is the number of buckets into which the window is divided. Retries are counted in one
+	// more, since the current one is incomplete.
 	budgetBuckets = 20
+	keptBuckets   = budgetBuckets + 1
 	// roundingWindows is the number of windows in a cycle. In each cycle, a daemon rounds up for a
 	// part of the time that equals the fraction of its share (see roundShare).
 	roundingWindows = 10
@@ -57,8 +59,8 @@
 // windowCounts holds the counts of a sliding window by bucket.
 type windowCounts struct {
 	currentBucket int64
-	requests      [budgetBuckets]float64
-	retries       [budgetBuckets]float64
+	requests      [keptBuckets]float64
+	retries       [keptBuckets]float64
 	// quietUntil is the time until which exhaustion is not reported again.
 	quietUntil time.Time
 }
@@ -83,7 +85,7 @@
 }
 
 // countsAt returns the counts of a service after clearing buckets older than the window, and the
-// index of the current bucket.
+// index of the bucket that now is in.
 func (b *budget) countsAt(service string, now time.Time) (*windowCounts, int) {
 	bucket := int64(now.Sub(b.startedAt) / (b.opts.Window / budgetBuckets))
 	counts, ok := b.services[service]
@@ -92,14 +94,16 @@
 		b.services[service] = counts
 	}
 	for counts.currentBucket < bucket {
-		if bucket-counts.currentBucket > budgetBuckets {
+		if bucket-counts.currentBucket > keptBuckets {
 			*counts = windowCounts{currentBucket: bucket, quietUntil: counts.quietUntil}
 			break
 		}
 		counts.currentBucket++
-		counts.requests[counts.currentBucket%budgetBuckets], counts.retries[counts.currentBucket%budgetBuckets] = 0, 0
+		counts.requests[counts.currentBucket%keptBuckets], counts.retries[counts.currentBucket%keptBuckets] = 0, 0
 	}
-	return counts, int(bucket % budgetBuckets)
+	// A request whose body took longer than the window to arrive counts in the oldest bucket.
+	bucket = max(bucket, counts.currentBucket-budgetBuckets)
+	return counts, int(bucket % keptBuckets)
 }
 
 // addRequest counts a request, which allows further retries.
@@ -154,8 +158,11 @@
 // stateOf returns the state of a service's budget. The caller must hold the mutex.
 func (b *budget) stateOf(counts *windowCounts, service string, now time.Time) budgetState {
 	var state budgetState
-	for p := range budgetBuckets {
-		state.requests += counts.requests[p]
+	oldest := int((counts.currentBucket + 1) % keptBuckets)
+	for p := range keptBuckets {
+		if p != oldest {
+			state.requests += counts.requests[p]
+		}
 		state.retries += counts.retries[p]
 	}
 	used := 1 - usedBudgetShare
