proxy: Count suspensions as passed time in the retry budget, and forget unused services

TestBudgetCountsSuspensions and TestBudgetForgetsServices are new; without the two methods that they call there is nothing to run them on.

--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -84,10 +84,15 @@
 	return &budget{opts: opts, startedAt: now, youngUntil: now.Add(opts.Window), services: make(map[string]*windowCounts)}
 }
 
+// bucketAt returns the number of the bucket that now is in.
+func (b *budget) bucketAt(now time.Time) int64 {
+	return int64(now.Sub(b.startedAt) / (b.opts.Window / budgetBuckets))
+}
+
 // countsAt returns the counts of a service after clearing buckets older than the window, and the
 // index of the bucket that now is in.
 func (b *budget) countsAt(service string, now time.Time) (*windowCounts, int) {
-	bucket := int64(now.Sub(b.startedAt) / (b.opts.Window / budgetBuckets))
+	bucket := b.bucketAt(now)
 	counts, ok := b.services[service]
 	if !ok {
 		counts = &windowCounts{currentBucket: bucket}
@@ -127,6 +132,26 @@
 	return true
 }
 
+// addSuspension makes the time for which the machine was suspended count as passed. The monotonic clock
+// does not count it.
+func (b *budget) addSuspension(suspended time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.startedAt = b.startedAt.Add(-suspended)
+	b.youngUntil = b.youngUntil.Add(-suspended)
+}
+
+// sweep forgets the services that were not requested within the window.
+func (b *budget) sweep(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.services) == 0 {
+		return
+	}
+	oldest := b.bucketAt(now) - budgetBuckets
+	maps.DeleteFunc(b.services, func(_ string, counts *windowCounts) bool { return counts.currentBucket < oldest })
+}
+
 // mustReportExhaustion reports whether the exhaustion of a service's budget must be logged. It
 // does so at most once in a window.
 func (b *budget) mustReportExhaustion(service string, now time.Time) bool {
--- a/proxy/budgetfleet_test.go
+++ b/proxy/budgetfleet_test.go
@@ -373,3 +373,24 @@
 	assert.Assert(t, restarted.takeRetry("other", start), "requests of this process allow some retries")
 	assert.Assert(t, !restarted.takeRetry("other", start))
 }
+
+// TestBudgetCountsSuspensions guards against requests from before a suspension that allow retries after it.
+func TestBudgetCountsSuspensions(t *testing.T) {
+	start := time.Now()
+	b := newBudget(RetryBudget{Ratio: budgetRatio, Window: fleetWindow, Daemons: func() int { return 1 }, Share: wholeShare}, start)
+	b.addRequest("s", start)
+	b.addSuspension(2 * fleetWindow)
+	assert.Equal(t, b.state("s", start).requests, 0.0)
+}
+
+// TestBudgetForgetsServices guards against counts of services that are no longer requested.
+func TestBudgetForgetsServices(t *testing.T) {
+	start := time.Now()
+	b := newBudget(RetryBudget{Ratio: budgetRatio, Window: fleetWindow, Daemons: func() int { return 1 }, Share: wholeShare}, start)
+	b.addRequest("old", start)
+	b.addRequest("used", start.Add(fleetWindow))
+	b.sweep(start.Add(fleetWindow))
+	assert.Equal(t, len(b.services), 2)
+	b.sweep(start.Add(fleetWindow + time.Second))
+	assert.DeepEqual(t, b.knownServices(), []string{"used"})
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -152,7 +152,7 @@
 func (p *Proxy) Done() <-chan struct{} { return p.done }
 
 // Run periodically checks for silent replicas, closes idle connections that are no longer needed,
-// and removes expired crash records, until ctx ends.
+// and forgets expired crash records and retry counts, until ctx ends.
 func (p *Proxy) Run(ctx context.Context) {
 	defer close(p.done)
 	defer p.guard.Wait()
@@ -172,13 +172,20 @@
 			p.links.sweep(now)
 			p.forwards.sweep(p.opts.Peers)
 			p.guard.Sweep(now)
+			p.budget.sweep(now)
 			last = now
 		}
 	}
 }
 
-// CloseIdleConnections must be called after a suspension of the machine. It closes the idle
-// connections, because workers may have closed them unnoticed.
+// AddSuspension must be called after a suspension of the machine. It closes the idle connections,
+// because workers may have closed them unnoticed, and counts the time as passed.
+func (p *Proxy) AddSuspension(suspended time.Duration) {
+	p.CloseIdleConnections()
+	p.budget.addSuspension(suspended)
+}
+
+// CloseIdleConnections closes the idle connections to workers and peers.
 func (p *Proxy) CloseIdleConnections() {
 	p.upstream.closeAll()
 	p.peerUpstream.closeAll()
--- a/serving/suspension.go
+++ b/serving/suspension.go
@@ -21,5 +21,5 @@
 	s.inventory.AddSuspension(suspended)
 	s.halls.AddSuspension(suspended)
 	s.agent.Table().NoteSuspension(time.Now(), suspended)
-	s.proxy.CloseIdleConnections()
+	s.proxy.AddSuspension(suspended)
 }
