proxy: Forget services whose links are up

Callers see nothing of it but memory.

TestServicesWithLinksUpAreForgotten failed before (51 records in place of 0) and passes. The mend holds because a record whose check is out of date and whose links are up says no more than none.

--- a/proxy/links.go
+++ b/proxy/links.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -164,13 +165,24 @@
 	return services
 }
 
-// sweep repeats the checks of services whose links are down, and forgets services without workers.
+// sweep repeats the checks of services whose links are down. It forgets services whose links are up and
+// whose last check is out of date, and those without workers.
 func (l *links) sweep(now time.Time) {
+	l.forgetUp(now)
 	for _, service := range l.dueChecks(now) {
 		l.start(service, "", now)
 	}
 }
 
+func (l *links) forgetUp(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.services, func(_ string, s *serviceLinks) bool {
+		isRunning := s.check.expiresAt.IsZero()
+		return !isRunning && !s.isDown && !now.Before(s.check.expiresAt)
+	})
+}
+
 func (l *links) dueChecks(now time.Time) []string {
 	if len(l.downServices()) == 0 {
 		return nil
--- a/proxy/links_test.go
+++ b/proxy/links_test.go
@@ -134,6 +134,23 @@
 	})
 }
 
+// TestServicesWithLinksUpAreForgotten guards against a record for each service that ever had a check.
+func TestServicesWithLinksUpAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLinks(workersOf(3, 0), func(string) (bool, bool) { return true, false })
+		for i := range 50 {
+			<-l.start(fmt.Sprint("service-", i), "", time.Now()).done
+		}
+		assert.Assert(t, l.verify(t.Context(), &fleet.Worker{Service: "models"}))
+		l.sweep(time.Now())
+		assert.Equal(t, len(l.services), 51, "results are reused for a while")
+		time.Sleep(linkCheckTTL)
+		l.sweep(time.Now())
+		assert.Equal(t, len(l.services), 0)
+		l.wait()
+	})
+}
+
 // TestServicesWithoutWorkersAreForgotten guards against records that only grow.
 func TestServicesWithoutWorkersAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
