--- a/peers/shares_test.go
+++ b/peers/shares_test.go
@@ -34,21 +34,13 @@
 				all := n.addFleet(t, test.halls, test.perHall, 1)
 				time.Sleep(3 * time.Second)
 				assert.Assert(t, math.Abs(sumOfShares(all)-1) < tolerance, "%g", sumOfShares(all))
-				n.update(func() {
-					for i, d := range all {
-						d.side = min(i*2/len(all), 1)
-					}
-				})
+				n.cut(all)
 				time.Sleep(5 * time.Second)
 				assert.Assert(t, sumOfShares(all) < 1+tolerance, "%g", sumOfShares(all))
 				all[0] = n.restart(t, all[0], all)
 				time.Sleep(20 * time.Second)
 				assert.Assert(t, sumOfShares(all) < 1+tolerance, "%g after a restart", sumOfShares(all))
-				n.update(func() {
-					for _, d := range all {
-						d.side = 0
-					}
-				})
+				n.heal(all)
 				time.Sleep(5 * time.Second)
 				assert.Assert(t, math.Abs(sumOfShares(all)-1) < tolerance, "%g after the partition", sumOfShares(all))
 			})
@@ -56,6 +48,24 @@
 	}
 }
 
+// cut separates the first half of the daemons from the others.
+func (n *network) cut(all []*simDaemon) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, d := range all {
+		d.side = min(i*2/len(all), 1)
+	}
+}
+
+// heal ends a partition.
+func (n *network) heal(all []*simDaemon) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range all {
+		d.side = 0
+	}
+}
+
 // restart replaces a daemon's process. The new one knows the identities of all daemons.
 func (n *network) restart(t *testing.T, d *simDaemon, all []*simDaemon) *simDaemon {
 	t.Helper()
