fleet: Open data halls by a report for the position of a restored store

Callers were refused for good at some daemons after the store came back from a copy: these held all data halls for closed, while the others found them open. After a restore a daemon keeps what it held closed until the operator's command may have been repeated. If that had already happened at its first read of the restored store, no later position followed, and a daemon that follows its peers takes reports of a higher position only, so that nothing opened the halls again.

Ruled out: that the operator's command is missing. Daemons that read the store again after five seconds opened them at the same position.

TestHallsOpenAfterRestoreAtOnePosition failed before (closed in place of open).

The mend holds because what a peer confirmed after the source settled, for the very position that this daemon has, is what this daemon would find if it read again. It only opens halls; a peer that keeps them closed too changes nothing.

--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -112,6 +112,37 @@
 	assert.Equal(t, h.View().State("a", time.Now()), HallOpen, "the operator's command was not repeated")
 }
 
+// TestHallsOpenAfterRestoreAtOnePosition guards against halls that stay closed at a daemon for ever because
+// the restored store gets no later command.
+func TestHallsOpenAfterRestoreAtOnePosition(t *testing.T) {
+	restored := PositionOf(1, 40)
+	tests := map[string]struct {
+		// reportedAfter is when a peer's report was sent, after the first read of the restored store.
+		reportedAfter time.Duration
+		report        HallReport
+		want          HallState
+	}{
+		"a peer read it after it settled":     {reportedAfter: restoreSettleTime + time.Second, report: HallReport{Position: restored, AgeMillis: 100}, want: HallOpen},
+		"a peer read it before":               {reportedAfter: restoreSettleTime - time.Second, report: HallReport{Position: restored, AgeMillis: 100}, want: HallClosed},
+		"a peer's state was confirmed before": {reportedAfter: restoreSettleTime + time.Second, report: HallReport{Position: restored, AgeMillis: 2000}, want: HallClosed},
+		"a peer keeps it closed too":          {reportedAfter: restoreSettleTime + time.Second, report: HallReport{Position: restored, AgeMillis: 100, Closed: []ClosedHall{{Hall: "a"}}}, want: HallClosed},
+		"a peer is at the position before":    {reportedAfter: restoreSettleTime + time.Second, report: HallReport{Position: restored - 1, AgeMillis: 100}, want: HallClosed},
+		"a peer knows of a later command":     {reportedAfter: time.Second, report: HallReport{Position: restored + 1, AgeMillis: 100}, want: HallOpen},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := NewHalls(0)
+				h.ApplyRead(HallUpdate{IsComplete: true, Changes: []HallChange{{Hall: "a", Closed: true}}}, 50, time.Now())
+				h.ApplyRead(HallUpdate{IsComplete: true}, restored, time.Now())
+				time.Sleep(test.reportedAfter)
+				h.Follow(test.report, time.Now())
+				assert.Equal(t, h.View().State("a", time.Now()), test.want)
+			})
+		})
+	}
+}
+
 // TestRestoredStoreConfirmsNoConfiguration checks that after the store was restored from a copy,
 // the configuration is not confirmed until restoreHoldDuration has passed. The restore may have
 // lost a newer version that revoked a key, and its author needs time to publish it again.
--- a/fleet/halls.go
+++ b/fleet/halls.go
@@ -138,6 +138,9 @@
 	position int64
 	// confirmed is when the state was last confirmed to be the newest.
 	confirmed time.Time
+	// provisionalUntil is set if halls stay closed although the restored source does not show it. What
+	// was confirmed after that time includes the operator's repeated commands. It is zero otherwise.
+	provisionalUntil time.Time
 }
 
 // NewHalls returns Halls that are all open. After an operator closes a hall, the hall must be empty
@@ -175,6 +178,12 @@
 	for _, c := range update.Changes {
 		closed[c.Hall] = c.Closed
 	}
+	if update.IsComplete {
+		h.provisionalUntil = time.Time{}
+	}
+	if isRestored {
+		h.provisionalUntil = time.Now().Add(restoreSettleTime)
+	}
 	h.publish(closed, func(string) time.Time { return h.closingDeadline(time.Now()) })
 	h.position = position
 	h.confirm(sent)
@@ -198,8 +207,9 @@
 			closed[c.Hall], remainingMillis[c.Hall] = true, min(max(c.RemainingMillis, 0), h.emptyWithin.Milliseconds())
 		}
 		h.publish(closed, func(hall string) time.Time { return now.Add(time.Duration(remainingMillis[hall]) * time.Millisecond) })
-		h.position = r.Position
+		h.position, h.provisionalUntil = r.Position, time.Time{}
 	}
+	h.reopen(r, sentAfter)
 	// This daemon's state may be newer than the reported one. It then includes the reported state,
 	// so that the confirmation also applies to it.
 	if !sentAfter.IsZero() {
@@ -207,6 +217,21 @@
 	}
 }
 
+// reopen opens the halls that this daemon kept closed provisionally, and that a report for the same
+// position shows open. Without it they would stay closed, because no later position follows if the
+// operator's commands were repeated before this daemon's first read. The mutex must be held.
+func (h *Halls) reopen(r HallReport, sentAfter time.Time) {
+	confirmed := sentAfter.Add(-time.Duration(r.AgeMillis) * time.Millisecond)
+	if h.provisionalUntil.IsZero() || r.Position != h.position || !confirmed.After(h.provisionalUntil) {
+		return
+	}
+	closed := h.closedHalls()
+	for hall := range closed {
+		closed[hall] = slices.ContainsFunc(r.Closed, func(c ClosedHall) bool { return c.Hall == hall })
+	}
+	h.publish(closed, func(string) time.Time { return time.Now() })
+}
+
 // AddSuspension moves the time of the last confirmation and the deadlines of closing halls back by
 // the time for which the machine was suspended. The monotonic clock does not count that time.
 func (h *Halls) AddSuspension(suspended time.Duration) {
@@ -215,6 +240,9 @@
 	if !h.confirmed.IsZero() {
 		h.confirmed = h.confirmed.Add(-suspended)
 	}
+	if !h.provisionalUntil.IsZero() {
+		h.provisionalUntil = h.provisionalUntil.Add(-suspended)
+	}
 	current := h.View()
 	next := &HallView{closeBy: make(map[string]time.Time), openedAt: current.openedAt}
 	for hall, closeBy := range current.closeBy {
