proxy: Simulate daemons that have been running for a window

What a starting daemon may use is tested by TestFleetStaysWithinRetryBudget and TestRestartedDaemonsShareNoExtraRetriesTwice. All tests of proxy and serving pass.

--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -96,6 +96,8 @@
 		NotifyPeers: func() { p.shareQuarantine() },
 		IsLeaving:   func() bool { return false }, Meter: meter, Logger: hclog.NewNullLogger(),
 	})
+	// The daemons have been running for longer than a window of the budget.
+	r.budget.youngUntil = time.Time{}
 	r.upstream.dial = func(_ context.Context, _, address string) (net.Conn, error) {
 		p.mu.Lock()
 		h, ok := p.heads[address]
