--- a/peers/shares.go
+++ b/peers/shares.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// shareRetention is how long a daemon that is not heard is assumed to use its share of a limit of the
-// fleet. It exceeds the time for which regions may lose each other.
 const (
+	// shareRetention is how long a daemon that is not heard is assumed to use its share of a limit of
+	// the fleet. It exceeds the time for which regions may lose each other.
 	shareRetention = 2 * time.Hour
 	// shareSettlePeriod is how long after its start a daemon may not yet hear all that are up.
 	shareSettlePeriod = 10 * time.Second
@@ -20,29 +20,33 @@
 )
 
 // Shares computes which share of a limit of the whole fleet this daemon may use, such that the shares
-// of all daemons add up to about one and not to more. A daemon that is not heard may be down, or may be cut off and
-// using its share. It therefore keeps the share that it had when it was last heard, until
-// shareRetention has passed. The others divide the rest equally. Shares is not safe for concurrent use.
+// of all daemons add up to about one and not to more. A daemon that is not heard may be down, or may
+// be cut off and using its share. It therefore keeps the share that it had when it was last heard,
+// until shareRetention has passed. The others divide the rest equally. Shares is not safe for
+// concurrent use.
 type Shares struct {
-	startedAt time.Time
+	// settledAt is the time by which all daemons that are up have been heard or counted.
+	settledAt time.Time
+	// unheardUntil is the time until which daemons that this process never heard count as cut off.
+	unheardUntil time.Time
 	// held holds the daemons that were heard within shareRetention, by ID.
 	held map[string]heldShare
 	// largest holds the largest numbers of daemons that were recently counted. Not all daemons of a
 	// large fleet are known by ID.
 	largest sizeHistory
-	// own is the share computed last, lowest the lowest of it and of those that peers reported.
+	// own is the share computed last, lowest the lowest of it and of those that peers reported then.
 	own, lowest float64
 }
 
-// heldShare is a daemon's share when it was last heard.
+// heldShare is a daemon's share when it was last heard, and until when it is kept.
 type heldShare struct {
-	share   float64
-	heardAt time.Time
+	share float64
+	until time.Time
 }
 
 // NewShares returns the shares of a daemon that starts now. Until Update is called, its own is zero.
 func NewShares(now time.Time) *Shares {
-	return &Shares{startedAt: now, held: make(map[string]heldShare)}
+	return &Shares{settledAt: now.Add(shareSettlePeriod), unheardUntil: now.Add(shareRetention), held: make(map[string]heldShare)}
 }
 
 // ShareView is what a daemon knows about the fleet.
@@ -78,16 +82,16 @@
 // computed from that are too large.
 func (s *Shares) hold(heard map[string]bool, known []string, now time.Time) {
 	share := s.lowest
-	if now.Sub(s.startedAt) < shareSettlePeriod {
+	if now.Before(s.settledAt) {
 		share = min(share, 1/float64(max(len(known), 1)))
 	}
 	for id := range heard {
-		s.held[id] = heldShare{share: share, heardAt: now}
+		s.held[id] = heldShare{share: share, until: now.Add(shareRetention)}
 	}
 }
 
-// unheard returns the sum of the shares of daemons that are not heard. Daemons of a large fleet hear only
-// some of the others and count the rest. If all that are known by ID are counted, none is missing.
+// unheard returns the sum of the shares of daemons that are not heard. Daemons of a large fleet hear
+// only some of the others and count the rest. If all that are known by ID are counted, none is missing.
 func (s *Shares) unheard(heard map[string]bool, v ShareView, size int, now time.Time) float64 {
 	shares := s.sharesOfSilent(heard, v.Known, now)
 	slices.Sort(shares)
@@ -99,20 +103,20 @@
 	return sum
 }
 
-// sharesOfSilent returns the shares of the daemons known by ID that are not heard. It forgets those that
-// have been silent for too long.
+// sharesOfSilent returns the shares of the daemons known by ID that are not heard. It forgets those
+// that have been silent for too long.
 func (s *Shares) sharesOfSilent(heard map[string]bool, known []string, now time.Time) []float64 {
 	var shares []float64
 	for id, h := range s.held {
 		switch {
 		case heard[id]:
-		case now.Sub(h.heardAt) > shareRetention:
+		case now.After(h.until):
 			delete(s.held, id)
 		default:
 			shares = append(shares, h.share)
 		}
 	}
-	if now.Sub(s.startedAt) > shareRetention {
+	if now.After(s.unheardUntil) {
 		return shares
 	}
 	for _, id := range known {
@@ -143,10 +147,10 @@
 	sizes []countedSize
 }
 
-// countedSize is a size of the fleet and when it was last counted.
+// countedSize is a size of the fleet, and until when it is kept.
 type countedSize struct {
-	size      int
-	countedAt time.Time
+	size  int
+	until time.Time
 }
 
 // record adds a size. The time must not be before that of an earlier call.
@@ -154,12 +158,12 @@
 	for len(h.sizes) > 0 && h.sizes[len(h.sizes)-1].size <= size {
 		h.sizes = h.sizes[:len(h.sizes)-1]
 	}
-	h.sizes = append(h.sizes, countedSize{size: size, countedAt: now})
+	h.sizes = append(h.sizes, countedSize{size: size, until: now.Add(shareRetention)})
 }
 
 // max returns the largest size that was counted within shareRetention. There must be one.
 func (h *sizeHistory) max(now time.Time) int {
-	for now.Sub(h.sizes[0].countedAt) > shareRetention {
+	for now.After(h.sizes[0].until) {
 		h.sizes = h.sizes[1:]
 	}
 	return h.sizes[0].size
