--- a/review/standins/kit/daemon.go
+++ b/review/standins/kit/daemon.go
@@ -255,3 +255,18 @@
 	}
 	return false
 }
+
+// ResidentMB returns the resident memory of the process in MiB; 0 if it does not run.
+func (d *Daemon) ResidentMB() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", d.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var total, resident int
+	if _, err := fmt.Sscan(string(data), &total, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
