proxy, telemetry: Show how long replicas were silent, and which went on

Streams end without their whole answer while their workers only pause, and the output could not tell whether the workers that were given up were sound, how long they had been silent, or whether the configuration changed under the request.

Added: the line "replica sends events again" with silent_ms, quartzshelf_stalls by event, and silent_ms, config_begun and config in "stream broken off". No decision changes.

--- a/proxy/request.go
+++ b/proxy/request.go
@@ -25,9 +25,11 @@
 	header http.Header
 	body   []byte
 	// memory accounts for the bytes buffered for the request's body and answer.
-	memory  requestMemory
-	route   *fleet.Route
-	service string
+	memory requestMemory
+	route  *fleet.Route
+	// configVersion is the version of the configuration in force when the request arrived.
+	configVersion int64
+	service       string
 	// engine is nil for services without an engine.
 	engine *fleet.Engine
 	model  string
@@ -117,7 +119,7 @@
 	if !ok {
 		return c, newRefusal(http.StatusNotFound, reason.NotFound, "no route leads there")
 	}
-	c.route = route
+	c.route, c.configVersion = route, config.Version()
 	if refused := p.authenticate(c, config); refused != nil {
 		return c, refused
 	}
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -55,14 +55,19 @@
 	return watch
 }
 
-// RecordEvent records that an event of a stream arrived.
-func (t *Tracker) RecordEvent(r *fleet.Replica, watch *StreamWatch, now time.Time) {
+// RecordEvent records that an event of a stream arrived. It returns for how long the replica had
+// sent none if it counted as silent, and zero otherwise.
+func (t *Tracker) RecordEvent(r *fleet.Replica, watch *StreamWatch, now time.Time) (silence time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.loadOf(r)
 	watch.hasBegun, watch.lastEventAt, watch.isTimerRestarted = true, now, false
+	if !s.silentSince.IsZero() {
+		silence = now.Sub(s.silentSince)
+	}
 	s.lastEventAt = now
-	s.suspectedUntil = time.Time{}
+	s.suspectedUntil, s.silentSince = time.Time{}, time.Time{}
+	return silence
 }
 
 // BeginForward records that an event is being sent to the stream's caller, until EndForward.
@@ -141,6 +146,7 @@
 		}
 		if s.isSilent(t.lastEventOf(s), now) {
 			s.suspectedUntil = now.Add(suspicionPeriod)
+			s.markSilent(now)
 			silent = append(silent, s.replica)
 			s.cancelStreams(errReplicaSilent, func(w *StreamWatch) bool { return !w.isForwarding.Load() })
 			continue
@@ -207,6 +213,17 @@
 	return waitingCount > 0 && now.Sub(last) > timeout
 }
 
+// markSilent records since when the replica has sent no event to this daemon.
+func (s *replicaLoad) markSilent(now time.Time) {
+	switch {
+	case !s.silentSince.IsZero():
+	case s.lastEventAt.IsZero():
+		s.silentSince = now
+	default:
+		s.silentSince = s.lastEventAt
+	}
+}
+
 // cancelStreams cancels the matching streams, so that they resume elsewhere.
 func (s *replicaLoad) cancelStreams(cause error, matches func(*StreamWatch) bool) {
 	for watch := range s.streams {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -12,6 +12,7 @@
 	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/fleet"
+	"quartzshelf.dev/telemetry"
 )
 
 const (
@@ -98,7 +99,8 @@
 	}
 	p.opts.Meter.CountRefusal(f.reason)
 	p.opts.Logger.Info("stream broken off", "request", c.id, "reason", string(f.reason), "after_event", s.lastEventID,
-		"sends", c.sends, "retry_budget", c.budgetAtRefusal, "client_gone", s.isClientGone, "ms", time.Since(c.arrived).Milliseconds(), "error", c.lastErr)
+		"sends", c.sends, "retry_budget", c.budgetAtRefusal, "client_gone", s.isClientGone, "ms", time.Since(c.arrived).Milliseconds(),
+		"silent_ms", time.Since(s.lastEventAt).Milliseconds(), "config_begun", c.configVersion, "config", p.configVersion(), "error", c.lastErr)
 	panic(http.ErrAbortHandler)
 }
 
@@ -137,7 +139,10 @@
 			s.timing.recordFirst(c, replica.ID, now)
 		}
 		reservation.MarkPromptRead()
-		p.opts.Tracker.RecordEvent(replica, watch, now)
+		if silence := p.opts.Tracker.RecordEvent(replica, watch, now); silence > 0 {
+			p.opts.Meter.CountStall(telemetry.StallEnded)
+			p.opts.Logger.Info("replica sends events again", "replica", replica.ID, "head", replica.Head.ID, "silent_ms", silence.Milliseconds())
+		}
 		watch.BeginForward()
 	}
 	onForwarded := func() { p.opts.Tracker.EndForward(watch, time.Now()) }
--- a/proxy/tracker.go
+++ b/proxy/tracker.go
@@ -40,6 +40,9 @@
 	streams        map[*StreamWatch]struct{}
 	lastEventAt    time.Time
 	suspectedUntil time.Time
+	// silentSince is when the replica sent its last event before it counted as silent. It is zero if
+	// the replica has sent one since.
+	silentSince time.Time
 	// unreachableUntil is the time until which the replica counts as suspected after a failed
 	// connection.
 	unreachableUntil time.Time
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -7,6 +7,7 @@
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/formation"
 	"quartzshelf.dev/peers"
+	"quartzshelf.dev/telemetry"
 )
 
 // lead acts as leader for the term of a claim, until ctx ends. isFirst is passed on to the
@@ -87,6 +88,7 @@
 func (s *Server) reportStall(r *fleet.Replica) {
 	now := time.Now()
 	s.logger.Warn("replica stalled", "replica", r.ID, "head", r.Head.ID)
+	s.meter.CountStall(telemetry.StallBegan)
 	s.suspicions.add(peers.Stall{Replica: r.ID, Head: r.Head.ID}, now)
 	s.suspect(r.ID)
 	s.agent.SendHeartbeat(now)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -48,6 +48,8 @@
 	connections metric.Int64Counter
 	// failedConnects counts failed attempts to open a connection to a worker.
 	failedConnects metric.Int64Counter
+	// stalls counts the replicas that fell silent, and those that sent events again.
+	stalls metric.Int64Counter
 	// forwards counts attempts that were forwarded to peers.
 	forwards metric.Int64Counter
 	// datagrams and datagramBytes count the datagrams sent to peers and their bytes.
@@ -262,6 +264,19 @@
 		metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
 }
 
+// Events of stalls.
+const (
+	// StallBegan means that a replica sent no event for so long that it is suspected.
+	StallBegan = "began"
+	// StallEnded means that a replica that had been silent sent an event again.
+	StallEnded = "ended"
+)
+
+// CountStall counts an event of a stall, StallBegan or StallEnded.
+func (m *Meter) CountStall(event string) {
+	m.stalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 // CountForward counts an attempt that was forwarded to a peer, by outcome.
 func (m *Meter) CountForward(outcome string) {
 	m.forwards.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
@@ -278,6 +293,7 @@
 		&m.brokenAttempts:   {"quartzshelf_attempts_broken", "Attempts whose connection the worker ended within, by service."},
 		&m.connections:      {"quartzshelf_connections", "Connections that carried requests to workers, by service, opened or reused."},
 		&m.failedConnects:   {"quartzshelf_connects_failed", "Connections to workers that could not be opened, by service and cause."},
+		&m.stalls:           {"quartzshelf_stalls", "Replicas that fell silent, and those that sent events again, by event."},
 		&m.forwards:         {"quartzshelf_forwards", "Attempts forwarded to peers because this daemon reached no worker, by outcome."},
 		&m.datagrams:        {"quartzshelf_datagrams", "Datagrams sent to peers, by kind."},
 		&m.datagramBytes:    {"quartzshelf_datagram_bytes", "Bytes of datagrams sent to peers, by kind."},
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -19,6 +19,7 @@
 	m.CountConnection("models", true)
 	m.CountConnection("plain", false)
 	m.CountFailedConnect("plain", "refused")
+	m.CountStall(StallEnded)
 	recorder := httptest.NewRecorder()
 	m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, want := range []string{
@@ -26,6 +27,7 @@
 		`quartzshelf_connections_total{service="models",use="reused"} 2`,
 		`quartzshelf_connections_total{service="plain",use="opened"} 1`,
 		`quartzshelf_connects_failed_total{cause="refused",service="plain"} 1`,
+		`quartzshelf_stalls_total{event="ended"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(recorder.Body.String(), want), "%s in %s", want, recorder.Body)
 	}
