proxy: Start a second attempt beside a silent one instead of ending it

Callers of streams got no whole answer while sound workers were silent for a second: the connection was closed, or they got 502. Cause: a stream was cancelled as soon as its replica had sent nothing for 0.45 s (0.9 s before a first event), before it was known whether it could go on elsewhere. With both attempts used, no retry left, or all other replicas full or suspected, the daemon then ended the answer, most often a few hundred milliseconds before the worker went on.

A silent attempt now goes on while a second one, a hedge, is begun at a replica that is not suspected: within the route's attempts and the retry budget, after the same check of the daemon's links and the same random delay as before, and through a peer if the links are down. The first that delivers an event wins, and the other is cancelled. Where no hedge may start, the attempt is held until the deadline or until its caller leaves. The decision is made in the stream's own goroutine, within the read, which is interrupted by a read deadline.

TestPausedWorkersEndNoStream and TestSilenceEndsNoAnswer failed before (502 after 1.9 s of 6 s) and pass.

Tests: TestSilenceIsReported asked for 502 as soon as both attempts were silent; that is the fault. It now asks that the request is held until its deadline exactly, and then gets 504 with the same reason. The fake links of serving's tests now end a read at its deadline, as a kernel does: they held it until the links were restored.

Why it holds: nothing ends an attempt for silence but an event of the other attempt.

--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -133,6 +133,12 @@
 	return true
 }
 
+// hasRetry reports whether a retry is allowed, without counting one.
+func (b *budget) hasRetry(service string, now time.Time) bool {
+	state := b.state(service, now)
+	return state.retries+1 <= state.allowed
+}
+
 // addSuspension makes the time for which the machine was suspended count as passed. The monotonic clock
 // does not count it.
 func (b *budget) addSuspension(suspended time.Duration) {
--- a/proxy/connections.go
+++ b/proxy/connections.go
@@ -60,6 +60,8 @@
 	closeAt   time.Time
 	// idleBefore is how long it was idle before its current request; zero for a new connection.
 	idleBefore time.Duration
+	// onInterrupt is called by interrupted reads. Nil if reads are not interrupted.
+	onInterrupt func() error
 }
 
 func newUpstream() *upstream {
@@ -95,7 +97,9 @@
 		return nil, &sendError{cause: failure.Wrap(failure.Refused, "connect to worker", w.ID, err)}
 	}
 	u.onConnection(w.Service, false)
-	return &connection{Conn: raw, worker: w.ID, service: w.Service, workerBorn: w.StartedAt, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	c := &connection{Conn: raw, worker: w.ID, service: w.Service, workerBorn: w.StartedAt}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // reuse returns the most recently used idle connection, or nil if none is usable. The most recent
--- a/proxy/failover.go
+++ b/proxy/failover.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,10 +20,9 @@
 // unreachable if no connection could be opened. Rejections and the silence of a single stream do
 // not count.
 func (p *Proxy) recordHeadFailure(c *request, replica *fleet.Replica, err error) {
-	if errors.Is(err, errRejected) || errors.Is(err, errStreamSilent) {
+	if !c.recordFailedHead(replica, err) {
 		return
 	}
-	c.failedHeads = append(c.failedHeads, replica.Head)
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	if !refused && !isDialTimeout(err) {
 		return
@@ -32,6 +32,18 @@
 	}
 }
 
+// recordFailedHead adds a replica's head to failedHeads. It returns false if the error is a rejection or the
+// silence of a single stream.
+func (c *request) recordFailedHead(replica *fleet.Replica, err error) bool {
+	if errors.Is(err, errRejected) || errors.Is(err, errStreamSilent) {
+		return false
+	}
+	if !slices.Contains(c.failedHeads, replica.Head) {
+		c.failedHeads = append(c.failedHeads, replica.Head)
+	}
+	return true
+}
+
 // mayBeOwnLinks reports whether an attempt may have failed because of this daemon's own links.
 func mayBeOwnLinks(err error) bool {
 	return guard.IsConnectionBroken(err) || isDialTimeout(err) || errors.Is(err, errReplicaSilent)
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -138,13 +138,14 @@
 	return &nearest[int(p.random()*float64(len(nearest)))], nil
 }
 
-// messageForPeer returns the request as forwarded to a peer, which handles it like a caller's.
-func (p *Proxy) messageForPeer(c *request, lastEvent string) *message {
+// messageForPeer returns the request as forwarded to a peer, which handles it like a caller's. sends is
+// the number of attempts that may have run before.
+func (p *Proxy) messageForPeer(c *request, lastEvent string, sends int) *message {
 	names := p.opts.Names
 	header := forwardedHeaders(c.header)
 	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
 	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
-	header.Set(forwardedHeader, strconv.Itoa(c.sends))
+	header.Set(forwardedHeader, strconv.Itoa(sends))
 	if lastEvent != "" {
 		header.Set(names.LastEventID, lastEvent)
 	}
@@ -157,9 +158,9 @@
 
 // sendToPeer sends an attempt to a peer. It returns an error if the peer refused the request without
 // running it.
-func (p *Proxy) sendToPeer(ctx context.Context, c *request, peer *Peer, lastEvent string) (*exchange, error) {
+func (p *Proxy) sendToPeer(ctx context.Context, peer *Peer, m *message) (*exchange, error) {
 	daemon := &fleet.Worker{ID: peer.ID, Address: peer.Address, StartedAt: peer.Incarnation}
-	e, err := p.peerUpstream.send(ctx, daemon, p.messageForPeer(c, lastEvent))
+	e, err := p.peerUpstream.send(ctx, daemon, m)
 	if err != nil {
 		return nil, err
 	}
@@ -226,59 +227,13 @@
 	return false
 }
 
-// forwardStream relays a stream through a peer until it is complete.
-func (p *Proxy) forwardStream(c *request, s *relayedStream, peer *Peer) error {
-	ctx, cancel := context.WithCancelCause(c.ctx)
-	defer cancel(nil)
-	attempt := p.forwards.add(peer, cancel)
-	defer p.forwards.remove(attempt)
-	e, err := p.sendToPeer(ctx, c, peer, s.lastEventID)
-	if err != nil {
-		return err
-	}
-	if e.response.StatusCode != http.StatusOK || e.response.Header.Get(p.opts.Names.Signature) == "" {
-		return p.passOnFailure(ctx, c, s, e, peer)
-	}
-	onEvent := func(now time.Time) {
-		if s.isHeadSent {
-			s.timing.recordNext(c, peer.ID, now.Sub(s.lastEventAt))
-			return
-		}
-		p.opts.Meter.RecordFirstToken(c.arrived)
-		s.timing.recordFirst(c, peer.ID, now)
-	}
-	if err := s.copyEvents(e, onEvent, func() {}); err != nil {
-		e.abort()
-		return withCause(ctx, peer.ID, &sendError{mayHaveArrived: true, cause: err})
-	}
-	e.finish()
-	p.opts.Meter.CountForward(forwardAnswered)
-	return nil
-}
-
-// passOnFailure passes on an answer of a peer that is not a signed stream. The peer has already
-// retried. It returns an error if the caller has received events, or if the answer is an unsigned
-// success.
-func (p *Proxy) passOnFailure(ctx context.Context, c *request, s *relayedStream, e *exchange, peer *Peer) error {
-	got, err := p.readAnswer(ctx, c, e, peer.ID)
-	if err != nil {
-		return err
-	}
-	if s.isHeadSent || got.status < http.StatusBadRequest {
-		return &sendError{mayHaveArrived: true, cause: failure.New(failure.Remote, "read stream", peer.ID, "status %d", got.status)}
-	}
-	p.opts.Meter.CountForward(forwardAnswered)
-	writeAnswer(s.w, got)
-	return nil
-}
-
 // forwardBuffered sends the request through a peer and reads the complete answer.
 func (p *Proxy) forwardBuffered(c *request, peer *Peer) (*answer, error) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	attempt := p.forwards.add(peer, cancel)
 	defer p.forwards.remove(attempt)
-	e, err := p.sendToPeer(ctx, c, peer, "")
+	e, err := p.sendToPeer(ctx, peer, p.messageForPeer(c, "", c.sends))
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/links.go
+++ b/proxy/links.go
@@ -122,6 +122,24 @@
 	})
 }
 
+// notify calls report when a check has ended.
+func (l *links) notify(check *linkCheck, report func()) {
+	l.checks.Go(func() {
+		<-check.done
+		report()
+	})
+}
+
+// isDone reports whether the check has ended.
+func (k *linkCheck) isDone() bool {
+	select {
+	case <-k.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // isDown reports whether this daemon reaches no worker of a service.
 func (l *links) isDown(service string) bool {
 	l.mu.Lock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
 
 	"quartzshelf.dev/backpressure"
 	"quartzshelf.dev/common/reason"
@@ -96,6 +97,8 @@
 	callerTimeouts *callerTimeouts
 	guard          *guard.Guard
 	waitingStreams waitingStreams
+	// hedges runs the attempts beside silent ones until their answers begin.
+	hedges conc.WaitGroup
 	// startedAt is when this daemon started.
 	startedAt time.Time
 	// hasAnswered reports whether a request has been answered other than by a refusal.
@@ -157,6 +160,7 @@
 	defer close(p.done)
 	defer p.guard.Wait()
 	defer p.links.wait()
+	defer p.hedges.Wait()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	last := time.Now()
@@ -287,6 +291,11 @@
 // choose returns the replica for the next attempt, or a peer if this daemon reaches no worker of the
 // service. It returns a refusal if there is neither.
 func (p *Proxy) choose(c *request) (destination, *refusal) {
+	return p.chooseWithin(c, eligibility.Excluded)
+}
+
+// chooseWithin is like choose, but leaves out replicas of the given class and worse ones.
+func (p *Proxy) chooseWithin(c *request, limit eligibility.Class) (destination, *refusal) {
 	p.opts.CheckSuspension()
 	now := time.Now()
 	if f := p.checkQuarantine(c, now); f != nil {
@@ -299,12 +308,13 @@
 		peer, refused := p.choosePeer(c)
 		return destination{peer: peer}, refused
 	}
-	replica, refused := p.chooseReplica(c, now)
+	replica, refused := p.chooseReplica(c, limit, now)
 	return destination{replica: replica}, refused
 }
 
-// chooseReplica returns the replica for the next attempt, or a refusal if there is none.
-func (p *Proxy) chooseReplica(c *request, now time.Time) (*fleet.Replica, *refusal) {
+// chooseReplica returns the replica for the next attempt among those whose class is better than limit, or a
+// refusal if there is none.
+func (p *Proxy) chooseReplica(c *request, limit eligibility.Class, now time.Time) (*fleet.Replica, *refusal) {
 	selection := p.selectReplicas(c, now)
 	// exhausted holds replicas whose last token was taken by another request since they were
 	// classified.
@@ -313,7 +323,7 @@
 		if selection.IsEmpty() {
 			return nil, p.noReplicaRefusal(c, selection.Counts(), now)
 		}
-		replica, refused := p.chooseByClass(c, &selection, exhausted, now)
+		replica, refused := p.chooseByClass(c, &selection, limit, exhausted, now)
 		c.chosenAt = now
 		if refused != nil || p.takeTokens(c, replica, now) {
 			return replica, refused
@@ -327,9 +337,9 @@
 
 // chooseByClass chooses among the replicas of the best class with free capacity. Replicas of class
 // LastResort are not used while better ones are merely full.
-func (p *Proxy) chooseByClass(c *request, s *eligibility.Selection, exhausted map[string]bool, now time.Time) (*fleet.Replica, *refusal) {
+func (p *Proxy) chooseByClass(c *request, s *eligibility.Selection, limit eligibility.Class, exhausted map[string]bool, now time.Time) (*fleet.Replica, *refusal) {
 	isFull := false
-	for class := eligibility.Eligible; class < eligibility.Excluded; class++ {
+	for class := eligibility.Eligible; class < limit; class++ {
 		replicas := s.InClass(class)
 		if len(replicas) == 0 || isFull && class == eligibility.LastResort {
 			continue
@@ -406,31 +416,34 @@
 // recordAttempt records a failed attempt. It returns whether the attempt may have run, and a refusal
 // if no other one may follow.
 func (p *Proxy) recordAttempt(c *request, chosen destination, err error) (mayHaveRun bool, refused *refusal) {
+	mayHaveRun = p.recordFailed(c, chosen, err)
+	return mayHaveRun, p.checkRetry(c, err, mayHaveRun)
+}
+
+// recordFailed records a failed attempt and returns whether it may have run.
+func (p *Proxy) recordFailed(c *request, chosen destination, err error) (mayHaveRun bool) {
 	if chosen.peer != nil {
-		mayHaveRun = p.recordPeerFailure(c, chosen.peer, err)
-	} else {
-		mayHaveRun = p.recordFailure(c, chosen.replica, err)
+		return p.recordPeerFailure(c, chosen.peer, err)
 	}
+	return p.recordFailure(c, chosen.replica, err)
+}
+
+// checkRetry returns a refusal if no other attempt may follow one that failed with err. Otherwise it takes
+// a retry from the budget, if the failed attempt reached a worker.
+func (p *Proxy) checkRetry(c *request, err error, mayHaveRun bool) *refusal {
 	if f := finalRefusal(err); f != nil {
-		return mayHaveRun, c.correctStatus(f)
+		return c.correctStatus(f)
 	}
 	if !c.mayRetry(mayHaveRun) || mayHaveReachedWorker(err) && !p.takeFromBudget(c) {
-		return mayHaveRun, p.failureRefusal(c)
+		return p.failureRefusal(c)
 	}
-	return mayHaveRun, nil
+	return nil
 }
 
 // recordFailure records a failed attempt at a replica and returns whether it may have run. If this
 // daemon's own links failed, the replica is not blamed.
 func (p *Proxy) recordFailure(c *request, replica *fleet.Replica, err error) (mayHaveRun bool) {
-	c.lastErr = err
-	c.triedReplicas[replica.ID] = true
-	mayHaveRun = mayHaveArrived(err)
-	if mayHaveRun {
-		c.sends++
-	} else {
-		c.rejections++
-	}
+	mayHaveRun = p.countFailure(c, replica, err)
 	if mayHaveRun && guard.IsConnectionBroken(err) {
 		p.logBroken(c, replica, err)
 	}
@@ -440,13 +453,33 @@
 	if mayHaveRun && guard.IsConnectionBroken(err) {
 		p.reportCrash(c, replica)
 	}
-	if !c.isDone() && !errors.Is(err, errQuarantined) {
-		p.opts.Tracker.RecordFailure(replica, time.Now())
-		p.recordHeadFailure(c, replica, err)
+	p.blame(c, replica, err)
+	return mayHaveRun
+}
+
+// countFailure counts a failed attempt at a replica and returns whether it may have run.
+func (p *Proxy) countFailure(c *request, replica *fleet.Replica, err error) (mayHaveRun bool) {
+	c.lastErr = err
+	c.triedReplicas[replica.ID] = true
+	mayHaveRun = mayHaveArrived(err)
+	if mayHaveRun {
+		c.sends++
+	} else {
+		c.rejections++
 	}
 	return mayHaveRun
 }
 
+// blame makes other requests avoid a replica at which an attempt failed, unless the attempt was ended
+// for a reason of its own.
+func (p *Proxy) blame(c *request, replica *fleet.Replica, err error) {
+	if c.isDone() || errors.Is(err, errQuarantined) {
+		return
+	}
+	p.opts.Tracker.RecordFailure(replica, time.Now())
+	p.recordHeadFailure(c, replica, err)
+}
+
 // failureRefusal returns the refusal of a request whose attempts all failed.
 func (p *Proxy) failureRefusal(c *request) *refusal {
 	if c.isTimedOut() {
--- a/proxy/signals.go
+++ b/proxy/signals.go
@@ -9,9 +9,9 @@
 )
 
 // sendTo sends an attempt to a worker, and processes the worker's signal in the answer's header.
-func (p *Proxy) sendTo(ctx context.Context, c *request, worker *fleet.Worker, lastEvent string) (*exchange, error) {
+func (p *Proxy) sendTo(ctx context.Context, worker *fleet.Worker, m *message) (*exchange, error) {
 	sent := time.Now()
-	e, err := p.upstream.send(ctx, worker, p.messageFor(c, worker, lastEvent))
+	e, err := p.upstream.send(ctx, worker, m)
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +20,8 @@
 	// peerReportDelay is the assumed maximum time until this daemon learns of a request at a peer:
 	// one report interval of the peer, plus one of the daemon that passes the report on.
 	peerReportDelay = 600 * time.Millisecond
+	// stallReportInterval is the time between two reports of a replica that stays silent.
+	stallReportInterval = 800 * time.Millisecond
 )
 
 // StreamWatch is a stream in flight.
@@ -41,16 +42,17 @@
 	// replica in that time, so the stream does not count as silent.
 	isForwarding atomic.Bool
 	costs        costs
-	cancel       context.CancelCauseFunc
+	// onSilent is called with the tracker's lock held.
+	onSilent func()
 }
 
-// Watch registers a stream. cancel is called if the stream or its whole replica falls silent. The
-// costs are used to predict when its events are due.
-func (t *Tracker) Watch(r *fleet.Replica, c costs, cancel context.CancelCauseFunc) *StreamWatch {
+// Watch registers a stream. onSilent is called repeatedly while the stream or its whole replica is
+// silent; it must not call the tracker. The costs are used to predict when the stream's events are due.
+func (t *Tracker) Watch(r *fleet.Replica, c costs, onSilent func()) *StreamWatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	watch := &StreamWatch{sentAt: now, lastEventAt: now, costs: c, cancel: cancel}
+	watch := &StreamWatch{sentAt: now, lastEventAt: now, costs: c, onSilent: onSilent}
 	t.loadOf(r).streams[watch] = struct{}{}
 	return watch
 }
@@ -66,7 +68,7 @@
 		silence = now.Sub(s.silentSince)
 	}
 	s.lastEventAt = now
-	s.suspectedUntil, s.silentSince = time.Time{}, time.Time{}
+	s.suspectedUntil, s.silentSince, s.nextStallReport = time.Time{}, time.Time{}, time.Time{}
 	return silence
 }
 
@@ -103,8 +105,8 @@
 	}
 }
 
-// Sweep cancels all streams of replicas that fell silent, and single silent streams of other
-// replicas, so that they resume elsewhere. It also removes replicas that are no longer used. gap is
+// Sweep notifies all streams of silent replicas, and single silent streams of other replicas, so that
+// they try elsewhere. It also removes replicas that are no longer used. gap is
 // the time since the last sweep. A long gap means that this process was paused, and restarts the
 // timers of the streams. Each timer is restarted at most once until the stream's next event, so
 // that a process with frequent pauses still detects silence.
@@ -147,15 +149,35 @@
 		if s.isSilent(t.lastEventOf(s), now) {
 			s.suspectedUntil = now.Add(suspicionPeriod)
 			s.markSilent(now)
-			silent = append(silent, s.replica)
-			s.cancelStreams(errReplicaSilent, func(w *StreamWatch) bool { return !w.isForwarding.Load() })
+			if !now.Before(s.nextStallReport) {
+				s.nextStallReport = now.Add(stallReportInterval)
+				silent = append(silent, s.replica)
+			}
+			s.notifyStreams(func(w *StreamWatch) bool { return !w.isForwarding.Load() })
 			continue
 		}
-		s.cancelStreams(errStreamSilent, func(w *StreamWatch) bool { return t.isStreamSilent(s, w, now) })
+		s.notifyStreams(func(w *StreamWatch) bool { return t.isStreamSilent(s, w, now) })
 	}
 	return silent
 }
 
+// Silence returns errReplicaSilent if a stream's replica has sent no event for too long,
+// errStreamSilent if only the stream got none, and nil otherwise.
+func (t *Tracker) Silence(r *fleet.Replica, watch *StreamWatch, now time.Time) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.loadOf(r)
+	switch {
+	case watch.isForwarding.Load():
+		return nil
+	case s.isSilent(t.lastEventOf(s), now):
+		return errReplicaSilent
+	case t.isStreamSilent(s, watch, now):
+		return errStreamSilent
+	}
+	return nil
+}
+
 // lastEventOf returns when a replica last sent an event to this daemon or, according to their
 // reports, to a peer.
 func (t *Tracker) lastEventOf(s *replicaLoad) time.Time {
@@ -224,11 +246,11 @@
 	}
 }
 
-// cancelStreams cancels the matching streams, so that they resume elsewhere.
-func (s *replicaLoad) cancelStreams(cause error, matches func(*StreamWatch) bool) {
+// notifyStreams tells the matching streams that they are silent.
+func (s *replicaLoad) notifyStreams(matches func(*StreamWatch) bool) {
 	for watch := range s.streams {
 		if matches(watch) {
-			watch.cancel(cause)
+			watch.onSilent()
 		}
 	}
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -11,7 +11,6 @@
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/common/reason"
-	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/telemetry"
 )
 
@@ -44,18 +43,28 @@
 	// isClientGone reports whether a write to the caller failed.
 	isClientGone bool
 	timing       lateness
+	// hedge is an attempt that was started beside the current one, which is silent. Nil if there is
+	// none. silence is the state of the current attempt's silence.
+	hedge   *streamAttempt
+	silence silence
 }
 
 // serveStream relays a stream, and resumes it at another replica if it breaks.
 func (p *Proxy) serveStream(w http.ResponseWriter, c *request) *refusal {
 	s := &relayedStream{w: w, lastEventID: c.header.Get(p.opts.Names.LastEventID), lastEventAt: c.arrived}
 	p.opts.Tracker.RecordGapTarget(c.model, c.route.GapTarget, c.arrived)
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	p.waitingStreams.add(c, cancel)
+	defer p.waitingStreams.remove(c)
+	defer p.dropHedge(c, s)
 	for {
-		chosen, refused := p.chooseOrWait(c, s)
+		a, refused := p.nextAttempt(ctx, c, s)
 		if refused != nil {
 			return p.endStream(c, s, refused)
 		}
-		err := p.tryStream(c, s, chosen)
+		err := p.relayAttempt(c, s, a)
+		p.endAttempt(a)
 		if err == nil {
 			p.logLate(c, &s.timing)
 			return nil
@@ -65,18 +74,64 @@
 			// Nobody is left to retry for, and the replica is not to blame.
 			c.cancel()
 		}
-		mayHaveRun, refused := p.recordAttempt(c, chosen, err)
-		if refused != nil {
+		if refused := p.prepareRetry(c, s, a, err); refused != nil {
 			return p.endStream(c, s, refused)
 		}
-		pause.Sleep(c.ctx, p.resumeDelay(c, s, time.Now()))
-		if s.isHeadSent {
-			p.opts.Logger.Info("stream resumes", "request", c.id, "from", chosen.id(), "after_event", s.lastEventID, "error", err)
-			p.opts.Meter.CountRetry(reason.RetryResumed)
-			continue
+	}
+}
+
+// nextAttempt returns the hedge if one is under way, and starts an attempt otherwise.
+func (p *Proxy) nextAttempt(ctx context.Context, c *request, s *relayedStream) (*streamAttempt, *refusal) {
+	a := s.hedge
+	s.hedge = nil
+	if a == nil {
+		chosen, refused := p.chooseOrWait(c, s)
+		if refused != nil {
+			return nil, refused
 		}
-		p.opts.Meter.CountRetry(retryReason(mayHaveRun))
+		a = p.beginAttempt(ctx, c, s, chosen, c.sends)
 	}
+	c.chosenAt, c.chosenInFlight = a.chosenAt, a.inFlight
+	s.silence = silence{}
+	a.interrupts.setHandler(func() error { return p.onSilence(ctx, c, s, a) })
+	return a, nil
+}
+
+// prepareRetry records a failed attempt and prepares the next one. It returns a refusal if there may be
+// none.
+func (p *Proxy) prepareRetry(c *request, s *relayedStream, failed *streamAttempt, err error) *refusal {
+	if s.hasOpenHedge() && errors.Is(err, errReplicaSilent) {
+		p.recordSilence(c, s, failed, err)
+		return nil
+	}
+	mayHaveRun := p.recordFailed(c, failed.chosen, err)
+	if s.hedge != nil {
+		if err = p.waitForHedge(c, s); err == nil {
+			return nil
+		}
+		mayHaveRun = mayHaveArrived(err)
+	}
+	if refused := p.checkRetry(c, err, mayHaveRun); refused != nil {
+		return refused
+	}
+	pause.Sleep(c.ctx, p.resumeDelay(c, s, time.Now()))
+	if s.isHeadSent {
+		p.logResume(c, s, failed, err)
+	}
+	p.opts.Meter.CountRetry(s.retryReason(mayHaveRun))
+	return nil
+}
+
+// retryReason returns the reason by which a further attempt of the stream is counted.
+func (s *relayedStream) retryReason(mayHaveRun bool) reason.Reason {
+	if s.isHeadSent {
+		return reason.RetryResumed
+	}
+	return retryReason(mayHaveRun)
+}
+
+func (p *Proxy) logResume(c *request, s *relayedStream, failed *streamAttempt, err error) {
+	p.opts.Logger.Info("stream resumes", "request", c.id, "from", failed.chosen.id(), "after_event", s.lastEventID, "error", err)
 }
 
 // chooseOrWait chooses where to send an attempt. A stream that has started or is late may wait.
@@ -104,70 +159,90 @@
 	panic(http.ErrAbortHandler)
 }
 
-// tryStream sends the request to one replica or peer and relays the answer until the stream is
-// complete.
-func (p *Proxy) tryStream(c *request, s *relayedStream, chosen destination) error {
-	if chosen.peer != nil {
-		return p.forwardStream(c, s, chosen.peer)
-	}
-	replica := chosen.replica
-	ctx, cancel := context.WithCancelCause(c.ctx)
-	defer cancel(nil)
-	p.waitingStreams.add(c, cancel)
-	defer p.waitingStreams.remove(c)
-	reservation := p.opts.Tracker.Reserve(replica, c.promptTokens)
-	defer reservation.Release()
-	watch := p.opts.Tracker.Watch(replica, costsOf(c.engine, c.model, replica.Head.Slots), cancel)
-	defer p.opts.Tracker.Unwatch(replica, watch)
-	e, err := p.sendTo(ctx, c, replica.Head, s.lastEventID)
-	if err != nil {
-		return err
-	}
-	if err := p.checkRejected(e, replica.Head.ID); err != nil {
-		e.discard()
-		return err
-	}
-	if e.response.StatusCode != http.StatusOK || e.response.Header.Get(p.opts.Names.Signature) == "" {
-		return p.handleStreamFailure(ctx, c, s, e, replica)
-	}
-	onEvent := func(now time.Time) {
-		if s.isHeadSent {
-			s.timing.recordNext(c, replica.ID, now.Sub(s.lastEventAt))
-		} else {
-			p.opts.Meter.RecordFirstToken(c.arrived)
-			p.waitingStreams.remove(c)
-			s.timing.recordFirst(c, replica.ID, now)
-		}
-		reservation.MarkPromptRead()
-		if silence := p.opts.Tracker.RecordEvent(replica, watch, now); silence > 0 {
-			p.opts.Meter.CountStall(telemetry.StallEnded)
-			p.opts.Logger.Info("replica sends events again", "replica", replica.ID, "head", replica.Head.ID, "silent_ms", silence.Milliseconds())
+// relayAttempt relays the answer to an attempt until the stream is complete. It sends the attempt
+// unless that was done before.
+func (p *Proxy) relayAttempt(c *request, s *relayedStream, a *streamAttempt) error {
+	if a.exchange == nil {
+		if err := p.openAttempt(a); err != nil {
+			return err
 		}
-		watch.BeginForward()
 	}
-	onForwarded := func() { p.opts.Tracker.EndForward(watch, time.Now()) }
-	if err := s.copyEvents(e, onEvent, onForwarded); err != nil {
+	e := a.exchange
+	if !p.isSignedStream(e) {
+		a.interrupts.detach()
+		return p.passOnFailure(c, s, a)
+	}
+	onForwarded := func() { p.recordForwarded(a) }
+	if err := s.copyEvents(e, func(now time.Time) { p.recordEvent(c, s, a, now) }, onForwarded); err != nil {
 		e.abort()
-		return withCause(ctx, replica.Head.ID, &sendError{mayHaveArrived: true, cause: err})
+		return withCause(a.ctx, a.sender(), &sendError{mayHaveArrived: true, cause: err})
 	}
+	a.interrupts.detach()
 	e.finish()
-	p.recordCompletion(c, e)
+	p.recordAnswered(c, a)
 	return nil
 }
 
-// handleStreamFailure handles an answer that is not a signed stream. An error status is forwarded
-// if the caller has received nothing yet, but a server error (5xx) only at the last attempt. In all
-// other cases handleStreamFailure returns an error.
-func (p *Proxy) handleStreamFailure(ctx context.Context, c *request, s *relayedStream, e *exchange, replica *fleet.Replica) error {
-	got, err := p.readAnswer(ctx, c, e, replica.Head.ID)
+// recordAnswered records that a worker or peer answered completely.
+func (p *Proxy) recordAnswered(c *request, a *streamAttempt) {
+	if a.chosen.peer != nil {
+		p.opts.Meter.CountForward(forwardAnswered)
+		return
+	}
+	p.recordCompletion(c, a.exchange)
+}
+
+// recordEvent records that an event of the current attempt arrived. The hedge is no longer needed.
+func (p *Proxy) recordEvent(c *request, s *relayedStream, a *streamAttempt, now time.Time) {
+	if s.isHeadSent {
+		s.timing.recordNext(c, a.chosen.id(), now.Sub(s.lastEventAt))
+	} else {
+		p.opts.Meter.RecordFirstToken(c.arrived)
+		p.waitingStreams.remove(c)
+		s.timing.recordFirst(c, a.chosen.id(), now)
+	}
+	p.dropHedge(c, s)
+	s.silence = silence{}
+	replica := a.chosen.replica
+	if replica == nil {
+		return
+	}
+	a.reservation.MarkPromptRead()
+	if silence := p.opts.Tracker.RecordEvent(replica, a.watch, now); silence > 0 {
+		p.opts.Meter.CountStall(telemetry.StallEnded)
+		p.opts.Logger.Info("replica sends events again", "replica", replica.ID, "head", replica.Head.ID, "silent_ms", silence.Milliseconds())
+	}
+	a.watch.BeginForward()
+}
+
+// recordForwarded records that the caller has received the last event.
+func (p *Proxy) recordForwarded(a *streamAttempt) {
+	if a.watch != nil {
+		p.opts.Tracker.EndForward(a.watch, time.Now())
+	}
+}
+
+// passOnFailure handles an answer that is not a signed stream. An error status is passed on if the
+// caller has received nothing yet, but a worker's server error (5xx) only at the last attempt. In all
+// other cases it returns an error.
+func (p *Proxy) passOnFailure(c *request, s *relayedStream, a *streamAttempt) error {
+	got, err := p.readAnswer(a.ctx, c, a.exchange, a.sender())
 	if err != nil {
 		return err
 	}
-	p.recordCompletion(c, e)
-	if s.isHeadSent || got.status < http.StatusBadRequest || got.status >= http.StatusInternalServerError && c.sends+1 < c.route.MaxAttempts {
-		return &sendError{mayHaveArrived: true, cause: failure.New(failure.Remote, "read stream", replica.Head.ID, "status %d", got.status)}
+	isFromPeer := a.chosen.peer != nil
+	if !isFromPeer {
+		p.recordCompletion(c, a.exchange)
+	}
+	isLast := isFromPeer || c.sends+1 >= c.route.MaxAttempts
+	if s.isHeadSent || got.status < http.StatusBadRequest || got.status >= http.StatusInternalServerError && !isLast {
+		return &sendError{mayHaveArrived: true, cause: failure.New(failure.Remote, "read stream", a.sender(), "status %d", got.status)}
+	}
+	if isFromPeer {
+		p.opts.Meter.CountForward(forwardAnswered)
+	} else {
+		c.sends++
 	}
-	c.sends++
 	writeAnswer(s.w, got)
 	return nil
 }
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -90,6 +90,9 @@
 // exchange sends a request over a connection and reads the header of its answer.
 func (u *upstream) exchange(ctx context.Context, c *connection, m *message) (*exchange, error) {
 	release := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if m.onConnected != nil {
+		m.onConnected(c)
+	}
 	response, err := c.roundTrip(m)
 	if err != nil {
 		release()
@@ -206,6 +209,8 @@
 	sendBy time.Time
 	// atMostOnce reports whether the request must not be repeated.
 	atMostOnce bool
+	// onConnected, if not nil, is called with the connection before the message is sent over it.
+	onConnected func(c *connection)
 	// takeRetry takes a retry from the budget and reports whether one was left.
 	takeRetry func() bool
 }
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -87,9 +87,10 @@
 // reportStall logs a stalled replica, and reports it to peers and to the reconciler.
 func (s *Server) reportStall(r *fleet.Replica) {
 	now := time.Now()
-	s.logger.Warn("replica stalled", "replica", r.ID, "head", r.Head.ID)
-	s.meter.CountStall(telemetry.StallBegan)
-	s.suspicions.add(peers.Stall{Replica: r.ID, Head: r.Head.ID}, now)
+	if isNew := s.suspicions.add(peers.Stall{Replica: r.ID, Head: r.Head.ID}, now); isNew {
+		s.logger.Warn("replica stalled", "replica", r.ID, "head", r.Head.ID)
+		s.meter.CountStall(telemetry.StallBegan)
+	}
 	s.suspect(r.ID)
 	s.agent.SendHeartbeat(now)
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -50,6 +50,8 @@
 	failedConnects metric.Int64Counter
 	// stalls counts the replicas that fell silent, and those that sent events again.
 	stalls metric.Int64Counter
+	// hedges counts the attempts that were started beside silent ones.
+	hedges metric.Int64Counter
 	// forwards counts attempts that were forwarded to peers.
 	forwards metric.Int64Counter
 	// datagrams and datagramBytes count the datagrams sent to peers and their bytes.
@@ -277,6 +279,21 @@
 	m.stalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
 }
 
+// Outcomes of hedges.
+const (
+	// HedgeUsed means that the stream goes on with the hedge.
+	HedgeUsed = "used"
+	// HedgeDropped means that the silent attempt went on, or that the request ended.
+	HedgeDropped = "dropped"
+	// HedgeFailed means that the hedge failed while the attempt was silent.
+	HedgeFailed = "failed"
+)
+
+// CountHedge counts an attempt that was started beside a silent one, by outcome.
+func (m *Meter) CountHedge(outcome string) {
+	m.hedges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // CountForward counts an attempt that was forwarded to a peer, by outcome.
 func (m *Meter) CountForward(outcome string) {
 	m.forwards.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
@@ -294,6 +311,7 @@
 		&m.connections:      {"quartzshelf_connections", "Connections that carried requests to workers, by service, opened or reused."},
 		&m.failedConnects:   {"quartzshelf_connects_failed", "Connections to workers that could not be opened, by service and cause."},
 		&m.stalls:           {"quartzshelf_stalls", "Replicas that fell silent, and those that sent events again, by event."},
+		&m.hedges:           {"quartzshelf_hedges", "Attempts started beside silent ones, by outcome."},
 		&m.forwards:         {"quartzshelf_forwards", "Attempts forwarded to peers because this daemon reached no worker, by outcome."},
 		&m.datagrams:        {"quartzshelf_datagrams", "Datagrams sent to peers, by kind."},
 		&m.datagramBytes:    {"quartzshelf_datagram_bytes", "Bytes of datagrams sent to peers, by kind."},
