formation, platform: Keep replicas whose members only pause

Each reported replica's members were queried twice, 200 ms each; a member that did not answer counted as gone. The head was ordered to leave, obeyed once it was awake, and every stream on the replica ended.

Cause: no answer was taken for a lost worker, whatever the reason.

A worker whose address refuses connections or does not accept them is treated as before, after two queries. A silent worker keeps its membership and is queried each 300 ms, with at most half of the call slots, until it answers, no longer accepts connections (two queries in a row), or was silent for 2 s. Orders that go unanswered and workers that left the list (absent.go) use the same evidence.

2 s: callers give a stream up after 2 s of silence, so that waiting longer saves none, and pauses of sound workers last 0.8 to 1.9 s. If at least four workers of at least two domains are silent at once, the leader concludes that the cause is shared (the network, its own machine) and waits 4 s, which is less than the 6 s after which a stalled replica breaks by itself.

Before a group is taken apart because of silence alone, its silent members are queried once more; if all answer in the group, it stays. Nothing is announced before. `replica recovered` tells how long a worker had been silent. A replica that also lost a member for good is dissolved at once.

Ruled out: a tolerance for every worker that does not answer, which would delay the repair of a dark domain by 2 s.

--- a/formation/absent.go
+++ b/formation/absent.go
@@ -120,21 +120,22 @@
 	}
 }
 
-// checkAbsent queries one worker that left the worker list, and marks it as gone if it does not
-// answer.
+// checkAbsent queries one worker that left the worker list, and marks it as gone if it cannot be
+// reached. A silent worker is marked once it has been silent for too long.
 func (rc *Reconciler) checkAbsent(ctx context.Context, a *absence) {
-	hasAnswered := rc.isResponsive(ctx, a.worker)
+	since := time.Now()
+	outcome := rc.probe(ctx, a.worker)
 	if ctx.Err() != nil {
 		return
 	}
+	rc.recordContact(a.worker, outcome, since)
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	if hasAnswered {
-		a.hasAnswered = true
-		a.nextQuery = time.Now().Add(absentQueryInterval)
+	if outcome == unreachable {
+		rc.opts.Logger.Info("worker that left the list does not answer", "worker", a.worker.ID,
+			"ms", time.Since(a.unlistedSince).Milliseconds())
 		return
 	}
-	a.isGone = true
-	rc.opts.Logger.Info("worker that left the list does not answer", "worker", a.worker.ID,
-		"ms", time.Since(a.unlistedSince).Milliseconds())
+	a.hasAnswered = a.hasAnswered || outcome == answered
+	a.nextQuery = time.Now().Add(absentQueryInterval)
 }
--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/fleet"
 )
@@ -16,6 +19,35 @@
 	rc.releaseMembers(ctx, o, head)
 }
 
+// dissolveBroken dissolves a group that does not serve, unless all members that were lost answer
+// again. Nothing has been announced until then, so that callers can use the group at once.
+func (rc *Reconciler) dissolveBroken(ctx context.Context, o *observedGroup) {
+	if rc.hasRecovered(ctx, o) || ctx.Err() != nil {
+		return
+	}
+	rc.dissolve(ctx, o, o.head)
+}
+
+// hasRecovered reports whether an open group lost members only because they were silent, and all of
+// them answer as its members again. It queries each of them once.
+func (rc *Reconciler) hasRecovered(ctx context.Context, o *observedGroup) bool {
+	isWhole := o.isModelKnown && len(o.members)+len(o.silentMembers) == o.model.Size
+	if len(o.silentMembers) == 0 || !isWhole || o.state != fleet.Open {
+		return false
+	}
+	var returnedCount atomic.Int32
+	p := pool.New()
+	for _, w := range o.silentMembers {
+		p.Go(func() {
+			if state, ok := rc.queryState(ctx, w); ok && fleet.GroupKey(state.Membership) == o.key {
+				returnedCount.Add(1)
+			}
+		})
+	}
+	p.Wait()
+	return int(returnedCount.Load()) == len(o.silentMembers)
+}
+
 // releaseMembers orders the head to leave a group that takes no requests. It frees the members once
 // the head has confirmed or is presumed dead.
 func (rc *Reconciler) releaseMembers(ctx context.Context, o *observedGroup, head *fleet.Worker) {
--- a/formation/groups.go
+++ b/formation/groups.go
@@ -22,8 +22,10 @@
 	// readyCount is the number of members that are no longer joining, including the head.
 	readyCount int
 	isDraining bool
-	// hasLostMember reports whether some member is unresponsive.
+	// hasLostMember reports whether some member is unresponsive. silentMembers holds those that
+	// are unresponsive only because of their silence.
 	hasLostMember bool
+	silentMembers []*fleet.Worker
 	// absentCount is the number of members that left the worker list but are still treated as
 	// members.
 	absentCount int
@@ -86,6 +88,9 @@
 func (rc *Reconciler) addMember(o *observedGroup, w *fleet.Worker, m fleet.Membership) {
 	if rc.isUnresponsiveLocked(w.ID) {
 		o.hasLostMember = true
+		if rc.isLostToSilence(w.ID) {
+			o.silentMembers = append(o.silentMembers, w)
+		}
 	} else {
 		o.members = append(o.members, w)
 	}
@@ -151,7 +156,7 @@
 		// An earlier leader formed the group but did not open it.
 		rc.startOperation(ctx, o.key, o.members, func(ctx context.Context) { rc.openInherited(ctx, o) })
 	default:
-		rc.startOperation(ctx, o.key, o.members, func(ctx context.Context) { rc.dissolve(ctx, o, o.head) })
+		rc.startOperation(ctx, o.key, o.members, func(ctx context.Context) { rc.dissolveBroken(ctx, o) })
 	}
 }
 
--- a/formation/incarnations.go
+++ b/formation/incarnations.go
@@ -58,6 +58,7 @@
 	delete(rc.observations, id)
 	delete(rc.orderStates, id)
 	delete(rc.unresponsive, id)
+	delete(rc.silences, id)
 	delete(rc.absent, id)
 	delete(rc.displaced, id)
 	delete(rc.interruptedJoins, id)
--- a/formation/reconciler.go
+++ b/formation/reconciler.go
@@ -99,6 +99,10 @@
 	formedGroups map[string]Group
 	// unresponsive holds the time of the next query to each unresponsive worker, by worker ID.
 	unresponsive map[string]time.Time
+	// silences holds the silent workers, by worker ID. silentQueryCount is the number of queries to
+	// them that are under way.
+	silences         map[string]*silence
+	silentQueryCount int
 	// orderStates holds the order count and group of each worker, by worker ID.
 	orderStates map[string]orderState
 	// incarnations holds the current incarnation of each worker, by worker ID.
@@ -204,6 +208,7 @@
 		headIDs:              make(map[string]string),
 		formedGroups:         make(map[string]Group),
 		unresponsive:         make(map[string]time.Time),
+		silences:             make(map[string]*silence),
 		knownWorkers:         make(map[string]*fleet.Worker),
 		incarnations:         make(map[string]incarnation),
 		lastView:             view,
@@ -276,6 +281,7 @@
 	rc.refreshWorkers(view)
 	rc.refreshAbsent(view, now)
 	rc.queryAbsent(ctx, now)
+	rc.querySilent(ctx, view, now)
 	for _, s := range config.Services() {
 		if s.Engine != nil {
 			rc.tickService(ctx, s, view, now)
@@ -429,6 +435,7 @@
 	}
 	delete(rc.unresponsive, id)
 	now := time.Now()
+	rc.endSilence(id, s.Membership, now)
 	rc.recordReport(id, s, now)
 	previous, ok := rc.observations[id]
 	isOutdated := previous.state.Membership.Epoch > s.Membership.Epoch || previous.at.After(now) && previous.state.Membership.SameGroup(s.Membership)
--- a/formation/send.go
+++ b/formation/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"quartzshelf.dev/fleet"
 )
@@ -10,8 +11,9 @@
 // sendOrder sends an order until it is answered, at most maxOrderAttempts times, and reports
 // whether an answer arrived. Each attempt has a new fence, so that workers reject earlier attempts
 // that arrive late. If no attempt is answered, the worker's state is queried. If that is not
-// answered either, the worker is marked as unresponsive.
+// answered either, the worker is recorded as silent or marked as unresponsive.
 func (rc *Reconciler) sendOrder(ctx context.Context, order string, w *fleet.Worker, send func(context.Context, Fence) (Verdict, error)) (Verdict, bool) {
+	since := time.Now()
 	fencedCount, maxAttempts := 0, maxOrderAttempts
 	if rc.isUnresponsive(w.ID) {
 		maxAttempts = unresponsiveAttempts
@@ -37,8 +39,8 @@
 		}
 	}
 	rc.opts.Logger.Warn("order not answered", "order", order, "worker", w.ID, "tries", maxAttempts)
-	if _, responds := rc.queryState(ctx, w); !responds && ctx.Err() == nil {
-		rc.markUnresponsive(w.ID)
+	if _, err := rc.query(ctx, w); ctx.Err() == nil {
+		rc.recordContact(w, contactOf(err), since)
 	}
 	return StateMismatch, false
 }
@@ -69,6 +71,12 @@
 
 // queryState queries a worker's state, records it, and reports whether the worker answered.
 func (rc *Reconciler) queryState(ctx context.Context, w *fleet.Worker) (WorkerState, bool) {
+	state, err := rc.query(ctx, w)
+	return state, err == nil
+}
+
+// query queries a worker's state and records it.
+func (rc *Reconciler) query(ctx context.Context, w *fleet.Worker) (WorkerState, error) {
 	rc.callSlots <- struct{}{}
 	defer func() { <-rc.callSlots }()
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
@@ -78,8 +86,8 @@
 		rc.recordDisplaced(w)
 	}
 	if err != nil {
-		return WorkerState{}, false
+		return WorkerState{}, err
 	}
 	rc.recordState(w.ID, state)
-	return state, true
+	return state, nil
 }
--- a/formation/unresponsive.go
+++ b/formation/unresponsive.go
@@ -13,8 +13,9 @@
 // unresponsive. It is also the maximum number of attempts to send an order to such a worker.
 const unresponsiveAttempts = 2
 
-// examineReplica queries the members of a suspected replica. It marks those that do not answer as
-// unresponsive, so that the next tick repairs the group.
+// examineReplica queries the members of a suspected replica. It marks those that cannot be reached
+// as unresponsive, so that the next tick repairs the group. Those that are only silent may answer
+// later.
 func (rc *Reconciler) examineReplica(ctx context.Context, replica string) {
 	members := rc.startExamination(replica)
 	if members == nil {
@@ -51,7 +52,10 @@
 			// The group is known to be broken.
 			return nil
 		}
-		members = append(members, w)
+		if rc.silences[w.ID] == nil {
+			// A silent worker is already being queried.
+			members = append(members, w)
+		}
 	}
 	if members != nil {
 		rc.examinedReplicas[replica] = true
@@ -60,27 +64,27 @@
 }
 
 func (rc *Reconciler) examineMember(ctx context.Context, w *fleet.Worker, replica string) {
-	if rc.isResponsive(ctx, w) || ctx.Err() != nil {
+	since := time.Now()
+	outcome := rc.probe(ctx, w)
+	if ctx.Err() != nil {
 		return
 	}
-	rc.opts.Logger.Warn("worker does not answer", "worker", w.ID, "replica", replica)
-	rc.markUnresponsive(w.ID)
-}
-
-// isResponsive reports whether a worker answers a query within unresponsiveAttempts attempts.
-func (rc *Reconciler) isResponsive(ctx context.Context, w *fleet.Worker) bool {
-	for range unresponsiveAttempts {
-		if _, ok := rc.queryState(ctx, w); ok {
-			return true
-		}
+	if outcome == unreachable {
+		rc.opts.Logger.Warn("worker does not answer", "worker", w.ID, "replica", replica)
 	}
-	return false
+	rc.recordContact(w, outcome, since)
 }
 
 // markUnresponsive records that a worker does not answer, and treats it as gone if it is absent.
 func (rc *Reconciler) markUnresponsive(id string) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
+	delete(rc.silences, id)
+	rc.markUnresponsiveLocked(id)
+}
+
+// markUnresponsiveLocked is markUnresponsive for callers that hold rc.mu.
+func (rc *Reconciler) markUnresponsiveLocked(id string) {
 	rc.unresponsive[id] = time.Now().Add(unresponsiveQueryInterval)
 	if a, ok := rc.absent[id]; ok {
 		a.isGone = true
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -26,6 +26,9 @@
 	neverReady bool
 	isDead     bool
 	isDraining bool
+	// pausedUntil is the time until which the worker's process stands still. Its address accepts
+	// connections meanwhile. Orders that arrive are carried out afterwards.
+	pausedUntil time.Time
 	// startedAt is the start time of the worker's incarnation. entryNumber is the number of list
 	// entries that this incarnation has published.
 	startedAt, entryNumber int64
@@ -276,6 +279,30 @@
 	})
 }
 
+// pause lets a worker's process stand still for a while.
+func (w *world) pause(id string, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers[id].pausedUntil = time.Now().Add(d)
+}
+
+// awaitWake waits until a paused worker goes on, or returns ErrSilent when ctx is done. The caller
+// must not hold w.mu.
+func (w *world) awaitWake(ctx context.Context, s *simWorker) error {
+	w.mu.Lock()
+	rest := time.Until(s.pausedUntil)
+	w.mu.Unlock()
+	if rest <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(rest):
+		return nil
+	case <-ctx.Done():
+		return ErrSilent
+	}
+}
+
 // delay reports whether an order is late, and returns its delay. The caller must hold w.mu.
 func (w *world) delay(order, id string, fence Fence) (time.Duration, bool) {
 	randomDelay := time.Duration(2+w.random.IntN(10)) * time.Second
@@ -330,6 +357,20 @@
 		<-ctx.Done()
 		return StateMismatch, errNoAnswer
 	}
+	return w.deliver(ctx, s, apply)
+}
+
+// deliver carries out an order and returns the worker's answer. If the worker stands still for too
+// long, it returns an error, and the order is carried out when the worker goes on.
+func (w *world) deliver(ctx context.Context, s *simWorker, apply func() Verdict) (Verdict, error) {
+	if err := w.awaitWake(ctx, s); err != nil {
+		w.pending.Go(func() {
+			if w.awaitWake(context.Background(), s) == nil {
+				apply()
+			}
+		})
+		return StateMismatch, err
+	}
 	time.Sleep(2 * time.Millisecond)
 	return apply(), nil
 }
@@ -447,13 +488,17 @@
 func (w *world) indirectLeave(ctx context.Context, worker *fleet.Worker, _ Fence, g Group) (Verdict, error) {
 	w.mu.Lock()
 	s := w.workers[worker.ID]
-	if !s.isDead && !w.unreachable[s.id] {
-		defer w.mu.Unlock()
-		return w.leave(s, g), nil
-	}
+	isReachable := !s.isDead && !w.unreachable[s.id]
 	w.mu.Unlock()
-	<-ctx.Done()
-	return StateMismatch, errNoAnswer
+	if !isReachable {
+		<-ctx.Done()
+		return StateMismatch, errNoAnswer
+	}
+	return w.deliver(ctx, s, func() Verdict {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.leave(s, g)
+	})
 }
 
 // leave removes a worker from a group. The caller must hold w.mu.
@@ -518,6 +563,12 @@
 		w.mu.Lock()
 		return WorkerState{}, errNoAnswer
 	}
+	w.mu.Unlock()
+	err := w.awaitWake(ctx, s)
+	w.mu.Lock()
+	if err != nil {
+		return WorkerState{}, err
+	}
 	return s.reportedState(time.Now()), nil
 }
 
