formation: Form no groups with silent workers

Cause: a member that is silent while its group is dissolved, because another member was lost, counted as free. The planner chose it, since it is warm; its join went unanswered for 1.2 s, and the group was given up. Before silent workers were told from lost ones, such a worker was marked as unresponsive and not used.

A silent worker is free again when it answers.

--- a/formation/groups.go
+++ b/formation/groups.go
@@ -233,7 +233,7 @@
 	}
 	var all []FreeWorker
 	for id, w := range view.Workers() {
-		if w.Service != s.Name || w.Draining || rc.busyWorkers[id] || rc.isUnresponsiveLocked(id) || rc.isExcluded(id) || isInGroup[id] || !rc.halls.isUsable(w.Zone) {
+		if w.Service != s.Name || w.Draining || rc.busyWorkers[id] || rc.isUnresponsiveLocked(id) || rc.silences[id] != nil || rc.isExcluded(id) || isInGroup[id] || !rc.halls.isUsable(w.Zone) {
 			continue
 		}
 		if _, isLoading := rc.activeLoads[id]; isLoading {
--- a/formation/silence_test.go
+++ b/formation/silence_test.go
@@ -172,6 +172,28 @@
 	return rc.retirements[g.Key()] != 0
 }
 
+// TestSilentWorkersAreNotUsedForNewGroups guards against forming groups with workers that are silent
+// when their group is dissolved because it lost another member.
+func TestSilentWorkersAreNotUsedForNewGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, 10)
+		w.pending.Go(func() { w.confirmList(30 * time.Second) })
+		k, g, stop := startServing(w, "big")
+		w.kill(g.Members[1])
+		w.pause(g.Members[2], longSilence)
+		suspectAll(k, []Group{g}, time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		got := w.countServing()["big"]
+		w.mu.Lock()
+		joinCount := w.attemptCounts["join"]
+		w.mu.Unlock()
+		stop()
+		w.pending.Wait()
+		assert.Equal(t, got, 2, "%d attempts to let workers join", joinCount)
+		assert.DeepEqual(t, w.violations, []string(nil))
+	})
+}
+
 // TestRestartedWorkerThatAnswersLateIsReused guards against taking a worker that restarted under its
 // ID, and answers queries late, for one that only pauses.
 func TestRestartedWorkerThatAnswersLateIsReused(t *testing.T) {
