gateway: Hold silent streams, and race other replicas beside them

Callers of streams lost their answers when a replica was silent for 15 s: the attempt was canceled, and the stream then ended with an error event if no other replica, retry or attempt was left, if the next replica was silent too, or if the request must not be repeated. A sound replica that only paused could not go on.

A silent attempt is now held until the request's deadline or until the caller leaves. After each 15 s of silence another attempt, a hedge, is begun beside it if the request is repeatable and a replica, an attempt (of maxAttempts) and a retry of the budget are left. The first one that receives data continues the stream; only then is the silent attempt canceled. An event of the silent attempt ends the hedges. If the attempt breaks, the stream waits for the hedges that it has before it begins another attempt. A retry that no replica could take goes back into the budget. Requests that must not be repeated are still sent at most once. Answers that are read as a whole had no such limit before.

The test runs the relay with replicas that pause, under synctest. A dead replica costs 15 s as before.

--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -39,3 +39,10 @@
 	b.availableRetries--
 	return true
 }
+
+// returnRetry gives back a retry that was taken from the budget but not used.
+func (b *retryBudget) returnRetry() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.availableRetries = min(b.availableRetries+1, maxRetryBudget)
+}
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -72,7 +73,7 @@
 func (g *Gateway) relayAnswer(c *fiber.Ctx, r *request, choose chooser, streamed bool, claim *intent.Claim) error {
 	tried := make(map[string]bool)
 	maySend := func(now time.Time) bool { return claim == nil || claim.MaySend(now) }
-	a, refused := g.openAttempt(r, r.body, choose, tried, maySend)
+	a, refused := g.openAttempt(r.ctx, r, r.body, choose, tried, maySend)
 	if refused != nil {
 		r.cancel()
 		g.recordOutcome(claim, refused.ran, intent.Answer{})
@@ -118,7 +119,7 @@
 		return nil, attemptRefusal
 	}
 	g.opts.Meter.CountRetry(reason.RetryBroken)
-	return g.openAttempt(r, body, choose, tried, func(time.Time) bool { return true })
+	return g.openAttempt(r.ctx, r, body, choose, tried, func(time.Time) bool { return true })
 }
 
 // recordOutcome records the outcome of the request in the intent ledger, which stores outcomes by
@@ -147,8 +148,7 @@
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer r.cancel()
-		s := &streamRelay{g: g, r: r, w: w, choose: choose, tried: tried, claim: claim, lastTokenAt: r.arrivedAt}
-		s.run(a)
+		newStreamRelay(g, r, w, choose, tried, claim).run(a)
 	})
 }
 
@@ -171,13 +171,44 @@
 	lastTokenAt time.Time
 	// callerGone is set once a write to the caller has failed.
 	callerGone bool
+
+	// mu guards the fields below. It is also held to add tokens and to read them in other
+	// goroutines. The map tried is used by the goroutine of run, or by the hedge that is opening.
+	mu sync.Mutex
+	// stallTimer calls startHedge when the stream has been silent for stallTimeout.
+	stallTimer *time.Timer
+	// current is the attempt whose events are relayed. It is nil between two attempts.
+	current *tokenReader
+	// hedges holds the attempts that may replace the current one. winner is the first of them that
+	// has received data.
+	hedges map[*hedge]bool
+	winner *tokenReader
+	// hedgeEnded is signaled when a hedge is removed from hedges.
+	hedgeEnded *sync.Cond
+	// isHedgeOpening is set while a hedge waits for the header of its answer.
+	isHedgeOpening bool
+	// isEnded is set when no hedge may be begun any more.
+	isEnded bool
+}
+
+func newStreamRelay(g *Gateway, r *request, w *bufio.Writer, choose chooser, tried map[string]bool, claim *intent.Claim) *streamRelay {
+	s := &streamRelay{
+		g: g, r: r, w: w, choose: choose, tried: tried, claim: claim, lastTokenAt: r.arrivedAt, hedges: make(map[*hedge]bool),
+	}
+	s.hedgeEnded = sync.NewCond(&s.mu)
+	return s
 }
 
 // run relays the events of an attempt. If the attempt fails, run continues the answer with further
 // attempts.
 func (s *streamRelay) run(a *attempt) {
+	s.mu.Lock()
+	s.stallTimer = time.AfterFunc(stallTimeout, s.startHedge)
+	s.mu.Unlock()
+	defer s.stopHedges()
+	events := newTokenReader(a, s.r.id)
 	for {
-		err := s.relayEvents(a)
+		err := s.relayEvents(events)
 		if err == nil {
 			s.complete()
 			return
@@ -185,34 +216,59 @@
 		if s.callerGone && s.r.repeatable {
 			return
 		}
-		s.g.reportBrokenAttempt(s.r, a.target, err)
+		s.g.reportBrokenAttempt(s.r, events.attempt.target, err)
+		if events = s.takeWinner(); events != nil {
+			continue
+		}
 		attemptRefusal := refusalFromError(&sendError{maybeSent: true, cause: err})
 		next, refused := s.resume(attemptRefusal)
 		if refused != nil {
 			s.fail(refused)
 			return
 		}
-		a = next
+		events = newTokenReader(next, s.r.id)
 	}
 }
 
 // relayEvents relays the events of one attempt. It returns nil at the end-of-stream marker.
-func (s *streamRelay) relayEvents(a *attempt) error {
-	events := newTokenReader(a, s.r.id, len(s.tokens))
+func (s *streamRelay) relayEvents(events *tokenReader) error {
 	defer events.close()
+	s.setCurrent(events)
+	defer s.setCurrent(nil)
+	events.nextIndex = len(s.tokens)
 	for {
 		data, token, err := events.readToken()
 		if err != nil || data == nil {
 			return err
 		}
 		s.recordLatency()
-		s.tokens = append(s.tokens, token)
+		s.addToken(token)
 		if err := s.writeEvent(data); err != nil && s.r.repeatable {
 			return err
 		}
 	}
 }
 
+// setCurrent sets the attempt whose events are relayed. The silence of an attempt counts from its
+// start.
+func (s *streamRelay) setCurrent(events *tokenReader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = events
+	if events != nil {
+		s.stallTimer.Reset(stallTimeout)
+	}
+}
+
+// addToken adds a token of the current attempt. The hedges are no longer needed.
+func (s *streamRelay) addToken(token string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tokens = append(s.tokens, token)
+	s.stallTimer.Reset(stallTimeout)
+	s.dropHedges()
+}
+
 func (s *streamRelay) recordLatency() {
 	if len(s.tokens) == 0 {
 		s.g.opts.Meter.RecordFirstToken(s.r.arrivedAt)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -151,11 +151,11 @@
 	return choose(tried)
 }
 
-// openAttempt sends the request to one target after another until one begins to answer. A request
-// that must not be repeated is sent to another target only if the previous one certainly did not
-// run it. Before each attempt, openAttempt calls maySend, which reports whether the request may
-// still be sent.
-func (g *Gateway) openAttempt(r *request, body []byte, choose chooser, tried map[string]bool, maySend func(time.Time) bool) (*attempt, *refusal) {
+// openAttempt sends the request to one target after another until one begins to answer or ctx ends.
+// A request that must not be repeated is sent to another target only if the previous one certainly
+// did not run it. Before each attempt, openAttempt calls maySend, which reports whether the request
+// may still be sent. The attempt ends when ctx ends.
+func (g *Gateway) openAttempt(ctx context.Context, r *request, body []byte, choose chooser, tried map[string]bool, maySend func(time.Time) bool) (*attempt, *refusal) {
 	for {
 		t, refused := g.nextTarget(r, choose, tried)
 		if refused != nil {
@@ -172,7 +172,7 @@
 			return nil, r.adjustRan(refuse(reason.KeyExpired, "the claim of the key ran out before the request was sent"))
 		}
 		t.sentAt = now
-		a, attemptRefusal := g.sendAttempt(r, body, t)
+		a, attemptRefusal := g.sendAttempt(ctx, r, body, t)
 		if attemptRefusal == nil {
 			return a, nil
 		}
@@ -180,7 +180,7 @@
 		ran := attemptRefusal.ran
 		attemptRefusal = r.adjustRan(attemptRefusal)
 		retry := retryReason(attemptRefusal.reason, ran, r.repeatable)
-		if retry == "" || len(tried) >= maxAttempts || r.ctx.Err() != nil {
+		if retry == "" || len(tried) >= maxAttempts || ctx.Err() != nil {
 			return nil, attemptRefusal
 		}
 		if !g.retryBudget.takeRetry() {
@@ -208,13 +208,13 @@
 
 // sendAttempt sends the request to one target and returns once the answer has begun to arrive. It
 // returns a refusal if there is no answer or the target refused the request.
-func (g *Gateway) sendAttempt(r *request, body []byte, t *target) (*attempt, *refusal) {
+func (g *Gateway) sendAttempt(ctx context.Context, r *request, body []byte, t *target) (*attempt, *refusal) {
 	header := r.header.Clone()
 	header.Set(cluster.HeaderPriority, strconv.Itoa(r.priority))
 	if t.assignment != "" {
 		header.Set(cluster.HeaderAssignment, t.assignment)
 	}
-	ctx, cancel := context.WithCancel(r.ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	response, err := g.upstream.send(ctx, upstreamCall{
 		method: r.method, address: t.address, path: r.path, header: header,
 		body: body, repeatable: r.repeatable, requestID: r.id,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,19 +6,14 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"time"
 
 	"github.com/valyala/fastjson"
 
 	"quartzshelf.dev/common/failure"
 )
 
-const (
-	// stallTimeout is the maximum time between two events of a stream.
-	stallTimeout = 15 * time.Second
-	// maxEventBytes limits the size of one server-sent event.
-	maxEventBytes = 1 << 20
-)
+// maxEventBytes limits the size of one server-sent event.
+const maxEventBytes = 1 << 20
 
 var (
 	dataPrefix = []byte("data: ")
@@ -57,25 +52,17 @@
 	reader    *bufio.Reader
 	parser    fastjson.Parser
 	requestID string
-	// nextIndex is the index of the next expected token.
-	nextIndex  int
-	stallTimer *time.Timer
+	// nextIndex is the index of the next expected token. Events with a lower index are skipped.
+	nextIndex int
 }
 
-// newTokenReader returns a reader for the attempt's events. Events with a token index below
-// nextIndex are skipped. The attempt is canceled if no event arrives within stallTimeout.
-func newTokenReader(a *attempt, requestID string, nextIndex int) *tokenReader {
-	return &tokenReader{
-		attempt: a, reader: bufio.NewReader(a.response.Body), requestID: requestID, nextIndex: nextIndex,
-		stallTimer: time.AfterFunc(stallTimeout, a.cancel),
-	}
+// newTokenReader returns a reader for the attempt's events.
+func newTokenReader(a *attempt, requestID string) *tokenReader {
+	return &tokenReader{attempt: a, reader: bufio.NewReader(a.response.Body), requestID: requestID}
 }
 
-// close stops the stall timer and closes the attempt.
-func (s *tokenReader) close() {
-	s.stallTimer.Stop()
-	s.attempt.close()
-}
+// close closes the attempt.
+func (s *tokenReader) close() { s.attempt.close() }
 
 // readToken returns the data of the next token event and the token's text. It returns nil data and
 // a nil error at the end-of-stream marker. Tokens with an index below nextIndex are skipped.
@@ -108,7 +95,6 @@
 
 // readEvent returns the data of the next server-sent event. The data is valid until the next read.
 func (s *tokenReader) readEvent() ([]byte, error) {
-	s.stallTimer.Reset(stallTimeout)
 	for {
 		line, err := s.reader.ReadSlice('\n')
 		if err != nil {
