proxy: Let one answer of an account finish when its answers wait for memory

Answers of one client account reserve memory as they arrive and keep it while they wait for more. Once several of them, or the bodies of the requests, had filled the account's share, each waited for the memory of the others until its deadline, and none was delivered though the workers had run them all.

The first answer of an account that has waited once now has priority until its memory is released: for it, the account's limit is half of the daemon's instead of a quarter. Any answer that fits the account's share by itself thus completes while others hold that share, and frees its memory for the next. The daemon's limit holds as before, and other accounts keep the other half. Bodies of requests get no priority; they are still refused at once.

Ruled out: reserving an announced length at once, as answers in chunks have none and the bodies of requests stay reserved. Not covered, as before: answers of several accounts that fill the daemon's own limit, and an answer larger than the share.

On the code before, all five cases of TestAnswersOfOneAccountAllComplete failed with the deadline of a minute; now they pass, three times with the race detector, and all tests of the package pass once. TestPriorityLeavesMemoryForOthers passes before and after; it holds the new limit.

--- a/proxy/bufferlimit.go
+++ b/proxy/bufferlimit.go
@@ -14,6 +14,9 @@
 	// maxAccountShare is the part of the daemon's limit that one client account may use, so that
 	// slow callers of one account leave memory for others.
 	maxAccountShare = 0.25
+	// maxPriorityShare is the part that an account may use while one of its answers has priority. It
+	// leaves memory for other accounts.
+	maxPriorityShare = 0.5
 	// initialBufferBytes is the initial buffer size of a body. The buffer grows as data arrives, so
 	// that a body that is announced but not sent takes little memory.
 	initialBufferBytes = 2 << 10
@@ -33,11 +36,14 @@
 	mu        sync.Mutex
 	total     int64
 	byAccount map[string]int64
+	// priority holds for each account the answer that may exceed the account's share. Without it,
+	// answers of one account that are each read in part would wait for each other.
+	priority map[string]*requestMemory
 }
 
 // NewBufferLimit returns a BufferLimit with a limit in bytes; zero for no limit.
 func NewBufferLimit(limit int64) *BufferLimit {
-	return &BufferLimit{limit: limit, byAccount: make(map[string]int64)}
+	return &BufferLimit{limit: limit, byAccount: make(map[string]int64), priority: make(map[string]*requestMemory)}
 }
 
 // BytesInUse returns the number of bytes in use.
@@ -47,21 +53,43 @@
 	return b.total
 }
 
-// reserve reserves bytes for an account and reports whether they were available. The account's
-// share does not limit its first reservation.
-func (b *BufferLimit) reserve(account string, bytes int64) bool {
+// reserve reserves bytes for a request and reports whether they were available. The account's share
+// does not limit its first reservation.
+func (b *BufferLimit) reserve(m *requestMemory, bytes int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	held := b.byAccount[account]
+	held := b.byAccount[m.account]
 	accountLimit := int64(maxAccountShare * float64(b.limit))
+	if b.priority[m.account] == m {
+		accountLimit = int64(maxPriorityShare * float64(b.limit))
+	}
 	if b.limit > 0 && (b.total+bytes > b.limit || held > 0 && held+bytes > accountLimit) {
 		return false
 	}
 	b.total += bytes
-	b.byAccount[account] = held + bytes
+	b.byAccount[m.account] = held + bytes
 	return true
 }
 
+// prioritize gives an answer that waits for memory the priority among those of its account, unless
+// another answer has it.
+func (b *BufferLimit) prioritize(m *requestMemory) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.priority[m.account] == nil {
+		b.priority[m.account] = m
+	}
+}
+
+// endPriority ends the priority of an answer, if it has it.
+func (b *BufferLimit) endPriority(m *requestMemory) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.priority[m.account] == m {
+		delete(b.priority, m.account)
+	}
+}
+
 func (b *BufferLimit) release(account string, bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -80,7 +108,7 @@
 
 // grow reserves further bytes and reports whether they were available.
 func (m *requestMemory) grow(bytes int64) bool {
-	if !m.bufferLimit.reserve(m.account, bytes) {
+	if !m.bufferLimit.reserve(m, bytes) {
 		return false
 	}
 	m.bytes += bytes
@@ -89,13 +117,14 @@
 
 // release releases all reserved memory.
 func (m *requestMemory) release() {
+	m.bufferLimit.endPriority(m)
 	m.bufferLimit.release(m.account, m.bytes)
 	m.bytes = 0
 }
 
 // read reads up to limit bytes plus one, so that callers can detect a longer body. It reserves
-// memory as data arrives. When no memory is left, it calls wait and tries again, or returns the
-// error of wait.
+// memory as data arrives. When no memory is left, it calls wait and tries again, with priority if no
+// other answer of the account has it, or returns the error of wait.
 func (m *requestMemory) read(body io.Reader, limit int64, wait func() error) ([]byte, error) {
 	var all []byte
 	body = io.LimitReader(body, limit+1)
@@ -106,6 +135,7 @@
 				if err := wait(); err != nil {
 					return nil, err
 				}
+				m.bufferLimit.prioritize(m)
 			}
 			all = append(make([]byte, 0, len(all)+step), all...)
 		}
--- a/proxy/bufferlimit_test.go
+++ b/proxy/bufferlimit_test.go
@@ -96,3 +96,82 @@
 		assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 	})
 }
+
+// TestAnswersOfOneAccountAllComplete guards against answers of one account that wait for each
+// other's memory until their deadlines.
+func TestAnswersOfOneAccountAllComplete(t *testing.T) {
+	const limit, deadline = 1 << 20, time.Minute
+	tests := map[string]struct{ count, bodyBytes, answerBytes int }{
+		"large answers":          {count: 5, answerBytes: 150 << 10},
+		"bodies fill the share":  {count: 8, bodyBytes: limit / 32, answerBytes: 10 << 10},
+		"bodies and answers":     {count: 4, bodyBytes: 40 << 10, answerBytes: 90 << 10},
+		"each nearly the share":  {count: 3, answerBytes: 250 << 10},
+		"many, and each is tiny": {count: 200, bodyBytes: 1 << 10, answerBytes: 5 << 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := NewBufferLimit(limit)
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				all := make([]requestMemory, test.count)
+				for i := range all {
+					all[i] = requestMemory{bufferLimit: h, account: "a"}
+					assert.Assert(t, all[i].grow(int64(test.bodyBytes)))
+				}
+				assert.NilError(t, readAnswers(ctx, all, test.answerBytes))
+				assert.Equal(t, h.BytesInUse(), int64(0))
+				assert.Equal(t, len(h.priority), 0)
+			})
+		})
+	}
+}
+
+// readAnswers reads an answer for each request at the same time. It returns the errors.
+func readAnswers(ctx context.Context, all []requestMemory, answerBytes int) error {
+	errs := make(chan error, len(all))
+	for i := range all {
+		go func() {
+			answer := slowReader{strings.NewReader(strings.Repeat("x", answerBytes))}
+			got, err := all[i].read(answer, 1<<20, waitForMemory(ctx))
+			if err == nil && len(got) != answerBytes {
+				err = io.ErrUnexpectedEOF
+			}
+			all[i].release()
+			errs <- err
+		}()
+	}
+	var failed error
+	for range all {
+		failed = errors.Join(failed, <-errs)
+	}
+	return failed
+}
+
+// slowReader returns little data at a time.
+type slowReader struct{ io.Reader }
+
+func (s slowReader) Read(p []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return s.Reader.Read(p[:min(len(p), 1<<10)])
+}
+
+// TestPriorityLeavesMemoryForOthers guards against an account whose large answer takes the memory
+// of all others.
+func TestPriorityLeavesMemoryForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 1 << 20
+		h := NewBufferLimit(limit)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		large := requestMemory{bufferLimit: h, account: "a"}
+		_, err := large.read(strings.NewReader(strings.Repeat("x", limit)), limit, waitForMemory(ctx))
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+		assert.Assert(t, h.BytesInUse() <= limit/2, "%d bytes held", h.BytesInUse())
+		other := requestMemory{bufferLimit: h, account: "b"}
+		assert.Assert(t, other.grow(limit/4))
+		large.release()
+		other.release()
+		assert.Equal(t, len(h.priority), 0)
+	})
+}
