proxy: Send the time that is left until the deadline, also with a resend

A worker was told to work on for longer than its caller waits: the header of the deadline was computed when the message was made. If a kept connection was reset late, or a connection took long to open, the request was sent with the time that had been left before.

The message is now encoded right before each sending. Nothing else in it changes.

Two tests of connections build their messages in the new form; what they check is as before.

--- a/proxy/connections_test.go
+++ b/proxy/connections_test.go
@@ -229,7 +229,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	time.AfterFunc(10*time.Millisecond, func() { cancel(errReplicaSilent) })
-	_, err = u.send(ctx, &fleet.Worker{ID: "w", Service: "s", Address: silent.Addr().String()}, &message{encoded: []byte("GET / HTTP/1.1\r\n\r\n")})
+	_, err = u.send(ctx, &fleet.Worker{ID: "w", Service: "s", Address: silent.Addr().String()}, &message{encode: func() []byte { return []byte("GET / HTTP/1.1\r\n\r\n") }})
 	assert.ErrorContains(t, err, errReplicaSilent.Error())
 	assert.Equal(t, u.idleCount, 0)
 }
@@ -247,7 +247,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(10*time.Millisecond, cancel)
-	_, err = u.send(ctx, &fleet.Worker{ID: "w", Service: "s", Address: silent.Addr().String()}, &message{encoded: []byte("GET / HTTP/1.1\r\n\r\n")})
+	_, err = u.send(ctx, &fleet.Worker{ID: "w", Service: "s", Address: silent.Addr().String()}, &message{encode: func() []byte { return []byte("GET / HTTP/1.1\r\n\r\n") }})
 	assert.ErrorContains(t, err, context.Canceled.Error())
 	assert.Equal(t, u.idleCount, 2)
 }
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -143,14 +143,12 @@
 func (p *Proxy) messageForPeer(c *request, lastEvent string, sends int) *message {
 	names := p.opts.Names
 	header := forwardedHeaders(c.header)
-	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
-	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
 	header.Set(forwardedHeader, strconv.Itoa(sends))
 	if lastEvent != "" {
 		header.Set(names.LastEventID, lastEvent)
 	}
 	return &message{
-		method: c.method, encoded: encode(c.method, c.target, c.host, header, c.body),
+		method: c.method, encode: p.encoder(c, header),
 		attempt: c.id, attemptName: names.AttemptID, atMostOnce: !c.route.Repeatable(),
 		takeRetry: func() bool { return p.takeFromBudget(c) },
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -261,8 +261,6 @@
 	for _, name := range []string{names.Key, names.Tenant, names.Instance, names.Priority, names.Deadline} {
 		header.Del(name)
 	}
-	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
-	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
 	header.Set(names.Instance, worker.ID)
 	priority := c.route.Priority
 	if c.tenant != nil {
@@ -278,7 +276,7 @@
 		header.Set(names.LastEventID, lastEvent)
 	}
 	return &message{
-		method: c.method, encoded: encode(c.method, c.target, c.host, header, c.body),
+		method: c.method, encode: p.encoder(c, header),
 		sendBy: c.sendBy, attempt: c.id, attemptName: names.AttemptID, atMostOnce: !c.route.Repeatable(),
 		takeRetry: func() bool { return p.takeFromBudget(c) },
 	}
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -139,7 +139,7 @@
 	if err := m.checkSendBy(c.worker, time.Now()); err != nil {
 		return nil, err
 	}
-	n, err := c.Write(m.encoded)
+	n, err := c.Write(m.encode())
 	if err != nil {
 		return nil, &sendError{mayHaveArrived: n > 0, cause: err}
 	}
@@ -200,8 +200,10 @@
 
 // message is a request as sent to a worker.
 type message struct {
-	method  string
-	encoded []byte
+	method string
+	// encode returns the request with the time that is left until its deadline. It is called right
+	// before each sending.
+	encode func() []byte
 	// attempt is the request's ID, attemptName the name of the header that carries it.
 	attempt     string
 	attemptName string
@@ -220,6 +222,15 @@
 // takes a retry from the budget.
 func (m *message) takeResend() bool { return !m.atMostOnce && !m.hasToken() && m.takeRetry() }
 
+// encoder returns a function that encodes a request with the time that is left until its deadline.
+func (p *Proxy) encoder(c *request, header http.Header) func() []byte {
+	return func() []byte {
+		remaining := max(time.Until(c.deadline).Milliseconds(), 1)
+		header.Set(p.opts.Names.Deadline, strconv.FormatInt(remaining, 10))
+		return encode(c.method, c.target, c.host, header, c.body)
+	}
+}
+
 // encode writes a request's header and body into one buffer.
 func encode(method, target, host string, header http.Header, body []byte) []byte {
 	var b bytes.Buffer
