proxy: Ask again for a resumed stream that ended without event or end

A caller's stream could end as complete before its last event. If an attempt broke and the answer of the next one had neither a length nor chunks, and its connection closed before its first event, the proxy took that for the end: only the first answer of a stream was checked. Such an end can't be told from a cut.

The check now looks at the events of the answer, not of the stream. A stream that has had all its events but not its end may still end without a further event, if the answer that says so has a length or chunks. Ruled out: refusing any resumed answer without events, which would break off streams whose connection was lost after the last event. An unframed answer with events counts as before.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -250,6 +250,7 @@
 // copyEvents forwards complete events as they arrive, until the stream ends.
 func (s *relayedStream) copyEvents(e *exchange, onEvent func(time.Time), onForwarded func()) error {
 	buffer := make([]byte, 0, streamBufferBytes)
+	hasEvents := false
 	for {
 		if len(buffer) == cap(buffer) {
 			if cap(buffer) >= maxEventBytes {
@@ -261,6 +262,7 @@
 		buffer = buffer[:len(buffer)+n]
 		events, rest := splitEvents(buffer)
 		if len(events) > 0 {
+			hasEvents = true
 			onEvent(time.Now())
 			err := s.forward(e, events)
 			onForwarded()
@@ -271,7 +273,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return s.finish(e, len(rest) > 0)
+			return s.finish(e, len(rest) > 0 || !hasEvents && e.isUnframed())
 		case err != nil:
 			return err
 		}
@@ -279,9 +281,10 @@
 }
 
 // finish ends the stream after the worker's answer has ended. It returns an error if the answer was
-// broken off: within an event, or before the first one if only the end of the connection ends it.
-func (s *relayedStream) finish(e *exchange, isWithinEvent bool) error {
-	if isWithinEvent || !s.isHeadSent && e.isUnframed() {
+// broken off: within an event, or before its first one if only the end of the connection ends it. A
+// resumed stream may end without a further event, but only with an answer that has a length or chunks.
+func (s *relayedStream) finish(e *exchange, isBroken bool) error {
+	if isBroken {
 		return errPartialEvent
 	}
 	s.sendHead(e)
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -50,6 +50,8 @@
 	// vanishes runs the request and ends the connection after the header of an answer that has neither
 	// a length nor chunks.
 	vanishes behaviour = "vanishes"
+	// losesEnd sends all events of a stream and breaks off before its end.
+	losesEnd behaviour = "loses the end"
 	// waits runs the request, but sends nothing.
 	waits behaviour = "waits"
 	// ends runs the request, then closes the connection and stops listening, like a process that
@@ -235,6 +237,9 @@
 		}
 		writeChunk(c, event)
 	}
+	if b == losesEnd {
+		return false
+	}
 	writeText(c, "0\r\n\r\n")
 	return true
 }
