soak: Let workers pause, and fail if a daemon then ends a stream

Workers that only paused for a second had their streams ended by daemons; the soak never made sound workers fall silent, so no seed could show it. Beside each pause the operator changes a timeout, the idle limit and a route. The kind draws from a random stream of its own: TestSeedsKeepTheirFaults holds what the other kinds drew before.

Beside other faults LOST counts as before.

--- a/Makefile
+++ b/Makefile
@@ -40,18 +40,20 @@
 	scripts/faults
 
 # soak runs random faults against real daemons. It draws seeds and prints them; replay one with
-# SEEDS=n make soak. Add HALLS=, CRASHING=, PARTS=, DRILLS=, REBORN= or ASKING= to leave out the faults of
-# that kind, if the seed was drawn without them.
+# SEEDS=n make soak. Add HALLS=, CRASHING=, PARTS=, DRILLS=, REBORN=, ASKING= or PAUSING= to leave out the
+# faults of that kind, if the seed was drawn without them.
 HALLS := --halls
 CRASHING := --crashing
 PARTS := --parts
 DRILLS := --drills
 REBORN := --reborn
 ASKING := --asking
+PAUSING := --pausing
 soak: build
-	$(SOAK) $(HALLS) $(CRASHING) $(PARTS) $(DRILLS) $(REBORN) $(ASKING) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
+	$(SOAK) $(HALLS) $(CRASHING) $(PARTS) $(DRILLS) $(REBORN) $(ASKING) $(PAUSING) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
 
-# soak-short is the soak of CI. Workers of seed 4 check fences. soak-again runs the seeds that once
+# soak-short is the soak of CI. Workers of seed 4 check fences. In seeds 74, 76 and 79, workers that pause
+# answer reports, or are a quarter of all. soak-again runs the seeds that once
 # failed, which are listed in soak/seeds.txt.
 soak-short: build
 	$(SOAK) --seeds 1,2,4 --parallel 3 --duration 5s
@@ -61,6 +63,7 @@
 	$(SOAK) --drills --seeds 4176265991,32,33 --parallel 3 --duration 12s
 	$(SOAK) --reborn --seeds 41,42,43 --parallel 3 --duration 8s
 	$(SOAK) --asking --seeds 51,52,54 --parallel 3 --duration 12s
+	$(SOAK) --pausing --series 0 --seeds 74,76,79 --parallel 3 --duration 10s
 	MIXES=half scripts/soak-mixed $(SOAK) --seeds 101,102 --parallel 2 --duration 5s
 
 soak-again: build
@@ -70,6 +73,7 @@
 	$(SOAK) --parallel 4 --drills --duration 12s --seeds $$(sed -n 's/^drill \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 	$(SOAK) --parallel 4 --halls --crashing --drills --reborn --duration 12s --seeds $$(sed -n 's/^all \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 	$(SOAK) --parallel 4 --asking --duration 12s --seeds $$(sed -n 's/^asking \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
+	$(SOAK) --parallel 4 --pausing --series 0 --duration 10s --seeds $$(sed -n 's/^pausing \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 	$(SOAK) --parallel 4 --halls --crashing --parts --drills --reborn --asking --duration 15s --seeds $$(sed -n 's/^every \([0-9][0-9]*\).*/\1/p' soak/seeds.txt | paste -sd,)
 
 # soak-mixed runs random faults against fleets that mix this build and the previous release.
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -20,6 +20,7 @@
 
 const (
 	callTimeout        = 7 * time.Second
+	requestDeadline    = callTimeout - time.Second
 	resolveTimeout     = time.Second
 	minRequestPause    = 10 * time.Millisecond
 	requestPauseSpread = 60 * time.Millisecond
@@ -169,7 +170,7 @@
 	}
 	request.Host = standin.Host
 	request.Header.Set(standin.HeaderAttemptID, r.id)
-	request.Header.Set(standin.HeaderDeadline, strconv.FormatInt((callTimeout-time.Second).Milliseconds(), 10))
+	request.Header.Set(standin.HeaderDeadline, strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	request.Header.Set(standin.HeaderKey, r.apiKey)
 	if r.kind == standin.Stream {
 		request.Header.Set(standin.HeaderModel, c.run.models[c.random.IntN(len(c.run.models))].Name)
@@ -201,6 +202,13 @@
 	}
 }
 
+// endedOnlyByPause reports whether nothing but a pause of workers can be the cause if a stream ends now
+// without its whole answer. The daemon must wait for paused workers until the stream's deadline.
+func (c *caller) endedOnlyByPause(r *call) bool {
+	isEarly := time.Since(r.sentAt) < requestDeadline
+	return r.kind == standin.Stream && isEarly && c.run.opts.hasOnlyPauses() && c.isUndisturbed(r)
+}
+
 // isUndisturbed reports whether the daemon and its front proxy have had no faults since shortly
 // before the request was sent.
 func (c *caller) isUndisturbed(r *call) bool {
@@ -223,6 +231,10 @@
 		}
 	case http.StatusNotFound:
 		c.checkNotFound(r)
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		if c.endedOnlyByPause(r) {
+			c.run.ledger.RecordViolation("LOST", "%s at %s was answered with %d after %s", r.id, r.daemon.settings.Name, response.StatusCode, time.Since(r.sentAt))
+		}
 	}
 	c.run.callers.recordOutcome(strconv.Itoa(response.StatusCode))
 	// Drains the body so that the connection can be reused.
@@ -257,8 +269,8 @@
 	if err != nil {
 		c.currentDaemon = nil
 		c.run.callers.recordOutcome("cut")
-		if c.run.wasFaultFreeAt(r.sentAt) && c.isUndisturbed(r) {
-			c.run.ledger.RecordViolation("LOST", "the answer to %s at %s was cut: %v", r.id, r.daemon.settings.Name, err)
+		if c.endedOnlyByPause(r) || c.run.wasFaultFreeAt(r.sentAt) && c.isUndisturbed(r) {
+			c.run.ledger.RecordViolation("LOST", "the answer to %s at %s was cut after %s: %v", r.id, r.daemon.settings.Name, time.Since(r.sentAt), err)
 		}
 		return
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -177,12 +177,18 @@
 	}
 }
 
-// pickWorkers returns one to three random workers of the model service.
-func (r *run) pickWorkers(random *rand.Rand) []*standin.Worker {
-	const maxWorkers = 3
+// shuffledWorkers returns all workers of the model service in random order.
+func (r *run) shuffledWorkers(random *rand.Rand) []*standin.Worker {
 	all := r.fabric.Workers(standin.ModelService)
 	slices.SortFunc(all, func(a, b *standin.Worker) int { return cmp.Compare(a.ID(), b.ID()) })
 	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all
+}
+
+// pickWorkers returns one to three random workers of the model service.
+func (r *run) pickWorkers(random *rand.Rand) []*standin.Worker {
+	const maxWorkers = 3
+	all := r.shuffledWorkers(random)
 	return all[:min(len(all), 1+random.IntN(maxWorkers))]
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -16,22 +16,32 @@
 	targetSeed uint64
 }
 
-const (
-	minFaultPause, faultPauseSpread       = 100 * time.Millisecond, 1400 * time.Millisecond
-	minFaultDuration, faultDurationSpread = 300 * time.Millisecond, 4 * time.Second
+const minFaultPause, faultPauseSpread = 100 * time.Millisecond, 1400 * time.Millisecond
+
+// durationRange is the range of a random duration, from shortest to shortest plus spread.
+type durationRange struct{ shortest, spread time.Duration }
+
+// faultDurations are the durations of all faults but pauses of workers, which last for pauseDurations.
+var (
+	faultDurations = durationRange{shortest: 300 * time.Millisecond, spread: 4 * time.Second}
+	pauseDurations = durationRange{shortest: 800 * time.Millisecond, spread: 1700 * time.Millisecond}
 )
 
+func (d durationRange) draw(random *rand.Rand) time.Duration {
+	return d.shortest + time.Duration(random.Int64N(int64(d.spread)))
+}
+
 // schedule returns the faults of one series. Together with their pauses they last at least total. The
 // same seed gives the same faults.
 func schedule(seed uint64, series int, total time.Duration) []scheduledFault {
-	return drawSchedule(rand.New(rand.NewPCG(seed, uint64(series))), faultNames(), total)
+	return drawSchedule(rand.New(rand.NewPCG(seed, uint64(series))), faultNames(), faultDurations, total)
 }
 
 // hallSchedule returns the faults of data halls. It draws from a separate random stream, so that it
 // does not change the other schedules of a seed.
 func hallSchedule(seed uint64, total time.Duration) []scheduledFault {
 	const randomStream = 1 << 33
-	return drawSchedule(rand.New(rand.NewPCG(seed, randomStream)), hallFaultNames(), total)
+	return drawSchedule(rand.New(rand.NewPCG(seed, randomStream)), hallFaultNames(), faultDurations, total)
 }
 
 // announcementSchedule returns the faults in which workers announce limits, rest periods or their
@@ -39,17 +49,24 @@
 // a seed.
 func announcementSchedule(seed uint64, total time.Duration) []scheduledFault {
 	const randomStream = 1 << 35
-	return drawSchedule(rand.New(rand.NewPCG(seed, randomStream)), announcementFaultNames(), total)
+	return drawSchedule(rand.New(rand.NewPCG(seed, randomStream)), announcementFaultNames(), faultDurations, total)
+}
+
+// pauseSchedule returns the pauses of workers. It draws from a separate random stream, so that it does
+// not change the other schedules of a seed.
+func pauseSchedule(seed uint64, total time.Duration) []scheduledFault {
+	const randomStream = 1 << 36
+	return drawSchedule(rand.New(rand.NewPCG(seed, randomStream)), pauseFaultNames(), pauseDurations, total)
 }
 
-// drawSchedule draws faults with the given names until the faults and their pauses together last at
+// drawSchedule draws faults with the given names and durations until the faults and their pauses together last at
 // least total.
-func drawSchedule(random *rand.Rand, names []string, total time.Duration) []scheduledFault {
+func drawSchedule(random *rand.Rand, names []string, durations durationRange, total time.Duration) []scheduledFault {
 	var steps []scheduledFault
 	for duration := time.Duration(0); duration < total; {
 		s := scheduledFault{
 			pause:    minFaultPause + time.Duration(random.Int64N(int64(faultPauseSpread))),
-			duration: minFaultDuration + time.Duration(random.Int64N(int64(faultDurationSpread))),
+			duration: durations.draw(random),
 			name:     names[random.IntN(len(names))], targetSeed: random.Uint64(),
 		}
 		duration += s.pause + s.duration
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,6 +54,10 @@
 	// WorkerSignals adds faults in which workers announce request limits, rest periods or their
 	// leave.
 	WorkerSignals bool
+	// WorkerPauses adds faults in which workers fall silent and go on later, and changes of the
+	// configuration beside them. Without other faults, the callers report every stream that a daemon
+	// ends before its deadline.
+	WorkerPauses bool
 	// StoreRestores adds restores of the store from a copy that is seconds old.
 	StoreRestores bool
 	// HallFaults adds faults of data halls, and a second region.
@@ -338,6 +342,9 @@
 	if r.opts.WorkerSignals {
 		series.Go(func() { r.injectFaults(ctx, announcementSchedule(r.opts.Seed, r.opts.Duration), announcementFaults) })
 	}
+	if r.opts.WorkerPauses {
+		series.Go(func() { r.injectFaults(ctx, pauseSchedule(r.opts.Seed, r.opts.Duration), pauseFaults) })
+	}
 	series.Wait()
 	if !r.awaitRecovery(ctx) {
 		served, total := r.callers.countServed(time.Now().Add(-recoveryWindow))
