proxy: Limit the heads of workers' answers

A worker's bytes that form no answer filled the daemon's memory: http.ReadResponse reads the head of an answer without a limit, and only the request's deadline ended it. The daemon was killed, and callers of sound workers got closed connections.

The connection's reader now counts the bytes and lines of each head (16 KiB, 128 lines), and of no body, and fails the read beyond them. Other requests keep their connections.

Ruled out: the limit of net/http's client, since connections here are the proxy's own; a limit by BufferLimit, since a head that waits for memory holds what it has; peeking at the head, since the body must be read from the same buffer.

The tests of endless heads failed before the mend: 4 MiB, all that the source had, were read of seven kinds of bytes, now 20 KiB at most. So did the rapid property, and the test of the retry, the suspicion and the log line. Of its cases, "interim answers", "answers to others", "nothing but line ends" and TestOrdinaryHeadsAreRead passed before as well.

--- /dev/null
+++ b/proxy/answerlimit.go
@@ -0,0 +1,127 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"quartzshelf.dev/fleet"
+)
+
+const (
+	// maxHeadBytes and maxHeadLines limit the head of an answer, and that of each answer that
+	// precedes it. Each line takes memory beyond its bytes.
+	maxHeadBytes = 16 << 10
+	maxHeadLines = 128
+)
+
+// limitError is the error of an answer of which a part exceeds its limit.
+type limitError struct {
+	part string
+	// bytesRead is how much of the part was read.
+	bytesRead int64
+}
+
+func (e *limitError) Error() string {
+	return fmt.Sprintf("the answer's %s exceeds its limit after %d bytes", e.part, e.bytesRead)
+}
+
+// headLimiter limits the bytes and lines that are read for the head of an answer. http.ReadResponse
+// reads heads of any length. Outside of heads it limits nothing.
+type headLimiter struct {
+	source io.Reader
+	// isActive reports whether a head is being read, isWithinLines whether its last line has not
+	// arrived yet.
+	isActive      bool
+	isWithinLines bool
+	bytes         int
+	lines         int
+	// lineBytes is the length of the current line so far, lastByte its last byte.
+	lineBytes int
+	lastByte  byte
+}
+
+// begin starts a head. What the reader above has buffered already is not counted.
+func (l *headLimiter) begin() {
+	*l = headLimiter{source: l.source, isActive: true, isWithinLines: true}
+}
+
+// end ends a head, so that the body is read without limit.
+func (l *headLimiter) end() { l.isActive = false }
+
+// Read reads from the source. Within a head that exceeds a limit, it returns a limitError.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.isActive {
+		return l.source.Read(b)
+	}
+	if l.bytes >= maxHeadBytes {
+		return 0, &limitError{part: "head", bytesRead: int64(l.bytes)}
+	}
+	n, err := l.source.Read(b[:min(len(b), maxHeadBytes-l.bytes)])
+	l.bytes += n
+	l.countLines(b[:n])
+	if l.lines > maxHeadLines {
+		return 0, &limitError{part: "head", bytesRead: int64(l.bytes)}
+	}
+	return n, err
+}
+
+// countLines counts the lines of the head up to the empty one that ends it. What follows belongs to
+// the body.
+func (l *headLimiter) countLines(data []byte) {
+	for _, b := range data {
+		if !l.isWithinLines {
+			return
+		}
+		if b != '\n' {
+			l.lineBytes++
+			l.lastByte = b
+			continue
+		}
+		isEmpty := l.lineBytes == 0 || l.lineBytes == 1 && l.lastByte == '\r'
+		l.isWithinLines = !isEmpty
+		l.lines++
+		l.lineBytes = 0
+	}
+}
+
+// limitHeads makes the connection's reader limit the heads of answers.
+func (c *connection) limitHeads() {
+	c.head.source = c
+	c.reader = bufio.NewReaderSize(&c.head, readBufferBytes)
+}
+
+// readHead reads the head of an answer to a request with the given method.
+func (c *connection) readHead(method string) (*http.Response, error) {
+	c.head.begin()
+	defer c.head.end()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
+// recordLimitExceeded makes all daemons avoid a replica for a while if its head's answer exceeded a
+// limit.
+func (p *Proxy) recordLimitExceeded(c *request, replica *fleet.Replica, err error) {
+	var exceeded *limitError
+	if !errors.As(err, &exceeded) {
+		return
+	}
+	p.opts.Tracker.Suspect(replica, time.Now())
+	p.opts.Logger.Warn("answer exceeds a limit", "request", c.id, "replica", replica.ID, "worker", replica.Head.ID,
+		"part", exceeded.part, "bytes_read", exceeded.bytesRead)
+}
+
+// Suspect marks a replica as suspected because its head sends answers that no sound worker sends.
+// Streams in flight may still complete.
+func (t *Tracker) Suspect(r *fleet.Replica, now time.Time) {
+	t.mu.Lock()
+	s := t.loadOf(r)
+	isNew := now.After(s.unreachableUntil)
+	s.unreachableUntil = now.Add(suspicionPeriod)
+	t.mu.Unlock()
+	if isNew {
+		t.onSuspected(r)
+	}
+}
--- /dev/null
+++ b/proxy/answerlimit_test.go
@@ -0,0 +1,194 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// sourceBytes is what an endlessConn provides, many times what any answer's head may take.
+const sourceBytes = 4 << 20
+
+// endlessConn is a connection whose peer sends a beginning, and then a text again and again.
+type endlessConn struct {
+	net.Conn
+	beginning []byte
+	repeated  []byte
+	// read is the number of bytes read.
+	read int
+}
+
+func (c *endlessConn) Write(b []byte) (int, error) { return len(b), nil }
+
+func (c *endlessConn) Close() error { return nil }
+
+func (c *endlessConn) Read(b []byte) (int, error) {
+	if c.read >= sourceBytes {
+		return 0, io.EOF
+	}
+	for i := range b {
+		if at := c.read + i; at < len(c.beginning) {
+			b[i] = c.beginning[at]
+		} else {
+			b[i] = c.repeated[(at-len(c.beginning))%len(c.repeated)]
+		}
+	}
+	c.read += len(b)
+	return len(b), nil
+}
+
+// newTestConnection returns a connection as upstream.open does.
+func newTestConnection(raw net.Conn) *connection {
+	c := &connection{Conn: raw, worker: "w", service: "plain"}
+	c.limitHeads()
+	return c
+}
+
+func testMessage() *message {
+	return &message{method: http.MethodGet, encoded: []byte("GET / HTTP/1.1\r\n\r\n"), attempt: "a", attemptName: testNames.AttemptID}
+}
+
+// maxHeadRead is what may be read from a connection for one head: the head itself, and what fills the
+// buffer beyond it.
+const maxHeadRead = 16<<10 + readBufferBytes
+
+// TestEndlessHeadIsNotReadOn guards against a worker's bytes that fill the daemon's memory.
+func TestEndlessHeadIsNotReadOn(t *testing.T) {
+	tests := map[string]struct{ beginning, repeated string }{
+		"no line end":             {repeated: "x"},
+		"nothing but line ends":   {repeated: "\r\n"},
+		"an endless status":       {beginning: "HTTP/1.1 200 ", repeated: "O"},
+		"an endless header":       {beginning: "HTTP/1.1 200 OK\r\nA: ", repeated: "b"},
+		"headers without an end":  {beginning: "HTTP/1.1 200 OK\r\n", repeated: "Header: value\r\n"},
+		"tiny headers":            {beginning: "HTTP/1.1 200 OK\r\n", repeated: "a:\n"},
+		"a header that continues": {beginning: "HTTP/1.1 200 OK\r\nA: b\r\n", repeated: " c\r\n"},
+		"interim answers":         {repeated: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
+		"answers to others":       {repeated: "HTTP/1.1 200 OK\r\nX-Attempt: b\r\nContent-Length: 2\r\n\r\nno"},
+		"a head after an answer":  {beginning: "HTTP/1.1 200 OK\r\nX-Attempt: b\r\nContent-Length: 0\r\n\r\n", repeated: "x"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			raw := &endlessConn{beginning: []byte(test.beginning), repeated: []byte(test.repeated)}
+			_, err := newTestConnection(raw).roundTrip(testMessage())
+			assert.Assert(t, err != nil)
+			assert.Assert(t, mayHaveArrived(err))
+			assert.Assert(t, raw.read <= maxHeadRead, "%d bytes were read, of %d at most: %v", raw.read, maxHeadRead, err)
+		})
+	}
+}
+
+// TestAnyBytesAreReadWithinLimit: whatever a worker sends again and again, little of it is read for the
+// head of its answer.
+func TestAnyBytesAreReadWithinLimit(t *testing.T) {
+	parts := []string{
+		"HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\n", "HTTP/1.1 204 No Content\r\n", "X-Attempt: a\r\n", "X-Attempt: b\r\n",
+		"Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n", "\r\n", "\n", "\r", " ", "\t folded\r\n", "a:\n", "X: y\r\n", ":\r\n", "0\r\n", "5\r\nhello\r\n", "\x00",
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		part := rapid.OneOf(rapid.SampledFrom(parts), rapid.StringN(0, 9, 40))
+		draw := func(name string) []byte {
+			return []byte(strings.Join(rapid.SliceOfN(part, 1, 12).Draw(t, name), ""))
+		}
+		raw := &endlessConn{beginning: draw("beginning"), repeated: append(draw("repeated"), '.')}
+		_, _ = newTestConnection(raw).roundTrip(testMessage())
+		const mostHeads, mostForeignBytes = 12, 1 << 20
+		const most = mostHeads*maxHeadRead + mostForeignBytes
+		assert.Assert(t, raw.read <= most, "%d bytes were read, of %d at most", raw.read, most)
+	})
+}
+
+// TestOrdinaryHeadsAreRead: heads of usual size are read, whatever follows them.
+func TestOrdinaryHeadsAreRead(t *testing.T) {
+	const ownHead = "HTTP/1.1 200 OK\r\nX-Attempt: a\r\n"
+	tests := map[string]struct{ head, body string }{
+		"a short one":           {head: ownHead},
+		"100 headers":           {head: ownHead + strings.Repeat("Some-Header: value\r\n", 100)},
+		"a long header":         {head: ownHead + "Set-Cookie: " + strings.Repeat("c", 12<<10) + "\r\n"},
+		"a body of line ends":   {head: ownHead, body: strings.Repeat("\n", 1<<20)},
+		"a body after two more": {head: "HTTP/1.1 103 Early Hints\r\n\r\n" + ownHead, body: strings.Repeat("\n", 1<<20)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			head := test.head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(test.body))
+			raw := &endlessConn{beginning: []byte(head + test.body), repeated: []byte("x")}
+			response, err := newTestConnection(raw).roundTrip(testMessage())
+			assert.NilError(t, err)
+			n, err := io.Copy(io.Discard, response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, n, int64(len(test.body)))
+		})
+	}
+}
+
+// TestLongHeadEndsItsAttemptOnly: another worker answers a request that may be repeated, and the worker
+// that sent the long head is suspected and named in one line of the log.
+func TestLongHeadEndsItsAttemptOnly(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		status int
+		runs   int
+	}{
+		"may be repeated":     {path: "/safe/", status: http.StatusOK, runs: 1},
+		"a stream":            {path: "/stream/", status: http.StatusOK, runs: 1},
+		"must run once":       {path: "/once/", status: http.StatusBadGateway, runs: 0},
+		"has no other worker": {path: "/open/", status: http.StatusBadGateway, runs: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			faulty, sound := newFakeWorker(t, "faulty", floods, floods), newFakeWorker(t, "sound")
+			p, server := newTestProxy(t, faulty, sound)
+			log := &logBuffer{}
+			p.opts.Logger = hclog.New(&hclog.LoggerOptions{Output: log, Level: hclog.Info})
+			p.startedAt = time.Now().Add(-randomPairPeriod)
+			preferOver(p, sound)
+			got := sendRequest(t, server, test.path, "a", nil)
+			assert.Equal(t, got.status, test.status)
+			assert.Assert(t, got.isComplete)
+			assert.Equal(t, faulty.runs("a"), 1)
+			assert.Equal(t, sound.runs("a"), test.runs)
+			assert.Equal(t, log.count("answer exceeds a limit"), 1, log.String())
+			assert.Equal(t, log.count("bytes_read=16384"), 1, log.String())
+			assert.DeepEqual(t, p.opts.Tracker.suspectedHeads(time.Now()), map[string]bool{"faulty": true})
+		})
+	}
+}
+
+// preferOver makes the proxy choose other replicas than those of a worker.
+func preferOver(p *testProxy, w *fakeWorker) {
+	for _, service := range []struct{ name, model string }{{name: "plain"}, {name: "models", model: "m"}} {
+		for _, replica := range p.inventory.View().Replicas(service.name, service.model) {
+			if replica.Head.ID == w.id || replica.Head.ID == w.id+"-model" {
+				p.opts.Tracker.RecordFailure(replica, time.Now())
+			}
+		}
+	}
+}
+
+// logBuffer holds what was logged. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func (b *logBuffer) count(text string) int { return strings.Count(b.String(), text) }
--- a/proxy/connections.go
+++ b/proxy/connections.go
@@ -55,6 +55,8 @@
 	// distinguishes instances with the same ID.
 	workerBorn int64
 	reader     *bufio.Reader
+	// head limits what is read for the head of an answer.
+	head headLimiter
 	// idleSince is when the connection was last used, closeAt when it must be closed.
 	idleSince time.Time
 	closeAt   time.Time
@@ -98,7 +100,7 @@
 	}
 	u.onConnection(w.Service, false)
 	c := &connection{Conn: raw, worker: w.ID, service: w.Service, workerBorn: w.StartedAt}
-	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.limitHeads()
 	return c, nil
 }
 
--- a/proxy/tracker.go
+++ b/proxy/tracker.go
@@ -46,7 +46,7 @@
 	// nextStallReport is when onSuspected is called again if the replica stays silent.
 	nextStallReport time.Time
 	// unreachableUntil is the time until which the replica counts as suspected after a failed
-	// connection.
+	// connection or an answer that exceeded a limit.
 	unreachableUntil time.Time
 	failedAt         time.Time
 	lastUsedAt       time.Time
@@ -67,8 +67,8 @@
 	reportedSuspects map[string]time.Time
 	// hasTraffic reports whether a request with a prompt has arrived at this daemon or a peer.
 	hasTraffic bool
-	// onSuspected is called, without the lock, for each replica that fell silent or became
-	// unreachable.
+	// onSuspected is called, without the lock, for each replica that fell silent, became unreachable
+	// or exceeded a limit.
 	onSuspected func(r *fleet.Replica)
 }
 
@@ -82,7 +82,7 @@
 }
 
 // NewTracker returns a tracker for a daemon in a data hall. It calls onSuspected for each replica
-// that fell silent or became unreachable.
+// that fell silent, became unreachable or exceeded a limit.
 func NewTracker(zone string, onSuspected func(r *fleet.Replica)) *Tracker {
 	return &Tracker{
 		zone: zone, replicas: make(map[string]*replicaLoad),
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -144,7 +144,7 @@
 		return nil, &sendError{mayHaveArrived: n > 0, cause: err}
 	}
 	for range maxAnswersRead {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: m.method})
+		response, err := c.readHead(m.method)
 		if err != nil {
 			return nil, &sendError{mayHaveArrived: true, cause: err}
 		}
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -43,6 +43,8 @@
 	surplus behaviour = "surplus"
 	// garbles sends bytes that are not an HTTP answer.
 	garbles behaviour = "garbles"
+	// floods runs the request and sends 8 MiB that are not an HTTP answer and have no line end.
+	floods behaviour = "floods"
 	// stalls sends two events and then nothing.
 	stalls behaviour = "stalls"
 	// explains runs the request and answers with a client error and longExplanation.
@@ -195,6 +197,9 @@
 	case garbles:
 		writeText(c, "these bytes are no answer\r\n\r\n")
 		return false
+	case floods:
+		writeText(c, strings.Repeat("x", 8<<20))
+		return false
 	case unsigned:
 		writeText(c, "HTTP/1.1 200 OK\r\nX-Attempt: "+id+"\r\nContent-Length: 2\r\n\r\nno")
 		return true
