proxy: Count interim and late answers on their own

A request whose attempt met a late answer to another request beside an interim (1xx) one failed, though its own answer followed: one count limited the answers read, its own and the interim ones included, to two. Two interim answers alone ended an attempt as well.

Now up to five interim answers before each other answer and one answer to another request are skipped; both have limits of their own, so that an attempt reads at most twelve heads. Too many interim answers count as an answer that exceeds a limit.

--- a/proxy/answerlimit_test.go
+++ b/proxy/answerlimit_test.go
@@ -129,6 +129,46 @@
 	}
 }
 
+// TestLateAnswerBesideInterimAnswers guards against attempts that end because a late answer to another
+// request and interim answers precede their own answer.
+func TestLateAnswerBesideInterimAnswers(t *testing.T) {
+	const (
+		interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+		late    = "HTTP/1.1 200 OK\r\nX-Attempt: b\r\nContent-Length: 2\r\n\r\nno"
+		own     = "HTTP/1.1 200 OK\r\nX-Attempt: a\r\nContent-Length: 3\r\n\r\nyes"
+	)
+	tests := map[string]struct {
+		sent    string
+		isFound bool
+	}{
+		"its own answer alone":          {sent: own, isFound: true},
+		"a late answer":                 {sent: late + own, isFound: true},
+		"an interim answer":             {sent: interim + own, isFound: true},
+		"a late answer and an interim":  {sent: late + interim + own, isFound: true},
+		"an interim and a late answer":  {sent: interim + late + own, isFound: true},
+		"five interim answers":          {sent: strings.Repeat(interim, 5) + own, isFound: true},
+		"five before each":              {sent: strings.Repeat(interim, 5) + late + strings.Repeat(interim, 5) + own, isFound: true},
+		"six interim answers":           {sent: strings.Repeat(interim, 6) + own},
+		"two late answers":              {sent: late + late + own},
+		"nothing but interim answers":   {sent: strings.Repeat(interim, 100)},
+		"nothing but answers to others": {sent: strings.Repeat(late, 100)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			raw := &endlessConn{beginning: []byte(test.sent), repeated: []byte("x")}
+			response, err := newTestConnection(raw).roundTrip(testMessage())
+			assert.Equal(t, err == nil, test.isFound, "%v", err)
+			if !test.isFound {
+				assert.Assert(t, mayHaveArrived(err))
+				return
+			}
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "yes")
+		})
+	}
+}
+
 // TestLongHeadEndsItsAttemptOnly: another worker answers a request that may be repeated, and the worker
 // that sent the long head is suspected and named in one line of the log.
 func TestLongHeadEndsItsAttemptOnly(t *testing.T) {
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// maxAnswersRead limits the answers that are read for one request. Interim (1xx) answers and
-	// answers to other requests are skipped.
-	maxAnswersRead = 2
+	// maxForeignAnswers limits the answers to other requests that are skipped, maxInterimAnswers the
+	// interim (1xx) answers that are skipped before each other answer.
+	maxForeignAnswers = 1
+	maxInterimAnswers = 5
 	// maxForeignBodyBytes limits the body of a skipped answer.
 	maxForeignBodyBytes = 1 << 20
 	// maxDiscardBytes limits what is read to free a connection after an answer.
@@ -143,14 +144,11 @@
 	if err != nil {
 		return nil, &sendError{mayHaveArrived: n > 0, cause: err}
 	}
-	for range maxAnswersRead {
-		response, err := c.readHead(m.method)
+	for range 1 + maxForeignAnswers {
+		response, err := c.readFinalHead(m.method)
 		if err != nil {
 			return nil, &sendError{mayHaveArrived: true, cause: err}
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if id := response.Header.Get(m.attemptName); id == "" || id == m.attempt {
 			return response, nil
 		}
@@ -161,6 +159,19 @@
 	return nil, &sendError{mayHaveArrived: true, cause: errForeignAnswer}
 }
 
+// readFinalHead reads the header of an answer and skips the interim ones before it.
+func (c *connection) readFinalHead(method string) (*http.Response, error) {
+	bytesRead := 0
+	for range 1 + maxInterimAnswers {
+		response, err := c.readHead(method)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+		bytesRead += c.head.bytes
+	}
+	return nil, &limitError{part: "interim answers", bytesRead: int64(bytesRead)}
+}
+
 // finish ends an exchange whose answer was read completely. It keeps the connection if the worker
 // allows that, and closes it otherwise.
 func (e *exchange) finish() {
