proxy: Take no part of a late answer as the answer

After a late answer to another request of more than 1 MiB, the rest of its body was read as the next answer: if the body held a whole answer there, the caller got it. The limit of what is skipped ended the copy without an error.

A late answer that is longer now ends the attempt as one that exceeds a limit. TestBodyOfLateAnswerIsNoAnswer failed before in the longer of its two cases: the answer within the body was returned.

--- a/proxy/answerlimit_test.go
+++ b/proxy/answerlimit_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -169,6 +170,36 @@
 	}
 }
 
+// TestBodyOfLateAnswerIsNoAnswer guards against taking a part of another request's answer as the answer.
+func TestBodyOfLateAnswerIsNoAnswer(t *testing.T) {
+	const (
+		own  = "HTTP/1.1 200 OK\r\nX-Attempt: a\r\nX-Signature: w\r\nContent-Length: 3\r\n\r\nyes"
+		late = "HTTP/1.1 200 OK\r\nX-Attempt: b\r\nContent-Length: %d\r\n\r\n%s"
+	)
+	tests := map[string]struct {
+		skipped int
+		isFound bool
+	}{
+		"as long as it may be":  {skipped: maxForeignBodyBytes - len(own), isFound: true},
+		"longer than it may be": {skipped: maxForeignBodyBytes},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			body := strings.Repeat("x", test.skipped) + own
+			raw := &endlessConn{beginning: []byte(fmt.Sprintf(late, len(body), body) + own), repeated: []byte("x")}
+			response, err := newTestConnection(raw).roundTrip(testMessage())
+			assert.Equal(t, err == nil, test.isFound, "%v", err)
+			if test.isFound {
+				assert.Equal(t, response.ContentLength, int64(3))
+				return
+			}
+			var exceeded *limitError
+			assert.Assert(t, errors.As(err, &exceeded), "%v", err)
+			assert.Assert(t, mayHaveArrived(err))
+		})
+	}
+}
+
 // TestLongHeadEndsItsAttemptOnly: another worker answers a request that may be repeated, and the worker
 // that sent the long head is suspected and named in one line of the log.
 func TestLongHeadEndsItsAttemptOnly(t *testing.T) {
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -152,13 +152,22 @@
 		if id := response.Header.Get(m.attemptName); id == "" || id == m.attempt {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBodyBytes)); err != nil {
+		if err := skipBody(response.Body); err != nil {
 			return nil, &sendError{mayHaveArrived: true, cause: err}
 		}
 	}
 	return nil, &sendError{mayHaveArrived: true, cause: errForeignAnswer}
 }
 
+// skipBody reads the body of an answer to another request.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBodyBytes+1))
+	if err == nil && n > maxForeignBodyBytes {
+		return &limitError{part: "skipped body", bytesRead: n}
+	}
+	return err
+}
+
 // readFinalHead reads the header of an answer and skips the interim ones before it.
 func (c *connection) readFinalHead(method string) (*http.Response, error) {
 	bytesRead := 0
