proxy: End answers that their client account can't hold

An endless body of one worker's answer took the whole memory of its client account, then waited for more until the deadline: the request ended with 504 though it could be repeated. By reading, the account's other requests were refused or waited meanwhile. An answer that was given up also kept its memory until the request ended, so that the next attempt lacked it.

The body's limit is now what the account may hold beyond the request itself (10.6 MiB at memory_mb 284, as worked out from the shares), at most 32 MiB as before. A longer one ends the attempt as one that exceeds a limit, and its memory is released at once. The steps by which memory is reserved stop at the limit: before, an answer could take no more than the last power of two below its account's share.

Ruled out: a lower fixed limit, as shares differ by machine.

TestEndlessBodyEndsItsAttemptOnly failed before in both cases, with 504 after 5.0 s in place of 200 and 502.

--- a/proxy/answerlimit_test.go
+++ b/proxy/answerlimit_test.go
@@ -55,7 +55,7 @@
 }
 
 func testMessage() *message {
-	return &message{method: http.MethodGet, encoded: []byte("GET / HTTP/1.1\r\n\r\n"), attempt: "a", attemptName: testNames.AttemptID}
+	return &message{method: http.MethodGet, encode: func() []byte { return []byte("GET / HTTP/1.1\r\n\r\n") }, attempt: "a", attemptName: testNames.AttemptID}
 }
 
 // maxHeadRead is what may be read from a connection for one head: the head itself, and what fills the
@@ -233,6 +233,49 @@
 	}
 }
 
+// TestEndlessBodyEndsItsAttemptOnly guards against answers that hold the memory of a client account until
+// the deadline.
+func TestEndlessBodyEndsItsAttemptOnly(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		status int
+	}{
+		"may be repeated": {path: "/safe/", status: http.StatusOK},
+		"must run once":   {path: "/once/", status: http.StatusBadGateway},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			faulty, sound := newFakeWorker(t, "faulty", swells), newFakeWorker(t, "sound")
+			p, server := newTestProxy(t, faulty, sound)
+			log := &logBuffer{}
+			p.opts.Logger = hclog.New(&hclog.LoggerOptions{Output: log, Level: hclog.Info})
+			p.opts.BufferLimit = NewBufferLimit(8 << 20)
+			p.startedAt = time.Now().Add(-randomPairPeriod)
+			preferOver(p, sound)
+			got := sendRequest(t, server, test.path, "a", nil)
+			assert.Equal(t, got.status, test.status, log.String())
+			assert.Equal(t, faulty.runs("a"), 1)
+			assert.Equal(t, log.count("answer exceeds a limit"), 1, log.String())
+			assert.Equal(t, log.count("part=body"), 1, log.String())
+			assert.DeepEqual(t, p.opts.Tracker.suspectedHeads(time.Now()), map[string]bool{"faulty": true})
+			assert.Equal(t, p.opts.BufferLimit.BytesInUse(), int64(0))
+		})
+	}
+}
+
+// TestAnswersFillTheirShare: an answer may take what its client account has left.
+func TestAnswersFillTheirShare(t *testing.T) {
+	const share = 2 << 20
+	memory := requestMemory{bufferLimit: NewBufferLimit(share / maxAccountShare), account: "a"}
+	assert.Assert(t, memory.grow(100))
+	limit := memory.answerLimit()
+	got, err := memory.read(strings.NewReader(strings.Repeat("x", int(limit))), limit, failWhenFull)
+	assert.NilError(t, err)
+	assert.Equal(t, int64(len(got)), limit)
+	assert.Assert(t, limit >= share-200, "%d", limit)
+	assert.Equal(t, (&requestMemory{bufferLimit: NewBufferLimit(0)}).answerLimit(), int64(maxAnswerBytes))
+}
+
 // preferOver makes the proxy choose other replicas than those of a worker.
 func preferOver(p *testProxy, w *fakeWorker) {
 	for _, service := range []struct{ name, model string }{{name: "plain"}, {name: "models", model: "m"}} {
--- a/proxy/buffered.go
+++ b/proxy/buffered.go
@@ -96,11 +96,13 @@
 
 // readAnswer reads the complete answer of a worker or peer.
 func (p *Proxy) readAnswer(ctx context.Context, c *request, e *exchange, sender string) (*answer, error) {
-	body, err := c.memory.read(e.response.Body, maxAnswerBytes, waitForMemory(ctx))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+	held, limit := c.memory.bytes, c.memory.answerLimit()
+	body, err := c.memory.read(e.response.Body, limit, waitForMemory(ctx))
+	if read := int64(len(body)); err == nil && read > limit {
+		err = &limitError{part: "body", bytesRead: read}
 	}
 	if err != nil {
+		c.memory.shrink(c.memory.bytes - held)
 		e.abort()
 		return nil, withCause(ctx, sender, &sendError{mayHaveArrived: true, cause: err})
 	}
--- a/proxy/bufferlimit.go
+++ b/proxy/bufferlimit.go
@@ -59,7 +59,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := b.byAccount[m.account]
-	accountLimit := int64(maxAccountShare * float64(b.limit))
+	accountLimit := b.accountLimit()
 	if b.priority[m.account] == m {
 		accountLimit = int64(maxPriorityShare * float64(b.limit))
 	}
@@ -99,6 +99,9 @@
 	}
 }
 
+// accountLimit returns how many bytes one account may use.
+func (b *BufferLimit) accountLimit() int64 { return int64(maxAccountShare * float64(b.limit)) }
+
 // requestMemory is the memory reserved for one request.
 type requestMemory struct {
 	bufferLimit *BufferLimit
@@ -122,6 +125,15 @@
 	m.bytes = 0
 }
 
+// answerLimit returns how long an answer may be that the account can hold besides what the request holds
+// already. The byte by which a longer one is detected is not included.
+func (m *requestMemory) answerLimit() int64 {
+	if m.bufferLimit.limit <= 0 {
+		return maxAnswerBytes
+	}
+	return max(min(maxAnswerBytes, m.bufferLimit.accountLimit()-m.bytes-1), 0)
+}
+
 // read reads up to limit bytes plus one, so that callers can detect a longer body. It reserves
 // memory as data arrives. When no memory is left, it calls wait and tries again, with priority if no
 // other answer of the account has it, or returns the error of wait.
@@ -130,7 +142,7 @@
 	body = io.LimitReader(body, limit+1)
 	for step := 0; ; {
 		if len(all) == cap(all) {
-			step = max(2*step, initialBufferBytes)
+			step = min(max(2*step, initialBufferBytes), int(limit)+1-len(all))
 			for !m.grow(int64(step)) {
 				if err := wait(); err != nil {
 					return nil, err
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -45,6 +45,9 @@
 	garbles behaviour = "garbles"
 	// floods runs the request and sends 8 MiB that are not an HTTP answer and have no line end.
 	floods behaviour = "floods"
+	// swells runs the request and sends an answer whose body has no length, and 64 MiB of it unless the
+	// connection is closed.
+	swells behaviour = "swells"
 	// stalls sends two events and then nothing.
 	stalls behaviour = "stalls"
 	// explains runs the request and answers with a client error and longExplanation.
@@ -197,8 +200,8 @@
 	case garbles:
 		writeText(c, "these bytes are no answer\r\n\r\n")
 		return false
-	case floods:
-		writeText(c, strings.Repeat("x", 8<<20))
+	case floods, swells:
+		sendTooMuch(c, b, signedHeader)
 		return false
 	case unsigned:
 		writeText(c, "HTTP/1.1 200 OK\r\nX-Attempt: "+id+"\r\nContent-Length: 2\r\n\r\nno")
@@ -218,6 +221,16 @@
 	return true
 }
 
+// sendTooMuch sends more than any head or body may take.
+func sendTooMuch(c net.Conn, b behaviour, signedHeader string) {
+	if b == floods {
+		writeText(c, strings.Repeat("x", 8<<20))
+		return
+	}
+	writeText(c, "HTTP/1.1 200 OK\r\n"+signedHeader+"\r\n")
+	writeText(c, strings.Repeat("x", 64<<20))
+}
+
 // sendStream sends the events after the last one that the caller has.
 func (w *fakeWorker) sendStream(c net.Conn, r *http.Request, signedHeader string, b behaviour) bool {
 	first := 1
