--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -61,17 +61,18 @@
 	cancels map[*forward]context.CancelCauseFunc
 }
 
-// forward is an attempt at a peer.
+// forward is an attempt at a peer. mayRetry reports whether another attempt may follow it.
 type forward struct {
-	peer Peer
+	peer     Peer
+	mayRetry bool
 }
 
 func newForwards() *forwards { return &forwards{cancels: make(map[*forward]context.CancelCauseFunc)} }
 
-func (f *forwards) add(peer *Peer, cancel context.CancelCauseFunc) *forward {
+func (f *forwards) add(peer *Peer, mayRetry bool, cancel context.CancelCauseFunc) *forward {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	added := &forward{peer: *peer}
+	added := &forward{peer: *peer, mayRetry: mayRetry}
 	f.cancels[added] = cancel
 	return added
 }
@@ -82,7 +83,8 @@
 	delete(f.cancels, added)
 }
 
-// sweep cancels the attempts at peers that are no longer alive.
+// sweep cancels the attempts at peers that are not heard, if another attempt may follow. Others are held,
+// because a peer that is not heard may still answer.
 func (f *forwards) sweep(alivePeers func() []Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,7 +96,9 @@
 		alive[peer.ID] = peer.Incarnation
 	}
 	for attempt, cancel := range f.cancels {
-		if incarnation, ok := alive[attempt.peer.ID]; !ok || incarnation != attempt.peer.Incarnation {
+		incarnation, ok := alive[attempt.peer.ID]
+		isRestarted := ok && incarnation != attempt.peer.Incarnation
+		if isRestarted || !ok && attempt.mayRetry {
 			cancel(errPeerLost)
 		}
 	}
@@ -229,7 +233,7 @@
 func (p *Proxy) forwardBuffered(c *request, peer *Peer) (*answer, error) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
-	attempt := p.forwards.add(peer, cancel)
+	attempt := p.forwards.add(peer, c.mayHedge(1), cancel)
 	defer p.forwards.remove(attempt)
 	e, err := p.sendToPeer(ctx, peer, p.messageForPeer(c, "", c.sends))
 	if err != nil {
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -4,177 +4,164 @@
 	"context"
 	"time"
 
+	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/eligibility"
 	"quartzshelf.dev/telemetry"
 )
 
-// hedgeRetryInterval is how long a silent stream waits before it looks again for a replica that can
-// take a hedge.
-const hedgeRetryInterval = 300 * time.Millisecond
-
-// silence is the state of a stream whose current attempt is silent. A silent worker may be dead or only
-// pause. The attempt is therefore given up only once a hedge, a second attempt beside it, has received
-// an event. The zero value means that the attempt is not silent.
-type silence struct {
-	// hedgeAt is the earliest time at which a hedge may start.
-	hedgeAt time.Time
-	// check is the check of this daemon's links, which may be the cause of the silence.
-	check *linkCheck
-}
-
-// mayHedge reports whether the request may run at one worker more than it does.
-func (c *request) mayHedge() bool {
-	return !c.isDone() && c.route.Repeatable() && c.sends+1 < c.route.MaxAttempts && c.rejections <= maxRejections
-}
-
 // onSilence is called in the goroutine of a stream, within a read, when its current attempt may be
-// silent or the state of its hedge has changed. It returns an error if the attempt must be given up.
+// silent or a hedge has changed. It returns an error if the attempt must be given up for a hedge.
 func (p *Proxy) onSilence(ctx context.Context, c *request, s *relayedStream, a *streamAttempt) error {
-	if s.hedge != nil {
-		return p.settleHedge(c, s, a)
-	}
-	now := time.Now()
-	if a.watch == nil || !c.mayHedge() {
+	p.removeFailedHedges(c, s)
+	if !s.hasOpenHedge() {
+		p.considerHedge(ctx, c, s)
 		return nil
 	}
-	cause := p.opts.Tracker.Silence(a.chosen.replica, a.watch, now)
+	cause := errStreamSilent
+	if a.watch != nil {
+		if found := p.opts.Tracker.Silence(a.watch); found != nil {
+			cause = found
+		}
+	}
+	a.cancel(cause)
+	return cause
+}
+
+// considerHedge starts a hedge if the newest attempt is silent and the request may be sent once more.
+func (p *Proxy) considerHedge(ctx context.Context, c *request, s *relayedStream) {
+	a, underWay := s.newest()
+	if a == nil || a.watch == nil || !c.mayHedge(underWay) {
+		return
+	}
+	cause := p.opts.Tracker.Silence(a.watch)
 	if cause == nil {
-		return nil
+		return
 	}
-	if s.silence.check == nil {
-		s.silence = silence{hedgeAt: now.Add(p.resumeDelay(c, s, now)), check: p.links.start(c.service, a.chosen.replica.Head.ID, now)}
-		p.links.notify(s.silence.check, a.interrupts.interrupt)
+	now := time.Now()
+	if s.silence.attempt != a {
+		check := p.links.start(c.service, a.chosen.replica.Head.ID, now)
+		s.silence = streamSilence{attempt: a, hedgeAt: now.Add(p.resumeDelay(c, s, now)), check: check}
+		p.links.notify(check, s.notify)
 	}
-	if now.Before(s.silence.hedgeAt) || !s.silence.check.isDone() {
-		return nil
+	if !s.silence.isDue(now) {
+		return
 	}
-	if !p.startHedge(ctx, c, s, a, cause) {
-		s.silence.hedgeAt = now.Add(hedgeRetryInterval)
+	if refusal := p.startHedge(ctx, c, s, a, cause); refusal != "" {
+		s.silence.hedgeAt, s.silence.refusal = now.Add(hedgeRetryInterval), refusal
 	}
-	return nil
 }
 
-// startHedge starts a hedge beside a silent attempt. It returns false if there is no destination that is
-// likely to answer, or no retry left in the budget.
-func (p *Proxy) startHedge(ctx context.Context, c *request, s *relayedStream, a *streamAttempt, cause error) bool {
+// startHedge starts a hedge beside a silent attempt. It returns the reason if there is no destination that
+// is likely to answer, or no retry left in the budget.
+func (p *Proxy) startHedge(ctx context.Context, c *request, s *relayedStream, silent *streamAttempt, cause error) reason.Reason {
 	if !p.budget.hasRetry(c.service, time.Now()) {
-		return false
+		return reason.RetryBudgetExhausted
 	}
-	c.triedReplicas[a.chosen.replica.ID] = true
+	c.triedReplicas[silent.chosen.replica.ID] = true
 	if s.silence.check.isUp {
-		c.recordFailedHead(a.chosen.replica, cause)
+		c.recordFailedHead(silent.chosen.replica, cause)
 	}
+	defer c.useChoice(silent)
 	chosen, refused := p.chooseWithin(c, eligibility.LastResort)
-	if refused != nil || !p.takeFromBudget(c) {
-		return false
+	if refused != nil {
+		return refused.reason
+	}
+	if !p.takeFromBudget(c) {
+		return reason.RetryBudgetExhausted
 	}
-	h := p.beginAttempt(ctx, c, s, chosen, c.sends+1)
-	c.chosenAt, c.chosenInFlight = a.chosenAt, a.inFlight
-	s.hedge = h
+	_, underWay := s.newest()
+	h := p.beginAttempt(ctx, c, s, chosen, c.sends+underWay)
 	h.message.takeRetry = func() bool { return p.budget.takeRetry(c.service, time.Now()) }
-	h.interrupts.setHandler(func() error { return nil })
+	h.interrupts.setHandler(func() error {
+		s.notify()
+		return nil
+	})
+	s.hedges = append(s.hedges, h)
 	p.opts.Meter.CountRetry(s.retryReason(true))
-	p.opts.Logger.Info("hedge started", "request", c.id, "silent", a.chosen.id(), "at", chosen.id(), "after_event", s.lastEventID,
+	p.opts.Logger.Info("hedge started", "request", c.id, "silent", silent.chosen.id(), "at", chosen.id(), "after_event", s.lastEventID,
 		"silent_ms", time.Since(s.lastEventAt).Milliseconds(), "error", cause)
 	p.hedges.Go(func() {
+		defer s.notify()
+		defer close(h.opened)
 		h.err = p.openHedge(h)
-		close(h.opened)
-		a.interrupts.interrupt()
 	})
-	return true
+	return ""
 }
 
-// settleHedge is called while a hedge is under way. If the hedge has received an event, it cancels the
-// silent attempt and returns the cause. If the hedge has failed, the attempt goes on without it.
-func (p *Proxy) settleHedge(c *request, s *relayedStream, a *streamAttempt) error {
+// notify tells the stream's goroutine that a hedge has changed.
+func (s *relayedStream) notify() {
 	select {
-	case <-s.hedge.opened:
+	case s.hedgeChanged <- struct{}{}:
 	default:
-		return nil
 	}
-	if s.hedge.err != nil {
-		p.recordFailedHedge(c, s)
-		s.silence.hedgeAt = time.Now().Add(hedgeRetryInterval)
-		return nil
-	}
-	cause := errStreamSilent
-	if a.watch != nil {
-		if found := p.opts.Tracker.Silence(a.chosen.replica, a.watch, time.Now()); found != nil {
-			cause = found
-		}
+	if a := s.current.Load(); a != nil {
+		a.interrupts.interrupt()
 	}
-	a.cancel(cause)
-	return cause
 }
 
-// waitForHedge waits until the hedge has received an event or failed. If it has failed, waitForHedge
-// records that and returns the error.
-func (p *Proxy) waitForHedge(c *request, s *relayedStream) error {
-	<-s.hedge.opened
-	if err := s.hedge.err; err != nil {
-		p.recordFailedHedge(c, s)
-		return err
+// waitForHedge waits, while there is no current attempt, until a hedge has received an event or failed. It
+// starts further hedges beside silent ones. If a hedge has failed, it records that and returns the error.
+func (p *Proxy) waitForHedge(ctx context.Context, c *request, s *relayedStream) error {
+	for {
+		if s.hasOpenHedge() {
+			return nil
+		}
+		if err := p.removeFailedHedges(c, s); err != nil {
+			return err
+		}
+		p.considerHedge(ctx, c, s)
+		<-s.hedgeChanged
 	}
-	p.opts.Meter.CountHedge(telemetry.HedgeUsed)
-	return nil
 }
 
-func (p *Proxy) recordFailedHedge(c *request, s *relayedStream) {
-	h := s.hedge
-	s.hedge = nil
-	p.endAttempt(h)
-	p.opts.Meter.CountHedge(telemetry.HedgeFailed)
-	p.recordFailed(c, h.chosen, h.err)
-}
-
-// hasOpenHedge reports whether a hedge has received an event.
-func (s *relayedStream) hasOpenHedge() bool {
-	if s.hedge == nil {
-		return false
+// removeFailedHedges records and removes the hedges that have failed. It returns the error of the last one,
+// or nil.
+func (p *Proxy) removeFailedHedges(c *request, s *relayedStream) error {
+	var failed error
+	for _, h := range append([]*streamAttempt(nil), s.hedges...) {
+		if !h.hasSettled() || h.err == nil {
+			continue
+		}
+		s.removeHedge(h)
+		p.endAttempt(h)
+		p.opts.Meter.CountHedge(telemetry.HedgeFailed)
+		c.useChoice(h)
+		p.recordFailed(c, h.chosen, h.err)
+		failed = h.err
 	}
-	select {
-	case <-s.hedge.opened:
-		return s.hedge.err == nil
-	default:
-		return false
+	if a, _ := s.newest(); failed != nil && a != nil {
+		c.useChoice(a)
 	}
+	return failed
 }
 
-// recordSilence records that a silent attempt was given up for its hedge.
-func (p *Proxy) recordSilence(c *request, s *relayedStream, silent *streamAttempt, err error) {
+// recordAbandoned records that a silent attempt was given up for a hedge.
+func (p *Proxy) recordAbandoned(c *request, s *relayedStream, silent *streamAttempt, err error) {
 	p.opts.Meter.CountHedge(telemetry.HedgeUsed)
 	p.logResume(c, s, silent, err)
-	p.countFailure(c, silent.chosen.replica, err)
-	if s.hedge.chosen.peer == nil {
-		p.blame(c, silent.chosen.replica, err)
-	}
-}
-
-// dropHedge ends the hedge, if there is one, because the current attempt goes on or the request has
-// ended.
-func (p *Proxy) dropHedge(c *request, s *relayedStream) {
-	h := s.hedge
-	if h == nil {
+	if silent.chosen.replica == nil {
+		p.recordPeerFailure(c, silent.chosen.peer, err)
 		return
 	}
-	s.hedge = nil
-	p.endAttempt(h)
-	p.opts.Meter.CountHedge(telemetry.HedgeDropped)
-	if h.chosen.replica != nil {
-		c.triedReplicas[h.chosen.replica.ID] = true
-	}
-	if p.mayHaveRunHedge(h) {
-		c.sends++
+	p.countFailure(c, silent.chosen.replica, err)
+	if !p.links.isDown(c.service) {
+		p.blame(c, silent.chosen.replica, err)
 	}
-	p.opts.Logger.Info("hedge dropped", "request", c.id, "at", h.chosen.id(), "after_event", s.lastEventID)
 }
 
-// mayHaveRunHedge reports whether a hedge that was dropped may have run.
-func (p *Proxy) mayHaveRunHedge(h *streamAttempt) bool {
-	select {
-	case <-h.opened:
-		return h.err == nil || mayHaveArrived(h.err)
-	default:
-		return true
+// dropHedges ends the hedges, because the current attempt goes on or the request has ended. Those that may
+// have run count as attempts.
+func (p *Proxy) dropHedges(c *request, s *relayedStream) {
+	for _, h := range s.hedges {
+		p.endAttempt(h)
+		p.opts.Meter.CountHedge(telemetry.HedgeDropped)
+		if h.chosen.replica != nil {
+			c.triedReplicas[h.chosen.replica.ID] = true
+		}
+		if !h.hasSettled() || mayHaveArrived(h.err) {
+			c.sends++
+		}
+		p.opts.Logger.Info("hedge dropped", "request", c.id, "at", h.chosen.id(), "after_event", s.lastEventID)
 	}
+	s.hedges = nil
 }
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -20,8 +20,8 @@
 	// peerReportDelay is the assumed maximum time until this daemon learns of a request at a peer:
 	// one report interval of the peer, plus one of the daemon that passes the report on.
 	peerReportDelay = 600 * time.Millisecond
-	// stallReportInterval is the time between two reports of a replica that stays silent.
-	stallReportInterval = 800 * time.Millisecond
+	// noticeInterval is the time between two notices to a stream that stays silent.
+	noticeInterval = 100 * time.Millisecond
 )
 
 // StreamWatch is a stream in flight.
@@ -42,12 +42,17 @@
 	// replica in that time, so the stream does not count as silent.
 	isForwarding atomic.Bool
 	costs        costs
-	// onSilent is called with the tracker's lock held.
+	// onSilent is called with the tracker's lock held. Nil if the stream needs no notices.
 	onSilent func()
+	// silence is errReplicaSilent or errStreamSilent if the stream was found silent, until its next
+	// event or until its replica sends one. Such a stream is no further evidence against its replica.
+	silence error
+	// nextNotice is when onSilent is called again while the stream stays silent.
+	nextNotice time.Time
 }
 
-// Watch registers a stream. onSilent is called repeatedly while the stream or its whole replica is
-// silent; it must not call the tracker. The costs are used to predict when the stream's events are due.
+// Watch registers a stream. onSilent, if not nil, is called repeatedly while the stream is silent; it must
+// not call the tracker. The costs are used to predict when the stream's events are due.
 func (t *Tracker) Watch(r *fleet.Replica, c costs, onSilent func()) *StreamWatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,15 +68,26 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.loadOf(r)
-	watch.hasBegun, watch.lastEventAt, watch.isTimerRestarted = true, now, false
+	watch.hasBegun, watch.lastEventAt, watch.isTimerRestarted, watch.silence = true, now, false, nil
 	if !s.silentSince.IsZero() {
 		silence = now.Sub(s.silentSince)
+		s.endSilence()
 	}
 	s.lastEventAt = now
-	s.suspectedUntil, s.silentSince, s.nextStallReport = time.Time{}, time.Time{}, time.Time{}
+	s.suspectedUntil = time.Time{}
 	return silence
 }
 
+// endSilence forgets that the replica was silent. Its silent streams are watched anew.
+func (s *replicaLoad) endSilence() {
+	s.silentSince = time.Time{}
+	for watch := range s.streams {
+		if watch.silence == errReplicaSilent {
+			watch.silence = nil
+		}
+	}
+}
+
 // BeginForward records that an event is being sent to the stream's caller, until EndForward.
 func (w *StreamWatch) BeginForward() { w.isForwarding.Store(true) }
 
@@ -105,11 +121,10 @@
 	}
 }
 
-// Sweep notifies all streams of silent replicas, and single silent streams of other replicas, so that
-// they try elsewhere. It also removes replicas that are no longer used. gap is
-// the time since the last sweep. A long gap means that this process was paused, and restarts the
-// timers of the streams. Each timer is restarted at most once until the stream's next event, so
-// that a process with frequent pauses still detects silence.
+// Sweep finds replicas and single streams that fell silent, and notifies their streams so that they try
+// elsewhere. It also removes replicas that are no longer used. gap is the time since the last sweep. A long
+// gap means that this process was paused, and restarts the timers of the streams. Each timer is restarted
+// at most once until the stream's next event, so that a process with frequent pauses still detects silence.
 func (t *Tracker) Sweep(now time.Time, gap time.Duration) {
 	if gap > nextEventTimeout/2 {
 		t.restartTimers(now)
@@ -149,33 +164,24 @@
 		if s.isSilent(t.lastEventOf(s), now) {
 			s.suspectedUntil = now.Add(suspicionPeriod)
 			s.markSilent(now)
-			if !now.Before(s.nextStallReport) {
-				s.nextStallReport = now.Add(stallReportInterval)
-				silent = append(silent, s.replica)
+			silent = append(silent, s.replica)
+		}
+		for watch := range s.streams {
+			if watch.silence == nil && t.isStreamSilent(s, watch, now) {
+				watch.silence = errStreamSilent
 			}
-			s.notifyStreams(func(w *StreamWatch) bool { return !w.isForwarding.Load() })
-			continue
 		}
-		s.notifyStreams(func(w *StreamWatch) bool { return t.isStreamSilent(s, w, now) })
+		s.notifyStreams(now)
 	}
 	return silent
 }
 
-// Silence returns errReplicaSilent if a stream's replica has sent no event for too long,
-// errStreamSilent if only the stream got none, and nil otherwise.
-func (t *Tracker) Silence(r *fleet.Replica, watch *StreamWatch, now time.Time) error {
+// Silence returns errReplicaSilent if a stream's replica has sent no event for too long, errStreamSilent if
+// only the stream got none, and nil otherwise.
+func (t *Tracker) Silence(watch *StreamWatch) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.loadOf(r)
-	switch {
-	case watch.isForwarding.Load():
-		return nil
-	case s.isSilent(t.lastEventOf(s), now):
-		return errReplicaSilent
-	case t.isStreamSilent(s, watch, now):
-		return errStreamSilent
-	}
-	return nil
+	return watch.silence
 }
 
 // lastEventOf returns when a replica last sent an event to this daemon or, according to their
@@ -213,12 +219,12 @@
 	return now.Sub(w.lastEventAt) > firstEventTimeout && now.Sub(w.firstEventDue) > nextEventTimeout
 }
 
-// isSilent reports whether the replica has sent no event for so long that it must have stopped.
-// last is when it last sent one.
+// isSilent reports whether the replica has sent no event for so long that it must have stopped, judged by
+// the streams that were not found silent before. last is when it last sent one.
 func (s *replicaLoad) isSilent(last, now time.Time) bool {
 	timeout, oldest, waitingCount := firstEventTimeout, now, 0
 	for watch := range s.streams {
-		if watch.isForwarding.Load() {
+		if watch.isForwarding.Load() || watch.silence != nil {
 			continue
 		}
 		waitingCount++
@@ -235,8 +241,13 @@
 	return waitingCount > 0 && now.Sub(last) > timeout
 }
 
-// markSilent records since when the replica has sent no event to this daemon.
+// markSilent records that the replica's waiting streams are silent, and since when.
 func (s *replicaLoad) markSilent(now time.Time) {
+	for watch := range s.streams {
+		if !watch.isForwarding.Load() {
+			watch.silence = errReplicaSilent
+		}
+	}
 	switch {
 	case !s.silentSince.IsZero():
 	case s.lastEventAt.IsZero():
@@ -246,10 +257,11 @@
 	}
 }
 
-// notifyStreams tells the matching streams that they are silent.
-func (s *replicaLoad) notifyStreams(matches func(*StreamWatch) bool) {
+// notifyStreams notifies the silent streams whose next notice is due.
+func (s *replicaLoad) notifyStreams(now time.Time) {
 	for watch := range s.streams {
-		if matches(watch) {
+		if watch.silence != nil && watch.onSilent != nil && !now.Before(watch.nextNotice) {
+			watch.nextNotice = now.Add(noticeInterval)
 			watch.onSilent()
 		}
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"quartzshelf.dev/common/failure"
@@ -43,27 +44,31 @@
 	// isClientGone reports whether a write to the caller failed.
 	isClientGone bool
 	timing       lateness
-	// hedge is an attempt that was started beside the current one, which is silent. Nil if there is
-	// none. silence is the state of the current attempt's silence.
-	hedge   *streamAttempt
-	silence silence
+	// current is the attempt whose answer is relayed. Nil between two attempts.
+	current atomic.Pointer[streamAttempt]
+	// hedges holds the attempts under way beside the current one, in the order of their starts.
+	hedges []*streamAttempt
+	// hedgeChanged is signaled when a hedge has received an event, has failed or may be silent.
+	hedgeChanged chan struct{}
+	silence      streamSilence
 }
 
 // serveStream relays a stream, and resumes it at another replica if it breaks.
 func (p *Proxy) serveStream(w http.ResponseWriter, c *request) *refusal {
-	s := &relayedStream{w: w, lastEventID: c.header.Get(p.opts.Names.LastEventID), lastEventAt: c.arrived}
+	s := &relayedStream{w: w, lastEventID: c.header.Get(p.opts.Names.LastEventID), lastEventAt: c.arrived, hedgeChanged: make(chan struct{}, 1)}
 	p.opts.Tracker.RecordGapTarget(c.model, c.route.GapTarget, c.arrived)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	p.waitingStreams.add(c, cancel)
 	defer p.waitingStreams.remove(c)
-	defer p.dropHedge(c, s)
+	defer p.dropHedges(c, s)
 	for {
 		a, refused := p.nextAttempt(ctx, c, s)
 		if refused != nil {
 			return p.endStream(c, s, refused)
 		}
 		err := p.relayAttempt(c, s, a)
+		s.current.Store(nil)
 		p.endAttempt(a)
 		if err == nil {
 			p.logLate(c, &s.timing)
@@ -74,16 +79,15 @@
 			// Nobody is left to retry for, and the replica is not to blame.
 			c.cancel()
 		}
-		if refused := p.prepareRetry(c, s, a, err); refused != nil {
+		if refused := p.prepareRetry(ctx, c, s, a, err); refused != nil {
 			return p.endStream(c, s, refused)
 		}
 	}
 }
 
-// nextAttempt returns the hedge if one is under way, and starts an attempt otherwise.
+// nextAttempt returns a hedge that has received an event if there is one, and starts an attempt otherwise.
 func (p *Proxy) nextAttempt(ctx context.Context, c *request, s *relayedStream) (*streamAttempt, *refusal) {
-	a := s.hedge
-	s.hedge = nil
+	a := s.takeOpenHedge()
 	if a == nil {
 		chosen, refused := p.chooseOrWait(c, s)
 		if refused != nil {
@@ -91,22 +95,22 @@
 		}
 		a = p.beginAttempt(ctx, c, s, chosen, c.sends)
 	}
-	c.chosenAt, c.chosenInFlight = a.chosenAt, a.inFlight
-	s.silence = silence{}
+	c.useChoice(a)
+	s.current.Store(a)
 	a.interrupts.setHandler(func() error { return p.onSilence(ctx, c, s, a) })
 	return a, nil
 }
 
-// prepareRetry records a failed attempt and prepares the next one. It returns a refusal if there may be
-// none.
-func (p *Proxy) prepareRetry(c *request, s *relayedStream, failed *streamAttempt, err error) *refusal {
+// prepareRetry records a failed attempt and prepares the next one. If hedges are under way, it waits for
+// the first one that receives an event. It returns a refusal if there may be no further attempt.
+func (p *Proxy) prepareRetry(ctx context.Context, c *request, s *relayedStream, failed *streamAttempt, err error) *refusal {
 	if s.hasOpenHedge() && errors.Is(err, errReplicaSilent) {
-		p.recordSilence(c, s, failed, err)
+		p.recordAbandoned(c, s, failed, err)
 		return nil
 	}
 	mayHaveRun := p.recordFailed(c, failed.chosen, err)
-	if s.hedge != nil {
-		if err = p.waitForHedge(c, s); err == nil {
+	for len(s.hedges) > 0 {
+		if err = p.waitForHedge(ctx, c, s); err == nil {
 			return nil
 		}
 		mayHaveRun = mayHaveArrived(err)
@@ -155,7 +159,7 @@
 	p.opts.Meter.CountRefusal(f.reason)
 	p.opts.Logger.Info("stream broken off", "request", c.id, "reason", string(f.reason), "after_event", s.lastEventID,
 		"sends", c.sends, "retry_budget", c.budgetAtRefusal, "client_gone", s.isClientGone, "ms", time.Since(c.arrived).Milliseconds(),
-		"silent_ms", time.Since(s.lastEventAt).Milliseconds(), "config_begun", c.configVersion, "config", p.configVersion(), "error", c.lastErr)
+		"silent_ms", time.Since(s.lastEventAt).Milliseconds(), "no_hedge", s.silence.refusal, "config_begun", c.configVersion, "config", p.configVersion(), "error", c.lastErr)
 	panic(http.ErrAbortHandler)
 }
 
@@ -169,7 +173,6 @@
 	}
 	e := a.exchange
 	if !p.isSignedStream(e) {
-		a.interrupts.detach()
 		return p.passOnFailure(c, s, a)
 	}
 	onForwarded := func() { p.recordForwarded(a) }
@@ -177,7 +180,6 @@
 		e.abort()
 		return withCause(a.ctx, a.sender(), &sendError{mayHaveArrived: true, cause: err})
 	}
-	a.interrupts.detach()
 	e.finish()
 	p.recordAnswered(c, a)
 	return nil
@@ -192,7 +194,7 @@
 	p.recordCompletion(c, a.exchange)
 }
 
-// recordEvent records that an event of the current attempt arrived. The hedge is no longer needed.
+// recordEvent records that an event of the current attempt arrived. Hedges are no longer needed.
 func (p *Proxy) recordEvent(c *request, s *relayedStream, a *streamAttempt, now time.Time) {
 	if s.isHeadSent {
 		s.timing.recordNext(c, a.chosen.id(), now.Sub(s.lastEventAt))
@@ -201,8 +203,8 @@
 		p.waitingStreams.remove(c)
 		s.timing.recordFirst(c, a.chosen.id(), now)
 	}
-	p.dropHedge(c, s)
-	s.silence = silence{}
+	p.dropHedges(c, s)
+	s.silence = streamSilence{}
 	replica := a.chosen.replica
 	if replica == nil {
 		return
--- a/proxy/tracker.go
+++ b/proxy/tracker.go
@@ -43,8 +43,6 @@
 	// silentSince is when the replica sent its last event before it counted as silent. It is zero if
 	// the replica has sent one since.
 	silentSince time.Time
-	// nextStallReport is when onSuspected is called again if the replica stays silent.
-	nextStallReport time.Time
 	// unreachableUntil is the time until which the replica counts as suspected after a failed
 	// connection or an answer that exceeded a limit.
 	unreachableUntil time.Time
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -58,6 +58,8 @@
 	// stopCloseOnCancel prevents the connection from being closed when ctx ends. It returns false
 	// if ctx has already ended.
 	stopCloseOnCancel func() bool
+	// interrupts is detached before the connection is kept. Nil if reads are not interrupted.
+	interrupts *interruptor
 	// isResent reports whether the worker may have received the request before, over a connection
 	// that broke.
 	isResent bool
@@ -188,6 +190,9 @@
 		_ = e.conn.Close()
 		return
 	}
+	if e.interrupts != nil {
+		e.interrupts.detach()
+	}
 	e.upstream.put(e.conn, keepAliveFor(e.response.Header.Get("Keep-Alive")))
 }
 
