formation: Clear finished loads before the first request too

What callers saw: after groups were dissolved in a fleet that no request had reached yet, their workers were left idle until the first request or four times a load's duration.

Cause: countRunningLoads both counted loads and removed the finished ones, and allowedLoads does not call it without traffic. Each worker that had staged a second model therefore counted as loading, and freeWorkers leaves such workers out.

The mend: clearFinishedLoads runs each tick, before free workers are looked for. It also removes the expired records of unlisted workers, which stayed for good.

--- a/formation/reconciler.go
+++ b/formation/reconciler.go
@@ -290,6 +290,7 @@
 }
 
 func (rc *Reconciler) tickService(ctx context.Context, s *fleet.Service, view *fleet.View, now time.Time) {
+	rc.clearFinishedLoads(view, now)
 	groups := rc.observeGroups(s, view)
 	for _, g := range groups {
 		rc.repair(ctx, g, now)
--- a/formation/staging.go
+++ b/formation/staging.go
@@ -80,22 +80,28 @@
 	if !rc.hasTraffic() {
 		return unlimitedLoads, unlimitedLoads
 	}
-	runningLoads, availableLoads := float64(rc.countRunningLoads(s, view, now)), budget.availableLoads(now)
+	runningLoads, availableLoads := float64(rc.countRunningLoads(s, view)), budget.availableLoads(now)
 	loadsAtOnce := float64(s.Engine.MaxConcurrentLoads)
 	return min(int(groupLoadFactor*loadsAtOnce-runningLoads), availableLoads), min(int(idleLoadFactor*loadsAtOnce-runningLoads), availableLoads)
 }
 
+// clearFinishedLoads removes the records of loads that have ended or expired. The caller must hold
+// rc.mu.
+func (rc *Reconciler) clearFinishedLoads(view *fleet.View, now time.Time) {
+	for id, l := range rc.activeLoads {
+		w, isListed := view.Worker(id)
+		if now.After(l.expiresAt) || isListed && w.HasStaged(l.model) {
+			delete(rc.activeLoads, id)
+		}
+	}
+}
+
 // countRunningLoads returns the number of recorded loads of all services, plus the other workers of
-// this service that are loading to join a group. It removes records of loads that have ended or
-// expired.
-func (rc *Reconciler) countRunningLoads(s *fleet.Service, view *fleet.View, now time.Time) int {
+// this service that are loading to join a group.
+func (rc *Reconciler) countRunningLoads(s *fleet.Service, view *fleet.View) int {
 	count := 0
 	for id, w := range view.Workers() {
-		l, isLoading := rc.activeLoads[id]
-		if isLoading && (now.After(l.expiresAt) || w.HasStaged(l.model)) {
-			delete(rc.activeLoads, id)
-			isLoading = false
-		}
+		_, isLoading := rc.activeLoads[id]
 		if isLoading || w.Service == s.Name && rc.isLoadingForJoin(w) {
 			count++
 		}
