formation: Let workers pause in the random schedules

TestNoWorkersUsedTwiceAcrossPauses draws pauses of 1.2, 1.9 and 5 s of every third worker along with crashes, restarts, late orders and changes of leaders.

--- a/formation/reconciler_test.go
+++ b/formation/reconciler_test.go
@@ -285,6 +285,8 @@
 			stop()
 			epoch++
 			k, stop = startTerm(w, epoch)
+		case step > 5+len(restartListDelays):
+			w.pauseSome(k, i, schedulePauses[step-6-len(restartListDelays)])
 		case step > 5:
 			id := fmt.Sprintf("w%d-%d", i%2, (i*7+step)%10)
 			if w.isDead(id) {
--- a/formation/silence_test.go
+++ b/formation/silence_test.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"quartzshelf.dev/fleet"
 )
@@ -172,6 +174,41 @@
 	return rc.retirements[g.Key()] != 0
 }
 
+// schedulePauses holds the pauses of workers in a schedule of faults, for the steps that follow those
+// that restart workers.
+var schedulePauses = []time.Duration{1200 * time.Millisecond, 1900 * time.Millisecond, 5 * time.Second}
+
+// TestNoWorkersUsedTwiceAcrossPauses repeats TestNoWorkersUsedTwiceAcrossRestarts with workers that
+// also pause.
+func TestNoWorkersUsedTwiceAcrossPauses(outerT *testing.T) {
+	rapid.Check(outerT, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		lateFraction := rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "late")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5+len(restartListDelays)+len(schedulePauses)), 4, 16).Draw(t, "steps")
+		var violations []string
+		synctest.Test(outerT, func(*testing.T) {
+			violations = runSchedule(newWorld(seed, 2, 10), lateFraction, steps)
+		})
+		if len(violations) > 0 {
+			t.Fatalf("violations: %v", violations)
+		}
+	})
+}
+
+// pauseSome lets every third worker stand still, beginning with the one of the given number, and
+// reports their groups as suspected.
+func (w *world) pauseSome(k *Reconciler, first int, d time.Duration) {
+	for i, id := range slices.Sorted(maps.Keys(w.workers)) {
+		if (i+first)%3 != 0 {
+			continue
+		}
+		w.pause(id, d)
+		for _, g := range w.groupsOf(id) {
+			k.MarkSuspected(g)
+		}
+	}
+}
+
 // TestSilentWorkersAreNotUsedForNewGroups guards against forming groups with workers that are silent
 // when their group is dissolved because it lost another member.
 func TestSilentWorkersAreNotUsedForNewGroups(t *testing.T) {
