--- a/formation/send_test.go
+++ b/formation/send_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -63,3 +64,32 @@
 		<-ended
 	})
 }
+
+// TestUnansweredOrders guards against treating a worker that pauses as gone because it left orders
+// unanswered.
+func TestUnansweredOrders(t *testing.T) {
+	tests := map[string]struct {
+		pause          time.Duration
+		isDead, isGone bool
+	}{
+		"the worker pauses":  {pause: 1900 * time.Millisecond},
+		"the worker is lost": {isDead: true, isGone: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, 1, 1)
+				k := NewReconciler(w.options(), Term{Epoch: 1}, func() {})
+				worker := &fleet.Worker{ID: "w0-0"}
+				w.pause(worker.ID, test.pause)
+				w.workers[worker.ID].isDead = test.isDead
+				_, ok := k.sendOrder(context.Background(), "stage", worker, func(ctx context.Context, f Fence) (Verdict, error) {
+					return w.stage(ctx, worker, f, 0, "big")
+				})
+				assert.Assert(t, !ok)
+				assert.Equal(t, k.isUnresponsive(worker.ID), test.isGone)
+				w.pending.Wait()
+			})
+		})
+	}
+}
