serving, platform: Limit the heads of requests to 16 KiB

The head of a request of a caller, a peer or the platform could take 1 MiB, net/http's default, on each of the thousands of connections that a daemon may have.

The servers now read 16 KiB, which all configurations seen state as max_header_bytes, and the 4 KiB that net/http adds. Configurations are not heeded here: one that states more is refused with 431 beyond that, as it was beyond 1 MiB.

--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -88,7 +88,8 @@
 
 // listen serves peers at the daemon's own address until ctx ends.
 func (f *fetcher) listen(ctx context.Context, handler http.Handler) {
-	server := &http.Server{Addr: f.server.opts.Self.Address, Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := newHTTPServer(handler)
+	server.Addr = f.server.opts.Self.Address
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
--- a/serving/server.go
+++ b/serving/server.go
@@ -27,8 +27,10 @@
 	// revokeMargin is subtracted from Bounds.RevocationBound. A daemon whose configuration has not
 	// been confirmed for the remaining time accepts no more keys.
 	revokeMargin = 200 * time.Millisecond
-	// headerTimeout limits the reading of a request's header.
-	headerTimeout = 10 * time.Second
+	// headerTimeout limits the reading of a request's header, maxHeaderBytes its size. http.Server
+	// adds 4 KiB to that.
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 16 << 10
 	// idleTimeout is how long a caller's connection may be idle. With a shorter one, a caller could
 	// send a request just as the daemon closes the connection.
 	idleTimeout = time.Minute
@@ -214,10 +216,9 @@
 func (s *Server) Run(ctx context.Context, front net.Listener) error {
 	defer close(s.done)
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	server := &http.Server{
-		Handler: s.proxy, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
+	server := newHTTPServer(s.proxy)
+	server.IdleTimeout = idleTimeout
+	server.ErrorLog = s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	var tasks conc.WaitGroup
 	tasks.Go(func() { s.follower.Run(running) })
 	tasks.Go(func() { s.agent.Run(running) })
@@ -261,12 +262,18 @@
 // AddressTTL returns how long callers may keep the addresses that AddressesFor returned.
 func (s *Server) AddressTTL() time.Duration { return s.opts.Bounds.AddressTTL }
 
+// newHTTPServer returns an HTTP server that limits the headers of requests.
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 // serveMetrics serves metrics until ctx ends.
 func (s *Server) serveMetrics(ctx context.Context) {
 	if s.opts.Metrics == "" {
 		return
 	}
-	server := &http.Server{Addr: s.opts.Metrics, Handler: s.meter.Handler(), ReadHeaderTimeout: headerTimeout}
+	server := newHTTPServer(s.meter.Handler())
+	server.Addr = s.opts.Metrics
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
