proxy: Charge long events to the buffer limit

The buffer of a stream grows to 1 MiB for an event without an end, which no limit counted: some hundred such streams fill a daemon's memory, worked out from the sizes.

What a buffer takes beyond its first 2 KiB is now reserved for the client account, as bodies are, and waits like these if there is none. It is released when the attempt ends. An event that is too long counts as an answer that exceeds a limit.

TestLongEventsAreCharged failed before in both cases (more was held than reserved), and TestLongEventEndsItsAttemptOnly too, as the log line and the suspicion were missing.

--- a/proxy/answerlimit.go
+++ b/proxy/answerlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -101,6 +102,21 @@
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
+// growForEvent reserves as many bytes again as the buffer of an event that does not fit has. It waits
+// until they are available or ctx ends.
+func (m *requestMemory) growForEvent(ctx context.Context, bufferBytes int) error {
+	if bufferBytes >= maxEventBytes {
+		return &limitError{part: "event", bytesRead: int64(bufferBytes)}
+	}
+	wait := waitForMemory(ctx)
+	for !m.grow(int64(bufferBytes)) {
+		if err := wait(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // recordLimitExceeded makes all daemons avoid a replica for a while if its head's answer exceeded a
 // limit.
 func (p *Proxy) recordLimitExceeded(c *request, replica *fleet.Replica, err error) {
--- a/proxy/answerlimit_test.go
+++ b/proxy/answerlimit_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -263,6 +265,72 @@
 	}
 }
 
+// chargedBody is the body of a stream of one endless event. It fails if more of it is read than memory
+// is reserved.
+type chargedBody struct {
+	limit *BufferLimit
+	read  int64
+}
+
+var errNotCharged = errors.New("more is held than reserved")
+
+func (b *chargedBody) Read(p []byte) (int, error) {
+	b.read += int64(len(p))
+	if b.read > b.limit.BytesInUse()+streamBufferBytes {
+		return 0, errNotCharged
+	}
+	return copy(p, strings.Repeat("x", len(p))), nil
+}
+
+func (b *chargedBody) Close() error { return nil }
+
+// TestLongEventsAreCharged guards against events that fill the daemon's memory, each of many streams with
+// one of its own.
+func TestLongEventsAreCharged(t *testing.T) {
+	tests := map[string]struct {
+		limit int64
+		most  int64
+		want  error
+	}{
+		"longer than an event may be":     {limit: 64 << 20, most: maxEventBytes, want: &limitError{part: "event", bytesRead: maxEventBytes}},
+		"longer than its account's share": {limit: 1 << 20, most: 256 << 10, want: context.DeadlineExceeded},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				limit := NewBufferLimit(test.limit)
+				memory := &requestMemory{bufferLimit: limit, account: "a"}
+				body := &chargedBody{limit: limit}
+				s := &relayedStream{memory: memory}
+				e := &exchange{ctx: ctx, response: &http.Response{Body: body}}
+				err := s.copyEvents(e, func(time.Time) {}, func() {})
+				assert.Equal(t, fmt.Sprint(err), fmt.Sprint(test.want))
+				assert.Assert(t, body.read <= test.most, "%d bytes were read, of %d at most", body.read, test.most)
+				assert.Equal(t, limit.BytesInUse(), int64(0))
+			})
+		})
+	}
+}
+
+// TestLongEventEndsItsAttemptOnly: another replica sends the stream, and the one that sent the long event
+// is suspected.
+func TestLongEventEndsItsAttemptOnly(t *testing.T) {
+	faulty, sound := newFakeWorker(t, "faulty", rambles), newFakeWorker(t, "sound")
+	p, server := newTestProxy(t, faulty, sound)
+	log := &logBuffer{}
+	p.opts.Logger = hclog.New(&hclog.LoggerOptions{Output: log, Level: hclog.Info})
+	p.startedAt = time.Now().Add(-randomPairPeriod)
+	preferOver(p, sound)
+	got := sendRequest(t, server, "/stream/", "a", nil)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, wholeStream())
+	assert.Equal(t, log.count("answer exceeds a limit"), 1, log.String())
+	assert.Equal(t, log.count("part=event bytes_read=1048576"), 1, log.String())
+	assert.DeepEqual(t, p.opts.Tracker.suspectedHeads(time.Now()), map[string]bool{"faulty": true})
+}
+
 // TestAnswersFillTheirShare: an answer may take what its client account has left.
 func TestAnswersFillTheirShare(t *testing.T) {
 	const share = 2 << 20
--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -34,7 +34,7 @@
 	recorder := httptest.NewRecorder()
 	recorder.Body = nil
 	e := &exchange{response: &http.Response{Body: io.NopCloser(reader), Header: http.Header{}}}
-	s := &relayedStream{w: recorder}
+	s := &relayedStream{w: recorder, memory: &requestMemory{bufferLimit: NewBufferLimit(0)}}
 	b.ResetTimer()
 	if err := s.copyEvents(e, func(time.Time) {}, func() {}); err != nil {
 		b.Fatal(err)
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -25,10 +25,7 @@
 	resumePollInterval = 40 * time.Millisecond
 )
 
-var (
-	errPartialEvent = fmt.Errorf("the stream ended within an event: %w", io.ErrUnexpectedEOF)
-	errLongEvent    = fmt.Errorf("an event is longer than %d bytes", maxEventBytes)
-)
+var errPartialEvent = fmt.Errorf("the stream ended within an event: %w", io.ErrUnexpectedEOF)
 
 // relayedStream is the state of a stream as its caller has received it.
 type relayedStream struct {
@@ -51,11 +48,13 @@
 	// hedgeChanged is signaled when a hedge has received an event, has failed or may be silent.
 	hedgeChanged chan struct{}
 	silence      streamSilence
+	// memory accounts for events that do not fit into the initial buffer of an attempt.
+	memory *requestMemory
 }
 
 // serveStream relays a stream, and resumes it at another replica if it breaks.
 func (p *Proxy) serveStream(w http.ResponseWriter, c *request) *refusal {
-	s := &relayedStream{w: w, lastEventID: c.header.Get(p.opts.Names.LastEventID), lastEventAt: c.arrived, hedgeChanged: make(chan struct{}, 1)}
+	s := &relayedStream{w: w, lastEventID: c.header.Get(p.opts.Names.LastEventID), lastEventAt: c.arrived, hedgeChanged: make(chan struct{}, 1), memory: &c.memory}
 	p.opts.Tracker.RecordGapTarget(c.model, c.route.GapTarget, c.arrived)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
@@ -251,13 +250,16 @@
 
 // copyEvents forwards complete events as they arrive, until the stream ends.
 func (s *relayedStream) copyEvents(e *exchange, onEvent func(time.Time), onForwarded func()) error {
+	reserved := int64(0)
+	defer func() { s.memory.shrink(reserved) }()
 	buffer := make([]byte, 0, streamBufferBytes)
 	hasEvents := false
 	for {
 		if len(buffer) == cap(buffer) {
-			if cap(buffer) >= maxEventBytes {
-				return errLongEvent
+			if err := s.memory.growForEvent(e.ctx, cap(buffer)); err != nil {
+				return err
 			}
+			reserved += int64(cap(buffer))
 			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
 		}
 		n, err := e.response.Body.Read(buffer[len(buffer):cap(buffer)])
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -48,6 +48,8 @@
 	// swells runs the request and sends an answer whose body has no length, and 64 MiB of it unless the
 	// connection is closed.
 	swells behaviour = "swells"
+	// rambles runs the request and sends 8 MiB of an event without an end.
+	rambles behaviour = "rambles"
 	// stalls sends two events and then nothing.
 	stalls behaviour = "stalls"
 	// explains runs the request and answers with a client error and longExplanation.
@@ -200,7 +202,7 @@
 	case garbles:
 		writeText(c, "these bytes are no answer\r\n\r\n")
 		return false
-	case floods, swells:
+	case floods, swells, rambles:
 		sendTooMuch(c, b, signedHeader)
 		return false
 	case unsigned:
@@ -223,12 +225,14 @@
 
 // sendTooMuch sends more than any head or body may take.
 func sendTooMuch(c net.Conn, b behaviour, signedHeader string) {
-	if b == floods {
-		writeText(c, strings.Repeat("x", 8<<20))
-		return
+	if b != floods {
+		writeText(c, "HTTP/1.1 200 OK\r\n"+signedHeader+"\r\n")
 	}
-	writeText(c, "HTTP/1.1 200 OK\r\n"+signedHeader+"\r\n")
-	writeText(c, strings.Repeat("x", 64<<20))
+	size := 8 << 20
+	if b == swells {
+		size = 64 << 20
+	}
+	writeText(c, strings.Repeat("x", size))
 }
 
 // sendStream sends the events after the last one that the caller has.
