serving: Limit the responses of peers to 8 MiB

A peer's response could take 10 MiB of head, net/http's default, and was cut after 16 MiB without an error, so that a part could be taken for the whole if it could be decoded.

Heads may take 16 KiB now and bodies 8 MiB, twice the longest list worked out (12,400 workers of some 300 bytes); a longer one is an error. One response is read at a time.

Now 9 MiB at most are read.

--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -35,7 +35,7 @@
 	// fetchTimeout limits the duration of a request to a peer, maxFetchBytes the size of its
 	// response.
 	fetchTimeout  = time.Second
-	maxFetchBytes = 16 << 20
+	maxFetchBytes = 8 << 20
 )
 
 // fetcher fetches state that this daemon lacks from peers, and serves its own state to them.
@@ -55,7 +55,7 @@
 func newFetcher(s *Server) *fetcher {
 	f := &fetcher{server: s, requests: make(chan fetchRequest, 1), client: &http.Client{Timeout: fetchTimeout, Transport: s.opts.PeerTransport}}
 	if s.opts.PeerTransport == nil {
-		f.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}
+		f.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}
 	}
 	return f
 }
@@ -193,7 +193,10 @@
 		return nil, failure.Wrap(failure.Unavailable, "ask peer", p.ID, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxFetchBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxFetchBytes+1))
+	if err == nil && len(data) > maxFetchBytes {
+		err = fmt.Errorf("the response is longer than %d bytes", maxFetchBytes)
+	}
 	if err != nil {
 		return nil, failure.Wrap(failure.Unavailable, "read response of peer", p.ID, err)
 	}
