daemon: Limit the messages between daemons to 8 MiB

The generated code of package rpc reads the messages of other daemons whole, with nothing before it, and its client the replies. A single call could fill the daemon's memory.

The server's handler and the client's transport now limit messages to 8 MiB, twice what is kept of answers (intent.maxOutcomeBytes), and their heads to 16 KiB. The generated code stays as it is.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -190,7 +190,7 @@
 		Daemons: func() int { return len(d.stayingMembers()) },
 	})
 	d.peerServer = &peerServer{Agent: d.agent, ledger: d.ledger, home: admission.NewHome(), config: d.configState.View}
-	d.peerHTTP = &http.Server{Handler: rpc.NewPeerServer(d.peerServer), ReadTimeout: peerReadTimeout}
+	d.peerHTTP = newPeerHTTP(d.peerServer)
 	d.readiness = newReadiness(d)
 	d.gateway = d.newGateway()
 	d.hallWatch = d.newHallWatch()
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -64,8 +64,9 @@
 
 // peerClients holds one client for each peer address.
 type peerClients struct {
-	http    *http.Client
-	traffic *traffic
+	http      *http.Client
+	transport *http.Transport
+	traffic   *traffic
 
 	mu      sync.Mutex
 	clients map[string]rpc.Peer
@@ -78,20 +79,46 @@
 	// peerIdleTimeout is how long an idle connection is kept. It is short because, in a
 	// large fleet, the same two daemons seldom call each other again soon.
 	peerIdleTimeout = 5 * time.Second
+	// maxPeerMessageBytes and maxPeerHeaderBytes limit a call's message and its reply, and the
+	// header of each. The generated code reads messages whole.
+	maxPeerMessageBytes = 8 << 20
+	maxPeerHeaderBytes  = 16 << 10
 )
 
 func newPeerClients() *peerClients {
 	t := &traffic{}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: peerIdleTimeout, DialContext: t.dial,
+		MaxResponseHeaderBytes: maxPeerHeaderBytes,
+	}
 	return &peerClients{
-		http: &http.Client{
-			Timeout: peerTimeout,
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: peerIdleTimeout, DialContext: t.dial,
-			},
-		},
-		traffic: t,
-		clients: make(map[string]rpc.Peer),
+		http:      &http.Client{Timeout: peerTimeout, Transport: limitedTransport{transport}},
+		transport: transport,
+		traffic:   t,
+		clients:   make(map[string]rpc.Peer),
+	}
+}
+
+// newPeerHTTP returns the HTTP server for calls of other daemons.
+func newPeerHTTP(s rpc.Peer) *http.Server {
+	return &http.Server{
+		Handler:     http.MaxBytesHandler(rpc.NewPeerServer(s), maxPeerMessageBytes),
+		ReadTimeout: peerReadTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
+	}
+}
+
+// limitedTransport limits the bodies of replies, which the generated client reads whole.
+type limitedTransport struct {
+	*http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxPeerMessageBytes)
 	}
+	return response, err
 }
 
 // get returns the client of the daemon at a peer address, and creates it if needed.
