proxy: Refuse requests with more than 128 headers

A head of 16 KiB holds thousands of headers, each of which takes memory beyond its bytes for as long as the request is handled, and once more in each message to a worker.

Requests with more than 128 are refused with 431 before anything of them is kept. Callers whose heads are not complete yet are limited by their bytes alone.

TestManyCallerHeadersAreRefused failed before in two of its three cases (200 in place of 431).

--- a/proxy/answerlimit_test.go
+++ b/proxy/answerlimit_test.go
@@ -265,6 +265,29 @@
 	}
 }
 
+// TestManyCallerHeadersAreRefused guards against requests whose many headers take far more memory than
+// their bytes.
+func TestManyCallerHeadersAreRefused(t *testing.T) {
+	tests := map[string]struct{ headers, status, runs int }{
+		"as many as are usual":  {headers: 100, status: http.StatusOK, runs: 1},
+		"more than are allowed": {headers: 200, status: http.StatusRequestHeaderFieldsTooLarge},
+		"all that 16 KiB hold":  {headers: 1500, status: http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			worker := newFakeWorker(t, "w")
+			_, server := newTestProxy(t, worker)
+			got := sendRequest(t, server, "/safe/", "a", func(r *http.Request) {
+				for i := range test.headers {
+					r.Header.Set(fmt.Sprintf("X%d", i), "")
+				}
+			})
+			assert.Equal(t, got.status, test.status)
+			assert.Equal(t, worker.runs("a"), test.runs)
+		})
+	}
+}
+
 // chargedBody is the body of a stream of one endless event. It fails if more of it is read than memory
 // is reserved.
 type chargedBody struct {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -100,6 +100,9 @@
 	return f
 }
 
+// maxRequestHeaders limits the headers of a request, each of which takes memory beyond its bytes.
+const maxRequestHeaders = 128
+
 // accept finds the route of a request, authenticates the caller, reads the body and sets the
 // deadline. It returns a refusal if one of these steps fails.
 func (p *Proxy) accept(h *http.Request, controller *http.ResponseController) (*request, *refusal) {
@@ -108,6 +111,9 @@
 	if config == nil {
 		return nil, newUnavailable(reason.Starting, "no configuration is known yet", retryUninformed)
 	}
+	if countHeaders(h.Header) > maxRequestHeaders {
+		return nil, newRefusal(http.StatusRequestHeaderFieldsTooLarge, reason.BadRequest, "the request has too many headers")
+	}
 	c := &request{
 		method: h.Method, target: h.RequestURI, host: h.Host, header: h.Header,
 		id: h.Header.Get(p.opts.Names.AttemptID), arrived: time.Now(), triedReplicas: make(map[string]bool), triedPeers: make(map[string]bool),
@@ -142,6 +148,15 @@
 	return c, nil
 }
 
+// countHeaders returns the number of header lines.
+func countHeaders(header http.Header) int {
+	n := 0
+	for _, values := range header {
+		n += len(values)
+	}
+	return n
+}
+
 // authenticate sets the tenant from the request's key. It returns a refusal if the key is unknown,
 // or if it may have been revoked. Public routes need no key.
 func (p *Proxy) authenticate(c *request, config *fleet.Config) *refusal {
