proxy: Test the memory of heads and the framing of bodies

TestEndlessFramingIsNotReadOn feeds trailers, chunk sizes and extensions without an end to the reader of bodies; net/http limits them, so that both tests pass without a change.

--- a/proxy/answerlimit_test.go
+++ b/proxy/answerlimit_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -109,6 +110,79 @@
 	})
 }
 
+// TestEndlessFramingIsNotReadOn: what frames a body is limited too, beyond the bytes of the body.
+func TestEndlessFramingIsNotReadOn(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := map[string]struct{ beginning, repeated string }{
+		"a trailer without a line end": {beginning: chunked + "0\r\n", repeated: "x"},
+		"a trailer of headers":         {beginning: chunked + "0\r\n", repeated: "Header: value\r\n"},
+		"a chunk's size":               {beginning: chunked, repeated: "1"},
+		"a chunk's extension":          {beginning: chunked + "1;", repeated: "x"},
+		"chunks of one byte":           {beginning: chunked, repeated: "1\r\nx\r\n"},
+		"chunks with extensions":       {beginning: chunked, repeated: "1;extension=value\r\nx\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			raw := &endlessConn{beginning: []byte(test.beginning), repeated: []byte(test.repeated)}
+			response, err := newTestConnection(raw).roundTrip(testMessage())
+			assert.NilError(t, err)
+			memory := requestMemory{bufferLimit: NewBufferLimit(256 << 10), account: "a"}
+			limit := memory.answerLimit()
+			body, err := memory.read(response.Body, limit, failWhenFull)
+			assert.Assert(t, err != nil || int64(len(body)) > limit)
+			const most = 512 << 10
+			assert.Assert(t, raw.read <= most, "%d bytes were read, of %d at most: %v", raw.read, most, err)
+		})
+	}
+}
+
+// TestHeadsTakeBoundedMemory: the largest heads that are read take no more memory each than
+// docs/CAPACITY.md states, with their connections.
+func TestHeadsTakeBoundedMemory(t *testing.T) {
+	const (
+		connections = 500
+		most        = 36 << 10
+		status      = "HTTP/1.1 200 OK\r\n"
+	)
+	var lines strings.Builder
+	for i := range maxHeadLines - 2 {
+		lines.WriteString(fmt.Sprintf("X%d: %s\r\n", i, strings.Repeat("y", 110)))
+	}
+	tests := map[string]string{
+		"one long header":  "Long: " + strings.Repeat("y", maxHeadBytes-len(status)-10) + "\r\n",
+		"many headers":     lines.String(),
+		"nothing but that": "",
+	}
+	for name, headers := range tests {
+		t.Run(name, func(t *testing.T) {
+			sent := []byte(status + headers + "\r\n")
+			assert.Assert(t, len(sent) <= maxHeadBytes)
+			kept := make([]*connection, connections)
+			answers := make([]*http.Response, connections)
+			before := heapBytes()
+			for i := range kept {
+				kept[i] = newTestConnection(&endlessConn{beginning: sent, repeated: []byte("x")})
+				var err error
+				answers[i], err = kept[i].roundTrip(testMessage())
+				assert.NilError(t, err)
+			}
+			each := (heapBytes() - before) / connections
+			t.Logf("%d bytes each", each)
+			assert.Assert(t, each <= most, "%d bytes each, of %d at most", each, most)
+			runtime.KeepAlive(kept)
+			runtime.KeepAlive(answers)
+		})
+	}
+}
+
+// heapBytes returns the size of what is in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 // TestOrdinaryHeadsAreRead: heads of usual size are read, whatever follows them.
 func TestOrdinaryHeadsAreRead(t *testing.T) {
 	const ownHead = "HTTP/1.1 200 OK\r\nX-Attempt: a\r\n"
