fleet: Take only reads that fail for an outage of the store

Cause: a daemon that does not lead reads the worker list itself when its list is 1.1 to 1.7 s old. It took any gap of more than 1.6 s between two confirmations for an outage of the store, and then kept each worker whose entry went for 1.7 s from when it heard of that. While the store turns the leader away and serves the daemon, both times add up: callers' requests reached workers up to 2.9 s after they had left, where 2 s may (DRAIN).

Now only the store's own silence towards the daemon shows an outage: a read that failed or is overdue since the last confirmation, over a gap that is long enough for entries to expire (1.75 heartbeats, 2.1 s). A worker is then kept until it must have written again, counted from the end of the outage. If its entry went after that, the bound counts from the last confirmation that still listed it. Nothing counts from when the removal was heard. A suspension of the machine shortens these times too.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -140,50 +140,66 @@
 
 // followWorkers keeps the inventory up to date until ctx ends.
 func (f *Follower) followWorkers(ctx context.Context) {
-	position := int64(-1)
-	var list pendingList
+	reader := &workerReader{Follower: f, position: -1}
 	f.poll(ctx, "worker list", f.shouldReadWorkers, func(ctx context.Context) error {
-		if position < 0 || f.opts.Inventory.NeedsList() {
-			done, err := f.readListPage(ctx, &list)
-			if done {
-				position = list.next
-				list = pendingList{}
-				f.delayListRetry(ctx)
-			}
-			return err
-		}
-		sent := suspension.NewStamp(f.opts.Suspended)
-		// Skip what peers have sent since the last read.
-		position = max(position, f.opts.Inventory.Position())
-		next, cancel := context.WithTimeout(ctx, pollWait+readTimeout)
-		defer cancel()
-		update, err := f.opts.Source.NextWorkers(next, position, pollWait)
-		switch {
-		case err != nil:
-			return err
-		case update.PositionLost:
-			position = -1
-			return nil
-		}
-		f.logInvalidEntries(update.EntryErrs)
-		read := Delta{From: position, To: update.Next, Changes: update.Changes}
-		position = update.Next
-		if update.More {
-			f.opts.Inventory.ApplyPart(read, sent.Time())
-			return nil
-		}
-		f.opts.Inventory.ApplyRead(read, sent.Time())
-		pause.Sleep(ctx, coalesceDelay)
-		return nil
+		f.opts.Inventory.BeginRead(time.Now())
+		pauseAfter, err := reader.readOnce(ctx)
+		f.opts.Inventory.EndRead(err)
+		pause.Sleep(ctx, pauseAfter)
+		return err
 	})
 }
 
-// delayListRetry waits for listRetryDelay if a whole list is still needed after one was read. This
-// is so if the list was older than what peers have sent.
-func (f *Follower) delayListRetry(ctx context.Context) {
+// workerReader reads the worker list.
+type workerReader struct {
+	*Follower
+	// position is where the next read starts. If it is negative, the whole list is read.
+	position int64
+	list     pendingList
+}
+
+// readOnce does one read and applies its result. It returns the pause before the next read.
+func (r *workerReader) readOnce(ctx context.Context) (pauseAfter time.Duration, err error) {
+	if r.position < 0 || r.opts.Inventory.NeedsList() {
+		done, err := r.readListPage(ctx, &r.list)
+		if !done {
+			return 0, err
+		}
+		r.position = r.list.next
+		r.list = pendingList{}
+		return r.pauseAfterList(), nil
+	}
+	sent := suspension.NewStamp(r.opts.Suspended)
+	// Skip what peers have sent since the last read.
+	r.position = max(r.position, r.opts.Inventory.Position())
+	ctx, cancel := context.WithTimeout(ctx, pollWait+readTimeout)
+	defer cancel()
+	update, err := r.opts.Source.NextWorkers(ctx, r.position, pollWait)
+	switch {
+	case err != nil:
+		return 0, err
+	case update.PositionLost:
+		r.position = -1
+		return 0, nil
+	}
+	r.logInvalidEntries(update.EntryErrs)
+	read := Delta{From: r.position, To: update.Next, Changes: update.Changes}
+	r.position = update.Next
+	if update.More {
+		r.opts.Inventory.ApplyPart(read, sent.Time())
+		return 0, nil
+	}
+	r.opts.Inventory.ApplyRead(read, sent.Time())
+	return coalesceDelay, nil
+}
+
+// pauseAfterList returns the pause after a whole list was read. It is positive if another one is
+// needed, because the list was older than what peers have sent.
+func (f *Follower) pauseAfterList() time.Duration {
 	if f.opts.Inventory.NeedsList() {
-		pause.Sleep(ctx, listRetryDelay)
+		return listRetryDelay
 	}
+	return 0
 }
 
 // shouldReadWorkers reports whether this daemon must read the worker list now.
--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -58,32 +58,12 @@
 	changed   chan struct{}
 	// peerUpdates receives when there is something new to send to peers.
 	peerUpdates chan struct{}
-	// missingGrace is how long a worker is kept if its entry disappears right after an outage.
-	missingGrace time.Duration
 	// firstListAt is when the first list was applied.
 	firstListAt time.Time
-	// outageEnd is when the list became available again after the last outage.
-	outageEnd time.Time
-	// toleratedUntil holds, for each worker whose entry disappeared right after an outage, the time
-	// until which the worker still counts as listed.
-	toleratedUntil map[string]time.Time
+	// missing decides which workers still count as listed although their entries are missing.
+	missing missingEntries
 }
 
-const (
-	// outageThreshold is how old the last confirmation must be before the list is assumed to be
-	// unavailable.
-	outageThreshold = 1600 * time.Millisecond
-	// postOutageWindow is how long after an outage the disappearance of entries is tolerated. Such
-	// an entry may have expired only because its worker could not write during the outage.
-	postOutageWindow = 2500 * time.Millisecond
-	// missingGraceHeartbeats is the number of heartbeats within which the worker of a missing entry
-	// must write again.
-	missingGraceHeartbeats = 3
-	// leaveMargin is subtracted from the leave bound of NewInventory to get the maximum time for
-	// which a missing entry is tolerated.
-	leaveMargin = 300 * time.Millisecond
-)
-
 // closedRetention is how long a closed group is remembered while its head is not listed. It should
 // exceed the time for which workers are usually disconnected.
 const closedRetention = 30 * time.Second
@@ -103,14 +83,10 @@
 
 // NewInventory returns an empty inventory. heartbeat is the interval at which workers write to the
 // list. leaveBound is the time after which a worker that left the list must get no more requests.
-// It limits how long missing entries are tolerated; zero means no limit.
+// It limits how long workers of missing entries are kept; zero means no limit.
 func NewInventory(heartbeat, leaveBound time.Duration) *Inventory {
-	missingGrace := missingGraceHeartbeats * heartbeat
-	if leaveBound > 0 {
-		missingGrace = min(missingGrace, max(leaveBound-leaveMargin, 0))
-	}
 	i := &Inventory{
-		missingGrace: missingGrace, toleratedUntil: make(map[string]time.Time),
+		missing: newMissingEntries(heartbeat, leaveBound),
 		workers: make(map[string]*Worker), announcements: make(map[string]pendingAnnouncement),
 		changed: make(chan struct{}, 1), peerUpdates: make(chan struct{}, 1),
 	}
@@ -169,12 +145,12 @@
 
 // replaceList replaces the workers by a whole list. The mutex must be held.
 func (i *Inventory) replaceList(all []Change, position int64, sent time.Time) {
-	i.detectOutage(sent)
+	i.missing.detectOutage(i.confirmed, sent)
 	held := i.workers
 	isRestored := i.position > 0 && EraOf(position) > EraOf(i.position)
 	if isRestored {
-		// Missing entries are tolerated until their workers have had time to write again.
-		i.outageEnd = time.Now()
+		// Workers of missing entries are kept until they have had time to write again.
+		i.missing.outageEnd = time.Now()
 	}
 	i.workers = make(map[string]*Worker, len(all))
 	for _, c := range all {
@@ -187,10 +163,10 @@
 			// The restored entry is outdated. It may not yet mark the worker as leaving.
 			i.workers[c.ID] = h
 		}
-		delete(i.toleratedUntil, c.ID)
+		delete(i.missing.keptUntil, c.ID)
 	}
 	for id, w := range held {
-		if _, listed := i.workers[id]; !listed && i.tolerateMissing(id) {
+		if _, listed := i.workers[id]; !listed && i.missing.keep(id, i.confirmed, time.Now()) {
 			i.workers[id] = w
 		}
 	}
@@ -212,7 +188,7 @@
 func (i *Inventory) ApplyPart(d Delta, sent time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.detectOutage(sent)
+	i.missing.detectOutage(i.confirmed, sent)
 	i.applyDelta(d.withExactness(), time.Time{})
 }
 
@@ -230,7 +206,7 @@
 	}
 	d = d.since(i.position)
 	changes, position := d.Changes, d.To
-	i.detectOutage(sent)
+	i.missing.detectOutage(i.confirmed, sent)
 	i.markHeads(changes)
 	if len(changes) > 0 || d.HeadsOnly {
 		i.journal = append(i.journal, batch{from: i.position, to: position, changes: changes, isExact: d.IsExact, headsOnly: d.HeadsOnly})
@@ -238,12 +214,12 @@
 	}
 	for _, c := range changes {
 		if c.Worker == nil {
-			if _, held := i.workers[c.ID]; held && !i.tolerateMissing(c.ID) {
+			if _, held := i.workers[c.ID]; held && !i.missing.keep(c.ID, i.confirmed, time.Now()) {
 				delete(i.workers, c.ID)
 			}
 			continue
 		}
-		delete(i.toleratedUntil, c.ID)
+		delete(i.missing.keptUntil, c.ID)
 		if !i.isInScope(c.Worker) {
 			delete(i.workers, c.ID)
 			continue
@@ -251,7 +227,7 @@
 		i.workers[c.ID] = c.Worker.mergedWith(i.workers[c.ID])
 	}
 	i.advance(position, sent)
-	if i.expireTolerated() || len(changes) > 0 {
+	if i.expireMissing() || len(changes) > 0 {
 		i.publish()
 	}
 }
@@ -312,10 +288,10 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if position <= i.position && i.position > 0 && at.After(i.confirmed) {
-		i.detectOutage(at)
+		i.missing.detectOutage(i.confirmed, at)
 		i.confirmed = at
 	}
-	if i.expireTolerated() {
+	if i.expireMissing() {
 		i.publish()
 	}
 }
@@ -338,14 +314,15 @@
 	}
 }
 
-// AddSuspension moves the time of the last confirmation back by the time for which the machine was
-// suspended. The monotonic clock does not count that time.
+// AddSuspension moves the time of the last confirmation and the deadlines of missing entries back by
+// the time for which the machine was suspended. The monotonic clock does not count that time.
 func (i *Inventory) AddSuspension(suspended time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !i.confirmed.IsZero() {
 		i.confirmed = i.confirmed.Add(-suspended)
 	}
+	i.missing.addSuspension(suspended)
 }
 
 // MarkLeaving marks a worker as leaving after its process announced this by other means than the
@@ -371,41 +348,14 @@
 	return ok && !a.Open
 }
 
-// detectOutage records that an outage ends now if a read or report as of sent is the first
-// confirmation for longer than outageThreshold.
-func (i *Inventory) detectOutage(sent time.Time) {
-	if !i.confirmed.IsZero() && sent.Sub(i.confirmed) > outageThreshold {
-		i.outageEnd = time.Now()
-	}
-}
-
-// tolerateMissing reports whether the worker of a missing entry still counts as listed. If the
-// entry disappeared within postOutageWindow after an outage, the first call starts a period of
-// missingGrace in which it does.
-func (i *Inventory) tolerateMissing(id string) bool {
-	now := time.Now()
-	if until, ok := i.toleratedUntil[id]; ok {
-		return now.Before(until)
-	}
-	if i.outageEnd.IsZero() || now.Sub(i.outageEnd) > postOutageWindow {
-		return false
-	}
-	i.toleratedUntil[id] = now.Add(i.missingGrace)
-	return true
-}
-
-// expireTolerated removes the workers whose missing entries are no longer tolerated. It reports
-// whether there were any.
-func (i *Inventory) expireTolerated() bool {
-	now, anyExpired := time.Now(), false
-	for id, until := range i.toleratedUntil {
-		if now.After(until) {
-			delete(i.toleratedUntil, id)
-			delete(i.workers, id)
-			anyExpired = true
-		}
+// expireMissing removes the workers whose entries have been missing for too long. It reports whether
+// there were any.
+func (i *Inventory) expireMissing() bool {
+	expired := i.missing.takeExpired(time.Now())
+	for _, id := range expired {
+		delete(i.workers, id)
 	}
-	return anyExpired
+	return len(expired) > 0
 }
 
 // advance sets the position, and updates the time of the last confirmation.
--- /dev/null
+++ b/fleet/missing.go
@@ -0,0 +1,142 @@
+package fleet
+
+import "time"
+
+const (
+	// outageThreshold is the minimum time without a confirmation of the list after which the source
+	// may have been unavailable.
+	outageThreshold = 1600 * time.Millisecond
+	// heartbeatsUntilExpiry is the number of heartbeats after which the entry of a silent worker
+	// expires.
+	heartbeatsUntilExpiry = 3
+	// readAnswerTime is the time beyond pollWait after which a read without an answer counts as
+	// failed.
+	readAnswerTime = 200 * time.Millisecond
+	// postOutageWindow is how long after an outage a missing entry may be one that expired because
+	// its worker could not write. Such a worker writes again within two seconds; the rest is the
+	// time until all daemons know of that.
+	postOutageWindow = 2300 * time.Millisecond
+	// leaveMargin is subtracted from the leave bound of NewInventory. It covers the time until a
+	// deadline that has passed is noticed.
+	leaveMargin = 300 * time.Millisecond
+)
+
+// missingEntries decides whether workers whose entries disappeared still count as listed. An entry
+// may disappear because its worker left, or because it expired in an outage of the source.
+type missingEntries struct {
+	// leaveBound is the time after which a worker that left must get no more requests; zero means no
+	// limit.
+	leaveBound time.Duration
+	// minOutage is the minimum time between two confirmations of the list if entries of live workers
+	// expired in between.
+	minOutage time.Duration
+	// readSent is when the read in flight was sent, zero if none is. failedReadSent is when the last
+	// read that failed was sent.
+	readSent, failedReadSent time.Time
+	// outageEnd is when the source became available again after the last outage.
+	outageEnd time.Time
+	// keptUntil holds, for each worker whose entry is missing, the time until which the worker still
+	// counts as listed.
+	keptUntil map[string]time.Time
+}
+
+func newMissingEntries(heartbeat, leaveBound time.Duration) missingEntries {
+	// A worker writes up to one heartbeat before an outage begins. Heartbeats may be somewhat early.
+	const earlyFraction = 4
+	return missingEntries{
+		leaveBound: leaveBound, minOutage: max(outageThreshold, (heartbeatsUntilExpiry-1)*heartbeat-heartbeat/earlyFraction),
+		keptUntil: make(map[string]time.Time),
+	}
+}
+
+// detectOutage records that an outage ends now if the list, which was last confirmed at one time, is
+// confirmed as of a much later one, and the source failed to serve this daemon in between. The time
+// alone does not show an outage: the leader may have stopped to confirm the list although the source
+// serves this daemon.
+func (m *missingEntries) detectOutage(confirmed, next time.Time) {
+	if confirmed.IsZero() || next.Sub(confirmed) <= m.minOutage {
+		return
+	}
+	if now := time.Now(); m.hasFailedSince(confirmed, now) {
+		m.outageEnd = now
+	}
+}
+
+// hasFailedSince reports whether a read that was sent after the given time failed, or is in flight
+// without an answer for longer than usual.
+func (m *missingEntries) hasFailedSince(at, now time.Time) bool {
+	isOverdue := m.readSent.After(at) && now.Sub(m.readSent) > pollWait+readAnswerTime
+	return isOverdue || m.failedReadSent.After(at)
+}
+
+// keep reports whether the worker of a missing entry still counts as listed. The entry was known to
+// be listed at the given time. The first call for an entry determines the deadline.
+func (m *missingEntries) keep(id string, listedAt, now time.Time) bool {
+	until, ok := m.keptUntil[id]
+	if !ok {
+		until = m.deadline(listedAt)
+	}
+	if !now.Before(until) {
+		return false
+	}
+	m.keptUntil[id] = until
+	return true
+}
+
+// deadline returns the time until which a worker counts as listed if its entry disappeared after the
+// given time. If that was after the end of the outage, the worker may have left since, so the bound
+// on workers that leave applies, counted from the earliest time at which it can have left.
+func (m *missingEntries) deadline(listedAt time.Time) time.Time {
+	if m.outageEnd.IsZero() {
+		return time.Time{}
+	}
+	until := m.outageEnd.Add(postOutageWindow)
+	if m.leaveBound <= 0 || listedAt.Before(m.outageEnd) {
+		return until
+	}
+	if latest := listedAt.Add(m.leaveBound - leaveMargin); latest.Before(until) {
+		return latest
+	}
+	return until
+}
+
+// takeExpired removes and returns the workers whose deadline has passed.
+func (m *missingEntries) takeExpired(now time.Time) []string {
+	var expired []string
+	for id, until := range m.keptUntil {
+		if !now.Before(until) {
+			delete(m.keptUntil, id)
+			expired = append(expired, id)
+		}
+	}
+	return expired
+}
+
+// addSuspension moves all times back by the time for which the machine was suspended.
+func (m *missingEntries) addSuspension(suspended time.Duration) {
+	for _, at := range []*time.Time{&m.readSent, &m.failedReadSent, &m.outageEnd} {
+		if !at.IsZero() {
+			*at = at.Add(-suspended)
+		}
+	}
+	for id, until := range m.keptUntil {
+		m.keptUntil[id] = until.Add(-suspended)
+	}
+}
+
+// BeginRead records that this daemon sent a read of the list at the given time.
+func (i *Inventory) BeginRead(sent time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.missing.readSent = sent
+}
+
+// EndRead records the end of the read in flight. An error means that the source did not serve it.
+func (i *Inventory) EndRead(err error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if err != nil {
+		i.missing.failedReadSent = i.missing.readSent
+	}
+	i.missing.readSent = time.Time{}
+}
--- a/fleet/suspension_test.go
+++ b/fleet/suspension_test.go
@@ -71,3 +71,18 @@
 		<-f.Done()
 	})
 }
+
+// TestSuspensionCountsForMissingEntries guards against workers that are kept for longer by the time
+// for which the machine was suspended.
+func TestSuspensionCountsForMissingEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := NewInventory(time.Second, 2*time.Second)
+		i.Apply([]Change{{ID: "w", Worker: headWorker("w", "g", 1, Open)}}, 1, time.Now())
+		failReads(i, 5*time.Second)
+		i.Apply([]Change{{ID: "w"}}, 2, time.Now())
+		assert.Equal(t, len(i.View().Replicas("s", "m")), 1)
+		i.AddSuspension(postOutageWindow)
+		i.Confirm(2, time.Now())
+		assert.Equal(t, len(i.View().Replicas("s", "m")), 0)
+	})
+}
