fleet, platform: Take limited reads for no outage

Cause: the store answers 429 to calls beyond the rate that all daemons share. A daemon took such a refusal of its reads for a read that the store could not serve. After refusals for longer than entries need to expire, it kept workers whose entries had gone for 2.3 s, although the store took the workers' writes all along.

The case "reads are limited" of TestFailedReadsShowOutage failed before (the worker was kept). go test ./fleet ./platform ./common/failure passed.

--- a/common/failure/failure.go
+++ b/common/failure/failure.go
@@ -17,6 +17,8 @@
 	Invalid = namespace.NewType("invalid")
 	// Refused is the type of errors for an action that is known not to have taken effect.
 	Refused = namespace.NewType("refused", errorx.Temporary())
+	// Limited is the type of Refused errors for an action that would exceed a rate limit.
+	Limited = Refused.NewSubtype("limited")
 	// Unavailable is the type of errors for a component or service that is unavailable now.
 	Unavailable = namespace.NewType("unavailable", errorx.Temporary())
 
--- a/fleet/missing.go
+++ b/fleet/missing.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"quartzshelf.dev/common/failure"
+)
 
 const (
 	// outageThreshold is the minimum time without a confirmation of the list after which the source
@@ -131,11 +135,12 @@
 	i.missing.readSent = sent
 }
 
-// EndRead records the end of the read in flight. An error means that the source did not serve it.
+// EndRead records the end of the read in flight. An error means that the source did not serve it,
+// unless the source only limits the rate of reads.
 func (i *Inventory) EndRead(err error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if err != nil {
+	if err != nil && !failure.Is(err, failure.Limited) {
 		i.missing.failedReadSent = i.missing.readSent
 	}
 	i.missing.readSent = time.Time{}
--- a/fleet/removal_test.go
+++ b/fleet/removal_test.go
@@ -13,6 +13,8 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"quartzshelf.dev/common/failure"
 )
 
 // Timing of a simulated fleet. Daemons behave like those of package serving.
@@ -414,14 +416,15 @@
 }
 
 // TestFailedReadsShowOutage checks that a worker whose entry disappeared is kept if reads of the
-// follower failed before, and not if the follower did not read for as long.
+// follower failed before, and not if the source only limited their rate or there were none.
 func TestFailedReadsShowOutage(t *testing.T) {
 	tests := map[string]struct {
 		err  error
 		want int
 	}{
-		"reads fail": {err: errUnavailable, want: 1},
-		"no reads":   {},
+		"reads fail":        {err: errUnavailable, want: 1},
+		"reads are limited": {err: failure.New(failure.Limited, "read", "source", "too many reads")},
+		"no reads":          {},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
