fleet: Count a peer's hall deadlines from when they were sent

Cause: a report says for how much longer a closing data hall may take requests. The receiver counted that from when the report arrived, so that each daemon that passed it on added the time on its way, and a daemon that read it late, after a pause, all of that.

Deadlines now count from the earliest time at which the report can have been sent, as its age does. A hall may close earlier by the time between two heartbeats at such a daemon, never later than at the sender.

TestDelayedReportClosesHallInTime failed before: a hall was still closing after it had closed at the sender of a report that took 1 s. go test ./fleet and go test ./serving -run 'Hall|Evac|Region|Heartbeat' passed; the whole of ./serving was not run on this commit.

--- a/fleet/halls.go
+++ b/fleet/halls.go
@@ -189,8 +189,9 @@
 	h.confirm(sent)
 }
 
-// Follow applies a peer's report that was sent after the given time. The age of the report counts
-// from sentAfter. With a zero sentAfter the report confirms nothing.
+// Follow applies a peer's report that was sent after the given time. The age of the report and the
+// deadlines in it count from sentAfter. With a zero sentAfter the report confirms nothing, and its
+// deadlines count from now.
 func (h *Halls) Follow(r HallReport, sentAfter time.Time) {
 	if r.Position <= 0 {
 		return
@@ -198,7 +199,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if r.Position > h.position {
-		now := time.Now()
+		sent := sentAfter
+		if sent.IsZero() {
+			sent = time.Now()
+		}
 		closed, remainingMillis := make(map[string]bool), make(map[string]int64)
 		for hall := range h.closedHalls() {
 			closed[hall] = false
@@ -206,7 +210,7 @@
 		for _, c := range r.Closed {
 			closed[c.Hall], remainingMillis[c.Hall] = true, min(max(c.RemainingMillis, 0), h.emptyWithin.Milliseconds())
 		}
-		h.publish(closed, func(hall string) time.Time { return now.Add(time.Duration(remainingMillis[hall]) * time.Millisecond) })
+		h.publish(closed, func(hall string) time.Time { return sent.Add(time.Duration(remainingMillis[hall]) * time.Millisecond) })
 		h.position, h.provisionalUntil = r.Position, time.Time{}
 	}
 	h.reopen(r, sentAfter)
--- a/fleet/halls_test.go
+++ b/fleet/halls_test.go
@@ -110,6 +110,24 @@
 	})
 }
 
+// TestDelayedReportClosesHallInTime guards against halls that close as much later as a report of
+// their closing was on its way.
+func TestDelayedReportClosesHallInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = time.Second
+		first, second := NewHalls(emptyWithin), NewHalls(emptyWithin)
+		first.ApplyRead(HallUpdate{IsComplete: true}, 1, time.Now())
+		first.ApplyRead(closeUpdate("a"), 2, time.Now())
+		report, sent := first.Report(time.Now()), time.Now()
+		time.Sleep(delay)
+		second.Follow(report, sent)
+		for first.View().State("a", time.Now()) == HallClosing {
+			time.Sleep(delay / 10)
+		}
+		assert.Equal(t, second.View().State("a", time.Now()), HallClosed)
+	})
+}
+
 // hallSimulation simulates an operator and daemons. The daemons read the operator's commands or
 // receive each other's reports.
 type hallSimulation struct {
