formation: Mark only the absence of a worker that left the list

If the worker was listed again during the query, as a new incarnation, it counted as gone for up to 2 s.

TestRelistedWorkerIsNotMarked fails on the code before this commit.

--- a/formation/absent.go
+++ b/formation/absent.go
@@ -128,10 +128,14 @@
 	if ctx.Err() != nil {
 		return
 	}
-	rc.recordContact(a.worker, outcome, since)
+	if outcome == silent {
+		rc.recordSilent(a.worker, since)
+	}
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	if outcome == unreachable {
+		// The worker may have been listed again meanwhile, as a new incarnation.
+		a.isGone = true
 		rc.opts.Logger.Info("worker that left the list does not answer", "worker", a.worker.ID,
 			"ms", time.Since(a.unlistedSince).Milliseconds())
 		return
--- a/formation/absent_test.go
+++ b/formation/absent_test.go
@@ -156,3 +156,17 @@
 		w.pending.Wait()
 	})
 }
+
+// TestRelistedWorkerIsNotMarked guards against treating a worker as gone because of a query that was
+// sent before the worker was listed again.
+func TestRelistedWorkerIsNotMarked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 1, 1)
+		k := NewReconciler(w.options(), Term{Epoch: 1}, func() {})
+		w.workers["w0-0"].isDead = true
+		a := &absence{worker: &fleet.Worker{ID: "w0-0"}}
+		k.checkAbsent(t.Context(), a)
+		assert.Assert(t, a.isGone)
+		assert.Assert(t, !k.isUnresponsive("w0-0"))
+	})
+}
