serving: Limit the headers of callers' incomplete heads

A caller's head of 20 KiB may hold thousands of headers, which take memory while the head is still being read: 473 kB with 4,091 headers (a trial of http.ReadRequest), so that some 600 connections that never end their heads take all of the smallest daemon's memory.

The server tells when a head begins and has been read (ConnState); bodies are not counted.

Ruled out: counting in the handler alone, which runs after the head was read.

TestIncompleteHeadsHoldFewHeaders failed before: 20,480 bytes were read, now 4,096. TestOrdinaryRequestsAreServed passed before too.

--- a/serving/headlimit_test.go
+++ b/serving/headlimit_test.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -105,3 +106,43 @@
 		})
 	}
 }
+
+// TestIncompleteHeadsHoldFewHeaders guards against callers whose heads hold thousands of headers, which take
+// far more memory than their bytes.
+func TestIncompleteHeadsHoldFewHeaders(t *testing.T) {
+	caller := &endlessCaller{beginning: "GET / HTTP/1.1\r\nHost: h\r\n", repeated: "a:\n", isClosed: make(chan struct{})}
+	l := &singleListener{conns: make(chan net.Conn, 1)}
+	l.conns <- caller
+	server := newHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request is served") }))
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(headLimitListener{l}) }()
+	<-caller.isClosed
+	close(l.conns)
+	assert.ErrorIs(t, <-ended, net.ErrClosed)
+	const most = 4 << 10
+	assert.Assert(t, caller.read <= most, "%d bytes were read, of %d at most", caller.read, most)
+}
+
+// TestOrdinaryRequestsAreServed: requests of usual callers are served, one after the other over one connection.
+func TestOrdinaryRequestsAreServed(t *testing.T) {
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+	go func() { _ = server.Serve(headLimitListener{front}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	body := strings.Repeat("a:\n", 100_000)
+	for range 5 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+front.Addr().String(), strings.NewReader(body))
+		assert.NilError(t, err)
+		for i := range 100 {
+			request.Header.Set(fmt.Sprintf("X%d", i), "value")
+		}
+		response, err := client.Do(request)
+		assert.NilError(t, err)
+		got, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, string(got), body)
+	}
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -237,7 +237,7 @@
 	tasks.Go(func() { s.serveMetrics(running) })
 	tasks.Go(func() { s.logStart(running) })
 	stopped := make(chan error, 1)
-	tasks.Go(func() { stopped <- server.Serve(front) })
+	tasks.Go(func() { stopped <- server.Serve(headLimitListener{front}) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -264,7 +264,14 @@
 
 // newHTTPServer returns an HTTP server that limits the headers of requests.
 func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if c, ok := c.(*headLimitConn); ok {
+				c.onState(state)
+			}
+		},
+	}
 }
 
 // serveMetrics serves metrics until ctx ends.
