fleet: Leave workers of missing entries out of lists for peers

Cause: after an outage of the store a daemon keeps workers whose entries went, until they must have written again. No later change removes them there, so that the peer sent requests to workers that had left for as long as it ran, and its callers got 502 or an answer after the bound of DRAIN.

Ruled out: the deltas, which hold the removal itself.

A whole list now has only what the list of the store has at its position. A peer that knew such a worker and saw the outage itself keeps it by its own deadline, as before; one that just started takes it for gone, as if it had read the store.

TestPeersGetNoMissingWorkers failed before in both cases (the worker was still used ten seconds later). go test ./fleet ./serving pass.

--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -234,7 +234,8 @@
 
 // Since returns the changes that a peer at the given position lacks. The delta may start at an
 // earlier position, since applying changes again in order is harmless. If whole is set, the delta
-// holds the whole list.
+// holds the whole list. Workers of missing entries are left out of it, since the peer would get no
+// change that removes them.
 func (i *Inventory) Since(from int64) (d Delta, whole bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -246,7 +247,9 @@
 		return held, false
 	}
 	for id, w := range i.workers {
-		d.Changes = append(d.Changes, Change{ID: id, Worker: w})
+		if !i.missing.has(id) {
+			d.Changes = append(d.Changes, Change{ID: id, Worker: w})
+		}
 	}
 	return d, true
 }
--- a/fleet/missing.go
+++ b/fleet/missing.go
@@ -104,6 +104,12 @@
 	return until
 }
 
+// has reports whether the entry of a worker that still counts as listed is missing.
+func (m *missingEntries) has(id string) bool {
+	_, ok := m.keptUntil[id]
+	return ok
+}
+
 // takeExpired removes and returns the workers whose deadline has passed.
 func (m *missingEntries) takeExpired(now time.Time) []string {
 	var expired []string
--- /dev/null
+++ b/fleet/missing_test.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestPeersGetNoMissingWorkers guards against daemons that send requests to a worker for good because
+// a peer that kept it after an outage named it in a whole list.
+func TestPeersGetNoMissingWorkers(t *testing.T) {
+	tests := map[string]func(from, to *Inventory){
+		"whole list": func(from, to *Inventory) {
+			d, whole := from.Since(0)
+			assert.Assert(t, whole)
+			to.Replace(d.Changes, d.To, from.Confirmed())
+		},
+		"whole list of heads": func(from, to *Inventory) {
+			d, whole := from.HeadsSince(0)
+			assert.Assert(t, whole)
+			to.ReplaceHeads(d.Changes, d.To, from.Confirmed())
+		},
+	}
+	for name, fetch := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				from, to := NewInventory(time.Second, 2*time.Second), NewInventory(time.Second, 2*time.Second)
+				from.Replace([]Change{{ID: "w", Worker: headWorker("w", "g", 1, Open)}}, 1, time.Now())
+				failReads(from, 5*time.Second)
+				from.Replace(nil, 2, time.Now())
+				_, isKept := from.View().Worker("w")
+				assert.Assert(t, isKept, "the worker may be one whose entry expired in the outage")
+				fetch(from, to)
+				for range 10 {
+					time.Sleep(time.Second)
+					to.Confirm(2, time.Now())
+				}
+				assert.Equal(t, len(to.View().Replicas("s", "m")), 0)
+			})
+		})
+	}
+}
