fleet, serving: Show outages of the worker list, and workers that are kept without entries

Neither a line nor a metric told why a daemon uses a worker whose entry is gone: whether it concluded an outage, when it learned of the end, how many workers it keeps, or how old its list is.

Now one line for each outage that ends (its length, and the time since the last failed read, which limits how late the end was noticed), and two states, worker_list_age_seconds and workers_missing.

TestOutageIsReported failed before (no such report). No decision changes: lastFailedRead says what hasFailedSince said. go test ./fleet passes.

--- a/fleet/missing.go
+++ b/fleet/missing.go
@@ -25,6 +25,16 @@
 	leaveMargin = 300 * time.Millisecond
 )
 
+// Outage describes an outage of the source of the worker list, as this daemon saw it.
+type Outage struct {
+	// Unconfirmed is the time between the last confirmation of the list before the outage and the
+	// first one after it.
+	Unconfirmed time.Duration
+	// SinceFailure is the time since the last read that failed was sent. It limits how much later
+	// than the end of the outage this daemon learned of it.
+	SinceFailure time.Duration
+}
+
 // missingEntries decides whether workers whose entries disappeared still count as listed. An entry
 // may disappear because its worker left, or because it expired in an outage of the source.
 type missingEntries struct {
@@ -42,6 +52,8 @@
 	// keptUntil holds, for each worker whose entry is missing, the time until which the worker still
 	// counts as listed.
 	keptUntil map[string]time.Time
+	// onOutage is called at the end of each outage; nil for none.
+	onOutage func(Outage)
 }
 
 func newMissingEntries(heartbeat, leaveBound time.Duration) missingEntries {
@@ -61,16 +73,24 @@
 	if confirmed.IsZero() || next.Sub(confirmed) <= m.minOutage {
 		return
 	}
-	if now := time.Now(); m.hasFailedSince(confirmed, now) {
-		m.outageEnd = now
+	now := time.Now()
+	failed := m.lastFailedRead(now)
+	if !failed.After(confirmed) {
+		return
+	}
+	m.outageEnd = now
+	if m.onOutage != nil {
+		m.onOutage(Outage{Unconfirmed: next.Sub(confirmed), SinceFailure: now.Sub(failed)})
 	}
 }
 
-// hasFailedSince reports whether a read that was sent after the given time failed, or is in flight
-// without an answer for longer than usual.
-func (m *missingEntries) hasFailedSince(at, now time.Time) bool {
-	isOverdue := m.readSent.After(at) && now.Sub(m.readSent) > pollWait+readAnswerTime
-	return isOverdue || m.failedReadSent.After(at)
+// lastFailedRead returns when the last read was sent that failed, or that is in flight without an answer
+// for longer than usual. It is zero if there was none.
+func (m *missingEntries) lastFailedRead(now time.Time) time.Time {
+	if !m.readSent.IsZero() && now.Sub(m.readSent) > pollWait+readAnswerTime {
+		return m.readSent
+	}
+	return m.failedReadSent
 }
 
 // keep reports whether the worker of a missing entry still counts as listed. The entry was known to
@@ -134,6 +154,21 @@
 	}
 }
 
+// OnOutage sets the function that is called at the end of each outage of the list. It must not call
+// the inventory.
+func (i *Inventory) OnOutage(f func(Outage)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.missing.onOutage = f
+}
+
+// CountMissing returns the number of workers that count as listed although their entries are missing.
+func (i *Inventory) CountMissing() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.missing.keptUntil)
+}
+
 // BeginRead records that this daemon sent a read of the list at the given time.
 func (i *Inventory) BeginRead(sent time.Time) {
 	i.mu.Lock()
--- a/fleet/missing_test.go
+++ b/fleet/missing_test.go
@@ -42,3 +42,23 @@
 		})
 	}
 }
+
+// TestOutageIsReported guards against outages of which no log line tells, so that nothing shows why a
+// daemon keeps workers that are not listed.
+func TestOutageIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := NewInventory(time.Second, 0)
+		var outages []Outage
+		i.OnOutage(func(o Outage) { outages = append(outages, o) })
+		i.Replace([]Change{{ID: "w", Worker: headWorker("w", "g", 1, Open)}}, 1, time.Now())
+		failReads(i, 5*time.Second)
+		time.Sleep(700 * time.Millisecond)
+		i.Apply([]Change{{ID: "w"}}, 2, time.Now())
+		assert.DeepEqual(t, outages, []Outage{{Unconfirmed: 5700 * time.Millisecond, SinceFailure: 700 * time.Millisecond}})
+		assert.Equal(t, i.CountMissing(), 1)
+		time.Sleep(5 * time.Second)
+		i.Confirm(2, time.Now())
+		assert.Equal(t, len(outages), 1, "nothing confirmed the list, but no read failed")
+		assert.Equal(t, i.CountMissing(), 0)
+	})
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -104,9 +104,9 @@
 	}
 	s := &Server{
 		opts: opts, logger: opts.Logger, meter: meter, configCache: fleet.NewConfigCache(), halls: fleet.NewHalls(opts.Bounds.HallEmptyBound),
-		inventory: fleet.NewInventory(opts.Bounds.WorkerHeartbeatInterval, opts.Bounds.RemovedWorkerBound), suspicions: newSuspicions(),
-		readDelay: readDelayOf(opts.Self.ID), startedAt: time.Now(), done: make(chan struct{}),
+		suspicions: newSuspicions(), readDelay: readDelayOf(opts.Self.ID), startedAt: time.Now(), done: make(chan struct{}),
 	}
+	s.inventory = s.newInventory()
 	s.suspensionWatch = suspension.NewWatch(opts.Suspended, s.afterSuspension)
 	s.tracker = proxy.NewTracker(opts.Self.Zone, s.onStall)
 	s.fetcher = newFetcher(s)
