fleet: Send no requests to workers of missing entries once the bound can bind again

Cause: after an outage of the store a daemon kept workers whose entries were missing, for requests too, until 2.3 s after it had learned of the end. It may learn of it 1.6 s late (2.6 s if calls got no answer), so that a worker that left right before the outage got requests for up to 4.9 s after the end. The bound on such workers binds a daemon again 3 s after the store serves it (contact_ms): DRAIN. docs/PROMISES.md had it as a known gap, and TestWorkersThatLeftGetNoRequests passed it over by counting those 3 s from when the daemon had heard of the end.

Ruled out: a shorter time for both uses. One flag took two decisions, whether a worker is listed and whether it gets requests, and leaders that take live members for gone may give them to another group (TWO, PARTIAL); TestLiveWorkersAreKeptAfterOutage fails then. Counting from the outage's end: a daemon does not know it. What it knows is when it sent the last read that failed; the store did not serve it then, so that the 3 s have not passed before that long after it.

Now these are two deadlines. A worker counts as listed as long as before. It gets requests until the settle time (contact_ms, less 0.3 s) after the last failed read, if that is earlier. Deadlines are also noticed after failed reads, not only when the list is confirmed.

Price: a live worker that takes all of its two seconds to write again can get no requests for up to the last 1.3 s of them, if the daemon's last failed read was that long before the end.

--- a/fleet/inventory.go
+++ b/fleet/inventory.go
@@ -81,16 +81,25 @@
 	headsOnly bool
 }
 
-// NewInventory returns an empty inventory. heartbeat is the interval at which workers write to the
-// list. leaveBound is the time after which a worker that left the list must get no more requests.
-// It limits how long workers of missing entries are kept; zero means no limit.
-func NewInventory(heartbeat, leaveBound time.Duration) *Inventory {
+// InventoryOptions configures an Inventory.
+type InventoryOptions struct {
+	// Heartbeat is the interval at which workers write to the list.
+	Heartbeat time.Duration
+	// LeaveBound is the time after which a worker that left the list must get no more requests. It
+	// limits how long workers of missing entries are kept; zero means no limit.
+	LeaveBound time.Duration
+	// SettleTime is how long the source must have served a daemon before LeaveBound binds it.
+	SettleTime time.Duration
+}
+
+// NewInventory returns an empty inventory.
+func NewInventory(opts InventoryOptions) *Inventory {
 	i := &Inventory{
-		missing: newMissingEntries(heartbeat, leaveBound),
+		missing: newMissingEntries(opts),
 		workers: make(map[string]*Worker), announcements: make(map[string]pendingAnnouncement),
 		changed: make(chan struct{}, 1), peerUpdates: make(chan struct{}, 1),
 	}
-	i.view.Store(newView(nil, nil))
+	i.view.Store(newView(nil, nil, i.missing.isUsable))
 	return i
 }
 
@@ -150,7 +159,7 @@
 	isRestored := i.position > 0 && EraOf(position) > EraOf(i.position)
 	if isRestored {
 		// Workers of missing entries are kept until they have had time to write again.
-		i.missing.outageEnd = time.Now()
+		i.missing.recordRestore(i.confirmed, time.Now())
 	}
 	i.workers = make(map[string]*Worker, len(all))
 	for _, c := range all {
@@ -163,7 +172,7 @@
 			// The restored entry is outdated. It may not yet mark the worker as leaving.
 			i.workers[c.ID] = h
 		}
-		delete(i.missing.keptUntil, c.ID)
+		i.missing.found(c.ID)
 	}
 	for id, w := range held {
 		if _, listed := i.workers[id]; !listed && i.missing.keep(id, i.confirmed, time.Now()) {
@@ -219,7 +228,7 @@
 			}
 			continue
 		}
-		delete(i.missing.keptUntil, c.ID)
+		i.missing.found(c.ID)
 		if !i.isInScope(c.Worker) {
 			delete(i.workers, c.ID)
 			continue
@@ -227,7 +236,7 @@
 		i.workers[c.ID] = c.Worker.mergedWith(i.workers[c.ID])
 	}
 	i.advance(position, sent)
-	if i.expireMissing() || len(changes) > 0 {
+	if !i.expireMissing() && len(changes) > 0 {
 		i.publish()
 	}
 }
@@ -294,9 +303,7 @@
 		i.missing.detectOutage(i.confirmed, at)
 		i.confirmed = at
 	}
-	if i.expireMissing() {
-		i.publish()
-	}
+	i.expireMissing()
 }
 
 // announce records a leader's decisions about groups and publishes a new view if any of them is
@@ -351,14 +358,18 @@
 	return ok && !a.Open
 }
 
-// expireMissing removes the workers whose entries have been missing for too long. It reports whether
-// there were any.
+// expireMissing removes the workers whose entries have been missing for too long, and ends the use of
+// those that may get no more requests. It publishes a new view and returns true if there were any. The
+// mutex must be held.
 func (i *Inventory) expireMissing() bool {
-	expired := i.missing.takeExpired(time.Now())
+	expired, changed := i.missing.expire(time.Now())
 	for _, id := range expired {
 		delete(i.workers, id)
 	}
-	return len(expired) > 0
+	if changed {
+		i.publish()
+	}
+	return changed
 }
 
 // advance sets the position, and updates the time of the last confirmation.
@@ -398,7 +409,7 @@
 			delete(i.announcements, name)
 		}
 	}
-	i.view.Store(newView(i.workers, i.announcements))
+	i.view.Store(newView(i.workers, i.announcements, i.missing.isUsable))
 	notify(i.changed)
 	notify(i.peerUpdates)
 }
--- a/fleet/missing.go
+++ b/fleet/missing.go
@@ -20,7 +20,7 @@
 	// its worker could not write. Such a worker writes again within two seconds; the rest is the
 	// time until all daemons know of that.
 	postOutageWindow = 2300 * time.Millisecond
-	// leaveMargin is subtracted from the leave bound of NewInventory. It covers the time until a
+	// leaveMargin is subtracted from the bounds on workers that leave. It covers the time until a
 	// deadline that has passed is noticed.
 	leaveMargin = 300 * time.Millisecond
 )
@@ -35,33 +35,48 @@
 	SinceFailure time.Duration
 }
 
-// missingEntries decides whether workers whose entries disappeared still count as listed. An entry
-// may disappear because its worker left, or because it expired in an outage of the source.
+// missingEntry is the state of a worker whose entry is missing.
+type missingEntry struct {
+	// listedUntil is the time until which the worker still counts as listed, so that a leader
+	// neither replaces it nor gives it to another group.
+	listedUntil time.Time
+	// usableUntil is the time until which requests may be sent to the worker. It is not after
+	// listedUntil.
+	usableUntil time.Time
+	// isUsable is set until usableUntil is noticed to have passed.
+	isUsable bool
+}
+
+// missingEntries decides whether workers whose entries disappeared still count as listed, and whether
+// requests may still be sent to them. An entry may disappear because its worker left, or because it
+// expired in an outage of the source.
 type missingEntries struct {
 	// leaveBound is the time after which a worker that left must get no more requests; zero means no
 	// limit.
 	leaveBound time.Duration
+	// settleTime is how long the source must have served this daemon before leaveBound binds it.
+	settleTime time.Duration
 	// minOutage is the minimum time between two confirmations of the list if entries of live workers
 	// expired in between.
 	minOutage time.Duration
 	// readSent is when the read in flight was sent, zero if none is. failedReadSent is when the last
 	// read that failed was sent.
 	readSent, failedReadSent time.Time
-	// outageEnd is when the source became available again after the last outage.
-	outageEnd time.Time
-	// keptUntil holds, for each worker whose entry is missing, the time until which the worker still
-	// counts as listed.
-	keptUntil map[string]time.Time
+	// outageEnd is when this daemon learned that the last outage had ended. unservedAt is a time at
+	// which the source did not serve this daemon, as late in that outage as known.
+	outageEnd, unservedAt time.Time
+	entries               map[string]*missingEntry
 	// onOutage is called at the end of each outage; nil for none.
 	onOutage func(Outage)
 }
 
-func newMissingEntries(heartbeat, leaveBound time.Duration) missingEntries {
+func newMissingEntries(opts InventoryOptions) missingEntries {
 	// A worker writes up to one heartbeat before an outage begins. Heartbeats may be somewhat early.
 	const earlyFraction = 4
 	return missingEntries{
-		leaveBound: leaveBound, minOutage: max(outageThreshold, (heartbeatsUntilExpiry-1)*heartbeat-heartbeat/earlyFraction),
-		keptUntil: make(map[string]time.Time),
+		leaveBound: opts.LeaveBound, settleTime: opts.SettleTime,
+		minOutage: max(outageThreshold, (heartbeatsUntilExpiry-1)*opts.Heartbeat-opts.Heartbeat/earlyFraction),
+		entries:   make(map[string]*missingEntry),
 	}
 }
 
@@ -78,12 +93,18 @@
 	if !failed.After(confirmed) {
 		return
 	}
-	m.outageEnd = now
+	m.outageEnd, m.unservedAt = now, failed
 	if m.onOutage != nil {
 		m.onOutage(Outage{Unconfirmed: next.Sub(confirmed), SinceFailure: now.Sub(failed)})
 	}
 }
 
+// recordRestore records that the source was restored from a copy at an unknown time after the list was
+// last confirmed.
+func (m *missingEntries) recordRestore(confirmed, now time.Time) {
+	m.outageEnd, m.unservedAt = now, confirmed
+}
+
 // lastFailedRead returns when the last read was sent that failed, or that is in flight without an answer
 // for longer than usual. It is zero if there was none.
 func (m *missingEntries) lastFailedRead(now time.Time) time.Time {
@@ -94,23 +115,25 @@
 }
 
 // keep reports whether the worker of a missing entry still counts as listed. The entry was known to
-// be listed at the given time. The first call for an entry determines the deadline.
+// be listed at the given time. The first call for an entry determines its deadlines.
 func (m *missingEntries) keep(id string, listedAt, now time.Time) bool {
-	until, ok := m.keptUntil[id]
+	e, ok := m.entries[id]
 	if !ok {
-		until = m.deadline(listedAt)
+		listedUntil := m.listedDeadline(listedAt)
+		e = &missingEntry{listedUntil: listedUntil, usableUntil: m.usableDeadline(listedUntil)}
+		e.isUsable = now.Before(e.usableUntil)
 	}
-	if !now.Before(until) {
+	if !now.Before(e.listedUntil) {
 		return false
 	}
-	m.keptUntil[id] = until
+	m.entries[id] = e
 	return true
 }
 
-// deadline returns the time until which a worker counts as listed if its entry disappeared after the
-// given time. If that was after the end of the outage, the worker may have left since, so the bound
+// listedDeadline returns the time until which a worker counts as listed if its entry disappeared after
+// the given time. If that was after the end of the outage, the worker may have left since, so the bound
 // on workers that leave applies, counted from the earliest time at which it can have left.
-func (m *missingEntries) deadline(listedAt time.Time) time.Time {
+func (m *missingEntries) listedDeadline(listedAt time.Time) time.Time {
 	if m.outageEnd.IsZero() {
 		return time.Time{}
 	}
@@ -124,36 +147,70 @@
 	return until
 }
 
+// usableDeadline returns the time until which requests may be sent to the worker of a missing entry. The
+// worker may have left before the outage, and the bound on such workers binds this daemon again when the
+// source has served it for settleTime. That time is counted from unservedAt, since the outage may have
+// ended right after it.
+func (m *missingEntries) usableDeadline(listedUntil time.Time) time.Time {
+	if m.leaveBound <= 0 {
+		return listedUntil
+	}
+	if latest := m.unservedAt.Add(m.settleTime - leaveMargin); latest.Before(listedUntil) {
+		return latest
+	}
+	return listedUntil
+}
+
 // has reports whether the entry of a worker that still counts as listed is missing.
-func (m *missingEntries) has(id string) bool {
-	_, ok := m.keptUntil[id]
-	return ok
+func (m *missingEntries) has(id string) bool { return m.entries[id] != nil }
+
+// isUsable reports whether requests may be sent to a worker that counts as listed.
+func (m *missingEntries) isUsable(id string) bool {
+	e := m.entries[id]
+	return e == nil || e.isUsable
 }
 
-// takeExpired removes and returns the workers whose deadline has passed.
-func (m *missingEntries) takeExpired(now time.Time) []string {
-	var expired []string
-	for id, until := range m.keptUntil {
-		if !now.Before(until) {
-			delete(m.keptUntil, id)
+// found forgets the state of a worker whose entry is listed again.
+func (m *missingEntries) found(id string) { delete(m.entries, id) }
+
+// expire removes the workers that no longer count as listed and returns them. It reports whether the
+// state of any worker changed.
+func (m *missingEntries) expire(now time.Time) (expired []string, changed bool) {
+	for id, e := range m.entries {
+		switch {
+		case !now.Before(e.listedUntil):
+			delete(m.entries, id)
 			expired = append(expired, id)
+		case e.isUsable && !now.Before(e.usableUntil):
+			e.isUsable, changed = false, true
 		}
 	}
-	return expired
+	return expired, changed || len(expired) > 0
 }
 
 // addSuspension moves all times back by the time for which the machine was suspended.
 func (m *missingEntries) addSuspension(suspended time.Duration) {
-	for _, at := range []*time.Time{&m.readSent, &m.failedReadSent, &m.outageEnd} {
+	for _, at := range []*time.Time{&m.readSent, &m.failedReadSent, &m.outageEnd, &m.unservedAt} {
 		if !at.IsZero() {
 			*at = at.Add(-suspended)
 		}
 	}
-	for id, until := range m.keptUntil {
-		m.keptUntil[id] = until.Add(-suspended)
+	for _, e := range m.entries {
+		e.listedUntil, e.usableUntil = e.listedUntil.Add(-suspended), e.usableUntil.Add(-suspended)
 	}
 }
 
+// counts returns the number of workers whose entries are missing and that still count as listed, and
+// the number of those to which requests may be sent.
+func (m *missingEntries) counts() (listed, usable int) {
+	for _, e := range m.entries {
+		if e.isUsable {
+			usable++
+		}
+	}
+	return len(m.entries), usable
+}
+
 // OnOutage sets the function that is called at the end of each outage of the list. It must not call
 // the inventory.
 func (i *Inventory) OnOutage(f func(Outage)) {
@@ -162,13 +219,6 @@
 	i.missing.onOutage = f
 }
 
-// CountMissing returns the number of workers that count as listed although their entries are missing.
-func (i *Inventory) CountMissing() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return len(i.missing.keptUntil)
-}
-
 // BeginRead records that this daemon sent a read of the list at the given time.
 func (i *Inventory) BeginRead(sent time.Time) {
 	i.mu.Lock()
@@ -185,4 +235,13 @@
 		i.missing.failedReadSent = i.missing.readSent
 	}
 	i.missing.readSent = time.Time{}
+	i.expireMissing()
+}
+
+// Missing returns the number of workers whose entries are missing and that still count as listed, and
+// the number of those to which requests may be sent.
+func (i *Inventory) Missing() (listed, usable int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.missing.counts()
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -20,14 +20,15 @@
 type View struct {
 	workers  map[string]*Worker
 	replicas map[string][]*Replica
-	// leaving counts the replicas whose head is leaving.
+	// leaving counts the replicas whose head is leaving, or may have left.
 	leaving map[string]int
 }
 
 // newView derives the replicas from the listed workers and the announcements. A replica whose head
-// is leaving takes no more requests. If another member is leaving, the replica takes requests until
-// its leader closes it, since a leaving member stays while its head has requests in flight.
-func newView(workers map[string]*Worker, announcements map[string]pendingAnnouncement) *View {
+// is leaving, or for which isUsable returns false, takes no more requests. If another member is
+// leaving, the replica takes requests until its leader closes it, since a leaving member stays while
+// its head has requests in flight.
+func newView(workers map[string]*Worker, announcements map[string]pendingAnnouncement, isUsable func(id string) bool) *View {
 	v := &View{workers: make(map[string]*Worker, len(workers)), replicas: make(map[string][]*Replica), leaving: make(map[string]int)}
 	for id, w := range workers {
 		v.workers[id] = w
@@ -44,7 +45,7 @@
 			continue
 		}
 		key := replicaKey(r.Service, r.Model)
-		if w.Draining {
+		if w.Draining || !isUsable(w.ID) {
 			v.leaving[key]++
 			continue
 		}
@@ -94,5 +95,5 @@
 }
 
 // Leaving returns the number of replicas of a service and model that take no more requests because
-// their head is leaving.
+// their head is leaving, or may have left.
 func (v *View) Leaving(service, model string) int { return v.leaving[replicaKey(service, model)] }
--- a/serving/options.go
+++ b/serving/options.go
@@ -37,6 +37,9 @@
 	// RemovedWorkerBound is the time after which a worker removed from the list must get no more
 	// requests; zero for no bound.
 	RemovedWorkerBound time.Duration
+	// SettleTime is how long the store must have served this daemon before RemovedWorkerBound binds
+	// it.
+	SettleTime time.Duration
 	// WorkerHeartbeatInterval is the interval at which workers update their entries in the list.
 	WorkerHeartbeatInterval time.Duration
 	// StallTimeout is how long a replica that lost a member may make no progress before it is
