fleet: Read the source again within the settle time after an outage

Cause: a daemon whose reads failed waited 0.8 to 1.6 s before the next one, and a member of a large fleet between once and twice its share of 200 calls a second: 4.9 to 9.7 s at 970 daemons, for the worker list and for the configuration. The store's data binds a daemon again when the store has served it for contact_ms (3 to 6 s). If its relays are still turned away when the store serves the member again, it acts on a list and a configuration from before the outage for seconds after that: requests to workers that left (DRAIN), and an older configuration (CONFIG).

Ruled out: to let every daemon retry each 0.4 s (2,400 calls a second of 970 daemons for one kind of data, over the 2,000 that the smaller sites allow), and to go by the relays alone: the store may turn them away and serve the member.

Now the delay of a retry is limited so that a read that was sent just before the return and got no answer is repeated in time; for others it is 0.4 to 0.8 s at most. Reads of the worker list probe the source, and those of the configuration wait for them and follow at once, so that two kinds of data cost little more than one.

--- a/fleet/configreader.go
+++ b/fleet/configreader.go
@@ -36,7 +36,8 @@
 // run reads until ctx ends.
 func (c *configReader) run(ctx context.Context) {
 	shouldRead := func() bool { return c.opts.ShouldRead(c.opts.ConfigCache.Confirmed()) }
-	c.poll(ctx, "configuration", shouldRead, c.readOnce)
+	p := &poller{Follower: c.Follower, dataName: "configuration", shouldRead: shouldRead, read: c.readOnce}
+	p.run(ctx)
 }
 
 // readOnce does one read and applies its result.
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -32,9 +31,6 @@
 	// restoreSettleTime is how long after a restore from a copy the source may be incomplete.
 	// Writers repeat their writes at their next heartbeat.
 	restoreSettleTime = 5 * time.Second
-	// minRetryDelay and maxRetryDelay are the first and the maximum delay after failed reads.
-	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
 	// idlePollInterval is how often a follower that relies on its peers checks whether it must read
 	// itself.
 	idlePollInterval = 100 * time.Millisecond
@@ -105,6 +101,9 @@
 	// MinRetryDelay returns the minimum delay after a failed read, so that a large fleet does not
 	// call a recovering source all at once. A nil function means no minimum.
 	MinRetryDelay func() time.Duration
+	// SettleTime is the time after the return of the source within which a read must have succeeded.
+	// It goes before MinRetryDelay; zero means no limit.
+	SettleTime time.Duration
 	// Suspended returns the total time for which the machine was suspended; nil if it never is.
 	Suspended func() time.Duration
 	Logger    hclog.Logger
@@ -115,7 +114,9 @@
 	opts FollowerOptions
 	// eraPlusOne is one more than the newest era read, or 0 before the first read.
 	eraPlusOne atomic.Int64
-	done       chan struct{}
+	// probe is under way while reads of the worker list fail.
+	probe probe
+	done  chan struct{}
 }
 
 // NewFollower returns a follower that starts to read when Run is called.
@@ -141,13 +142,15 @@
 // followWorkers keeps the inventory up to date until ctx ends.
 func (f *Follower) followWorkers(ctx context.Context) {
 	reader := &workerReader{Follower: f, position: -1}
-	f.poll(ctx, "worker list", f.shouldReadWorkers, func(ctx context.Context) error {
+	read := func(ctx context.Context) error {
 		f.opts.Inventory.BeginRead(time.Now())
 		pauseAfter, err := reader.readOnce(ctx)
 		f.opts.Inventory.EndRead(err)
 		pause.Sleep(ctx, pauseAfter)
 		return err
-	})
+	}
+	p := &poller{Follower: f, dataName: "worker list", isProbe: true, shouldRead: f.shouldReadWorkers, read: read}
+	p.run(ctx)
 }
 
 // workerReader reads the worker list.
@@ -276,42 +279,3 @@
 		f.opts.Logger.Warn("invalid worker entry skipped", "error", err)
 	}
 }
-
-// spreadDelay returns the minimum delay after a failed read.
-func (f *Follower) spreadDelay() time.Duration {
-	if f.opts.MinRetryDelay == nil {
-		return 0
-	}
-	return f.opts.MinRetryDelay()
-}
-
-// poll calls read repeatedly until ctx ends, except while shouldRead reports false. Failed reads
-// are retried with exponential backoff. It logs when the source becomes unreachable and when it is
-// reachable again.
-func (f *Follower) poll(ctx context.Context, dataName string, shouldRead func() bool, read func(context.Context) error) {
-	backoff, isUnreachable := minRetryDelay, false
-	for ctx.Err() == nil {
-		if !shouldRead() {
-			pause.Sleep(ctx, idlePollInterval)
-			continue
-		}
-		err := read(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil {
-			if isUnreachable {
-				f.opts.Logger.Info("source reachable again", "of", dataName)
-			}
-			backoff, isUnreachable = minRetryDelay, false
-			continue
-		}
-		if !isUnreachable {
-			f.opts.Logger.Warn("source unreachable", "of", dataName, "error", err)
-			isUnreachable = true
-		}
-		backoff = max(backoff, f.spreadDelay())
-		pause.Sleep(ctx, backoff+rand.N(backoff))
-		backoff = min(2*backoff, max(maxRetryDelay, f.spreadDelay()))
-	}
-}
--- a/fleet/removal_test.go
+++ b/fleet/removal_test.go
@@ -28,10 +28,8 @@
 	// simContactTime is how long a daemon must have been served before it is bound by simLeaveBound.
 	simContactTime = 3 * time.Second
 	// simStaleAge and simReadSpread say at which age of its list a daemon reads the store itself.
-	simStaleAge   = 1100 * time.Millisecond
-	simReadSpread = 470 * time.Millisecond
-	// simSilentRead is the time after which a read without an answer fails.
-	simSilentRead    = time.Second
+	simStaleAge      = 1100 * time.Millisecond
+	simReadSpread    = 470 * time.Millisecond
 	simPeerHeartbeat = 200 * time.Millisecond
 	simDaemons       = 4
 	simWorkers       = 6
@@ -61,7 +59,7 @@
 	servedSince  time.Time
 	isTurnedAway bool
 	nextReadAt   time.Time
-	backoff      time.Duration
+	retry        retryBackoff
 	// sent is when the read in flight was sent, zero if none is. It fails at failsAt unless that is
 	// zero.
 	sent, failsAt time.Time
@@ -214,7 +212,7 @@
 func (s *removalSimulation) setFailure(d *simDaemon, now time.Time) {
 	d.failsAt = now.Add(simTick)
 	if s.isSilent {
-		d.failsAt = d.sent.Add(simSilentRead)
+		d.failsAt = d.sent.Add(silentReadTime)
 	}
 }
 
@@ -227,8 +225,8 @@
 		if !now.Before(d.failsAt) {
 			d.sent = time.Time{}
 			d.inventory.EndRead(errUnavailable)
-			d.backoff = min(max(2*d.backoff, minRetryDelay), maxRetryDelay)
-			d.nextReadAt = now.Add(s.between(d.backoff, 2*d.backoff))
+			least := d.retry.delay(0, false)
+			d.nextReadAt = now.Add(s.between(least, 2*least))
 		}
 		return
 	}
@@ -238,7 +236,8 @@
 	}
 	d.inventory.ApplyRead(Delta{From: position, To: s.position(), Changes: slices.Clone(s.changes[position-1:])}, d.sent)
 	d.inventory.EndRead(nil)
-	d.sent, d.backoff, d.nextReadAt = time.Time{}, 0, now.Add(coalesceDelay)
+	d.retry.reset()
+	d.sent, d.nextReadAt = time.Time{}, now.Add(coalesceDelay)
 }
 
 // stepPeers delivers a daemon's heartbeat to the others, and lets it fetch what it lacks.
--- a/serving/server.go
+++ b/serving/server.go
@@ -112,7 +112,7 @@
 	s.fetcher = newFetcher(s)
 	s.follower = fleet.NewFollower(fleet.FollowerOptions{
 		Source: opts.Source, ConfigCache: s.configCache, Halls: s.halls, Inventory: s.inventory,
-		ShouldRead: s.shouldRead, MinRetryDelay: s.retrySpread, Suspended: s.suspended, Logger: opts.Logger.Named("follower"),
+		ShouldRead: s.shouldRead, MinRetryDelay: s.retrySpread, SettleTime: opts.Bounds.SettleTime, Suspended: s.suspended, Logger: opts.Logger.Named("follower"),
 	})
 	s.agent, err = peers.NewAgent(peers.Options{
 		Self: opts.Self, Transport: opts.Transport, FillHeartbeat: s.fillHeartbeat, OnHeartbeat: s.onHeartbeat, OnNews: s.onNews, OnSummary: s.onSummary,
