proxy: Keep memory for short requests beside answers without an end

Cause: an account's bodies and answers shared one limit. The answer of a faulty worker that does not end takes the account's whole share (10.6 MiB at 284 MiB) before it exceeds its own limit; until then the account's other requests were refused (503, memory_bound) though sound workers could run them, and sound answers waited.

Ruled out: to end the answer that holds most (a large true answer has run and must be delivered); a lower limit for each answer (TestAnswersFillTheirShare promises the whole share); suspicion alone, which the worker gets already, for 2 s after each such answer: refusals come before it.

What a request holds beyond 8 KiB now counts as long. Long memory is not reserved beyond seven eighths of the daemon's limit, and a quarter of an account's share stays for short memory whatever its long memory takes. Large answers may still fill the share and wait for each other as before.

TestLongAnswersLeaveMemoryForShortRequests failed before in all six cases (refused).

--- a/proxy/bufferlimit.go
+++ b/proxy/bufferlimit.go
@@ -17,6 +17,13 @@
 	// maxPriorityShare is the part that an account may use while one of its answers has priority. It
 	// leaves memory for other accounts.
 	maxPriorityShare = 0.5
+	// shortBytes is how much of a request's memory counts as short. What it holds beyond that is long.
+	shortBytes = 8 << 10
+	// shortAccountShare is the part of an account's share that its short memory may use whatever its
+	// long memory uses, so that long answers leave room for other requests.
+	shortAccountShare = 0.25
+	// maxLongShare is the part of the daemon's limit up to which long memory is reserved.
+	maxLongShare = 0.875
 	// initialBufferBytes is the initial buffer size of a body. The buffer grows as data arrives, so
 	// that a body that is announced but not sent takes little memory.
 	initialBufferBytes = 2 << 10
@@ -36,6 +43,8 @@
 	mu        sync.Mutex
 	total     int64
 	byAccount map[string]int64
+	// longByAccount holds the long part of byAccount.
+	longByAccount map[string]int64
 	// priority holds for each account the answer that may exceed the account's share. Without it,
 	// answers of one account that are each read in part would wait for each other.
 	priority map[string]*requestMemory
@@ -43,7 +52,10 @@
 
 // NewBufferLimit returns a BufferLimit with a limit in bytes; zero for no limit.
 func NewBufferLimit(limit int64) *BufferLimit {
-	return &BufferLimit{limit: limit, byAccount: make(map[string]int64), priority: make(map[string]*requestMemory)}
+	return &BufferLimit{
+		limit: limit, byAccount: make(map[string]int64), longByAccount: make(map[string]int64),
+		priority: make(map[string]*requestMemory),
+	}
 }
 
 // BytesInUse returns the number of bytes in use.
@@ -53,22 +65,53 @@
 	return b.total
 }
 
-// reserve reserves bytes for a request and reports whether they were available. The account's share
-// does not limit its first reservation.
+// reserve reserves bytes for a request and reports whether they were available.
 func (b *BufferLimit) reserve(m *requestMemory, bytes int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	held := b.byAccount[m.account]
-	accountLimit := b.accountLimit()
-	if b.priority[m.account] == m {
-		accountLimit = int64(maxPriorityShare * float64(b.limit))
+	if b.limit > 0 && !b.isAvailable(m, bytes) {
+		return false
 	}
-	if b.limit > 0 && (b.total+bytes > b.limit || held > 0 && held+bytes > accountLimit) {
+	b.change(m, bytes)
+	return true
+}
+
+// isAvailable reports whether a request may reserve more bytes. The account's share does not limit its
+// first reservation. The mutex must be held.
+func (b *BufferLimit) isAvailable(m *requestMemory, bytes int64) bool {
+	held := b.byAccount[m.account]
+	isShort := m.bytes+bytes <= shortBytes
+	heldShort := held - b.longByAccount[m.account]
+	switch {
+	case b.total+bytes > b.limit:
+		return false
+	case held == 0:
+		return true
+	case isShort && float64(heldShort+bytes) <= shortAccountShare*float64(b.accountLimit()):
+		return true
+	case !isShort && float64(b.total+bytes) > maxLongShare*float64(b.limit):
 		return false
+	case b.priority[m.account] == m:
+		return float64(held+bytes) <= maxPriorityShare*float64(b.limit)
 	}
+	return held+bytes <= b.accountLimit()
+}
+
+// change adds bytes to the memory of a request, or removes them if they are negative. The mutex must be
+// held.
+func (b *BufferLimit) change(m *requestMemory, bytes int64) {
+	long := max(m.bytes+bytes-shortBytes, 0) - max(m.bytes-shortBytes, 0)
+	m.bytes += bytes
 	b.total += bytes
-	b.byAccount[m.account] = held + bytes
-	return true
+	addToAccount(b.byAccount, m.account, bytes)
+	addToAccount(b.longByAccount, m.account, long)
+}
+
+// addToAccount adds to the sum of an account, and forgets the account when nothing is left.
+func addToAccount(sums map[string]int64, account string, bytes int64) {
+	if sums[account] += bytes; sums[account] <= 0 {
+		delete(sums, account)
+	}
 }
 
 // prioritize gives an answer that waits for memory the priority among those of its account, unless
@@ -90,13 +133,11 @@
 	}
 }
 
-func (b *BufferLimit) release(account string, bytes int64) {
+// release releases bytes of a request.
+func (b *BufferLimit) release(m *requestMemory, bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.total -= bytes
-	if b.byAccount[account] -= bytes; b.byAccount[account] <= 0 {
-		delete(b.byAccount, account)
-	}
+	b.change(m, -bytes)
 }
 
 // accountLimit returns how many bytes one account may use.
@@ -106,23 +147,17 @@
 type requestMemory struct {
 	bufferLimit *BufferLimit
 	account     string
-	bytes       int64
+	// bytes is changed with the mutex of bufferLimit held, by one goroutine at a time.
+	bytes int64
 }
 
 // grow reserves further bytes and reports whether they were available.
-func (m *requestMemory) grow(bytes int64) bool {
-	if !m.bufferLimit.reserve(m, bytes) {
-		return false
-	}
-	m.bytes += bytes
-	return true
-}
+func (m *requestMemory) grow(bytes int64) bool { return m.bufferLimit.reserve(m, bytes) }
 
 // release releases all reserved memory.
 func (m *requestMemory) release() {
 	m.bufferLimit.endPriority(m)
-	m.bufferLimit.release(m.account, m.bytes)
-	m.bytes = 0
+	m.bufferLimit.release(m, m.bytes)
 }
 
 // answerLimit returns how long an answer may be that the account can hold besides what the request holds
@@ -164,10 +199,7 @@
 }
 
 // shrink releases memory that turned out not to be needed.
-func (m *requestMemory) shrink(bytes int64) {
-	m.bufferLimit.release(m.account, bytes)
-	m.bytes -= bytes
-}
+func (m *requestMemory) shrink(bytes int64) { m.bufferLimit.release(m, bytes) }
 
 // failWhenFull is the wait function for reading bodies of requests. It fails at once, because a
 // request that has not run can be refused.
--- a/proxy/bufferlimit_test.go
+++ b/proxy/bufferlimit_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,3 +177,51 @@
 		assert.Equal(t, len(h.priority), 0)
 	})
 }
+
+// TestLongAnswersLeaveMemoryForShortRequests guards against answers without an end that make a daemon
+// refuse the other requests of their accounts.
+func TestLongAnswersLeaveMemoryForShortRequests(t *testing.T) {
+	const limit = 8 << 20
+	tests := map[string]struct{ accounts, answers int }{
+		"one answer":                   {accounts: 1, answers: 1},
+		"several of one account":       {accounts: 1, answers: 6},
+		"several of two accounts":      {accounts: 2, answers: 6},
+		"several of more than fit":     {accounts: 6, answers: 3},
+		"more than have their shares":  {accounts: 9, answers: 1},
+		"as many as a worker can take": {accounts: 1, answers: 30},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := NewBufferLimit(limit)
+				ctx, cancel := context.WithCancel(t.Context())
+				var readers sync.WaitGroup
+				for n := range test.accounts * test.answers {
+					memory := &requestMemory{bufferLimit: h, account: fmt.Sprint("account ", n%test.accounts)}
+					readers.Go(func() {
+						defer memory.release()
+						_, _ = memory.read(endlessReader{}, maxAnswerBytes, waitForMemory(ctx))
+					})
+				}
+				time.Sleep(time.Minute)
+				for n := range test.accounts {
+					for range 20 {
+						short := requestMemory{bufferLimit: h, account: fmt.Sprint("account ", n)}
+						defer short.release()
+						_, err := short.read(strings.NewReader("receipt"), 1<<20, failWhenFull)
+						assert.NilError(t, err)
+						assert.Assert(t, short.grow(initialBufferBytes), "no memory for the answer")
+					}
+				}
+				assert.Assert(t, h.BytesInUse() <= limit)
+				cancel()
+				readers.Wait()
+			})
+		})
+	}
+}
+
+// endlessReader returns bytes without an end.
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
