proxy: Do not read answers whose announced length exceeds the limit

Now such an answer ends its attempt at its head, as one that exceeds a limit: the replica is suspected, and the request is repeated if it may be. An answer without a body (to HEAD) may announce any length.

TestAnnouncedBodyOverLimitIsNotAwaited failed before (504 after 5 s, now 200).

--- a/proxy/answerlimit.go
+++ b/proxy/answerlimit.go
@@ -102,6 +102,21 @@
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
+// readAnswer reads the body of an answer if the account can hold it. One whose announced length is too
+// long is not read at all.
+func (m *requestMemory) readAnswer(ctx context.Context, r *http.Response) ([]byte, error) {
+	limit := m.answerLimit()
+	// An answer without a body may announce the length of one.
+	if r.ContentLength > limit && r.Body != http.NoBody {
+		return nil, &limitError{part: "body"}
+	}
+	body, err := m.read(r.Body, limit, waitForMemory(ctx))
+	if read := int64(len(body)); err == nil && read > limit {
+		return nil, &limitError{part: "body", bytesRead: read}
+	}
+	return body, err
+}
+
 // growForEvent reserves as many bytes again as the buffer of an event that does not fit has. It waits
 // until they are available or ctx ends.
 func (m *requestMemory) growForEvent(ctx context.Context, bufferBytes int) error {
--- a/proxy/answerlimit_test.go
+++ b/proxy/answerlimit_test.go
@@ -339,6 +339,20 @@
 	}
 }
 
+// TestAnnouncedBodyOverLimitIsNotAwaited guards against answers that are read up to a limit although their
+// heads announce that they exceed it.
+func TestAnnouncedBodyOverLimitIsNotAwaited(t *testing.T) {
+	faulty, sound := newFakeWorker(t, "faulty", announces), newFakeWorker(t, "sound")
+	p, server := newTestProxy(t, faulty, sound)
+	p.opts.BufferLimit = NewBufferLimit(8 << 20)
+	p.startedAt = time.Now().Add(-randomPairPeriod)
+	preferOver(p, sound)
+	got := sendRequest(t, server, "/safe/", "a", nil)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, faulty.runs("a"), 1)
+	assert.DeepEqual(t, p.opts.Tracker.suspectedHeads(time.Now()), map[string]bool{"faulty": true})
+}
+
 // TestManyCallerHeadersAreRefused guards against requests whose many headers take far more memory than
 // their bytes.
 func TestManyCallerHeadersAreRefused(t *testing.T) {
--- a/proxy/buffered.go
+++ b/proxy/buffered.go
@@ -96,11 +96,8 @@
 
 // readAnswer reads the complete answer of a worker or peer.
 func (p *Proxy) readAnswer(ctx context.Context, c *request, e *exchange, sender string) (*answer, error) {
-	held, limit := c.memory.bytes, c.memory.answerLimit()
-	body, err := c.memory.read(e.response.Body, limit, waitForMemory(ctx))
-	if read := int64(len(body)); err == nil && read > limit {
-		err = &limitError{part: "body", bytesRead: read}
-	}
+	held := c.memory.bytes
+	body, err := c.memory.readAnswer(ctx, e.response)
 	if err != nil {
 		c.memory.shrink(c.memory.bytes - held)
 		e.abort()
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -48,6 +48,8 @@
 	// swells runs the request and sends an answer whose body has no length, and 64 MiB of it unless the
 	// connection is closed.
 	swells behaviour = "swells"
+	// announces runs the request and sends the head of an answer whose body is announced to be 1 TB long.
+	announces behaviour = "announces"
 	// rambles runs the request and sends 8 MiB of an event without an end.
 	rambles behaviour = "rambles"
 	// stalls sends two events and then nothing.
@@ -202,6 +204,11 @@
 	case garbles:
 		writeText(c, "these bytes are no answer\r\n\r\n")
 		return false
+	case announces:
+		writeText(c, "HTTP/1.1 200 OK\r\n"+signedHeader+"Content-Length: 1000000000000\r\n\r\n")
+		// The connection stays open until the peer closes it.
+		_, _ = c.Read(make([]byte, 1))
+		return false
 	case floods, swells, rambles:
 		sendTooMuch(c, b, signedHeader)
 		return false
