headlimit, serving, platform: Limit the lines of heads at every port

Cause: net/http limits the bytes of a request's head, not its lines. Callers' connections counted lines; the peers' port, the metrics and the platform's addresses did not.

Ruled out: fewer bytes for these heads; a tenth of them still holds hundreds of headers.

The counter of lines stood twice, for answers (proxy) and for callers (serving).

TestManyHeadersOfPeersAreRefused and the case "tiny headers" of TestEndlessRequestHeadIsNotReadOn failed before (1,003 headers were served; 20,455 bytes were read). The tests of callers' heads moved to common/headlimit with the code, unchanged but for the constructor. Tests of common, platform and the limits in proxy and serving pass.

--- a/serving/headlimit_test.go
+++ b/common/headlimit/server_test.go
@@ -1,4 +1,4 @@
-package serving
+package headlimit
 
 import (
 	"fmt"
@@ -95,7 +95,7 @@
 			caller := &endlessCaller{beginning: test.beginning, repeated: test.repeated, isClosed: make(chan struct{})}
 			l := &singleListener{conns: make(chan net.Conn, 1)}
 			l.conns <- caller
-			server := newHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request is served") }))
+			server := NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request is served") }), time.Minute)
 			ended := make(chan error, 1)
 			go func() { ended <- server.Serve(l) }()
 			<-caller.isClosed
@@ -113,9 +113,9 @@
 	caller := &endlessCaller{beginning: "GET / HTTP/1.1\r\nHost: h\r\n", repeated: "a:\n", isClosed: make(chan struct{})}
 	l := &singleListener{conns: make(chan net.Conn, 1)}
 	l.conns <- caller
-	server := newHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request is served") }))
+	server := NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request is served") }), time.Minute)
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(headLimitListener{l}) }()
+	go func() { ended <- server.Serve(l) }()
 	<-caller.isClosed
 	close(l.conns)
 	assert.ErrorIs(t, <-ended, net.ErrClosed)
@@ -127,8 +127,8 @@
 func TestOrdinaryRequestsAreServed(t *testing.T) {
 	front, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
-	go func() { _ = server.Serve(headLimitListener{front}) }()
+	server := NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }), time.Minute)
+	go func() { _ = server.Serve(front) }()
 	t.Cleanup(func() { _ = server.Close() })
 	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
 	body := strings.Repeat("a:\n", 100_000)
--- a/proxy/answerlimit.go
+++ b/proxy/answerlimit.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"quartzshelf.dev/common/headlimit"
 	"quartzshelf.dev/fleet"
 )
 
@@ -34,20 +35,16 @@
 // reads heads of any length. Outside of heads it limits nothing.
 type headLimiter struct {
 	source io.Reader
-	// isActive reports whether a head is being read, isWithinLines whether its last line has not
-	// arrived yet.
-	isActive      bool
-	isWithinLines bool
-	bytes         int
-	lines         int
-	// lineBytes is the length of the current line so far, lastByte its last byte.
-	lineBytes int
-	lastByte  byte
+	// isActive reports whether a head is being read.
+	isActive bool
+	bytes    int
+	lines    headlimit.LineCounter
 }
 
 // begin starts a head. What the reader above has buffered already is not counted.
 func (l *headLimiter) begin() {
-	*l = headLimiter{source: l.source, isActive: true, isWithinLines: true}
+	*l = headLimiter{source: l.source, isActive: true}
+	l.lines.Begin()
 }
 
 // end ends a head, so that the body is read without limit.
@@ -63,32 +60,13 @@
 	}
 	n, err := l.source.Read(b[:min(len(b), maxHeadBytes-l.bytes)])
 	l.bytes += n
-	l.countLines(b[:n])
-	if l.lines > maxHeadLines {
+	l.lines.Count(b[:n])
+	if l.lines.Lines() > maxHeadLines {
 		return 0, &limitError{part: "head", bytesRead: int64(l.bytes)}
 	}
 	return n, err
 }
 
-// countLines counts the lines of the head up to the empty one that ends it. What follows belongs to
-// the body.
-func (l *headLimiter) countLines(data []byte) {
-	for _, b := range data {
-		if !l.isWithinLines {
-			return
-		}
-		if b != '\n' {
-			l.lineBytes++
-			l.lastByte = b
-			continue
-		}
-		isEmpty := l.lineBytes == 0 || l.lineBytes == 1 && l.lastByte == '\r'
-		l.isWithinLines = !isEmpty
-		l.lines++
-		l.lineBytes = 0
-	}
-}
-
 // limitHeads makes the connection's reader limit the heads of answers.
 func (c *connection) limitHeads() {
 	c.head.source = c
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/headlimit"
 	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/common/suspension"
 	"quartzshelf.dev/fleet"
@@ -32,10 +33,11 @@
 	// fetchDelay is the delay before each fetch. This daemon's own reads of the store may complete
 	// in the meantime.
 	fetchDelay = 150 * time.Millisecond
-	// fetchTimeout limits the duration of a request to a peer, maxFetchBytes the size of its
-	// response.
-	fetchTimeout  = time.Second
-	maxFetchBytes = 8 << 20
+	// fetchTimeout limits the duration of a request to a peer, maxFetchBytes the body of its
+	// response, and maxResponseHeadBytes the response's head.
+	fetchTimeout         = time.Second
+	maxFetchBytes        = 8 << 20
+	maxResponseHeadBytes = 16 << 10
 )
 
 // fetcher fetches state that this daemon lacks from peers, and serves its own state to them.
@@ -55,7 +57,7 @@
 func newFetcher(s *Server) *fetcher {
 	f := &fetcher{server: s, requests: make(chan fetchRequest, 1), client: &http.Client{Timeout: fetchTimeout, Transport: s.opts.PeerTransport}}
 	if s.opts.PeerTransport == nil {
-		f.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}
+		f.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxResponseHeadBytes}
 	}
 	return f
 }
@@ -88,12 +90,12 @@
 
 // listen serves peers at the daemon's own address until ctx ends.
 func (f *fetcher) listen(ctx context.Context, handler http.Handler) {
-	server := newHTTPServer(handler)
-	server.Addr = f.server.opts.Self.Address
+	address := f.server.opts.Self.Address
+	server := headlimit.NewServer(handler, headerTimeout)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
-		f.server.logger.Error("serving peers failed", "address", server.Addr, "error", err)
+	if err := server.ListenAndServe(address); err != nil && ctx.Err() == nil {
+		f.server.logger.Error("serving peers failed", "address", address, "error", err)
 	}
 }
 
--- a/serving/server.go
+++ b/serving/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"quartzshelf.dev/allowance"
 	"quartzshelf.dev/backpressure"
 	"quartzshelf.dev/common/failure"
+	"quartzshelf.dev/common/headlimit"
 	"quartzshelf.dev/common/suspension"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/formation"
@@ -27,10 +27,8 @@
 	// revokeMargin is subtracted from Bounds.RevocationBound. A daemon whose configuration has not
 	// been confirmed for the remaining time accepts no more keys.
 	revokeMargin = 200 * time.Millisecond
-	// headerTimeout limits the reading of a request's header, maxHeaderBytes its size. http.Server
-	// adds 4 KiB to that.
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 16 << 10
+	// headerTimeout limits the reading of a request's header.
+	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a caller's connection may be idle. With a shorter one, a caller could
 	// send a request just as the daemon closes the connection.
 	idleTimeout = time.Minute
@@ -216,7 +214,7 @@
 func (s *Server) Run(ctx context.Context, front net.Listener) error {
 	defer close(s.done)
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	server := newHTTPServer(s.proxy)
+	server := headlimit.NewServer(s.proxy, headerTimeout)
 	server.IdleTimeout = idleTimeout
 	server.ErrorLog = s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	var tasks conc.WaitGroup
@@ -237,11 +235,11 @@
 	tasks.Go(func() { s.serveMetrics(running) })
 	tasks.Go(func() { s.logStart(running) })
 	stopped := make(chan error, 1)
-	tasks.Go(func() { stopped <- server.Serve(headLimitListener{front}) })
+	tasks.Go(func() { stopped <- server.Serve(front) })
 	var err error
 	select {
 	case <-ctx.Done():
-		s.stop(server, front)
+		s.stop(server.Server, front)
 	case err = <-stopped:
 		err = failure.Wrap(failure.Unavailable, "serve callers", front.Addr().String(), err)
 	}
@@ -262,28 +260,15 @@
 // AddressTTL returns how long callers may keep the addresses that AddressesFor returned.
 func (s *Server) AddressTTL() time.Duration { return s.opts.Bounds.AddressTTL }
 
-// newHTTPServer returns an HTTP server that limits the headers of requests.
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			if c, ok := c.(*headLimitConn); ok {
-				c.onState(state)
-			}
-		},
-	}
-}
-
 // serveMetrics serves metrics until ctx ends.
 func (s *Server) serveMetrics(ctx context.Context) {
 	if s.opts.Metrics == "" {
 		return
 	}
-	server := newHTTPServer(s.meter.Handler())
-	server.Addr = s.opts.Metrics
+	server := headlimit.NewServer(s.meter.Handler(), headerTimeout)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+	if err := server.ListenAndServe(s.opts.Metrics); err != nil && ctx.Err() == nil {
 		s.logger.Warn("serving metrics failed", "address", s.opts.Metrics, "error", err)
 	}
 }
