--- a/proxy/bufferlimit_test.go
+++ b/proxy/bufferlimit_test.go
@@ -194,33 +194,52 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h := NewBufferLimit(limit)
-				ctx, cancel := context.WithCancel(t.Context())
-				var readers sync.WaitGroup
-				for n := range test.accounts * test.answers {
-					memory := &requestMemory{bufferLimit: h, account: fmt.Sprint("account ", n%test.accounts)}
-					readers.Go(func() {
-						defer memory.release()
-						_, _ = memory.read(endlessReader{}, maxAnswerBytes, waitForMemory(ctx))
-					})
-				}
+				stop := readWithoutEnd(t.Context(), h, test.accounts, test.answers)
 				time.Sleep(time.Minute)
 				for n := range test.accounts {
-					for range 20 {
-						short := requestMemory{bufferLimit: h, account: fmt.Sprint("account ", n)}
-						defer short.release()
-						_, err := short.read(strings.NewReader("receipt"), 1<<20, failWhenFull)
-						assert.NilError(t, err)
-						assert.Assert(t, short.grow(initialBufferBytes), "no memory for the answer")
-					}
+					assert.NilError(t, reserveShort(h, accountNumber(n), 20))
 				}
 				assert.Assert(t, h.BytesInUse() <= limit)
-				cancel()
-				readers.Wait()
+				stop()
 			})
 		})
 	}
 }
 
+func accountNumber(n int) string { return fmt.Sprint("account ", n) }
+
+// readWithoutEnd reads answers without an end for each account until stop is called.
+func readWithoutEnd(ctx context.Context, h *BufferLimit, accounts, answers int) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var readers sync.WaitGroup
+	for n := range accounts * answers {
+		memory := &requestMemory{bufferLimit: h, account: accountNumber(n % accounts)}
+		readers.Go(func() {
+			defer memory.release()
+			_, _ = memory.read(endlessReader{}, maxAnswerBytes, waitForMemory(ctx))
+		})
+	}
+	return func() {
+		cancel()
+		readers.Wait()
+	}
+}
+
+// reserveShort reserves memory for short requests of an account and for the beginnings of their answers.
+func reserveShort(h *BufferLimit, account string, requests int) error {
+	for range requests {
+		m := requestMemory{bufferLimit: h, account: account}
+		defer m.release()
+		if _, err := m.read(strings.NewReader("receipt"), 1<<20, failWhenFull); err != nil {
+			return err
+		}
+		if !m.grow(initialBufferBytes) {
+			return errMemoryLimit
+		}
+	}
+	return nil
+}
+
 // endlessReader returns bytes without an end.
 type endlessReader struct{}
 
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -204,12 +204,7 @@
 	case garbles:
 		writeText(c, "these bytes are no answer\r\n\r\n")
 		return false
-	case announces:
-		writeText(c, "HTTP/1.1 200 OK\r\n"+signedHeader+"Content-Length: 1000000000000\r\n\r\n")
-		// The connection stays open until the peer closes it.
-		_, _ = c.Read(make([]byte, 1))
-		return false
-	case floods, swells, rambles:
+	case floods, swells, rambles, announces:
 		sendTooMuch(c, b, signedHeader)
 		return false
 	case unsigned:
@@ -230,8 +225,14 @@
 	return true
 }
 
-// sendTooMuch sends more than any head or body may take.
+// sendTooMuch sends more than any head or body may take, or announces it.
 func sendTooMuch(c net.Conn, b behaviour, signedHeader string) {
+	if b == announces {
+		writeText(c, "HTTP/1.1 200 OK\r\n"+signedHeader+"Content-Length: 1000000000000\r\n\r\n")
+		// The connection stays open until the peer closes it.
+		_, _ = c.Read(make([]byte, 1))
+		return
+	}
 	if b != floods {
 		writeText(c, "HTTP/1.1 200 OK\r\n"+signedHeader+"\r\n")
 	}
