proxy: Judge a failure only by a check of the links that began after it

Cause: a check of the links that had reached other workers was reused for 100 ms, and one under way for whoever asked meanwhile.

Ruled out: no reuse at all (500 failures in a second would open 1,000 connections more); a longer wait before blaming, since retries wait for the verdict.

A result that says the links are up now judges only failures from before the check began. Later ones share the check that follows, 25 ms after the one before at the earliest. A result that says they are down is reused as before, as nobody is blamed by it.

The tests of links, stalls and failures pass.

--- a/proxy/links.go
+++ b/proxy/links.go
@@ -25,8 +25,12 @@
 	// firstCheckTimeout and linkCheckTimeout limit the two steps of a check.
 	firstCheckTimeout = 100 * time.Millisecond
 	linkCheckTimeout  = 200 * time.Millisecond
-	// linkCheckTTL is how long the result of a check is reused.
+	// linkCheckTTL is how long a result is reused that says that the links are down. One that says that
+	// they are up proves nothing about later failures.
 	linkCheckTTL = 100 * time.Millisecond
+	// minCheckInterval is the minimum time between the starts of two checks of a service. Failures in
+	// that time share the next check.
+	minCheckInterval = 25 * time.Millisecond
 	// linkCheckInterval is the time between two checks while the links are down.
 	linkCheckInterval = 500 * time.Millisecond
 	// minRestoredShare is the share of a check's workers that must be reached before links that
@@ -57,12 +61,14 @@
 // serviceLinks is the state of the links to the workers of one service.
 type serviceLinks struct {
 	isDown bool
-	// check is the current or latest check.
-	check *linkCheck
+	// check is the current or latest check. next follows it, nil if none does.
+	check, next *linkCheck
 }
 
 // linkCheck is one check of the links to a service.
 type linkCheck struct {
+	// startedAt is when the check began, zero before that.
+	startedAt time.Time
 	// expiresAt is when the result is no longer reused, zero while the check runs. nextAt is when
 	// the check is repeated if the links are down.
 	expiresAt, nextAt time.Time
@@ -192,12 +198,14 @@
 	}
 }
 
+// isAtRest reports whether no check runs or is to follow. The mutex of the links must be held.
+func (s *serviceLinks) isAtRest() bool { return s.check.isOver() && s.next == nil }
+
 func (l *links) forgetUp(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.services, func(_ string, s *serviceLinks) bool {
-		isRunning := s.check.expiresAt.IsZero()
-		return !isRunning && !s.isDown && !now.Before(s.check.expiresAt)
+		return s.isAtRest() && !s.isDown && !now.Before(s.check.expiresAt)
 	})
 }
 
@@ -210,9 +218,8 @@
 	defer l.mu.Unlock()
 	var due []string
 	for service, s := range l.services {
-		isRunning := s.check.expiresAt.IsZero()
 		switch {
-		case isRunning:
+		case !s.isAtRest():
 		case !hasWorkers[service]:
 			delete(l.services, service)
 		case s.isDown && !now.Before(s.check.nextAt):
@@ -222,9 +229,10 @@
 	return due
 }
 
-// start returns a check whose result is recent. If there is none, it starts one that leaves out the
-// worker that failed.
-func (l *links) start(service, failed string, now time.Time) *linkCheck {
+// start returns a check that tells whether a failure at the given time, now or earlier, is due to the
+// links. If there is none, it starts one that leaves out the worker that failed, or lets it follow the
+// one that runs.
+func (l *links) start(service, failed string, failedAt time.Time) *linkCheck {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, ok := l.services[service]
@@ -232,15 +240,49 @@
 		s = &serviceLinks{}
 		l.services[service] = s
 	}
-	if s.check != nil && (s.check.expiresAt.IsZero() || now.Before(s.check.expiresAt)) {
-		return s.check
+	switch previous := s.check; {
+	case previous != nil && previous.judges(failedAt):
+		return previous
+	case s.next != nil:
+		return s.next
+	case previous == nil || previous.isOver() && !failedAt.Before(previous.startedAt.Add(minCheckInterval)):
+		check := &linkCheck{done: make(chan struct{})}
+		s.begin(check, failedAt)
+		l.checks.Go(func() { l.run(service, failed, s, check) })
+		return check
 	}
-	check := &linkCheck{done: make(chan struct{})}
-	s.check = check
-	l.checks.Go(func() { l.run(service, failed, s, check) })
+	previous, check := s.check, &linkCheck{done: make(chan struct{})}
+	s.next = check
+	l.checks.Go(func() { l.runAfter(service, failed, s, previous, check) })
 	return check
 }
 
+// judges reports whether the check tells about a failure at the given time. It must have begun after
+// the failure, unless it found the links down, by which no worker is blamed. The mutex of the links must be
+// held.
+func (k *linkCheck) judges(failedAt time.Time) bool {
+	return !k.startedAt.Before(failedAt) || k.isOver() && !k.isUp && failedAt.Before(k.expiresAt)
+}
+
+// isOver reports whether the check has a result. The mutex of the links must be held.
+func (k *linkCheck) isOver() bool { return !k.expiresAt.IsZero() }
+
+// begin makes a check the current one. The mutex of the links must be held.
+func (s *serviceLinks) begin(check *linkCheck, now time.Time) {
+	s.check, s.next, check.startedAt = check, nil, now
+}
+
+// runAfter performs a check after the previous one has ended, and not sooner than minCheckInterval after
+// that began.
+func (l *links) runAfter(service, failed string, s *serviceLinks, previous, check *linkCheck) {
+	<-previous.done
+	time.Sleep(time.Until(previous.startedAt.Add(minCheckInterval)))
+	l.mu.Lock()
+	s.begin(check, time.Now())
+	l.mu.Unlock()
+	l.run(service, failed, s, check)
+}
+
 // run performs a check and records its result. If the links went down, those to the other services
 // are checked as well, because requests for them may be rare.
 func (l *links) run(service, failed string, s *serviceLinks, check *linkCheck) {
--- a/proxy/links_test.go
+++ b/proxy/links_test.go
@@ -108,6 +108,61 @@
 	}
 }
 
+// TestOlderCheckVouchesForNoFailure guards against replicas that are blamed for this daemon's links because
+// a check that began before the links failed had reached other workers.
+func TestOlderCheckVouchesForNoFailure(t *testing.T) {
+	const dialTime = 40 * time.Millisecond
+	tests := map[string]struct{ checkedBefore, failsAfter time.Duration }{
+		"a check ended before":              {checkedBefore: 60 * time.Millisecond, failsAfter: 10 * time.Millisecond},
+		"a check ended when the links fail": {checkedBefore: dialTime, failsAfter: time.Millisecond},
+		"a check is under way":              {checkedBefore: 10 * time.Millisecond, failsAfter: 5 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				workers := workersOf(30, 0)
+				var isDown atomic.Bool
+				l := newTestLinks(workers, func(string) (bool, bool) {
+					// The connection is accepted before its opening is known.
+					isOpen := !isDown.Load()
+					time.Sleep(dialTime)
+					return isOpen, false
+				})
+				l.start("models", "models-0", time.Now())
+				time.Sleep(test.checkedBefore)
+				isDown.Store(true)
+				time.Sleep(test.failsAfter)
+				var blamed atomic.Int64
+				for n := range 20 {
+					l.afterCheck(workers[fmt.Sprint("models-", n)], func() { blamed.Add(1) })
+				}
+				assert.Assert(t, !l.verify(t.Context(), workers["models-1"]))
+				l.wait()
+				assert.Equal(t, blamed.Load(), int64(0))
+			})
+		})
+	}
+}
+
+// TestFailuresShareChecks guards against a check for each of many failures.
+func TestFailuresShareChecks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const failures, period = 500, time.Second
+		workers := workersOf(30, 0)
+		var dials atomic.Int64
+		l := newTestLinks(workers, func(string) (bool, bool) {
+			dials.Add(1)
+			return true, false
+		})
+		for range failures {
+			l.afterCheck(workers["models-0"], func() {})
+			time.Sleep(period / failures)
+		}
+		l.wait()
+		assert.Assert(t, dials.Load() <= int64(linkCheckFirst*(period/minCheckInterval+1)), "%d connections", dials.Load())
+	})
+}
+
 // TestLinksComeBack guards against links that stay down after a partition, or that count as up while
 // only few workers are reached.
 func TestLinksComeBack(t *testing.T) {
