formation, serving: Let a leader without links take no worker for gone

Cause: a leader concluded from its own failed calls that workers were gone, without asking whether it reached anybody.

A worker that was not reached is treated as gone only if a check of the links, which begins after the failed call, reaches others of its service; so is a replica that is to be dissolved as broken. Otherwise nothing is concluded until the links are up.

--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -20,9 +20,10 @@
 }
 
 // dissolveBroken dissolves a group that does not serve, unless all members that were lost answer
-// again. Nothing has been announced until then, so that callers can use the group at once.
+// again, or this daemon's own links are down. Nothing has been announced until then, so that callers can
+// use the group at once.
 func (rc *Reconciler) dissolveBroken(ctx context.Context, o *observedGroup) {
-	if rc.hasRecovered(ctx, o) || ctx.Err() != nil {
+	if rc.hasRecovered(ctx, o) || !rc.areLinksUp(ctx, o.head) || ctx.Err() != nil {
 		return
 	}
 	rc.dissolve(ctx, o, o.head)
--- a/formation/options.go
+++ b/formation/options.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"context"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -43,6 +44,10 @@
 	// IsHallOpen reports whether a data hall takes requests. The function is nil if all halls take
 	// requests.
 	IsHallOpen func(hall string) bool
+	// AreLinksUp reports whether this daemon's own links to the workers of a service are up, after a
+	// call to the given worker failed. Only then the worker is treated as gone. The function is nil if
+	// the links are always up.
+	AreLinksUp func(ctx context.Context, failed *fleet.Worker) bool
 	// CheckSuspension is called before each order. If the machine was suspended, it ends the term,
 	// since the leader's state may be outdated. The function is nil if the machine is never
 	// suspended.
--- a/formation/send.go
+++ b/formation/send.go
@@ -40,7 +40,7 @@
 	}
 	rc.opts.Logger.Warn("order not answered", "order", order, "worker", w.ID, "tries", maxAttempts)
 	if _, err := rc.query(ctx, w); ctx.Err() == nil {
-		rc.recordContact(w, contactOf(err), since)
+		rc.recordContact(w, rc.contactOf(ctx, w, err), since)
 	}
 	return StateMismatch, false
 }
--- a/formation/silence.go
+++ b/formation/silence.go
@@ -41,19 +41,28 @@
 	silent
 	// answered means that the worker answered.
 	answered
+	// unknown means that the worker was not reached, but that this daemon's own links are down.
+	unknown
 )
 
-// contactOf returns the outcome of a call that returned err.
-func contactOf(err error) contact {
+// contactOf returns the outcome of a call to a worker that returned err.
+func (rc *Reconciler) contactOf(ctx context.Context, w *fleet.Worker, err error) contact {
 	switch {
 	case err == nil:
 		return answered
 	case errors.Is(err, ErrSilent):
 		return silent
+	case !rc.areLinksUp(ctx, w):
+		return unknown
 	}
 	return unreachable
 }
 
+// areLinksUp reports whether a call to a worker failed although this daemon reaches other workers.
+func (rc *Reconciler) areLinksUp(ctx context.Context, failed *fleet.Worker) bool {
+	return rc.opts.AreLinksUp == nil || rc.opts.AreLinksUp(ctx, failed)
+}
+
 // silence describes a worker that accepts connections but does not answer.
 type silence struct {
 	worker *fleet.Worker
@@ -94,13 +103,13 @@
 // probe queries a worker until it answers or accepts a new connection, at most unresponsiveAttempts
 // times.
 func (rc *Reconciler) probe(ctx context.Context, w *fleet.Worker) contact {
+	var err error
 	for range unresponsiveAttempts {
-		_, err := rc.query(ctx, w)
-		if outcome := contactOf(err); outcome != unreachable {
-			return outcome
+		if _, err = rc.query(ctx, w); err == nil || errors.Is(err, ErrSilent) {
+			break
 		}
 	}
-	return unreachable
+	return rc.contactOf(ctx, w, err)
 }
 
 // recordContact records the outcome of calls to a worker that began at the given time.
@@ -112,6 +121,8 @@
 		rc.markUnresponsive(w.ID)
 	case answered:
 		// The answer has been recorded with the worker's state.
+	case unknown:
+		// Whether the worker is gone will show when the links are up again.
 	}
 }
 
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -90,6 +90,8 @@
 	isListFrozen bool
 	// unreachableByLeader holds the workers that other daemons can reach but leaders cannot.
 	unreachableByLeader map[string]bool
+	// hasNoLinks is set while the leader's links are found to be down.
+	hasNoLinks bool
 	// unreachable holds the workers that no daemon can reach.
 	unreachable map[string]bool
 	// displaced holds the workers whose address is now used by another worker. displacedOrderCount
@@ -180,6 +182,7 @@
 		},
 		OnAnnouncement: func(a fleet.Announcement) { w.inventory.Decide(0, a) },
 		OnOrderOutcome: w.countAttempt,
+		AreLinksUp:     func(context.Context, *fleet.Worker) bool { w.mu.Lock(); defer w.mu.Unlock(); return !w.hasNoLinks },
 		StallTimeout:   6 * time.Second, LoadLimit: simLoadLimit,
 		SmoothedWork: w.smoothed, IsHallOpen: w.isHallOpen,
 		Logger: hclog.NewNullLogger(),
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -233,6 +233,12 @@
 	p.links.afterCheck(failed, report)
 }
 
+// AreLinksUp reports whether this daemon reaches workers of the service of a worker that it did not reach
+// just now. It waits for a check.
+func (p *Proxy) AreLinksUp(ctx context.Context, failed *fleet.Worker) bool {
+	return p.links.verify(ctx, failed)
+}
+
 func (p *Proxy) random() float64 { return rand.Float64() }
 
 // ServeHTTP answers one request.
--- a/serving/lead.go
+++ b/serving/lead.go
@@ -32,7 +32,7 @@
 		OnAnnouncement: func(a fleet.Announcement) { s.inventory.Decide(claim.Term(), a) },
 		SmoothedWork:   s.smoothedDemand.Work, ToleratedHallLosses: s.opts.Bounds.ToleratedHallLosses, HallLossWeight: s.opts.Bounds.HallLossWeight, IsHallOpen: s.isHallOpen,
 		StallTimeout: s.opts.Bounds.StallTimeout, LoadLimit: s.opts.Bounds.LoadLimit,
-		CheckSuspension: s.suspensionWatch.Check, OnOrderOutcome: s.meter.CountOrder, Logger: s.logger.Named("formation"),
+		AreLinksUp: s.proxy.AreLinksUp, CheckSuspension: s.suspensionWatch.Check, OnOrderOutcome: s.meter.CountOrder, Logger: s.logger.Named("formation"),
 	}
 }
 
