proxy: Take back the division of requests where one replica has the lowest wait

Likely, not traced: with many daemons a small lead is usual, and the division counts neither near replicas nor kept connections.

Ruled out: to keep it for small fleets alone, which would hang on a size that nothing justifies.

--- a/proxy/cost.go
+++ b/proxy/cost.go
@@ -65,14 +65,6 @@
 	return c
 }
 
-// noise returns the upper bound of the random time that is added to each predicted wait. It is the
-// wait that the given number of unreported requests adds to a replica. Without noise, all daemons would
-// choose the same replica.
-func (c costs) noise(requests float64, promptTokens int) time.Duration {
-	perRequest := time.Duration(promptTokens)*c.perToken + c.perRequest + c.passTime/noiseDivisor
-	return time.Duration(requests*float64(perRequest)) + c.passTime/noiseDivisor
-}
-
 // predictedWait returns the predicted wait for the first event at a replica with the given numbers
 // of requests in flight and unread prompt tokens.
 func (c costs) predictedWait(inFlight float64, unreadTokens int) time.Duration {
--- a/proxy/tracker.go
+++ b/proxy/tracker.go
@@ -175,16 +175,13 @@
 }
 
 // Choose returns the replica with the lowest cost for a request with the given number of prompt
-// tokens. The cost is the predicted wait, with penalties and random noise. If one replica has by far the
-// lowest cost, the requests of all daemons are divided among several. Excluded replicas are
+// tokens. The cost is the predicted wait, with penalties and random noise. Excluded replicas are
 // skipped. It returns false if no replica is left.
 func (t *Tracker) Choose(replicas []*fleet.Replica, excluded map[string]bool, c costs, promptTokens int, now time.Time) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	unreported := t.unreportedRequests(replicas, now)
-	noise := c.noise(unreported/float64(max(len(replicas), 1)), promptTokens)
+	noise := t.noise(replicas, c, promptTokens, now)
 	var best Choice
-	var lowest shortlist
 	bestCost, found := time.Duration(0), false
 	for _, r := range replicas {
 		if excluded[r.ID] {
@@ -192,7 +189,6 @@
 		}
 		inFlight, cost := t.cost(r, c, now)
 		if !c.isTightlyLimited(r) {
-			lowest.add(Choice{Replica: r, InFlight: inFlight}, cost)
 			cost += c.openingCost(r.Head.ID, inFlight, noise) + time.Duration(rand.Float64()*float64(noise))
 		}
 		if c.preferIdle {
@@ -202,15 +198,13 @@
 			best, bestCost, found = Choice{Replica: r, InFlight: inFlight}, cost, true
 		}
 	}
-	if found && unreported >= 1 && !c.preferIdle && !c.isTightlyLimited(best.Replica) && lowest.hasLeader(noise) {
-		return lowest.draw(c, promptTokens, unreported, rand.Float64()), true
-	}
 	return best, found
 }
 
-// unreportedRequests returns the number of requests for the service and model of the replicas that all
-// daemons are expected to send before peers report them. Each call counts a request.
-func (t *Tracker) unreportedRequests(replicas []*fleet.Replica, now time.Time) float64 {
+// noise returns the upper bound of the random time that is added to each predicted wait. It is the
+// wait that the fleet's requests are expected to add to a replica before peers report them. Without
+// noise, all daemons would choose the same replica. Each call counts a request.
+func (t *Tracker) noise(replicas []*fleet.Replica, c costs, promptTokens int, now time.Time) time.Duration {
 	if len(replicas) == 0 {
 		return 0
 	}
@@ -227,7 +221,9 @@
 	if daemons > 0 {
 		reportAge /= time.Duration(daemons)
 	}
-	return rate * (reportAge + minReportDelay).Seconds()
+	arrivals := rate * (reportAge + minReportDelay).Seconds() / float64(len(replicas))
+	perArrival := time.Duration(promptTokens)*c.perToken + c.perRequest + c.passTime/noiseDivisor
+	return time.Duration(arrivals*float64(perArrival)) + c.passTime/noiseDivisor
 }
 
 // cost returns the number of requests in flight at a replica, over all daemons, and the predicted
