--- a/formation/links_test.go
+++ b/formation/links_test.go
@@ -12,12 +12,11 @@
 // takes apart the replicas that other daemons use.
 func TestLeaderWithoutLinksDissolvesNothing(t *testing.T) {
 	tests := map[string]struct {
-		// checksFirst is set if the links are found to be down before the leader's calls fail. Otherwise the
-		// calls fail first.
-		checksFirst bool
+		// knownFor is how long the links have been known to be down when the leader's calls fail.
+		knownFor time.Duration
 	}{
-		"the check comes first": {checksFirst: true},
-		"the calls fail first":  {},
+		"known before the calls fail": {knownFor: time.Second},
+		"found when the calls fail":   {},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -26,7 +25,9 @@
 				w.pending.Go(func() { w.confirmList(30 * time.Second) })
 				k, _, stop := startServing(w, "big")
 				before := w.openGroups()
-				w.cutLeader(test.checksFirst)
+				w.setNoLinks()
+				time.Sleep(test.knownFor)
+				w.cutLeader()
 				suspectAll(k, before, 4*time.Second)
 				after := w.openGroups()
 				stop()
@@ -42,16 +43,17 @@
 	}
 }
 
-// cutLeader makes all workers unreachable for the leader.
-func (w *world) cutLeader(checksFirst bool) {
+// setNoLinks lets checks find the leader's links down.
+func (w *world) setNoLinks() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.hasNoLinks = true
-	if checksFirst {
-		w.mu.Unlock()
-		time.Sleep(time.Second)
-		w.mu.Lock()
-	}
+}
+
+// cutLeader makes all workers unreachable for the leader.
+func (w *world) cutLeader() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for id := range w.workers {
 		w.unreachableByLeader[id] = true
 	}
