proxy, serving: Show which requests a stop ends, and answer those that have nothing yet

Callers saw connections that closed without a word 7.7 s after a SIGTERM, and the daemon logged 'stopped with requests in flight' without saying which, so that none of the hypotheses in docs/incidents/stopping-daemons.md could be told apart from the logs: handlers log their own end only if they run again before the process is gone.

At the end of the grace the daemon now cancels the requests in flight with a cause of their own and waits for their handlers, for 100 ms at most. Each leaves the line it always leaves ('request refused' or 'stream broken off') with its id, worker, attempts and age, and the reason 'stopping', which the counter of refusals counts too. Those whose callers have received nothing get an answer (502, or a true 503 if they were sent nowhere) instead of a closed connection.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -96,7 +96,9 @@
 	budget         *budget
 	callerTimeouts *callerTimeouts
 	guard          *guard.Guard
-	waitingStreams waitingStreams
+	// inFlight holds the accepted requests that are not answered yet, waitingStreams the streams among
+	// them that have received no event.
+	inFlight, waitingStreams *requestSet
 	// hedges runs the attempts beside silent ones until their answers begin.
 	hedges conc.WaitGroup
 	// startedAt is when this daemon started.
@@ -125,7 +127,7 @@
 	now := time.Now()
 	r := &Proxy{
 		opts: opts, upstream: newUpstream(), peerUpstream: newUpstream(), forwards: newForwards(), budget: newBudget(opts.Budget, now), callerTimeouts: newCallerTimeouts(),
-		startedAt: now, done: make(chan struct{}),
+		inFlight: newRequestSet(), waitingStreams: newRequestSet(), startedAt: now, done: make(chan struct{}),
 	}
 	r.upstream.idleShare, r.upstream.onConnection = r.idleShare, opts.Meter.CountConnection
 	r.upstream.onResend = func() { opts.Meter.CountRetry(reason.RetryResent) }
@@ -141,7 +143,6 @@
 	}
 	r.links = newLinks(r)
 	r.upstream.onSlowConnect = func(w *fleet.Worker) { r.links.start(w.Service, w.ID, time.Now()) }
-	r.waitingStreams.cancels = make(map[*request]context.CancelCauseFunc)
 	r.guard = guard.New(guard.Options{
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return r.upstream.dial(ctx, network, address)
@@ -252,7 +253,9 @@
 		defer c.memory.release()
 	}
 	if refused == nil {
-		defer c.cancel()
+		defer c.cancelCause(nil)
+		p.inFlight.add(c, c.cancelCause)
+		defer p.inFlight.remove(c)
 		if !c.isForwarded {
 			p.budget.addRequest(c.service, c.arrived)
 		}
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"quartzshelf.dev/common/reason"
@@ -16,36 +15,6 @@
 
 var errQuarantined = errors.New("the request ended workers elsewhere meanwhile")
 
-// waitingStreams holds the streams in flight that have received no event yet. It is safe for
-// concurrent use.
-type waitingStreams struct {
-	mu      sync.Mutex
-	cancels map[*request]context.CancelCauseFunc
-}
-
-func (w *waitingStreams) add(c *request, cancel context.CancelCauseFunc) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cancels[c] = cancel
-}
-
-func (w *waitingStreams) remove(c *request) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.cancels, c)
-}
-
-// cancel cancels the waiting streams for which matches returns true.
-func (w *waitingStreams) cancel(matches func(c *request) bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for c, cancel := range w.cancels {
-		if matches(c) {
-			cancel(errQuarantined)
-		}
-	}
-}
-
 // Guard returns the guard against requests that crash their workers.
 func (p *Proxy) Guard() *guard.Guard { return p.guard }
 
@@ -86,14 +55,14 @@
 // quarantine is lifted.
 func (p *Proxy) cancelQuarantined(marked []quarantine.Fingerprint) {
 	for _, f := range marked {
-		p.waitingStreams.cancel(func(c *request) bool { return c.fingerprint() == f })
+		p.waitingStreams.cancel(errQuarantined, func(c *request) bool { return c.fingerprint() == f })
 	}
 }
 
 // cancelQuarantinedParts cancels the waiting streams with newly quarantined parts of prompts.
 func (p *Proxy) cancelQuarantinedParts(marked []quarantine.Fingerprint) {
 	isMarked := func(part quarantine.Part) bool { return slices.Contains(marked, part.Fingerprint) }
-	p.waitingStreams.cancel(func(c *request) bool { return slices.ContainsFunc(c.promptParts(), isMarked) })
+	p.waitingStreams.cancel(errQuarantined, func(c *request) bool { return slices.ContainsFunc(c.promptParts(), isMarked) })
 }
 
 // recordCompletion reports to the guard that a worker completed a request. An answer that is
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -43,6 +43,8 @@
 	waitedBefore time.Duration
 	ctx          context.Context
 	cancel       context.CancelFunc
+	// cancelCause cancels ctx for a given cause.
+	cancelCause context.CancelCauseFunc
 
 	// sends is the number of attempts that may have run at a worker, rejections the number of
 	// attempts that certainly did not run.
@@ -89,8 +91,12 @@
 func (c *request) mayHaveRun() bool { return c.sends > 0 }
 
 // correctStatus sets the status to 502 if the refusal wrongly promises that the request did not
-// run. It also sets a missing cause to the error of the last failed attempt.
+// run. It also sets a missing cause to the error of the last failed attempt, and the reason if the daemon
+// ends.
 func (c *request) correctStatus(f *refusal) *refusal {
+	if c.isEndedByStop() {
+		f.reason = reason.Stopping
+	}
 	if f.cause == nil {
 		f.cause = c.lastErr
 	}
@@ -235,6 +241,7 @@
 		parent = context.WithoutCancel(parent)
 	}
 	c.waitedBefore = p.callerTimeouts.estimateWaited(c.route, c.deadline.Sub(c.arrived), c.arrived)
+	parent, c.cancelCause = context.WithCancelCause(parent)
 	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline)
 }
 
--- a/serving/stop.go
+++ b/serving/stop.go
@@ -15,6 +15,8 @@
 	// acceptMargin is how long stop waits, after it stopped accepting connections, for the server
 	// to start serving the last one.
 	acceptMargin = 100 * time.Millisecond
+	// endMargin is how long requests that are ended may take to answer or break off.
+	endMargin = 100 * time.Millisecond
 )
 
 // stop shuts the daemon down gracefully. It first reports to peers that the daemon is leaving. Then
@@ -39,9 +41,20 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
-		s.logger.Warn("stopped with requests in flight", "error", err)
-		_ = server.Close()
+		s.endRequests(server)
 		return
 	}
 	s.logger.Info("stopped with nothing in flight", "ms", time.Since(start).Milliseconds())
 }
+
+// endRequests ends the requests in flight, waits until they are answered as far as possible, for endMargin
+// at most, and closes all connections of callers.
+func (s *Server) endRequests(server *http.Server) {
+	s.logger.Warn("stopped with requests in flight", "requests", s.proxy.EndRequests())
+	ctx, cancel := context.WithTimeout(context.Background(), endMargin)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		s.logger.Warn("connections of callers closed within answers", "error", err)
+	}
+	_ = server.Close()
+}
