proxy, serving: Accept at a stop only what can be finished

What callers saw: streams that a stopping daemon had read and passed on to a worker ended without a whole answer 7.7 s after its SIGTERM.

Cause: until 3.3 s after the SIGTERM (3.4 s on kept connections) the daemon took every request, whatever time it needed, and at 7.7 s it closed all connections. A request that came at 3.1 s and took 4.9 s was certain to be cut. Class: work is accepted without a look at the time that is left for it.

Now a stopping daemon has a schedule (proxy.Shutdown). While callers may rightly hold its address, it refuses a request only if another daemon is ready and the request likely takes longer than what is left (twice the mean of its route's recent requests). From 2.7 s on, which leaves 0.3 s for a SIGTERM that arrives late, it accepts only what ends in time for certain: by its deadline, or by 1.25 times the longest of 20 or more recent requests of its route. Once no caller may hold the address, nothing is accepted if another daemon is ready. A refusal is a 503 before the request is sent anywhere, with Retry-After 0.05.

The store of callers' timeouts and the one of answer times are one type now, which also keeps the mean (recentdurations.go). A pause in which nothing was recorded for a whole window now empties both windows; before it kept the older one.

Tests: TestStopCutsNoLateRequest (virtual time; five of six kinds of requests failed without the decision, 502 at 7.7 s), the table of TestStoppingDaemonAcceptsWhatItCanFinish, TestRefusedByStopDoesNotRun, TestAnswerTimesAreOfRequestsThatRan.

--- a/proxy/callertimeouts.go
+++ b/proxy/callertimeouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
 	"quartzshelf.dev/common/reason"
@@ -10,9 +9,6 @@
 )
 
 const (
-	// timeoutWindow is the length of the windows in which the longest timeout of a route's callers
-	// is recorded.
-	timeoutWindow = 10 * time.Second
 	// minTimeoutSamples is the number of requests to a route for which the route's own timeout
 	// serves as the estimate of the initial timeout. After that, the longest timeout of its callers
 	// is used.
@@ -23,58 +19,18 @@
 	capacityWaitShare = 0.25
 )
 
-// callerTimeouts estimates the timeout that callers of each route set for their first attempt. A
-// caller that sends a shorter one is assumed to have waited for the difference already, at a failed
-// daemon or after a refusal.
-type callerTimeouts struct {
-	mu     sync.Mutex
-	routes map[string]*routeTimeouts
-}
-
-// routeTimeouts holds the longest timeout of a route's callers in the current and the previous
-// window.
-type routeTimeouts struct {
-	sampleCount              int
-	longest, previousLongest time.Duration
-	windowEnd                time.Time
-}
-
-func newCallerTimeouts() *callerTimeouts {
-	return &callerTimeouts{routes: make(map[string]*routeTimeouts)}
-}
-
-// estimateWaited records a caller's remaining time, and returns the estimated time that the caller
-// waited before this attempt.
-func (t *callerTimeouts) estimateWaited(route *fleet.Route, remaining time.Duration, now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	entry, ok := t.routes[route.Name]
-	if !ok {
-		t.forget(now)
-		entry = &routeTimeouts{windowEnd: now.Add(timeoutWindow)}
-		t.routes[route.Name] = entry
-	}
-	if now.After(entry.windowEnd) {
-		entry.previousLongest, entry.longest, entry.windowEnd = entry.longest, 0, now.Add(timeoutWindow)
-	}
-	entry.sampleCount++
-	entry.longest = max(entry.longest, remaining)
-	initial := max(entry.longest, entry.previousLongest)
-	if entry.sampleCount <= minTimeoutSamples {
+// estimateWaited records a caller's remaining time, and returns the estimated time that the caller waited
+// before this attempt, at a failed daemon or after a refusal. Callers of a route are assumed to set the same
+// timeout for their first attempts, which is the longest one that was seen.
+func estimateWaited(timeouts *routeDurations, route *fleet.Route, remaining time.Duration, now time.Time) time.Duration {
+	seen := timeouts.record(route.Name, remaining, now)
+	initial := seen.stats(now).longest
+	if seen.total <= minTimeoutSamples {
 		initial = route.Timeout
 	}
 	return max(initial-remaining, 0)
 }
 
-// forget deletes routes without recent callers, so that renamed routes don't accumulate.
-func (t *callerTimeouts) forget(now time.Time) {
-	for name, entry := range t.routes {
-		if now.Sub(entry.windowEnd) > timeoutWindow {
-			delete(t.routes, name)
-		}
-	}
-}
-
 // isLate reports whether the route's objective for the first event is already missed. The time is
 // counted from the caller's first attempt.
 func (c *request) isLate(now time.Time) bool {
--- a/proxy/powerreturn_test.go
+++ b/proxy/powerreturn_test.go
@@ -92,27 +92,27 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			p := newCallerTimeouts()
+			p := newRouteDurations()
 			for range test.earlierCallers {
-				p.estimateWaited(route, test.earlierTimeout, now)
+				estimateWaited(p, route, test.earlierTimeout, now)
 			}
 			if test.later > 0 {
 				// Two windows pass.
-				p.estimateWaited(route, test.timeout, now.Add(test.later))
+				estimateWaited(p, route, test.timeout, now.Add(test.later))
 				now := now.Add(2 * test.later)
-				assert.Equal(t, p.estimateWaited(route, test.timeout, now), test.want)
+				assert.Equal(t, estimateWaited(p, route, test.timeout, now), test.want)
 				return
 			}
-			assert.Equal(t, p.estimateWaited(route, test.timeout, now), test.want)
+			assert.Equal(t, estimateWaited(p, route, test.timeout, now), test.want)
 		})
 	}
 }
 
 // TestOldRoutesAreForgotten: routes that were renamed must not accumulate.
 func TestOldRoutesAreForgotten(t *testing.T) {
-	p, now := newCallerTimeouts(), time.Unix(1000, 0)
+	p, now := newRouteDurations(), time.Unix(1000, 0)
 	for i := range 50 {
-		p.estimateWaited(&fleet.Route{Name: fmt.Sprint(i)}, time.Second, now.Add(time.Duration(i)*timeoutWindow))
+		estimateWaited(p, &fleet.Route{Name: fmt.Sprint(i)}, time.Second, now.Add(time.Duration(i)*durationWindow))
 	}
 	assert.Assert(t, len(p.routes) <= 4, "%d routes are held", len(p.routes))
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -79,10 +79,10 @@
 	// a suspension of the machine, it corrects how old the daemon's information is considered to
 	// be. Nil if the machine is never suspended.
 	CheckSuspension func()
-	// IsLeaving reports whether this daemon is shutting down.
-	IsLeaving func() bool
-	Meter     *telemetry.Meter
-	Logger    hclog.Logger
+	// Shutdown returns the schedule by which this daemon stops; nil while it does not.
+	Shutdown func() *Shutdown
+	Meter    *telemetry.Meter
+	Logger   hclog.Logger
 }
 
 // Proxy serves callers. It implements http.Handler.
@@ -90,12 +90,13 @@
 	opts     Options
 	upstream *upstream
 	// peerUpstream manages the connections to peers, forwards the attempts at them.
-	peerUpstream   *upstream
-	forwards       *forwards
-	links          *links
-	budget         *budget
-	callerTimeouts *callerTimeouts
-	guard          *guard.Guard
+	peerUpstream *upstream
+	forwards     *forwards
+	links        *links
+	budget       *budget
+	// callerTimeouts holds the timeouts that callers set, answerTimes how long their requests took.
+	callerTimeouts, answerTimes *routeDurations
+	guard                       *guard.Guard
 	// inFlight holds the accepted requests that are not answered yet, waitingStreams the streams among
 	// them that have received no event.
 	inFlight, waitingStreams *requestSet
@@ -126,7 +127,7 @@
 	}
 	now := time.Now()
 	r := &Proxy{
-		opts: opts, upstream: newUpstream(), peerUpstream: newUpstream(), forwards: newForwards(), budget: newBudget(opts.Budget, now), callerTimeouts: newCallerTimeouts(),
+		opts: opts, upstream: newUpstream(), peerUpstream: newUpstream(), forwards: newForwards(), budget: newBudget(opts.Budget, now), callerTimeouts: newRouteDurations(), answerTimes: newRouteDurations(),
 		inFlight: newRequestSet(), waitingStreams: newRequestSet(), startedAt: now, done: make(chan struct{}),
 	}
 	r.upstream.idleShare, r.upstream.onConnection = r.idleShare, opts.Meter.CountConnection
@@ -245,7 +246,7 @@
 // ServeHTTP answers one request.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, h *http.Request) {
 	p.opts.Meter.CountRequest()
-	if p.opts.IsLeaving() {
+	if p.isShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
 	c, refused := p.accept(h, http.NewResponseController(w))
@@ -256,6 +257,7 @@
 		defer c.cancelCause(nil)
 		p.inFlight.add(c, c.cancelCause)
 		defer p.inFlight.remove(c)
+		defer func() { p.recordAnswerTime(c, refused == nil) }()
 		if !c.isForwarded {
 			p.budget.addRequest(c.service, c.arrived)
 		}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -32,8 +32,8 @@
 		Names: testNames, Config: func() *fleet.Config { return config },
 		ConfigConfirmedAt: func() time.Time { return r.confirmedAt }, MaxConfigAge: time.Minute,
 		View: r.inventory.View, Tracker: NewTracker("", func(*fleet.Replica) {}),
-		Budget:    RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 1000, Daemons: func() int { return 1 }, Share: wholeShare},
-		IsLeaving: func() bool { return r.isLeaving }, Meter: meter, Logger: hclog.NewNullLogger(),
+		Budget:   RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 1000, Daemons: func() int { return 1 }, Share: wholeShare},
+		Shutdown: func() *Shutdown { return r.shutdown }, Meter: meter, Logger: hclog.NewNullLogger(),
 		Peers: r.currentPeers, Dial: r.dialWorker,
 	})
 	r.budget.youngUntil = time.Time{}
@@ -230,7 +230,7 @@
 
 func TestLeavingDaemonClosesConnections(t *testing.T) {
 	r, server := newTestProxy(t, newFakeWorker(t, "w1"))
-	r.isLeaving = true
+	r.shutdown = NewShutdown(time.Now().Add(time.Minute), time.Now().Add(time.Minute), time.Now().Add(time.Hour))
 	request, err := http.NewRequest(http.MethodPost, server.URL+"/open/", nil)
 	assert.NilError(t, err)
 	request.Host = "h"
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -136,6 +136,10 @@
 		return c, refused
 	}
 	p.setCallerDeadlines(controller, c.arrived, route.Timeout)
+	p.setDeadline(c, h)
+	if refused := p.checkShutdown(c); refused != nil {
+		return c, refused
+	}
 	bodyRefusal := p.readBody(c, h, config.Limits())
 	p.clearReadDeadline(controller)
 	if bodyRefusal != nil {
@@ -150,7 +154,7 @@
 		c.promptTokens = promptTokens(h.Header.Get(p.opts.Names.Usage))
 		c.prefix = h.Header.Get(p.opts.Names.Prefix)
 	}
-	p.setDeadline(c, h)
+	p.setContext(c, h)
 	return c, nil
 }
 
@@ -223,8 +227,7 @@
 	return tenant.Name
 }
 
-// setDeadline sets the request's deadline and context. A request that must not be repeated
-// continues after its caller has disconnected.
+// setDeadline sets the request's deadline, which is the earlier one of its route's and its caller's.
 func (p *Proxy) setDeadline(c *request, h *http.Request) {
 	c.deadline = c.arrived.Add(defaultTimeout)
 	if c.route.Timeout > 0 {
@@ -236,11 +239,16 @@
 			c.deadline = callerDeadline
 		}
 	}
+}
+
+// setContext sets the request's context. A request that must not be repeated continues after its caller has
+// disconnected.
+func (p *Proxy) setContext(c *request, h *http.Request) {
 	parent := h.Context()
 	if c.route.Kind == fleet.NonIdempotent {
 		parent = context.WithoutCancel(parent)
 	}
-	c.waitedBefore = p.callerTimeouts.estimateWaited(c.route, c.deadline.Sub(c.arrived), c.arrived)
+	c.waitedBefore = estimateWaited(p.callerTimeouts, c.route, c.deadline.Sub(c.arrived), c.arrived)
 	parent, c.cancelCause = context.WithCancelCause(parent)
 	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline)
 }
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -94,7 +94,7 @@
 		ServeLate: true, View: p.inventory.View, Tracker: NewTracker("", func(*fleet.Replica) {}),
 		Budget:      RetryBudget{Ratio: 0.2, Window: 10 * time.Second, ExtraRetries: 1000, Daemons: func() int { return daemons }, Share: func() float64 { return 1 / float64(daemons) }},
 		NotifyPeers: func() { p.shareQuarantine() },
-		IsLeaving:   func() bool { return false }, Meter: meter, Logger: hclog.NewNullLogger(),
+		Shutdown:    func() *Shutdown { return nil }, Meter: meter, Logger: hclog.NewNullLogger(),
 	})
 	// The daemons have been running for longer than a window of the budget.
 	r.budget.youngUntil = time.Time{}
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -286,7 +286,7 @@
 	*Proxy
 	inventory   *fleet.Inventory
 	confirmedAt time.Time
-	isLeaving   bool
+	shutdown    *Shutdown
 	// peers are the other daemons. isCut reports whether connections to workers are refused.
 	peers atomic.Pointer[[]Peer]
 	isCut atomic.Bool
--- a/serving/entries.go
+++ b/serving/entries.go
@@ -58,7 +58,7 @@
 // that are leaving. Daemons of other halls come first, after this one.
 func (s *Server) entries() []entry {
 	var all []entry
-	if !s.isLeaving.Load() {
+	if !s.isLeaving() {
 		all = append(all, entry{address: s.opts.Self.ServingAddress, hall: s.opts.Self.Zone, isReady: s.isFullyReady()})
 	}
 	alive := s.agent.Table().Alive(time.Now())
--- a/serving/heartbeat.go
+++ b/serving/heartbeat.go
@@ -11,7 +11,7 @@
 // fillHeartbeat sets this daemon's own state in a heartbeat.
 func (s *Server) fillHeartbeat(h *peers.Heartbeat, now time.Time) {
 	s.suspensionWatch.Check()
-	h.Ready, h.Leaving, h.Complete = s.isFullyReady(), s.isLeaving.Load(), s.inventory.IsComplete()
+	h.Ready, h.Leaving, h.Complete = s.isFullyReady(), s.isLeaving(), s.inventory.IsComplete()
 	version, confirmed := s.configCache.State()
 	h.ConfigVersion, h.ConfigAge = version, ageMillis(confirmed, now)
 	h.WorkersPosition, h.WorkersAge = s.inventory.Position(), ageMillis(s.inventory.Confirmed(), now)
--- a/serving/server.go
+++ b/serving/server.go
@@ -62,7 +62,8 @@
 	suspicions *suspicions
 	// smoothedDemand averages the fleet's demand for each model over time.
 	smoothedDemand formation.WorkSmoother
-	isLeaving      atomic.Bool
+	// shutdown is the schedule by which this daemon stops; nil while it does not.
+	shutdown atomic.Pointer[proxy.Shutdown]
 	// membersReadAt is when the member list of the own data hall was first read; nil before.
 	// hasReadAllMembers is set once those of all halls have been read.
 	membersReadAt     atomic.Pointer[time.Time]
@@ -171,7 +172,7 @@
 		NotifyPeers: func() { s.agent.SendHeartbeat(time.Now()) }, IsReplaced: s.isReplaced, OnSignal: s.signals.Observe, Dial: s.opts.DialWorker,
 		DialPeer: s.opts.DialPeer, Peers: s.forwardPeers, OnLinksChanged: func() { s.agent.SendHeartbeat(time.Now()) },
 		CheckSuspension: s.suspensionWatch.Check,
-		IsLeaving:       s.isLeaving.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
+		Shutdown:        s.shutdown.Load, Meter: s.meter, Logger: s.logger.Named("relay"),
 	})
 }
 
@@ -195,7 +196,7 @@
 // if any daemon does.
 func (s *Server) canLead() bool {
 	readAt := s.membersReadAt.Load()
-	return !s.isLeaving.Load() && s.hasState() && s.inventory.IsComplete() && readAt != nil && time.Since(*readAt) > listenPeriod && !s.isWorseLinked()
+	return !s.isLeaving() && s.hasState() && s.inventory.IsComplete() && readAt != nil && time.Since(*readAt) > listenPeriod && !s.isWorseLinked()
 }
 
 // storeLastSeen returns when the configuration or the worker list was last known to be the newest.
@@ -248,9 +249,12 @@
 	return err
 }
 
+// isLeaving reports whether this daemon is about to end.
+func (s *Server) isLeaving() bool { return s.shutdown.Load() != nil }
+
 // IsReady reports whether this daemon can serve callers.
 func (s *Server) IsReady() bool {
-	return s.hasState() && s.hasSettled(time.Now()) && !s.isLeaving.Load() && !s.proxy.IsConfigStale(time.Now()) && !s.proxy.IsCutOff()
+	return s.hasState() && s.hasSettled(time.Now()) && !s.isLeaving() && !s.proxy.IsConfigStale(time.Now()) && !s.proxy.IsCutOff()
 }
 
 // isFullyReady reports whether callers and peers should prefer this daemon to others that are not. It
--- a/serving/server_test.go
+++ b/serving/server_test.go
@@ -13,6 +13,7 @@
 
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/peers"
+	"quartzshelf.dev/proxy"
 )
 
 var errUnavailable = errors.New("away")
@@ -115,7 +116,7 @@
 	longAgo := time.Now().Add(-2 * listenPeriod)
 	s.membersReadAt.Store(&longAgo)
 	assert.Assert(t, s.canLead())
-	s.isLeaving.Store(true)
+	s.shutdown.Store(&proxy.Shutdown{})
 	assert.Assert(t, !s.canLead())
 }
 
@@ -149,8 +150,12 @@
 			want:    []string{"front-a", "front-b"},
 		},
 		"a leaving daemon returns others": {
-			prepare: func(s *Server) { setState(s, time.Now()); s.isLeaving.Store(true); recordPeer(s, "b", true, false) },
-			want:    []string{"front-b"},
+			prepare: func(s *Server) {
+				setState(s, time.Now())
+				s.shutdown.Store(&proxy.Shutdown{})
+				recordPeer(s, "b", true, false)
+			},
+			want: []string{"front-b"},
 		},
 	}
 	for name, test := range tests {
--- a/serving/signals_test.go
+++ b/serving/signals_test.go
@@ -44,6 +44,8 @@
 	// false, the head rejects the request. It may be nil.
 	signal         func(h http.Header, at time.Duration) bool
 	processingTime time.Duration
+	// process, if not nil, processes a request before its response.
+	process func(r *http.Request)
 
 	start  time.Time
 	conns  chan net.Conn
@@ -113,6 +115,9 @@
 		return
 	}
 	time.Sleep(h.processingTime)
+	if h.process != nil {
+		h.process(r)
+	}
 	w.Header().Set(signalHeaders.Signature, h.id)
 	_, _ = io.WriteString(w, "id: 1\ndata: whole\n\n")
 	h.recordLimit(r.RemoteAddr, w.Header())
