common/drain, serving: Keep connections open and read until a stop has ended

What callers saw: 3.4 s after a SIGTERM, requests on kept connections ended with a closed connection and no answer; some of them had been read, and handed to a worker whose answer then found no caller.

Cause: the stop used http.Server.Shutdown, which closes the connections that are idle by its own account. A connection counts as idle until its next head has been read and parsed, so one whose request is being read is closed under it. And while requests were still in flight for seconds, every other connection and the listener were closed already: whoever sent at that moment got a reset in place of an answer. Class: closing a resource that the other side may be using at that moment, by a state that is known late.

Package common/drain counts a connection as busy from the first byte of a head, within the same lock that decides whether another head may be read. It then closes the listener, gives connections that were accepted last 0.1 s, stops reading, and ends when all connections are closed. It no longer polls: a stop ended up to half a second after its work, and a connection on which nothing was ever sent held it for five.

What is left to the kernel: connections that it has accepted and the daemon has not, and requests on their way, when the process ends.

Ruled out: that a pause before closing is enough.

--- a/common/headlimit/server.go
+++ b/common/headlimit/server.go
@@ -79,6 +79,9 @@
 	return n, err
 }
 
+// NetConn returns the connection whose reads are limited.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side, by which the server ends connections that still receive.
 func (c *conn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/serving/server.go
+++ b/serving/server.go
@@ -12,6 +12,7 @@
 
 	"quartzshelf.dev/allowance"
 	"quartzshelf.dev/backpressure"
+	"quartzshelf.dev/common/drain"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/headlimit"
 	"quartzshelf.dev/common/suspension"
@@ -218,6 +219,7 @@
 	server := headlimit.NewServer(s.proxy, headerTimeout)
 	server.IdleTimeout = idleTimeout
 	server.ErrorLog = s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+	conns := drain.Track(server.Server)
 	var tasks conc.WaitGroup
 	tasks.Go(func() { s.follower.Run(running) })
 	tasks.Go(func() { s.agent.Run(running) })
@@ -236,11 +238,11 @@
 	tasks.Go(func() { s.serveMetrics(running) })
 	tasks.Go(func() { s.logStart(running) })
 	stopped := make(chan error, 1)
-	tasks.Go(func() { stopped <- server.Serve(front) })
+	tasks.Go(func() { stopped <- server.Serve(conns.Listener(front)) })
 	var err error
 	select {
 	case <-ctx.Done():
-		s.stop(server.Server, front)
+		s.stop(server.Server, conns, front)
 	case err = <-stopped:
 		err = failure.Wrap(failure.Unavailable, "serve callers", front.Addr().String(), err)
 	}
--- a/serving/stop.go
+++ b/serving/stop.go
@@ -1,11 +1,11 @@
 package serving
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
 
+	"quartzshelf.dev/common/drain"
 	"quartzshelf.dev/proxy"
 )
 
@@ -18,11 +18,11 @@
 	// graceMargin is the time between the end of the last answer and the time when this process would
 	// be killed.
 	graceMargin = 300 * time.Millisecond
-	// acceptMargin is how long stop waits, after it stopped accepting connections, for the server
-	// to start serving the last one.
+	// quietTime is how long no request must have come before the listener is closed.
+	quietTime = 200 * time.Millisecond
+	// acceptMargin is how long connections that were accepted last, and requests that are ended, may
+	// take to be answered.
 	acceptMargin = 100 * time.Millisecond
-	// endMargin is how long requests that are ended may take to answer or break off.
-	endMargin = 100 * time.Millisecond
 )
 
 // stopSchedule holds the times of a stop.
@@ -43,38 +43,30 @@
 }
 
 // stop shuts the daemon down gracefully. It first reports to peers that the daemon is leaving. Until callers
-// no longer use its address, it serves the requests that it can answer in time. At last it closes the listener
-// and waits for requests in flight.
-func (s *Server) stop(server *http.Server, front net.Listener) {
+// no longer use its address, it serves the requests that it can answer in time. It then refuses new requests if
+// another daemon is ready, but keeps the listener and the connections open until the requests in flight are
+// answered, because a connection that is closed just as a request arrives takes the request with it.
+func (s *Server) stop(server *http.Server, conns *drain.Conns, front net.Listener) {
 	schedule := newStopSchedule(time.Now(), s.opts.Bounds)
 	s.shutdown.Store(proxy.NewShutdown(schedule.bindingFrom, schedule.addressExpiry, schedule.end.Add(-acceptMargin)))
 	s.elector.Yield("the daemon leaves")
 	s.agent.SendHeartbeat(schedule.begin)
 	s.logger.Info("stopping", "until", schedule.end)
 	time.Sleep(time.Until(schedule.addressExpiry))
-	// Shutdown does not wait for a connection that is accepted at the same moment, so the listener
-	// is closed first.
+	isIdle := conns.AwaitIdle(quietTime, schedule.end)
 	_ = front.Close()
-	time.Sleep(acceptMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), schedule.end)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		s.endRequests(server)
-		return
+	if !isIdle {
+		s.logger.Warn("stopped with requests in flight", "requests", s.proxy.EndRequests())
 	}
-	s.logger.Info("stopped with nothing in flight", "ms", time.Since(schedule.begin).Milliseconds())
-}
-
-// endRequests ends the requests in flight, waits until they are answered as far as possible, for endMargin
-// at most, and closes all connections of callers.
-func (s *Server) endRequests(server *http.Server) {
-	s.logger.Warn("stopped with requests in flight", "requests", s.proxy.EndRequests())
-	ctx, cancel := context.WithTimeout(context.Background(), endMargin)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		s.logger.Warn("connections of callers closed within answers", "error", err)
+	time.Sleep(acceptMargin)
+	conns.Seal()
+	if !conns.AwaitClosed(latest(schedule.end, time.Now().Add(acceptMargin))) {
+		s.logger.Warn("connections of callers closed within answers")
 	}
 	_ = server.Close()
+	if isIdle {
+		s.logger.Info("stopped with nothing in flight", "ms", time.Since(schedule.begin).Milliseconds())
+	}
 }
 
 func earliest(a, b time.Time) time.Time {
@@ -83,3 +75,10 @@
 	}
 	return a
 }
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/serving/stop_test.go
+++ b/serving/stop_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/common/drain"
 )
 
 // lateListener is a listener that accepts one connection just as it is closed.
@@ -52,10 +54,11 @@
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusNoContent)
 	})}
-	go func() { _ = server.Serve(front) }()
+	conns := drain.Track(server)
+	go func() { _ = server.Serve(conns.Listener(front)) }()
 	stopped := make(chan struct{})
 	go func() {
-		s.stop(server, front)
+		s.stop(server, conns, front)
 		close(stopped)
 	}()
 	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/serving/stopcalls_test.go
+++ b/serving/stopcalls_test.go
@@ -14,10 +14,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
+	"quartzshelf.dev/common/drain"
 	"quartzshelf.dev/common/headlimit"
+	"quartzshelf.dev/common/proptest"
 )
 
+func TestMain(m *testing.M) { proptest.Main(m) }
+
 const (
 	stopGrace      = 8 * time.Second
 	stopAddressTTL = time.Second
@@ -57,6 +62,21 @@
 	runs              int
 }
 
+func drawStopCalls(rt *rapid.T) []stopCall {
+	phases := []int{-100, 0, 1000, 1300, 2900, 3000, 3300, 3400, 3600, 7600, 7700, 7900}
+	paths, conns := []string{"/safe/", "/once/", "/stream/"}, []connKind{connNew, connUnused, connKept}
+	var calls []stopCall
+	for range rapid.IntRange(1, 12).Draw(rt, "calls") {
+		at := rapid.SampledFrom(phases).Draw(rt, "phase") + rapid.IntRange(-60, 60).Draw(rt, "offset")
+		work := rapid.SampledFrom([]int{1, 100, 300, 1000, 3800, 4400, 4900}).Draw(rt, "work")
+		calls = append(calls, stopCall{
+			at: time.Duration(at) * time.Millisecond, work: time.Duration(work) * time.Millisecond,
+			path: rapid.SampledFrom(paths).Draw(rt, "path"), conn: rapid.SampledFrom(conns).Draw(rt, "conn"),
+		})
+	}
+	return calls
+}
+
 // TestStopCutsNoLateRequest guards against requests that a stopping daemon accepts although it will cut them off.
 func TestStopCutsNoLateRequest(t *testing.T) {
 	const late, work = 3100 * time.Millisecond, 4900 * time.Millisecond
@@ -73,6 +93,16 @@
 	}
 }
 
+// TestStopAnswersWhatItReads guards against connections that a stopping daemon closes under a request.
+func TestStopAnswersWhatItReads(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		calls := drawStopCalls(rt)
+		if problem := runStopCalls(t, calls); problem != "" {
+			rt.Fatalf("%s\ncalls: %+v", problem, calls)
+		}
+	})
+}
+
 // runStopCalls stops a daemon among calls. It returns how a promise was broken, or "".
 func runStopCalls(t *testing.T, calls []stopCall) (problem string) {
 	synctest.Test(t, func(t *testing.T) {
@@ -89,10 +119,11 @@
 		s := newSignalFleet(t, 1, 1, head).daemons[0]
 		s.opts.Bounds.StopGracePeriod, s.opts.Bounds.AddressTTL = stopGrace, stopAddressTTL
 		server, front := headlimit.NewServer(s.proxy, headerTimeout), newPipeListener("front")
+		conns := drain.Track(server.Server)
 		served := make(chan struct{})
 		go func() {
 			defer close(served)
-			_ = server.Serve(front)
+			_ = server.Serve(conns.Listener(front))
 		}()
 		begun := time.Now().Add(stopCallDelay)
 		outcomes := make([]stopOutcome, len(calls))
@@ -101,7 +132,7 @@
 			callers.Go(func() { outcomes[i] = c.send(front, fmt.Sprintf("r%d", i), begun) })
 		}
 		time.Sleep(time.Until(begun))
-		s.stop(server.Server, front)
+		s.stop(server.Server, conns, front)
 		end := time.Since(begun)
 		callers.Wait()
 		<-served
@@ -161,7 +192,7 @@
 // check returns how the promise to one request was broken by a daemon that had stopped at end, or "".
 func (o stopOutcome) check(end time.Duration) string {
 	switch {
-	case o.isUnread && o.sentAt < addressTTLFactor*stopAddressTTL:
+	case o.isUnread && o.sentAt < end-acceptMargin:
 		return fmt.Sprintf("a request sent %s after the stop began was not read, %s before the end", o.sentAt, end-o.sentAt)
 	case o.isUnread, o.isWhole && o.status == http.StatusOK:
 		return ""
