gateway, daemon: Keep callers' connections open until a stop has finished

What callers of the own interface saw: once a stopping daemon refused new requests, it closed its listener and all idle connections at once, while other requests were in flight for seconds. Whoever sent on a kept connection then got a closed connection and a refused one after it, in place of the refusal with its reason. The same cause as in serving (docs/incidents/stopping-daemons.md): a connection is closed by what the server knows of it, while the other side uses it.

The gateway now waits, before it stops, until no request is in flight and none has come for 0.2 s, for as long as it waited for requests in flight before. Its library does not close a connection under a request that was read (it claims idle connections one by one), so nothing else is needed there. Requests that a stopping daemon accepts and then cuts are not found here: it refuses all new ones from one moment on, and waits ten minutes for the others.

TestStopAnswersKeptConnections failed in 2 of 2 runs before (caller 13 of 40: connection refused, 0.65 s after the stop began to refuse), and passes, 4 runs under the race detector.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -123,6 +123,79 @@
 	assert.ErrorContains(t, err, "refused")
 }
 
+// keptCaller sends requests over one connection.
+type keptCaller struct {
+	client  *http.Client
+	address string
+}
+
+// newKeptCaller opens a connection by a first request.
+func newKeptCaller(t *testing.T, address string) *keptCaller {
+	t.Helper()
+	c := &keptCaller{client: &http.Client{Transport: &http.Transport{}}, address: address}
+	t.Cleanup(c.client.CloseIdleConnections)
+	response, err := c.client.Get("http://" + address + "/v1/entries")
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	return c
+}
+
+// complete sends a short completion, which net/http does not repeat.
+func (c *keptCaller) complete() error {
+	body := io.NopCloser(strings.NewReader(`{"model":"demo","prompt":"p","max_tokens":1}`))
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.address+"/v1/completions", body)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer demo-key")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// TestStopAnswersKeptConnections guards against connections that a stopping daemon closes while callers use
+// them and other requests are in flight.
+func TestStopAnswersKeptConnections(t *testing.T) {
+	const callers, interval = 40, 50 * time.Millisecond
+	d := startDaemon(t)
+	address, _ := d.Addresses()
+	var kept []*keptCaller
+	for range callers {
+		kept = append(kept, newKeptCaller(t, address))
+	}
+	body := strings.NewReader(`{"model":"demo","stream":true,"prompt":"p","max_tokens":200}`)
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", body)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer demo-key")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	streamed := make(chan error)
+	go func() {
+		_, err := io.Copy(io.Discard, response.Body)
+		streamed <- err
+	}()
+	go d.Stop()
+	for i, c := range kept {
+		time.Sleep(interval)
+		err := c.complete()
+		select {
+		case err := <-streamed:
+			assert.NilError(t, err)
+			<-d.Done()
+			return
+		default:
+			assert.NilError(t, err, "caller %d", i)
+		}
+	}
+	assert.NilError(t, <-streamed)
+	<-d.Done()
+}
+
 // TestKilledDaemonLeavesNothingRunning checks that Kill stops the background tasks.
 func TestKilledDaemonLeavesNothingRunning(t *testing.T) {
 	d := startDaemon(t)
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -19,8 +19,8 @@
 
 // Stop stops the daemon and lets requests in flight finish, for inflightTimeout at most. It
 // announces that the daemon is leaving, waits until others own its domains, for handOverTimeout at
-// most, and serves until no caller can hold its address any more. It then refuses new requests,
-// finishes those in flight, and closes the ports.
+// most, and serves until no caller can hold its address any more. It then refuses new requests, but
+// keeps all connections open until those in flight are finished, and closes the ports.
 func (d *Daemon) Stop() {
 	defer close(d.done)
 	hasOthers := len(d.stayingMembers()) > 1
@@ -35,7 +35,9 @@
 	time.Sleep(time.Until(serveUntil))
 	d.readiness.setStopping()
 	d.logger.Info("finishing requests in flight", "requests", d.gateway.InFlight().Total())
-	if err := d.gateway.Stop(inflightTimeout); err != nil {
+	inflightDeadline := time.Now().Add(inflightTimeout)
+	d.gateway.Drain(inflightDeadline)
+	if err := d.gateway.Stop(max(time.Until(inflightDeadline), 0)); err != nil {
 		d.logger.Error("requests in flight were cut off", "error", err)
 	}
 	d.agent.Table().Leave()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -98,7 +99,9 @@
 	rests *backpressure.RestPeriods
 	// decisions holds the most recent routing decisions by request ID.
 	decisions *lru.Cache[string, Decision]
-	done      chan struct{}
+	// lastRequestAt is when the last request arrived, in nanoseconds since the Unix epoch.
+	lastRequestAt atomic.Int64
+	done          chan struct{}
 }
 
 // New returns a gateway. Call Serve to accept requests.
@@ -133,6 +136,28 @@
 	return failure.Wrap(failure.Unavailable, "serve callers", l.Addr().String(), err)
 }
 
+const (
+	// quietTime is how long no request must have come before a gateway stops.
+	quietTime         = 200 * time.Millisecond
+	drainPollInterval = 20 * time.Millisecond
+)
+
+// Drain waits until no request is in flight and none has come for quietTime. It reports whether that is so by
+// the deadline. Requests that come meanwhile are still answered, so ClosedState should refuse them.
+func (g *Gateway) Drain(deadline time.Time) bool {
+	for {
+		now := time.Now()
+		quietAt := time.Unix(0, g.lastRequestAt.Load()).Add(quietTime)
+		switch {
+		case g.inFlight.Total() == 0 && !now.Before(quietAt):
+			return true
+		case !now.Before(deadline):
+			return false
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // Stop closes the listener, waits up to timeout for requests in flight, and closes the remaining
 // connections of callers. It then closes the idle connections to endpoints and waits for the
 // quarantine's running checks of endpoints.
@@ -152,6 +177,7 @@
 		UnescapePath:          false,
 	})
 	app.Use(func(c *fiber.Ctx) error {
+		g.lastRequestAt.Store(time.Now().UnixNano())
 		if g.opts.IsLeaving() {
 			c.Context().SetConnectionClose()
 		}
