--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	scripts/faults
 
 # soak runs random faults against real daemons. It draws seeds and prints them; replay one with
-# SEEDS=n make soak. Add HALLS=, CRASHING=, PARTS=, DRILLS=, REBORN=, ASKING= or PAUSING= to leave out the
+# SEEDS=n make soak. Add HALLS=, CRASHING=, PARTS=, DRILLS=, REBORN=, ASKING=, PAUSING= or STOPPING= to leave out the
 # faults of that kind, if the seed was drawn without them.
 HALLS := --halls
 CRASHING := --crashing
@@ -49,8 +49,9 @@
 REBORN := --reborn
 ASKING := --asking
 PAUSING := --pausing
+STOPPING := --stopping
 soak: build
-	$(SOAK) $(HALLS) $(CRASHING) $(PARTS) $(DRILLS) $(REBORN) $(ASKING) $(PAUSING) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
+	$(SOAK) $(HALLS) $(CRASHING) $(PARTS) $(DRILLS) $(REBORN) $(ASKING) $(PAUSING) $(STOPPING) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
 
 # soak-short is the soak of CI. Workers of seed 4 check fences. Workers that pause answer no
 # reports in seeds 72 and 73; in 74, 76 and 79 they do, or are a quarter of all. soak-again runs the seeds that once
@@ -64,6 +65,7 @@
 	$(SOAK) --reborn --seeds 41,42,43 --parallel 3 --duration 8s
 	$(SOAK) --asking --seeds 51,52,54 --parallel 3 --duration 12s
 	$(SOAK) --pausing --series 0 --seeds 72,73,74,76,79 --parallel 3 --duration 10s
+	$(SOAK) --stopping --series 0 --seeds 81,82,83 --parallel 3 --duration 12s
 	MIXES=half scripts/soak-mixed $(SOAK) --seeds 101,102 --parallel 2 --duration 5s
 
 soak-again: build
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -26,6 +26,8 @@
 	requestPauseSpread = 60 * time.Millisecond
 	minEvents          = 3
 	eventsSpread       = 25
+	// disturbanceMargin is how long before a request a fault excuses its failure.
+	disturbanceMargin = time.Second
 )
 
 // caller sends one request at a time and checks every response.
@@ -134,7 +136,7 @@
 	c.sentCount++
 	r := &call{
 		id: fmt.Sprintf("c%d-%d", c.index, c.sentCount), kind: c.kind, daemon: d,
-		eventCount: minEvents + c.random.IntN(eventsSpread), sentAt: time.Now(),
+		eventCount: c.drawEventCount(), sentAt: time.Now(),
 	}
 	r.incarnation, _ = d.status()
 	tenant := ""
@@ -202,18 +204,20 @@
 	}
 }
 
-// endedOnlyByPause reports whether nothing but a pause of workers can be the cause if a stream ends now
-// without its whole answer. The daemon must wait for paused workers until the stream's deadline.
-func (c *caller) endedOnlyByPause(r *call) bool {
+// endedWithoutExcuse reports whether nothing but a pause of workers or a planned stop of the daemon can be
+// the cause if a stream ends now without its whole answer. The daemon must wait for paused workers until the
+// stream's deadline, and may accept no stream that it cannot finish.
+func (c *caller) endedWithoutExcuse(r *call) bool {
 	isEarly := time.Since(r.sentAt) < requestDeadline
-	return r.kind == standin.Stream && isEarly && c.run.opts.hasOnlyPauses() && c.isUndisturbed(r)
+	since := r.sentAt.Add(-disturbanceMargin)
+	isSound := r.daemon.isUnharmedSince(since) && r.daemon.frontProxy.isHealthySince(since)
+	return r.kind == standin.Stream && isEarly && c.run.opts.excusesNothing() && isSound
 }
 
 // isUndisturbed reports whether the daemon and its front proxy have had no faults since shortly
 // before the request was sent.
 func (c *caller) isUndisturbed(r *call) bool {
-	const margin = time.Second
-	since := r.sentAt.Add(-margin)
+	since := r.sentAt.Add(-disturbanceMargin)
 	return r.daemon.isUndisturbedSince(since) && r.daemon.frontProxy.isHealthySince(since)
 }
 
@@ -232,7 +236,7 @@
 	case http.StatusNotFound:
 		c.checkNotFound(r)
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
-		if c.endedOnlyByPause(r) {
+		if c.endedWithoutExcuse(r) {
 			c.run.ledger.RecordViolation("LOST", "%s at %s was answered with %d after %s", r.id, r.daemon.settings.Name, response.StatusCode, time.Since(r.sentAt))
 		}
 	}
@@ -269,7 +273,7 @@
 	if err != nil {
 		c.currentDaemon = nil
 		c.run.callers.recordOutcome("cut")
-		if c.endedOnlyByPause(r) || c.run.wasFaultFreeAt(r.sentAt) && c.isUndisturbed(r) {
+		if c.endedWithoutExcuse(r) || c.run.wasFaultFreeAt(r.sentAt) && c.isUndisturbed(r) {
 			c.run.ledger.RecordViolation("LOST", "the answer to %s at %s was cut after %s: %v", r.id, r.daemon.settings.Name, time.Since(r.sentAt), err)
 		}
 		return
--- a/soak/pausing.go
+++ b/soak/pausing.go
@@ -73,10 +73,3 @@
 	})
 	r.operator.Publish()
 }
-
-// hasOnlyPauses reports whether the soak injects no faults but pauses of workers. Nothing then excuses
-// a daemon that ends a stream early.
-func (o Options) hasOnlyPauses() bool {
-	hasOthers := o.SeriesCount > 0 || o.CrashingRequest || o.CrashingPart || o.WorkerSignals || o.StoreRestores || o.HallFaults
-	return o.WorkerPauses && !hasOthers
-}
--- a/soak/pausing_test.go
+++ b/soak/pausing_test.go
@@ -14,33 +14,43 @@
 
 // TestStreamsEndedEarlyAreLost checks when a caller records that a daemon ended a stream early.
 func TestStreamsEndedEarlyAreLost(t *testing.T) {
-	onlyPauses := Options{WorkerPauses: true}
+	onlyPauses, onlyStops := Options{WorkerPauses: true}, Options{DaemonStops: true}
 	tests := map[string]struct {
-		opts     Options
-		kind     standin.Kind
-		status   int
-		body     string
-		isCut    bool
-		age      time.Duration
-		link     linkFault
+		opts   Options
+		kind   standin.Kind
+		status int
+		body   string
+		isCut  bool
+		age    time.Duration
+		link   linkFault
+		// daemon is the state of the daemon; nil for one that runs.
+		daemon   *daemon
 		wantLost bool
 	}{
-		"cut":                        {opts: onlyPauses, kind: standin.Stream, status: 200, body: streamBody("q", 1, 2) + "id: 3", isCut: true, wantLost: true},
-		"answered with 502":          {opts: onlyPauses, kind: standin.Stream, status: 502, wantLost: true},
-		"answered with 504":          {opts: onlyPauses, kind: standin.Stream, status: 504, wantLost: true},
-		"whole":                      {opts: onlyPauses, kind: standin.Stream, status: 200, body: streamBody("q", 1, 2, 3)},
-		"refused":                    {opts: onlyPauses, kind: standin.Stream, status: 503},
-		"504 at the deadline":        {opts: onlyPauses, kind: standin.Stream, status: 504, age: requestDeadline},
-		"cut at the deadline":        {opts: onlyPauses, kind: standin.Stream, status: 200, body: streamBody("q", 1), isCut: true, age: requestDeadline},
-		"502 of no stream":           {opts: onlyPauses, kind: standin.Repeatable, status: 502},
-		"502 on a broken link":       {opts: onlyPauses, kind: standin.Stream, status: 502, link: linkSilent},
-		"502 beside other faults":    {opts: Options{WorkerPauses: true, SeriesCount: 1}, kind: standin.Stream, status: 502},
-		"502 beside closed halls":    {opts: Options{WorkerPauses: true, HallFaults: true}, kind: standin.Stream, status: 502},
-		"502 where no workers pause": {opts: Options{}, kind: standin.Stream, status: 502},
+		"cut":                         {opts: onlyPauses, kind: standin.Stream, status: 200, body: streamBody("q", 1, 2) + "id: 3", isCut: true, wantLost: true},
+		"answered with 502":           {opts: onlyPauses, kind: standin.Stream, status: 502, wantLost: true},
+		"answered with 504":           {opts: onlyPauses, kind: standin.Stream, status: 504, wantLost: true},
+		"cut as its daemon stops":     {opts: onlyStops, daemon: &daemon{incarnation: 1, stopping: true}, kind: standin.Stream, status: 200, body: streamBody("q", 1), isCut: true, wantLost: true},
+		"cut as its daemon is killed": {opts: onlyStops, daemon: &daemon{incarnation: 1, disturbedAt: time.Now()}, kind: standin.Stream, status: 200, body: streamBody("q", 1), isCut: true},
+		"refused by a stop":           {opts: onlyStops, daemon: &daemon{incarnation: 1, stopping: true}, kind: standin.Stream, status: 503},
+		"cut by a stop among kills":   {opts: Options{DaemonStops: true, SeriesCount: 1}, daemon: &daemon{incarnation: 1, stopping: true}, kind: standin.Stream, status: 200, body: streamBody("q", 1), isCut: true},
+		"whole":                       {opts: onlyPauses, kind: standin.Stream, status: 200, body: streamBody("q", 1, 2, 3)},
+		"refused":                     {opts: onlyPauses, kind: standin.Stream, status: 503},
+		"504 at the deadline":         {opts: onlyPauses, kind: standin.Stream, status: 504, age: requestDeadline},
+		"cut at the deadline":         {opts: onlyPauses, kind: standin.Stream, status: 200, body: streamBody("q", 1), isCut: true, age: requestDeadline},
+		"502 of no stream":            {opts: onlyPauses, kind: standin.Repeatable, status: 502},
+		"502 on a broken link":        {opts: onlyPauses, kind: standin.Stream, status: 502, link: linkSilent},
+		"502 beside other faults":     {opts: Options{WorkerPauses: true, SeriesCount: 1}, kind: standin.Stream, status: 502},
+		"502 beside closed halls":     {opts: Options{WorkerPauses: true, HallFaults: true}, kind: standin.Stream, status: 502},
+		"502 where no workers pause":  {opts: Options{}, kind: standin.Stream, status: 502},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			d := &daemon{incarnation: 1, command: &exec.Cmd{}, frontProxy: &proxy{fault: test.link}}
+			d := test.daemon
+			if d == nil {
+				d = &daemon{incarnation: 1, command: &exec.Cmd{}}
+			}
+			d.frontProxy = &proxy{fault: test.link}
 			r := &run{opts: test.opts, ledger: standin.NewLedger(), callers: newCallerState(), daemons: []*daemon{d}}
 			response := signedResponse("q", test.status, test.body)
 			if test.isCut {
--- a/soak/process.go
+++ b/soak/process.go
@@ -194,6 +194,14 @@
 	return d.command != nil && !d.frozen && d.disturbedAt.Before(t)
 }
 
+// isUnharmedSince reports whether the daemon has not been killed or frozen since a time. Unlike with
+// isUndisturbedSince, it may have been stopped as planned.
+func (d *daemon) isUnharmedSince(t time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return (d.command != nil || d.stopping) && !d.frozen && d.disturbedAt.Before(t)
+}
+
 // status returns the current incarnation and whether a planned stop was requested.
 func (d *daemon) status() (incarnation int, stopping bool) {
 	d.mu.Lock()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -21,9 +21,11 @@
 // durationRange is the range of a random duration, from shortest to shortest plus spread.
 type durationRange struct{ shortest, spread time.Duration }
 
-// faultDurations are the durations of all faults but pauses of workers, which last for pauseDurations.
+// faultDurations are the durations of all faults but pauses of workers, which last for pauseDurations, and
+// planned stops in series of their own, which last at least for stopDurations.
 var (
 	faultDurations = durationRange{shortest: 300 * time.Millisecond, spread: 4 * time.Second}
+	stopDurations  = durationRange{shortest: 100 * time.Millisecond, spread: time.Second}
 	pauseDurations = durationRange{shortest: 800 * time.Millisecond, spread: 1700 * time.Millisecond}
 )
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,6 +58,9 @@
 	// configuration beside them. Without other faults, the callers report every stream that a daemon
 	// ends before its deadline.
 	WorkerPauses bool
+	// DaemonStops adds planned stops of daemons in concurrent series, and long streams. Without other
+	// faults, the callers report every stream that a daemon ends before its deadline.
+	DaemonStops bool
 	// StoreRestores adds restores of the store from a copy that is seconds old.
 	StoreRestores bool
 	// HallFaults adds faults of data halls, and a second region.
@@ -345,6 +348,11 @@
 	if r.opts.WorkerPauses {
 		series.Go(func() { r.injectFaults(ctx, pauseSchedule(r.opts.Seed, r.opts.Duration), pauseFaults) })
 	}
+	if r.opts.DaemonStops {
+		for i := range stopSeriesCount {
+			series.Go(func() { r.injectFaults(ctx, stopSchedule(r.opts.Seed, i, r.opts.Duration), stopFaults) })
+		}
+	}
 	series.Wait()
 	if !r.awaitRecovery(ctx) {
 		served, total := r.callers.countServed(time.Now().Add(-recoveryWindow))
