proxy: Refuse at a stop what may be cut, from its beginning

Cause: early in a stop a request was refused only if it likely did not fit, by twice the mean of its route's recent requests. Of streams with a long tail some do not fit what is left.

While another daemon is ready, the longest recent request decides now from the beginning, as it did later in the stop already; so one estimate is left, and the mean goes away again.

--- a/proxy/recentdurations.go
+++ b/proxy/recentdurations.go
@@ -8,17 +8,10 @@
 // durationWindow is the length of the windows in which durations are recorded.
 const durationWindow = 10 * time.Second
 
-// durationStats summarizes durations.
-type durationStats struct {
-	count        int
-	sum, longest time.Duration
-}
-
-func (s durationStats) mean() time.Duration { return s.sum / time.Duration(max(s.count, 1)) }
-
 // recentDurations are the durations that were recorded in the current and the previous window.
 type recentDurations struct {
-	current, previous durationStats
+	longest, previousLongest time.Duration
+	count, previousCount     int
 	// total counts all durations that were ever recorded.
 	total     int
 	windowEnd time.Time
@@ -29,28 +22,24 @@
 	if !now.After(r.windowEnd) {
 		return
 	}
-	r.previous = r.current
+	r.previousLongest, r.previousCount = r.longest, r.count
 	if now.After(r.windowEnd.Add(durationWindow)) {
-		r.previous = durationStats{}
+		r.previousLongest, r.previousCount = 0, 0
 	}
-	r.current, r.windowEnd = durationStats{}, now.Add(durationWindow)
+	r.longest, r.count, r.windowEnd = 0, 0, now.Add(durationWindow)
 }
 
 func (r *recentDurations) record(d time.Duration, now time.Time) {
 	r.advance(now)
-	r.current.count++
-	r.current.sum += d
-	r.current.longest = max(r.current.longest, d)
+	r.longest = max(r.longest, d)
+	r.count++
 	r.total++
 }
 
-// stats summarizes the durations of both windows.
-func (r *recentDurations) stats(now time.Time) durationStats {
+// recent returns the longest duration of both windows and the number of durations in them.
+func (r *recentDurations) recent(now time.Time) (longest time.Duration, count int) {
 	r.advance(now)
-	return durationStats{
-		count: r.current.count + r.previous.count, sum: r.current.sum + r.previous.sum,
-		longest: max(r.current.longest, r.previous.longest),
-	}
+	return max(r.longest, r.previousLongest), r.count + r.previousCount
 }
 
 // routeDurations holds recent durations by the name of a route. It is safe for concurrent use.
@@ -77,14 +66,14 @@
 	return *entry
 }
 
-// stats summarizes the recent durations of a route.
-func (r *routeDurations) stats(route string, now time.Time) durationStats {
+// longest returns the longest recent duration of a route and the number of recent ones.
+func (r *routeDurations) longest(route string, now time.Time) (longest time.Duration, count int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if entry, ok := r.routes[route]; ok {
-		return entry.stats(now)
+		return entry.recent(now)
 	}
-	return durationStats{}
+	return 0, 0
 }
 
 // forget deletes routes without recent requests, so that renamed routes don't accumulate.
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -11,10 +11,8 @@
 	// minAnswerSamples is how many recent requests of a route must be known to estimate how long further
 	// ones take.
 	minAnswerSamples = 20
-	// A request likely takes no longer than likelyFactor times the mean of its route's recent requests, and
-	// certainly no longer than certainFactor times the longest of them.
-	likelyFactor  = 2
-	certainFactor = 1.25
+	// answerTimeFactor multiplies the longest of them.
+	answerTimeFactor = 1.25
 )
 
 // Shutdown is the schedule by which a daemon stops serving callers. It decides which requests the daemon
@@ -23,18 +21,17 @@
 	bindingFrom, addressExpiry, lastAnswer time.Time
 }
 
-// NewShutdown returns a schedule. From bindingFrom on, the daemon accepts a request only if it can certainly
-// answer it. addressExpiry is when callers no longer use the daemon's address, lastAnswer when all answers must
-// be complete.
+// NewShutdown returns a schedule. From bindingFrom on, the daemon accepts a request only if it can answer it in
+// time, even if no other daemon is ready. addressExpiry is when callers no longer use the daemon's address,
+// lastAnswer when all answers must be complete.
 func NewShutdown(bindingFrom, addressExpiry, lastAnswer time.Time) *Shutdown {
 	return &Shutdown{bindingFrom: bindingFrom, addressExpiry: addressExpiry, lastAnswer: lastAnswer}
 }
 
 // arrival describes a request that arrives at a stopping daemon.
 type arrival struct {
-	at time.Time
-	// likelyEnd and certainEnd are when the request will have ended.
-	likelyEnd, certainEnd time.Time
+	// endsBy is when the request will have ended.
+	at, endsBy time.Time
 	// hasAlternative reports whether another daemon is ready.
 	hasAlternative bool
 }
@@ -42,11 +39,10 @@
 // accepts reports whether the daemon serves a request. Callers without an alternative lose less by an answer
 // that may be broken off than by a refusal, as long as they rightly use the daemon's address.
 func (s *Shutdown) accepts(a arrival) bool {
-	if a.at.Before(s.bindingFrom) {
-		return !a.hasAlternative || !a.likelyEnd.After(s.lastAnswer)
+	if a.endsBy.After(s.lastAnswer) {
+		return !a.hasAlternative && a.at.Before(s.bindingFrom)
 	}
-	isWanted := a.at.Before(s.addressExpiry) || !a.hasAlternative
-	return isWanted && !a.certainEnd.After(s.lastAnswer)
+	return !a.hasAlternative || a.at.Before(s.addressExpiry)
 }
 
 // isShuttingDown reports whether the daemon is about to end.
@@ -61,18 +57,15 @@
 	return newUnavailable(reason.Stopping, "this daemon is stopping; use another address", retrySoon)
 }
 
-// describeArrival estimates when a request will have ended from its deadline and from recent requests of its
-// route. If few are known, it likely ends at once, and certainly by its deadline.
+// describeArrival estimates when a request will have ended: by its deadline, or earlier if enough recent
+// requests of its route are known.
 func (p *Proxy) describeArrival(c *request) arrival {
-	a := arrival{at: c.arrived, likelyEnd: c.arrived, certainEnd: c.deadline}
+	a := arrival{at: c.arrived, endsBy: c.deadline}
 	a.hasAlternative = slices.ContainsFunc(p.opts.Peers(), func(peer Peer) bool { return peer.IsReady })
-	recent := p.answerTimes.stats(c.route.Name, c.arrived)
-	if recent.count < minAnswerSamples {
-		return a
+	longest, count := p.answerTimes.longest(c.route.Name, c.arrived)
+	if count >= minAnswerSamples {
+		a.endsBy = earlier(c.deadline, c.arrived.Add(time.Duration(answerTimeFactor*float64(longest))))
 	}
-	a.likelyEnd = earlier(c.deadline, c.arrived.Add(likelyFactor*recent.mean()))
-	longest := time.Duration(certainFactor * float64(recent.longest))
-	a.certainEnd = earlier(c.deadline, c.arrived.Add(longest))
 	return a
 }
 
--- a/proxy/shutdown_test.go
+++ b/proxy/shutdown_test.go
@@ -18,9 +18,8 @@
 	const left = 5 * time.Second
 	many, few := minAnswerSamples, minAnswerSamples-1
 	tests := map[string]struct {
-		samples int
-		// Of the samples, one took longest and the others took usual.
-		usual, longest time.Duration
+		samples        int
+		longest        time.Duration
 		timeout        time.Duration
 		isBinding      bool
 		addressExpired bool
@@ -36,21 +35,16 @@
 		"nobody uses the address":              {isBinding: true, timeout: time.Millisecond, addressExpired: true, isRefused: true},
 		"nobody else is ready":                 {isBinding: true, timeout: time.Millisecond, addressExpired: true, isAlone: true},
 		"nobody else is ready, may be cut":     {isBinding: true, timeout: 6 * time.Second, addressExpired: true, isAlone: true, isRefused: true},
-		"early, one was long":                  {timeout: 8 * time.Second, samples: many, usual: time.Second, longest: 8 * time.Second},
-		"early, all are long":                  {timeout: 8 * time.Second, samples: many, usual: 3 * time.Second, isRefused: true},
-		"early, all are long, nobody else":     {timeout: 8 * time.Second, samples: many, usual: 3 * time.Second, isAlone: true},
-		"early, few are known":                 {timeout: 8 * time.Second, samples: few, usual: 3 * time.Second},
+		"early, it may be cut":                 {timeout: 6 * time.Second, isRefused: true},
+		"early, all are short":                 {timeout: 6 * time.Second, samples: many, longest: 3 * time.Second},
+		"early, nobody else is ready":          {timeout: 6 * time.Second, isAlone: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r, _ := newTestProxy(t)
 			now := time.Now()
-			for i := range test.samples {
-				took := test.usual
-				if i == 0 {
-					took = max(test.usual, test.longest)
-				}
-				r.answerTimes.record("route", took, now)
+			for range test.samples {
+				r.answerTimes.record("route", test.longest, now)
 			}
 			bindingFrom, expiry := now.Add(time.Minute), now.Add(time.Minute)
 			if test.isBinding {
@@ -110,13 +104,13 @@
 
 func TestRecentDurations(t *testing.T) {
 	start := time.Unix(1000, 0)
-	both := durationStats{count: 2, sum: 6 * time.Second, longest: 5 * time.Second}
 	tests := map[string]struct {
-		at   time.Duration
-		want durationStats
+		at        time.Duration
+		want      time.Duration
+		wantCount int
 	}{
-		"in the same window":      {at: durationWindow / 2, want: both},
-		"in the next window":      {at: durationWindow + 1, want: both},
+		"in the same window":      {at: durationWindow / 2, want: 5 * time.Second, wantCount: 2},
+		"in the next window":      {at: durationWindow + 1, want: 5 * time.Second, wantCount: 2},
 		"two windows later":       {at: 2*durationWindow + 2},
 		"after a long quiet time": {at: time.Hour},
 	}
@@ -125,7 +119,9 @@
 			r := recentDurations{windowEnd: start.Add(durationWindow)}
 			r.record(5*time.Second, start)
 			r.record(time.Second, start)
-			assert.Equal(t, r.stats(start.Add(test.at)), test.want)
+			got, count := r.recent(start.Add(test.at))
+			assert.Equal(t, got, test.want)
+			assert.Equal(t, count, test.wantCount)
 			assert.Equal(t, r.total, 2)
 		})
 	}
