--- a/common/drain/conn.go
+++ b/common/drain/conn.go
@@ -7,25 +7,6 @@
 	"time"
 )
 
-// listener accepts tracked connections.
-type listener struct {
-	net.Listener
-	conns *Conns
-}
-
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: raw, conns: l.conns}
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	l.conns.open[c] = struct{}{}
-	return c, nil
-}
-
 // conn is a tracked connection. isBusy is guarded by conns.mu.
 type conn struct {
 	net.Conn
--- a/common/drain/conns.go
+++ b/common/drain/conns.go
@@ -36,8 +36,14 @@
 	return cs
 }
 
-// Listener returns a listener that tracks the connections that l accepts.
-func (cs *Conns) Listener(l net.Listener) net.Listener { return listener{Listener: l, conns: cs} }
+// track starts to track a connection.
+func (cs *Conns) track(raw net.Conn) net.Conn {
+	c := &conn{Conn: raw, conns: cs}
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.open[c] = struct{}{}
+	return c
+}
 
 // AwaitIdle waits until no connection has been busy for idleTime. It returns false if that is not so by the
 // deadline. A connection is busy from the first byte of a request until the answer has been written.
--- a/serving/server.go
+++ b/serving/server.go
@@ -212,14 +212,15 @@
 // Done returns a channel that is closed when Run has returned.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
-// Run serves callers on front until ctx ends, then shuts down gracefully.
-func (s *Server) Run(ctx context.Context, front net.Listener) error {
+// Run serves callers on l until ctx ends, then shuts down gracefully.
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	defer close(s.done)
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	server := headlimit.NewServer(s.proxy, headerTimeout)
 	server.IdleTimeout = idleTimeout
 	server.ErrorLog = s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	conns := drain.Track(server.Server)
+	front := conns.Listener(l)
 	var tasks conc.WaitGroup
 	tasks.Go(func() { s.follower.Run(running) })
 	tasks.Go(func() { s.agent.Run(running) })
@@ -238,7 +239,7 @@
 	tasks.Go(func() { s.serveMetrics(running) })
 	tasks.Go(func() { s.logStart(running) })
 	stopped := make(chan error, 1)
-	tasks.Go(func() { stopped <- server.Serve(conns.Listener(front)) })
+	tasks.Go(func() { stopped <- server.Serve(front) })
 	var err error
 	select {
 	case <-ctx.Done():
--- a/serving/stop.go
+++ b/serving/stop.go
@@ -28,8 +28,9 @@
 // stopSchedule holds the times of a stop.
 type stopSchedule struct {
 	begin time.Time
-	// From bindingFrom on, only requests that will certainly be answered are accepted. At addressExpiry, no
-	// caller uses this daemon's address any more. At end, requests still in flight are ended.
+	// From bindingFrom on, only requests that can be answered in time are accepted, even if no other daemon is
+	// ready. At addressExpiry, no caller uses this daemon's address any more. At end, requests still in
+	// flight are ended.
 	bindingFrom, addressExpiry, end time.Time
 }
 
@@ -54,7 +55,9 @@
 	s.logger.Info("stopping", "until", schedule.end)
 	time.Sleep(time.Until(schedule.addressExpiry))
 	isIdle := conns.AwaitIdle(quietTime, schedule.end)
-	_ = front.Close()
+	if err := front.Close(); err != nil {
+		s.logger.Warn("closing the listener for callers failed", "error", err)
+	}
 	if !isIdle {
 		s.logger.Warn("stopped with requests in flight", "requests", s.proxy.EndRequests())
 	}
--- a/serving/stop_test.go
+++ b/serving/stop_test.go
@@ -55,10 +55,11 @@
 		w.WriteHeader(http.StatusNoContent)
 	})}
 	conns := drain.Track(server)
-	go func() { _ = server.Serve(conns.Listener(front)) }()
+	listener := conns.Listener(front)
+	go func() { _ = server.Serve(listener) }()
 	stopped := make(chan struct{})
 	go func() {
-		s.stop(server, conns, front)
+		s.stop(server, conns, listener)
 		close(stopped)
 	}()
 	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/serving/stopcalls_test.go
+++ b/serving/stopcalls_test.go
@@ -120,10 +120,11 @@
 		s.opts.Bounds.StopGracePeriod, s.opts.Bounds.AddressTTL = stopGrace, stopAddressTTL
 		server, front := headlimit.NewServer(s.proxy, headerTimeout), newPipeListener("front")
 		conns := drain.Track(server.Server)
+		listener := conns.Listener(front)
 		served := make(chan struct{})
 		go func() {
 			defer close(served)
-			_ = server.Serve(conns.Listener(front))
+			_ = server.Serve(listener)
 		}()
 		begun := time.Now().Add(stopCallDelay)
 		outcomes := make([]stopOutcome, len(calls))
@@ -132,7 +133,7 @@
 			callers.Go(func() { outcomes[i] = c.send(front, fmt.Sprintf("r%d", i), begun) })
 		}
 		time.Sleep(time.Until(begun))
-		s.stop(server.Server, conns, front)
+		s.stop(server.Server, conns, listener)
 		end := time.Since(begun)
 		callers.Wait()
 		<-served
