soak: Excuse a cut that the end of a stop brings to an early request

The check of the soak of stops was stricter than the users' rule: it counted as LOST a stream that was sent within 3 s after the SIGTERM and cut in the last sixth of the grace. Where no other daemon is ready, such a stream is accepted on purpose, since its caller has nobody else to ask.

Only that case is excused now.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -206,12 +206,12 @@
 
 // endedWithoutExcuse reports whether nothing but a pause of workers or a planned stop of the daemon can be
 // the cause if a stream ends now without its whole answer. The daemon must wait for paused workers until the
-// stream's deadline, and may accept no stream that it cannot finish.
+// stream's deadline, and may cut only streams that were sent early in its stop.
 func (c *caller) endedWithoutExcuse(r *call) bool {
 	isEarly := time.Since(r.sentAt) < requestDeadline
 	since := r.sentAt.Add(-disturbanceMargin)
 	isSound := r.daemon.isUnharmedSince(since) && r.daemon.frontProxy.isHealthySince(since)
-	return r.kind == standin.Stream && isEarly && c.run.opts.excusesNothing() && isSound
+	return r.kind == standin.Stream && isEarly && c.run.opts.excusesNothing() && isSound && !r.daemon.mayHaveCut(r.sentAt)
 }
 
 // isUndisturbed reports whether the daemon and its front proxy have had no faults since shortly
--- a/soak/process.go
+++ b/soak/process.go
@@ -43,6 +43,8 @@
 	// restartDisabled keeps the daemon from being started. frozen is true between SIGSTOP and
 	// SIGCONT. stopping is true after a planned stop was requested.
 	restartDisabled, frozen, stopping bool
+	// stopBeganAt is when the last planned stop was requested.
+	stopBeganAt time.Time
 	// disturbedAt is when the daemon was last killed, frozen or resumed.
 	disturbedAt time.Time
 	// unexpectedExits counts the exits that the soak did not cause.
@@ -169,6 +171,9 @@
 	d.mu.Lock()
 	exited := d.exited
 	running := d.command != nil
+	if running && !d.stopping {
+		d.stopBeganAt = time.Now()
+	}
 	d.stopping = running
 	d.mu.Unlock()
 	if !running {
@@ -202,6 +207,16 @@
 	return (d.command != nil || d.stopping) && !d.frozen && d.disturbedAt.Before(t)
 }
 
+// mayHaveCut reports whether the end of a planned stop excuses an answer that ends now: the stop is nearly over,
+// and the request was sent while callers may have the daemon's address.
+func (d *daemon) mayHaveCut(sentAt time.Time) bool {
+	const addressLifetime = 3 * time.Second
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	isNearlyOver := time.Since(d.stopBeganAt) >= d.settings.StopGracePeriod*5/6
+	return d.stopping && isNearlyOver && !sentAt.After(d.stopBeganAt.Add(addressLifetime))
+}
+
 // status returns the current incarnation and whether a planned stop was requested.
 func (d *daemon) status() (incarnation int, stopping bool) {
 	d.mu.Lock()
