common/drain, proxy, soak: Split what the linter found too complex

No check, table entry or fault changed: the optional series are started by a function of their own, the tests' cases carry what was decided in their loops.

--- a/common/drain/conns_test.go
+++ b/common/drain/conns_test.go
@@ -92,36 +92,34 @@
 
 // TestSealLosesNoRequest guards against connections that close under a request that was read.
 func TestSealLosesNoRequest(t *testing.T) {
+	begun := requestHead[:5]
 	tests := map[string]struct {
-		before     string
-		isAnswered bool
+		// isUsed makes the connection carry an earlier request. before is sent before reading stops, after when
+		// it has stopped.
+		isUsed        bool
+		before, after string
+		isAnswered    bool
 	}{
 		"a request is served":      {before: requestHead, isAnswered: true},
-		"a head has begun":         {before: requestHead[:5], isAnswered: true},
+		"a head has begun":         {before: begun, after: requestHead[len(begun):], isAnswered: true},
 		"nothing was sent":         {},
 		"two were sent at a time":  {before: requestHead + requestHead, isAnswered: true},
-		"one was answered, silent": {before: "answered"},
+		"one was answered, silent": {isUsed: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				conns, l := serve(t)
 				c := l.dial()
-				before := test.before
-				if before == "answered" {
+				if test.isUsed {
 					_, err := io.WriteString(c, requestHead)
 					assert.NilError(t, err)
 					assert.NilError(t, answer(t, c))
-					before = ""
 				}
-				go func() { _, _ = io.WriteString(c, before) }()
+				go func() { _, _ = io.WriteString(c, test.before) }()
 				synctest.Wait()
 				conns.Seal()
-				go func() {
-					if before == requestHead[:5] {
-						_, _ = io.WriteString(c, requestHead[5:])
-					}
-				}()
+				go func() { _, _ = io.WriteString(c, test.after) }()
 				err := answer(t, c)
 				assert.Equal(t, err == nil, test.isAnswered, "%v", err)
 				_ = c.Close()
--- a/proxy/shutdown_test.go
+++ b/proxy/shutdown_test.go
@@ -46,14 +46,7 @@
 			for range test.samples {
 				r.answerTimes.record("route", test.longest, now)
 			}
-			bindingFrom, expiry := now.Add(time.Minute), now.Add(time.Minute)
-			if test.isBinding {
-				bindingFrom = now
-			}
-			if test.addressExpired {
-				expiry = now
-			}
-			r.shutdown = NewShutdown(bindingFrom, expiry, now.Add(left))
+			r.shutdown = NewShutdown(passedOrLater(test.isBinding, now), passedOrLater(test.addressExpired, now), now.Add(left))
 			if !test.isAlone {
 				r.peers.Store(&[]Peer{{ID: "b", IsReady: true}})
 			}
@@ -67,6 +60,14 @@
 	}
 }
 
+// passedOrLater returns a time that has passed, or a later one.
+func passedOrLater(isPassed bool, now time.Time) time.Time {
+	if isPassed {
+		return now
+	}
+	return now.Add(time.Minute)
+}
+
 // TestRefusedByStopDoesNotRun guards against refusals of a stopping daemon that come late or are not true.
 func TestRefusedByStopDoesNotRun(t *testing.T) {
 	w := newFakeWorker(t, "w1")
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -336,6 +336,18 @@
 	for i := range r.opts.SeriesCount {
 		series.Go(func() { r.injectSeries(ctx, i) })
 	}
+	r.startOptionalSeries(ctx, &series)
+	series.Wait()
+	if !r.awaitRecovery(ctx) {
+		served, total := r.callers.countServed(time.Now().Add(-recoveryWindow))
+		r.ledger.RecordViolation("RECOVER", "%d of %d requests are served %s after the last fault", served, total, recoveryTimeout)
+	}
+	r.checkPlannedLeaves(ctx)
+	return ctx.Err()
+}
+
+// startOptionalSeries starts the series of faults that options add.
+func (r *run) startOptionalSeries(ctx context.Context, series *conc.WaitGroup) {
 	if r.opts.HallFaults {
 		series.Go(func() { r.injectFaults(ctx, hallSchedule(r.opts.Seed, r.opts.Duration), hallFaults) })
 	}
@@ -353,13 +365,6 @@
 			series.Go(func() { r.injectFaults(ctx, stopSchedule(r.opts.Seed, i, r.opts.Duration), stopFaults) })
 		}
 	}
-	series.Wait()
-	if !r.awaitRecovery(ctx) {
-		served, total := r.callers.countServed(time.Now().Add(-recoveryWindow))
-		r.ledger.RecordViolation("RECOVER", "%d of %d requests are served %s after the last fault", served, total, recoveryTimeout)
-	}
-	r.checkPlannedLeaves(ctx)
-	return ctx.Err()
 }
 
 // startCallers starts the callers, which send requests until ctx is done.
