soak: Know by the signal, not by the time, who ended a daemon

Cause: the soak excused an exit only if it noticed it within a second of its last signal. It notices after it has read the rest of the daemon's output and waited for the process, which takes longer when processors are short. The same second excused daemons that ended by themselves right after a freeze.

An exit is now the soak's own if it sent SIGKILL to that very process, however late it notices, and only then; planned stops as before. So the check is as strict on ends by themselves at any time, and stricter next to freezes.

--- a/soak/process.go
+++ b/soak/process.go
@@ -40,6 +40,8 @@
 	exited chan struct{}
 	// incarnation is the number of times that the daemon was started.
 	incarnation int
+	// isKilled is true once SIGKILL was sent to the running process.
+	isKilled bool
 	// restartDisabled keeps the daemon from being started. frozen is true between SIGSTOP and
 	// SIGCONT. stopping is true after a planned stop was requested.
 	restartDisabled, frozen, stopping bool
@@ -100,7 +102,7 @@
 		return failure.Wrap(failure.Unavailable, "start daemon", d.settings.Name, err)
 	}
 	d.incarnation++
-	d.command, d.exited, d.stopping, d.frozen = command, make(chan struct{}), false, false
+	d.command, d.exited, d.stopping, d.frozen, d.isKilled = command, make(chan struct{}), false, false, false
 	go d.watch(command, output, d.exited)
 	return nil
 }
@@ -123,7 +125,7 @@
 	// Unexpected exits are detected below, so the exit status is not needed.
 	_ = command.Wait()
 	d.mu.Lock()
-	if !d.stopping && time.Since(d.disturbedAt) > time.Second {
+	if !d.stopping && !d.isKilled {
 		d.unexpectedExits++
 	}
 	d.command = nil
@@ -144,8 +146,9 @@
 	if s != syscall.SIGTERM {
 		d.disturbedAt = time.Now()
 	}
-	// The process may have exited, so the error is ignored.
-	_ = d.command.Process.Signal(s)
+	// If the process has exited already, nobody killed it.
+	err := d.command.Process.Signal(s)
+	d.isKilled = d.isKilled || s == syscall.SIGKILL && err == nil
 }
 
 // kill sends SIGKILL to the running process. If stayDown is true, the daemon is not restarted until
