serving: Say that a stop cut requests only if it did

Cause: the line followed the wait for quiet, which also fails if the last answer was written less than 0.2 s before the end. It now follows the number of requests that were ended, and has the time of the stop, as the line of a stop without cuts does.

--- a/serving/stop.go
+++ b/serving/stop.go
@@ -54,12 +54,13 @@
 	s.agent.SendHeartbeat(schedule.begin)
 	s.logger.Info("stopping", "until", schedule.end)
 	time.Sleep(time.Until(schedule.addressExpiry))
-	isIdle := conns.AwaitIdle(quietTime, schedule.end)
+	ended := 0
+	isQuiet := conns.AwaitIdle(quietTime, schedule.end)
 	if err := front.Close(); err != nil {
 		s.logger.Warn("closing the listener for callers failed", "error", err)
 	}
-	if !isIdle {
-		s.logger.Warn("stopped with requests in flight", "requests", s.proxy.EndRequests())
+	if !isQuiet {
+		ended = s.proxy.EndRequests()
 	}
 	time.Sleep(acceptMargin)
 	conns.Seal()
@@ -67,9 +68,17 @@
 		s.logger.Warn("connections of callers closed within answers")
 	}
 	_ = server.Close()
-	if isIdle {
-		s.logger.Info("stopped with nothing in flight", "ms", time.Since(schedule.begin).Milliseconds())
+	s.logStopped(schedule.begin, ended)
+}
+
+// logStopped logs how a stop ended. ended is the number of requests that it cut or refused at its end.
+func (s *Server) logStopped(begin time.Time, ended int) {
+	took := time.Since(begin).Milliseconds()
+	if ended > 0 {
+		s.logger.Warn("stopped with requests in flight", "requests", ended, "ms", took)
+		return
 	}
+	s.logger.Info("stopped with nothing in flight", "ms", took)
 }
 
 func earliest(a, b time.Time) time.Time {
