serving: Open the test's connections a second before the stop

Traced: net/http closes a connection on which no head has come for 10 s (headerTimeout), which is then at 7.0 s; the stop has no part in it.

--- a/serving/stopcalls_test.go
+++ b/serving/stopcalls_test.go
@@ -26,8 +26,10 @@
 const (
 	stopGrace      = 8 * time.Second
 	stopAddressTTL = time.Second
-	// stopCallDelay is how long before the stop the connections of callers are opened.
-	stopCallDelay = 3 * time.Second
+	// fleetTime is how long before the stop the daemons start, connLead how long before it the connections of
+	// callers are opened.
+	fleetTime = 3 * time.Second
+	connLead  = time.Second
 	// bindingTime is how long after the begin of a stop a daemon may accept requests that it may cut off.
 	bindingTime = addressTTLFactor*stopAddressTTL - addressMargin
 	// refusalTime limits how long a refusal takes in virtual time.
@@ -81,13 +83,13 @@
 func TestStopCutsNoLateRequest(t *testing.T) {
 	const late, work = 3100 * time.Millisecond, 4900 * time.Millisecond
 	tests := map[string]stopCall{
-		"new connection":            {at: late, work: work, path: "/safe/", conn: connNew},
-		"connection opened before":  {at: late, work: work, path: "/safe/", conn: connUnused},
-		"connection used before":    {at: late, work: work, path: "/safe/", conn: connKept},
-		"a stream":                  {at: late, work: work, path: "/stream/", conn: connNew},
-		"it must not run again":     {at: late, work: work, path: "/once/", conn: connNew},
-		"as the promise binds":      {at: bindingTime, work: work, path: "/stream/", conn: connNew},
-		"just before that":          {at: bindingTime - time.Millisecond, work: work, path: "/stream/", conn: connNew},
+		"new connection":           {at: late, work: work, path: "/safe/", conn: connNew},
+		"connection opened before": {at: late, work: work, path: "/safe/", conn: connUnused},
+		"connection used before":   {at: late, work: work, path: "/safe/", conn: connKept},
+		"a stream":                 {at: late, work: work, path: "/stream/", conn: connNew},
+		"it must not run again":    {at: late, work: work, path: "/once/", conn: connNew},
+		"as the promise binds":     {at: bindingTime, work: work, path: "/stream/", conn: connNew},
+		"just before that":         {at: bindingTime - time.Millisecond, work: work, path: "/stream/", conn: connNew},
 	}
 	for name, call := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -130,7 +132,7 @@
 			defer close(served)
 			_ = server.Serve(listener)
 		}()
-		begun := time.Now().Add(stopCallDelay)
+		begun := time.Now().Add(fleetTime)
 		outcomes := make([]stopOutcome, len(calls))
 		var callers sync.WaitGroup
 		for i, c := range calls {
@@ -157,6 +159,7 @@
 // send opens the call's connection, sends the request at its time, and reads the response.
 func (c stopCall) send(front *pipeListener, id string, begun time.Time) (o stopOutcome) {
 	var conn net.Conn
+	time.Sleep(time.Until(begun.Add(-connLead)))
 	if c.conn != connNew {
 		conn, _ = front.dial("caller")
 		defer func() { _ = conn.Close() }()
