proxy: Log how a stopping daemon came to accept or refuse a request

The line of such a stream had its age, but neither when it arrived in the stop nor the estimate by which it was accepted nor whether another daemon was ready, so that the three hypotheses of docs/incidents/estimated-ends.md could not be told apart. Now both lines that end a request have these fields while the daemon stops. No decision changes.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -285,9 +285,10 @@
 	}
 	if c != nil {
 		service, sends, rejections := c.service, c.sends, c.rejections
-		p.opts.Logger.Info("request refused", "request", c.id, "status", f.status, "reason", string(f.reason),
+		fields := []any{"request", c.id, "status", f.status, "reason", string(f.reason),
 			"service", service, "model", c.model, "sends", sends, "rejections", rejections,
-			"ms", time.Since(c.arrived).Milliseconds(), "config", p.configVersion(), "passed_over", f.passedOver, "retry_budget", c.budgetAtRefusal, "fingerprint", c.fingerprintIfKnown(), "error", f.cause)
+			"ms", time.Since(c.arrived).Milliseconds(), "config", p.configVersion(), "passed_over", f.passedOver, "retry_budget", c.budgetAtRefusal, "fingerprint", c.fingerprintIfKnown(), "error", f.cause}
+		p.opts.Logger.Info("request refused", append(fields, p.stopFields(c)...)...)
 	}
 	f.write(w)
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -230,7 +230,7 @@
 
 func TestLeavingDaemonClosesConnections(t *testing.T) {
 	r, server := newTestProxy(t, newFakeWorker(t, "w1"))
-	r.shutdown = NewShutdown(time.Now().Add(time.Minute), time.Now().Add(time.Minute), time.Now().Add(time.Hour))
+	r.shutdown = NewShutdown(time.Now(), time.Now().Add(time.Minute), time.Now().Add(time.Minute), time.Now().Add(time.Hour))
 	request, err := http.NewRequest(http.MethodPost, server.URL+"/open/", nil)
 	assert.NilError(t, err)
 	request.Host = "h"
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -75,6 +75,8 @@
 	lastErr  error
 	chosenAt time.Time
 
+	// stopArrival describes the arrival of the request at this daemon if that was stopping; nil otherwise.
+	stopArrival *arrival
 	// isSuspected reports whether one more crash would quarantine the request.
 	isSuspected bool
 
--- a/proxy/shutdown_test.go
+++ b/proxy/shutdown_test.go
@@ -46,7 +46,7 @@
 			for range test.samples {
 				r.answerTimes.record("route", test.longest, now)
 			}
-			r.shutdown = NewShutdown(passedOrLater(test.isBinding, now), passedOrLater(test.addressExpired, now), now.Add(left))
+			r.shutdown = NewShutdown(now, passedOrLater(test.isBinding, now), passedOrLater(test.addressExpired, now), now.Add(left))
 			if !test.isAlone {
 				r.peers.Store(&[]Peer{{ID: "b", IsReady: true}})
 			}
@@ -72,7 +72,7 @@
 func TestRefusedByStopDoesNotRun(t *testing.T) {
 	w := newFakeWorker(t, "w1")
 	r, server := newTestProxy(t, w)
-	r.shutdown = NewShutdown(time.Now(), time.Now(), time.Now())
+	r.shutdown = NewShutdown(time.Now(), time.Now(), time.Now(), time.Now())
 	got := sendRequest(t, server, "/safe/", "a", nil)
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Assert(t, strings.Contains(got.body, string(reason.Stopping)), got.body)
@@ -127,3 +127,19 @@
 		})
 	}
 }
+
+// TestStopFieldsTellHowARequestWasAccepted guards against requests cut by a stop whose log lines don't tell why
+// they were accepted.
+func TestStopFieldsTellHowARequestWasAccepted(t *testing.T) {
+	r, _ := newTestProxy(t)
+	now := time.Now()
+	c := &request{route: &fleet.Route{Name: "route"}, arrived: now, deadline: now.Add(2 * time.Second)}
+	assert.Equal(t, len(r.stopFields(c)), 0)
+	begin := now.Add(-time.Second)
+	r.shutdown = NewShutdown(begin, now.Add(time.Minute), now.Add(time.Minute), now.Add(time.Minute))
+	assert.DeepEqual(t, r.stopFields(c), []any{"stop_arrived_ms", int64(1000)})
+	assert.Assert(t, r.checkShutdown(c) == nil)
+	assert.DeepEqual(t, r.stopFields(c), []any{
+		"stop_arrived_ms", int64(1000), "stop_expected_ms", int64(3000), "stop_expected_by", "deadline", "stop_others_ready", false,
+	})
+}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -156,9 +156,10 @@
 		return f
 	}
 	p.opts.Meter.CountRefusal(f.reason)
-	p.opts.Logger.Info("stream broken off", "request", c.id, "reason", string(f.reason), "after_event", s.lastEventID,
+	fields := []any{"request", c.id, "reason", string(f.reason), "after_event", s.lastEventID,
 		"sends", c.sends, "retry_budget", c.budgetAtRefusal, "client_gone", s.isClientGone, "ms", time.Since(c.arrived).Milliseconds(),
-		"silent_ms", time.Since(s.lastEventAt).Milliseconds(), "no_hedge", s.silence.refusal, "config_begun", c.configVersion, "config", p.configVersion(), "error", c.lastErr)
+		"silent_ms", time.Since(s.lastEventAt).Milliseconds(), "no_hedge", s.silence.refusal, "config_begun", c.configVersion, "config", p.configVersion(), "error", c.lastErr}
+	p.opts.Logger.Info("stream broken off", append(fields, p.stopFields(c)...)...)
 	panic(http.ErrAbortHandler)
 }
 
--- a/serving/stop.go
+++ b/serving/stop.go
@@ -49,7 +49,7 @@
 // answered, because a connection that is closed just as a request arrives takes the request with it.
 func (s *Server) stop(server *http.Server, conns *drain.Conns, front net.Listener) {
 	schedule := newStopSchedule(time.Now(), s.opts.Bounds)
-	s.shutdown.Store(proxy.NewShutdown(schedule.bindingFrom, schedule.addressExpiry, schedule.end.Add(-acceptMargin)))
+	s.shutdown.Store(proxy.NewShutdown(schedule.begin, schedule.bindingFrom, schedule.addressExpiry, schedule.end.Add(-acceptMargin)))
 	s.elector.Yield("the daemon leaves")
 	s.agent.SendHeartbeat(schedule.begin)
 	s.logger.Info("stopping", "until", schedule.end)
