serving: Play stops among requests that take longer than those before

The route's timeout, 7 s in these plays, is an allowed end: status 504 at the deadline passes, as by the users' rule.

--- a/serving/signals_test.go
+++ b/serving/signals_test.go
@@ -215,14 +215,18 @@
 	Stride: 5, MeanAnswerTokens: 50,
 }
 
-func newSignalConfig() *fleet.Config {
+// signalTimeout is the timeout of the routes of newSignalFleet.
+const signalTimeout = 5 * time.Second
+
+// newSignalConfig returns a configuration whose routes have the given timeout.
+func newSignalConfig(version int64, timeout time.Duration) *fleet.Config {
 	models, plain := []fleet.Target{{Service: "models", Weight: 1}}, []fleet.Target{{Service: "plain", Weight: 1}}
 	return fleet.NewConfig(fleet.Parts{
-		Version: 1,
+		Version: version,
 		Routes: []*fleet.Route{
-			{Host: "h", Prefix: "/stream/", Kind: fleet.Stream, Timeout: 5 * time.Second, MaxAttempts: 2, Resumable: true, Public: true, Targets: models},
-			{Host: "h", Prefix: "/once/", Kind: fleet.NonIdempotent, Timeout: 5 * time.Second, MaxAttempts: 2, Public: true, Targets: plain},
-			{Host: "h", Prefix: "/safe/", Kind: fleet.Idempotent, Timeout: 5 * time.Second, MaxAttempts: 2, Public: true, Targets: plain},
+			{Host: "h", Prefix: "/stream/", Kind: fleet.Stream, Timeout: timeout, MaxAttempts: 2, Resumable: true, Public: true, Targets: models},
+			{Host: "h", Prefix: "/once/", Kind: fleet.NonIdempotent, Timeout: timeout, MaxAttempts: 2, Public: true, Targets: plain},
+			{Host: "h", Prefix: "/safe/", Kind: fleet.Idempotent, Timeout: timeout, MaxAttempts: 2, Public: true, Targets: plain},
 		},
 		Services: []*fleet.Service{{Name: "models", Engine: signalEngine}, {Name: "plain"}},
 	})
@@ -316,7 +320,7 @@
 // daemons, and starts the tasks that are needed to route requests.
 func (f *signalFleet) startTasks(ctx context.Context, tasks *conc.WaitGroup, s *Server) {
 	now := time.Now()
-	s.configCache.Offer(newSignalConfig(), now)
+	s.configCache.Offer(newSignalConfig(1, signalTimeout), now)
 	var changes []fleet.Change
 	for id := range f.heads {
 		plain := id + "-plain"
--- a/serving/stopcalls_test.go
+++ b/serving/stopcalls_test.go
@@ -28,12 +28,19 @@
 	stopAddressTTL = time.Second
 	// fleetTime is how long before the stop the daemons start, connLead how long before it the connections of
 	// callers are opened.
-	fleetTime = 3 * time.Second
+	fleetTime = 10 * time.Second
 	connLead  = time.Second
 	// bindingTime is how long after the begin of a stop a daemon may accept requests that it may cut off.
 	bindingTime = addressTTLFactor*stopAddressTTL - addressMargin
 	// refusalTime limits how long a refusal takes in virtual time.
 	refusalTime = 10 * time.Millisecond
+	// historyCount is the number of requests on each route before the stop. The first is sent historyLead before
+	// it, each of the others historyInterval after the one before.
+	historyCount    = 24
+	historyLead     = 9500 * time.Millisecond
+	historyInterval = 300 * time.Millisecond
+	// stopTimeout is the timeout of all routes.
+	stopTimeout = 7 * time.Second
 	workHeader  = "X-Work"
 )
 
@@ -54,26 +61,50 @@
 	at, work time.Duration
 	path     string
 	conn     connKind
+	// bodyDelay is how long after the head of the request its body is sent.
+	bodyDelay time.Duration
 }
 
-// stopOutcome is what the caller of a stopCall saw. Times count from the begin of the stop.
+// stopPlay is a stop of one daemon.
+type stopPlay struct {
+	// daemons is how many are ready when the stop begins.
+	daemons int
+	// history is how long each of historyCount requests on each route took before the stop; zero for none.
+	history time.Duration
+	calls   []stopCall
+}
+
+// stopOutcome is what the caller of a stopCall saw. Times count from the begin of the stop; sentAt is when the
+// whole request was sent.
 type stopOutcome struct {
-	isUnread, isWhole bool
-	status            int
-	sentAt, endedAt   time.Duration
-	runs              int
+	isUnread, isWhole           bool
+	status                      int
+	headSentAt, sentAt, endedAt time.Duration
+	runs                        int
+}
+
+var stopPaths = []string{"/safe/", "/once/", "/stream/"}
+
+// drawStopPlay draws a stop whose requests take as long as those before it, or longer.
+func drawStopPlay(rt *rapid.T) stopPlay {
+	return stopPlay{
+		daemons: rapid.IntRange(1, 2).Draw(rt, "daemons"),
+		history: time.Duration(rapid.SampledFrom([]int{0, 1, 300, 2000}).Draw(rt, "history")) * time.Millisecond,
+		calls:   drawStopCalls(rt),
+	}
 }
 
 func drawStopCalls(rt *rapid.T) []stopCall {
 	phases := []int{-100, 0, 1000, 1300, 2700, 2900, 3000, 3300, 3400, 3600, 7600, 7700, 7900}
-	paths, conns := []string{"/safe/", "/once/", "/stream/"}, []connKind{connNew, connUnused, connKept}
+	conns := []connKind{connNew, connUnused, connKept}
 	var calls []stopCall
 	for range rapid.IntRange(1, 12).Draw(rt, "calls") {
 		at := rapid.SampledFrom(phases).Draw(rt, "phase") + rapid.IntRange(-60, 60).Draw(rt, "offset")
-		work := rapid.SampledFrom([]int{1, 100, 300, 1000, 3800, 4400, 4900}).Draw(rt, "work")
+		work := rapid.SampledFrom([]int{1, 100, 300, 1000, 3800, 4400, 4900, 6500}).Draw(rt, "work")
 		calls = append(calls, stopCall{
 			at: time.Duration(at) * time.Millisecond, work: time.Duration(work) * time.Millisecond,
-			path: rapid.SampledFrom(paths).Draw(rt, "path"), conn: rapid.SampledFrom(conns).Draw(rt, "conn"),
+			path: rapid.SampledFrom(stopPaths).Draw(rt, "path"), conn: rapid.SampledFrom(conns).Draw(rt, "conn"),
+			bodyDelay: time.Duration(rapid.SampledFrom([]int{0, 0, 0, 50, 700, 2500}).Draw(rt, "bodyDelay")) * time.Millisecond,
 		})
 	}
 	return calls
@@ -93,8 +124,33 @@
 	}
 	for name, call := range tests {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, runStopCalls(t, 1, []stopCall{call}), "", "it is alone")
-			assert.Equal(t, runStopCalls(t, 2, []stopCall{call}), "", "another daemon is ready")
+			calls := []stopCall{call}
+			assert.Equal(t, runStopPlay(t, stopPlay{daemons: 1, calls: calls}), "", "it is alone")
+			assert.Equal(t, runStopPlay(t, stopPlay{daemons: 2, calls: calls}), "", "another daemon is ready")
+		})
+	}
+}
+
+// TestStopCutsNoRequestLongerThanOthers guards against requests that a stopping daemon accepts because earlier
+// ones were short, and cuts off because they are longer.
+func TestStopCutsNoRequestLongerThanOthers(t *testing.T) {
+	const history, work = 300 * time.Millisecond, 5500 * time.Millisecond
+	inFlight := stopCall{at: 2 * time.Second, work: 5 * time.Second, path: "/once/", conn: connNew}
+	tests := map[string]stopPlay{
+		"a late stream":                       {daemons: 2, calls: []stopCall{{at: 3100 * time.Millisecond, path: "/stream/"}}},
+		"a late request":                      {daemons: 2, calls: []stopCall{{at: 3100 * time.Millisecond, path: "/once/"}}},
+		"an early stream, others are ready":   {daemons: 2, calls: []stopCall{{at: 2500 * time.Millisecond, path: "/stream/"}}},
+		"nobody else is ready":                {daemons: 1, calls: []stopCall{{at: 5 * time.Second, path: "/stream/"}, inFlight}},
+		"nobody else is ready, as it binds":   {daemons: 1, calls: []stopCall{{at: bindingTime, path: "/stream/"}}},
+		"its body comes late":                 {daemons: 2, calls: []stopCall{{at: 2 * time.Second, bodyDelay: 1500 * time.Millisecond, path: "/safe/"}}},
+		"its body comes late, it is alone":    {daemons: 1, calls: []stopCall{{at: 2 * time.Second, bodyDelay: 1500 * time.Millisecond, path: "/safe/"}}},
+		"its head came before, its body late": {daemons: 2, calls: []stopCall{{at: -100 * time.Millisecond, bodyDelay: 2200 * time.Millisecond, path: "/safe/"}}},
+	}
+	for name, play := range tests {
+		t.Run(name, func(t *testing.T) {
+			play.history = history
+			play.calls[0].work, play.calls[0].conn = work, connKept
+			assert.Equal(t, runStopPlay(t, play), "")
 		})
 	}
 }
@@ -102,19 +158,22 @@
 // TestStopAnswersWhatItReads guards against connections that a stopping daemon closes under a request.
 func TestStopAnswersWhatItReads(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		daemons, calls := rapid.IntRange(1, 2).Draw(rt, "daemons"), drawStopCalls(rt)
-		if problem := runStopCalls(t, daemons, calls); problem != "" {
-			rt.Fatalf("%s\n%d daemons, calls: %+v", problem, daemons, calls)
+		play := drawStopPlay(rt)
+		if problem := runStopPlay(t, play); problem != "" {
+			rt.Fatalf("%s\n%+v", problem, play)
 		}
 	})
 }
 
-// runStopCalls stops one of the daemons among calls to it. It returns how a promise was broken, or "".
-func runStopCalls(t *testing.T, daemons int, calls []stopCall) (problem string) {
+// runStopPlay stops one of the daemons among calls to it. It returns how a promise was broken, or "".
+func runStopPlay(t *testing.T, play stopPlay) (problem string) {
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
+		var working sync.WaitGroup
 		runs := make(map[string]int)
 		head := &signalHead{id: "head", process: func(r *http.Request) {
+			working.Add(1)
+			defer working.Done()
 			mu.Lock()
 			runs[r.Header.Get(signalHeaders.AttemptID)]++
 			mu.Unlock()
@@ -122,7 +181,8 @@
 			assert.Check(t, err)
 			time.Sleep(work)
 		}}
-		s := newSignalFleet(t, 1, daemons, head).daemons[0]
+		s := newSignalFleet(t, 1, play.daemons, head).daemons[0]
+		s.configCache.Offer(newSignalConfig(2, stopTimeout), time.Now())
 		s.opts.Bounds.StopGracePeriod, s.opts.Bounds.AddressTTL = stopGrace, stopAddressTTL
 		server, front := headlimit.NewServer(s.proxy, headerTimeout), newPipeListener("front")
 		conns := drain.Track(server.Server)
@@ -133,18 +193,20 @@
 			_ = server.Serve(listener)
 		}()
 		begun := time.Now().Add(fleetTime)
-		outcomes := make([]stopOutcome, len(calls))
+		outcomes := make([]stopOutcome, len(play.calls))
 		var callers sync.WaitGroup
-		for i, c := range calls {
+		play.sendHistory(front, &callers, begun)
+		for i, c := range play.calls {
 			callers.Go(func() { outcomes[i] = c.send(front, fmt.Sprintf("r%d", i), begun) })
 		}
 		time.Sleep(time.Until(begun))
 		s.stop(server.Server, conns, listener)
 		end := time.Since(begun)
 		callers.Wait()
+		working.Wait()
 		<-served
 		mayCutUntil := bindingTime
-		if daemons > 1 {
+		if play.daemons > 1 {
 			mayCutUntil = 0
 		}
 		for i := range outcomes {
@@ -156,19 +218,32 @@
 	return problem
 }
 
+// sendHistory sends the requests before the stop. callers waits for them.
+func (p stopPlay) sendHistory(front *pipeListener, callers *sync.WaitGroup, begun time.Time) {
+	if p.history == 0 {
+		return
+	}
+	for _, path := range stopPaths {
+		for i := range historyCount {
+			c := stopCall{at: -historyLead + time.Duration(i)*historyInterval, work: p.history, path: path, conn: connNew}
+			callers.Go(func() { c.send(front, fmt.Sprintf("history%s%d", path, i), begun) })
+		}
+	}
+}
+
 // send opens the call's connection, sends the request at its time, and reads the response.
 func (c stopCall) send(front *pipeListener, id string, begun time.Time) (o stopOutcome) {
 	var conn net.Conn
-	time.Sleep(time.Until(begun.Add(-connLead)))
 	if c.conn != connNew {
+		time.Sleep(time.Until(begun.Add(-connLead)))
 		conn, _ = front.dial("caller")
 		defer func() { _ = conn.Close() }()
 	}
 	if c.conn == connKept {
-		o.exchange(conn, "/safe/", id+"-first", 0)
+		o.exchange(conn, id+"-first", stopCall{path: "/safe/"})
 	}
 	time.Sleep(time.Until(begun.Add(c.at)))
-	o = stopOutcome{sentAt: time.Since(begun)}
+	o = stopOutcome{headSentAt: time.Since(begun), sentAt: time.Since(begun)}
 	if conn == nil {
 		opened, err := front.dial("caller")
 		if err != nil {
@@ -178,19 +253,28 @@
 		conn = opened
 		defer func() { _ = conn.Close() }()
 	}
-	o.exchange(conn, c.path, id, c.work)
+	o.exchange(conn, id, c)
 	o.endedAt = time.Since(begun)
+	o.sentAt += c.bodyDelay
 	return o
 }
 
-// exchange sends a request and reads its response.
-func (o *stopOutcome) exchange(conn net.Conn, path, id string, work time.Duration) {
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: m\r\n%s: 100,50\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody",
-		path, signalHeaders.AttemptID, id, signalHeaders.Model, signalHeaders.Usage, workHeader, work)
+// exchange sends a request and reads its response. A response may come before the body has been sent.
+func (o *stopOutcome) exchange(conn net.Conn, id string, c stopCall) {
+	const content = "body"
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: m\r\n%s: 100,50\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
+		c.path, signalHeaders.AttemptID, id, signalHeaders.Model, signalHeaders.Usage, workHeader, c.work, len(content))
 	if _, err := io.WriteString(conn, head); err != nil {
 		o.isUnread = true
 		return
 	}
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		time.Sleep(c.bodyDelay)
+		// An error means that the response has come before.
+		_, _ = io.WriteString(conn, content)
+	})
+	defer sending.Wait()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return
@@ -211,6 +295,8 @@
 		return ""
 	case o.isWhole && o.status == http.StatusServiceUnavailable:
 		return o.checkRefused()
+	case o.status == http.StatusGatewayTimeout && o.endedAt-o.headSentAt >= stopTimeout:
+		return ""
 	case o.sentAt < mayCutUntil && o.endedAt >= stopGrace-graceMargin:
 		return ""
 	}
