proxy: Accept at a stop only what its deadline ends in time

Cause: a stopping daemon accepted a request by an estimate, 1.25 times the longest recent answer of its route, and decided once, before the body had come. A request that asks for more than those before it, whose worker has become slower, or whose body takes its time outlives the estimate, and the end of the grace cuts it. Class: work is accepted by a guess, or the decision falls too early.

Ruled out: connections closed under requests and lost connections (the record's lines are those of the cut in the schedule); an early stream that was slow to be passed on is excused by the users' rule and was not reproduced.

Now only the deadline decides, which the daemon enforces itself, and it decides again before a request is sent to a worker, while a refusal is still true and costs little. Without another ready daemon everything is accepted until 2.7 s, as before, because those callers have nobody else to ask; after that the deadline binds them too. A request that was accepted with a fitting deadline is either answered, or ended by that deadline, before the schedule cuts.

Before: seven of eight cases of TestStopCutsNoRequestLongerThanOthers failed.

--- a/proxy/callertimeouts.go
+++ b/proxy/callertimeouts.go
@@ -24,7 +24,7 @@
 // timeout for their first attempts, which is the longest one that was seen.
 func estimateWaited(timeouts *routeDurations, route *fleet.Route, remaining time.Duration, now time.Time) time.Duration {
 	seen := timeouts.record(route.Name, remaining, now)
-	initial, _ := seen.recent(now)
+	initial := seen.recent(now)
 	if seen.total <= minTimeoutSamples {
 		initial = route.Timeout
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -94,9 +94,9 @@
 	forwards     *forwards
 	links        *links
 	budget       *budget
-	// callerTimeouts holds the timeouts that callers set, answerTimes how long their requests took.
-	callerTimeouts, answerTimes *routeDurations
-	guard                       *guard.Guard
+	// callerTimeouts holds the timeouts that callers set.
+	callerTimeouts *routeDurations
+	guard          *guard.Guard
 	// inFlight holds the accepted requests that are not answered yet, waitingStreams the streams among
 	// them that have received no event.
 	inFlight, waitingStreams *requestSet
@@ -127,7 +127,7 @@
 	}
 	now := time.Now()
 	r := &Proxy{
-		opts: opts, upstream: newUpstream(), peerUpstream: newUpstream(), forwards: newForwards(), budget: newBudget(opts.Budget, now), callerTimeouts: newRouteDurations(), answerTimes: newRouteDurations(),
+		opts: opts, upstream: newUpstream(), peerUpstream: newUpstream(), forwards: newForwards(), budget: newBudget(opts.Budget, now), callerTimeouts: newRouteDurations(),
 		inFlight: newRequestSet(), waitingStreams: newRequestSet(), startedAt: now, done: make(chan struct{}),
 	}
 	r.upstream.idleShare, r.upstream.onConnection = r.idleShare, opts.Meter.CountConnection
@@ -257,7 +257,6 @@
 		defer c.cancelCause(nil)
 		p.inFlight.add(c, c.cancelCause)
 		defer p.inFlight.remove(c)
-		defer func() { p.recordAnswerTime(c, refused == nil) }()
 		if !c.isForwarded {
 			p.budget.addRequest(c.service, c.arrived)
 		}
@@ -301,8 +300,13 @@
 }
 
 // choose returns the replica for the next attempt, or a peer if this daemon reaches no worker of the
-// service. It returns a refusal if there is neither.
+// service. It returns a refusal if there is neither, or if the daemon stops and the request has not run yet.
 func (p *Proxy) choose(c *request) (destination, *refusal) {
+	if !c.mayHaveRun() {
+		if refused := p.checkShutdown(c); refused != nil {
+			return destination{}, refused
+		}
+	}
 	return p.chooseWithin(c, eligibility.Excluded)
 }
 
--- a/proxy/recentdurations.go
+++ b/proxy/recentdurations.go
@@ -11,7 +11,6 @@
 // recentDurations are the durations that were recorded in the current and the previous window.
 type recentDurations struct {
 	longest, previousLongest time.Duration
-	count, previousCount     int
 	// total counts all durations that were ever recorded.
 	total     int
 	windowEnd time.Time
@@ -22,24 +21,23 @@
 	if !now.After(r.windowEnd) {
 		return
 	}
-	r.previousLongest, r.previousCount = r.longest, r.count
+	r.previousLongest = r.longest
 	if now.After(r.windowEnd.Add(durationWindow)) {
-		r.previousLongest, r.previousCount = 0, 0
+		r.previousLongest = 0
 	}
-	r.longest, r.count, r.windowEnd = 0, 0, now.Add(durationWindow)
+	r.longest, r.windowEnd = 0, now.Add(durationWindow)
 }
 
 func (r *recentDurations) record(d time.Duration, now time.Time) {
 	r.advance(now)
 	r.longest = max(r.longest, d)
-	r.count++
 	r.total++
 }
 
-// recent returns the longest duration of both windows and the number of durations in them.
-func (r *recentDurations) recent(now time.Time) (longest time.Duration, count int) {
+// recent returns the longest duration of both windows.
+func (r *recentDurations) recent(now time.Time) time.Duration {
 	r.advance(now)
-	return max(r.longest, r.previousLongest), r.count + r.previousCount
+	return max(r.longest, r.previousLongest)
 }
 
 // routeDurations holds recent durations by the name of a route. It is safe for concurrent use.
@@ -66,16 +64,6 @@
 	return *entry
 }
 
-// longest returns the longest recent duration of a route and the number of recent ones.
-func (r *routeDurations) longest(route string, now time.Time) (longest time.Duration, count int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if entry, ok := r.routes[route]; ok {
-		return entry.recent(now)
-	}
-	return 0, 0
-}
-
 // forget deletes routes without recent requests, so that renamed routes don't accumulate.
 func (r *routeDurations) forget(now time.Time) {
 	for name, entry := range r.routes {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -75,8 +75,8 @@
 	lastErr  error
 	chosenAt time.Time
 
-	// stopArrival describes the arrival of the request at this daemon if that was stopping; nil otherwise.
-	stopArrival *arrival
+	// stopCheck is the last check of whether this daemon, which stops, accepts the request; nil if there was none.
+	stopCheck *stopCheck
 	// isSuspected reports whether one more crash would quarantine the request.
 	isSuspected bool
 
