serving, common/drain: Serve no request while the port closes

A stopping daemon closes its port for callers when nothing was in flight for 0.2 s, and stops reading connections 0.1 s later. A request that arrived in between on an open connection was served, for seconds if its body came late, while the port was closed and other connections were no longer read: their requests were lost unread although the process lived on.

TestSealWaitsForRequests fails without the wait.

From the moment before the port closes all requests are refused with a true 503, and connections are sealed in a moment in which none is busy. A refused caller whose body is still on its way can keep the process alive, but nothing that runs. The test's check now counts from the closing of the port, where it counted from the end less 0.1 s, and also demands that nothing is answered by a worker after it: stricter about what is in flight, and the same for what is unread.

--- a/common/drain/conns.go
+++ b/common/drain/conns.go
@@ -51,10 +51,22 @@
 	return cs.await(deadline, func() (at time.Time, isKnown bool) { return cs.idleSince.Add(idleTime), cs.busyCount == 0 })
 }
 
-// Seal stops reading requests: idle connections are closed, and busy ones after their answers.
-func (cs *Conns) Seal() {
+// SealWhenIdle stops reading requests at a moment in which no connection is busy, or at the deadline. Idle
+// connections are closed then, and busy ones after their answers.
+func (cs *Conns) SealWhenIdle(deadline time.Time) {
+	cs.await(deadline, func() (at time.Time, isKnown bool) {
+		if cs.busyCount == 0 {
+			cs.seal()
+		}
+		return time.Time{}, cs.isSealed
+	})
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	cs.seal()
+}
+
+// seal stops reading requests. The caller holds mu.
+func (cs *Conns) seal() {
 	cs.isSealed = true
 	for c := range cs.open {
 		if !c.isBusy {
--- a/common/drain/conns_test.go
+++ b/common/drain/conns_test.go
@@ -118,7 +118,7 @@
 				}
 				go func() { _, _ = io.WriteString(c, test.before) }()
 				synctest.Wait()
-				conns.Seal()
+				conns.SealWhenIdle(time.Now())
 				go func() { _, _ = io.WriteString(c, test.after) }()
 				err := answer(t, c)
 				assert.Equal(t, err == nil, test.isAnswered, "%v", err)
@@ -129,13 +129,39 @@
 	}
 }
 
+// TestSealWaitsForRequests guards against connections that are closed while others have requests in flight.
+func TestSealWaitsForRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conns, l := serve(t)
+		busy, idle := l.dial(), l.dial()
+		_, err := io.WriteString(busy, requestHead)
+		assert.NilError(t, err)
+		synctest.Wait()
+		start, sealed := time.Now(), make(chan struct{})
+		go func() {
+			defer close(sealed)
+			conns.SealWhenIdle(start.Add(time.Minute))
+		}()
+		synctest.Wait()
+		_, err = io.WriteString(idle, requestHead)
+		assert.NilError(t, err)
+		assert.NilError(t, answer(t, busy))
+		assert.NilError(t, answer(t, idle))
+		<-sealed
+		assert.Equal(t, time.Since(start), workTime)
+		assert.NilError(t, busy.Close())
+		assert.NilError(t, idle.Close())
+		assert.Assert(t, conns.AwaitClosed(time.Now().Add(time.Minute)))
+	})
+}
+
 func TestSealedConnectionsReadNoMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		conns, l := serve(t)
 		c := l.dial()
 		_, err := io.WriteString(c, requestHead)
 		assert.NilError(t, err)
-		conns.Seal()
+		conns.SealWhenIdle(time.Now())
 		assert.NilError(t, answer(t, c))
 		_, err = io.WriteString(c, requestHead)
 		assert.ErrorIs(t, err, io.ErrClosedPipe)
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"quartzshelf.dev/common/reason"
@@ -12,6 +13,7 @@
 // nothing about one that asks for more, or whose worker has become slower.
 type Shutdown struct {
 	begin, bindingFrom, addressExpiry, lastAnswer time.Time
+	refusesAll                                    atomic.Bool
 }
 
 // NewShutdown returns a schedule of a stop that starts at begin. From bindingFrom on, the daemon accepts a
@@ -21,6 +23,10 @@
 	return &Shutdown{begin: begin, bindingFrom: bindingFrom, addressExpiry: addressExpiry, lastAnswer: lastAnswer}
 }
 
+// RefuseAll makes the daemon accept no further request. It is called before the ports for callers close, so that
+// no request delays the end of the daemon while others can't reach it.
+func (s *Shutdown) RefuseAll() { s.refusesAll.Store(true) }
+
 // stopCheck describes a request that a stopping daemon may send to a worker.
 type stopCheck struct {
 	// arrived is when the request's head was read, at the time of the check.
@@ -32,6 +38,9 @@
 // accepts reports whether the daemon serves a request. Callers without an alternative lose less by an answer
 // that may be broken off than by a refusal, as long as they rightly use the daemon's address.
 func (s *Shutdown) accepts(c stopCheck) bool {
+	if s.refusesAll.Load() {
+		return false
+	}
 	if c.deadline.After(s.lastAnswer) {
 		return !c.hasAlternative && c.at.Before(s.bindingFrom)
 	}
--- a/serving/stop.go
+++ b/serving/stop.go
@@ -49,13 +49,15 @@
 // answered, because a connection that is closed just as a request arrives takes the request with it.
 func (s *Server) stop(server *http.Server, conns *drain.Conns, front net.Listener) {
 	schedule := newStopSchedule(time.Now(), s.opts.Bounds)
-	s.shutdown.Store(proxy.NewShutdown(schedule.begin, schedule.bindingFrom, schedule.addressExpiry, schedule.end.Add(-acceptMargin)))
+	shutdown := proxy.NewShutdown(schedule.begin, schedule.bindingFrom, schedule.addressExpiry, schedule.end.Add(-acceptMargin))
+	s.shutdown.Store(shutdown)
 	s.elector.Yield("the daemon leaves")
 	s.agent.SendHeartbeat(schedule.begin)
 	s.logger.Info("stopping", "until", schedule.end)
 	time.Sleep(time.Until(schedule.addressExpiry))
 	ended := 0
 	isQuiet := conns.AwaitIdle(quietTime, schedule.end)
+	shutdown.RefuseAll()
 	if err := front.Close(); err != nil {
 		s.logger.Warn("closing the listener for callers failed", "error", err)
 	}
@@ -63,7 +65,7 @@
 		ended = s.proxy.EndRequests()
 	}
 	time.Sleep(acceptMargin)
-	conns.Seal()
+	conns.SealWhenIdle(schedule.end)
 	if !conns.AwaitClosed(latest(schedule.end, time.Now().Add(acceptMargin))) {
 		s.logger.Warn("connections of callers closed within answers")
 	}
--- a/serving/stopcalls_test.go
+++ b/serving/stopcalls_test.go
@@ -200,6 +200,11 @@
 			callers.Go(func() { outcomes[i] = c.send(front, fmt.Sprintf("r%d", i), begun) })
 		}
 		time.Sleep(time.Until(begun))
+		var closedAt time.Duration
+		callers.Go(func() {
+			<-front.closed
+			closedAt = time.Since(begun)
+		})
 		s.stop(server.Server, conns, listener)
 		end := time.Since(begun)
 		callers.Wait()
@@ -211,7 +216,7 @@
 		}
 		for i := range outcomes {
 			outcomes[i].runs = runs[fmt.Sprintf("r%d", i)]
-			problem = cmp.Or(problem, outcomes[i].check(end, mayCutUntil))
+			problem = cmp.Or(problem, outcomes[i].check(closedAt, mayCutUntil))
 		}
 		problem = cmp.Or(problem, checkStopEnd(outcomes, end))
 	})
@@ -285,12 +290,15 @@
 	o.isWhole = err == nil && (o.status != http.StatusOK || strings.Contains(string(body), "whole"))
 }
 
-// check returns how the promise to one request was broken by a daemon that had stopped at end, or "". The end
-// of the grace may cut requests that were sent before mayCutUntil.
-func (o stopOutcome) check(end, mayCutUntil time.Duration) string {
+// check returns how the promise to one request was broken by a daemon that closed its port at closedAt, or "".
+// Until then all requests must be read, and from then on none may be in flight. The end of the grace may cut
+// requests that were sent before mayCutUntil.
+func (o stopOutcome) check(closedAt, mayCutUntil time.Duration) string {
 	switch {
-	case o.isUnread && o.sentAt < end-acceptMargin:
-		return fmt.Sprintf("a request sent %s after the stop began was not read, %s before the end", o.sentAt, end-o.sentAt)
+	case o.isUnread && o.headSentAt < closedAt:
+		return fmt.Sprintf("a request sent %s after the stop began was not read, %s before the port closed", o.headSentAt, closedAt-o.headSentAt)
+	case o.isWhole && o.status == http.StatusOK && o.endedAt > closedAt+acceptMargin:
+		return fmt.Sprintf("a request sent %s after the stop began was answered at %s, although the port closed at %s", o.sentAt, o.endedAt, closedAt)
 	case o.isUnread, o.isWhole && o.status == http.StatusOK:
 		return ""
 	case o.isWhole && o.status == http.StatusServiceUnavailable:
