proxy: Tell callers of a stopping daemon to come back later while no other is ready

A daemon that stops without another ready one refused with a Retry-After of 0.05 s and the advice to use another address. Its callers spent their retries in that moment, at daemons that stopped too. Daemons that are replaced are back within seconds, so that the refusal now names 2 s; callers wait no longer than their own time allows.

The case in TestStoppingDaemonAcceptsWhatItCanFinish fails before.

--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -15,6 +15,9 @@
 	retrySoon       = 50 * time.Millisecond
 	retryBusy       = 300 * time.Millisecond
 	retryUninformed = 500 * time.Millisecond
+	// retryNoDaemon is the retry time while no daemon is ready. Daemons that are replaced are back within a few
+	// seconds.
+	retryNoDaemon = 2 * time.Second
 	// retryClosed is the retry time when an operator's setting excludes all replicas. Such settings
 	// seldom change within a second.
 	retryClosed = time.Second
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -63,6 +63,9 @@
 	if s.accepts(check) {
 		return nil
 	}
+	if !check.hasAlternative {
+		return newUnavailable(reason.Stopping, "this daemon is stopping and no other is ready", retryNoDaemon)
+	}
 	return newUnavailable(reason.Stopping, "this daemon is stopping; use another address", retrySoon)
 }
 
--- a/proxy/shutdown_test.go
+++ b/proxy/shutdown_test.go
@@ -46,7 +46,9 @@
 			refused := r.checkShutdown(c)
 			assert.Equal(t, refused != nil, test.isRefused)
 			if refused != nil {
-				assert.Assert(t, refused.promisesNotRun() && refused.retryAfter > 0)
+				assert.Assert(t, refused.promisesNotRun())
+				assert.Equal(t, refused.retryAfter == retryNoDaemon, test.isAlone, "%s", refused.retryAfter)
+				assert.Assert(t, refused.retryAfter > 0)
 			}
 		})
 	}
