proxy: Count and log a hedge that takes over from a broken attempt

Only a hedge that took over from a silent attempt was counted. TestHedgeAfterCrashIsCounted fails before.

--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"quartzshelf.dev/fleet"
 )
@@ -71,6 +73,33 @@
 	})
 }
 
+// TestHedgeAfterCrashIsCounted guards against hedges that take over from a broken attempt uncounted.
+func TestHedgeAfterCrashIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var goesOn atomic.Bool
+		isStalled := func() bool { return !goesOn.Load() }
+		a, b := &simHead{id: "a", isStalled: isStalled}, &simHead{id: "b", isStalled: isStalled}
+		p := newSimulation(t, 1, a, b)
+		p.callerPatience = 2 * fullTimeout
+		p.call(0, "waits", 0, fullTimeout)
+		time.Sleep(500 * time.Millisecond)
+		first := a
+		if len(a.received) == 0 {
+			first = b
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, p.timesReceived("waits"), 2)
+		p.crash(first)
+		time.Sleep(10 * time.Millisecond)
+		goesOn.Store(true)
+		p.calls.Wait()
+		assert.Assert(t, p.isServed("waits"), "%+v", p.results["waits"])
+		w := httptest.NewRecorder()
+		p.daemons[0].opts.Meter.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		assert.Assert(t, cmp.Regexp(`quartzshelf_hedges\S*{\S*outcome="used"\S*} 1\n`, w.Body.String()))
+	})
+}
+
 // TestHeldStreamKeepsNoReplicaSuspected: one stream that never gets an event again (its connection is dead) and
 // can't be sent elsewhere must not keep a sound replica out of use.
 func TestHeldStreamKeepsNoReplicaSuspected(t *testing.T) {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -110,6 +110,8 @@
 	mayHaveRun := p.recordFailed(c, failed.chosen, err)
 	for len(s.hedges) > 0 {
 		if err = p.waitForHedge(ctx, c, s); err == nil {
+			p.opts.Meter.CountHedge(telemetry.HedgeUsed)
+			p.logResume(c, s, failed, c.lastErr)
 			return nil
 		}
 		mayHaveRun = mayHaveArrived(err)
