proxy: Let a broken stream wait for a replica however long it was held

The wait now counts from the break; a stream that breaks while it moves waits as long as before. TestBrokenStreamWaitsHoweverLongItWasHeld fails before: cut 0 s after the break, 3.3 s after its request.

--- a/proxy/callertimeouts.go
+++ b/proxy/callertimeouts.go
@@ -45,7 +45,7 @@
 	case c.isDone():
 		return false
 	case s.isHeadSent:
-		return now.Sub(s.lastEventAt) <= resumeTimeout
+		return !now.After(s.resumeBy)
 	case !p.opts.ServeLate:
 		return false
 	}
--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -100,6 +100,25 @@
 	})
 }
 
+// TestBrokenStreamWaitsHoweverLongItWasHeld guards against streams that end as soon as their worker breaks because
+// it had been silent before.
+func TestBrokenStreamWaitsHoweverLongItWasHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var stopped atomic.Bool
+		a := &simHead{id: "a", isStalled: stopped.Load}
+		p := newSimulation(t, 1, a)
+		p.call(0, "held", 0, fullTimeout)
+		time.Sleep(4 * simPassTime)
+		stopped.Store(true)
+		time.Sleep(2 * resumeTimeout)
+		p.crash(a)
+		time.Sleep(resumeTimeout / 2)
+		p.addHead(&simHead{id: "b"})
+		p.calls.Wait()
+		assert.Assert(t, p.isServed("held"), "%+v", p.results["held"])
+	})
+}
+
 // TestHeldStreamKeepsNoReplicaSuspected: one stream that never gets an event again (its connection is dead) and
 // can't be sent elsewhere must not keep a sound replica out of use.
 func TestHeldStreamKeepsNoReplicaSuspected(t *testing.T) {
--- a/proxy/servelate_test.go
+++ b/proxy/servelate_test.go
@@ -36,7 +36,7 @@
 			}
 			r := &Proxy{opts: Options{ServeLate: test.serveLate}}
 			none := &refusal{status: http.StatusServiceUnavailable, reason: test.why}
-			got := r.mayWait(c, &relayedStream{isHeadSent: test.hasBegun, lastEventAt: now}, none, now.Add(10*time.Millisecond))
+			got := r.mayWait(c, &relayedStream{isHeadSent: test.hasBegun, lastEventAt: now, resumeBy: now.Add(resumeTimeout)}, none, now.Add(10*time.Millisecond))
 			assert.Equal(t, got, test.want)
 		})
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -19,8 +19,8 @@
 	streamBufferBytes = 2 << 10
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 1 << 20
-	// resumeTimeout is how long after its last event a started stream may wait for a replica at
-	// which to resume. Callers are expected to disconnect soon after that.
+	// resumeTimeout is how long after it broke a started stream may wait for a replica at which to
+	// resume. Callers are expected to disconnect soon after that.
 	resumeTimeout      = 1600 * time.Millisecond
 	resumePollInterval = 40 * time.Millisecond
 )
@@ -38,6 +38,8 @@
 	// lastEventAt is when the last event was forwarded. Until the first one, it is when the request
 	// arrived.
 	lastEventAt time.Time
+	// resumeBy is until when the stream, whose last attempt broke, may wait for a replica.
+	resumeBy time.Time
 	// isClientGone reports whether a write to the caller failed.
 	isClientGone bool
 	timing       lateness
@@ -103,6 +105,7 @@
 // prepareRetry records a failed attempt and prepares the next one. If hedges are under way, it waits for
 // the first one that receives an event. It returns a refusal if there may be no further attempt.
 func (p *Proxy) prepareRetry(ctx context.Context, c *request, s *relayedStream, failed *streamAttempt, err error) *refusal {
+	s.resumeBy = time.Now().Add(resumeTimeout)
 	if s.hasOpenHedge() && errors.Is(err, errReplicaSilent) {
 		p.recordAbandoned(c, s, failed, err)
 		return nil
