proxy: Count only what ran here when a peer forwards a request

A daemon that reaches no worker forwards a request with the number of attempts that may have run before. The peer counted those as its own. So a stopping peer did not look again at such a request before it sent it to a worker, and the end of the grace could cut it; any caller could do the same by setting the header. And the peer's refusals became 502, which the first daemon passed on to its caller although another peer would have served it.

Ruled out: that a 503 hides a run at the first daemon, which corrects the status by its own attempts on each way out (TestRefusalOfPeerHidesNoEarlierRun, which passed before as well).

Before: TestStopIsCheckedForForwardedRequests and both cases of TestRefusalOfPeerIsNotFinal fail (502 for 200). After: all pass, three runs each. The number of attempts before still counts against the route's attempts.

TestStopFieldsTellHowARequestWasAccepted checks again that the check of the stop is kept for the log.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -114,7 +114,7 @@
 	c.header.Del(forwardedHeader)
 	c.isForwarded = true
 	if sends, err := strconv.Atoi(value); err == nil && sends > 0 {
-		c.sends = sends
+		c.sends, c.sendsElsewhere = sends, sends
 	}
 }
 
--- a/proxy/forward_test.go
+++ b/proxy/forward_test.go
@@ -197,6 +197,45 @@
 	}
 }
 
+// TestRefusalOfPeerIsNotFinal guards against callers that get the refusal of a peer which did not run their
+// request, although another peer would serve it, because an earlier attempt may have run.
+func TestRefusalOfPeerIsNotFinal(t *testing.T) {
+	tests := map[string]struct{ path, body string }{
+		"a request that is repeated": {"/safe/", "answer to a"},
+		"a stream":                   {"/stream/", wholeStream()},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			lost, last := newFakeWorker(t, "lost", loses), newFakeWorker(t, "last")
+			_, refusing := newCutProxy(t)
+			near, second, third := peerAt("lost", lost.listener), peerAt("refusing", refusing.Listener), peerAt("last", last.listener)
+			second.Distance, third.Distance = 1, 2
+			_, server := newCutProxy(t, near, second, third)
+			got := sendRequest(t, server, test.path, "a", nil)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, test.body)
+			assert.Equal(t, lost.runs("a")+last.runs("a"), 2)
+		})
+	}
+}
+
+// TestRefusalOfPeerHidesNoEarlierRun guards against a promise that a request did not run because the peer that was
+// asked last did not run it.
+func TestRefusalOfPeerHidesNoEarlierRun(t *testing.T) {
+	for _, path := range []string{"/safe/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			lost := newFakeWorker(t, "lost", loses)
+			refusing, refusingServer := newCutProxy(t)
+			refusing.shutdown = NewShutdown(time.Now(), time.Now(), time.Now(), time.Now())
+			near, second := peerAt("lost", lost.listener), peerAt("refusing", refusingServer.Listener)
+			second.Distance = 1
+			_, server := newCutProxy(t, near, second)
+			assert.Equal(t, sendRequest(t, server, path, "a", nil).status, http.StatusBadGateway)
+			assert.Equal(t, lost.runs("a"), 1)
+		})
+	}
+}
+
 // TestQuarantinedRequestIsNotForwarded guards against a way around the quarantine.
 func TestQuarantinedRequestIsNotForwarded(t *testing.T) {
 	peer := newFakeWorker(t, "peer")
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -47,10 +47,12 @@
 	cancelCause context.CancelCauseFunc
 
 	// sends is the number of attempts that may have run at a worker, rejections the number of
-	// attempts that certainly did not run.
-	sends         int
-	rejections    int
-	triedReplicas map[string]bool
+	// attempts that certainly did not run. sendsElsewhere is how many of the sends came before a peer
+	// forwarded the request to this daemon.
+	sends          int
+	sendsElsewhere int
+	rejections     int
+	triedReplicas  map[string]bool
 	// triedPeers holds the IDs of the peers at which attempts failed. isForwarded reports whether
 	// a peer forwarded the request to this daemon.
 	triedPeers  map[string]bool
@@ -89,8 +91,9 @@
 	cachedParts []quarantine.Part
 }
 
-// mayHaveRun reports whether any worker may have started the request.
-func (c *request) mayHaveRun() bool { return c.sends > 0 }
+// mayHaveRun reports whether any worker may have started the request since it came to this daemon. A peer that
+// forwarded it counts its own attempts.
+func (c *request) mayHaveRun() bool { return c.sends > c.sendsElsewhere }
 
 // correctStatus sets the status to 502 if the refusal wrongly promises that the request did not
 // run. It also sets a missing cause to the error of the last failed attempt, and the reason if the daemon
--- a/proxy/shutdown_test.go
+++ b/proxy/shutdown_test.go
@@ -71,6 +71,25 @@
 	assert.Assert(t, refused == nil || refused.reason != reason.Stopping, "it may have run")
 }
 
+// TestStopIsCheckedForForwardedRequests guards against requests that ran for a peer before and that a stopping
+// daemon sends to a worker although it can't finish them.
+func TestStopIsCheckedForForwardedRequests(t *testing.T) {
+	r, _ := newTestProxy(t, newFakeWorker(t, "w1"))
+	now := time.Now()
+	c := &request{
+		route: &fleet.Route{Name: "route"}, arrived: now, deadline: now.Add(time.Minute), ctx: t.Context(), triedReplicas: make(map[string]bool),
+		header: http.Header{forwardedHeader: {"1"}},
+	}
+	c.readForwarded()
+	r.shutdown = NewShutdown(now, now, now, now.Add(time.Second))
+	_, refused := r.choose(c)
+	assert.Assert(t, refused != nil && refused.reason == reason.Stopping)
+	assert.Assert(t, c.correctStatus(refused).promisesNotRun(), "it did not run here")
+	c.sends++
+	_, refused = r.choose(c)
+	assert.Assert(t, refused == nil || refused.reason != reason.Stopping, "it may have run here")
+}
+
 // passedOrLater returns a time that has passed, or a later one.
 func passedOrLater(isPassed bool, now time.Time) time.Time {
 	if isPassed {
@@ -123,6 +142,7 @@
 	r.shutdown = NewShutdown(begin, now.Add(time.Minute), now.Add(time.Minute), now.Add(time.Minute))
 	fields := []any{"stop_arrived_ms", int64(1000), "stop_deadline_ms", int64(3000)}
 	assert.DeepEqual(t, r.stopFields(c), fields)
+	assert.Assert(t, r.checkShutdown(c) == nil && c.stopCheck != nil, "the fields describe the last check")
 	c.stopCheck = &stopCheck{at: now.Add(time.Millisecond), hasAlternative: true}
 	assert.DeepEqual(t, r.stopFields(c), append(fields, "stop_checked_ms", int64(1001), "stop_others_ready", true))
 }
