serving: Draw the deadlines of callers in plays of stops

All requests of these plays had the timeout of their route, 7 s. So none was ever accepted later than 0.6 s after the begin of a stop beside a ready daemon, or 2.7 s without one, and the requests whose deadline fits were not played. Now three in seven on average have a deadline of at most 3 s, and more one below 5 s.

--- a/serving/stopcalls_test.go
+++ b/serving/stopcalls_test.go
@@ -63,6 +63,8 @@
 	conn     connKind
 	// bodyDelay is how long after the head of the request its body is sent.
 	bodyDelay time.Duration
+	// deadline is how long the caller waits; zero if it does not say so.
+	deadline time.Duration
 }
 
 // stopPlay is a stop of one daemon.
@@ -77,10 +79,14 @@
 // stopOutcome is what the caller of a stopCall saw. Times count from the begin of the stop; sentAt is when the
 // whole request was sent.
 type stopOutcome struct {
-	isUnread, isWhole           bool
+	// isUnread reports that the request was not sent whole, isPortClosed that no connection was to be had.
+	isUnread, isPortClosed      bool
+	isWhole                     bool
 	status                      int
 	headSentAt, sentAt, endedAt time.Duration
-	runs                        int
+	// timeout is how long after its head the request may end unanswered.
+	timeout time.Duration
+	runs    int
 }
 
 var stopPaths = []string{"/safe/", "/once/", "/stream/"}
@@ -105,6 +111,7 @@
 			at: time.Duration(at) * time.Millisecond, work: time.Duration(work) * time.Millisecond,
 			path: rapid.SampledFrom(stopPaths).Draw(rt, "path"), conn: rapid.SampledFrom(conns).Draw(rt, "conn"),
 			bodyDelay: time.Duration(rapid.SampledFrom([]int{0, 0, 0, 50, 700, 2500}).Draw(rt, "bodyDelay")) * time.Millisecond,
+			deadline:  time.Duration(rapid.SampledFrom([]int{0, 0, 200, 1000, 3000, 4300, 4900}).Draw(rt, "deadline")) * time.Millisecond,
 		})
 	}
 	return calls
@@ -216,7 +223,7 @@
 		}
 		for i := range outcomes {
 			outcomes[i].runs = runs[fmt.Sprintf("r%d", i)]
-			problem = cmp.Or(problem, outcomes[i].check(closedAt, mayCutUntil))
+			problem = cmp.Or(problem, outcomes[i].check(closedAt, end, mayCutUntil))
 		}
 		problem = cmp.Or(problem, checkStopEnd(outcomes, end))
 	})
@@ -248,11 +255,14 @@
 		o.exchange(conn, id+"-first", stopCall{path: "/safe/"})
 	}
 	time.Sleep(time.Until(begun.Add(c.at)))
-	o = stopOutcome{headSentAt: time.Since(begun), sentAt: time.Since(begun)}
+	o = stopOutcome{headSentAt: time.Since(begun), sentAt: time.Since(begun), timeout: stopTimeout}
+	if c.deadline > 0 {
+		o.timeout = c.deadline
+	}
 	if conn == nil {
 		opened, err := front.dial("caller")
 		if err != nil {
-			o.isUnread = true
+			o.isUnread, o.isPortClosed = true, true
 			return o
 		}
 		conn = opened
@@ -269,6 +279,9 @@
 	const content = "body"
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: m\r\n%s: 100,50\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
 		c.path, signalHeaders.AttemptID, id, signalHeaders.Model, signalHeaders.Usage, workHeader, c.work, len(content))
+	if c.deadline > 0 {
+		head = strings.TrimSuffix(head, "\r\n") + fmt.Sprintf("%s: %d\r\n\r\n", signalHeaders.Deadline, c.deadline.Milliseconds())
+	}
 	if _, err := io.WriteString(conn, head); err != nil {
 		o.isUnread = true
 		return
@@ -290,20 +303,24 @@
 	o.isWhole = err == nil && (o.status != http.StatusOK || strings.Contains(string(body), "whole"))
 }
 
-// check returns how the promise to one request was broken by a daemon that closed its port at closedAt, or "".
-// Until then all requests must be read, and from then on none may be in flight. The end of the grace may cut
-// requests that were sent before mayCutUntil.
-func (o stopOutcome) check(closedAt, mayCutUntil time.Duration) string {
+// check returns how the promise to one request was broken by a daemon that closed its port at closedAt and stopped
+// at end, or "". All requests must be read until the port closes, on open connections until the end. None may be
+// in flight once the port is closed. The end of the grace may cut requests that were sent before mayCutUntil.
+func (o stopOutcome) check(closedAt, end, mayCutUntil time.Duration) string {
+	readUntil := end - acceptMargin
+	if o.isPortClosed {
+		readUntil = closedAt
+	}
 	switch {
-	case o.isUnread && o.headSentAt < closedAt:
-		return fmt.Sprintf("a request sent %s after the stop began was not read, %s before the port closed", o.headSentAt, closedAt-o.headSentAt)
+	case o.isUnread && o.headSentAt < readUntil:
+		return fmt.Sprintf("a request sent %s after the stop began was not read, although the port closed at %s and the daemon stopped at %s", o.headSentAt, closedAt, end)
 	case o.isWhole && o.status == http.StatusOK && o.endedAt > closedAt+acceptMargin:
 		return fmt.Sprintf("a request sent %s after the stop began was answered at %s, although the port closed at %s", o.sentAt, o.endedAt, closedAt)
 	case o.isUnread, o.isWhole && o.status == http.StatusOK:
 		return ""
 	case o.isWhole && o.status == http.StatusServiceUnavailable:
 		return o.checkRefused()
-	case o.status == http.StatusGatewayTimeout && o.endedAt-o.headSentAt >= stopTimeout:
+	case o.status == http.StatusGatewayTimeout && o.endedAt-o.headSentAt >= o.timeout:
 		return ""
 	case o.sentAt < mayCutUntil && o.endedAt >= stopGrace-graceMargin:
 		return ""
