formation: Take no replica apart while its head may have requests

The leader closes a replica that it moves, waits for its requests, and then orders its head to leave, which cuts what is in flight. It waited only if the order to close was answered with yes. When no attempt was answered, or a later attempt was answered with "does not fit" because an earlier one had been carried out, it ordered the head to leave at once: callers saw their streams cut by a planned change, although the head was alive. The same happened to a head that paused for longer than the attempts.

Now the order is repeated until it is answered, until the head is treated as gone, or for as long as a drain may take; and after "does not fit" the head's own state decides. The bound is that of the drain, so nothing waits for longer than a drain did. A dead or unreachable head is treated as gone as before, and its replica is dissolved at once.

Ruled out: that a worker answers a repeated order to close with "already holds", as the platform's page lets one expect. Then only the case without any answer and the pause are left, which fail as well.

Before: four of five cases of TestUnansweredCloseCutsNoRequests fail; the head left after 0.21, 1.21, 1.21 and 2.5 s with 3 s of requests in flight. After: all pass, three runs. All other tests of the package pass.

--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -149,19 +149,46 @@
 	rc.opts.Logger.Info("draining replica", "replica", o.key)
 	rc.announceClosed(o, o.head)
 	deadline := time.Now().Add(maxDrainTime)
-	verdict, ok := rc.sendOrder(ctx, "close", o.head, func(ctx context.Context, fence Fence) (Verdict, error) {
-		return rc.opts.Orders.Close(ctx, o.head, fence, o.group)
-	})
-	rc.recordBegun(o.head.ID, verdict)
+	mayHaveRequests := rc.close(ctx, o, deadline)
 	nextQuery := time.Now().Add(queryInterval)
-	// An earlier leader may have closed the group.
-	isClosing := ok && (verdict.IsAccepted() || o.state == fleet.Closing)
-	for isClosing && ctx.Err() == nil && time.Now().Before(deadline) && !rc.isDrained(ctx, o, &nextQuery) {
+	for mayHaveRequests && ctx.Err() == nil && time.Now().Before(deadline) && !rc.isDrained(ctx, o, &nextQuery) {
 		pause.Sleep(ctx, tickInterval)
 	}
 	rc.dissolve(ctx, o, o.head)
 }
 
+// close orders the head of a group to take no more requests, and reports whether earlier ones may be in flight. A
+// head that does not answer may only pause, and may have carried the order out, so the order is repeated until the
+// deadline, or until the head is treated as gone.
+func (rc *Reconciler) close(ctx context.Context, o *observedGroup, deadline time.Time) (mayHaveRequests bool) {
+	for ctx.Err() == nil && time.Now().Before(deadline) && !rc.isUnresponsive(o.head.ID) {
+		verdict, ok := rc.sendOrder(ctx, "close", o.head, func(ctx context.Context, fence Fence) (Verdict, error) {
+			return rc.opts.Orders.Close(ctx, o.head, fence, o.group)
+		})
+		rc.recordBegun(o.head.ID, verdict)
+		switch {
+		case ok && verdict == StateMismatch:
+			return rc.isClosable(ctx, o)
+		case ok:
+			return verdict.IsAccepted()
+		}
+		pause.Sleep(ctx, tickInterval)
+	}
+	return false
+}
+
+// isClosable reports whether a group may have requests, although its head answered that an order to close it does
+// not fit. An earlier attempt, or an earlier leader, may have closed it.
+func (rc *Reconciler) isClosable(ctx context.Context, o *observedGroup) bool {
+	latest := fleet.Membership{Group: o.group.Name, Epoch: o.group.Epoch, State: o.state}
+	if state, ok := rc.queryState(ctx, o.head); ok {
+		latest = state.Membership
+	}
+	isMember := latest.SameGroup(fleet.Membership{Group: o.group.Name, Epoch: o.group.Epoch})
+	// The report may be from before the close.
+	return isMember && (latest.State == fleet.Open || latest.State == fleet.Closing)
+}
+
 // isDrained reports whether a closed group's requests have finished. It uses the worker list. If
 // the list is stale or does not show the head, it queries the head, but not before nextQuery.
 func (rc *Reconciler) isDrained(ctx context.Context, o *observedGroup, nextQuery *time.Time) bool {
