common/drain, platform: Begin no handshake while the port closes

A caller found a new connection reset in the millisecond in which its daemon's listener closed (soak).

Cause: the listener takes what the kernel has established before its socket ends, but handshakes also end between the last accept and the end of the socket, and the kernel resets these connections. Class: closing what the other side is about to use.

Now Close first attaches a filter to the listening socket that drops segments with SYN and without ACK, waits 20 ms for the handshakes that have begun, accepts what is established, and closes. No handshake can end after the last accept but one that takes longer than 20 ms. If it can't be attached, Close does what it did and returns the error, which the daemon logs; other sockets than TCP are closed as before.

What it costs: a caller whose SYN falls into the 20 ms hears nothing, sends it again after about a second, and is refused then; one that waits for less sees a timeout in place of a refusal.

--- a/common/drain/listener.go
+++ b/common/drain/listener.go
@@ -6,10 +6,15 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 )
 
+// handshakeTime is how long a handshake that has begun may take until the listener closes. Callers that ask for
+// a connection meanwhile hear nothing, and are refused when they ask again, about a second later.
+const handshakeTime = 20 * time.Millisecond
+
 // Listener is a listener whose connections are tracked. Its Close loses no connection that the kernel has
-// established: those that nobody has accepted yet are still returned by Accept.
+// established or is about to: those that nobody has accepted yet are still returned by Accept.
 type Listener struct {
 	net.Listener
 	conns *Conns
@@ -57,7 +62,8 @@
 	return next, nil
 }
 
-// Close closes the listener. The kernel refuses connections from then on.
+// Close closes the listener, also if it returns an error. The kernel refuses connections from then on. An error may
+// mean that connections were lost. Those that Accept still returns are lost unless it is called until it fails.
 func (l *Listener) Close() error {
 	var err error
 	l.closeOnce.Do(func() {
@@ -68,8 +74,9 @@
 	return err
 }
 
-// closeEmpty closes the listener while it holds a reference to the socket, which delays the end of the socket
-// until its established connections have been taken from it.
+// closeEmpty lets no new handshake begin and those under way complete. It then closes the listener while it holds
+// a reference to the socket, which delays the end of the socket until its established connections have been taken
+// from it.
 func (l *Listener) closeEmpty() error {
 	holder, ok := l.Listener.(syscall.Conn)
 	if !ok {
@@ -79,13 +86,17 @@
 	if err != nil {
 		return errors.Join(err, l.Listener.Close())
 	}
+	isDropping, filterErr := dropNewHandshakes(l.Listener, raw)
+	if isDropping {
+		time.Sleep(handshakeTime)
+	}
 	closed := make(chan error, 1)
 	var established []int
 	err = raw.Control(func(fd uintptr) {
 		go func() { closed <- l.Listener.Close() }()
 		established = acceptEstablished(int(fd))
 	})
-	err = errors.Join(err, <-closed)
+	err = errors.Join(filterErr, err, <-closed)
 	for _, fd := range established {
 		c, connErr := newConn(fd)
 		if connErr != nil {
