formation: Tell orders of the own term from those of another leader

A leader ended its term ("order refused: another leader has a higher term") although no other one led.

Cause: orders of one term to one worker may be under way at once, as a staging and a join, and each has its own fence. sendOrder took the first refusal by a fence for a later order of the own term and the second for another leader. In the play three stagings and a join were sent to w1-5 within 2 ms; where the join overtook one of the stagings twice, the term ended.

The leader now remembers the last fence that it sent to each worker. A refusal proves another leader only if no later order of the own term went to the worker; else the order is sent again, at most maxOrderAttempts times. Nothing is weaker against a real successor: the retry has the highest fence of the term, and a second refusal of such an attempt ends the term as before.

Ruled out: the test's own waiting (the term had ended 34 s before its look), real time, and the pauses themselves. That the same staging is sent three times is a fault of its own, not mended here.

--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -83,12 +83,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, indirectTimeout)
 	defer cancel()
-	verdict, err := rc.opts.IndirectLeave(ctx, head, rc.nextFence(), g)
+	fence := rc.nextFenceFor(head.ID)
+	verdict, err := rc.opts.IndirectLeave(ctx, head, fence, g)
 	if err != nil {
 		return StateMismatch, false
 	}
 	rc.opts.Logger.Info("order sent through another daemon", "order", "leave", "worker", head.ID)
-	rc.endTermIfFenced("leave", head, verdict)
+	rc.endTermIfFenced("leave", head, verdict, fence)
 	return verdict, true
 }
 
--- a/formation/reconciler.go
+++ b/formation/reconciler.go
@@ -80,6 +80,8 @@
 
 	mu           sync.Mutex
 	lastSequence int64
+	// lastFences holds the fence of the last order sent to each worker, by worker ID.
+	lastFences map[string]Fence
 	// observations holds the last state that each worker reported directly, by worker ID.
 	observations map[string]observation
 	// busyWorkers holds the IDs of workers that are involved in a running operation.
@@ -198,6 +200,7 @@
 	k := &Reconciler{
 		opts: opts, term: term, onSuperseded: onSuperseded,
 		done: make(chan struct{}), suspectedReplicas: make(chan string, 64),
+		lastFences:           make(map[string]Fence),
 		observations:         make(map[string]observation),
 		orderStates:          make(map[string]orderState),
 		busyWorkers:          make(map[string]bool),
@@ -386,16 +389,9 @@
 	}
 }
 
-// nextFence returns the fence of the next order.
-func (rc *Reconciler) nextFence() Fence {
-	rc.mu.Lock()
-	defer rc.mu.Unlock()
-	return rc.nextFenceLocked()
-}
-
-// nextFenceLocked is nextFence for callers that hold rc.mu. A fence must never be lower than an
-// earlier one. When the term has used up its fences, it therefore returns the last fence again and
-// ends the term.
+// nextFenceLocked returns a new fence. The caller must hold rc.mu. A fence must never be lower than
+// an earlier one. When the term has used up its fences, nextFenceLocked therefore returns the last
+// fence again and ends the term.
 func (rc *Reconciler) nextFenceLocked() Fence {
 	if rc.lastSequence == maxSequence {
 		go rc.onSuperseded()
--- a/formation/send_test.go
+++ b/formation/send_test.go
@@ -47,6 +47,56 @@
 	}
 }
 
+// TestOrdersOfOneTermOvertakeEachOther guards against a leader that takes the refusal of an order for
+// the work of another leader, although orders of its own overtook that order more than once.
+func TestOrdersOfOneTermOvertakeEachOther(t *testing.T) {
+	tests := map[string]overtakenCase{
+		"once":                            {overtakingCount: 1, want: Started},
+		"twice":                           {overtakingCount: 2, want: Started},
+		"at all attempts but the last":    {overtakingCount: maxOrderAttempts - 1, want: Started},
+		"at all attempts":                 {overtakingCount: maxOrderAttempts, want: Fenced},
+		"a later leader":                  {isSuperseded: true, endsTerm: true, want: Fenced},
+		"twice, and there is a later one": {overtakingCount: 2, isSuperseded: true, endsTerm: true, want: Fenced},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, test.run)
+		})
+	}
+}
+
+// overtakenCase describes an order whose first attempts other orders of the same term overtake.
+type overtakenCase struct {
+	overtakingCount int
+	// isSuperseded reports whether the worker has also received an order of a later leader.
+	isSuperseded, endsTerm bool
+	want                   Verdict
+}
+
+func (o overtakenCase) run(t *testing.T) {
+	w, worker := newWorld(1, 1, 1), &fleet.Worker{ID: "w0-0"}
+	ended := false
+	k := NewReconciler(w.options(), Term{Epoch: 1}, func() { ended = true })
+	if o.isSuperseded {
+		w.workers[worker.ID].fence = NewFence(2, 0, 1)
+	}
+	stage := func(ctx context.Context, f Fence) (Verdict, error) {
+		return w.execute(ctx, "stage", worker.ID, f, func(*simWorker) Verdict { return Started })
+	}
+	sentCount := 0
+	verdict, ok := k.sendOrder(context.Background(), "stage", worker, func(ctx context.Context, f Fence) (Verdict, error) {
+		if sentCount++; sentCount <= o.overtakingCount {
+			_, _, err := k.sendOrderOnce(ctx, worker, stage)
+			assert.NilError(t, err)
+		}
+		return stage(ctx, f)
+	})
+	assert.Assert(t, ok)
+	assert.Equal(t, verdict, o.want)
+	assert.Equal(t, ended, o.endsTerm)
+	assert.Assert(t, !k.isUnresponsive(worker.ID))
+}
+
 // TestFencesNeverDecrease checks that the term ends when its fences are used up, and that no fence
 // is lower than an earlier one.
 func TestFencesNeverDecrease(t *testing.T) {
@@ -57,7 +107,7 @@
 		k.lastSequence = maxSequence - 2
 		lastFence := Fence(0)
 		for range 5 {
-			f := k.nextFence()
+			f := k.nextFenceFor("w0-0")
 			assert.Assert(t, f >= lastFence, "%d after %d", f, lastFence)
 			lastFence = f
 		}
