proxy: Look at the replica again once a connection is open

A request was sent to the replica that was chosen before its connection was opened. Opening takes up to 0.5 s, and a request whose kept connection is reset is sent to the same worker again, however long that took. A worker that said meanwhile that it leaves, or a replica that its leader closed, still got the request: late for the bound on workers that leave, whose margin is 0.3 s, and often in vain.

Ruled out: tokens, which are checked at this point already; the margin of closed halls, 0.6 s, is longer than opening takes; kept connections, which are used at once.

Now a new connection is used only if the replica still takes requests; otherwise another one is chosen, which costs no retry because nothing was sent, and neither the replica nor its neighbours are blamed. A request that was sent over a kept connection before counts as one that may have run, as it did.

Before: TestLeavingWorkerGetsNoRequest fails on all three kinds of routes (the leaving worker ran the request). After: it passes, three runs.

--- a/proxy/buffered.go
+++ b/proxy/buffered.go
@@ -78,7 +78,7 @@
 	replica := chosen.replica
 	reservation := p.opts.Tracker.Reserve(replica, c.promptTokens)
 	defer reservation.Release()
-	e, err := p.sendTo(c.ctx, replica.Head, p.messageFor(c, replica.Head, ""))
+	e, err := p.sendTo(c.ctx, replica.Head, p.messageForReplica(c, replica, ""))
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -489,7 +489,7 @@
 // blame makes other requests avoid a replica at which an attempt failed, unless the attempt was ended
 // for a reason of its own.
 func (p *Proxy) blame(c *request, replica *fleet.Replica, err error) {
-	if c.isDone() || errors.Is(err, errQuarantined) {
+	if c.isDone() || errors.Is(err, errQuarantined) || errors.Is(err, errNotOffered) {
 		return
 	}
 	p.opts.Tracker.RecordFailure(replica, time.Now())
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -317,6 +318,16 @@
 	}
 }
 
+// messageForReplica returns the request as sent to a replica.
+func (p *Proxy) messageForReplica(c *request, replica *fleet.Replica, lastEvent string) *message {
+	m := p.messageFor(c, replica.Head, lastEvent)
+	m.isOffered = func() bool {
+		offered := p.opts.View().Replicas(replica.Service, replica.Model)
+		return slices.ContainsFunc(offered, func(other *fleet.Replica) bool { return other.ID == replica.ID })
+	}
+	return m
+}
+
 // isDone reports whether the caller has disconnected or the deadline has passed.
 func (c *request) isDone() bool { return c.ctx.Err() != nil }
 
--- a/proxy/streamattempt.go
+++ b/proxy/streamattempt.go
@@ -70,7 +70,7 @@
 		onSilent = a.interrupts.interrupt
 	}
 	a.watch = p.opts.Tracker.Watch(chosen.replica, costsOf(c.engine, c.model, head.Slots), onSilent)
-	a.message = p.messageFor(c, head, s.lastEventID)
+	a.message = p.messageForReplica(c, chosen.replica, s.lastEventID)
 	a.message.onConnected = a.interrupts.attach
 	return a
 }
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -29,6 +29,7 @@
 	errReplicaSilent = errors.New("the replica fell silent")
 	errStreamSilent  = fmt.Errorf("on this stream only: %w", errReplicaSilent)
 	errForeignAnswer = errors.New("the answer belongs to another request")
+	errNotOffered    = errors.New("it takes no more requests")
 )
 
 // sendError is the error of a failed exchange. mayHaveArrived reports whether the worker may have
@@ -142,6 +143,9 @@
 	if err := m.checkSendBy(c.worker, time.Now()); err != nil {
 		return nil, err
 	}
+	if err := m.checkOffered(c); err != nil {
+		return nil, err
+	}
 	n, err := c.Write(m.encode())
 	if err != nil {
 		return nil, &sendError{mayHaveArrived: n > 0, cause: err}
@@ -234,6 +238,8 @@
 	attemptName string
 	// sendBy is the time by which the message must be sent; zero for any time.
 	sendBy time.Time
+	// isOffered reports whether the destination still takes requests; nil if that is not checked.
+	isOffered func() bool
 	// atMostOnce reports whether the request must not be repeated.
 	atMostOnce bool
 	// onConnected, if not nil, is called with the connection before the message is sent over it.
@@ -247,6 +253,15 @@
 // takes a retry from the budget.
 func (m *message) takeResend() bool { return !m.atMostOnce && !m.hasToken() && m.takeRetry() }
 
+// checkOffered returns an error if the destination has stopped taking requests while a connection was opened to
+// it. A kept connection is used at once.
+func (m *message) checkOffered(c *connection) error {
+	if m.isOffered == nil || c.idleBefore > 0 || m.isOffered() {
+		return nil
+	}
+	return &sendError{cause: failure.Wrap(failure.Refused, "send to worker", c.worker, errNotOffered)}
+}
+
 // encoder returns a function that encodes a request with the time that is left until its deadline.
 func (p *Proxy) encoder(c *request, header http.Header) func() []byte {
 	return func() []byte {
