serving: Read the marks of quarantined requests at each start

Daemons that all ended at once and started again sent requests that crash workers, although the store held their marks: only a leader read them, at the beginning of its term, and there is none for more than a second after such a start. Callers see replicas lost that the quarantine should keep.

Each daemon now reads the marks at the time at which it reads the configuration itself (the same rule keeps members of a large fleet from all reading at once), unless a peer that is ready tells them. It costs one call to the store for such a start and none where others go on; a failed read is tried again after two seconds, and nothing waits for it, so that a store that is away keeps no daemon from serving.

--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -78,6 +78,44 @@
 	}
 }
 
+// readMarksAtStart reads the stored marks, so that daemons that all start together need not wait for
+// a leader to learn which requests are quarantined. It returns when it has read them, when peers that
+// are ready report them, or when this daemon leads, since the leader reads them anyway.
+func (s *Server) readMarksAtStart(ctx context.Context) {
+	if s.opts.QuarantineMarks.Read == nil {
+		return
+	}
+	for ctx.Err() == nil && !s.isReader() && !s.hasReadyPeer(time.Now()) {
+		wait := startCheckInterval
+		if s.shouldReadInitially(time.Now()) {
+			if s.restoreMarks(ctx) {
+				return
+			}
+			wait = marksRetryDelay
+		}
+		pause.Sleep(ctx, wait)
+	}
+}
+
+func (s *Server) hasReadyPeer(now time.Time) bool {
+	return slices.ContainsFunc(s.agent.Table().Alive(now), func(p *peers.Peer) bool { return p.Ready })
+}
+
+// restoreMarks reads the stored marks and applies them. It reports whether they could be read.
+func (s *Server) restoreMarks(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, marksTimeout)
+	defer cancel()
+	marks, _, err := s.opts.QuarantineMarks.Read(ctx)
+	if err != nil {
+		s.logger.Info("reading marks of quarantined requests failed", "error", err)
+		return false
+	}
+	for _, m := range marks {
+		s.proxy.Guard().Restore(m, storeSource)
+	}
+	return true
+}
+
 func (k *markSyncer) guard() *guard.Guard { return k.server.proxy.Guard() }
 
 // sync reads the stored marks if a read is due, and writes changes to the store. It does nothing if
--- a/serving/server.go
+++ b/serving/server.go
@@ -236,6 +236,7 @@
 	tasks.Go(func() { s.watchSignals(running) })
 	tasks.Go(func() { s.watchFormat(running) })
 	tasks.Go(func() { s.syncMarks(running) })
+	tasks.Go(func() { s.readMarksAtStart(running) })
 	tasks.Go(func() { s.serveMetrics(running) })
 	tasks.Go(func() { s.logStart(running) })
 	stopped := make(chan error, 1)
