soak, platform/standin: Draw stops among long requests, late bodies and slow workers

Alone, three in four seeds stop one, some or all daemons in waves after seconds of requests, and workers become two to three times as slow meanwhile. All of it has random streams of its own; the other schedules of a seed, and those of the three series, stay as they were, which tests hold.

Checks, stricter: alone, requests of all kinds count, not only streams, and the excuse of the stop counts from the end of a late body, where it would count from the head. What ends without an answer counts as before, but for a late body that was still on its way, which a daemon can't have read.

--- a/cmd/soakcmd/run.go
+++ b/cmd/soakcmd/run.go
@@ -55,7 +55,7 @@
 	Reborn   bool          `help:"Also let workers come back under their id."`
 	Asking   bool          `help:"Also let workers name limits, ask for rest and say in answers that they leave."`
 	Pausing  bool          `help:"Also let workers fall silent and go on, beside changes of the configuration; alone with --series 0."`
-	Stopping bool          `help:"Also stop daemons as planned, several at a time, beside long streams; alone with --series 0."`
+	Stopping bool          `help:"Also stop daemons as planned, several at a time, beside long streams, late bodies and callers that stay; alone with --series 0, most seeds in waves while workers become slow."`
 	Earlier  string        `help:"The program of an earlier build that runs beside this one." type:"existingfile"`
 	Mix      string        `help:"How both run: half of the daemons for good, each replaced when it starts again, or replaced and taken back." enum:"half,replaced,back" default:"half"`
 	Verbose  bool          `help:"Tell every fault."`
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -30,6 +30,9 @@
 	disturbanceMargin = time.Second
 )
 
+// callerKinds are the kinds of requests. Each caller sends requests of one kind.
+var callerKinds = []standin.Kind{standin.Stream, standin.AtMostOnce, standin.Stream, standin.Repeatable}
+
 // caller sends one request at a time and checks every response.
 type caller struct {
 	run    *run
@@ -38,7 +41,11 @@
 	client *http.Client
 	// staysWithDaemon makes the caller keep using a daemon until a request to it fails.
 	staysWithDaemon bool
-	kind            standin.Kind
+	// staysAtStops makes the caller keep using a daemon that stops until a request to it fails.
+	staysAtStops bool
+	// stopTraffic draws the sizes of requests where daemons stop; nil elsewhere.
+	stopTraffic *stopTraffic
+	kind        standin.Kind
 	// addresses holds the daemon addresses that the last successful resolve returned.
 	addresses           []string
 	addressesValidUntil time.Time
@@ -49,10 +56,12 @@
 }
 
 func newCaller(r *run, index int) *caller {
-	kinds := []standin.Kind{standin.Stream, standin.AtMostOnce, standin.Stream, standin.Repeatable}
 	c := &caller{
 		run: r, index: index, random: rand.New(rand.NewPCG(r.opts.Seed, uint64(index))),
-		kind: kinds[index%len(kinds)], staysWithDaemon: index%3 == 0,
+		kind: callerKinds[index%len(callerKinds)], staysWithDaemon: index%3 == 0, staysAtStops: r.opts.staysAtStops(index),
+	}
+	if r.opts.DaemonStops {
+		c.stopTraffic = newStopTraffic(r.opts, index)
 	}
 	c.client = &http.Client{Transport: &http.Transport{DialContext: r.dial, DisableCompression: true}}
 	return c
@@ -82,7 +91,7 @@
 
 // chooseDaemon returns the daemon to send the next request to, or nil if no address is known.
 func (c *caller) chooseDaemon(ctx context.Context) *daemon {
-	if c.currentDaemon != nil && (c.staysWithDaemon || time.Now().Before(c.addressesValidUntil)) {
+	if c.currentDaemon != nil && (c.keepsDaemon() || time.Now().Before(c.addressesValidUntil)) {
 		return c.currentDaemon
 	}
 	c.resolve(ctx)
@@ -93,6 +102,12 @@
 	return c.currentDaemon
 }
 
+// keepsDaemon reports whether the caller goes on using its daemon although it must not rely on the address.
+func (c *caller) keepsDaemon() bool {
+	_, isStopping := c.currentDaemon.status()
+	return c.staysWithDaemon || c.staysAtStops && isStopping
+}
+
 // resolve asks the daemons in random order for the addresses that callers should use, until one of
 // them returns some.
 func (c *caller) resolve(ctx context.Context) {
@@ -113,9 +128,11 @@
 	id             string
 	kind           standin.Kind
 	usesAddedRoute bool
-	eventCount     int
-	apiKey         string
-	daemon         *daemon
+	requestSize
+	apiKey string
+	// body is the body as it is sent; nil before that.
+	body   *requestBody
+	daemon *daemon
 	// incarnation is the daemon's incarnation when the request was sent.
 	incarnation int
 	sentAt      time.Time
@@ -136,7 +153,7 @@
 	c.sentCount++
 	r := &call{
 		id: fmt.Sprintf("c%d-%d", c.index, c.sentCount), kind: c.kind, daemon: d,
-		eventCount: c.drawEventCount(), sentAt: time.Now(),
+		requestSize: c.drawSize(d), sentAt: time.Now(),
 	}
 	r.incarnation, _ = d.status()
 	tenant := ""
@@ -162,10 +179,9 @@
 	if r.usesAddedRoute {
 		path = standin.LaterPath
 	}
-	// NopCloser hides the reader's type. Without the type, net/http cannot resend the body, so it
-	// does not retry the request.
-	body := io.NopCloser(strings.NewReader("a body"))
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.daemon.frontAddress()+path, body)
+	// net/http doesn't know the type of the body, so it can't resend the body and does not retry the request.
+	r.body = newRequestBody(ctx, r.bodyText(), r.bodyDelay)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.daemon.frontAddress()+path, r.body)
 	if err != nil {
 		// The soak generates all addresses, so this cannot fail.
 		panic(err)
@@ -199,19 +215,20 @@
 	// closeRaceWindow the daemon must have read the request.
 	const closeRaceWindow = 100 * time.Millisecond
 	mayHaveRacedClose := r.connReused.Load() && time.Since(r.sentAt) < closeRaceWindow
-	if c.isUndisturbed(r) && incarnation == r.incarnation && !dialFailed && !mayHaveRacedClose {
-		c.run.ledger.RecordViolation("LOST", "%s at %s: %v", r.id, r.daemon.settings.Name, err)
+	if c.isUndisturbed(r) && incarnation == r.incarnation && !dialFailed && !mayHaveRacedClose && !r.lacksLateBody() {
+		c.run.ledger.RecordViolation("LOST", "%s at %s got no answer after %s, body delayed by %s, connection reused %t: %v",
+			r.id, r.daemon.settings.Name, time.Since(r.sentAt), r.bodyDelay, r.connReused.Load(), err)
 	}
 }
 
 // endedWithoutExcuse reports whether nothing but a pause of workers or a planned stop of the daemon can be
-// the cause if a stream ends now without its whole answer. The daemon must wait for paused workers until the
-// stream's deadline, and may cut only streams that were sent early in its stop.
+// the cause if a request ends now without its whole answer. The daemon must wait for paused workers until the
+// request's deadline, and may cut only requests that were sent, including their bodies, early in its stop.
 func (c *caller) endedWithoutExcuse(r *call) bool {
 	isEarly := time.Since(r.sentAt) < requestDeadline
 	since := r.sentAt.Add(-disturbanceMargin)
 	isSound := r.daemon.isUnharmedSince(since) && r.daemon.frontProxy.isHealthySince(since)
-	return r.kind == standin.Stream && isEarly && c.run.opts.excusesNothing() && isSound && !r.daemon.mayHaveCut(r.sentAt)
+	return c.run.opts.checksKind(r.kind) && isEarly && c.run.opts.excusesNothing() && isSound && !r.daemon.mayHaveCut(r.sentWholeAt())
 }
 
 // isUndisturbed reports whether the daemon and its front proxy have had no faults since shortly
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -69,7 +69,7 @@
 				test.prepare(r)
 			}
 			c := &caller{run: r}
-			c.checkResponse(&call{id: "q", kind: test.kind, usesAddedRoute: test.usesAddedRoute, eventCount: 3, apiKey: "key", daemon: r.daemons[0], incarnation: 1, sentAt: time.Now()}, test.response)
+			c.checkResponse(&call{id: "q", kind: test.kind, usesAddedRoute: test.usesAddedRoute, requestSize: requestSize{eventCount: 3}, apiKey: "key", daemon: r.daemons[0], incarnation: 1, sentAt: time.Now()}, test.response)
 			r.checkAtEnd()
 			var got []string
 			for _, v := range r.ledger.Violations() {
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -45,7 +45,7 @@
 // executed if the response guarantees that, and reports a response with status 200 as a violation.
 func (c *caller) sendCrashingRequest(ctx context.Context, d *daemon) {
 	c.sentCount++
-	crashingCall := &call{id: fmt.Sprintf("c%d-%d", c.index, c.sentCount), kind: standin.Stream, daemon: d, eventCount: minEvents, sentAt: time.Now(), apiKey: keyName(1, 1)}
+	crashingCall := &call{id: fmt.Sprintf("c%d-%d", c.index, c.sentCount), kind: standin.Stream, daemon: d, requestSize: requestSize{eventCount: minEvents}, sentAt: time.Now(), apiKey: keyName(1, 1)}
 	crashingCall.incarnation, _ = d.status()
 	c.run.ledger.RecordSent(crashingCall.id, crashingCall.kind, tenantName(1), crashingCall.sender())
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -122,14 +122,20 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		started := time.Now()
-		if !d.stop() && d.isUndisturbedSince(started) {
-			r.ledger.RecordViolation("STOP", "%s did not end within its grace", d.settings.Name)
-		}
+		r.stopAndCheck(d)
 	}()
 	return func() { <-stopped }
 }
 
+// stopAndCheck stops a daemon with SIGTERM and waits for its end. It records a violation if the daemon doesn't
+// end within its grace period.
+func (r *run) stopAndCheck(d *daemon) {
+	started := time.Now()
+	if !d.stop() && d.isUndisturbedSince(started) {
+		r.ledger.RecordViolation("STOP", "%s did not end within its grace", d.settings.Name)
+	}
+}
+
 // newStoreFault returns a function that injects faults into the store for all daemons.
 func newStoreFault(f standin.StoreFaults) injectFunc {
 	return func(r *run, _ *rand.Rand) func() {
--- a/soak/pausing_test.go
+++ b/soak/pausing_test.go
@@ -14,7 +14,7 @@
 
 // TestStreamsEndedEarlyAreLost checks when a caller records that a daemon ended a stream early.
 func TestStreamsEndedEarlyAreLost(t *testing.T) {
-	onlyPauses, onlyStops := Options{WorkerPauses: true}, Options{DaemonStops: true}
+	onlyPauses, onlyStops := Options{WorkerPauses: true}, onlyStops(7)
 	tests := map[string]struct {
 		opts   Options
 		kind   standin.Kind
@@ -43,6 +43,10 @@
 		"cut at the deadline":            {opts: onlyPauses, kind: standin.Stream, status: 200, body: streamBody("q", 1), isCut: true, age: requestDeadline},
 		"502 of no stream":               {opts: onlyPauses, kind: standin.Repeatable, status: 502},
 		"502 on a broken link":           {opts: onlyPauses, kind: standin.Stream, status: 502, link: linkSilent},
+		"502 of no stream, by a stop":    {opts: onlyStops, daemon: stoppingDaemon(time.Second), kind: standin.AtMostOnce, status: 502, wantLost: true},
+		"504 of no stream, by a stop":    {opts: onlyStops, daemon: stoppingDaemon(time.Second), kind: standin.Repeatable, status: 504, wantLost: true},
+		"502 at the end of a stop":       {opts: onlyStops, daemon: stoppingDaemon(7 * time.Second), age: 5 * time.Second, kind: standin.AtMostOnce, status: 502},
+		"the same, but sent too late":    {opts: onlyStops, daemon: stoppingDaemon(7 * time.Second), age: 3900 * time.Millisecond, kind: standin.AtMostOnce, status: 502, wantLost: true},
 		"502 beside other faults":        {opts: Options{WorkerPauses: true, SeriesCount: 1}, kind: standin.Stream, status: 502},
 		"502 beside closed halls":        {opts: Options{WorkerPauses: true, HallFaults: true}, kind: standin.Stream, status: 502},
 		"502 where no workers pause":     {opts: Options{}, kind: standin.Stream, status: 502},
@@ -59,7 +63,7 @@
 			if test.isCut {
 				response.Body = io.NopCloser(io.MultiReader(response.Body, iotest.ErrReader(io.ErrUnexpectedEOF)))
 			}
-			sent := &call{id: "q", kind: test.kind, eventCount: 3, apiKey: "key", daemon: d, incarnation: 1, sentAt: time.Now().Add(-test.age)}
+			sent := &call{id: "q", kind: test.kind, requestSize: requestSize{eventCount: 3}, apiKey: "key", daemon: d, incarnation: 1, sentAt: time.Now().Add(-test.age)}
 			(&caller{run: r}).checkResponse(sent, response)
 			var got []string
 			for _, v := range r.ledger.Violations() {
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -23,7 +23,7 @@
 // stream, so that it does not change the other schedules of a seed.
 func restoreSchedule(seed uint64, total time.Duration) []scheduledFault {
 	const randomStream = 1 << 34
-	return drawSchedule(rand.New(rand.NewPCG(seed, randomStream)), []string{"store-drill"}, faultDurations, total)
+	return drawSchedule(rand.New(rand.NewPCG(seed, randomStream)), []string{"store-drill"}, defaultPauses, faultDurations, total)
 }
 
 // restoreFromCopy copies the store. When the fault ends, it restores the store from the copy.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,8 +58,10 @@
 	// configuration beside them. Without other faults, the callers report every stream that a daemon
 	// ends before its deadline.
 	WorkerPauses bool
-	// DaemonStops adds planned stops of daemons in concurrent series, and long streams. Without other
-	// faults, the callers report every stream that a daemon ends before its deadline.
+	// DaemonStops adds planned stops of daemons, requests of which a few take far longer than the others,
+	// bodies that come late, and callers that keep asking a stopping daemon. Without other faults, most seeds
+	// stop daemons in waves, during which workers may become slow, and the callers report every request that
+	// a daemon ends before its deadline.
 	DaemonStops bool
 	// StoreRestores adds restores of the store from a copy that is seconds old.
 	StoreRestores bool
@@ -361,15 +363,15 @@
 		series.Go(func() { r.injectFaults(ctx, pauseSchedule(r.opts.Seed, r.opts.Duration), pauseFaults) })
 	}
 	if r.opts.DaemonStops {
-		for i := range stopSeriesCount {
-			series.Go(func() { r.injectFaults(ctx, stopSchedule(r.opts.Seed, i, r.opts.Duration), stopFaults) })
+		for _, scheduled := range r.opts.stopSchedules() {
+			series.Go(func() { r.injectFaults(ctx, scheduled, stopFaults) })
 		}
 	}
 }
 
 // startCallers starts the callers, which send requests until ctx is done.
 func (r *run) startCallers(ctx context.Context, group *conc.WaitGroup) {
-	for i := range r.opts.Callers {
+	for i := range r.opts.callerCount() {
 		c := newCaller(r, i)
 		group.Go(func() { c.sendRequests(ctx) })
 	}
