serving, formation: Wait for workers of a play without a race, and log refused records

A starting daemon dropped the errors of stored marks that it can't read; it logs them. In formation a function is renamed after what it reports.

--- a/formation/dissolve.go
+++ b/formation/dissolve.go
@@ -150,9 +150,9 @@
 	rc.opts.Logger.Info("draining replica", "replica", o.key)
 	rc.announceClosed(o, o.head)
 	deadline := time.Now().Add(maxDrainTime)
-	mayHaveRequests := rc.close(ctx, o, deadline)
+	hasRequests := rc.close(ctx, o, deadline)
 	nextQuery := time.Now().Add(queryInterval)
-	for mayHaveRequests && ctx.Err() == nil && time.Now().Before(deadline) && !rc.isDrained(ctx, o, &nextQuery) {
+	for hasRequests && ctx.Err() == nil && time.Now().Before(deadline) && !rc.isDrained(ctx, o, &nextQuery) {
 		pause.Sleep(ctx, tickInterval)
 	}
 	rc.dissolve(ctx, o, o.head)
@@ -161,7 +161,7 @@
 // close orders the head of a group to take no more requests, and reports whether earlier ones may be in flight. A
 // head that does not answer may only pause, and may have carried the order out, so the order is repeated until the
 // deadline, or until the head is treated as gone.
-func (rc *Reconciler) close(ctx context.Context, o *observedGroup, deadline time.Time) (mayHaveRequests bool) {
+func (rc *Reconciler) close(ctx context.Context, o *observedGroup, deadline time.Time) (hasRequests bool) {
 	for ctx.Err() == nil && time.Now().Before(deadline) && !rc.isUnresponsive(o.head.ID) {
 		verdict, ok := rc.sendOrder(ctx, "close", o.head, func(ctx context.Context, fence Fence) (Verdict, error) {
 			return rc.opts.Orders.Close(ctx, o.head, fence, o.group)
@@ -169,7 +169,7 @@
 		rc.recordBegun(o.head.ID, verdict)
 		switch {
 		case ok && verdict == StateMismatch:
-			return rc.isClosable(ctx, o)
+			return rc.mayHaveRequests(ctx, o)
 		case ok:
 			return verdict.IsAccepted()
 		}
@@ -178,9 +178,9 @@
 	return false
 }
 
-// isClosable reports whether a group may have requests, although its head answered that an order to close it does
+// mayHaveRequests reports whether a group may have requests, although its head answered that an order to close it does
 // not fit. An earlier attempt, or an earlier leader, may have closed it.
-func (rc *Reconciler) isClosable(ctx context.Context, o *observedGroup) bool {
+func (rc *Reconciler) mayHaveRequests(ctx context.Context, o *observedGroup) bool {
 	latest := fleet.Membership{Group: o.group.Name, Epoch: o.group.Epoch, State: o.state}
 	if state, ok := rc.queryState(ctx, o.head); ok {
 		latest = state.Membership
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -105,11 +105,14 @@
 func (s *Server) restoreMarks(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, marksTimeout)
 	defer cancel()
-	marks, _, err := s.opts.QuarantineMarks.Read(ctx)
+	marks, refused, err := s.opts.QuarantineMarks.Read(ctx)
 	if err != nil {
 		s.logger.Info("reading marks of quarantined requests failed", "error", err)
 		return false
 	}
+	if len(refused) > 0 {
+		s.logger.Warn("invalid records of quarantined requests", "error", errors.Join(refused...))
+	}
 	for _, m := range marks {
 		s.proxy.Guard().Restore(m, storeSource)
 	}
--- a/serving/stopcalls_test.go
+++ b/serving/stopcalls_test.go
@@ -39,6 +39,8 @@
 	historyCount    = 24
 	historyLead     = 9500 * time.Millisecond
 	historyInterval = 300 * time.Millisecond
+	// longestWork is how long workers take at most.
+	longestWork = 6500 * time.Millisecond
 	// stopTimeout is the timeout of all routes.
 	stopTimeout = 7 * time.Second
 	workHeader  = "X-Work"
@@ -176,11 +178,8 @@
 func runStopPlay(t *testing.T, play stopPlay) (problem string) {
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
-		var working sync.WaitGroup
 		runs := make(map[string]int)
 		head := &signalHead{id: "head", process: func(r *http.Request) {
-			working.Add(1)
-			defer working.Done()
 			mu.Lock()
 			runs[r.Header.Get(signalHeaders.AttemptID)]++
 			mu.Unlock()
@@ -215,12 +214,15 @@
 		s.stop(server.Server, conns, listener)
 		end := time.Since(begun)
 		callers.Wait()
-		working.Wait()
+		// Workers go on with requests that the daemon has given up.
+		time.Sleep(longestWork)
 		<-served
 		mayCutUntil := bindingTime
 		if play.daemons > 1 {
 			mayCutUntil = 0
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		for i := range outcomes {
 			outcomes[i].runs = runs[fmt.Sprintf("r%d", i)]
 			problem = cmp.Or(problem, outcomes[i].check(closedAt, end, mayCutUntil))
