--- a/formation/send.go
+++ b/formation/send.go
@@ -10,8 +10,9 @@
 
 // sendOrder sends an order until it is answered, at most maxOrderAttempts times, and reports
 // whether an answer arrived. Each attempt has a new fence, so that workers reject earlier attempts
-// that arrive late. An attempt that another order of the same term overtook is repeated. If no attempt is answered, the worker's state is queried. If that is not
-// answered either, the worker is recorded as silent or marked as unresponsive.
+// that arrive late. An attempt that another order of the same term overtook is repeated. If no attempt
+// is answered, the worker's state is queried. If that is not answered either, the worker is recorded as
+// silent or marked as unresponsive.
 func (rc *Reconciler) sendOrder(ctx context.Context, order string, w *fleet.Worker, send func(context.Context, Fence) (Verdict, error)) (Verdict, bool) {
 	since := time.Now()
 	fencedCount, maxAttempts := 0, maxOrderAttempts
