--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -87,7 +87,13 @@
 		if len(a.received) == 0 {
 			first = b
 		}
-		time.Sleep(time.Second)
+		// The hedge starts after a random delay.
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			if p.timesReceived("waits") == 2 {
+				break
+			}
+		}
 		assert.Equal(t, p.timesReceived("waits"), 2)
 		p.crash(first)
 		time.Sleep(10 * time.Millisecond)
