formation: Forget the last fences of workers that are gone

The map of the last fence sent to each worker grew with a term. It now loses workers that are off the list and in no operation.

--- a/formation/reconciler.go
+++ b/formation/reconciler.go
@@ -387,6 +387,11 @@
 			delete(rc.unresponsive, id)
 		}
 	}
+	for id := range rc.lastFences {
+		if _, listed := view.Worker(id); !listed && !rc.busyWorkers[id] {
+			delete(rc.lastFences, id)
+		}
+	}
 }
 
 // nextFenceLocked returns a new fence. The caller must hold rc.mu. A fence must never be lower than
