serving: Read marks at a start by the leader's own reader

A starting daemon had a second copy of the read, the log of refused records and the restoring, and a second predicate for a ready peer, which counted peers that leave. It now calls markSyncer.read and the predicate that forwarding uses. All tests of the package pass.

--- a/serving/forward.go
+++ b/serving/forward.go
@@ -22,7 +22,7 @@
 	for _, p := range alive {
 		all = append(all, proxy.Peer{
 			ID: p.ID, Incarnation: p.Incarnation, Address: p.ServingAddress,
-			Distance: s.distanceOf(p), IsReady: p.Ready && !p.Leaving,
+			Distance: s.distanceOf(p), IsReady: isReadyPeer(p),
 		})
 	}
 	return all
@@ -45,6 +45,12 @@
 	if s.proxy.ReachesEngines() {
 		return false
 	}
-	isReady := func(p *peers.Peer) bool { return p.Ready && !p.Leaving }
-	return slices.ContainsFunc(s.agent.Table().Alive(time.Now()), isReady)
+	return s.hasReadyPeer()
 }
+
+// hasReadyPeer reports whether another daemon serves callers and is not about to end.
+func (s *Server) hasReadyPeer() bool {
+	return slices.ContainsFunc(s.agent.Table().Alive(time.Now()), isReadyPeer)
+}
+
+func isReadyPeer(p *peers.Peer) bool { return p.Ready && !p.Leaving }
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -58,12 +58,16 @@
 	until, firstReadAt time.Time
 }
 
+func newMarkSyncer(s *Server) *markSyncer {
+	return &markSyncer{server: s, stored: make(map[quarantine.Fingerprint]storedMark)}
+}
+
 // syncMarks keeps the stored marks up to date while this daemon leads, until ctx ends.
 func (s *Server) syncMarks(ctx context.Context) {
 	if s.opts.QuarantineMarks.Read == nil || s.opts.QuarantineMarks.Write == nil {
 		return
 	}
-	k := &markSyncer{server: s, stored: make(map[quarantine.Fingerprint]storedMark)}
+	k := newMarkSyncer(s)
 	for ctx.Err() == nil {
 		if s.isReader() {
 			k.sync(ctx, time.Now())
@@ -85,10 +89,11 @@
 	if s.opts.QuarantineMarks.Read == nil {
 		return
 	}
-	for ctx.Err() == nil && !s.isReader() && !s.hasReadyPeer(time.Now()) {
+	k := newMarkSyncer(s)
+	for ctx.Err() == nil && !s.isReader() && !s.hasReadyPeer() {
 		wait := startCheckInterval
-		if s.shouldReadInitially(time.Now()) {
-			if s.restoreMarks(ctx) {
+		if now := time.Now(); s.shouldReadInitially(now) {
+			if k.read(ctx, now) {
 				return
 			}
 			wait = marksRetryDelay
@@ -97,28 +102,6 @@
 	}
 }
 
-func (s *Server) hasReadyPeer(now time.Time) bool {
-	return slices.ContainsFunc(s.agent.Table().Alive(now), func(p *peers.Peer) bool { return p.Ready })
-}
-
-// restoreMarks reads the stored marks and applies them. It reports whether they could be read.
-func (s *Server) restoreMarks(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, marksTimeout)
-	defer cancel()
-	marks, refused, err := s.opts.QuarantineMarks.Read(ctx)
-	if err != nil {
-		s.logger.Info("reading marks of quarantined requests failed", "error", err)
-		return false
-	}
-	if len(refused) > 0 {
-		s.logger.Warn("invalid records of quarantined requests", "error", errors.Join(refused...))
-	}
-	for _, m := range marks {
-		s.proxy.Guard().Restore(m, storeSource)
-	}
-	return true
-}
-
 func (k *markSyncer) guard() *guard.Guard { return k.server.proxy.Guard() }
 
 // sync reads the stored marks if a read is due, and writes changes to the store. It does nothing if
