--- a/common/drain/conns.go
+++ b/common/drain/conns.go
@@ -54,12 +54,15 @@
 // SealWhenIdle stops reading requests at a moment in which no connection is busy, or at the deadline. Idle
 // connections are closed then, and busy ones after their answers.
 func (cs *Conns) SealWhenIdle(deadline time.Time) {
-	cs.await(deadline, func() (at time.Time, isKnown bool) {
+	isSealed := cs.await(deadline, func() (at time.Time, isKnown bool) {
 		if cs.busyCount == 0 {
 			cs.seal()
 		}
 		return time.Time{}, cs.isSealed
 	})
+	if isSealed {
+		return
+	}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.seal()
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -29,7 +29,7 @@
 
 // stopCheck describes a request that a stopping daemon may send to a worker.
 type stopCheck struct {
-	// arrived is when the request's head was read, at the time of the check.
+	// arrived is when the request's head was read, at is when the check is made.
 	arrived, at, deadline time.Time
 	// hasAlternative reports whether another daemon is ready.
 	hasAlternative bool
