--- a/review/standins-2/recover/main.go
+++ b/review/standins-2/recover/main.go
@@ -111,6 +111,8 @@
 	ledger  *standin.Ledger
 	fabric  *standin.Fabric
 	daemons []*daemon
+	// reserved holds the ports of the daemons until all are chosen.
+	reserved []net.Listener
 	// acknowledged receives when the store has acknowledged a record of marksTopic.
 	acknowledged chan struct{}
 
@@ -191,6 +193,9 @@
 			return err
 		}
 	}
+	for _, l := range b.reserved {
+		_ = l.Close()
+	}
 	for _, d := range b.daemons {
 		if err := d.start(b.dir); err != nil {
 			return err
@@ -285,7 +290,7 @@
 		if err != nil {
 			return err
 		}
-		defer func() { _ = l.Close() }()
+		b.reserved = append(b.reserved, l)
 		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
 	name := fmt.Sprintf("front-%s-%d", zoneName(i/zoneCount), i%zoneCount+1)
