--- a/review/standins-2/recover/main.go
+++ b/review/standins-2/recover/main.go
@@ -20,10 +20,12 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,6 +64,8 @@
 	calmTime     = 8 * time.Second
 	judgedTime   = 8 * time.Second
 	startTimeout = 30 * time.Second
+	// maxRunTime is when the script gives up.
+	maxRunTime = 115 * time.Second
 )
 
 // kind is a kind of request of the deployment's sheet.
@@ -89,6 +93,9 @@
 
 var loadLimit = standin.LoadLimit{PerSecond: 5, Window: 5 * time.Second, RateFactor: 1.1, Extra: 3}
 
+// closing is set once no daemon may be started any more.
+var closing atomic.Bool
+
 var errNotRun = errors.New("the case could not run")
 
 func main() {
@@ -130,6 +137,8 @@
 	kind   string
 	served bool
 	answer string
+	// isFirst reports whether it is the first try of its caller.
+	isFirst bool
 }
 
 // daemon is a daemon of the system.
@@ -158,6 +167,7 @@
 	defer func() { _ = record.Close() }()
 	b := &bench{dir: dir, ip: fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(250), rand.IntN(250)), record: record, store: standin.NewStore(), ledger: standin.NewLedger(), acknowledged: make(chan struct{}, 1), streams: make(map[string]int)}
 	defer b.stop()
+	go b.endEarly()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if err := b.start(ctx); err != nil {
@@ -358,6 +368,9 @@
 func (d *daemon) start(dir string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if closing.Load() {
+		return errNotRun
+	}
 	isFirst := d.command == nil
 	file := filepath.Join(dir, d.name+".toml")
 	if err := os.WriteFile(file, []byte(fmt.Sprintf("bootstrap = %t\n", isFirst)+d.settings), 0o600); err != nil {
@@ -393,6 +406,21 @@
 	}
 }
 
+// endEarly ends the daemons and the script with 2 when it is interrupted, or takes too long.
+func (b *bench) endEarly() {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-interrupts:
+	case <-time.After(maxRunTime):
+	}
+	closing.Store(true)
+	b.stop()
+	_ = os.RemoveAll(b.dir)
+	fmt.Fprintln(os.Stderr, errNotRun, "in time")
+	os.Exit(2)
+}
+
 func (b *bench) stop() {
 	for _, d := range b.daemons {
 		d.kill()
@@ -538,7 +566,7 @@
 	}
 }
 
-// askTwice sends a request, and once more if that fails.
+// askTwice sends a request, and once more if that fails with any answer but a 2xx, or with none.
 func (b *bench) askTwice(k kind, id string) {
 	tenant := largeTenants + rand.IntN(tenantCount-largeTenants)
 	if rand.Float64() < largeShare {
@@ -546,8 +574,8 @@
 	}
 	until := time.Now().Add(k.deadline)
 	for try := range 2 {
-		served, wait := b.ask(k, fmt.Sprintf("%s-%d", id, try), tenant, time.Until(until))
-		if served || try > 0 {
+		mayRetry, wait := b.ask(k, fmt.Sprintf("%s-%d", id, try), tenant, time.Until(until))
+		if !mayRetry || try > 0 {
 			return
 		}
 		// Callers honour Retry-After up to a third of the time that they have left.
@@ -555,9 +583,8 @@
 	}
 }
 
-// ask sends a request to a random daemon. It returns whether the answer was whole, and after how long
-// to come back.
-func (b *bench) ask(k kind, id string, tenant int, left time.Duration) (served bool, wait time.Duration) {
+// ask sends a request to a random daemon. It returns whether the client may try again, and after how long.
+func (b *bench) ask(k kind, id string, tenant int, left time.Duration) (mayRetry bool, wait time.Duration) {
 	d := b.daemons[rand.IntN(len(b.daemons))]
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
@@ -572,8 +599,9 @@
 	request.Header.Set(standin.HeaderModel, models[rand.IntN(len(models))].Name)
 	request.Header.Set(standin.HeaderUsage, fmt.Sprintf("%d,%d", k.prompt+40, 5*k.events))
 	request.Header.Set(standin.HeaderPrefix, fmt.Sprintf("%x:40,%x:%d", k.name, id, k.prompt))
-	b.ledger.RecordSent(id, standin.Stream, tenantName(tenant), standin.Sender{Daemon: d.name, At: time.Now()})
-	r := result{sentAt: time.Now(), kind: k.name}
+	b.ledger.RecordSent(id, standin.Stream, "", standin.Sender{Daemon: d.name, At: time.Now()})
+	r := result{sentAt: time.Now(), kind: k.name, isFirst: strings.HasSuffix(id, "-0")}
+	mayRetry = true
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	wait = 100 * time.Millisecond
@@ -584,6 +612,7 @@
 		defer func() { _ = response.Body.Close() }()
 		r.answer = strconv.Itoa(response.StatusCode)
 		if response.StatusCode == http.StatusOK {
+			mayRetry = false
 			signature := response.Header.Get(standin.HeaderSignature)
 			b.count(signature, 1)
 			events, readErr := countEvents(response.Body)
@@ -601,7 +630,7 @@
 	b.results = append(b.results, r)
 	b.mu.Unlock()
 	b.note("%s of %s sent %s to %s: %s, whole %t", id, tenantName(tenant), r.sentAt.Format("15:04:05.000"), d.name, r.answer, r.served)
-	return r.served, wait
+	return mayRetry, wait
 }
 
 // countEvents reads a stream to its end and returns the number of its events.
@@ -622,7 +651,7 @@
 	b.mu.Lock()
 	results := b.results
 	b.mu.Unlock()
-	var before, after, servedBefore, servedAfter int
+	var before, after, servedBefore, servedAfter, firstTries, servedFirst int
 	refusals := make(map[string]int)
 	for _, r := range results {
 		switch {
@@ -633,6 +662,12 @@
 			}
 		case r.sentAt.After(returnedAt.Add(recoverTime)):
 			after++
+			if r.isFirst {
+				firstTries++
+				if r.served {
+					servedFirst++
+				}
+			}
 			if r.served {
 				servedAfter++
 			} else {
@@ -641,10 +676,11 @@
 		}
 	}
 	b.note("before the final fault %d of %d requests were served, %d of %d that were sent more than %s after the return", servedBefore, before, servedAfter, after, recoverTime)
+	b.note("of the latter, first tries alone: %d of %d", servedFirst, firstTries)
 	for answer, n := range refusals {
 		b.note("%d times: %s", n, answer)
 	}
-	fmt.Printf("before %d/%d, after %d/%d, %v\n", servedBefore, before, servedAfter, after, refusals)
+	fmt.Printf("before %d/%d, after %d/%d, first tries alone %d/%d, %v\n", servedBefore, before, servedAfter, after, servedFirst, firstTries, refusals)
 	if servedBefore*4 < before || before == 0 || after == 0 {
 		return false, fmt.Errorf("%w: too few requests served before the fault", errNotRun)
 	}
