common/answercheck, proxy, gateway: Reject answers with a status such as 000

What callers saw: a worker's answer whose status is none. The gateway sent 000 as "200 OK" with the worker's bytes, 101, 600 and 999 as they came, and 099 as a head that no client can read. The proxy took 000 to 099 and 101 for interim answers: it read on until the deadline (504), also for requests that another worker could have answered, and what followed in the body was taken as the answer, so that a signed answer within it reached the caller as a success. It passed 600 to 999 on.

Cause: http.ReadResponse takes any three digits as a status, and all readers trusted it. The gateway's HTTP library writes the status 0 as 200.

Ruled out: that an answer without a signature gets through the proxy: that check is made, but on the answer that came after the skipped one.

Why it holds: one check, answercheck.CheckHead, sits where a head has just been read, in front of everything that looks at a status, for interim and final answers alike. 100 to 599 without 101 pass, which is all that RFC 9110 defines; no request asks for a change of the protocol.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -48,6 +48,7 @@
 	sendsInvalidEvent      behaviour = "answers with an event that is no JSON"
 	crashes                behaviour = "runs and ends its process"
 	crashesInAnswer        behaviour = "ends its process within its answer"
+	sendsRaw               behaviour = "runs and sends the bytes of its raw answer"
 	tokenCount                       = 6
 	testPrompt                       = "prompt"
 )
@@ -61,9 +62,11 @@
 	script []behaviour
 	// onRequest is called for each request before it is handled.
 	onRequest func()
-	runs      int
-	server    *http.Server
-	address   string
+	// raw is what sendsRaw sends.
+	raw     string
+	runs    int
+	server  *http.Server
+	address string
 }
 
 func newEndpoint(t testing.TB) *fakeEndpoint {
@@ -124,6 +127,9 @@
 		return
 	case resets:
 		panic(http.ErrAbortHandler)
+	case sendsRaw:
+		sendRaw(w, e.raw)
+		return
 	case crashes:
 		_ = e.server.Close()
 		panic(http.ErrAbortHandler)
@@ -141,6 +147,17 @@
 	_, _ = io.WriteString(w, "data: [DONE]\n\n")
 }
 
+// sendRaw sends bytes in place of an answer, and leaves the connection open until the gateway closes it.
+func sendRaw(w http.ResponseWriter, raw string) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, raw)
+	_, _ = c.Read(make([]byte, 1))
+}
+
 // promptFor returns the prompt whose tokens an endpoint with the behaviour sends.
 func promptFor(b behaviour) string {
 	if b == answersForOtherRequest {
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"quartzshelf.dev/cluster"
+	"quartzshelf.dev/common/answercheck"
 	"quartzshelf.dev/common/failure"
 )
 
@@ -53,7 +54,7 @@
 
 func newClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     t,
+		Transport:     &answercheck.Transport{Transport: t},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/proxy/answerlimit.go
+++ b/proxy/answerlimit.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"quartzshelf.dev/common/answercheck"
 	"quartzshelf.dev/common/headlimit"
 	"quartzshelf.dev/fleet"
 )
@@ -77,7 +78,14 @@
 func (c *connection) readHead(method string) (*http.Response, error) {
 	c.head.begin()
 	defer c.head.end()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if err := answercheck.CheckHead(response); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // readAnswer reads the body of an answer if the account can hold it. One whose announced length is too
--- a/proxy/worker_test.go
+++ b/proxy/worker_test.go
@@ -66,6 +66,8 @@
 	// ends runs the request, then closes the connection and stops listening, like a process that
 	// crashed.
 	ends behaviour = "ends"
+	// sendsRaw runs the request and sends the bytes of the worker's raw answer.
+	sendsRaw behaviour = "sends raw bytes"
 )
 
 var testNames = HeaderNames{
@@ -94,6 +96,8 @@
 	// connectionCount counts the accepted connections, extraHeader is added to each answer.
 	connectionCount int
 	extraHeader     string
+	// raw is what sendsRaw sends. $ID in it stands for the request's ID.
+	raw string
 	// onRequest is called when a request has arrived, before the worker acts on it.
 	onRequest func()
 }
@@ -207,6 +211,9 @@
 	case floods, swells, rambles, announces:
 		sendTooMuch(c, b, signedHeader)
 		return false
+	case sendsRaw:
+		writeText(c, strings.ReplaceAll(w.raw, "$ID", id))
+		return true
 	case unsigned:
 		writeText(c, "HTTP/1.1 200 OK\r\nX-Attempt: "+id+"\r\nContent-Length: 2\r\n\r\nno")
 		return true
