platform, serving, daemon, standin/client, operatorcmd: Take no malformed answer for an answer

What callers would see: an append to the store that was answered with a status that is none counted as refused, "nothing was appended", though it may have been. The log and the nodes of quartzshelfd: 000 counted as a success, an order as answered. The operators' program showed 000 as a success.

Cause: the same as at workers, any three digits pass as a status. fasthttp returns 200 for the status 0 and gives no way to tell, so its two clients use net/http now.

Ruled out: reports, fetches from peers and calls of daemons already took every status but 200 for an error; for them the check only names the reason.

Two tests of endless answers reach the dialer through one more type; what they check is unchanged.

Why it holds: every client of another process in this repository sends through answercheck.Transport or the proxy's reader, which share one check.

--- a/cmd/operatorcmd/client.go
+++ b/cmd/operatorcmd/client.go
@@ -1,15 +1,19 @@
 package operatorcmd
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/valyala/fasthttp"
 
+	"quartzshelf.dev/common/answercheck"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/daemon"
 )
@@ -25,11 +29,12 @@
 // client calls the operators' API of the daemons, in the order of their addresses.
 type client struct {
 	addresses []string
-	http      *fasthttp.Client
+	http      *http.Client
 }
 
 func newClient(addresses []string) *client {
-	return &client{addresses: addresses, http: &fasthttp.Client{MaxIdemponentCallAttempts: 1}}
+	transport := &answercheck.Transport{Transport: &http.Transport{}}
+	return &client{addresses: addresses, http: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
 // apiError is an error response of a daemon.
@@ -48,7 +53,7 @@
 
 // get decodes the response of the first daemon that answers into reply.
 func (c *client) get(path string, reply any) error {
-	return c.callFirst(fasthttp.MethodGet, path, reply)
+	return c.callFirst(http.MethodGet, path, reply)
 }
 
 // callFirst calls the daemons in order until one answers with success or a client error, and
@@ -58,7 +63,7 @@
 	for _, address := range c.addresses {
 		last = c.call(method, address, path, nil, reply)
 		var answered *apiError
-		if last == nil || errors.As(last, &answered) && answered.status < fasthttp.StatusInternalServerError {
+		if last == nil || errors.As(last, &answered) && answered.status < http.StatusInternalServerError {
 			return last
 		}
 	}
@@ -66,30 +71,46 @@
 }
 
 func (c *client) call(method, address, path string, body, reply any) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + address + path)
-	if body != nil {
-		encoded, err := json.Marshal(body)
-		if err != nil {
-			return err
-		}
-		request.Header.SetContentType("application/json")
-		request.SetBody(encoded)
+	request, err := newRequest(method, "http://"+address+path, body)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
 	}
-	if err := c.http.DoTimeout(request, response, callTimeout); err != nil {
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
 		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		failed := &apiError{address: address, status: response.StatusCode()}
-		if json.Unmarshal(response.Body(), failed) != nil {
-			failed.Message = string(response.Body())
+	if response.StatusCode != http.StatusOK {
+		failed := &apiError{address: address, status: response.StatusCode}
+		if json.Unmarshal(data, failed) != nil {
+			failed.Message = string(data)
 		}
 		return failed
 	}
-	return json.Unmarshal(response.Body(), reply)
+	return json.Unmarshal(data, reply)
+}
+
+// newRequest returns a request that is never sent twice. If body is not nil, it is sent as JSON.
+func newRequest(method, target string, body any) (*http.Request, error) {
+	if body == nil {
+		return http.NewRequest(method, target, http.NoBody)
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequest(method, target, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	// Prevents the HTTP client from resending a change that may have been received.
+	request.GetBody = nil
+	return request, nil
 }
 
 // listObjects returns the published objects that match the kind, the name and the selector. An
@@ -111,13 +132,13 @@
 	path := "/api/changes/" + uuid.NewString()
 	var reply daemon.ChangeReply
 	for _, address := range c.addresses {
-		err := c.call(fasthttp.MethodPost, address, path, set, &reply)
+		err := c.call(http.MethodPost, address, path, set, &reply)
 		if err == nil {
 			return reply, nil
 		}
 		var answered *apiError
 		switch {
-		case errors.As(err, &answered) && answered.Settled && answered.status < fasthttp.StatusInternalServerError:
+		case errors.As(err, &answered) && answered.Settled && answered.status < http.StatusInternalServerError:
 			return reply, err
 		case errors.As(err, &answered) && answered.Settled:
 			continue
@@ -135,7 +156,7 @@
 	deadline := time.Now().Add(verdictTimeout)
 	for time.Now().Before(deadline) {
 		for _, address := range c.addresses {
-			if c.call(fasthttp.MethodGet, address, path, nil, &reply) == nil {
+			if c.call(http.MethodGet, address, path, nil, &reply) == nil {
 				return reply, nil
 			}
 		}
@@ -146,6 +167,6 @@
 
 // isNotSent reports whether the call failed before the request was sent.
 func isNotSent(err error) bool {
-	var dial *fasthttp.ErrDialWithUpstream
-	return errors.As(err, &dial) || errors.Is(err, fasthttp.ErrDialTimeout)
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
--- a/cmd/operatorcmd/hallwait.go
+++ b/cmd/operatorcmd/hallwait.go
@@ -4,12 +4,11 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"quartzshelf.dev/hall"
 )
 
@@ -64,7 +63,7 @@
 	var last error
 	for _, address := range w.env.client.addresses {
 		var halls []hall.Status
-		if last = w.env.client.call(fasthttp.MethodGet, address, "/api/halls", nil, &halls); last != nil {
+		if last = w.env.client.call(http.MethodGet, address, "/api/halls", nil, &halls); last != nil {
 			continue
 		}
 		if h, err := findHall(halls, w.name); err == nil {
--- a/common/answercheck/transport_test.go
+++ b/common/answercheck/transport_test.go
@@ -1,11 +1,29 @@
 package answercheck
 
 import (
+	"io"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"quartzshelf.dev/common/rawserver"
 )
 
+// receive returns the body of the answer, or the error of the request or of reading its body.
+func receive(t *testing.T, answer string) (string, error) {
+	t.Helper()
+	client := &http.Client{Transport: &Transport{Transport: &http.Transport{}}}
+	t.Cleanup(client.CloseIdleConnections)
+	response, err := client.Get("http://" + rawserver.Serve(t, answer))
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
 // TestTransportRejectsMalformedAnswers guards against passing on answers that net/http accepts although they
 // are malformed.
 func TestTransportRejectsMalformedAnswers(t *testing.T) {
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -8,6 +8,7 @@
 
 	"quartzshelf.dev/admission"
 	"quartzshelf.dev/cluster"
+	"quartzshelf.dev/common/answercheck"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
@@ -92,7 +93,7 @@
 		MaxResponseHeaderBytes: maxPeerHeaderBytes,
 	}
 	return &peerClients{
-		http:      &http.Client{Timeout: peerTimeout, Transport: limitedTransport{transport}},
+		http:      &http.Client{Timeout: peerTimeout, Transport: limitedTransport{&answercheck.Transport{Transport: transport}}},
 		transport: transport,
 		traffic:   t,
 		clients:   make(map[string]rpc.Peer),
@@ -109,7 +110,7 @@
 
 // limitedTransport limits the bodies of replies, which the generated client reads whole.
 type limitedTransport struct {
-	*http.Transport
+	*answercheck.Transport
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"quartzshelf.dev/common/answercheck"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/headlimit"
 	"quartzshelf.dev/common/pause"
@@ -57,7 +58,9 @@
 func newFetcher(s *Server) *fetcher {
 	f := &fetcher{server: s, requests: make(chan fetchRequest, 1), client: &http.Client{Timeout: fetchTimeout, Transport: s.opts.PeerTransport}}
 	if s.opts.PeerTransport == nil {
-		f.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxResponseHeadBytes}
+		f.client.Transport = &answercheck.Transport{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxResponseHeadBytes,
+		}}
 	}
 	return f
 }
--- a/serving/responselimit_test.go
+++ b/serving/responselimit_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quartzshelf.dev/common/answercheck"
 	"quartzshelf.dev/common/suspension"
 	"quartzshelf.dev/peers"
 )
@@ -54,7 +55,7 @@
 		t.Run(name, func(t *testing.T) {
 			read := &atomic.Int64{}
 			f := newFetcher(&Server{})
-			f.client.Transport.(*http.Transport).DialContext = dialEndlessPeer(test.beginning, test.repeated, read)
+			f.client.Transport.(*answercheck.Transport).DialContext = dialEndlessPeer(test.beginning, test.repeated, read)
 			f.client.Timeout = time.Minute
 			peer := fetchRequest{Peer: &peers.Peer{Heartbeat: peers.Heartbeat{Identity: peers.Identity{ID: "p", Address: "127.0.0.1:1"}}}, requestedAt: suspension.NewStamp(suspension.Never)}
 			_, err := f.get(t.Context(), peer, pathWorkers)
--- a/standin/client/client.go
+++ b/standin/client/client.go
@@ -3,18 +3,21 @@
 package client
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/joomcode/errorx"
-	"github.com/valyala/fasthttp"
 
 	"quartzshelf.dev/cluster"
+	"quartzshelf.dev/common/answercheck"
 	"quartzshelf.dev/common/failure"
 )
 
@@ -22,8 +25,12 @@
 const (
 	// callTimeout bounds a call whose context has no deadline.
 	callTimeout = 5 * time.Second
-	// maxResponseBytes limits the body of a response.
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes limits the body of a response, maxResponseHeadBytes its head.
+	maxResponseBytes     = 64 << 20
+	maxResponseHeadBytes = 16 << 10
+	// maxIdleConns limits the idle connections to one address, idleTimeout how long they are kept.
+	maxIdleConns = 16
+	idleTimeout  = 10 * time.Second
 )
 
 // Client calls the platform over HTTP. It implements cluster.Log, cluster.NodeList and
@@ -31,7 +38,7 @@
 type Client struct {
 	logURL   string
 	nodesURL string
-	http     *fasthttp.Client
+	http     *http.Client
 }
 
 var (
@@ -52,13 +59,10 @@
 	return &Client{
 		logURL:   "http://" + opts.LogAddress,
 		nodesURL: "http://" + opts.NodeListAddress,
-		http: &fasthttp.Client{
-			MaxResponseBodySize:       maxResponseBytes,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-				return false, false
-			},
-		},
+		http: &http.Client{Transport: &answercheck.Transport{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
+		}}},
 	}
 }
 
@@ -74,7 +78,7 @@
 func (c *Client) Append(ctx context.Context, stream string, records []cluster.Record) (int64, error) {
 	var reply appendReply
 	target := c.logURL + "/log/" + url.PathEscape(stream)
-	err := c.call(ctx, "append to log", fasthttp.MethodPost, target, appendRequest{Records: records}, &reply)
+	err := c.call(ctx, "append to log", http.MethodPost, target, appendRequest{Records: records}, &reply)
 	return reply.First, err
 }
 
@@ -83,7 +87,7 @@
 	var batch cluster.Batch
 	target := fmt.Sprintf("%s/log/%s?from=%d&limit=%d&wait_ms=%d",
 		c.logURL, url.PathEscape(stream), from, limit, wait.Milliseconds())
-	err := c.call(ctx, "read log", fasthttp.MethodGet, target, nil, &batch)
+	err := c.call(ctx, "read log", http.MethodGet, target, nil, &batch)
 	return batch, err
 }
 
@@ -94,21 +98,21 @@
 // Nodes implements cluster.NodeList.
 func (c *Client) Nodes(ctx context.Context) ([]cluster.ListedNode, error) {
 	var reply nodesReply
-	err := c.call(ctx, "read node list", fasthttp.MethodGet, c.nodesURL+"/nodes", nil, &reply)
+	err := c.call(ctx, "read node list", http.MethodGet, c.nodesURL+"/nodes", nil, &reply)
 	return reply.Nodes, err
 }
 
 // State implements cluster.NodeControl.
 func (c *Client) State(ctx context.Context, address string) (cluster.NodeState, error) {
 	var state cluster.NodeState
-	err := c.call(ctx, "probe node", fasthttp.MethodGet, "http://"+address+"/control/state", nil, &state)
+	err := c.call(ctx, "probe node", http.MethodGet, "http://"+address+"/control/state", nil, &state)
 	return state, err
 }
 
 // Order implements cluster.NodeControl.
 func (c *Client) Order(ctx context.Context, address string, order cluster.Order) (cluster.OrderReply, error) {
 	var reply cluster.OrderReply
-	err := c.call(ctx, "order node", fasthttp.MethodPost, "http://"+address+"/control/order", order, &reply)
+	err := c.call(ctx, "order node", http.MethodPost, "http://"+address+"/control/order", order, &reply)
 	return reply, err
 }
 
@@ -125,39 +129,62 @@
 // call sends a request to the URL target and decodes the JSON response into reply. If body is not
 // nil, it is sent as JSON. step names the operation in errors.
 func (c *Client) call(ctx context.Context, step, method, target string, body, reply any) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI(target)
-	peer := string(request.Host())
-	if body != nil {
-		encoded, err := json.Marshal(body)
-		if err != nil {
-			return failure.Wrap(failure.Invalid, step, peer, err)
-		}
-		request.Header.SetContentType("application/json")
-		request.SetBody(encoded)
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
 	}
-	if err := ctx.Err(); err != nil {
-		return failure.Wrap(failure.Unavailable, step, peer, err)
-	}
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(callTimeout)
+	request, err := newRequest(ctx, method, target, body)
+	if err != nil {
+		return failure.Wrap(failure.Invalid, step, target, err)
 	}
-	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+	peer := request.URL.Host
+	response, err := c.http.Do(request)
+	if err != nil {
 		return failure.Wrap(failureTypeOf(err), step, peer, err)
 	}
-	switch code := response.StatusCode(); code {
-	case fasthttp.StatusOK:
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
-		return failure.New(failure.Refused, step, peer, "status %d: %.200s", code, response.Body())
+	data, err := readBody(response)
+	if err != nil {
+		return failure.Wrap(failure.Unavailable, step, peer, err)
+	}
+	switch code := response.StatusCode; code {
+	case http.StatusOK:
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return failure.New(failure.Refused, step, peer, "status %d: %.200s", code, data)
 	default:
-		return failure.New(failure.Remote, step, peer, "status %d: %.200s", code, response.Body())
+		return failure.New(failure.Remote, step, peer, "status %d: %.200s", code, data)
 	}
-	if err := json.Unmarshal(response.Body(), reply); err != nil {
+	if err := json.Unmarshal(data, reply); err != nil {
 		return failure.Wrap(failure.Remote, step, peer, err)
 	}
 	return nil
 }
+
+// newRequest returns a request that is never sent twice. If body is not nil, it is sent as JSON.
+func newRequest(ctx context.Context, method, target string, body any) (*http.Request, error) {
+	if body == nil {
+		return http.NewRequestWithContext(ctx, method, target, http.NoBody)
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	// Prevents the HTTP client from resending a request that may have been received.
+	request.GetBody = nil
+	return request, nil
+}
+
+// readBody reads the body of a response, up to maxResponseBytes, and closes it.
+func readBody(response *http.Response) ([]byte, error) {
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		err = fmt.Errorf("the response is longer than %d bytes", maxResponseBytes)
+	}
+	return data, err
+}
