common/answercheck, proxy, gateway: Reject answers with a blank in a field's name

What callers saw: a worker's answer with "Odd Field: a" in its head, in an interim answer before it or in its trailer reached them as a success, without that line. With "Content-Length : 3" or "Transfer-Encoding : chunked" the body lasted until its connection ended: 504 after 5 s of holding, or, where the worker closed, a success whose body held chunk sizes or whatever came after the answer.

Cause: textproto keeps a name with a blank instead of failing, so such a field is none of those that frame a body; the line is only dropped when the head is written to the caller. Trailers and interim answers are read by the same code, and nobody looked at either.

Why it holds: the names of every head are compared with the characters that RFC 9110 allows, at the one place where heads are read; a body with chunks ends with an error, not with its end, if its trailer has such a name. Folded values, blanks around values and all other characters pass as before.

--- a/common/answercheck/answercheck.go
+++ b/common/answercheck/answercheck.go
@@ -4,7 +4,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 )
 
 // The statuses that an answer may have (RFC 9110, section 15). net/http accepts any three digits.
@@ -13,6 +15,9 @@
 	maxStatus = 599
 )
 
+// nameSymbols are the characters of a field's name besides letters and digits (RFC 9110, section 5.6.2).
+const nameSymbols = "!#$%&'*+-.^_`|~"
+
 // Error is the error of a malformed answer.
 type Error struct {
 	part  string
@@ -36,5 +41,47 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return &Error{part: "status", value: r.Status}
 	}
+	return checkNames(r.Header)
+}
+
+// checkNames returns an Error if a field's name is malformed. net/http keeps names with a blank as they are,
+// so that a blank after Content-Length or Transfer-Encoding changes where the body ends.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if name == "" || strings.ContainsFunc(name, isNoNameCharacter) {
+			return &Error{part: "field name", value: name}
+		}
+	}
 	return nil
 }
+
+func isNoNameCharacter(c rune) bool {
+	isAlphanumeric := '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+	return !isAlphanumeric && !strings.ContainsRune(nameSymbols, c)
+}
+
+// CheckTrailer makes the answer's body end with an Error if the trailer that follows it is malformed.
+func CheckTrailer(r *http.Response) {
+	isChunked := len(r.TransferEncoding) > 0
+	if isChunked && r.Body != http.NoBody {
+		r.Body = &trailedBody{ReadCloser: r.Body, response: r}
+	}
+}
+
+// trailedBody is a body that a trailer may follow.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		// net/http has read the trailer with the end of the body.
+		if malformed := checkNames(b.response.Trailer); malformed != nil {
+			return n, malformed
+		}
+	}
+	return n, err
+}
--- a/common/answercheck/transport_test.go
+++ b/common/answercheck/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -27,7 +28,11 @@
 // TestTransportRejectsMalformedAnswers guards against passing on answers that net/http accepts although they
 // are malformed.
 func TestTransportRejectsMalformedAnswers(t *testing.T) {
-	const rest = "Content-Length: 2\r\n\r\nno"
+	const (
+		rest    = "Content-Length: 2\r\n\r\nno"
+		chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n"
+		interim = "HTTP/1.1 103 Early Hints\r\n"
+	)
 	tests := map[string]string{
 		"status 000": "HTTP/1.1 000 Odd\r\n" + rest,
 		"status 099": "HTTP/1.1 099 Odd\r\n" + rest,
@@ -35,6 +40,14 @@
 		"status 101": "HTTP/1.1 101 Odd\r\n\r\n",
 		"status 600": "HTTP/1.1 600 Odd\r\n" + rest,
 		"status 999": "HTTP/1.1 999 Odd\r\n" + rest,
+
+		"a blank before the colon of the length": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nno",
+		"a blank before the colon of the coding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"a blank within a name":                  "HTTP/1.1 200 OK\r\nOdd Field: a\r\n" + rest,
+		"a blank in a name of an interim answer": interim + "Odd Field: a\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"a blank in a name of a trailer":         chunked + "Odd Field: a\r\n\r\n",
+		"a blank before a colon in a trailer":    chunked + "Odd : a\r\n\r\n",
+		"too many interim answers":               strings.Repeat(interim+"\r\n", 6) + "HTTP/1.1 200 OK\r\n" + rest,
 	}
 	for name, answer := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -53,6 +66,11 @@
 		"the highest status":       {answer: "HTTP/1.1 599 Odd\r\n" + rest, body: "yes"},
 		"an interim answer before": {answer: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, body: "yes"},
 		"no content":               {answer: "HTTP/1.1 204 No Content\r\n\r\n"},
+		"blanks around a value":    {answer: "HTTP/1.1 200 OK\r\nField: \t a \t\r\n" + rest, body: "yes"},
+		"a folded value":           {answer: "HTTP/1.1 200 OK\r\nField: a\r\n b\r\n" + rest, body: "yes"},
+		"an unusual name":          {answer: "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~1a: b\r\n" + rest, body: "yes"},
+		"a trailer":                {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\nField: a\r\n\r\n", body: "yes"},
+		"an announced trailer":     {answer: "HTTP/1.1 200 OK\r\nTrailer: Field\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\nField: a\r\n\r\n", body: "yes"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -20,6 +20,25 @@
 	}
 }
 
+// TestMalformedFieldNameReachesNoCaller guards against passing on bodies that are framed by a field whose name has
+// a blank.
+func TestMalformedFieldNameReachesNoCaller(t *testing.T) {
+	const (
+		head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+		body = "Content-Length: 3\r\n\r\nodd"
+	)
+	tests := map[string]string{
+		"a blank before the colon of the length": head + "Content-Length : 3\r\nConnection: close\r\n\r\nodd, and more",
+		"a blank within a name":                  head + "Odd Field: a\r\n" + body,
+		"a control byte within a name":           head + "Odd\x01: a\r\n" + body,
+		"a blank in a name of an interim answer": "HTTP/1.1 103 Early Hints\r\nOdd Field: a\r\n\r\n" + head + body,
+		"a blank in a name of a trailer":         head + "Transfer-Encoding: chunked\r\n\r\n3\r\nodd\r\n0\r\nOdd Field: a\r\n\r\n",
+	}
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) { checkMalformedAnswer(t, sent) })
+	}
+}
+
 // checkMalformedAnswer checks that no caller gets what an endpoint sends: a request that may be repeated is
 // answered by another endpoint, and the caller of any other one hears that it may have run.
 func checkMalformedAnswer(t *testing.T, sent string) {
--- a/proxy/answerlimit.go
+++ b/proxy/answerlimit.go
@@ -85,6 +85,7 @@
 	if err := answercheck.CheckHead(response); err != nil {
 		return nil, err
 	}
+	answercheck.CheckTrailer(response)
 	return response, nil
 }
 
