common/bufferlimit, proxy, serving: Move the limit on buffered bytes out of the proxy

The gateway reads answers as long as they come up to 32 MiB each, however many there are, and is to have the same limit as the proxy. This moves proxy.BufferLimit and its tests into a package of their own and names what the proxy uses; nothing about what is reserved, for whom or for how long changes.

--- a/proxy/bufferlimit.go
+++ b/common/bufferlimit/bufferlimit.go
@@ -1,4 +1,6 @@
-package proxy
+// Package bufferlimit limits the memory that a daemon uses to buffer requests and answers, and divides it
+// fairly among the client accounts.
+package bufferlimit
 
 import (
 	"context"
@@ -32,12 +34,16 @@
 	memoryPollInterval = 20 * time.Millisecond
 )
 
-var errMemoryLimit = errors.New("the daemon holds as much as it may")
+// MaxAnswerBytes limits the body of an answer that is relayed as a whole.
+const MaxAnswerBytes = 32 << 20
 
-// BufferLimit limits the bytes that a daemon buffers for callers and workers. These are the bodies
+// ErrFull is the error of reading a body for which no memory is left.
+var ErrFull = errors.New("the daemon holds as much as it may")
+
+// Limit limits the bytes that a daemon buffers for callers and workers. These are the bodies
 // of requests, and answers that are read completely before they are forwarded. The small buffers of
 // streams are not counted. It is safe for concurrent use.
-type BufferLimit struct {
+type Limit struct {
 	limit int64
 
 	mu        sync.Mutex
@@ -47,26 +53,26 @@
 	longByAccount map[string]int64
 	// priority holds for each account the answer that may exceed the account's share. Without it,
 	// answers of one account that are each read in part would wait for each other.
-	priority map[string]*requestMemory
+	priority map[string]*Memory
 }
 
-// NewBufferLimit returns a BufferLimit with a limit in bytes; zero for no limit.
-func NewBufferLimit(limit int64) *BufferLimit {
-	return &BufferLimit{
+// New returns a Limit with a limit in bytes; zero for no limit.
+func New(limit int64) *Limit {
+	return &Limit{
 		limit: limit, byAccount: make(map[string]int64), longByAccount: make(map[string]int64),
-		priority: make(map[string]*requestMemory),
+		priority: make(map[string]*Memory),
 	}
 }
 
 // BytesInUse returns the number of bytes in use.
-func (b *BufferLimit) BytesInUse() int64 {
+func (b *Limit) BytesInUse() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.total
 }
 
 // reserve reserves bytes for a request and reports whether they were available.
-func (b *BufferLimit) reserve(m *requestMemory, bytes int64) bool {
+func (b *Limit) reserve(m *Memory, bytes int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.limit > 0 && !b.isAvailable(m, bytes) {
@@ -78,7 +84,7 @@
 
 // isAvailable reports whether a request may reserve more bytes. The account's share does not limit its
 // first reservation. The mutex must be held.
-func (b *BufferLimit) isAvailable(m *requestMemory, bytes int64) bool {
+func (b *Limit) isAvailable(m *Memory, bytes int64) bool {
 	held := b.byAccount[m.account]
 	isShort := m.bytes+bytes <= shortBytes
 	heldShort := held - b.longByAccount[m.account]
@@ -99,7 +105,7 @@
 
 // change adds bytes to the memory of a request, or removes them if they are negative. The mutex must be
 // held.
-func (b *BufferLimit) change(m *requestMemory, bytes int64) {
+func (b *Limit) change(m *Memory, bytes int64) {
 	long := max(m.bytes+bytes-shortBytes, 0) - max(m.bytes-shortBytes, 0)
 	m.bytes += bytes
 	b.total += bytes
@@ -116,7 +122,7 @@
 
 // prioritize gives an answer that waits for memory the priority among those of its account, unless
 // another answer has it.
-func (b *BufferLimit) prioritize(m *requestMemory) {
+func (b *Limit) prioritize(m *Memory) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.priority[m.account] == nil {
@@ -125,7 +131,7 @@
 }
 
 // endPriority ends the priority of an answer, if it has it.
-func (b *BufferLimit) endPriority(m *requestMemory) {
+func (b *Limit) endPriority(m *Memory) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.priority[m.account] == m {
@@ -133,56 +139,65 @@
 	}
 }
 
-// release releases bytes of a request.
-func (b *BufferLimit) release(m *requestMemory, bytes int64) {
+// Release releases bytes of a request.
+func (b *Limit) release(m *Memory, bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.change(m, -bytes)
 }
 
 // accountLimit returns how many bytes one account may use.
-func (b *BufferLimit) accountLimit() int64 { return int64(maxAccountShare * float64(b.limit)) }
+func (b *Limit) accountLimit() int64 { return int64(maxAccountShare * float64(b.limit)) }
 
-// requestMemory is the memory reserved for one request.
-type requestMemory struct {
-	bufferLimit *BufferLimit
-	account     string
-	// bytes is changed with the mutex of bufferLimit held, by one goroutine at a time.
+// Memory is the memory reserved for one request.
+type Memory struct {
+	limit   *Limit
+	account string
+	// bytes is changed with the mutex of limit held, by one goroutine at a time.
 	bytes int64
 }
 
-// grow reserves further bytes and reports whether they were available.
-func (m *requestMemory) grow(bytes int64) bool { return m.bufferLimit.reserve(m, bytes) }
+// NewMemory returns the memory of a request of a client account. None is reserved yet.
+func NewMemory(limit *Limit, account string) *Memory { return &Memory{limit: limit, account: account} }
+
+// SetAccount sets the client account. It must not be called after memory was reserved.
+func (m *Memory) SetAccount(account string) { m.account = account }
+
+// Bytes returns the number of bytes reserved. It must not be called while other goroutines change it.
+func (m *Memory) Bytes() int64 { return m.bytes }
+
+// Grow reserves further bytes and reports whether they were available.
+func (m *Memory) Grow(bytes int64) bool { return m.limit.reserve(m, bytes) }
 
-// release releases all reserved memory.
-func (m *requestMemory) release() {
-	m.bufferLimit.endPriority(m)
-	m.bufferLimit.release(m, m.bytes)
+// Release releases all reserved memory.
+func (m *Memory) Release() {
+	m.limit.endPriority(m)
+	m.limit.release(m, m.bytes)
 }
 
-// answerLimit returns how long an answer may be that the account can hold besides what the request holds
+// AnswerLimit returns how long an answer may be that the account can hold besides what the request holds
 // already. The byte by which a longer one is detected is not included.
-func (m *requestMemory) answerLimit() int64 {
-	if m.bufferLimit.limit <= 0 {
-		return maxAnswerBytes
+func (m *Memory) AnswerLimit() int64 {
+	if m.limit.limit <= 0 {
+		return MaxAnswerBytes
 	}
-	return max(min(maxAnswerBytes, m.bufferLimit.accountLimit()-m.bytes-1), 0)
+	return max(min(MaxAnswerBytes, m.limit.accountLimit()-m.bytes-1), 0)
 }
 
-// read reads up to limit bytes plus one, so that callers can detect a longer body. It reserves
+// Read reads up to limit bytes plus one, so that callers can detect a longer body. It reserves
 // memory as data arrives. When no memory is left, it calls wait and tries again, with priority if no
 // other answer of the account has it, or returns the error of wait.
-func (m *requestMemory) read(body io.Reader, limit int64, wait func() error) ([]byte, error) {
+func (m *Memory) Read(body io.Reader, limit int64, wait func() error) ([]byte, error) {
 	var all []byte
 	body = io.LimitReader(body, limit+1)
 	for step := 0; ; {
 		if len(all) == cap(all) {
 			step = min(max(2*step, initialBufferBytes), int(limit)+1-len(all))
-			for !m.grow(int64(step)) {
+			for !m.Grow(int64(step)) {
 				if err := wait(); err != nil {
 					return nil, err
 				}
-				m.bufferLimit.prioritize(m)
+				m.limit.prioritize(m)
 			}
 			all = append(make([]byte, 0, len(all)+step), all...)
 		}
@@ -190,7 +205,7 @@
 		all = all[:len(all)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			m.shrink(int64(cap(all) - len(all)))
+			m.Shrink(int64(cap(all) - len(all)))
 			return all, nil
 		case err != nil:
 			return nil, err
@@ -198,16 +213,16 @@
 	}
 }
 
-// shrink releases memory that turned out not to be needed.
-func (m *requestMemory) shrink(bytes int64) { m.bufferLimit.release(m, bytes) }
+// Shrink releases memory that turned out not to be needed.
+func (m *Memory) Shrink(bytes int64) { m.limit.release(m, bytes) }
 
-// failWhenFull is the wait function for reading bodies of requests. It fails at once, because a
+// FailWhenFull is the wait function for reading bodies of requests. It fails at once, because a
 // request that has not run can be refused.
-func failWhenFull() error { return errMemoryLimit }
+func FailWhenFull() error { return ErrFull }
 
-// waitForMemory returns the wait function for reading answers. It pauses until the next attempt,
+// WaitForMemory returns the wait function for reading answers. It pauses until the next attempt,
 // because a request that has run should get its answer. It fails when ctx ends.
-func waitForMemory(ctx context.Context) func() error {
+func WaitForMemory(ctx context.Context) func() error {
 	return func() error {
 		pause.Sleep(ctx, memoryPollInterval)
 		return context.Cause(ctx)
--- a/proxy/answerlimit.go
+++ b/proxy/answerlimit.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"quartzshelf.dev/common/answercheck"
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/headlimit"
 	"quartzshelf.dev/fleet"
 )
@@ -91,13 +92,13 @@
 
 // readAnswer reads the body of an answer if the account can hold it. One whose announced length is too
 // long is not read at all.
-func (m *requestMemory) readAnswer(ctx context.Context, r *http.Response) ([]byte, error) {
-	limit := m.answerLimit()
+func readAnswer(ctx context.Context, m *bufferlimit.Memory, r *http.Response) ([]byte, error) {
+	limit := m.AnswerLimit()
 	// An answer without a body may announce the length of one.
 	if r.ContentLength > limit && r.Body != http.NoBody {
 		return nil, &limitError{part: "body"}
 	}
-	body, err := m.read(r.Body, limit, waitForMemory(ctx))
+	body, err := m.Read(r.Body, limit, bufferlimit.WaitForMemory(ctx))
 	if read := int64(len(body)); err == nil && read > limit {
 		return nil, &limitError{part: "body", bytesRead: read}
 	}
@@ -106,12 +107,12 @@
 
 // growForEvent reserves as many bytes again as the buffer of an event that does not fit has. It waits
 // until they are available or ctx ends.
-func (m *requestMemory) growForEvent(ctx context.Context, bufferBytes int) error {
+func growForEvent(ctx context.Context, m *bufferlimit.Memory, bufferBytes int) error {
 	if bufferBytes >= maxEventBytes {
 		return &limitError{part: "event", bytesRead: int64(bufferBytes)}
 	}
-	wait := waitForMemory(ctx)
-	for !m.grow(int64(bufferBytes)) {
+	wait := bufferlimit.WaitForMemory(ctx)
+	for !m.Grow(int64(bufferBytes)) {
 		if err := wait(); err != nil {
 			return err
 		}
--- a/proxy/buffered.go
+++ b/proxy/buffered.go
@@ -12,9 +12,6 @@
 	"quartzshelf.dev/common/reason"
 )
 
-// maxAnswerBytes limits the body of an answer that is relayed as a whole.
-const maxAnswerBytes = 32 << 20
-
 var errRejected = errors.New("turned away")
 
 // answer is a worker's complete answer.
@@ -96,10 +93,10 @@
 
 // readAnswer reads the complete answer of a worker or peer.
 func (p *Proxy) readAnswer(ctx context.Context, c *request, e *exchange, sender string) (*answer, error) {
-	held := c.memory.bytes
-	body, err := c.memory.readAnswer(ctx, e.response)
+	held := c.memory.Bytes()
+	body, err := readAnswer(ctx, c.memory, e.response)
 	if err != nil {
-		c.memory.shrink(c.memory.bytes - held)
+		c.memory.Shrink(c.memory.Bytes() - held)
 		e.abort()
 		return nil, withCause(ctx, sender, &sendError{mayHaveArrived: true, cause: err})
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"quartzshelf.dev/backpressure"
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/eligibility"
 	"quartzshelf.dev/fleet"
@@ -54,7 +55,7 @@
 	Tracker *Tracker
 	Budget  RetryBudget
 	// BufferLimit limits the bytes buffered for callers and workers; nil for no limit.
-	BufferLimit *BufferLimit
+	BufferLimit *bufferlimit.Limit
 	// ServeLate makes the proxy try to serve requests that are already late. They wait briefly for
 	// capacity, and callers refused for lack of capacity get random retry times. After a large loss
 	// of workers this delays new requests as well.
@@ -114,7 +115,7 @@
 // New returns a Proxy. Run must be called for its periodic work.
 func New(opts Options) *Proxy {
 	if opts.BufferLimit == nil {
-		opts.BufferLimit = NewBufferLimit(0)
+		opts.BufferLimit = bufferlimit.New(0)
 	}
 	if opts.CheckSuspension == nil {
 		opts.CheckSuspension = func() {}
@@ -251,7 +252,7 @@
 	}
 	c, refused := p.accept(h, http.NewResponseController(w))
 	if c != nil {
-		defer c.memory.release()
+		defer c.memory.Release()
 	}
 	if refused == nil {
 		defer c.cancelCause(nil)
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/fleet"
 	"quartzshelf.dev/quarantine"
@@ -26,7 +27,7 @@
 	header http.Header
 	body   []byte
 	// memory accounts for the bytes buffered for the request's body and answer.
-	memory requestMemory
+	memory *bufferlimit.Memory
 	route  *fleet.Route
 	// configVersion is the version of the configuration in force when the request arrived.
 	configVersion int64
@@ -129,7 +130,7 @@
 	c := &request{
 		method: h.Method, target: h.RequestURI, host: h.Host, header: h.Header,
 		id: h.Header.Get(p.opts.Names.AttemptID), arrived: time.Now(), triedReplicas: make(map[string]bool), triedPeers: make(map[string]bool),
-		memory: requestMemory{bufferLimit: p.opts.BufferLimit},
+		memory: bufferlimit.NewMemory(p.opts.BufferLimit, ""),
 	}
 	c.readForwarded()
 	path, _, _ := strings.Cut(c.target, "?")
@@ -207,12 +208,12 @@
 	if h.ContentLength > limit {
 		return newRefusal(http.StatusRequestEntityTooLarge, reason.BodyTooLarge, "the body is too long")
 	}
-	c.memory.account = accountName(c.tenant)
-	body, err := c.memory.read(h.Body, limit, failWhenFull)
+	c.memory.SetAccount(accountName(c.tenant))
+	body, err := c.memory.Read(h.Body, limit, bufferlimit.FailWhenFull)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return newRefusal(http.StatusRequestTimeout, reason.BadRequest, "the body did not come in time")
-	case errors.Is(err, errMemoryLimit):
+	case errors.Is(err, bufferlimit.ErrFull):
 		return newUnavailable(reason.MemoryBound, "this daemon holds as much as it may", retryBusy)
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, reason.BadRequest, "the body was not read whole")
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/common/reason"
@@ -51,12 +52,12 @@
 	hedgeChanged chan struct{}
 	silence      streamSilence
 	// memory accounts for events that do not fit into the initial buffer of an attempt.
-	memory *requestMemory
+	memory *bufferlimit.Memory
 }
 
 // serveStream relays a stream, and resumes it at another replica if it breaks.
 func (p *Proxy) serveStream(w http.ResponseWriter, c *request) *refusal {
-	s := &relayedStream{w: w, lastEventID: c.header.Get(p.opts.Names.LastEventID), lastEventAt: c.arrived, hedgeChanged: make(chan struct{}, 1), memory: &c.memory}
+	s := &relayedStream{w: w, lastEventID: c.header.Get(p.opts.Names.LastEventID), lastEventAt: c.arrived, hedgeChanged: make(chan struct{}, 1), memory: c.memory}
 	p.opts.Tracker.RecordGapTarget(c.model, c.route.GapTarget, c.arrived)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
@@ -257,12 +258,12 @@
 // copyEvents forwards complete events as they arrive, until the stream ends.
 func (s *relayedStream) copyEvents(e *exchange, onEvent func(time.Time), onForwarded func()) error {
 	reserved := int64(0)
-	defer func() { s.memory.shrink(reserved) }()
+	defer func() { s.memory.Shrink(reserved) }()
 	buffer := make([]byte, 0, streamBufferBytes)
 	hasEvents := false
 	for {
 		if len(buffer) == cap(buffer) {
-			if err := s.memory.growForEvent(e.ctx, cap(buffer)); err != nil {
+			if err := growForEvent(e.ctx, s.memory, cap(buffer)); err != nil {
 				return err
 			}
 			reserved += int64(cap(buffer))
--- a/serving/server.go
+++ b/serving/server.go
@@ -12,6 +12,7 @@
 
 	"quartzshelf.dev/allowance"
 	"quartzshelf.dev/backpressure"
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/drain"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/headlimit"
@@ -160,7 +161,7 @@
 func (s *Server) newProxy() *proxy.Proxy {
 	budget := s.opts.Bounds.Budget
 	budget.Self, budget.Daemons, budget.Share = s.opts.Self.ID, s.agent.DaemonCount, s.agent.Share
-	bufferLimit := proxy.NewBufferLimit(s.opts.Bounds.MaxBufferedBytes)
+	bufferLimit := bufferlimit.New(s.opts.Bounds.MaxBufferedBytes)
 	s.meter.ExportGauge("held_bytes", func() float64 { return float64(bufferLimit.BytesInUse()) })
 	return proxy.New(proxy.Options{
 		BufferLimit: bufferLimit,
