gateway: Limit the heads of answers, and the memory of bodies that are read whole

What callers would see: an endpoint that sends bytes without an end, in a head or in a body, takes the daemon's memory, and the requests of other callers end with the daemon.

Evidence: TestEndlessHeadIsNotReadOn failed in three of five cases, 10,485,760 bytes read in place of 131,072 at most; interim answers and trailers were limited already. TestEndlessBodiesLeaveMemory failed with 699,489,792 bytes held by 24 answers, of 134,217,728 at most. Both pass now, and a short answer of the same account is still read beside the 24.

Why it holds: memory is reserved as a body arrives, by the limit that the proxy has (128 MiB, a quarter for one account, so that the longest answer that was allowed still fits), and released once the answer is sent. An answer that finds no room waits; short ones have room of their own. The state held_bytes shows it.

--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -92,14 +92,14 @@
 func (g *Gateway) relayBuffered(c *fiber.Ctx, r *request, a *attempt, choose chooser, tried map[string]bool, claim *intent.Claim) error {
 	defer r.cancel()
 	for {
-		body, err := readAll(a.response, a.target.address)
+		body, err := readAll(r.ctx, a.response, a.target.address, r.memory)
 		a.close()
 		if err == nil {
 			g.guard.Completed(r.guardRequest())
 			answer := intent.NewAnswer(a.response.StatusCode, a.response.Header.Get(fiber.HeaderContentType), body)
 			g.recordOutcome(claim, reason.RanYes, answer)
 			c.Set(headerReplica, a.target.id)
-			return writeAnswer(c, answer)
+			return writeHeldAnswer(c, answer, r.memory)
 		}
 		g.reportBrokenAttempt(r, a.target, err)
 		attemptRefusal := refusalFromError(err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"quartzshelf.dev/admission"
 	"quartzshelf.dev/backpressure"
 	"quartzshelf.dev/catalog"
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/failure"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
@@ -34,6 +35,9 @@
 	longRetryAfter  = 3 * time.Second
 	// maxHeaderBytes is the maximum size of the headers of a request.
 	maxHeaderBytes = 16 << 10
+	// maxBufferedBytes limits the bytes of answers that a daemon buffers. One client account's share of
+	// it holds an answer of bufferlimit.MaxAnswerBytes.
+	maxBufferedBytes = 128 << 20
 	// callerIdleTimeout is how long an idle connection of a caller is kept open.
 	callerIdleTimeout = 2 * time.Minute
 	// bodyReadFactor is the size up to which request bodies are read, as a multiple of the maximum
@@ -93,6 +97,8 @@
 	upstream    *upstream
 	inFlight    *routing.InFlightCounter
 	retryBudget *retryBudget
+	// bufferLimit limits the bytes of answers that are buffered.
+	bufferLimit *bufferlimit.Limit
 	// guard detects requests that crash endpoints, and quarantines them.
 	guard *guard.Guard
 	// rests holds the periods for which endpoints have asked to get no requests.
@@ -114,11 +120,12 @@
 	}
 	g := &Gateway{
 		opts: opts, upstream: newUpstream(), inFlight: routing.NewInFlightCounter(),
-		retryBudget: newRetryBudget(), rests: backpressure.NewRestPeriods(), done: make(chan struct{}),
+		retryBudget: newRetryBudget(), bufferLimit: bufferlimit.New(maxBufferedBytes), rests: backpressure.NewRestPeriods(), done: make(chan struct{}),
 	}
 	g.guard = guard.New(guard.Options{Dial: (&net.Dialer{Timeout: dialTimeout}).DialContext, Meter: opts.Meter, Logger: opts.Logger})
 	// lru.New fails only for sizes below 1.
 	g.decisions, _ = lru.New[string, Decision](maxDecisions)
+	opts.Meter.ExportGauge("held_bytes", func() float64 { return float64(g.bufferLimit.BytesInUse()) })
 	g.app = g.newApp()
 	return g
 }
--- a/gateway/idempotency.go
+++ b/gateway/idempotency.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/intent"
 )
@@ -68,6 +70,28 @@
 		withRan(reason.RanUnknown).withRetryAfter(longRetryAfter))
 }
 
+// writeHeldAnswer sends an endpoint's answer to the caller, and releases its memory once it is sent.
+func writeHeldAnswer(c *fiber.Ctx, a intent.Answer, memory *bufferlimit.Memory) error {
+	if a.ContentType() != "" {
+		c.Set(fiber.HeaderContentType, a.ContentType())
+	}
+	body := a.Body()
+	c.Status(a.Status()).Context().SetBodyStream(&heldAnswer{Reader: bytes.NewReader(body), memory: memory}, len(body))
+	return nil
+}
+
+// heldAnswer is the body of an answer whose memory is released when the HTTP library closes it.
+type heldAnswer struct {
+	*bytes.Reader
+	memory *bufferlimit.Memory
+}
+
+// Close implements io.Closer.
+func (h *heldAnswer) Close() error {
+	h.memory.Release()
+	return nil
+}
+
 // writeAnswer sends an endpoint's answer to the caller.
 func writeAnswer(c *fiber.Ctx, a intent.Answer) error {
 	if a.ContentType() != "" {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
 	"quartzshelf.dev/quarantine"
@@ -44,6 +45,8 @@
 	cancel context.CancelFunc
 	// priority is the priority of the client account.
 	priority int
+	// memory accounts for the bytes buffered for the request's answer.
+	memory *bufferlimit.Memory
 	// maybeRan is set once an attempt may have run the request.
 	maybeRan bool
 
@@ -84,6 +87,7 @@
 		key:       strings.Clone(c.Get(headerIdempotencyKey)),
 		arrivedAt: time.Now(),
 		priority:  account.Priority(),
+		memory:    bufferlimit.NewMemory(g.bufferLimit, account.Name()),
 	}
 	r.deadline = r.arrivedAt.Add(requestTimeout)
 	for name, values := range c.GetReqHeaders() {
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -14,6 +14,7 @@
 
 	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/answercheck"
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/failure"
 )
 
@@ -22,8 +23,8 @@
 	dialTimeout         = 2 * time.Second
 	maxIdleConnsPerHost = 256
 	idleConnTimeout     = 30 * time.Second
-	// maxAnswerBytes limits the size of an answer that is not streamed.
-	maxAnswerBytes = 32 << 20
+	// maxAnswerHeadBytes limits the head of an answer.
+	maxAnswerHeadBytes = 16 << 10
 )
 
 // errWrongRequest is returned for an answer that belongs to another request.
@@ -46,6 +47,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}
 	singleUseTransport := baseTransport.Clone()
 	singleUseTransport.DisableKeepAlives = true
@@ -140,15 +143,17 @@
 	_ = r.Body.Close()
 }
 
-// readAll reads the whole answer and closes its body.
-func readAll(r *http.Response, address string) ([]byte, error) {
+// readAll reads the whole answer and closes its body. It reserves memory as data arrives, and waits for
+// memory until ctx ends. An answer that is longer than the request's account may hold is an error.
+func readAll(ctx context.Context, r *http.Response, address string, memory *bufferlimit.Memory) ([]byte, error) {
 	defer closeBody(r)
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes+1))
-	if err != nil {
-		return nil, &sendError{maybeSent: true, cause: failure.Wrap(failure.Remote, "read answer", address, err)}
+	limit := memory.AnswerLimit()
+	data, err := memory.Read(r.Body, limit, bufferlimit.WaitForMemory(ctx))
+	if err == nil && int64(len(data)) > limit {
+		err = fmt.Errorf("the answer is longer than %d bytes", limit)
 	}
-	if len(data) > maxAnswerBytes {
-		err := fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+	if err != nil {
+		memory.Release()
 		return nil, &sendError{maybeSent: true, cause: failure.Wrap(failure.Remote, "read answer", address, err)}
 	}
 	return data, nil
