gateway: Keep the tokens of a stream only while memory is left for them

What callers would see: a stream whose endpoint sends token events without an end takes the daemon's memory, until the request's time limit of ten minutes, and all requests end with the daemon.

Cause: the tokens are kept so that another replica can continue the stream, and nothing limited them.

Ruled out: events without a line end (1 MiB each at most) and bytes that are no token event, which end the attempt or are passed over.

Why it holds: what a stream keeps beyond 64 KiB is reserved from its account's share. A stream that gets no more drops what it keeps and goes on; it only can't be continued elsewhere. Stopping it, or letting it wait for memory, would have ended or delayed sound streams for the sake of a retry that few need.

--- a/gateway/answerlimit_test.go
+++ b/gateway/answerlimit_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quartzshelf.dev/cluster"
 	"quartzshelf.dev/common/answercheck"
 	"quartzshelf.dev/common/bufferlimit"
 )
@@ -132,3 +134,76 @@
 		readers.Wait()
 	})
 }
+
+// TestLongStreamIsNotKept guards against streams without an end, whose tokens are kept so that another replica
+// can continue them.
+func TestLongStreamIsNotKept(t *testing.T) {
+	const (
+		tokenBytes = 64 << 10
+		tokens     = 1200
+		mostHeld   = 40 << 20
+	)
+	h := newHarness(t)
+	isMeasured := make(chan struct{})
+	for _, e := range h.endpoints {
+		e.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			text := strings.Repeat("x", tokenBytes)
+			for i := range tokens {
+				_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"token_index\":%d,\"choices\":[{\"text\":%q}]}\n\n", r.Header.Get(cluster.HeaderRequest), i, text)
+			}
+			<-isMeasured
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		})
+	}
+	before := heapBytes()
+	request, err := http.NewRequest(http.MethodPost, "http://"+h.address+"/v1/completions", strings.NewReader(`{"model":"chat","prompt":"p","stream":true}`))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer demo-key")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.CopyN(io.Discard, response.Body, tokens*tokenBytes)
+	assert.NilError(t, err)
+	held := heapBytes() - before
+	close(isMeasured)
+	rest, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"))
+	assert.Assert(t, held <= mostHeld, "%d bytes are held, of %d at most", held, mostHeld)
+}
+
+// heapBytes returns the size of what is in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// TestKeptTokensStayWithinTheirLimit: tokens are kept while the account has memory, and counted always.
+func TestKeptTokensStayWithinTheirLimit(t *testing.T) {
+	limit := bufferlimit.New(8 << 20)
+	tests := map[string]struct {
+		tokens    int
+		isDropped bool
+	}{
+		"a usual stream":        {tokens: 1000},
+		"a long one":            {tokens: 10_000},
+		"longer than its share": {tokens: 100_000, isDropped: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			memory := bufferlimit.NewMemory(limit, "a")
+			defer memory.Release()
+			kept := keptTokens{memory: memory}
+			for range test.tokens {
+				kept.add(strings.Repeat("x", 100))
+				assert.Assert(t, kept.isDropped || kept.bytes <= memory.Bytes()+unreservedTokenBytes)
+			}
+			assert.Equal(t, kept.count, test.tokens)
+			assert.Equal(t, kept.isDropped, test.isDropped)
+			assert.Equal(t, len(kept.texts) == 0, test.isDropped)
+		})
+	}
+}
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -162,7 +162,7 @@
 	tried  map[string]bool
 	claim  *intent.Claim
 	// tokens holds the tokens received so far, from all attempts.
-	tokens []string
+	tokens keptTokens
 	// storedEvents is a copy of the answer's events for later requests with the same idempotency
 	// key. No event is added once the copy has reached maxStoredStreamBytes.
 	storedEvents []byte
@@ -194,6 +194,7 @@
 func newStreamRelay(g *Gateway, r *request, w *bufio.Writer, choose chooser, tried map[string]bool, claim *intent.Claim) *streamRelay {
 	s := &streamRelay{
 		g: g, r: r, w: w, choose: choose, tried: tried, claim: claim, lastTokenAt: r.arrivedAt, hedges: make(map[*hedge]bool),
+		tokens: keptTokens{memory: r.memory},
 	}
 	s.hedgeEnded = sync.NewCond(&s.mu)
 	return s
@@ -205,6 +206,7 @@
 	s.mu.Lock()
 	s.stallTimer = time.AfterFunc(stallTimeout, s.startHedge)
 	s.mu.Unlock()
+	defer s.r.memory.Release()
 	defer s.stopHedges()
 	events := newTokenReader(a, s.r.id)
 	for {
@@ -235,7 +237,7 @@
 	defer events.close()
 	s.setCurrent(events)
 	defer s.setCurrent(nil)
-	events.nextIndex = len(s.tokens)
+	events.nextIndex = s.tokens.count
 	for {
 		data, token, err := events.readToken()
 		if err != nil || data == nil {
@@ -264,13 +266,13 @@
 func (s *streamRelay) addToken(token string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tokens = append(s.tokens, token)
+	s.tokens.add(token)
 	s.stallTimer.Reset(stallTimeout)
 	s.dropHedges()
 }
 
 func (s *streamRelay) recordLatency() {
-	if len(s.tokens) == 0 {
+	if s.tokens.count == 0 {
 		s.g.opts.Meter.RecordFirstToken(s.r.arrivedAt)
 	} else {
 		s.g.opts.Meter.RecordNextToken(s.lastTokenAt)
@@ -306,7 +308,10 @@
 // resume opens another attempt that continues after the last token received. If that isn't
 // possible, it returns a refusal.
 func (s *streamRelay) resume(attemptRefusal *refusal) (*attempt, *refusal) {
-	body, err := withResumeTokens(s.r.body, s.tokens)
+	if s.tokens.isDropped {
+		return nil, attemptRefusal
+	}
+	body, err := withResumeTokens(s.r.body, s.tokens.texts)
 	if err != nil {
 		return nil, attemptRefusal
 	}
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"quartzshelf.dev/common/failure"
@@ -31,7 +32,7 @@
 
 // mayHedge reports whether another attempt may be begun. It is called with mu held.
 func (s *streamRelay) mayHedge() bool {
-	if s.isEnded || s.isHedgeOpening || s.winner != nil || s.current == nil && len(s.hedges) == 0 {
+	if s.isEnded || s.tokens.isDropped || s.isHedgeOpening || s.winner != nil || s.current == nil && len(s.hedges) == 0 {
 		return false
 	}
 	return s.r.repeatable && len(s.tried) < maxAttempts && s.r.ctx.Err() == nil
@@ -53,7 +54,7 @@
 	h.ctx, h.cancel = context.WithCancel(s.r.ctx)
 	s.hedges[h] = true
 	s.isHedgeOpening = true
-	tokens := s.tokens[:len(s.tokens):len(s.tokens)]
+	tokens := slices.Clip(s.tokens.texts)
 	go s.runHedge(h, tokens)
 }
 
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"quartzshelf.dev/cluster"
+	"quartzshelf.dev/common/bufferlimit"
 	"quartzshelf.dev/common/pause"
 	"quartzshelf.dev/common/reason"
 	"quartzshelf.dev/config"
@@ -125,6 +126,7 @@
 	r := &request{
 		id: "request-1", account: account, method: http.MethodPost, path: "/v1/completions", header: http.Header{},
 		body: []byte(`{"model":"chat","prompt":"prompt","stream":true}`), repeatable: repeatable, arrivedAt: time.Now(),
+		memory: bufferlimit.NewMemory(g.bufferLimit, account.Name()),
 	}
 	r.deadline = r.arrivedAt.Add(requestTimeout)
 	r.ctx, r.cancel = context.WithDeadline(t.Context(), r.deadline)
