fleet, platform, serving: Take no odd entry for a worker

What callers would see: an entry with port 99999 or with slots was listed as a worker; requests were offered to an address that nothing can be at, ahead of real workers, since a worker with that many slots is never full. A name of 50 kB became part of what heartbeats carry, which are dropped beyond 60 kB.

Cause: the decoder checked the types of fields, and hardly their ranges; reports and workers that peers pass on were not checked at all.

Ruled out: that such an entry ends a daemon or stops it following the list.

The workers of TestMembersGetNewsInScope got an address, since a worker without one is refused now; what it checks is unchanged.

An invalid entry counts as the removal of its worker, as an undecodable one did.

--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -163,6 +163,7 @@
 	if err := json.Unmarshal(data, &m); err != nil {
 		return failure.Wrap(failure.Remote, "decode workers", p.ID, err)
 	}
+	f.server.rejectInvalid(p.ID, m.Changes)
 	switch {
 	case m.Whole && m.HeadsOnly:
 		inventory.ReplaceHeads(m.Changes, m.To, p.WorkersConfirmedAt())
--- a/serving/news.go
+++ b/serving/news.go
@@ -109,6 +109,14 @@
 		s.inventory.FollowDecisions(*n.Decisions)
 	}
 	if n.Workers != nil {
+		s.rejectInvalid(p.ID, n.Workers.Changes)
 		s.inventory.Follow(*n.Workers, p.WorkersConfirmedAt())
 	}
 }
+
+// rejectInvalid turns the invalid workers that a peer passed on into removals, and logs them.
+func (s *Server) rejectInvalid(peer string, changes []fleet.Change) {
+	for _, err := range fleet.RejectInvalid(changes) {
+		s.logger.Warn("invalid worker of a peer skipped", "peer", peer, "error", err)
+	}
+}
--- a/serving/news_test.go
+++ b/serving/news_test.go
@@ -18,7 +18,7 @@
 	var all []fleet.Change
 	for i := first; i < first+count; i++ {
 		id := fmt.Sprintf("w%d", i)
-		all = append(all, fleet.Change{ID: id, Worker: &fleet.Worker{ID: id, Service: "s"}})
+		all = append(all, fleet.Change{ID: id, Worker: &fleet.Worker{ID: id, Service: "s", Address: "127.0.0.1:80"}})
 	}
 	return all
 }
