platform: Take no grant beyond all epochs for the newest one

What callers would see: a grant with the epoch leaves none for the next leader: the sum overflows, no later grant is newer, and no daemon leads until all have been replaced.

Cause: as for entries of workers, the range of a number was not checked.

--- a/formation/orders.go
+++ b/formation/orders.go
@@ -23,6 +23,8 @@
 	sequenceBits = 20
 	maxSequence  = 1<<sequenceBits - 1
 	maxRank      = 1<<rankBits - 1
+	// MaxEpoch is the highest epoch of a term for which there are fences.
+	MaxEpoch = 1<<(63-rankBits-sequenceBits) - 1
 )
 
 // NewFence returns the fence of a term's command with the given sequence number.
