standin/client, daemon: Follow the node list beside an odd entry

What callers would see: one entry of the node list that is nested very deeply, has a number too large or a field of another type makes the whole list unreadable for quartzshelfd. Its leaders stop following it: nodes that leave or fail are not replaced for as long as the entry stands.

Cause: the list is one JSON document and was decoded as a whole, so that an entry's error was the list's.

Ruled out: the worker list of the users' platform, whose entries are separate records (TestOddEntryStopsNoReader).

Evidence: all twelve cases of TestOddNodeStopsNoReader failed before (eight with an error in place of the list, four with an entry that is no node), and one of TestBrokenNodeListIsAnError, a list without entries that was taken for an empty one. They pass now.

Invalid ones are logged and left out; a list that breaks off is an error, as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -142,7 +142,7 @@
 func (d *Daemon) connectPlatform() (*client.Client, error) {
 	p := d.settings.Platform
 	if p.Embedded == nil {
-		return client.New(client.Options{LogAddress: p.Log, NodeListAddress: p.Nodes}), nil
+		return client.New(client.Options{LogAddress: p.Log, NodeListAddress: p.Nodes, Logger: d.logger.Named("platform")}), nil
 	}
 	host, _, err := net.SplitHostPort(d.settings.Callers)
 	if err != nil {
@@ -161,7 +161,7 @@
 		return nil, err
 	}
 	address := d.embedded.Address()
-	return client.New(client.Options{LogAddress: address, NodeListAddress: address}), nil
+	return client.New(client.Options{LogAddress: address, NodeListAddress: address, Logger: d.logger.Named("platform")}), nil
 }
 
 // buildComponents creates the daemon's components and connects them to each other.
--- a/standin/client/client.go
+++ b/standin/client/client.go
@@ -14,6 +14,7 @@
 	"net/url"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
 
 	"quartzshelf.dev/cluster"
@@ -39,6 +40,7 @@
 	logURL   string
 	nodesURL string
 	http     *http.Client
+	logger   hclog.Logger
 }
 
 var (
@@ -52,11 +54,17 @@
 	// LogAddress and NodeListAddress are IP:port pairs.
 	LogAddress      string
 	NodeListAddress string
+	// Logger logs invalid entries of the node list. If it is nil, nothing is logged.
+	Logger hclog.Logger
 }
 
 // New returns a client for the addresses in opts. It doesn't connect yet.
 func New(opts Options) *Client {
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
 	return &Client{
+		logger:   opts.Logger,
 		logURL:   "http://" + opts.LogAddress,
 		nodesURL: "http://" + opts.NodeListAddress,
 		http: &http.Client{Transport: &answercheck.Transport{Transport: &http.Transport{
@@ -91,17 +99,6 @@
 	return batch, err
 }
 
-type nodesReply struct {
-	Nodes []cluster.ListedNode `json:"nodes"`
-}
-
-// Nodes implements cluster.NodeList.
-func (c *Client) Nodes(ctx context.Context) ([]cluster.ListedNode, error) {
-	var reply nodesReply
-	err := c.call(ctx, "read node list", http.MethodGet, c.nodesURL+"/nodes", nil, &reply)
-	return reply.Nodes, err
-}
-
 // State implements cluster.NodeControl.
 func (c *Client) State(ctx context.Context, address string) (cluster.NodeState, error) {
 	var state cluster.NodeState
@@ -129,6 +126,19 @@
 // call sends a request to the URL target and decodes the JSON response into reply. If body is not
 // nil, it is sent as JSON. step names the operation in errors.
 func (c *Client) call(ctx context.Context, step, method, target string, body, reply any) error {
+	data, err := c.exchange(ctx, step, method, target, body)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return failure.Wrap(failure.Remote, step, target, err)
+	}
+	return nil
+}
+
+// exchange sends a request to the URL target and returns the body of the response. If body is not
+// nil, it is sent as JSON. step names the operation in errors.
+func (c *Client) exchange(ctx context.Context, step, method, target string, body any) ([]byte, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, callTimeout)
@@ -136,28 +146,25 @@
 	}
 	request, err := newRequest(ctx, method, target, body)
 	if err != nil {
-		return failure.Wrap(failure.Invalid, step, target, err)
+		return nil, failure.Wrap(failure.Invalid, step, target, err)
 	}
 	peer := request.URL.Host
 	response, err := c.http.Do(request)
 	if err != nil {
-		return failure.Wrap(failureTypeOf(err), step, peer, err)
+		return nil, failure.Wrap(failureTypeOf(err), step, peer, err)
 	}
 	data, err := readBody(response)
 	if err != nil {
-		return failure.Wrap(failure.Unavailable, step, peer, err)
+		return nil, failure.Wrap(failure.Unavailable, step, peer, err)
 	}
 	switch code := response.StatusCode; code {
 	case http.StatusOK:
+		return data, nil
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return failure.New(failure.Refused, step, peer, "status %d: %.200s", code, data)
+		return nil, failure.New(failure.Refused, step, peer, "status %d: %.200s", code, data)
 	default:
-		return failure.New(failure.Remote, step, peer, "status %d: %.200s", code, data)
-	}
-	if err := json.Unmarshal(data, reply); err != nil {
-		return failure.Wrap(failure.Remote, step, peer, err)
+		return nil, failure.New(failure.Remote, step, peer, "status %d: %.200s", code, data)
 	}
-	return nil
 }
 
 // newRequest returns a request that is never sent twice. If body is not nil, it is sent as JSON.
