common/answercheck, proxy: Reject answers that are framed twice

What callers saw: a signed success in whose place an answer stood that frames its body in two ways. With a length and a coding, and with a coding in HTTP/1.0, the body was read by one of them (for HTTP/1.0 with the sizes of the chunks, until the deadline: 504). An interim answer with a length let its body be read as the next head, so that an answer within it reached the caller. 204 with a length or chunks left a body on the connection. HTTP/2.0 passed as a version.

Cause: as for the statuses and names, net/http decides leniently, here by removing the fields that disagree, so that nothing shows in the answer that it returns.

Ruled out: lists, signs and other bases in a length, differing lengths, repeated and other codings, and sizes of chunks with a sign or beyond an integer; these 13 cases ended the attempt before.

Evidence: ten of the 23 cases of TestAmbiguousFramingReachesNoCaller failed before and pass now. The 21 sound answers of TestSoundAnswersReachCallers passed before and pass now.

Why it holds: the fields that frame a body are looked for in the bytes of each head as they arrive, before net/http removes them, in the proxy and on all connections of answercheck.Transport. Lenient forms that leave no doubt about the body stay: bare line feeds, folded values, the same length twice, any reason phrase, HTTP/1.0.

--- a/cmd/operatorcmd/client.go
+++ b/cmd/operatorcmd/client.go
@@ -33,7 +33,7 @@
 }
 
 func newClient(addresses []string) *client {
-	transport := &answercheck.Transport{Transport: &http.Transport{}}
+	transport := answercheck.NewTransport(&http.Transport{})
 	return &client{addresses: addresses, http: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
--- a/common/answercheck/answercheck.go
+++ b/common/answercheck/answercheck.go
@@ -41,9 +41,21 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return &Error{part: "status", value: r.Status}
 	}
+	if r.ProtoMajor > 1 {
+		return &Error{part: "version", value: r.Proto}
+	}
+	if r.StatusCode == http.StatusNoContent && hasBody(r) {
+		return &Error{part: "framing", value: "a body without content"}
+	}
 	return checkNames(r.Header)
 }
 
+// hasBody reports whether an answer announces a body, also if its status must not have one.
+func hasBody(r *http.Response) bool {
+	length := r.Header.Get(lengthField)
+	return len(r.TransferEncoding) > 0 || length != "" && length != "0"
+}
+
 // checkNames returns an Error if a field's name is malformed. net/http keeps names with a blank as they are,
 // so that a blank after Content-Length or Transfer-Encoding changes where the body ends.
 func checkNames(fields http.Header) error {
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -57,7 +57,7 @@
 
 func newClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     &answercheck.Transport{Transport: t},
+		Transport:     answercheck.NewTransport(t),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/proxy/answerlimit.go
+++ b/proxy/answerlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -41,12 +42,15 @@
 	isActive bool
 	bytes    int
 	lines    headlimit.LineCounter
+	framing  answercheck.Framing
 }
 
-// begin starts a head. What the reader above has buffered already is not counted.
-func (l *headLimiter) begin() {
-	*l = headLimiter{source: l.source, isActive: true}
+// begin starts a head. What the reader above has buffered already is checked, but not counted.
+func (l *headLimiter) begin(buffered []byte) {
+	*l = headLimiter{source: l.source, isActive: true, framing: l.framing}
 	l.lines.Begin()
+	l.framing.Begin()
+	l.framing.Read(buffered)
 }
 
 // end ends a head, so that the body is read without limit.
@@ -63,6 +67,7 @@
 	n, err := l.source.Read(b[:min(len(b), maxHeadBytes-l.bytes)])
 	l.bytes += n
 	l.lines.Count(b[:n])
+	l.framing.Read(b[:n])
 	if l.lines.Lines() > maxHeadLines {
 		return 0, &limitError{part: "head", bytesRead: int64(l.bytes)}
 	}
@@ -77,13 +82,15 @@
 
 // readHead reads the head of an answer to a request with the given method.
 func (c *connection) readHead(method string) (*http.Response, error) {
-	c.head.begin()
+	// Peeking at what is buffered does not fail.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.begin(buffered)
 	defer c.head.end()
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
 	}
-	if err := answercheck.CheckHead(response); err != nil {
+	if err := cmp.Or(c.head.framing.Err(), answercheck.CheckHead(response)); err != nil {
 		return nil, err
 	}
 	answercheck.CheckTrailer(response)
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -59,6 +59,89 @@
 	}
 }
 
+// TestAmbiguousFramingReachesNoCaller guards against bodies that another reader of the same answer would end
+// elsewhere.
+func TestAmbiguousFramingReachesNoCaller(t *testing.T) {
+	const (
+		head    = "HTTP/1.1 200 OK\r\n" + signedFields
+		coding  = "Transfer-Encoding: chunked\r\n"
+		chunks  = "\r\n3\r\nodd\r\n0\r\n\r\n"
+		interim = "HTTP/1.1 103 Early Hints\r\n"
+	)
+	tests := map[string]string{
+		"a length and a coding":         head + "Content-Length: 3\r\n" + coding + chunks,
+		"a coding and a length":         head + coding + "content-LENGTH: 3\r\n" + chunks,
+		"a coding twice":                head + coding + coding + chunks,
+		"another coding":                head + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+		"no coding by name":             head + "Transfer-Encoding: identity\r\nContent-Length: 3\r\n\r\nodd",
+		"a coding in HTTP/1.0":          "HTTP/1.0 200 OK\r\n" + signedFields + coding + "Connection: close\r\n" + chunks,
+		"two lengths":                   head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nodd!",
+		"a list of lengths":             head + "Content-Length: 3, 3\r\n\r\nodd",
+		"a length with a sign":          head + "Content-Length: +3\r\n\r\nodd",
+		"a length below zero":           head + "Content-Length: -3\r\n\r\nodd",
+		"a length in another base":      head + "Content-Length: 0x3\r\n\r\nodd",
+		"a length beyond an integer":    head + "Content-Length: 99999999999999999999\r\n\r\nodd",
+		"no content with a body":        "HTTP/1.1 204 No Content\r\n" + signedFields + "Content-Length: 3\r\n\r\nodd",
+		"no content with chunks":        "HTTP/1.1 204 No Content\r\n" + signedFields + coding + chunks,
+		"an interim answer with a body": interim + "Content-Length: 90\r\n\r\n" + smuggledAnswer,
+		"an interim one with chunks":    interim + coding + "\r\n" + smuggledAnswer,
+		"an interim one after another":  interim + "\r\n" + interim + "Content-Length: 90\r\n\r\n" + smuggledAnswer,
+		"after a late answer":           "HTTP/1.1 200 OK\r\nX-Attempt: b\r\nContent-Length: 2\r\n\r\nno" + head + "Content-Length: 3\r\n" + coding + chunks,
+		"a size of a chunk with a sign": head + coding + "\r\n+3\r\nodd\r\n0\r\n\r\n",
+		"a chunk longer than its size":  head + coding + "\r\n2\r\nodd\r\n0\r\n\r\n",
+		"a size beyond an integer":      head + coding + "\r\n10000000000000003\r\nodd\r\n0\r\n\r\n",
+		"another version":               "HTTP/2.0 200 OK\r\n" + signedFields + "Content-Length: 3\r\n\r\nodd",
+		"no version":                    "HTTP/1 200 OK\r\n" + signedFields + "Content-Length: 3\r\n\r\nodd",
+	}
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) { checkMalformedAnswer(t, sent) })
+	}
+}
+
+// TestSoundAnswersReachCallers: what is unusual but allowed, or lenient without a doubt about the body, is passed on.
+func TestSoundAnswersReachCallers(t *testing.T) {
+	const (
+		head    = "HTTP/1.1 200 OK\r\n" + signedFields
+		body    = "Content-Length: 3\r\n\r\nyes"
+		coding  = "Transfer-Encoding: chunked\r\n\r\n"
+		interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+	)
+	tests := map[string]string{
+		"a length":                  head + body,
+		"chunks":                    head + coding + "1\r\ny\r\n2\r\nes\r\n0\r\n\r\n",
+		"chunks with extensions":    head + coding + "3;a=b\r\nyes\r\n0;c\r\n\r\n",
+		"a trailer":                 head + coding + "3\r\nyes\r\n0\r\nField: a\r\n\r\n",
+		"a coding in capitals":      head + "TRANSFER-ENCODING: CHUNKED\r\n\r\n3\r\nyes\r\n0\r\n\r\n",
+		"an earlier version":        "HTTP/1.0 200 OK\r\n" + signedFields + body,
+		"interim answers":           interim + "HTTP/1.1 100 Continue\r\n\r\n" + head + body,
+		"an unusual reason":         "HTTP/1.1 200 Transfer-Encoding: chunked\r\n" + signedFields + body,
+		"no reason":                 "HTTP/1.1 200 \r\n" + signedFields + body,
+		"no reason and no blank":    "HTTP/1.1 200\r\n" + signedFields + body,
+		"a status of its own":       "HTTP/1.1 299 Odd\r\n" + signedFields + body,
+		"names in any case":         "HTTP/1.1 200 OK\r\nx-attempt: $ID\r\nX-SIGNATURE: w\r\ncontent-length: 3\r\n\r\nyes",
+		"blanks around a value":     head + "Field: \t a \t\r\n" + body,
+		"an empty value":            head + "Field:\r\n" + body,
+		"obsolete folding":          head + "Field: a\r\n\tTransfer-Encoding: chunked\r\n" + body,
+		"bytes beyond ASCII":        head + "Field: \xe9\xff\r\n" + body,
+		"bare line feeds":           "HTTP/1.1 200 OK\nX-Attempt: $ID\nX-Signature: w\nContent-Length: 3\n\nyes",
+		"the same length twice":     head + "Content-Length: 3\r\n" + body,
+		"all characters of a name":  head + "!#$%&'*+-.^_`|~09azAZ: a\r\n" + body,
+		"after a late answer":       "HTTP/1.1 200 OK\r\nX-Attempt: b\r\nContent-Length: 2\r\n\r\nno" + head + body,
+		"after a late one, chunked": "HTTP/1.1 200 OK\r\nX-Attempt: b\r\n" + coding + "2\r\nno\r\n0\r\n\r\n" + head + body,
+	}
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorker(t, "w1", sendsRaw)
+			w.raw = sent
+			_, server := newTestProxy(t, w)
+			got := sendRequest(t, server, "/once/", "a", nil)
+			assert.Equal(t, got.status/100, 2, "%s", got.body)
+			assert.Equal(t, got.body, "yes")
+			assert.Assert(t, got.isComplete)
+		})
+	}
+}
+
 // TestMalformedTrailerOfAStream: the events before a malformed trailer are whole, so another worker only has to
 // end the stream.
 func TestMalformedTrailerOfAStream(t *testing.T) {
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -58,9 +58,9 @@
 func newFetcher(s *Server) *fetcher {
 	f := &fetcher{server: s, requests: make(chan fetchRequest, 1), client: &http.Client{Timeout: fetchTimeout, Transport: s.opts.PeerTransport}}
 	if s.opts.PeerTransport == nil {
-		f.client.Transport = &answercheck.Transport{Transport: &http.Transport{
+		f.client.Transport = answercheck.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxResponseHeadBytes,
-		}}
+		})
 	}
 	return f
 }
