proxy: Suspect a worker that sends a malformed answer

What callers saw: a worker whose answers are malformed was chosen as before, so that one caller after the other waited for its second attempt, or was told 502 where no second one is allowed.

Cause: a replica is suspected if its head's answer exceeds a limit; a malformed one only raised the cost of the replica, as any failed attempt does.

Ruled out: that it must be taken for a crash: the connection does not break, so no quarantine counts it.

Evidence: TestMalformedAnswerIsSuspected failed before. It also shows that a suspected worker is still asked if there is no other.

Why it holds: both kinds of answers that no sound worker sends end in the same function. The line "malformed answer" names the worker and what is malformed.

--- a/proxy/answerlimit.go
+++ b/proxy/answerlimit.go
@@ -127,16 +127,20 @@
 	return nil
 }
 
-// recordLimitExceeded makes all daemons avoid a replica for a while if its head's answer exceeded a
-// limit.
-func (p *Proxy) recordLimitExceeded(c *request, replica *fleet.Replica, err error) {
+// recordInvalidAnswer makes all daemons avoid a replica for a while if its head's answer exceeded a limit or
+// was malformed.
+func (p *Proxy) recordInvalidAnswer(c *request, replica *fleet.Replica, err error) {
+	fields := []any{"request", c.id, "replica", replica.ID, "worker", replica.Head.ID}
 	var exceeded *limitError
-	if !errors.As(err, &exceeded) {
+	switch {
+	case errors.As(err, &exceeded):
+		p.opts.Logger.Warn("answer exceeds a limit", append(fields, "part", exceeded.part, "bytes_read", exceeded.bytesRead)...)
+	case answercheck.Is(err):
+		p.opts.Logger.Warn("malformed answer", append(fields, "error", err)...)
+	default:
 		return
 	}
 	p.opts.Tracker.Suspect(replica, time.Now())
-	p.opts.Logger.Warn("answer exceeds a limit", "request", c.id, "replica", replica.ID, "worker", replica.Head.ID,
-		"part", exceeded.part, "bytes_read", exceeded.bytesRead)
 }
 
 // Suspect marks a replica as suspected because its head sends answers that no sound worker sends.
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 )
 
@@ -156,6 +158,27 @@
 	assert.Equal(t, w.runs("a"), 2)
 }
 
+// TestMalformedAnswerIsSuspected: the worker that sent a malformed answer is asked last for a while, at all
+// daemons, but still asked if there is no other.
+func TestMalformedAnswerIsSuspected(t *testing.T) {
+	faulty, sound := newFakeWorker(t, "faulty", sendsRaw), newFakeWorker(t, "sound")
+	faulty.raw = "HTTP/1.1 000 Odd\r\n" + signedFields + "Content-Length: 3\r\n\r\nodd"
+	p, server := newTestProxy(t, faulty, sound)
+	log := &logBuffer{}
+	p.opts.Logger = hclog.New(&hclog.LoggerOptions{Output: log, Level: hclog.Info})
+	p.startedAt = time.Now().Add(-randomPairPeriod)
+	preferOver(p, sound)
+	got := sendRequest(t, server, "/safe/", "a", nil)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, log.count("malformed answer"), 1, log.String())
+	assert.DeepEqual(t, p.opts.Tracker.suspectedHeads(time.Now()), map[string]bool{"faulty": true})
+
+	alone, server := newTestProxy(t, faulty)
+	alone.opts.Tracker = p.opts.Tracker
+	got = sendRequest(t, server, "/once/", "b", nil)
+	assert.Equal(t, got.status, http.StatusOK)
+}
+
 // checkMalformedAnswer checks that no caller gets what a worker sends: a request that may be repeated is
 // answered by another worker, and the caller of any other one hears that it may have run.
 func checkMalformedAnswer(t *testing.T, sent string) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -495,7 +495,7 @@
 	}
 	p.opts.Tracker.RecordFailure(replica, time.Now())
 	p.recordHeadFailure(c, replica, err)
-	p.recordLimitExceeded(c, replica, err)
+	p.recordInvalidAnswer(c, replica, err)
 }
 
 // failureRefusal returns the refusal of a request whose attempts all failed.
