--- a/common/answercheck/answercheck.go
+++ b/common/answercheck/answercheck.go
@@ -41,7 +41,7 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return &Error{part: "status", value: r.Status}
 	}
-	if r.ProtoMajor > 1 {
+	if r.ProtoMajor != 1 {
 		return &Error{part: "version", value: r.Proto}
 	}
 	if r.StatusCode == http.StatusNoContent && hasBody(r) {
--- a/common/answercheck/transport.go
+++ b/common/answercheck/transport.go
@@ -62,7 +62,7 @@
 	if e.interimAnswers++; e.interimAnswers > maxInterimAnswers {
 		return &Error{part: "number of interim answers", value: strconv.Itoa(e.interimAnswers)}
 	}
-	return CheckHead(&http.Response{StatusCode: status, Header: http.Header(fields)})
+	return CheckHead(&http.Response{StatusCode: status, ProtoMajor: 1, Header: http.Header(fields)})
 }
 
 // check checks the final answer.
