--- a/gateway/answerlimit_test.go
+++ b/gateway/answerlimit_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// TestEndlessHeadIsNotReadOn guards against an endpoint's bytes that fill the daemon's memory.
+// TestEndlessHeadIsNotReadOn guards against an endpoint's bytes beside those of a body that fill the daemon's memory.
 func TestEndlessHeadIsNotReadOn(t *testing.T) {
 	const most = 128 << 10
 	tests := map[string]struct{ beginning, repeated string }{
@@ -69,6 +69,8 @@
 		"an endless header":      {beginning: "HTTP/1.1 200 OK\r\nA: ", repeated: "b"},
 		"headers without an end": {beginning: "HTTP/1.1 200 OK\r\n", repeated: "Header: value\r\n"},
 		"interim answers":        {repeated: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
+		"a chunk's size":         {beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeated: "1"},
+		"a chunk's extension":    {beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", repeated: "x"},
 		"a trailer":              {beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", repeated: "Header: value\r\n"},
 	}
 	for name, test := range tests {
