soak, platform/standin: Let workers send bytes that are no response, and leave odd entries

What it is for: the tests of the readers use one connection each. Beside real daemons, other requests and the daemons' own repeats, an odd answer could still do harm that they don't show.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	scripts/faults
 
 # soak runs random faults against real daemons. It draws seeds and prints them; replay one with
-# SEEDS=n make soak. Add HALLS=, CRASHING=, PARTS=, DRILLS=, REBORN=, ASKING=, PAUSING= or STOPPING= to leave out the
+# SEEDS=n make soak. Add HALLS=, CRASHING=, PARTS=, DRILLS=, REBORN=, ASKING=, PAUSING=, STOPPING= or SPOILING= to leave out the
 # faults of that kind, if the seed was drawn without them.
 HALLS := --halls
 CRASHING := --crashing
@@ -50,8 +50,9 @@
 ASKING := --asking
 PAUSING := --pausing
 STOPPING := --stopping
+SPOILING := --spoiling
 soak: build
-	$(SOAK) $(HALLS) $(CRASHING) $(PARTS) $(DRILLS) $(REBORN) $(ASKING) $(PAUSING) $(STOPPING) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
+	$(SOAK) $(HALLS) $(CRASHING) $(PARTS) $(DRILLS) $(REBORN) $(ASKING) $(PAUSING) $(STOPPING) $(SPOILING) --count $${COUNT:-10} --parallel $${PARALLEL:-4} $${SEEDS:+--seeds $$SEEDS}
 
 # soak-short is the soak of CI. Workers of seed 4 check fences. Workers that pause answer no
 # reports in seeds 72 and 73; in 74, 76 and 79 they do, or are a quarter of all. Daemons stop in series in seeds 84 and
@@ -67,6 +68,7 @@
 	$(SOAK) --pausing --series 0 --seeds 72,73,74,76,79 --parallel 3 --duration 10s
 	$(SOAK) --stopping --series 0 --seeds 81,84,85 --parallel 3 --duration 12s
 	$(SOAK) --stopping --series 0 --seeds 7802,7805,7810 --parallel 3 --duration 10s
+	$(SOAK) --spoiling --series 0 --seeds 8401,8402,8403 --parallel 3 --duration 8s
 	MIXES=half scripts/soak-mixed $(SOAK) --seeds 101,102 --parallel 2 --duration 5s
 
 soak-again: build
--- a/cmd/soakcmd/run.go
+++ b/cmd/soakcmd/run.go
@@ -56,6 +56,7 @@
 	Asking   bool          `help:"Also let workers name limits, ask for rest and say in answers that they leave."`
 	Pausing  bool          `help:"Also let workers fall silent and go on, beside changes of the configuration; alone with --series 0."`
 	Stopping bool          `help:"Also stop daemons as planned, several at a time, beside long streams, late bodies and callers that stay; alone with --series 0, most seeds in waves while workers become slow."`
+	Spoiling bool          `help:"Also let workers send bytes that are no response, and leave odd entries among theirs."`
 	Earlier  string        `help:"The program of an earlier build that runs beside this one." type:"existingfile"`
 	Mix      string        `help:"How both run: half of the daemons for good, each replaced when it starts again, or replaced and taken back." enum:"half,replaced,back" default:"half"`
 	Verbose  bool          `help:"Tell every fault."`
@@ -125,7 +126,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Seed: seed, Program: program, EarlierProgram: earlier, Mix: soak.BuildMix(flags.Mix), Dir: dir, AddressPrefix: loopbackPrefix(index), Daemons: flags.Daemons, Workers: flags.Workers,
-		Callers: flags.Callers, SeriesCount: flags.Series, Duration: flags.Duration, HallFaults: flags.Halls, CrashingRequest: flags.Crashing, CrashingPart: flags.Parts, StoreRestores: flags.Drills, WorkersKeepIDs: flags.Reborn, WorkerSignals: flags.Asking, WorkerPauses: flags.Pausing, DaemonStops: flags.Stopping,
+		Callers: flags.Callers, SeriesCount: flags.Series, Duration: flags.Duration, HallFaults: flags.Halls, CrashingRequest: flags.Crashing, CrashingPart: flags.Parts, StoreRestores: flags.Drills, WorkersKeepIDs: flags.Reborn, WorkerSignals: flags.Asking, WorkerPauses: flags.Pausing, DaemonStops: flags.Stopping, WorkerSpoils: flags.Spoiling,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: stderr, Level: level}),
 	})
 	result.Seed = seed
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -62,6 +62,13 @@
 	return drawSchedule(rand.New(rand.NewPCG(seed, randomStream)), pauseFaultNames(), defaultPauses, pauseDurations, total)
 }
 
+// spoilSchedule returns the faults in which workers send bytes that are no response. It draws from a separate
+// random stream, so that it does not change the other schedules of a seed.
+func spoilSchedule(seed uint64, total time.Duration) []scheduledFault {
+	const randomStream = 1 << 41
+	return drawSchedule(rand.New(rand.NewPCG(seed, randomStream)), spoilFaultNames(), defaultPauses, faultDurations, total)
+}
+
 // drawSchedule draws faults with the given names, pauses and durations until the faults and their pauses together
 // last at least total.
 func drawSchedule(random *rand.Rand, names []string, pauses, durations durationRange, total time.Duration) []scheduledFault {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -63,6 +63,9 @@
 	// stop daemons in waves, during which workers may become slow, and the callers report every request that
 	// a daemon ends before its deadline.
 	DaemonStops bool
+	// WorkerSpoils adds faults in which workers send bytes that are no response, and in which another writer leaves
+	// odd entries among those of the workers.
+	WorkerSpoils bool
 	// StoreRestores adds restores of the store from a copy that is seconds old.
 	StoreRestores bool
 	// HallFaults adds faults of data halls, and a second region.
@@ -362,6 +365,9 @@
 	if r.opts.WorkerPauses {
 		series.Go(func() { r.injectFaults(ctx, pauseSchedule(r.opts.Seed, r.opts.Duration), pauseFaults) })
 	}
+	if r.opts.WorkerSpoils {
+		series.Go(func() { r.injectFaults(ctx, spoilSchedule(r.opts.Seed, r.opts.Duration), spoilFaults) })
+	}
 	if r.opts.DaemonStops {
 		for _, scheduled := range r.opts.stopSchedules() {
 			series.Go(func() { r.injectFaults(ctx, scheduled, stopFaults) })
--- a/soak/stopping.go
+++ b/soak/stopping.go
@@ -125,7 +125,7 @@
 // excusesNothing reports whether the soak injects no faults but pauses of workers and planned stops of
 // daemons. Nothing then excuses a daemon that ends a stream early.
 func (o Options) excusesNothing() bool {
-	hasOthers := o.SeriesCount > 0 || o.CrashingRequest || o.CrashingPart || o.WorkerSignals || o.StoreRestores || o.HallFaults
+	hasOthers := o.SeriesCount > 0 || o.CrashingRequest || o.CrashingPart || o.WorkerSignals || o.StoreRestores || o.HallFaults || o.WorkerSpoils
 	return (o.WorkerPauses || o.DaemonStops) && !hasOthers
 }
 
