--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -29,7 +29,7 @@
 		return failure.New(failure.Remote, "check worker", w.ID, "the id or the service is missing")
 	case slices.ContainsFunc(names, isLongName):
 		return failure.New(failure.Remote, "check worker", w.ID, "a name is longer than %d bytes", maxNameBytes)
-	case !isAddress(w.Address):
+	case !IsAddress(w.Address):
 		return failure.New(failure.Remote, "check worker", w.ID, "invalid address %q", w.Address)
 	case w.Slots < 0 || w.Slots > maxSlots:
 		return failure.New(failure.Remote, "check worker", w.ID, "invalid number of slots %d", w.Slots)
@@ -74,8 +74,8 @@
 
 func isLongName(name string) bool { return len(name) > maxNameBytes }
 
-// isAddress reports whether connections can be opened to an address of the form HOST:PORT.
-func isAddress(address string) bool {
+// IsAddress reports whether connections can be opened to an address of the form HOST:PORT.
+func IsAddress(address string) bool {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil || host == "" || isLongName(host) || strings.ContainsFunc(host, isNoHostCharacter) {
 		return false
