--- a/proxy/answerfuzz_test.go
+++ b/proxy/answerfuzz_test.go
@@ -115,24 +115,30 @@
 	rest []byte
 }
 
-// answerTo returns the answer to a request. Interim answers, and one answer to another request, may precede it.
+// answerTo returns the answer to a request. One answer to another request may precede it.
 func (r *grammarReader) answerTo(attempt string) (status int, body []byte, err error) {
 	for range 1 + maxForeignAnswers {
-		for range 1 + maxInterimAnswers {
-			var fields map[string][]string
-			if status, fields, err = r.head(); err != nil {
-				return 0, nil, err
-			}
-			if status >= 200 {
-				body, err = r.body(status, fields)
-				if id := fields["x-attempt"]; err != nil || len(id) == 0 || id[0] == "" || id[0] == attempt {
-					return status, body, err
-				}
-				break
-			}
-			if fields["content-length"] != nil || fields["transfer-encoding"] != nil {
-				return 0, nil, errGrammar
-			}
+		var fields map[string][]string
+		if status, fields, err = r.finalHead(); err != nil {
+			return 0, nil, err
+		}
+		body, err = r.body(status, fields)
+		if id := fields["x-attempt"]; err != nil || len(id) == 0 || id[0] == "" || id[0] == attempt {
+			return status, body, err
+		}
+	}
+	return 0, nil, errGrammar
+}
+
+// finalHead returns the next head that is not one of an interim answer.
+func (r *grammarReader) finalHead() (status int, fields map[string][]string, err error) {
+	for range 1 + maxInterimAnswers {
+		status, fields, err = r.head()
+		switch {
+		case err != nil || status >= 200:
+			return status, fields, err
+		case fields["content-length"] != nil || fields["transfer-encoding"] != nil:
+			return 0, nil, errGrammar
 		}
 	}
 	return 0, nil, errGrammar
