--- a/common/answercheck/conn.go
+++ b/common/answercheck/conn.go
@@ -50,6 +50,6 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.framing.Read(b[:n])
+	c.framing.Check(b[:n])
 	return n, err
 }
--- a/common/answercheck/framing.go
+++ b/common/answercheck/framing.go
@@ -48,8 +48,8 @@
 // Err returns an Error if the heads that have arrived frame a body ambiguously.
 func (f *Framing) Err() error { return f.err }
 
-// Read checks bytes of the answer. What follows the head belongs to the body and is not checked.
-func (f *Framing) Read(data []byte) {
+// Check checks bytes of the answer. What follows the head belongs to the body and is not checked.
+func (f *Framing) Check(data []byte) {
 	for _, b := range data {
 		if !f.isWithinHead {
 			return
--- a/proxy/answerlimit.go
+++ b/proxy/answerlimit.go
@@ -50,7 +50,7 @@
 	*l = headLimiter{source: l.source, isActive: true, framing: l.framing}
 	l.lines.Begin()
 	l.framing.Begin()
-	l.framing.Read(buffered)
+	l.framing.Check(buffered)
 }
 
 // end ends a head, so that the body is read without limit.
@@ -67,7 +67,7 @@
 	n, err := l.source.Read(b[:min(len(b), maxHeadBytes-l.bytes)])
 	l.bytes += n
 	l.lines.Count(b[:n])
-	l.framing.Read(b[:n])
+	l.framing.Check(b[:n])
 	if l.lines.Lines() > maxHeadLines {
 		return 0, &limitError{part: "head", bytesRead: int64(l.bytes)}
 	}
