--- a/common/answercheck/transport.go
+++ b/common/answercheck/transport.go
@@ -22,6 +22,15 @@
 	return &Transport{Transport: base}
 }
 
+// NewClient returns a client that sends through a Transport with the options of base. It returns redirections
+// instead of following them: they would lead to an answer of another process.
+func NewClient(base *http.Transport) *http.Client {
+	return &http.Client{Transport: NewTransport(base), CheckRedirect: FollowNone}
+}
+
+// FollowNone is an http.Client's CheckRedirect that follows no redirection.
+func FollowNone(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // RoundTrip implements http.RoundTripper. The error of a malformed answer wraps an Error, and so does that of
 // reading a body which a malformed trailer follows.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -93,7 +93,7 @@
 		MaxResponseHeaderBytes: maxPeerHeaderBytes,
 	}
 	return &peerClients{
-		http:      &http.Client{Timeout: peerTimeout, Transport: limitedTransport{answercheck.NewTransport(transport)}},
+		http:      &http.Client{Timeout: peerTimeout, CheckRedirect: answercheck.FollowNone, Transport: limitedTransport{answercheck.NewTransport(transport)}},
 		transport: transport,
 		traffic:   t,
 		clients:   make(map[string]rpc.Peer),
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -52,14 +52,7 @@
 	}
 	singleUseTransport := baseTransport.Clone()
 	singleUseTransport.DisableKeepAlives = true
-	return &upstream{reusingClient: newClient(baseTransport.Clone()), singleUseClient: newClient(singleUseTransport)}
-}
-
-func newClient(t *http.Transport) *http.Client {
-	return &http.Client{
-		Transport:     answercheck.NewTransport(t),
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	return &upstream{reusingClient: answercheck.NewClient(baseTransport.Clone()), singleUseClient: answercheck.NewClient(singleUseTransport)}
 }
 
 func (u *upstream) close() {
--- a/serving/fetch.go
+++ b/serving/fetch.go
@@ -56,7 +56,9 @@
 }
 
 func newFetcher(s *Server) *fetcher {
-	f := &fetcher{server: s, requests: make(chan fetchRequest, 1), client: &http.Client{Timeout: fetchTimeout, Transport: s.opts.PeerTransport}}
+	f := &fetcher{server: s, requests: make(chan fetchRequest, 1), client: &http.Client{
+		Timeout: fetchTimeout, CheckRedirect: answercheck.FollowNone, Transport: s.opts.PeerTransport,
+	}}
 	if s.opts.PeerTransport == nil {
 		f.client.Transport = answercheck.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxResponseHeadBytes,
--- a/standin/client/client.go
+++ b/standin/client/client.go
@@ -67,10 +67,10 @@
 		logger:   opts.Logger,
 		logURL:   "http://" + opts.LogAddress,
 		nodesURL: "http://" + opts.NodeListAddress,
-		http: &http.Client{Transport: answercheck.NewTransport(&http.Transport{
+		http: answercheck.NewClient(&http.Transport{
 			MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
 			MaxResponseHeaderBytes: maxResponseHeadBytes,
-		})},
+		}),
 	}
 }
 
